--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# The verbs of this repository. `make run` and `make test` need only Go and make.
+GO      ?= go
+BIN     := bin
+TOOLS   := $(CURDIR)/.tools
+PROGRAMS := foldarch foldarch-entry foldarch-standin foldarch-load
+
+.PHONY: build run test check bench model gen tools chaos
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+run: build
+	$(BIN)/foldarch local
+
+test:
+	$(GO) test ./...
+
+race:
+	$(GO) test -race ./pkg/...
+
+tools:
+	cd tools && $(GO) build -o $(TOOLS)/ tool
+
+gen: tools
+	$(TOOLS)/ogen --target pkg/store/storeapi --package storeapi --clean api/platform.yaml
+	$(TOOLS)/ogen --target pkg/worker/workerapi --package workerapi --clean api/worker.yaml
+	$(TOOLS)/ogen --target pkg/entry/entryapi --package entryapi --clean api/callers.yaml
+	PATH=$(TOOLS):$$PATH protoc --go_out=. --go_opt=module=foldarch.dev/foldarch \
+		--go-drpc_out=. --go-drpc_opt=module=foldarch.dev/foldarch api/peer.proto
+	gofmt -w pkg/store/storeapi pkg/worker/workerapi pkg/entry/entryapi pkg/peer/peerpb
+
+check: tools
+	./.ci/check
+
+bench: build
+	./bench/run
+
+model:
+	./spec/run
--- /dev/null
+++ b/pkg/cell/resources.go
@@ -0,0 +1,45 @@
+package cell
+
+import "fmt"
+
+// Resources is an amount of what a worker provides and a task needs.
+type Resources struct {
+	CPUMillis    int64 // thousandths of a processor
+	MemoryMB     int64
+	Accelerators int64
+}
+
+// Add returns the sum of two amounts.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{r.CPUMillis + o.CPUMillis, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
+}
+
+// Sub returns what is left of r when o is taken away.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{r.CPUMillis - o.CPUMillis, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
+}
+
+// Fits says whether an amount fits into what is free.
+func (r Resources) Fits(free Resources) bool {
+	return r.CPUMillis <= free.CPUMillis && r.MemoryMB <= free.MemoryMB && r.Accelerators <= free.Accelerators
+}
+
+// DominantShare returns the largest share, over the kinds of resource, that r is of total.
+// It is the measure of dominant resource fairness (Ghodsi et al., NSDI 2011).
+func (r Resources) DominantShare(total Resources) float64 {
+	share := ratio(r.CPUMillis, total.CPUMillis)
+	share = max(share, ratio(r.MemoryMB, total.MemoryMB))
+	return max(share, ratio(r.Accelerators, total.Accelerators))
+}
+
+// String returns a form for logs, such as "cpu=2000m mem=4096MB acc=0".
+func (r Resources) String() string {
+	return fmt.Sprintf("cpu=%dm mem=%dMB acc=%d", r.CPUMillis, r.MemoryMB, r.Accelerators)
+}
+
+func ratio(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
--- /dev/null
+++ b/pkg/cli/drain.go
@@ -0,0 +1,37 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+
+	"foldarch.dev/foldarch/pkg/entry/entryapi"
+	"github.com/cockroachdb/errors"
+)
+
+// DrainCommand makes a host leave.
+type DrainCommand struct {
+	entryFlags
+	Kind string `arg:"" enum:"worker,entry" help:"What leaves: worker or entry."`
+	ID   string `arg:"" help:"Its id."`
+}
+
+// Help gives an example.
+func (DrainCommand) Help() string {
+	return "Example:\n\n  foldarch drain --entry 127.0.0.1:8080 worker seoul-1-w3"
+}
+
+// Run sends the command.
+func (c DrainCommand) Run(e *env) error {
+	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
+	defer cancel()
+	client, err := c.open()
+	if err != nil {
+		return err
+	}
+	target := &entryapi.DrainTarget{Kind: entryapi.DrainTargetKind(c.Kind), ID: c.ID}
+	if _, err := client.Drain(ctx, target); err != nil {
+		return errors.Wrapf(err, "drain %s %s", c.Kind, c.ID)
+	}
+	fmt.Fprintf(e.out, "%s %s is leaving\n", c.Kind, c.ID)
+	return nil
+}
--- /dev/null
+++ b/pkg/cli/local.go
@@ -0,0 +1,24 @@
+package cli
+
+import (
+	"time"
+
+	"foldarch.dev/foldarch/pkg/local"
+)
+
+// LocalCommand runs a small cell in this process.
+type LocalCommand struct {
+	Trace    string        `default:"all" enum:"all,hanbit,association" help:"Recorded traffic: hanbit, association or all."`
+	Duration time.Duration `default:"12s" help:"Into how long the recorded time is pressed."`
+	Seed     uint64        `default:"1" help:"Seed of the recorded traffic."`
+}
+
+// Help gives an example.
+func (LocalCommand) Help() string {
+	return "Example:\n\n  foldarch local --trace hanbit --duration 10s"
+}
+
+// Run runs the cell and prints what happened.
+func (c LocalCommand) Run(e *env) error {
+	return local.Run(e.out, local.Options{Trace: c.Trace, Duration: c.Duration, Seed: c.Seed})
+}
--- /dev/null
+++ b/pkg/cli/plan.go
@@ -0,0 +1,100 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+
+	"foldarch.dev/foldarch/pkg/revision"
+	"foldarch.dev/foldarch/pkg/settings"
+	"github.com/cockroachdb/errors"
+)
+
+// PlanCommand compares a directory with the settings in force.
+type PlanCommand struct {
+	storeFlags
+	Dir string `arg:"" help:"Directory of declarations." type:"existingdir"`
+}
+
+// Help gives an example.
+func (PlanCommand) Help() string {
+	return "Example:\n\n  foldarch plan --store 127.0.0.1:7000 declarations\n  changed  baseball/group.toml\n  scoring: changed\n    rules.queue: 256 -> 64"
+}
+
+// Run prints the difference.
+func (c PlanCommand) Run(e *env) error {
+	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
+	defer cancel()
+	docs, tree, err := readTree(e, c.Dir)
+	if err != nil {
+		return err
+	}
+	book, err := c.openBook(e.clk)
+	if err != nil {
+		return err
+	}
+	current, err := loadCurrent(ctx, book)
+	if err != nil {
+		return err
+	}
+	if err := settings.CheckLayout(current.tree.Layout, tree.Layout); err != nil {
+		return err
+	}
+	printDifference(e.out, current, docs, tree)
+	return nil
+}
+
+// inForce is what the store holds as in force.
+type inForce struct {
+	head revision.Head
+	docs map[string]string
+	tree *settings.Tree
+}
+
+func loadCurrent(ctx context.Context, book *revision.Book) (inForce, error) {
+	head, err := book.Head(ctx)
+	if err != nil {
+		return inForce{}, err
+	}
+	if head.Revision == 0 {
+		return inForce{docs: map[string]string{}, tree: &settings.Tree{}}, nil
+	}
+	commit, err := book.Commit(ctx, head.Commit)
+	if err != nil {
+		return inForce{}, err
+	}
+	docs, err := book.Documents(ctx, commit, nil)
+	if err != nil {
+		return inForce{}, err
+	}
+	tree, faults := settings.Parse(docs)
+	if len(faults) > 0 {
+		return inForce{}, errors.Newf("the settings in force have faults: %s", faults[0])
+	}
+	return inForce{head, docs, tree}, nil
+}
+
+func printDifference(w io.Writer, from inForce, docs map[string]string, tree *settings.Tree) {
+	changes := settings.CompareDocuments(from.docs, docs)
+	if len(changes) == 0 {
+		fmt.Fprintf(w, "nothing differs from revision %d\n", from.head.Revision)
+		return
+	}
+	fmt.Fprintf(w, "against revision %d:\n", from.head.Revision)
+	for _, c := range changes {
+		fmt.Fprintf(w, "%-8s %s\n", c.What, c.File)
+	}
+	for _, wc := range settings.CompareTrees(from.tree, tree) {
+		fmt.Fprintf(w, "workload %s: %s\n", wc.Workload, wc.What)
+		for _, d := range wc.Details {
+			fmt.Fprintf(w, "    %s\n", d)
+		}
+	}
+}
+
+// filesOf lists the files of a commit.
+func filesOf(c revision.Commit) []string {
+	return slices.Sorted(maps.Keys(c.Files))
+}
--- /dev/null
+++ b/pkg/cli/program.go
@@ -0,0 +1,104 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/dialer"
+	"foldarch.dev/foldarch/pkg/revision"
+	"foldarch.dev/foldarch/pkg/store"
+	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+)
+
+// Exit codes of the program.
+const (
+	ExitOK    = 0
+	ExitFault = 1 // the command could not be carried out
+	ExitUsage = 2 // the command line is wrong
+)
+
+const (
+	storeTimeout   = 2 * time.Second
+	storeRate      = 50
+	commandTimeout = 30 * time.Second
+)
+
+// Program is the table of subcommands.
+type Program struct {
+	Validate ValidateCommand `cmd:"" help:"Check a directory of declarations and name every fault."`
+	Plan     PlanCommand     `cmd:"" help:"Show what apply would change, and which workloads it reaches."`
+	Apply    ApplyCommand    `cmd:"" help:"Put a directory of declarations in force."`
+	History  HistoryCommand  `cmd:"" help:"List the revisions of the settings."`
+	Rollback RollbackCommand `cmd:"" help:"Put an earlier revision in force again, as a new one."`
+	Status   StatusCommand   `cmd:"" help:"Show halls, owners, epochs, workers, queues and the revision in force."`
+	Explain  ExplainCommand  `cmd:"" help:"Show the rules of a workload, where each came from, and what was decided."`
+	Drain    DrainCommand    `cmd:"" help:"Make a worker or an entry host leave without cutting a request."`
+	Release  ReleaseCommand  `cmd:"" help:"Free a shard whose owner and successor are known to have ended."`
+	Local    LocalCommand    `cmd:"" help:"Run a small cell in this process with recorded traffic."`
+}
+
+// env is what every subcommand is given.
+type env struct {
+	out io.Writer
+	clk clock.Clock
+}
+
+// storeFlags name the platform store.
+type storeFlags struct {
+	Store []netip.AddrPort `required:"" env:"FOLDARCH_STORE" help:"Addresses of the platform store, such as 10.0.0.1:7000." placeholder:"ADDRESS"`
+}
+
+// entryFlags name an entry host.
+type entryFlags struct {
+	Entry netip.AddrPort `required:"" env:"FOLDARCH_ENTRY" help:"Callers' address of an entry host, such as 10.0.0.7:8080." placeholder:"ADDRESS"`
+	JSON  bool           `help:"Print JSON."`
+}
+
+// Main runs the program and returns its exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	var p Program
+	parser, err := kong.New(&p, kong.Name("foldarch"),
+		kong.Description("Declares what a foldarch cell runs, and looks into it.\n\n"+
+			"Example: foldarch apply --store 127.0.0.1:7000 --author kim --note \"more scoring\" declarations"),
+		kong.Writers(out, errOut), kong.UsageOnError(), kong.Exit(func(int) {}))
+	if err != nil {
+		return fail(errOut, err, ExitFault)
+	}
+	ctx, err := parser.Parse(args)
+	if err != nil {
+		return fail(errOut, err, ExitUsage)
+	}
+	if ctx.Command() == "" {
+		return ExitOK // --help was printed
+	}
+	if err := ctx.Run(&env{out: out, clk: clock.System()}); err != nil {
+		return fail(errOut, err, ExitFault)
+	}
+	return ExitOK
+}
+
+func fail(w io.Writer, err error, code int) int {
+	fmt.Fprintf(w, "foldarch: %v\n", err)
+	return code
+}
+
+// openStore returns the client of the platform store.
+func (f storeFlags) openStore(clk clock.Clock) (*store.Store, error) {
+	s, err := store.New(store.Config{
+		Addresses: f.Store, CallTimeout: storeTimeout, ReadsPerSecond: storeRate, WritesPerSecond: storeRate,
+	}, dialer.New(nil, storeTimeout), clk, metrics.NewRegistry())
+	return s, errors.Wrap(err, "platform store")
+}
+
+func (f storeFlags) openBook(clk clock.Clock) (*revision.Book, error) {
+	s, err := f.openStore(clk)
+	if err != nil {
+		return nil, err
+	}
+	return revision.New(s, clk), nil
+}
--- /dev/null
+++ b/pkg/cli/validate.go
@@ -0,0 +1,44 @@
+package cli
+
+import (
+	"fmt"
+
+	"foldarch.dev/foldarch/pkg/settings"
+	"github.com/cockroachdb/errors"
+)
+
+// ValidateCommand checks a directory and needs no cell.
+type ValidateCommand struct {
+	Dir string `arg:"" help:"Directory of declarations." type:"existingdir"`
+}
+
+// Help gives an example.
+func (ValidateCommand) Help() string {
+	return "Example:\n\n  foldarch validate declarations\n  baseball/scoring.toml:7: rules.windw: unknown key, did you mean \"window\"?"
+}
+
+// Run prints every fault, or what the tree holds.
+func (c ValidateCommand) Run(e *env) error {
+	_, tree, err := readTree(e, c.Dir)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(e.out, "%s: %d workloads in %d halls, no faults\n", c.Dir, len(tree.Workloads), len(tree.Layout.Halls))
+	return nil
+}
+
+// readTree reads a directory and prints its faults.
+func readTree(e *env, dir string) (map[string]string, *settings.Tree, error) {
+	docs, err := settings.ReadDirectory(dir)
+	if err != nil {
+		return nil, nil, err
+	}
+	tree, faults := settings.Parse(docs)
+	for _, f := range faults {
+		fmt.Fprintln(e.out, f)
+	}
+	if len(faults) > 0 {
+		return nil, nil, errors.Newf("%d faults in %s; nothing was changed", len(faults), dir)
+	}
+	return docs, tree, nil
+}
--- /dev/null
+++ b/pkg/endpoint/client.go
@@ -0,0 +1,167 @@
+package endpoint
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/dialer"
+	"github.com/cockroachdb/errors"
+)
+
+// The wire to an endpoint.
+const (
+	CallPath   = "/"
+	HealthPath = "/health"
+
+	KeyHeader           = "Foldarch-Key"
+	ShardHeader         = "Foldarch-Shard"
+	EpochHeader         = "Foldarch-Epoch"
+	NotRepeatableHeader = "Foldarch-Not-Repeatable"
+
+	// RefusedHeader in an answer says that the request did not run, and why. A status
+	// alone does not say so: a service may answer 503 after it has run half of a request.
+	RefusedHeader  = "Foldarch-Refused"
+	RefusedLeaving = "leaving" // the endpoint takes no new work
+	RefusedStale   = "stale"   // the epoch is too low
+)
+
+// idleConns is how many unused connections are kept to one endpoint: its slots and a few.
+const idleConns = 16
+
+// Outcome says what is known of a call.
+type Outcome int
+
+// The outcomes.
+const (
+	Done    Outcome = iota // it ran; the answer is whole
+	Failed                 // it ran, or may have, and the endpoint answered with an error
+	NotRun                 // it certainly did not run
+	Leaving                // it did not run, and the endpoint takes no new work
+	Lost                   // it was sent and no whole answer came
+)
+
+// Request is one call.
+type Request struct {
+	Key           string
+	Shard         cell.ShardID
+	Epoch         cell.Epoch
+	NotRepeatable bool
+	Body          []byte
+	// Authorized is asked at the last moment before the request is written to the
+	// connection; when it says no, nothing is sent.
+	Authorized func() bool
+}
+
+// String returns the outcome's name for logs.
+func (o Outcome) String() string {
+	return [...]string{"done", "failed", "not_run", "leaving", "lost"}[o]
+}
+
+// Answer is what came of a call.
+type Answer struct {
+	Outcome Outcome
+	Body    []byte
+	Err     error // for Failed, NotRun and Lost
+}
+
+// Health is what an endpoint may tell of itself.
+type Health struct {
+	InUse   int  `json:"in_use"`
+	Leaving bool `json:"leaving"`
+}
+
+// Client calls endpoints. It is safe for concurrent use.
+type Client struct {
+	http    *http.Client
+	maxBody int64
+}
+
+// New returns a client that reads answers up to maxBody bytes.
+func New(d *dialer.Dialer, maxBody int64) *Client {
+	return &Client{http: &http.Client{Transport: d.Transport(idleConns)}, maxBody: maxBody}
+}
+
+// ErrNoAuthority is the cause of NotRun when Authorized stopped a request at the last moment.
+var ErrNoAuthority = errors.New("authority ended before the request was sent")
+
+// Call sends a request to an endpoint and waits for its whole answer until ctx ends.
+func (c *Client) Call(ctx context.Context, address netip.AddrPort, r Request) Answer {
+	body := &guardedBody{data: r.Body, authorized: r.Authorized}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s%s", address, CallPath), body)
+	if err != nil {
+		return Answer{Outcome: NotRun, Err: errors.Wrap(err, "endpoint request")}
+	}
+	req.ContentLength = int64(len(r.Body))
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/octet-stream")
+	req.Header.Set(KeyHeader, r.Key)
+	req.Header.Set(ShardHeader, r.Shard.String())
+	req.Header.Set(EpochHeader, strconv.FormatInt(int64(r.Epoch), 10))
+	req.Header.Set(NotRepeatableHeader, strconv.FormatBool(r.NotRepeatable))
+	if r.Authorized != nil && !r.Authorized() {
+		return Answer{Outcome: NotRun, Err: ErrNoAuthority}
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return failedSend(err, body)
+	}
+	defer resp.Body.Close()
+	return c.read(resp)
+}
+
+// failedSend decides whether the endpoint can have seen the whole request.
+func failedSend(err error, body *guardedBody) Answer {
+	if body.withhold() || dialer.NotSent(err) {
+		return Answer{Outcome: NotRun, Err: errors.Wrap(err, "send to endpoint")}
+	}
+	return Answer{Outcome: Lost, Err: errors.Wrap(err, "answer of endpoint")}
+}
+
+func (c *Client) read(resp *http.Response) Answer {
+	switch resp.Header.Get(RefusedHeader) {
+	case RefusedLeaving:
+		return Answer{Outcome: Leaving, Err: errors.New("the endpoint is leaving")}
+	case RefusedStale:
+		return Answer{Outcome: NotRun, Err: errors.New("the endpoint has seen a higher epoch")}
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, c.maxBody+1))
+	if err != nil {
+		return Answer{Outcome: Lost, Err: errors.Wrap(err, "answer of endpoint")}
+	}
+	if int64(len(data)) > c.maxBody {
+		return Answer{Outcome: Failed, Err: errors.Newf("the answer is over %d bytes", c.maxBody)}
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return Answer{Outcome: Failed, Body: data, Err: errors.Newf("endpoint answered %s", resp.Status)}
+	}
+	return Answer{Outcome: Done, Body: data}
+}
+
+// Health asks an endpoint how many requests it runs; ok is false when it does not tell.
+func (c *Client) Health(ctx context.Context, address netip.AddrPort, limit time.Duration) (h Health, ok bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s", address, HealthPath), nil)
+	if err != nil {
+		return Health{}, false, errors.Wrap(err, "health request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Health{}, false, errors.Wrap(err, "health of endpoint")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return Health{}, false, nil
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&h); err != nil {
+		return Health{}, false, nil
+	}
+	return h, true, nil
+}
--- /dev/null
+++ b/pkg/entry/calls.go
@@ -0,0 +1,292 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/entry/entryapi"
+	"foldarch.dev/foldarch/pkg/peer"
+	"foldarch.dev/foldarch/pkg/result"
+	"foldarch.dev/foldarch/pkg/routing"
+	"foldarch.dev/foldarch/pkg/settings"
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/ogen-go/ogen/ogenerrors"
+	"github.com/rcrowley/go-metrics"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+	healthPath    = "/healthz"
+)
+
+// httpServer is the door: the callers' and operators' API, health for the balancer, and
+// metrics.
+func (p *Process) httpServer() (*http.Server, error) {
+	api, err := entryapi.NewServer(&handler{p}, entryapi.WithErrorHandler(writeMalformed))
+	if err != nil {
+		return nil, errors.Wrap(err, "callers' API")
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/", p.limitBody(api))
+	mux.HandleFunc("GET "+healthPath, p.serveHealth)
+	mux.HandleFunc("GET "+metricsPath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		metrics.WriteJSONOnce(p.registry, w)
+	})
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}, nil
+}
+
+func (p *Process) limitBody(next http.Handler) http.Handler {
+	most := p.cfg.Limits.MaxBodyKB << 10
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, most)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// serveHealth tells the balancer whether to send callers here.
+func (p *Process) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	if revision, _, _ := p.settings.current(); p.draining.Load() || revision == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// handler answers the generated API.
+type handler struct {
+	p *Process
+}
+
+// CallService runs a caller's request.
+func (h *handler) CallService(ctx context.Context, req entryapi.CallServiceReq, params entryapi.CallServiceParams) (*entryapi.CallServiceOKHeaders, error) {
+	body, err := readBody(req.Data)
+	if err != nil {
+		return nil, err
+	}
+	r, err := h.p.callRequest(params, body)
+	if err != nil {
+		return nil, err
+	}
+	a := h.p.forward(ctx, r)
+	h.p.count("calls", a.Code)
+	if a.Code != result.OK {
+		return nil, problemOf(a)
+	}
+	return &entryapi.CallServiceOKHeaders{
+		FoldarchEndpoint: entryapi.NewOptString(a.Endpoint),
+		Response:         entryapi.CallServiceOK{Data: bytes.NewReader(a.Body)},
+	}, nil
+}
+
+func readBody(body io.Reader) ([]byte, error) {
+	if body == nil {
+		return nil, nil
+	}
+	data, err := io.ReadAll(body)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, result.New(result.BodyTooLarge, "the body is over %d bytes", tooLarge.Limit)
+	}
+	if err != nil {
+		return nil, result.New(result.Malformed, "the body can't be read: %v", err)
+	}
+	return data, nil
+}
+
+// callRequest checks a call and finds the shard that has to answer it.
+func (p *Process) callRequest(params entryapi.CallServiceParams, body []byte) (peer.Request, error) {
+	w, layout, err := p.workload(params.Service, settings.KindService)
+	if err != nil {
+		return peer.Request{}, err
+	}
+	if int64(len(body)) > w.MaxBody {
+		return peer.Request{}, result.New(result.BodyTooLarge, "the body is over the %d bytes that %s takes", w.MaxBody, w.Name)
+	}
+	left, err := p.timeLeft(params.FoldarchDeadline, w.TimeLimit)
+	if err != nil {
+		return peer.Request{}, err
+	}
+	r := peer.Request{
+		Kind: peer.Call, Service: w.Name, Caller: params.FoldarchCaller, Key: params.IdempotencyKey.Value,
+		IssuedAt: issuedAt(params), TimeLeft: left, Class: classes[params.FoldarchClass.Value],
+		NotRepeatable: params.FoldarchNotRepeatable.Value, Body: body,
+	}
+	var ok bool
+	if r.Key != "" {
+		r.Shard, ok = layout.Home(r.Key)
+	} else {
+		r.Shard, ok = p.nearest(w.Name)
+	}
+	if !ok {
+		return peer.Request{}, result.New(result.NoEndpoint, "no shard runs %s", w.Name).WithRetryAfter(homeRetry)
+	}
+	return r, nil
+}
+
+var classes = map[entryapi.CallServiceFoldarchClass]routing.Class{
+	"":                                      routing.Normal,
+	entryapi.CallServiceFoldarchClassUrgent: routing.Urgent,
+	entryapi.CallServiceFoldarchClassNormal: routing.Normal,
+	entryapi.CallServiceFoldarchClassBackground: routing.Background,
+}
+
+// workload looks a workload up in the settings in force.
+func (p *Process) workload(name string, kind settings.Kind) (settings.Workload, cell.Layout, error) {
+	_, _, tree := p.settings.current()
+	if tree == nil {
+		return settings.Workload{}, cell.Layout{}, result.New(result.NotReady, "%s", result.NotReady.Row().Text).WithRetryAfter(homeRetry)
+	}
+	if p.draining.Load() {
+		return settings.Workload{}, cell.Layout{}, result.New(result.Draining, "%s", result.Draining.Row().Text).WithRetryAfter(homeRetry)
+	}
+	w, ok := tree.Workloads[name]
+	if !ok {
+		return w, tree.Layout, result.New(result.UnknownService, "the settings have no workload %q", name)
+	}
+	if w.Kind != kind {
+		return w, tree.Layout, result.New(result.WrongKind, "%s is a %s workload", name, w.Kind)
+	}
+	return w, tree.Layout, nil
+}
+
+func (p *Process) timeLeft(deadline entryapi.OptInt64, limit time.Duration) (time.Duration, error) {
+	if !deadline.Set {
+		return limit, nil
+	}
+	left := time.UnixMilli(deadline.Value).Sub(p.clk.Wall())
+	if left <= 0 {
+		return 0, result.New(result.DeadlinePast, "the deadline was %s ago", -left)
+	}
+	return min(left, limit), nil
+}
+
+// issuedAt is when the key was made: as the caller says, or as a key tells that is a
+// version 7 UUID.
+func issuedAt(params entryapi.CallServiceParams) time.Time {
+	if params.FoldarchIssuedAt.Set {
+		return time.UnixMilli(params.FoldarchIssuedAt.Value)
+	}
+	text := params.IdempotencyKey.Value
+	if _, rest, found := strings.Cut(text, "/"); found {
+		text = rest
+	}
+	id, err := uuid.Parse(text)
+	if err != nil || id.Version() != 7 {
+		return time.Time{}
+	}
+	sec, nsec := id.Time().UnixTime()
+	return time.Unix(sec, nsec)
+}
+
+// SubmitBatch keeps a batch request.
+func (h *handler) SubmitBatch(ctx context.Context, req *entryapi.BatchRequest, params entryapi.SubmitBatchParams) (*entryapi.BatchStatus, error) {
+	w, layout, err := h.p.workload(req.Workload, settings.KindBatch)
+	if err != nil {
+		return nil, err
+	}
+	home, ok := batchHome(w, layout, params.FoldarchCaller, params.IdempotencyKey)
+	if !ok {
+		return nil, result.New(result.NoEndpoint, "no hall satisfies the place rule of %s", w.Name)
+	}
+	a := h.p.forward(ctx, peer.Request{
+		Kind: peer.BatchSubmit, Shard: home, Service: w.Name, Caller: params.FoldarchCaller,
+		Key: params.IdempotencyKey, TimeLeft: w.TimeLimit, Body: []byte(req.Payload),
+	})
+	h.p.count("batches", a.Code)
+	return batchStatus(a)
+}
+
+// batchHome is the shard that keeps and runs a batch request: a key that begins with a
+// hall's name stays in that hall, any other is spread over the halls that are allowed.
+func batchHome(w settings.Workload, layout cell.Layout, caller, key string) (cell.ShardID, bool) {
+	var allowed []cell.ShardID
+	prefix, _, _ := strings.Cut(key, "/")
+	for _, id := range layout.Shards() {
+		h, _ := layout.Hall(id.Hall)
+		if ok, _ := w.Place.AllowsHall(h); !ok {
+			continue
+		}
+		if string(id.Hall) == prefix {
+			return layout.ShardOf(id.Hall, caller+"/"+key)
+		}
+		allowed = append(allowed, id)
+	}
+	if len(allowed) == 0 {
+		return cell.ShardID{}, false
+	}
+	return allowed[xxhash.Sum64String(caller+"/"+key)%uint64(len(allowed))], true
+}
+
+// ReadBatch tells how far a batch request is, and its result.
+func (h *handler) ReadBatch(ctx context.Context, params entryapi.ReadBatchParams) (*entryapi.BatchStatus, error) {
+	home, err := batchShard(params.ID)
+	if err != nil {
+		return nil, err
+	}
+	return batchStatus(h.p.forward(ctx, peer.Request{
+		Kind: peer.BatchRead, Shard: home, Caller: params.FoldarchCaller, ID: params.ID, TimeLeft: storeCallTimeout,
+	}))
+}
+
+func batchStatus(a peer.Answer) (*entryapi.BatchStatus, error) {
+	if a.Code != result.OK {
+		return nil, problemOf(a)
+	}
+	s := &entryapi.BatchStatus{ID: a.ID, State: entryapi.BatchStatusState(a.State)}
+	if a.Worker != "" {
+		s.Worker = entryapi.NewOptString(a.Worker)
+	}
+	if len(a.Body) > 0 {
+		s.Result = entryapi.NewOptString(string(a.Body))
+	}
+	return s, nil
+}
+
+// count counts answers by code, such as calls.overloaded.
+func (p *Process) count(what string, code result.Code) {
+	metrics.GetOrRegisterCounter(what+"."+code.String(), p.registry).Inc(1)
+}
+
+func problemOf(a peer.Answer) error {
+	return result.New(a.Code, "%s", a.Message).WithRetryAfter(a.RetryAfter)
+}
+
+// NewError writes a result as the API's problem.
+func (h *handler) NewError(_ context.Context, err error) *entryapi.ProblemStatusCodeWithHeaders {
+	e := result.From(err)
+	row := e.Code.Row()
+	problem := &entryapi.ProblemStatusCodeWithHeaders{
+		StatusCode: row.Status,
+		Response: entryapi.Problem{
+			Code: int(e.Code), Name: row.Name, Message: e.Message, Ran: entryapi.ProblemRan(row.Ran),
+		},
+	}
+	if e.RetryAfter > 0 {
+		problem.RetryAfter = entryapi.NewOptInt(int((e.RetryAfter + time.Second - 1) / time.Second))
+		problem.Response.RetryAfterMs = entryapi.NewOptInt64(e.RetryAfter.Milliseconds())
+	}
+	return problem
+}
+
+// writeMalformed answers requests that the generated decoder refuses.
+func writeMalformed(_ context.Context, w http.ResponseWriter, _ *http.Request, err error) {
+	code := result.Malformed
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		code = result.BodyTooLarge
+	}
+	row := code.Row()
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(max(row.Status, ogenerrors.ErrorCode(err)))
+	_ = json.NewEncoder(w).Encode(&entryapi.Problem{
+		Code: int(code), Name: row.Name, Message: err.Error(), Ran: entryapi.ProblemRan(row.Ran),
+	})
+}
--- /dev/null
+++ b/pkg/entry/forward.go
@@ -0,0 +1,179 @@
+package entry
+
+import (
+	"context"
+	"math"
+	"slices"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/batch"
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/dialer"
+	"foldarch.dev/foldarch/pkg/keys"
+	"foldarch.dev/foldarch/pkg/peer"
+	"foldarch.dev/foldarch/pkg/result"
+	"foldarch.dev/foldarch/pkg/settings"
+	"foldarch.dev/foldarch/pkg/shard"
+)
+
+const (
+	homeRetry = 500 * time.Millisecond
+	// answerSlack is added to a request's time when waiting for the owner's answer.
+	answerSlack = 500 * time.Millisecond
+	// spillLoad is the load of the own hall above which other halls are looked at, and
+	// spillGain how much less loaded another must be. Together they keep requests from
+	// going to and fro.
+	spillLoad = 1.0
+	spillGain = 0.3
+)
+
+// forward has the owner of a shard answer a request, in this process or in another.
+func (p *Process) forward(ctx context.Context, r peer.Request) peer.Answer {
+	if e, ok := p.engine(r.Shard); ok {
+		return p.answerHere(ctx, e, r)
+	}
+	address, ok := p.addressOf(r.Shard)
+	if !ok || address == p.self.Address {
+		return refused(result.NoOwner, "no owner of "+r.Shard.String()+" is known")
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.TimeLeft+answerSlack)
+	defer cancel()
+	a, err := p.peers.Forward(ctx, address, r)
+	if err == nil {
+		return a
+	}
+	if dialer.NotSent(err) {
+		return refused(result.HomeUnreachable, "the owner of "+r.Shard.String()+" can't be reached")
+	}
+	return peer.Answer{Code: result.AnswerLost, Message: "the answer of the owner of " + r.Shard.String() + " was lost"}
+}
+
+func refused(code result.Code, message string) peer.Answer {
+	return peer.Answer{Code: code, Message: message, RetryAfter: homeRetry}
+}
+
+// answerForward answers a request that a peer forwarded.
+func (p *Process) answerForward(ctx context.Context, r peer.Request) peer.Answer {
+	e, ok := p.engine(r.Shard)
+	if !ok {
+		return refused(result.NoOwner, p.cfg.ID+" does not own "+r.Shard.String())
+	}
+	return p.answerHere(ctx, e, r)
+}
+
+func (p *Process) answerHere(ctx context.Context, e *shard.Engine, r peer.Request) peer.Answer {
+	switch r.Kind {
+	case peer.Call:
+		return fromCall(e.Call(ctx, p.callOf(r)))
+	case peer.BatchSubmit:
+		record, err := e.SubmitBatch(ctx, shard.Submission{
+			Caller: r.Caller, Key: r.Key, Workload: r.Service, Payload: string(r.Body),
+		})
+		return fromBatch(record, err)
+	case peer.BatchRead:
+		record, err := e.ReadBatch(r.Caller, batch.ID(r.ID))
+		return fromBatch(record, err)
+	case peer.Drain:
+		if !e.DrainWorker(r.ID) {
+			return peer.Answer{Code: result.UnknownTarget, Message: "no worker " + r.ID + " in " + r.Shard.String()}
+		}
+		return peer.Answer{Code: result.OK}
+	case peer.Explain:
+		return explainAnswer(e.Explain(r.Service))
+	}
+	return peer.Answer{Code: result.Malformed, Message: "unknown kind of request"}
+}
+
+func (p *Process) callOf(r peer.Request) shard.Call {
+	return shard.Call{
+		Service: r.Service, Caller: r.Caller, Key: r.Key, IssuedAt: r.IssuedAt, Class: r.Class,
+		Deadline: p.clk.Now().Add(r.TimeLeft), NotRepeatable: r.NotRepeatable, Delegated: r.Delegated, Body: r.Body,
+	}
+}
+
+func fromCall(a shard.Answer) peer.Answer {
+	return peer.Answer{Code: a.Code, Message: a.Message, RetryAfter: a.RetryAfter, Body: a.Body, Endpoint: a.Endpoint}
+}
+
+func fromBatch(r batch.Record, err error) peer.Answer {
+	if err != nil {
+		e := result.From(err)
+		return peer.Answer{Code: e.Code, Message: e.Message, RetryAfter: e.RetryAfter}
+	}
+	return peer.Answer{Code: result.OK, ID: string(r.ID), State: string(r.State), Worker: r.Worker, Body: []byte(r.Result)}
+}
+
+// delegate has another shard run a request whose home has no endpoint for it.
+func (p *Process) delegate(home cell.ShardID, c shard.Call) shard.Answer {
+	target, ok := p.nearest(c.Service, home)
+	if !ok {
+		return shard.Answer{Answer: keys.Answer{Code: result.NoEndpoint, Message: "no shard runs " + c.Service}, RetryAfter: homeRetry}
+	}
+	a := p.forward(context.Background(), peer.Request{
+		Kind: peer.Call, Shard: target, Service: c.Service, Caller: c.Caller, Key: c.Key, Class: c.Class,
+		TimeLeft: c.Deadline.Sub(p.clk.Now()), NotRepeatable: c.NotRepeatable, Delegated: true, Body: c.Body,
+	})
+	return shard.Answer{
+		Answer:     keys.Answer{Code: a.Code, Message: a.Message, Body: a.Body, Endpoint: a.Endpoint},
+		RetryAfter: a.RetryAfter,
+	}
+}
+
+// nearest returns the shard that is to run a request without a home: the least loaded of
+// the own hall, or of another hall when that one is much less loaded. Shards in except
+// are passed over.
+func (p *Process) nearest(service string, except ...cell.ShardID) (cell.ShardID, bool) {
+	_, _, tree := p.settings.current()
+	w, ok := tree.Workloads[service]
+	if !ok {
+		return cell.ShardID{}, false
+	}
+	own, ownLoad := p.leastLoaded(w, tree.Layout, true, except)
+	if ownLoad < spillLoad {
+		return own, true
+	}
+	other, otherLoad := p.leastLoaded(w, tree.Layout, false, except)
+	if otherLoad+spillGain < ownLoad {
+		return other, true
+	}
+	return own, !math.IsInf(ownLoad, 1)
+}
+
+// leastLoaded looks at the shards that run instances of a service, in the own hall or in
+// the others. The load is infinite where there is none.
+func (p *Process) leastLoaded(w settings.Workload, layout cell.Layout, inOwnHall bool, except []cell.ShardID) (cell.ShardID, float64) {
+	best, bestLoad := cell.ShardID{}, math.Inf(1)
+	for _, i := range settings.InstancesOf(w, layout) {
+		if (i.Shard.Hall == p.cfg.Hall) != inOwnHall || slices.Contains(except, i.Shard) {
+			continue
+		}
+		if load := p.loadOf(i.Shard, w.Name); load < bestLoad {
+			best, bestLoad = i.Shard, load
+		}
+	}
+	return best, bestLoad
+}
+
+// loadOf is the part of a shard's slots in use, with those that wait. Of a shard that has
+// not told its load it is taken to be nearly full, so that one that has is preferred.
+func (p *Process) loadOf(id cell.ShardID, service string) float64 {
+	const untold = 0.95
+	if e, ok := p.engine(id); ok {
+		l := e.Loads()[service]
+		return fraction(l.InUse+l.Queued, l.Slots)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, ok := p.table.LoadOf(id, service)
+	if !ok {
+		return untold
+	}
+	return fraction(l.InUse+l.Queued, l.Slots)
+}
+
+func fraction(used, slots int) float64 {
+	if slots == 0 {
+		return math.MaxFloat64
+	}
+	return float64(used) / float64(slots)
+}
--- /dev/null
+++ b/pkg/entry/operator.go
@@ -0,0 +1,181 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+
+	"foldarch.dev/foldarch/pkg/batch"
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/entry/entryapi"
+	"foldarch.dev/foldarch/pkg/members"
+	"foldarch.dev/foldarch/pkg/peer"
+	"foldarch.dev/foldarch/pkg/result"
+	"foldarch.dev/foldarch/pkg/shard"
+)
+
+func batchShard(id string) (cell.ShardID, error) {
+	home, err := batch.ID(id).Shard()
+	if err != nil {
+		return cell.ShardID{}, result.New(result.UnknownBatch, "%v", err)
+	}
+	return home, nil
+}
+
+// ReadCellStatus tells of this process, the shards of its hall and the members it knows.
+func (h *handler) ReadCellStatus(context.Context) (*entryapi.ProcessStatus, error) {
+	p := h.p
+	revision, _, _ := p.settings.current()
+	s := &entryapi.ProcessStatus{
+		ID: p.cfg.ID, Hall: string(p.cfg.Hall), Revision: revision, Draining: p.draining.Load(),
+		Store: entryapi.ProcessStatusStoreDown, Shards: p.shardStatus(), Peers: p.peerStatus(),
+	}
+	if p.store.Up(watchWait + storeUpWithin) {
+		s.Store = entryapi.ProcessStatusStoreUp
+	}
+	return s, nil
+}
+
+func (p *Process) shardStatus() []entryapi.ShardStatus {
+	list := []entryapi.ShardStatus{}
+	k := p.keeper.Load()
+	if k == nil {
+		return list
+	}
+	records := k.Records()
+	ids := slices.SortedFunc(maps.Keys(records), func(a, b cell.ShardID) int {
+		return strings.Compare(a.String(), b.String())
+	})
+	for _, id := range ids {
+		record := records[id]
+		s := entryapi.ShardStatus{
+			Shard: id.String(), Owner: record.Owner.ID, Successor: record.Successor.ID, Epoch: int64(record.Epoch),
+		}
+		if e, ok := p.engine(id); ok {
+			fillEngine(&s, e.Status())
+		}
+		list = append(list, s)
+	}
+	return list
+}
+
+func fillEngine(s *entryapi.ShardStatus, e shard.Status) {
+	s.Authority = e.Authority
+	s.Workers, s.Tasks, s.Endpoints, s.Queued = e.Usage.Workers, e.Usage.Placed, e.Endpoints, e.Queued
+	s.Waiting = entryapi.NewOptInt(e.Usage.Waiting)
+	if e.Usage.Total.CPUMillis > 0 {
+		s.CPUUsedPct = entryapi.NewOptInt(int(100 * e.Usage.Used.CPUMillis / e.Usage.Total.CPUMillis))
+	}
+}
+
+func (p *Process) peerStatus() []entryapi.PeerStatus {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := []entryapi.PeerStatus{}
+	for _, m := range p.table.All() {
+		list = append(list, p.peerRow(m))
+	}
+	return list
+}
+
+func (p *Process) peerRow(m members.Member) entryapi.PeerStatus {
+	return entryapi.PeerStatus{
+		ID: m.ID, Hall: string(m.Hall), Address: m.CallersAddress.String(), Revision: m.Revision,
+		AgeMs: p.clk.Now().Sub(m.Heard).Milliseconds(),
+	}
+}
+
+// ExplainWorkload tells each rule of a workload with the level it came from, and where
+// its tasks are or why they wait.
+func (h *handler) ExplainWorkload(ctx context.Context, params entryapi.ExplainWorkloadParams) (*entryapi.Explanation, error) {
+	p := h.p
+	revision, _, tree := p.settings.current()
+	if tree == nil {
+		return nil, result.New(result.NotReady, "%s", result.NotReady.Row().Text).WithRetryAfter(homeRetry)
+	}
+	w, ok := tree.Workloads[params.Workload]
+	if !ok {
+		return nil, result.New(result.UnknownService, "the settings have no workload %q", params.Workload)
+	}
+	e := &entryapi.Explanation{Workload: w.Name, Revision: revision, Tasks: []entryapi.ExplainTask{}}
+	for _, kv := range w.Values() {
+		level, set := w.From[kv.Key]
+		if !set {
+			level = "default"
+			if !strings.HasPrefix(kv.Key, "rules.") {
+				level = w.File
+			}
+		}
+		e.Rules = append(e.Rules, entryapi.ExplainRule{Key: kv.Key, Value: kv.Value, Level: level})
+	}
+	for _, id := range tree.Layout.Shards() {
+		e.Tasks = append(e.Tasks, p.explainShard(ctx, id, w.Name, tree.Layout, w.Place.AllowsHall)...)
+	}
+	return e, nil
+}
+
+func (p *Process) explainShard(ctx context.Context, id cell.ShardID, workload string, layout cell.Layout,
+	allows func(cell.HallLayout) (bool, string)) []entryapi.ExplainTask {
+	hall, _ := layout.Hall(id.Hall)
+	if ok, reason := allows(hall); !ok {
+		return []entryapi.ExplainTask{{Task: "-", Shard: id.String(), Decision: "hall turned down: " + reason}}
+	}
+	a := p.forward(ctx, peer.Request{Kind: peer.Explain, Shard: id, Service: workload, TimeLeft: storeCallTimeout})
+	if a.Code != result.OK {
+		return []entryapi.ExplainTask{{Task: "-", Shard: id.String(), Decision: a.Code.String() + ": " + a.Message}}
+	}
+	var decisions []shard.TaskDecision
+	if err := json.Unmarshal(a.Body, &decisions); err != nil {
+		return nil
+	}
+	list := make([]entryapi.ExplainTask, 0, len(decisions))
+	for _, d := range decisions {
+		list = append(list, entryapi.ExplainTask{Task: d.Task, Shard: id.String(), Decision: d.Decision})
+	}
+	return list
+}
+
+func explainAnswer(decisions []shard.TaskDecision) peer.Answer {
+	text, err := json.Marshal(decisions)
+	if err != nil {
+		return peer.Answer{Code: result.Internal, Message: err.Error()}
+	}
+	return peer.Answer{Code: result.OK, Body: text}
+}
+
+// Drain makes a worker, or this entry host, leave.
+func (h *handler) Drain(ctx context.Context, req *entryapi.DrainTarget) (*entryapi.DrainTarget, error) {
+	p := h.p
+	if req.Kind == entryapi.DrainTargetKindEntry {
+		if req.ID != p.cfg.ID {
+			return nil, result.New(result.UnknownTarget, "this is %s; send the command to %s itself", p.cfg.ID, req.ID)
+		}
+		p.stopRequested()
+		return req, nil
+	}
+	id, err := p.shardOfWorker(req.ID)
+	if err != nil {
+		return nil, err
+	}
+	a := p.forward(ctx, peer.Request{Kind: peer.Drain, Shard: id, ID: req.ID, TimeLeft: storeCallTimeout})
+	if a.Code != result.OK {
+		return nil, problemOf(a)
+	}
+	return req, nil
+}
+
+func (p *Process) shardOfWorker(worker string) (cell.ShardID, error) {
+	_, _, tree := p.settings.current()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, host := range p.hosts {
+		if host.Worker && host.ID == worker && tree != nil {
+			if id, ok := tree.Layout.ShardOf(host.Hall, host.ID); ok {
+				return id, nil
+			}
+		}
+	}
+	return cell.ShardID{}, result.New(result.UnknownTarget, "the host list has no worker %s", worker)
+}
--- /dev/null
+++ b/pkg/local/doc.go
@@ -0,0 +1,2 @@
+// Package local runs a small cell in one process on the loopback.
+package local
--- /dev/null
+++ b/pkg/peer/server.go
@@ -0,0 +1,78 @@
+package peer
+
+import (
+	"context"
+	"net"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/members"
+	"foldarch.dev/foldarch/pkg/ownership"
+	"foldarch.dev/foldarch/pkg/peer/peerpb"
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+)
+
+// Handlers are the functions that answer calls of peers.
+type Handlers struct {
+	Beat     func(members.Member) members.Member
+	Grant    func(cell.ShardID, ownership.Ask) ownership.Reply
+	Forward  func(context.Context, Request) Answer
+	Settings func() (revision int64, docs map[string]string)
+}
+
+// Serve answers calls until ctx ends.
+func Serve(ctx context.Context, l net.Listener, h Handlers) error {
+	mux := drpcmux.New()
+	if err := peerpb.DRPCRegisterPeer(mux, &server{h}); err != nil {
+		return errors.Wrap(err, "peer server")
+	}
+	return drpcserver.New(mux).Serve(ctx, l)
+}
+
+type server struct {
+	handlers Handlers
+}
+
+// Beat answers an exchange of members.
+func (s *server) Beat(_ context.Context, w *peerpb.Member) (*peerpb.Member, error) {
+	m, err := memberOf(w)
+	if err != nil {
+		return nil, err
+	}
+	return wireMember(s.handlers.Beat(m)), nil
+}
+
+// Grant answers an owner that asks for a grant.
+func (s *server) Grant(_ context.Context, w *peerpb.GrantRequest) (*peerpb.GrantReply, error) {
+	shard, err := cell.ParseShardID(w.Shard)
+	if err != nil {
+		return nil, err
+	}
+	ask := ownership.Ask{
+		Epoch: cell.Epoch(w.Epoch), Owner: ownership.Holder{Incarnation: w.OwnerIncarnation},
+		Revision: w.Revision, Echo: w.Echo,
+	}
+	if w.Record != "" {
+		if ask.Record, err = ownership.ParseRecord(w.Record); err != nil {
+			return nil, err
+		}
+	}
+	reply := s.handlers.Grant(shard, ask)
+	return &peerpb.GrantReply{Granted: reply.Granted, Clock: reply.Clock}, nil
+}
+
+// Forward answers a request for a shard.
+func (s *server) Forward(ctx context.Context, w *peerpb.Request) (*peerpb.Answer, error) {
+	r, err := requestOf(w)
+	if err != nil {
+		return nil, err
+	}
+	return wireAnswer(s.handlers.Forward(ctx, r)), nil
+}
+
+// Settings hands over the settings in force.
+func (s *server) Settings(context.Context, *peerpb.SettingsRequest) (*peerpb.SettingsReply, error) {
+	revision, docs := s.handlers.Settings()
+	return &peerpb.SettingsReply{Revision: revision, Documents: docs}, nil
+}
--- /dev/null
+++ b/pkg/placement/preempt.go
@@ -0,0 +1,128 @@
+package placement
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/settings"
+)
+
+// reserve keeps one worker free for a task that has waited long: the one that has to be
+// emptied least. A worker is kept for one task at a time.
+func (p *Placer) reserve(t *Task) {
+	var best *worker
+	for _, id := range slices.Sorted(maps.Keys(p.workers)) {
+		w := p.workers[id]
+		if w.reserved == t.ID {
+			return
+		}
+		allowed, _ := t.Place.Allows(w.Site)
+		if w.closed || w.reserved != "" || !allowed || !t.Resources.Fits(w.Capacity) {
+			continue
+		}
+		if best == nil || w.used.DominantShare(w.Capacity) < best.used.DominantShare(best.Capacity) {
+			best = w
+		}
+	}
+	if best != nil {
+		best.reserved = t.ID
+	}
+}
+
+func (p *Placer) unreserve(taskID string) {
+	for _, w := range p.workers {
+		if w.reserved == taskID {
+			w.reserved = ""
+		}
+	}
+}
+
+// preempt chooses the worker where an urgent task costs least: the fewest tasks to stop,
+// then the least lost. Only tasks of the classes batch and best-effort are stopped, and
+// only repeatable ones; an urgent task is never stopped, so that two can't displace each
+// other. The worker is kept for the urgent task until that starts.
+func (p *Placer) preempt(t *Task) []Decision {
+	var best *worker
+	var bestVictims []*placed
+	for _, id := range slices.Sorted(maps.Keys(p.workers)) {
+		w := p.workers[id]
+		if w.reserved == t.ID {
+			return nil // its victims are being stopped
+		}
+		allowed, _ := t.Place.Allows(w.Site)
+		if w.closed || w.reserved != "" || !allowed {
+			continue
+		}
+		victims, enough := w.victimsFor(t)
+		if enough && (best == nil || cheaper(victims, bestVictims)) {
+			best, bestVictims = w, victims
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	best.reserved = t.ID
+	var out []Decision
+	for _, v := range bestVictims {
+		v.preempted = true
+		out = append(out, Decision{Kind: Preempt, Task: v.Task, Worker: best.ID, For: t.ID})
+	}
+	return out
+}
+
+// victimsFor returns the tasks to stop so that t fits, the least urgent and largest first,
+// without those that turn out not to be needed.
+func (w *worker) victimsFor(t *Task) (victims []*placed, enough bool) {
+	free := w.free()
+	var candidates []*placed
+	for _, id := range slices.Sorted(maps.Keys(w.tasks)) {
+		v := w.tasks[id]
+		if v.Class.Rank() >= settings.ClassBatch.Rank() && v.Repeatable && !v.preempted {
+			candidates = append(candidates, v)
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b *placed) int {
+		return cmp.Or(cmp.Compare(b.Class.Rank(), a.Class.Rank()),
+			cmp.Compare(b.Resources.DominantShare(w.Capacity), a.Resources.DominantShare(w.Capacity)))
+	})
+	for _, v := range candidates {
+		if t.Resources.Fits(free) {
+			break
+		}
+		victims = append(victims, v)
+		free = free.Add(v.Resources)
+	}
+	if !t.Resources.Fits(free) {
+		return nil, false
+	}
+	return withoutNeedless(victims, t, free), true
+}
+
+func withoutNeedless(victims []*placed, t *Task, free cell.Resources) []*placed {
+	var kept []*placed
+	for _, v := range victims {
+		if less := free.Sub(v.Resources); t.Resources.Fits(less) {
+			free = less
+			continue
+		}
+		kept = append(kept, v)
+	}
+	return kept
+}
+
+func cheaper(a, b []*placed) bool {
+	if len(a) != len(b) {
+		return len(a) < len(b)
+	}
+	return lost(a) < lost(b)
+}
+
+func lost(victims []*placed) int64 {
+	var sum int64
+	for _, v := range victims {
+		sum += v.Resources.CPUMillis
+	}
+	return sum
+}
--- /dev/null
+++ b/pkg/placement/queries.go
@@ -0,0 +1,92 @@
+package placement
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"foldarch.dev/foldarch/pkg/cell"
+)
+
+// Usage is what the shard has and has given out.
+type Usage struct {
+	Workers int
+	Placed  int
+	Waiting int
+	Total   cell.Resources
+	Used    cell.Resources
+}
+
+// Usage returns the sums over all workers.
+func (p *Placer) Usage() Usage {
+	u := Usage{Workers: len(p.workers), Placed: len(p.placed), Waiting: len(p.waiting.tasks), Total: p.total}
+	for _, w := range p.workers {
+		u.Used = u.Used.Add(w.used)
+	}
+	return u
+}
+
+// WorkerOf returns the worker on which a task is placed.
+func (p *Placer) WorkerOf(taskID string) (string, bool) {
+	t, ok := p.placed[taskID]
+	if !ok {
+		return "", false
+	}
+	return t.worker.ID, true
+}
+
+// Placed returns a task that is placed.
+func (p *Placer) Placed(taskID string) (Task, bool) {
+	t, ok := p.placed[taskID]
+	if !ok {
+		return Task{}, false
+	}
+	return t.Task, true
+}
+
+// IsWaiting says whether a task waits for a place.
+func (p *Placer) IsWaiting(taskID string) bool {
+	_, ok := p.waiting.tasks[taskID]
+	return ok
+}
+
+// Explain tells for a waiting task why each worker was turned down, one line a reason
+// with the number of workers, at most.
+func (p *Placer) Explain(taskID string) string {
+	if w, ok := p.WorkerOf(taskID); ok {
+		return "placed on " + w
+	}
+	t, ok := p.waiting.tasks[taskID]
+	if !ok {
+		return "not known"
+	}
+	reasons := map[string]int{}
+	for _, w := range p.workers {
+		reasons[w.refusal(t)]++
+	}
+	text := "waits"
+	for _, reason := range slices.Sorted(maps.Keys(reasons)) {
+		text += fmt.Sprintf("; %d workers: %s", reasons[reason], reason)
+	}
+	return text
+}
+
+func (w *worker) refusal(t *Task) string {
+	allowed, reason := t.Place.Allows(w.Site)
+	free := w.free()
+	switch {
+	case !allowed:
+		return reason
+	case w.closed:
+		return "takes no new tasks"
+	case w.reserved != "" && w.reserved != t.ID:
+		return "kept free for " + w.reserved
+	case t.Resources.CPUMillis > free.CPUMillis:
+		return "too few processors free"
+	case t.Resources.MemoryMB > free.MemoryMB:
+		return "too little memory free"
+	case t.Resources.Accelerators > free.Accelerators:
+		return "too few accelerators free"
+	}
+	return "would do"
+}
--- /dev/null
+++ b/pkg/placement/queue.go
@@ -0,0 +1,99 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/settings"
+)
+
+// nRanks is the number of classes.
+const nRanks = 4
+
+// waiting holds the tasks that wait, by class and team.
+type waiting struct {
+	tasks map[string]*Task
+	ranks [nRanks]map[string][]*Task // by team, in the order of starting
+}
+
+func newWaiting() *waiting {
+	w := &waiting{tasks: map[string]*Task{}}
+	for i := range w.ranks {
+		w.ranks[i] = map[string][]*Task{}
+	}
+	return w
+}
+
+// before orders the tasks of one class of one team: the earlier deadline first, those
+// without a deadline after them, then the longer wait.
+func before(a, b *Task) int {
+	if a.Deadline != b.Deadline {
+		if a.Deadline == 0 || b.Deadline == 0 {
+			return cmp.Compare(b.Deadline, a.Deadline)
+		}
+		return cmp.Compare(a.Deadline, b.Deadline)
+	}
+	return cmp.Or(cmp.Compare(a.Since, b.Since), cmp.Compare(a.ID, b.ID))
+}
+
+func (w *waiting) add(t *Task) {
+	if _, ok := w.tasks[t.ID]; ok {
+		return
+	}
+	w.tasks[t.ID] = t
+	w.insert(rankOf(t), t)
+}
+
+func rankOf(t *Task) int {
+	return min(t.Class.Rank(), nRanks-1)
+}
+
+func (w *waiting) insert(rank int, t *Task) {
+	list := w.ranks[rank][t.Team]
+	at, _ := slices.BinarySearchFunc(list, t, before)
+	w.ranks[rank][t.Team] = slices.Insert(list, at, t)
+}
+
+func (w *waiting) remove(id string) (*Task, bool) {
+	t, ok := w.tasks[id]
+	if !ok {
+		return nil, false
+	}
+	delete(w.tasks, id)
+	for rank := range w.ranks {
+		list := w.ranks[rank][t.Team]
+		if at, found := slices.BinarySearchFunc(list, t, before); found {
+			list = slices.Delete(list, at, at+1)
+			w.set(rank, t.Team, list)
+			break
+		}
+	}
+	return t, true
+}
+
+func (w *waiting) set(rank int, team string, list []*Task) {
+	if len(list) == 0 {
+		delete(w.ranks[rank], team)
+		return
+	}
+	w.ranks[rank][team] = list
+}
+
+// age moves tasks that have waited long enough up by one class, though not to urgent.
+func (w *waiting) age(now clock.Time, cfg Config) {
+	for rank := settings.ClassService.Rank() + 1; rank < nRanks; rank++ {
+		for team, list := range w.ranks[rank] {
+			var kept []*Task
+			for _, t := range list {
+				steps := int(now.Sub(t.Since) / cfg.AgeStep)
+				if to := max(rankOf(t)-steps, settings.ClassService.Rank()); to < rank {
+					w.insert(to, t)
+					continue
+				}
+				kept = append(kept, t)
+			}
+			w.set(rank, team, kept)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/procconf/procconf.go
@@ -0,0 +1,125 @@
+package procconf
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/tomlfile"
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+)
+
+// Entry holds the settings of one entry host. docs/settings.md lists them.
+type Entry struct {
+	ID             string                            `toml:"id"`
+	Hall           cell.Hall                         `toml:"hall"`
+	CallersAddress netip.AddrPort                    `toml:"callers_address"`
+	PeerAddress    netip.AddrPort                    `toml:"peer_address"`
+	Store          []netip.AddrPort                  `toml:"store"`
+	Peers          []netip.AddrPort                  `toml:"peers"`
+	LogLevel       string                            `toml:"log_level"`
+	Limits         Limits                            `toml:"limits"`
+	Times          Times                             `toml:"times"`
+	Routes         map[netip.AddrPort]netip.AddrPort `toml:"routes"`
+}
+
+// Limits bounds what one process takes and asks.
+type Limits struct {
+	StoreReadsPerSecond  float64 `toml:"store_reads_per_s"`
+	StoreWritesPerSecond float64 `toml:"store_writes_per_s"`
+	// CellWritesPerSecond is the part of the store's write rate that all processes of the
+	// cell together may use for batch requests.
+	CellWritesPerSecond float64 `toml:"cell_writes_per_s"`
+	MaxBodyKB           int64   `toml:"max_body_kb"`
+	MemoryMB            int64   `toml:"memory_mb"`
+}
+
+// Times are the terms of leases and time limits.
+type Times struct {
+	TaskLease   Duration `toml:"task_lease"`
+	ReportEvery Duration `toml:"report_every"`
+	KeyWindow   Duration `toml:"key_window"`
+	LeaveGrace  Duration `toml:"leave_grace"`
+}
+
+// Duration is a time.Duration written with a unit, such as "12s".
+type Duration time.Duration
+
+// UnmarshalText reads a duration above zero.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil || v <= 0 {
+		return errors.Newf("%q is not a duration such as \"500ms\" or \"12s\"", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// DefaultEntry returns the settings of an entry host that have a default.
+func DefaultEntry() Entry {
+	return Entry{
+		LogLevel: "info",
+		Limits: Limits{
+			StoreReadsPerSecond: 25, StoreWritesPerSecond: 8, CellWritesPerSecond: 50,
+			MaxBodyKB: 1024, MemoryMB: 24,
+		},
+		Times: Times{
+			TaskLease: Duration(12 * time.Second), ReportEvery: Duration(3 * time.Second),
+			KeyWindow: Duration(2 * time.Minute), LeaveGrace: Duration(time.Second),
+		},
+	}
+}
+
+// Load reads and checks the settings of an entry host. The error names every fault with
+// file, line and key.
+func Load(path string) (Entry, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Entry{}, errors.Wrap(err, "process settings")
+	}
+	return Parse(path, string(text))
+}
+
+// Parse is Load for a text that was read already.
+func Parse(path, text string) (Entry, error) {
+	cfg := DefaultEntry()
+	var faults []string
+	for _, p := range tomlfile.Decode(text, &cfg) {
+		faults = append(faults, fmt.Sprintf("%s:%d: %s: %s", path, p.Line, p.Key, p.Text))
+	}
+	if len(faults) == 0 {
+		for _, c := range checks {
+			if !c.ok(cfg) {
+				faults = append(faults, fmt.Sprintf("%s:%d: %s: %s", path, tomlfile.LineOf(text, c.key), c.key, c.text))
+			}
+		}
+	}
+	if len(faults) > 0 {
+		return Entry{}, errors.New(strings.Join(faults, "\n"))
+	}
+	return cfg, nil
+}
+
+var checks = []struct {
+	key  string
+	ok   func(Entry) bool
+	text string
+}{
+	{"id", func(c Entry) bool { return c.ID != "" }, "is needed"},
+	{"hall", func(c Entry) bool { return c.Hall != "" && !strings.Contains(string(c.Hall), "/") }, "is needed, without a slash"},
+	{"callers_address", func(c Entry) bool { return c.CallersAddress.IsValid() }, `is needed, such as "10.0.0.7:8080"`},
+	{"peer_address", func(c Entry) bool { return c.PeerAddress.IsValid() }, `is needed, such as "10.0.0.7:8081"`},
+	{"peer_address", func(c Entry) bool { return c.PeerAddress != c.CallersAddress }, "must differ from callers_address"},
+	{"store", func(c Entry) bool { return len(c.Store) > 0 }, "needs at least one address"},
+	{"log_level", func(c Entry) bool { _, err := logrus.ParseLevel(c.LogLevel); return err == nil }, `must be "debug", "info", "warning" or "error"`},
+	{"limits.store_reads_per_s", func(c Entry) bool { return c.Limits.StoreReadsPerSecond >= 1 }, "must be 1 or more"},
+	{"limits.store_writes_per_s", func(c Entry) bool { return c.Limits.StoreWritesPerSecond >= 1 }, "must be 1 or more"},
+	{"limits.cell_writes_per_s", func(c Entry) bool { return c.Limits.CellWritesPerSecond >= 1 }, "must be 1 or more"},
+	{"limits.max_body_kb", func(c Entry) bool { return c.Limits.MaxBodyKB > 0 }, "must be above zero"},
+	{"limits.memory_mb", func(c Entry) bool { return c.Limits.MemoryMB >= 16 }, "must be 16 or more"},
+	{"times.task_lease", func(c Entry) bool { return c.Times.TaskLease >= 3*c.Times.ReportEvery }, "must be three times report_every or more"},
+}
--- /dev/null
+++ b/pkg/routing/queue.go
@@ -0,0 +1,164 @@
+package routing
+
+// queue holds the requests of one class of one service. The callers take turns.
+type queue struct {
+	byCaller map[string]*callerQueue
+	// turns are the callers that have requests, in a ring; the next one is first.
+	turns *callerQueue
+	size  int
+}
+
+// callerQueue holds the requests of one caller in the order of arrival.
+type callerQueue struct {
+	caller     string
+	head, tail *Request
+	size       int
+	prev, next *callerQueue // in the ring of turns
+}
+
+// maxIdleCallers bounds what is remembered of callers without requests.
+const maxIdleCallers = 1024
+
+func newQueue() *queue {
+	return &queue{byCaller: map[string]*callerQueue{}}
+}
+
+func (q *queue) push(r *Request) {
+	c, ok := q.byCaller[r.Caller]
+	if !ok {
+		q.dropIdle()
+		c = &callerQueue{caller: r.Caller}
+		q.byCaller[r.Caller] = c
+	}
+	if c.size == 0 {
+		c.head = r
+		q.link(c)
+	} else {
+		c.tail.next = r
+	}
+	c.tail = r
+	r.next = nil
+	c.size++
+	q.size++
+}
+
+// pop takes the first request of the caller whose turn it is.
+func (q *queue) pop() *Request {
+	c := q.turns
+	if c == nil {
+		return nil
+	}
+	r := c.head
+	c.head = r.next
+	r.next = nil
+	c.size--
+	q.size--
+	q.turns = c.next
+	if c.size == 0 {
+		q.unlink(c)
+	}
+	return r
+}
+
+// heaviest returns the caller with the most requests, and how many those are.
+func (q *queue) heaviest() (*callerQueue, int) {
+	if q.turns == nil {
+		return nil, 0
+	}
+	most := q.turns
+	for c := q.turns.next; c != q.turns; c = c.next {
+		if c.size > most.size {
+			most = c
+		}
+	}
+	return most, most.size
+}
+
+// dropNewest takes the newest request of a caller that has more than one.
+func (q *queue) dropNewest(c *callerQueue) *Request {
+	before := c.head
+	for before.next != c.tail {
+		before = before.next
+	}
+	dropped := c.tail
+	before.next = nil
+	c.tail = before
+	c.size--
+	q.size--
+	return dropped
+}
+
+// removeIf takes out all requests for which match says so.
+func (q *queue) removeIf(match func(*Request) bool) []*Request {
+	var removed []*Request
+	for _, c := range q.byCaller {
+		if c.size > 0 {
+			removed = append(removed, q.removeFrom(c, match)...)
+		}
+	}
+	return removed
+}
+
+func (q *queue) removeFrom(c *callerQueue, match func(*Request) bool) []*Request {
+	var removed []*Request
+	r := c.head
+	c.head, c.tail = nil, nil
+	kept := 0
+	for r != nil {
+		next := r.next
+		r.next = nil
+		switch {
+		case match(r):
+			removed = append(removed, r)
+		case c.head == nil:
+			c.head, c.tail = r, r
+			kept++
+		default:
+			c.tail.next = r
+			c.tail = r
+			kept++
+		}
+		r = next
+	}
+	c.size = kept
+	q.size -= len(removed)
+	if kept == 0 {
+		q.unlink(c)
+	}
+	return removed
+}
+
+// link puts a caller at the end of the ring.
+func (q *queue) link(c *callerQueue) {
+	if q.turns == nil {
+		c.prev, c.next = c, c
+		q.turns = c
+		return
+	}
+	last := q.turns.prev
+	last.next, c.prev = c, last
+	c.next, q.turns.prev = q.turns, c
+}
+
+func (q *queue) unlink(c *callerQueue) {
+	if c.next == c {
+		q.turns = nil
+	} else {
+		c.prev.next, c.next.prev = c.next, c.prev
+		if q.turns == c {
+			q.turns = c.next
+		}
+	}
+	c.prev, c.next = nil, nil
+}
+
+func (q *queue) dropIdle() {
+	if len(q.byCaller) < maxIdleCallers {
+		return
+	}
+	for name, c := range q.byCaller {
+		if c.size == 0 {
+			delete(q.byCaller, name)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/settings/document.go
@@ -0,0 +1,87 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// File names with a meaning of their own.
+const (
+	rootFile  = "cell.toml"
+	groupFile = "group.toml"
+	suffix    = ".toml"
+)
+
+// Duration is a time.Duration written as a text with a unit, such as "90s".
+type Duration time.Duration
+
+// UnmarshalText reads a duration; it must be above zero and have a unit.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return errors.Newf("%q is not a duration such as \"500ms\", \"90s\" or \"2h\"", text)
+	}
+	if v <= 0 {
+		return errors.Newf("%q is not above zero", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+type cellDocument struct {
+	Halls         []hallDocument          `toml:"hall"`
+	Teams         map[string]teamDocument `toml:"team"`
+	LargestWorker *resourcesDocument      `toml:"largest_worker"`
+	Rules         rulesDocument           `toml:"rules"`
+}
+
+type hallDocument struct {
+	Name   string `toml:"name"`
+	Region string `toml:"region"`
+	Shards int    `toml:"shards"`
+}
+
+type teamDocument struct {
+	Quota *resourcesDocument `toml:"quota"`
+}
+
+type groupDocument struct {
+	Rules rulesDocument `toml:"rules"`
+}
+
+type workloadDocument struct {
+	Name      string        `toml:"name"`
+	Kind      string        `toml:"kind"`
+	Team      string        `toml:"team"`
+	Instances int           `toml:"instances"`
+	Slots     int           `toml:"slots"`
+	Tasks     int           `toml:"tasks"`
+	Rules     rulesDocument `toml:"rules"`
+}
+
+type rulesDocument struct {
+	Class      *string            `toml:"class"`
+	Policy     *string            `toml:"policy"`
+	Repeatable *bool              `toml:"repeatable"`
+	Window     *Duration          `toml:"window"`
+	TimeLimit  *Duration          `toml:"time_limit"`
+	Drain      *Duration          `toml:"drain"`
+	Retries    *int               `toml:"retries"`
+	MaxBodyKB  *int64             `toml:"max_body_kb"`
+	Queue      *int               `toml:"queue"`
+	Place      *placeDocument     `toml:"place"`
+	Resources  *resourcesDocument `toml:"resources"`
+}
+
+type placeDocument struct {
+	Allow  []string `toml:"allow"`
+	Forbid []string `toml:"forbid"`
+	Final  bool     `toml:"final"`
+}
+
+type resourcesDocument struct {
+	CPUMillis    int64 `toml:"cpu_millis"`
+	MemoryMB     int64 `toml:"memory_mb"`
+	Accelerators int64 `toml:"accelerators"`
+}
--- /dev/null
+++ b/pkg/settings/inherit.go
@@ -0,0 +1,69 @@
+package settings
+
+import "time"
+
+// inherit lays the rules of one level over what the levels above have set.
+func (b *builder) inherit(w *Workload, level string, rules rulesDocument) {
+	override(w, level, "rules.class", rules.Class, func(v string) { w.Class = Class(v) })
+	override(w, level, "rules.policy", rules.Policy, func(v string) { w.Policy = Policy(v) })
+	override(w, level, "rules.repeatable", rules.Repeatable, func(v bool) { w.Repeatable = v })
+	override(w, level, "rules.window", rules.Window, func(v Duration) { w.Window = time.Duration(v) })
+	override(w, level, "rules.time_limit", rules.TimeLimit, func(v Duration) { w.TimeLimit = time.Duration(v) })
+	override(w, level, "rules.drain", rules.Drain, func(v Duration) { w.Drain = time.Duration(v) })
+	override(w, level, "rules.retries", rules.Retries, func(v int) { w.Retries = v })
+	override(w, level, "rules.max_body_kb", rules.MaxBodyKB, func(v int64) { w.MaxBody = v << 10 })
+	override(w, level, "rules.queue", rules.Queue, func(v int) { w.Queue = v })
+	override(w, level, "rules.resources", rules.Resources, func(v resourcesDocument) { w.Resources = v.resources() })
+	override(w, level, "rules.place", rules.Place, func(v placeDocument) { b.inheritPlace(w, level, v) })
+}
+
+func override[T any](w *Workload, level, key string, value *T, set func(T)) {
+	if value == nil {
+		return
+	}
+	set(*value)
+	w.From[key] = level
+}
+
+func (b *builder) inheritPlace(w *Workload, level string, doc placeDocument) {
+	clause := Clause{Level: level, Final: doc.Final}
+	clause.Allow = b.selectors(level, "rules.place.allow", doc.Allow)
+	clause.Forbid = b.selectors(level, "rules.place.forbid", doc.Forbid)
+	b.checkNarrowing(*w, clause)
+	w.Place = w.Place.below(clause)
+}
+
+func (b *builder) selectors(level, key string, texts []string) []Selector {
+	var list []Selector
+	for _, text := range texts {
+		s, err := parseSelector(text)
+		if err != nil {
+			b.faultOnce(level, key, err.Error())
+			continue
+		}
+		if s.ofHall() && !b.known(s) {
+			b.faultOnce(level, key, "the cell has no "+string(s.Kind)+" "+s.Value)
+		}
+		list = append(list, s)
+	}
+	return list
+}
+
+func (b *builder) known(s Selector) bool {
+	for _, h := range b.tree.Layout.Halls {
+		if s.matches(Site{Region: h.Region, Hall: h.Name}) {
+			return true
+		}
+	}
+	return false
+}
+
+// faultOnce is for rules that many workloads inherit: each fault is told once.
+func (b *builder) faultOnce(file, key, text string) {
+	for _, f := range b.faults {
+		if f.File == file && f.Key == key && f.Text == text {
+			return
+		}
+	}
+	b.fault(file, key, text)
+}
--- /dev/null
+++ b/pkg/settings/place.go
@@ -0,0 +1,168 @@
+package settings
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"github.com/cockroachdb/errors"
+)
+
+// SelectorKind says what a Selector looks at.
+type SelectorKind string
+
+// The kinds of selector.
+const (
+	ByRegion SelectorKind = "region"
+	ByHall   SelectorKind = "hall"
+	ByRack   SelectorKind = "rack"
+	ByLabel  SelectorKind = "label"
+)
+
+// Selector matches workers by one property; its text form is "kind:value".
+type Selector struct {
+	Kind  SelectorKind
+	Value string
+}
+
+// String returns the form "kind:value".
+func (s Selector) String() string {
+	return string(s.Kind) + ":" + s.Value
+}
+
+func parseSelector(text string) (Selector, error) {
+	kind, value, found := strings.Cut(text, ":")
+	switch SelectorKind(kind) {
+	case ByRegion, ByHall, ByRack, ByLabel:
+		if found && value != "" {
+			return Selector{SelectorKind(kind), value}, nil
+		}
+	}
+	return Selector{}, errors.Newf("%q is not of the form region:NAME, hall:NAME, rack:NAME or label:NAME", text)
+}
+
+// Site is where a worker stands, as place rules see it.
+type Site struct {
+	Region string
+	Hall   cell.Hall
+	Rack   string
+	Labels []string
+}
+
+func (s Selector) matches(site Site) bool {
+	switch s.Kind {
+	case ByRegion:
+		return s.Value == site.Region
+	case ByHall:
+		return s.Value == string(site.Hall)
+	case ByRack:
+		return s.Value == site.Rack
+	default:
+		return slices.Contains(site.Labels, s.Value)
+	}
+}
+
+// ofHall says whether the selector can be judged from the hall alone.
+func (s Selector) ofHall() bool {
+	return s.Kind == ByRegion || s.Kind == ByHall
+}
+
+// Clause is the place rule of one level. A site satisfies it when it matches one of
+// Allow (or Allow is empty) and none of Forbid.
+type Clause struct {
+	Level  string
+	Allow  []Selector
+	Forbid []Selector
+	Final  bool
+}
+
+// Place is the place rule of a workload: a site must satisfy every clause.
+type Place struct {
+	Clauses []Clause
+}
+
+// Allows says whether a task may run at a site, and if not, which clause turned it down.
+func (p Place) Allows(site Site) (bool, string) {
+	for _, c := range p.Clauses {
+		if reason := c.refusal(site, false); reason != "" {
+			return false, reason
+		}
+	}
+	return true, ""
+}
+
+// AllowsHall says whether some worker of a hall might do, judged by the hall alone.
+func (p Place) AllowsHall(h cell.HallLayout) (bool, string) {
+	site := Site{Region: h.Region, Hall: h.Name}
+	for _, c := range p.Clauses {
+		if reason := c.refusal(site, true); reason != "" {
+			return false, reason
+		}
+	}
+	return true, ""
+}
+
+func (c Clause) refusal(site Site, hallOnly bool) string {
+	for _, s := range c.Forbid {
+		if s.matches(site) && (s.ofHall() || !hallOnly) {
+			return fmt.Sprintf("%s forbids %s", c.Level, s)
+		}
+	}
+	if len(c.Allow) == 0 {
+		return ""
+	}
+	for _, s := range c.Allow {
+		if s.matches(site) || (hallOnly && !s.ofHall()) {
+			return ""
+		}
+	}
+	return fmt.Sprintf("%s allows only %s", c.Level, joinSelectors(c.Allow))
+}
+
+// below returns the place rule in force under a further level: the clauses that are
+// final stay, the others are replaced.
+func (p Place) below(c Clause) Place {
+	var kept []Clause
+	for _, upper := range p.Clauses {
+		if upper.Final {
+			kept = append(kept, upper)
+		}
+	}
+	return Place{Clauses: append(kept, c)}
+}
+
+// String returns the clauses as "level: allow a, b; forbid c".
+func (p Place) String() string {
+	if len(p.Clauses) == 0 {
+		return "anywhere"
+	}
+	parts := make([]string, 0, len(p.Clauses))
+	for _, c := range p.Clauses {
+		parts = append(parts, c.String())
+	}
+	return strings.Join(parts, " and ")
+}
+
+// String returns the clause without its level.
+func (c Clause) String() string {
+	text := "allow anywhere"
+	if len(c.Allow) > 0 {
+		text = "allow " + joinSelectors(c.Allow)
+	}
+	if len(c.Forbid) > 0 {
+		text += "; forbid " + joinSelectors(c.Forbid)
+	}
+	if c.Final {
+		text += " (final)"
+	}
+	return text
+}
+
+func joinSelectors(list []Selector) string {
+	texts := make([]string, 0, len(list))
+	for _, s := range list {
+		texts = append(texts, s.String())
+	}
+	return strings.Join(texts, ", ")
+}
--- /dev/null
+++ b/pkg/shard/batch.go
@@ -0,0 +1,178 @@
+package shard
+
+import (
+	"context"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/batch"
+	"foldarch.dev/foldarch/pkg/result"
+	"foldarch.dev/foldarch/pkg/settings"
+	"foldarch.dev/foldarch/pkg/store"
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	submitTimeout   = 5 * time.Second
+	storeDownRetry  = 2 * time.Second
+	recoverAttempts = 6 // after so many failures the pause does not grow any more
+)
+
+// Submission is a caller's batch request.
+type Submission struct {
+	Caller   string
+	Key      string
+	Workload string
+	Payload  string
+}
+
+// SubmitBatch keeps a batch request and returns it once it can't be lost any more. The
+// same key gives the same request.
+func (e *Engine) SubmitBatch(ctx context.Context, s Submission) (batch.Record, error) {
+	if !e.authorized() || e.stopped.Load() {
+		return batch.Record{}, result.New(result.NoOwner, "no authority over %s", e.cfg.Shard).WithRetryAfter(noOwnerRetry)
+	}
+	request, known, err := e.admitBatch(s)
+	if err != nil || known.ID != "" {
+		return known, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	if err := e.journal.Append(ctx, batch.Entry{Submitted: &request}); err != nil {
+		return batch.Record{}, submitError(err)
+	}
+	return e.acceptBatch(request), nil
+}
+
+func (e *Engine) admitBatch(s Submission) (batch.Request, batch.Record, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.tree == nil || !e.recovery.batchesIn {
+		return batch.Request{}, batch.Record{}, result.New(result.NotReady, "the owner has not read the batch requests yet").WithRetryAfter(noOwnerRetry)
+	}
+	w, ok := e.tree.Workloads[s.Workload]
+	switch {
+	case !ok:
+		return batch.Request{}, batch.Record{}, result.New(result.UnknownService, "no workload %s", s.Workload)
+	case w.Kind != settings.KindBatch:
+		return batch.Request{}, batch.Record{}, result.New(result.WrongKind, "%s is a service", s.Workload)
+	case int64(len(s.Payload)) > w.MaxBody:
+		return batch.Request{}, batch.Record{}, result.New(result.BodyTooLarge, "the payload is over %d bytes", w.MaxBody)
+	}
+	id := batch.NewID(e.cfg.Shard, s.Caller, s.Key)
+	if known, ok := e.book.Get(id); ok {
+		if known.Payload != s.Payload || known.Workload != s.Workload {
+			return batch.Request{}, batch.Record{}, result.New(result.KeyReused, "the key stands for another request")
+		}
+		return batch.Request{}, known, nil
+	}
+	return batch.Request{
+		ID: id, Caller: s.Caller, Workload: s.Workload, Payload: s.Payload,
+		NotRepeatable: !w.Repeatable, At: e.deps.Clock.Wall().UTC(),
+	}, batch.Record{}, nil
+}
+
+func submitError(err error) error {
+	if errors.Is(err, store.ErrUnsettled) {
+		return result.New(result.InProgress, "the store did not say whether the request is kept; submit it again with the same key").
+			WithRetryAfter(storeDownRetry)
+	}
+	if errors.Is(err, store.ErrTooLarge) {
+		return result.New(result.BodyTooLarge, "the request does not fit into the store")
+	}
+	return result.New(result.StoreDown, "%s", result.StoreDown.Row().Text).WithRetryAfter(storeDownRetry)
+}
+
+// acceptBatch lets a request that is stored wait for a place. Two copies of one request
+// may have been stored at the same time; the second finds the first.
+func (e *Engine) acceptBatch(r batch.Request) batch.Record {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if known, ok := e.book.Get(r.ID); ok {
+		return known
+	}
+	e.book.Apply(batch.Entry{Submitted: &r})
+	record, _ := e.book.Get(r.ID)
+	if w, ok := e.tree.Workloads[r.Workload]; ok {
+		e.placer.Submit(e.batchTaskOf(record, w), e.now())
+		e.wake()
+	}
+	e.log("batch_kept", logrus.Fields{"batch": r.ID, "caller": r.Caller, "workload": r.Workload})
+	return record
+}
+
+// endBatch stores the end of a request, and then lets its worker forget it. Until it is
+// stored the worker keeps the result, so that a new owner finds it there.
+func (e *Engine) endBatch(end batch.End, w *workerDuty) {
+	if e.ending[end.ID] {
+		return
+	}
+	e.ending[end.ID] = true
+	end.At = e.deps.Clock.Wall().UTC()
+	ctx := e.runCtx
+	e.duties.Go(func() {
+		err := e.journal.Append(ctx, batch.Entry{Ended: &end})
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.ending, end.ID)
+		if err != nil {
+			e.log("batch_end_not_stored", logrus.Fields{"batch": end.ID, "error": err})
+			return // the worker reports it again
+		}
+		e.concludeBatch(end, w)
+	})
+}
+
+func (e *Engine) concludeBatch(end batch.End, w *workerDuty) {
+	e.book.Apply(batch.Entry{Ended: &end})
+	e.placer.End(string(end.ID))
+	if w != nil {
+		w.drop(string(end.ID))
+		w.forget[string(end.ID)] = true
+		w.wake()
+	}
+	e.log("batch_ended", logrus.Fields{"batch": end.ID, "state": end.State, "worker": end.Worker})
+	e.wake()
+}
+
+// recoverBatches is the duty that reads what the store keeps of the shard's batch
+// requests.
+func (e *Engine) recoverBatches(ctx context.Context) {
+	for attempt := 0; ctx.Err() == nil; attempt++ {
+		entries, err := e.deps.LoadBatches(ctx)
+		if err == nil {
+			e.takeBatches(entries)
+			return
+		}
+		_ = store.Pause(ctx, min(attempt, recoverAttempts))
+	}
+}
+
+func (e *Engine) takeBatches(entries []batch.Entry) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, entry := range entries {
+		e.book.Apply(entry)
+	}
+	e.recovery.batchesIn = true
+	for _, w := range e.workers {
+		w.wake()
+	}
+	e.wake()
+}
+
+// ReadBatch returns a batch request to the caller that made it.
+func (e *Engine) ReadBatch(caller string, id batch.ID) (batch.Record, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r, ok := e.book.Get(id)
+	switch {
+	case !ok && !e.recovery.batchesIn:
+		return batch.Record{}, result.New(result.NotReady, "the owner has not read the batch requests yet").WithRetryAfter(noOwnerRetry)
+	case !ok:
+		return batch.Record{}, result.New(result.UnknownBatch, "no batch request %s", id)
+	case r.Caller != caller:
+		return batch.Record{}, result.New(result.NotYours, "the batch request was made by another caller")
+	}
+	return r, nil
+}
--- /dev/null
+++ b/pkg/shard/call.go
@@ -0,0 +1,374 @@
+package shard
+
+import (
+	"context"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/endpoint"
+	"foldarch.dev/foldarch/pkg/keys"
+	"foldarch.dev/foldarch/pkg/result"
+	"foldarch.dev/foldarch/pkg/routing"
+	"foldarch.dev/foldarch/pkg/settings"
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	expireEvery = 20 * time.Millisecond
+	// noOwnerRetry is told to those who wait when an engine stops.
+	noOwnerRetry = 500 * time.Millisecond
+	// resendMost bounds how often a request that was certainly not run is sent again.
+	resendMost = 3
+)
+
+// Call is a caller's request to a service.
+type Call struct {
+	Service       string
+	Caller        string
+	Key           string // empty: the caller will not ask for the same request again
+	IssuedAt      time.Time
+	Class         routing.Class
+	Deadline      clock.Time // on this process's clock
+	NotRepeatable bool
+	// Delegated says that the key's home is another shard, which remembers it.
+	Delegated bool
+	Body      []byte
+}
+
+// Answer is the final answer to a call.
+type Answer struct {
+	keys.Answer
+	RetryAfter time.Duration
+}
+
+// ticket is a call on its way through the engine.
+type ticket struct {
+	call     Call
+	workload settings.Workload
+	key      string // under which the endpoint sees it
+	request  routing.Request
+	decided  chan routing.Decision // of size 1
+	retries  int
+}
+
+func refusal(code result.Code, message string, retryAfter time.Duration) Answer {
+	return Answer{Answer: keys.Answer{Code: code, Message: message}, RetryAfter: retryAfter}
+}
+
+// Call runs a request and returns its final answer. When ctx ends first the request goes
+// on if it was sent already, and its answer is kept for a repeat with the same key.
+func (e *Engine) Call(ctx context.Context, c Call) Answer {
+	if !e.authorized() || e.stopped.Load() {
+		return refusal(result.NoOwner, "this process has no authority over "+e.cfg.Shard.String(), noOwnerRetry)
+	}
+	t, refused := e.admit(c)
+	if refused != nil {
+		return *refused
+	}
+	answer := e.runHereOrElsewhere(t)
+	e.remember(t, answer)
+	return answer
+}
+
+// runHereOrElsewhere has another shard run a request whose home has no endpoint for it.
+// The home sends it away once, and remembers what came of it.
+func (e *Engine) runHereOrElsewhere(t *ticket) Answer {
+	if t.call.Delegated || t.call.Key == "" || e.hasEndpoints(t.call.Service) {
+		return e.serve(t)
+	}
+	if !e.authorized() {
+		return refusal(result.NoOwner, result.NoOwner.Row().Text, noOwnerRetry)
+	}
+	c := t.call
+	c.Delegated = true
+	return e.deps.Delegate(e.cfg.Shard, c)
+}
+
+func (e *Engine) hasEndpoints(service string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.router.Loads()[service].Slots > 0
+}
+
+// admit looks the service up and asks the memory of keys.
+func (e *Engine) admit(c Call) (*ticket, *Answer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w, refused := e.lookUp(c)
+	if refused != nil {
+		return nil, refused
+	}
+	c.NotRepeatable = c.NotRepeatable || !w.Repeatable
+	t := &ticket{call: c, workload: w, key: c.Caller + "/" + c.Key, decided: make(chan routing.Decision, 1)}
+	if c.Key == "" {
+		t.key = "once/" + uuid.NewString()
+		return t, nil
+	}
+	if c.Delegated {
+		return t, nil
+	}
+	use := keys.Use{
+		Key:    keys.Key{Caller: c.Caller, Text: c.Key},
+		Digest: xxhash.Sum64String(c.Service) ^ xxhash.Sum64(c.Body), IssuedAt: c.IssuedAt,
+		NotRepeatable: c.NotRepeatable, TimeLimit: w.TimeLimit,
+	}
+	v := e.memory.Begin(use, e.deps.Clock.Wall())
+	if v.Kind == keys.Fresh {
+		return t, nil
+	}
+	a := answerOf(v)
+	return nil, &a
+}
+
+func (e *Engine) lookUp(c Call) (settings.Workload, *Answer) {
+	if e.tree == nil {
+		a := refusal(result.NotReady, "no settings in force", noOwnerRetry)
+		return settings.Workload{}, &a
+	}
+	w, ok := e.tree.Workloads[c.Service]
+	var a Answer
+	switch {
+	case !ok:
+		a = refusal(result.UnknownService, "no service "+c.Service, 0)
+	case w.Kind != settings.KindService:
+		a = refusal(result.WrongKind, c.Service+" is a batch workload", 0)
+	case int64(len(c.Body)) > w.MaxBody:
+		a = refusal(result.BodyTooLarge, "the body is over the limit of "+c.Service, 0)
+	default:
+		return w, nil
+	}
+	return settings.Workload{}, &a
+}
+
+var verdictCodes = map[keys.Kind]result.Code{
+	keys.InProgress:     result.InProgress,
+	keys.AnsweredNoBody: result.AnswerDropped,
+	keys.Reused:         result.KeyReused,
+	keys.Unknown:        result.UnknownAfterTakeover,
+	keys.TooEarly:       result.IssuedInFuture,
+	keys.Full:           result.Overloaded,
+}
+
+func answerOf(v keys.Verdict) Answer {
+	if v.Kind == keys.Answered {
+		return Answer{Answer: v.Answer}
+	}
+	code := verdictCodes[v.Kind]
+	return refusal(code, code.Row().Text, v.RetryAfter)
+}
+
+// remember keeps the answer for repeats, or frees the key when the request did not run.
+func (e *Engine) remember(t *ticket, a Answer) {
+	if t.call.Key == "" || t.call.Delegated {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	key := keys.Key{Caller: t.call.Caller, Text: t.call.Key}
+	if a.Code.Row().Ran == result.RanNo {
+		e.memory.Forget(key)
+		return
+	}
+	e.memory.Finish(key, a.Answer)
+}
+
+// serve sends the request, again where it is known that it did not run or where it may
+// run twice and the earlier try is over.
+func (e *Engine) serve(t *ticket) Answer {
+	var a Answer
+	for range resendMost + 1 {
+		var again bool
+		if a, again = e.try(t); !again {
+			return a
+		}
+	}
+	return a
+}
+
+// try waits for an endpoint and calls it.
+func (e *Engine) try(t *ticket) (a Answer, again bool) {
+	t.request = routing.Request{
+		Service: t.call.Service, Caller: t.call.Caller, Class: t.call.Class,
+		Deadline: t.call.Deadline, Tag: t,
+	}
+	e.mu.Lock()
+	e.decide(e.router.Arrive(&t.request, e.now()))
+	e.mu.Unlock()
+	d := <-t.decided
+	e.logRoute(t, d)
+	if d.Kind != routing.Send {
+		return routeRefusal(d), false
+	}
+	return e.send(t, d.Endpoint)
+}
+
+// decide hands a decision to the request that waits for it. The caller holds the lock.
+func (e *Engine) decide(d routing.Decision) {
+	if d.Evicted != nil {
+		e.decide(routing.Decision{Kind: routing.QueueFull, Request: d.Evicted, RetryAfter: d.RetryAfter})
+	}
+	if d.Kind == routing.Queued {
+		if e.stopped.Load() {
+			// The engine stopped since the request was admitted; nobody would pull it.
+			e.refuseWaitingLocked()
+		}
+		return
+	}
+	if d.Kind == routing.Send {
+		e.inFlight++
+	}
+	d.Request.Tag.(*ticket).decided <- d
+}
+
+func (e *Engine) decideAll(all []routing.Decision) {
+	for _, d := range all {
+		e.decide(d)
+	}
+}
+
+var routeCodes = map[routing.Kind]result.Code{
+	routing.QueueFull: result.Overloaded,
+	routing.Expired:   result.Expired,
+	routing.NoService: result.UnknownService,
+	routing.NoSlots:   result.NoEndpoint,
+	routing.Stopped:   result.NoOwner,
+}
+
+func routeRefusal(d routing.Decision) Answer {
+	code := routeCodes[d.Kind]
+	return refusal(code, code.Row().Text, d.RetryAfter)
+}
+
+// send calls the endpoint. The request goes on when its caller has gone, since it can't
+// be taken back.
+func (e *Engine) send(t *ticket, to *routing.Endpoint) (a Answer, again bool) {
+	e.mu.Lock()
+	state, ok := e.endpoints[to.ID]
+	e.mu.Unlock()
+	if !ok {
+		e.release(to, routing.Unreached, 0)
+		return refusal(result.SendFailed, "the endpoint has gone", noOwnerRetry), true
+	}
+	began := e.now()
+	limit := min(t.call.Deadline.Sub(began), t.workload.TimeLimit)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	got := e.deps.Endpoints.Call(ctx, state.address, endpoint.Request{
+		Key: t.key, Shard: e.cfg.Shard, Epoch: e.cfg.Epoch,
+		NotRepeatable: t.call.NotRepeatable, Body: t.call.Body, Authorized: e.authorized,
+	})
+	took := e.now().Sub(began)
+	e.release(to, e.outcomeOf(got), took)
+	e.logAnswer(t, to, got, took)
+	return e.conclude(t, to, got)
+}
+
+func (e *Engine) outcomeOf(got endpoint.Answer) routing.Outcome {
+	switch got.Outcome {
+	case endpoint.Done:
+		return routing.Served
+	case endpoint.Failed:
+		return routing.Failed
+	case endpoint.Leaving:
+		return routing.Refused
+	case endpoint.Lost:
+		return routing.Lost
+	}
+	if errors.Is(got.Err, endpoint.ErrNoAuthority) {
+		return routing.Unsent
+	}
+	return routing.Unreached
+}
+
+func (e *Engine) release(to *routing.Endpoint, outcome routing.Outcome, took time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.inFlight--
+	if state, ok := e.endpoints[to.ID]; ok && outcome == routing.Lost {
+		state.doubtSince = e.now()
+	}
+	e.decideAll(e.router.Release(to, outcome, took, e.now()))
+}
+
+// conclude turns what came of a try into the answer, or says that to try again is right.
+func (e *Engine) conclude(t *ticket, to *routing.Endpoint, got endpoint.Answer) (a Answer, again bool) {
+	a.Endpoint = to.ID
+	switch got.Outcome {
+	case endpoint.Done:
+		a.Code, a.Body = result.OK, got.Body
+		return a, false
+	case endpoint.Failed:
+		a.Code, a.Message = result.EndpointFailed, got.Err.Error()
+		return a, e.mayRetry(t)
+	case endpoint.Lost:
+		a.Code, a.Message = result.AnswerLost, got.Err.Error()
+		return a, false
+	}
+	if !e.authorized() {
+		return refusal(result.NoOwner, result.NoOwner.Row().Text, noOwnerRetry), false
+	}
+	return refusal(result.SendFailed, got.Err.Error(), noOwnerRetry), true
+}
+
+// mayRetry allows a further run of a request that ran and failed.
+func (e *Engine) mayRetry(t *ticket) bool {
+	if t.call.NotRepeatable || t.retries >= t.workload.Retries {
+		return false
+	}
+	t.retries++
+	return true
+}
+
+// expire is the duty that refuses requests whose deadline has come.
+func (e *Engine) expire(ctx context.Context) {
+	ticker := time.NewTicker(expireEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		e.mu.Lock()
+		e.decideAll(e.router.Expire(e.now()))
+		e.decideAll(e.router.PullAll(e.now()))
+		e.mu.Unlock()
+	}
+}
+
+// refuseWaiting tells all waiting requests that they were not run.
+func (e *Engine) refuseWaiting() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.refuseWaitingLocked()
+}
+
+func (e *Engine) refuseWaitingLocked() {
+	for _, q := range e.router.Drain() {
+		e.decide(routing.Decision{Kind: routing.Stopped, Request: q, RetryAfter: noOwnerRetry})
+	}
+}
+
+func (e *Engine) logRoute(t *ticket, d routing.Decision) {
+	fields := logrus.Fields{
+		"service": t.call.Service, "caller": t.call.Caller, "key": t.key,
+		"decision": d.Kind, "waited_ms": e.now().Sub(t.request.Arrived()).Milliseconds(),
+	}
+	if d.Endpoint != nil {
+		fields["endpoint"] = d.Endpoint.ID
+	}
+	e.deps.Log.WithFields(fields).Info("route")
+}
+
+func (e *Engine) logAnswer(t *ticket, to *routing.Endpoint, got endpoint.Answer, took time.Duration) {
+	if got.Outcome == endpoint.Done {
+		return
+	}
+	e.deps.Log.WithFields(logrus.Fields{
+		"service": t.call.Service, "key": t.key, "endpoint": to.ID,
+		"outcome": got.Outcome, "took_ms": took.Milliseconds(), "error": got.Err,
+	}).Warn("call_failed")
+}
--- /dev/null
+++ b/pkg/shard/reports.go
@@ -0,0 +1,131 @@
+package shard
+
+import (
+	"net/netip"
+
+	"foldarch.dev/foldarch/pkg/batch"
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/placement"
+	"foldarch.dev/foldarch/pkg/worker"
+	"github.com/sirupsen/logrus"
+)
+
+// endpointState is what the engine needs of an endpoint besides routing.
+type endpointState struct {
+	address  netip.AddrPort
+	workload string
+	// doubtSince is since when the endpoint may run requests that nobody here waits for.
+	doubtSince clock.Time
+}
+
+// reportedTask takes in what a worker says of one task.
+func (e *Engine) reportedTask(w *workerDuty, r worker.Report) {
+	switch {
+	case r.State == worker.Running || r.State == worker.Draining:
+		e.reportedRunning(w, r)
+	case r.Service:
+		e.removeEndpoint(r.ID)
+		w.forget[r.ID] = true
+		if _, ok := w.tasks[r.ID]; ok {
+			e.log("task_ended", logrus.Fields{"task": r.ID, "worker": w.host.ID, "state": r.State, "result": r.Result})
+			e.gone(r.ID)
+		}
+	default:
+		e.reportedEnd(w, r)
+	}
+}
+
+func (e *Engine) reportedRunning(w *workerDuty, r worker.Report) {
+	if _, known := w.tasks[r.ID]; !known {
+		if !e.adopt(w, r) {
+			return
+		}
+	}
+	if !r.Service {
+		e.book.Moved(batch.ID(r.ID), batch.Running, w.host.ID)
+		return
+	}
+	e.putEndpoint(r)
+	if r.State == worker.Draining {
+		e.router.Leaving(r.ID)
+		return
+	}
+	if _, wanted := e.desired[r.ID]; !wanted && e.tree != nil && !w.draining[r.ID] {
+		w.drain(r.ID)
+	}
+}
+
+// adopt records a task that runs on a worker though this owner did not start it there. A
+// task that this owner believes elsewhere is left alone: it ends with its lease.
+func (e *Engine) adopt(w *workerDuty, r worker.Report) bool {
+	if other, ok := e.placer.WorkerOf(r.ID); ok && other != w.host.ID {
+		e.log("task_elsewhere", logrus.Fields{"task": r.ID, "worker": w.host.ID, "placed_on": other})
+		return false
+	}
+	t := placement.Task{ID: r.ID, Workload: r.Workload, Resources: r.Resources}
+	if known, ok := e.tree.Workloads[r.Workload]; ok {
+		t = taskOf(known, r.ID)
+		t.Resources = r.Resources
+	}
+	e.placer.Found(t, w.host.ID)
+	w.tasks[r.ID] = acknowledged
+	w.wake() // so that the lease is renewed under this epoch soon
+	e.log("task_found", logrus.Fields{"task": r.ID, "worker": w.host.ID})
+	return true
+}
+
+func (e *Engine) putEndpoint(r worker.Report) {
+	state, known := e.endpoints[r.ID]
+	if known && state.address == r.Endpoint {
+		return
+	}
+	if known {
+		e.removeEndpoint(r.ID)
+	}
+	inherited := e.recovery.inherited && !e.recovery.settled
+	e.endpoints[r.ID] = &endpointState{address: r.Endpoint, workload: r.Workload, doubtSince: e.began}
+	e.router.PutEndpoint(r.Workload, r.ID, r.Slots, inherited)
+	e.decideAll(e.router.PullAll(e.now()))
+}
+
+func (e *Engine) removeEndpoint(id string) {
+	if _, ok := e.endpoints[id]; ok {
+		delete(e.endpoints, id)
+		e.router.RemoveEndpoint(id)
+	}
+}
+
+// reportedEnd takes in a batch task that is over and whose result the worker keeps.
+func (e *Engine) reportedEnd(w *workerDuty, r worker.Report) {
+	id := batch.ID(r.ID)
+	record, ok := e.book.Get(id)
+	switch {
+	case !ok && !e.recovery.batchesIn:
+		return // the store has not told yet whose it is
+	case !ok || record.State.Ended():
+		w.forget[r.ID] = true
+		w.drop(r.ID)
+		e.placer.End(r.ID)
+		return
+	case r.State == worker.Failed && r.Result == worker.ResultStopped && !record.NotRepeatable:
+		w.forget[r.ID] = true
+		e.gone(r.ID)
+		return
+	}
+	state := batch.Done
+	if r.State == worker.Failed {
+		state = batch.Failed
+	}
+	e.placer.Withdraw(r.ID)
+	e.endBatch(batch.End{ID: id, State: state, Worker: w.host.ID, Result: r.Result}, w)
+}
+
+// drainWorker has all service tasks of a worker finish; batch tasks run to their end.
+func (e *Engine) drainWorker(w *workerDuty) {
+	e.placer.CloseWorker(w.host.ID, true)
+	for id := range w.tasks {
+		if isServiceTask(id) {
+			w.drain(id)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/standin/endpoint.go
@@ -0,0 +1,178 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/endpoint"
+	"github.com/cockroachdb/errors"
+)
+
+// leavingGrace is how long an endpoint that leaves may still be given new work.
+const leavingGrace = 3 * time.Second
+
+// EndpointConfig describes one stand-in endpoint.
+type EndpointConfig struct {
+	ID          string
+	Worker      string
+	Slots       int
+	CheckEpochs bool
+}
+
+// Endpoint is a stand-in for one instance of a service. A body such as "ms=20 text" is
+// answered after 20 ms with the endpoint's id and the body.
+type Endpoint struct {
+	cfg      EndpointConfig
+	ledger   *Ledger
+	listener net.Listener
+	server   *http.Server
+
+	mu       sync.Mutex
+	idle     *sync.Cond
+	inUse    int
+	epoch    int64
+	leaving  time.Time
+	stopped  bool
+	inFlight map[*Run]bool
+}
+
+// StartEndpoint starts an endpoint on a free port of the loopback.
+func StartEndpoint(cfg EndpointConfig, ledger *Ledger) (*Endpoint, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrapf(err, "endpoint %s", cfg.ID)
+	}
+	e := &Endpoint{cfg: cfg, ledger: ledger, listener: l, inFlight: map[*Run]bool{}}
+	e.idle = sync.NewCond(&e.mu)
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+endpoint.HealthPath, e.health)
+	mux.HandleFunc("POST "+endpoint.CallPath, e.call)
+	e.server = &http.Server{Handler: mux}
+	go func() { _ = e.server.Serve(l) }()
+	return e, nil
+}
+
+// Address returns where the endpoint listens.
+func (e *Endpoint) Address() netip.AddrPort {
+	return e.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Leave makes the endpoint say that it takes no new work.
+func (e *Endpoint) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = time.Now()
+}
+
+// WaitIdle returns when no request is in flight, but not before the grace for those that
+// give out work to hear of the leaving.
+func (e *Endpoint) WaitIdle() {
+	time.Sleep(leavingGrace)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for e.inUse > 0 && !e.stopped {
+		e.idle.Wait()
+	}
+}
+
+// Stop ends the endpoint at once. Requests in flight are cut, and counted as such unless
+// the worker was lost with them.
+func (e *Endpoint) Stop(outcome string) {
+	e.mu.Lock()
+	e.stopped = true
+	for run := range e.inFlight {
+		e.ledger.End(run, "cut")
+		if outcome == "done" || outcome == "lapsed" {
+			e.ledger.Violation(PromiseNotCut, run.Key+" at "+e.cfg.ID+" ("+outcome+")")
+		}
+	}
+	e.idle.Broadcast()
+	e.mu.Unlock()
+	_ = e.server.Close()
+}
+
+func (e *Endpoint) health(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	h := endpoint.Health{InUse: e.inUse, Leaving: !e.leaving.IsZero()}
+	e.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(h)
+}
+
+func (e *Endpoint) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, "body", http.StatusBadRequest)
+		return
+	}
+	run, refused := e.begin(r)
+	if refused != "" {
+		w.Header().Set(endpoint.RefusedHeader, refused)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	work(r.Context(), durationOf(string(body)))
+	e.end(run)
+	if strings.Contains(string(body), "lose-answer") {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = fmt.Fprintf(w, "%s %s", e.cfg.ID, body)
+}
+
+// work goes on when the caller has gone: a real service would not notice either.
+func work(_ context.Context, d time.Duration) {
+	time.Sleep(d)
+}
+
+func (e *Endpoint) begin(r *http.Request) (*Run, string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.leaving.IsZero() {
+		if time.Since(e.leaving) > leavingGrace {
+			e.ledger.Violation(PromiseLeaving, e.cfg.ID)
+		}
+		return nil, endpoint.RefusedLeaving
+	}
+	epoch, _ := strconv.ParseInt(r.Header.Get(endpoint.EpochHeader), 10, 64)
+	if e.cfg.CheckEpochs && epoch < e.epoch {
+		return nil, endpoint.RefusedStale
+	}
+	e.epoch = max(e.epoch, epoch)
+	e.inUse++
+	if e.inUse > e.cfg.Slots {
+		e.ledger.Violation(PromiseCapacity, fmt.Sprintf("endpoint %s runs %d", e.cfg.ID, e.inUse))
+	}
+	run := e.ledger.Begin(Run{
+		Kind: "call", Key: r.Header.Get(endpoint.KeyHeader), Where: e.cfg.ID,
+		NotRepeatable: r.Header.Get(endpoint.NotRepeatableHeader) == "true",
+	})
+	e.inFlight[run] = true
+	return run, ""
+}
+
+func (e *Endpoint) end(run *Run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.inFlight, run)
+	e.ledger.End(run, "done")
+	e.inUse--
+	e.idle.Broadcast()
+}
+
+// durationOf reads the "ms=N" at the start of a payload.
+func durationOf(payload string) time.Duration {
+	var ms int64
+	if _, err := fmt.Sscanf(payload, "ms=%d", &ms); err != nil {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
--- /dev/null
+++ b/pkg/standin/store.go
@@ -0,0 +1,308 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/store"
+	"foldarch.dev/foldarch/pkg/store/storeapi"
+	"golang.org/x/time/rate"
+)
+
+// StoreFaults says how the store misbehaves. The zero value is a store in good health.
+type StoreFaults struct {
+	Down bool `json:"down"` // connections are closed before anything is done
+	// LoseAnswers of every so many writes: the write takes effect, the answer is lost.
+	LoseAnswers int           `json:"lose_answers"`
+	Delay       time.Duration `json:"delay"`
+	// WritesPerSecond and ReadsPerSecond refuse calls above a rate; 0 is no limit.
+	WritesPerSecond float64 `json:"writes_per_second"`
+	ReadsPerSecond  float64 `json:"reads_per_second"`
+}
+
+// StoreCounts tells what the store was asked.
+type StoreCounts struct {
+	Reads  int64 `json:"reads"`
+	Writes int64 `json:"writes"`
+}
+
+// Store is a stand-in for the platform's key-value service and host list.
+type Store struct {
+	mu       sync.Mutex
+	items    map[string]storeapi.Item
+	revision int64
+	changed  chan struct{} // closed at each change
+	leases   map[int64]*storeLease
+	lastID   int64
+	faults   StoreFaults
+	counts   StoreCounts
+	nWrites  int
+	writes   *rate.Limiter
+	reads    *rate.Limiter
+	hosts    func() []storeapi.Host
+}
+
+type storeLease struct {
+	term time.Duration
+	ends time.Time
+}
+
+// NewStore returns an empty store; hosts gives its host list.
+func NewStore(hosts func() []storeapi.Host) *Store {
+	return &Store{
+		items: map[string]storeapi.Item{}, changed: make(chan struct{}),
+		leases: map[int64]*storeLease{}, hosts: hosts,
+		writes: rate.NewLimiter(rate.Inf, 1), reads: rate.NewLimiter(rate.Inf, 1),
+	}
+}
+
+// SetFaults makes the store misbehave from now on.
+func (s *Store) SetFaults(f StoreFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.writes = limiter(f.WritesPerSecond)
+	s.reads = limiter(f.ReadsPerSecond)
+	s.notify()
+}
+
+func limiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 1)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(int(perSecond), 1))
+}
+
+// Counts returns how many calls the store has had.
+func (s *Store) Counts() StoreCounts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// Handler returns the store's HTTP side, with its faults.
+func (s *Store) Handler() (http.Handler, error) {
+	inner, err := storeapi.NewServer(s)
+	if err != nil {
+		return nil, err
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.serve(inner, w, r)
+	}), nil
+}
+
+func (s *Store) serve(inner http.Handler, w http.ResponseWriter, r *http.Request) {
+	isWrite := r.Method != http.MethodGet
+	faults, lose, allowed := s.admit(isWrite)
+	time.Sleep(faults.Delay)
+	switch {
+	case faults.Down:
+		panic(http.ErrAbortHandler)
+	case !allowed:
+		http.Error(w, `{"reason":"rate_limited"}`, http.StatusTooManyRequests)
+	case lose:
+		inner.ServeHTTP(discard{http.Header{}}, r)
+		panic(http.ErrAbortHandler)
+	default:
+		inner.ServeHTTP(w, r)
+	}
+}
+
+func (s *Store) admit(isWrite bool) (faults StoreFaults, lose, allowed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !isWrite {
+		s.counts.Reads++
+		return s.faults, false, s.reads.Allow()
+	}
+	s.counts.Writes++
+	s.nWrites++
+	lose = s.faults.LoseAnswers > 0 && s.nWrites%s.faults.LoseAnswers == 0
+	return s.faults, lose, s.writes.Allow()
+}
+
+// discard is a response that nobody reads.
+type discard struct{ header http.Header }
+
+func (d discard) Header() http.Header         { return d.header }
+func (d discard) Write(p []byte) (int, error) { return len(p), nil }
+func (d discard) WriteHeader(int)             {}
+
+// ReadValue returns one item.
+func (s *Store) ReadValue(_ context.Context, p storeapi.ReadValueParams) (*storeapi.Item, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	item, ok := s.items[p.Key]
+	if !ok || item.Deleted.Value {
+		return nil, refuse(http.StatusNotFound, storeapi.RefusalReasonAbsent)
+	}
+	return &item, nil
+}
+
+// SwapValue writes a value if the expected revision stands.
+func (s *Store) SwapValue(_ context.Context, b *storeapi.Swap) (*storeapi.Written, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if len(b.Value) > store.MaxValueBytes {
+		return nil, refuse(http.StatusRequestEntityTooLarge, storeapi.RefusalReasonTooLarge)
+	}
+	if b.Lease.Set && s.leases[b.Lease.Value] == nil {
+		return nil, refuse(http.StatusConflict, storeapi.RefusalReasonNoLease)
+	}
+	if s.standing(b.Key) != b.Expect {
+		return nil, refuse(http.StatusConflict, storeapi.RefusalReasonConflict)
+	}
+	s.put(storeapi.Item{Key: b.Key, Value: b.Value, Lease: b.Lease})
+	return &storeapi.Written{Revision: s.revision}, nil
+}
+
+// DeleteValue removes a value if the expected revision stands.
+func (s *Store) DeleteValue(_ context.Context, p storeapi.DeleteValueParams) (*storeapi.Written, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if s.standing(p.Key) != p.Expect || p.Expect == 0 {
+		return nil, refuse(http.StatusConflict, storeapi.RefusalReasonConflict)
+	}
+	s.remove(p.Key)
+	return &storeapi.Written{Revision: s.revision}, nil
+}
+
+// ListValues lists the items that changed after a revision and may wait for one.
+func (s *Store) ListValues(ctx context.Context, p storeapi.ListValuesParams) (*storeapi.Listing, error) {
+	timeout := time.After(time.Duration(p.WaitMs.Value) * time.Millisecond)
+	for {
+		listing, changed, down := s.list(p)
+		if down {
+			panic(http.ErrAbortHandler)
+		}
+		if len(listing.Items) > 0 || p.WaitMs.Value == 0 {
+			return listing, nil
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return listing, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (s *Store) list(p storeapi.ListValuesParams) (*storeapi.Listing, <-chan struct{}, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	listing := &storeapi.Listing{Revision: s.revision, Items: []storeapi.Item{}}
+	for key, item := range s.items {
+		dead := item.Deleted.Value && p.After.Value == 0
+		if strings.HasPrefix(key, p.Prefix) && item.Revision > p.After.Value && !dead {
+			listing.Items = append(listing.Items, item)
+		}
+	}
+	slices.SortFunc(listing.Items, func(a, b storeapi.Item) int { return strings.Compare(a.Key, b.Key) })
+	return listing, s.changed, s.faults.Down
+}
+
+// OpenLease opens a lease.
+func (s *Store) OpenLease(_ context.Context, b *storeapi.LeaseTerm) (*storeapi.Lease, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastID++
+	term := time.Duration(b.TTLMs) * time.Millisecond
+	s.leases[s.lastID] = &storeLease{term: term, ends: time.Now().Add(term)}
+	return &storeapi.Lease{ID: s.lastID, TTLMs: b.TTLMs}, nil
+}
+
+// RenewLease renews a lease.
+func (s *Store) RenewLease(_ context.Context, p storeapi.RenewLeaseParams) (*storeapi.Lease, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	lease, ok := s.leases[p.ID]
+	if !ok {
+		return nil, refuse(http.StatusConflict, storeapi.RefusalReasonNoLease)
+	}
+	lease.ends = time.Now().Add(lease.term)
+	return &storeapi.Lease{ID: p.ID, TTLMs: lease.term.Milliseconds()}, nil
+}
+
+// CloseLease ends a lease.
+func (s *Store) CloseLease(_ context.Context, p storeapi.CloseLeaseParams) (*storeapi.Lease, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endLease(p.ID)
+	return &storeapi.Lease{ID: p.ID}, nil
+}
+
+// ListHosts returns the host list.
+func (s *Store) ListHosts(context.Context) (*storeapi.HostList, error) {
+	return &storeapi.HostList{Revision: 1, Hosts: s.hosts()}, nil
+}
+
+// NewError turns a refusal into its answer.
+func (s *Store) NewError(_ context.Context, err error) *storeapi.RefusedStatusCode {
+	if refused, ok := err.(*storeapi.RefusedStatusCode); ok {
+		return refused
+	}
+	return refuse(http.StatusBadRequest, storeapi.RefusalReasonMalformed)
+}
+
+func refuse(status int, reason storeapi.RefusalReason) *storeapi.RefusedStatusCode {
+	return &storeapi.RefusedStatusCode{StatusCode: status, Response: storeapi.Refusal{Reason: reason}}
+}
+
+// Tick ends the leases that have lapsed, so that watchers hear of it.
+func (s *Store) Tick() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+}
+
+func (s *Store) expire() {
+	now := time.Now()
+	for id, lease := range s.leases {
+		if now.After(lease.ends) {
+			s.endLease(id)
+		}
+	}
+}
+
+func (s *Store) endLease(id int64) {
+	delete(s.leases, id)
+	for key, item := range s.items {
+		if item.Lease.Set && item.Lease.Value == id && !item.Deleted.Value {
+			s.remove(key)
+		}
+	}
+}
+
+func (s *Store) standing(key string) int64 {
+	item := s.items[key]
+	if item.Deleted.Value {
+		return 0
+	}
+	return item.Revision
+}
+
+func (s *Store) put(item storeapi.Item) {
+	s.revision++
+	item.Revision = s.revision
+	s.items[item.Key] = item
+	s.notify()
+}
+
+func (s *Store) remove(key string) {
+	s.put(storeapi.Item{Key: key, Deleted: storeapi.NewOptBool(true)})
+}
+
+func (s *Store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
--- /dev/null
+++ b/pkg/standin/worker.go
@@ -0,0 +1,341 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/worker"
+	"foldarch.dev/foldarch/pkg/worker/workerapi"
+	"github.com/google/uuid"
+)
+
+// WorkerConfig describes one stand-in worker.
+type WorkerConfig struct {
+	ID       string
+	Hall     cell.Hall
+	Rack     string
+	Labels   []string
+	Capacity cell.Resources
+	// CheckEpochs makes the endpoints on the worker refuse calls of a lower epoch.
+	CheckEpochs bool
+}
+
+// Worker is a stand-in worker. It refuses commands of a lower epoch or that come too
+// late, and ends a task when its lease lapses.
+type Worker struct {
+	cfg         WorkerConfig
+	ledger      *Ledger
+	incarnation string
+	started     time.Time
+
+	mu       sync.Mutex
+	tasks    map[string]*task
+	epochs   map[string]int64
+	sequence map[string]int64 // by shard, in its epoch
+	draining bool
+	dead     bool
+	delay    time.Duration
+	loseNext int
+}
+
+type task struct {
+	spec     workerapi.TaskSpec
+	epoch    int64
+	state    workerapi.TaskState
+	result   string
+	leaseEnd time.Time
+	run      *Run
+	endpoint *Endpoint
+	stop     chan struct{}
+}
+
+// NewWorker returns a worker without tasks.
+func NewWorker(cfg WorkerConfig, ledger *Ledger) *Worker {
+	return &Worker{
+		cfg: cfg, ledger: ledger, incarnation: uuid.NewString(), started: time.Now(),
+		tasks: map[string]*task{}, epochs: map[string]int64{}, sequence: map[string]int64{},
+	}
+}
+
+// Handler returns the worker's HTTP side.
+func (w *Worker) Handler() (http.Handler, error) {
+	inner, err := workerapi.NewServer(w)
+	if err != nil {
+		return nil, err
+	}
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		delay, lose, dead := w.admit(r.Method == http.MethodPost)
+		time.Sleep(delay)
+		if dead {
+			panic(http.ErrAbortHandler)
+		}
+		if lose {
+			inner.ServeHTTP(discard{http.Header{}}, r)
+			panic(http.ErrAbortHandler)
+		}
+		inner.ServeHTTP(rw, r)
+	}), nil
+}
+
+func (w *Worker) admit(command bool) (delay time.Duration, lose, dead bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if command && w.loseNext > 0 {
+		w.loseNext--
+		lose = true
+	}
+	return w.delay, lose, w.dead
+}
+
+// LoseAnswers lets the next n commands take effect without an answer.
+func (w *Worker) LoseAnswers(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.loseNext = n
+}
+
+// Kill ends all tasks and stops answering, like a host that lost its power.
+func (w *Worker) Kill() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dead = true
+	for id := range w.tasks {
+		w.endTask(id, "killed")
+	}
+}
+
+// Revive lets a killed worker answer again, empty and as a new incarnation.
+func (w *Worker) Revive() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dead = false
+	w.incarnation = uuid.NewString()
+	w.tasks, w.epochs, w.sequence = map[string]*task{}, map[string]int64{}, map[string]int64{}
+}
+
+// Drain marks the worker as leaving.
+func (w *Worker) Drain() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.draining = true
+}
+
+// ReadStatus tells what the worker runs.
+func (w *Worker) ReadStatus(context.Context) (*workerapi.Status, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.status(), nil
+}
+
+// SendCommands carries out commands, or refuses them all.
+func (w *Worker) SendCommands(_ context.Context, c *workerapi.Commands) (workerapi.SendCommandsRes, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.refuses(c) {
+		return &workerapi.Stale{Epoch: w.epochs[c.Shard], ClockMs: w.clock()}, nil
+	}
+	w.epochs[c.Shard] = c.Epoch
+	w.sequence[c.Shard] = c.Sequence
+	for _, id := range c.Renew {
+		w.renew(id, c)
+	}
+	for _, id := range c.Drain {
+		w.drainTask(id)
+	}
+	for _, id := range c.Stop {
+		if _, ok := w.tasks[id]; ok {
+			w.endTask(id, worker.ResultStopped)
+		}
+	}
+	for _, id := range c.Forget {
+		w.forget(id)
+	}
+	for _, spec := range c.Start {
+		w.start(spec, c.Epoch)
+	}
+	return w.status(), nil
+}
+
+// refuses says whether commands are of an old owner, old themselves, or too late.
+func (w *Worker) refuses(c *workerapi.Commands) bool {
+	known := w.epochs[c.Shard]
+	repeated := c.Epoch == known && c.Sequence <= w.sequence[c.Shard]
+	return c.Epoch < known || repeated || w.clock() > c.NotAfterMs
+}
+
+// Tick ends the tasks whose lease has lapsed.
+func (w *Worker) Tick() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	for id, t := range w.tasks {
+		if t.running() && now.After(t.leaseEnd) {
+			w.endTask(id, "lapsed")
+			delete(w.tasks, id)
+		}
+	}
+}
+
+func (t *task) running() bool {
+	return t.state == workerapi.TaskStateRunning || t.state == workerapi.TaskStateDraining
+}
+
+func (w *Worker) clock() int64 {
+	return time.Since(w.started).Milliseconds()
+}
+
+func (w *Worker) renew(id string, c *workerapi.Commands) {
+	if t, ok := w.tasks[id]; ok && t.running() {
+		t.epoch = c.Epoch
+		t.leaseEnd = time.Now().Add(time.Duration(c.LeaseMs) * time.Millisecond)
+	}
+}
+
+func (w *Worker) forget(id string) {
+	if t, ok := w.tasks[id]; ok && !t.running() {
+		delete(w.tasks, id)
+	}
+}
+
+func (w *Worker) start(spec workerapi.TaskSpec, epoch int64) {
+	if _, ok := w.tasks[spec.ID]; ok {
+		return
+	}
+	t := &task{
+		spec: spec, epoch: epoch, state: workerapi.TaskStateRunning, stop: make(chan struct{}),
+		leaseEnd: time.Now().Add(time.Duration(spec.LeaseMs) * time.Millisecond),
+	}
+	w.tasks[spec.ID] = t
+	w.checkCapacity(spec.ID)
+	if spec.Kind == workerapi.TaskSpecKindService {
+		w.startService(t)
+		return
+	}
+	t.run = w.ledger.Begin(Run{
+		Kind: "batch", Key: spec.ID, Where: w.cfg.ID,
+		NotRepeatable: strings.Contains(spec.Payload, "not-repeatable"),
+	})
+	go w.runBatch(t)
+}
+
+func (w *Worker) checkCapacity(id string) {
+	var used cell.Resources
+	for _, t := range w.tasks {
+		if t.running() {
+			used = used.Add(cell.Resources(resourcesOf(t.spec.Resources)))
+		}
+	}
+	if !used.Fits(w.cfg.Capacity) {
+		w.ledger.Violation(PromiseCapacity, "worker "+w.cfg.ID+" holds "+used.String()+" after "+id)
+	}
+}
+
+func resourcesOf(r workerapi.Resources) cell.Resources {
+	return cell.Resources{CPUMillis: r.CPUMillis, MemoryMB: r.MemoryMB, Accelerators: r.Accelerators}
+}
+
+func (w *Worker) startService(t *task) {
+	e, err := StartEndpoint(EndpointConfig{
+		ID: t.spec.ID, Worker: w.cfg.ID, Slots: t.spec.Slots, CheckEpochs: w.cfg.CheckEpochs,
+	}, w.ledger)
+	if err != nil {
+		t.state = workerapi.TaskStateFailed
+		t.result = err.Error()
+		return
+	}
+	t.endpoint = e
+	t.run = w.ledger.Begin(Run{Kind: "service", Key: t.spec.ID, Where: w.cfg.ID})
+}
+
+// runBatch runs a payload such as "ms=50 anything": it takes that long and gives the
+// payload back as its result.
+func (w *Worker) runBatch(t *task) {
+	timer := time.NewTimer(durationOf(t.spec.Payload))
+	defer timer.Stop()
+	select {
+	case <-t.stop:
+		return
+	case <-timer.C:
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !t.running() {
+		return
+	}
+	t.state = workerapi.TaskStateDone
+	t.result = "done: " + t.spec.Payload
+	w.ledger.End(t.run, "done")
+}
+
+func (w *Worker) drainTask(id string) {
+	t, ok := w.tasks[id]
+	if !ok || t.state != workerapi.TaskStateRunning {
+		return
+	}
+	t.state = workerapi.TaskStateDraining
+	if t.endpoint == nil {
+		return // a batch task goes on to its end
+	}
+	t.endpoint.Leave()
+	go func() {
+		t.endpoint.WaitIdle()
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if t.running() {
+			w.endTask(id, "done")
+			t.state = workerapi.TaskStateDone
+		}
+	}()
+}
+
+// endTask stops a task at once.
+func (w *Worker) endTask(id, outcome string) {
+	t := w.tasks[id]
+	if !t.running() {
+		return
+	}
+	t.state = workerapi.TaskStateFailed
+	t.result = outcome
+	close(t.stop)
+	if t.endpoint != nil {
+		t.endpoint.Stop(outcome)
+	}
+	if t.run != nil {
+		w.ledger.End(t.run, outcome)
+	}
+}
+
+func (w *Worker) status() *workerapi.Status {
+	s := &workerapi.Status{
+		Worker: w.cfg.ID, Incarnation: w.incarnation, Hall: string(w.cfg.Hall), Rack: w.cfg.Rack,
+		Labels:  append([]string{}, w.cfg.Labels...),
+		ClockMs: w.clock(), Draining: w.draining, Tasks: []workerapi.Task{},
+		Capacity: workerapi.Resources{
+			CPUMillis: w.cfg.Capacity.CPUMillis, MemoryMB: w.cfg.Capacity.MemoryMB,
+			Accelerators: w.cfg.Capacity.Accelerators,
+		},
+	}
+	for _, t := range w.tasks {
+		s.Tasks = append(s.Tasks, t.report())
+	}
+	return s
+}
+
+func (t *task) report() workerapi.Task {
+	r := workerapi.Task{
+		ID: t.spec.ID, Workload: t.spec.Workload, Kind: workerapi.TaskKind(t.spec.Kind),
+		Resources: t.spec.Resources, State: t.state, Epoch: t.epoch,
+		Slots: workerapi.NewOptInt(t.spec.Slots),
+	}
+	if t.endpoint != nil {
+		r.Endpoint = workerapi.NewOptString(t.endpoint.Address().String())
+	}
+	if t.result != "" {
+		r.Result = workerapi.NewOptString(t.result)
+	}
+	return r
+}
--- /dev/null
+++ b/pkg/store/queries.go
@@ -0,0 +1,109 @@
+package store
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/store/storeapi"
+	"github.com/cockroachdb/errors"
+)
+
+// Read returns one item, or ErrAbsent.
+func (s *Store) Read(ctx context.Context, key string) (Item, error) {
+	var item Item
+	err := s.read(ctx, s.cfg.CallTimeout, func(ctx context.Context, c *storeapi.Client) error {
+		got, err := c.ReadValue(ctx, storeapi.ReadValueParams{Key: key})
+		if err != nil {
+			return err
+		}
+		item = itemOf(*got)
+		return nil
+	})
+	return item, readError(err)
+}
+
+// List returns the items under a prefix and the store's revision at that moment.
+func (s *Store) List(ctx context.Context, prefix string) ([]Item, int64, error) {
+	return s.Watch(ctx, prefix, 0, 0)
+}
+
+// Watch returns the items under a prefix that changed after a revision, deleted ones
+// marked, and the revision to go on from. It waits for a change, at most for the time
+// given; no items then means that nothing changed.
+func (s *Store) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error) {
+	var items []Item
+	var revision int64
+	err := s.read(ctx, s.cfg.CallTimeout+wait, func(ctx context.Context, c *storeapi.Client) error {
+		got, err := c.ListValues(ctx, storeapi.ListValuesParams{
+			Prefix: prefix,
+			After:  storeapi.NewOptInt64(after),
+			WaitMs: storeapi.NewOptInt64(wait.Milliseconds()),
+		})
+		if err != nil {
+			return err
+		}
+		revision = got.Revision
+		for _, item := range got.Items {
+			items = append(items, itemOf(item))
+		}
+		return nil
+	})
+	return items, revision, readError(err)
+}
+
+// readError says of a read that failed that it had no effect, which is always true.
+func readError(err error) error {
+	if errors.Is(err, ErrUnsettled) {
+		return errors.Mark(errors.Newf("read: %v", err), ErrDown)
+	}
+	return err
+}
+
+// HostState is what the platform says of a host; it is told late.
+type HostState string
+
+// The states of a host.
+const (
+	HostLive    HostState = "live"
+	HostLeaving HostState = "leaving"
+	HostGone    HostState = "gone"
+)
+
+// Host is one row of the platform's host list.
+type Host struct {
+	ID      string
+	Worker  bool // otherwise an entry host
+	Hall    cell.Hall
+	Rack    string
+	Address netip.AddrPort
+	State   HostState
+}
+
+// Hosts returns the platform's host list.
+func (s *Store) Hosts(ctx context.Context) ([]Host, error) {
+	var hosts []Host
+	err := s.read(ctx, s.cfg.CallTimeout, func(ctx context.Context, c *storeapi.Client) error {
+		got, err := c.ListHosts(ctx)
+		if err != nil {
+			return err
+		}
+		for _, h := range got.Hosts {
+			address, err := netip.ParseAddrPort(h.Address)
+			if err != nil {
+				return errors.Wrapf(err, "host list: host %s", h.ID)
+			}
+			hosts = append(hosts, Host{
+				ID: h.ID, Worker: h.Kind == storeapi.HostKindWorker, Hall: cell.Hall(h.Hall),
+				Rack: h.Rack.Value, Address: address, State: HostState(h.State),
+			})
+		}
+		return nil
+	})
+	return hosts, readError(err)
+}
+
+func itemOf(i storeapi.Item) Item {
+	return Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted.Value}
+}
--- /dev/null
+++ b/pkg/tomlfile/decode.go
@@ -0,0 +1,143 @@
+package tomlfile
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/BurntSushi/toml"
+	"github.com/cockroachdb/errors"
+)
+
+// Problem is one thing that is wrong with a text.
+type Problem struct {
+	Line int // from 1
+	Key  string
+	Text string
+}
+
+// Decode decodes text into the struct that target points to. It returns all unknown
+// keys, or the one fault of syntax or type that stopped the decoder.
+func Decode(text string, target any) []Problem {
+	if !utf8.ValidString(text) {
+		return []Problem{{Line: firstInvalidLine(text), Text: "the text is not UTF-8"}}
+	}
+	meta, err := toml.Decode(text, target)
+	if err != nil {
+		return []Problem{problemOf(err)}
+	}
+	var problems []Problem
+	known := knownKeys(reflect.TypeOf(target))
+	for _, key := range meta.Undecoded() {
+		problems = append(problems, Problem{
+			Line: LineOf(text, key.String()),
+			Key:  key.String(),
+			Text: "unknown key" + suggestion(key[len(key)-1], known),
+		})
+	}
+	return problems
+}
+
+func problemOf(err error) Problem {
+	var parse toml.ParseError
+	if errors.As(err, &parse) {
+		return Problem{Line: parse.Position.Line, Key: parse.LastKey, Text: parse.Message}
+	}
+	return Problem{Line: 1, Text: err.Error()}
+}
+
+func firstInvalidLine(text string) int {
+	for i, line := range strings.Split(text, "\n") {
+		if !utf8.ValidString(line) {
+			return i + 1
+		}
+	}
+	return 1
+}
+
+// LineOf returns the line, from 1, on which a dotted key is set in a TOML text, or 1 when
+// it is not found. For the key of a table it is the line of the table's header.
+func LineOf(text, dotted string) int {
+	table := ""
+	for i, raw := range strings.Split(text, "\n") {
+		line := strings.TrimSpace(raw)
+		if strings.HasPrefix(line, "[") {
+			table = strings.Trim(strings.SplitN(line, "#", 2)[0], "[] \t")
+			if table == dotted {
+				return i + 1
+			}
+			continue
+		}
+		name, _, found := strings.Cut(line, "=")
+		if found && join(table, strings.TrimSpace(name)) == dotted {
+			return i + 1
+		}
+	}
+	if at := strings.LastIndex(dotted, "."); at > 0 {
+		return LineOf(text, dotted[:at])
+	}
+	return 1
+}
+
+func join(table, name string) string {
+	if table == "" {
+		return name
+	}
+	return table + "." + name
+}
+
+// knownKeys collects the names of all keys of a struct type and of the structs in it.
+func knownKeys(t reflect.Type) []string {
+	switch t.Kind() {
+	case reflect.Pointer, reflect.Slice, reflect.Map:
+		return knownKeys(t.Elem())
+	case reflect.Struct:
+	default:
+		return nil
+	}
+	var keys []string
+	for i := range t.NumField() {
+		field := t.Field(i)
+		if tag := field.Tag.Get("toml"); tag != "" {
+			keys = append(keys, tag)
+			keys = append(keys, knownKeys(field.Type)...)
+		}
+	}
+	return keys
+}
+
+func suggestion(key string, known []string) string {
+	best, bestDistance := "", len(key)/2+1
+	for _, k := range known {
+		if d := editDistance(key, k); d < bestDistance {
+			best, bestDistance = k, d
+		}
+	}
+	if best == "" {
+		return ""
+	}
+	return fmt.Sprintf(", did you mean %q?", best)
+}
+
+// editDistance is the Levenshtein distance of two short words.
+func editDistance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := 1
+			if a[i] == b[j] {
+				cost = 0
+			}
+			next := min(row[j+1]+1, row[j]+1, diagonal+cost)
+			diagonal = row[j+1]
+			row[j+1] = next
+		}
+	}
+	return row[len(b)]
+}
--- /dev/null
+++ b/test/e2e/cell_test.go
@@ -0,0 +1,367 @@
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/entry/entryapi"
+	"foldarch.dev/foldarch/pkg/standin"
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// generous bounds what is awaited: an event that does not come in this time never will.
+const generous = "40s"
+
+// client keeps no connections, so that each call finds its own way.
+var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 30 * time.Second}
+
+// cell is a cell of separate processes.
+type cell struct {
+	dir     string
+	store   netip.AddrPort
+	admin   netip.AddrPort
+	entries map[string]*process
+	order   []string
+	farm    *process
+	decl    string
+	extra   string // further lines of the entries' settings
+}
+
+// process is one program that runs.
+type process struct {
+	id      string
+	cmd     *exec.Cmd
+	callers netip.AddrPort
+	peers   netip.AddrPort
+	config  string
+	exited  chan struct{}
+	log     *logBuffer
+}
+
+// logBuffer keeps what a process prints.
+type logBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(p)
+}
+
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.String()
+}
+
+// freePorts finds ports that nobody listens on.
+func freePorts(n int) []netip.AddrPort {
+	var ports []netip.AddrPort
+	var listeners []net.Listener
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		listeners = append(listeners, l)
+		ports = append(ports, l.Addr().(*net.TCPAddr).AddrPort())
+	}
+	for _, l := range listeners {
+		_ = l.Close()
+	}
+	return ports
+}
+
+// newCell starts the stand-ins and hosts entry hosts in each of the halls.
+func newCell(halls []string, workers, hosts int, extra string) *cell {
+	c := &cell{dir: ginkgo.GinkgoT().TempDir(), entries: map[string]*process{}, extra: extra}
+	ports := freePorts(2)
+	c.store, c.admin = ports[0], ports[1]
+	c.farm = c.spawn("standin", "foldarch-standin", "--store", c.store.String(), "--admin", c.admin.String(),
+		"--halls", strings.Join(halls, ","), "--workers", fmt.Sprint(workers))
+	Eventually(c.farm.log.String, generous).Should(ContainSubstring("store 127"))
+	addresses := freePorts(2 * len(halls) * hosts)
+	for _, hall := range halls {
+		for i := range hosts {
+			p := &process{id: fmt.Sprintf("%s-%c", hall, 'a'+i), callers: addresses[0], peers: addresses[1]}
+			addresses = addresses[2:]
+			c.entries[p.id] = p
+			c.order = append(c.order, p.id)
+		}
+	}
+	for _, id := range c.order {
+		c.configure(id)
+		c.start(id)
+	}
+	c.declare(halls)
+	ginkgo.DeferCleanup(c.close)
+	return c
+}
+
+func (c *cell) configure(id string) {
+	p := c.entries[id]
+	var peers []string
+	for _, other := range c.entries {
+		if other.id != id {
+			peers = append(peers, fmt.Sprintf("%q", other.peers))
+		}
+	}
+	p.config = filepath.Join(c.dir, id+".toml")
+	text := fmt.Sprintf("id = %q\nhall = %q\ncallers_address = %q\npeer_address = %q\nstore = [%q]\npeers = [%s]\n%s",
+		id, id[:len(id)-2], p.callers, p.peers, c.store, strings.Join(peers, ", "), c.extra)
+	Expect(os.WriteFile(p.config, []byte(text), 0o600)).To(Succeed())
+}
+
+// declare writes a tree with a scoring service, a tick service and two batch workloads.
+func (c *cell) declare(halls []string) {
+	c.decl = filepath.Join(c.dir, "declarations")
+	text := ""
+	for _, h := range halls {
+		text += fmt.Sprintf("[[hall]]\nname = %q\nregion = \"r\"\n", h)
+	}
+	c.write("cell.toml", text+"[team.t]\n[rules]\ntime_limit = \"5s\"\n[rules.resources]\ncpu_millis = 1000\nmemory_mb = 1000\n")
+	n := 2 * len(halls)
+	c.write("scoring.toml", fmt.Sprintf("kind = \"service\"\nteam = \"t\"\ninstances = %d\n", n))
+	c.write("ticks.toml", fmt.Sprintf("kind = \"service\"\nteam = \"t\"\ninstances = %d\n[rules]\nrepeatable = false\n", n))
+	c.write("fit.toml", "kind = \"batch\"\nteam = \"t\"\n")
+	c.write("publish.toml", "kind = \"batch\"\nteam = \"t\"\n[rules]\nrepeatable = false\n")
+}
+
+func (c *cell) write(file, text string) {
+	path := filepath.Join(c.decl, file)
+	Expect(os.MkdirAll(filepath.Dir(path), 0o700)).To(Succeed())
+	Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+}
+
+func (c *cell) spawn(id, program string, args ...string) *process {
+	p := &process{id: id}
+	p.run(program, args...)
+	return p
+}
+
+func (p *process) run(program string, args ...string) {
+	p.log = &logBuffer{}
+	p.exited = make(chan struct{})
+	p.cmd = exec.Command(filepath.Join(programs, program), args...)
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	Expect(p.cmd.Start()).To(Succeed())
+	cmd, exited := p.cmd, p.exited
+	go func() {
+		_ = cmd.Wait()
+		close(exited)
+	}()
+}
+
+func (c *cell) start(id string) {
+	c.entries[id].run("foldarch-entry", c.entries[id].config)
+}
+
+func (p *process) signal(s syscall.Signal) {
+	Expect(p.cmd.Process.Signal(s)).To(Succeed())
+}
+
+// kill ends a process at once and returns when it is gone.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	Eventually(p.exited, generous).Should(BeClosed())
+}
+
+func (c *cell) close() {
+	if ginkgo.CurrentSpecReport().Failed() {
+		for _, id := range c.order {
+			ginkgo.GinkgoWriter.Printf("--- %s\n%s", id, c.entries[id].log)
+		}
+	}
+	for _, p := range c.entries {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Kill()
+	}
+	_ = c.farm.cmd.Process.Kill()
+}
+
+// foldarch runs the operators' program.
+func (c *cell) foldarch(args ...string) (string, error) {
+	out, err := exec.Command(filepath.Join(programs, "foldarch"), args...).CombinedOutput()
+	return string(out), err
+}
+
+// apply puts the declarations in force everywhere and waits for all endpoints.
+func (c *cell) apply() {
+	var last string
+	Eventually(func() error {
+		out, err := c.foldarch("apply", "--store", c.store.String(), "--entry", c.entries[c.order[0]].callers.String(), "--wait", c.decl)
+		last = out
+		return err
+	}, generous).Should(Succeed(), func() string { return last })
+}
+
+// ready waits until every hall has an owner with the given number of endpoints.
+func (c *cell) ready(endpoints int) {
+	for _, id := range c.order {
+		Eventually(func() (int, error) { return c.endpointsSeenBy(id) }, generous).Should(Equal(endpoints), id)
+	}
+}
+
+func (c *cell) status(id string) (*entryapi.ProcessStatus, error) {
+	api, err := entryapi.NewClient("http://"+c.entries[id].callers.String(), entryapi.WithClient(client))
+	if err != nil {
+		return nil, err
+	}
+	return api.ReadCellStatus(ginkgo.GinkgoT().Context())
+}
+
+// endpointsSeenBy asks the owner that a process names for its endpoints.
+func (c *cell) endpointsSeenBy(id string) (int, error) {
+	owner, err := c.ownerOf(id)
+	if err != nil {
+		return 0, err
+	}
+	s, err := c.status(owner)
+	if err != nil || len(s.Shards) == 0 || !s.Shards[0].Authority {
+		return 0, err
+	}
+	return s.Shards[0].Endpoints, nil
+}
+
+// ownerOf is the owner of the hall of a process, as that process knows it.
+func (c *cell) ownerOf(id string) (string, error) {
+	s, err := c.status(id)
+	if err != nil {
+		return "", err
+	}
+	if len(s.Shards) == 0 || c.entries[s.Shards[0].Owner] == nil {
+		return "", fmt.Errorf("%s knows no owner", id)
+	}
+	return s.Shards[0].Owner, nil
+}
+
+// reply is what a caller got.
+type reply struct {
+	status  int
+	body    string
+	problem entryapi.Problem
+	err     error
+}
+
+func (r reply) ok() bool { return r.err == nil && r.status == http.StatusOK }
+
+// call sends a request to a service through one entry host.
+func (c *cell) call(id, service, key, body string, headers ...string) reply {
+	req, err := http.NewRequest(http.MethodPost,
+		fmt.Sprintf("http://%s/v1/services/%s/calls", c.entries[id].callers, service), strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	req.Header.Set("Content-Type", "application/octet-stream")
+	req.Header.Set("Foldarch-Caller", "tester")
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	return do(req)
+}
+
+func do(req *http.Request) reply {
+	resp, err := client.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	r := reply{status: resp.StatusCode, body: string(data), err: err}
+	if resp.StatusCode >= http.StatusBadRequest {
+		_ = r.problem.UnmarshalJSON(data)
+	}
+	return r
+}
+
+// batch sends a batch request, or asks for one when payload is empty and id is not.
+func (c *cell) batch(id, workload, key, payload string) (entryapi.BatchStatus, reply) {
+	text, err := json.Marshal(map[string]string{"workload": workload, "payload": payload})
+	Expect(err).NotTo(HaveOccurred())
+	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/v1/batches", c.entries[id].callers), bytes.NewReader(text))
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Foldarch-Caller", "tester")
+	req.Header.Set("Idempotency-Key", key)
+	return batchReply(do(req))
+}
+
+func (c *cell) readBatch(id, batch, caller string) (entryapi.BatchStatus, reply) {
+	req, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/v1/batches/%s", c.entries[id].callers, batch), nil)
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Foldarch-Caller", caller)
+	return batchReply(do(req))
+}
+
+func batchReply(r reply) (entryapi.BatchStatus, reply) {
+	var s entryapi.BatchStatus
+	if r.err == nil && r.status < http.StatusBadRequest {
+		r.err = s.UnmarshalJSON([]byte(r.body))
+	}
+	return s, r
+}
+
+// batchState is for Eventually.
+func (c *cell) batchState(id, batch string) func() string {
+	return func() string {
+		s, r := c.readBatch(id, batch, "tester")
+		if r.err != nil || r.status != http.StatusOK {
+			return fmt.Sprintf("%d %s %v", r.status, r.body, r.err)
+		}
+		return string(s.State)
+	}
+}
+
+// fault switches a fault of the stand-ins.
+func (c *cell) fault(what string, v any) {
+	text, err := json.Marshal(v)
+	Expect(err).NotTo(HaveOccurred())
+	resp, err := client.Post(fmt.Sprintf("http://%s/faults/%s", c.admin, what), "application/json", bytes.NewReader(text))
+	Expect(err).NotTo(HaveOccurred())
+	_ = resp.Body.Close()
+	Expect(resp.StatusCode).To(Equal(http.StatusOK))
+}
+
+// ledger reads from the stand-ins.
+func (c *cell) ledger(path string, v any) {
+	resp, err := client.Get(fmt.Sprintf("http://%s/%s", c.admin, path))
+	Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	Expect(json.NewDecoder(resp.Body).Decode(v)).To(Succeed())
+}
+
+// expectPromisesKept asks the back ends' own record.
+func (c *cell) expectPromisesKept() {
+	var v standin.Verdict
+	c.ledger("verdict", &v)
+	Expect(v.Violations).To(BeEmpty(), strings.Join(v.Notes, "\n"))
+}
+
+// runsOf counts how often the back ends ran a key.
+func (c *cell) runsOf(key string) int {
+	var runs []standin.Run
+	c.ledger("runs", &runs)
+	n := 0
+	for _, r := range runs {
+		if r.Key == key {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/test/e2e/thin_path_test.go
@@ -0,0 +1,109 @@
+package e2e
+
+import (
+	"net/http"
+	"syscall"
+
+	"foldarch.dev/foldarch/pkg/result"
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var halls = []string{"north", "east", "south"}
+
+var _ = ginkgo.Describe("a cell of separate processes", func() {
+	ginkgo.It("serves calls and batch requests, drains and stops", func() {
+		c := newCell(halls, 4, 2, "")
+		c.apply()
+		c.ready(4)
+
+		ginkgo.By("calling a service through every entry host")
+		for _, id := range c.order {
+			r := c.call(id, "scoring", "", "ms=2 body of "+id)
+			Expect(r.ok()).To(BeTrue(), r.body)
+			Expect(r.body).To(HaveSuffix("body of " + id))
+		}
+
+		ginkgo.By("repeating a key through other halls")
+		first := c.call("north-a", "ticks", "goal-1", "ms=2 goal")
+		Expect(first.ok()).To(BeTrue(), first.body)
+		for _, id := range c.order {
+			again := c.call(id, "ticks", "goal-1", "ms=2 goal")
+			Expect(again.body).To(Equal(first.body))
+		}
+		Expect(c.runsOf("tester/goal-1")).To(Equal(1))
+		Expect(c.call("east-a", "ticks", "goal-1", "another goal").problem.Code).To(Equal(int(result.KeyReused)))
+
+		ginkgo.By("running a batch request once")
+		kept, r := c.batch("north-a", "publish", "sheet-1", "ms=30 not-repeatable sheet")
+		Expect(r.status).To(Equal(http.StatusAccepted), r.body)
+		Eventually(c.batchState("south-b", kept.ID), generous).Should(Equal("done"))
+		again, _ := c.batch("east-b", "publish", "sheet-1", "ms=30 not-repeatable sheet")
+		Expect(again.ID).To(Equal(kept.ID))
+		Expect(again.Result.Value).To(Equal("done: ms=30 not-repeatable sheet"))
+		_, r = c.readBatch("north-a", kept.ID, "somebody else")
+		Expect(r.problem.Code).To(Equal(int(result.NotYours)))
+
+		ginkgo.By("draining a worker: its instances move")
+		out, err := c.foldarch("drain", "--entry", c.entries["north-a"].callers.String(), "worker", "north-w0")
+		Expect(err).NotTo(HaveOccurred(), out)
+		Eventually(func() int { return c.tasksOn("north-w0") }, generous).Should(BeZero())
+		c.ready(4)
+
+		ginkgo.By("stopping every process as planned")
+		for _, id := range c.order {
+			c.entries[id].signal(syscall.SIGTERM)
+			Eventually(c.entries[id].exited, generous).Should(BeClosed())
+			Expect(c.entries[id].cmd.ProcessState.ExitCode()).To(BeZero())
+		}
+		c.expectPromisesKept()
+	})
+
+	ginkgo.It("answers bad input clearly and loses nothing", func() {
+		c := newCell(halls, 2, 1, "")
+		c.apply()
+		c.ready(4)
+		expectCode := func(r reply, code result.Code) {
+			ginkgo.GinkgoHelper()
+			Expect(r.problem.Code).To(Equal(int(code)), r.body)
+			Expect(r.status).To(Equal(code.Row().Status))
+		}
+		expectCode(c.call("north-a", "nothing", "", "x"), result.UnknownService)
+		expectCode(c.call("north-a", "fit", "", "x"), result.WrongKind)
+		expectCode(c.call("north-a", "scoring", "", string(make([]byte, 300<<10))), result.BodyTooLarge)
+		expectCode(c.call("north-a", "scoring", "", string(make([]byte, 3<<20))), result.BodyTooLarge)
+		expectCode(c.call("north-a", "scoring", "", "x", "Foldarch-Deadline", "1000"), result.DeadlinePast)
+		expectCode(c.call("north-a", "scoring", "k", "x", "Foldarch-Issued-At", "9999999999999"), result.IssuedInFuture)
+		expectCode(c.call("north-a", "scoring", "", "x", "Foldarch-Caller", ""), result.Malformed)
+		expectCode(c.call("north-a", "scoring", "", "x", "Foldarch-Class", "soon"), result.Malformed)
+		_, r := c.readBatch("north-a", "no-such-id", "tester")
+		expectCode(r, result.UnknownBatch)
+
+		ginkgo.By("refusing a port in use, naming it")
+		p := c.spawn("twin", "foldarch-entry", c.entries["north-a"].config)
+		Eventually(p.exited, generous).Should(BeClosed())
+		Expect(p.log.String()).To(ContainSubstring("address already in use"))
+
+		ginkgo.By("refusing a faulty tree, naming file, line and key")
+		c.write("scoring.toml", "kind = \"service\"\nteam = \"t\"\ninstancs = 3\n")
+		out, err := c.foldarch("apply", "--store", c.store.String(), c.decl)
+		Expect(err).To(HaveOccurred())
+		Expect(out).To(ContainSubstring(`scoring.toml:3: instancs: unknown key, did you mean "instances"?`))
+		Expect(c.call("north-a", "scoring", "", "still there").ok()).To(BeTrue())
+	})
+})
+
+// tasksOn counts what a worker runs, by the ledger.
+func (c *cell) tasksOn(worker string) int {
+	var runs []struct {
+		Where, Outcome string
+	}
+	c.ledger("runs", &runs)
+	n := 0
+	for _, r := range runs {
+		if r.Where == worker && r.Outcome == "running" {
+			n++
+		}
+	}
+	return n
+}
