--- a/pkg/shard/tasks.go
+++ b/pkg/shard/tasks.go
@@ -9,6 +9,7 @@
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/placement"
 	"foldarch.dev/foldarch/pkg/settings"
+	"foldarch.dev/foldarch/pkg/store"
 	"foldarch.dev/foldarch/pkg/worker"
 	"github.com/sirupsen/logrus"
 )
@@ -17,6 +18,8 @@
 	placeEvery = 200 * time.Millisecond
 	// placeMost bounds the decisions made under the lock at a time.
 	placeMost = 128
+	// intentionPause is the attempt whose pause follows an intention that was not stored.
+	intentionPause = 5
 	// firstReports is how long the first owner of a shard waits for all workers.
 	firstReports = 2 * time.Second
 )
@@ -217,6 +220,9 @@
 // was started and this owner knows it.
 func (e *Engine) intend(ctx context.Context, duty *workerDuty, task worker.Task) {
 	err := e.journal.Append(ctx, batch.Entry{Starting: batch.ID(task.ID)})
+	if err != nil {
+		_ = store.Pause(ctx, intentionPause) // the store is down; placing it again at once would spin
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if err == nil {
--- a/pkg/store/commands.go
+++ b/pkg/store/commands.go
@@ -28,7 +28,7 @@
 		return 0, errors.Wrapf(ErrTooLarge, "key %s has %d bytes", item.Key, len(item.Value))
 	}
 	revision, err := s.swapOnce(ctx, item, expect, lease)
-	for attempt := 0; errors.Is(err, ErrUnsettled); attempt++ {
+	for attempt := 0; errors.Is(err, ErrUnsettled) && ctx.Err() == nil; attempt++ {
 		revision, err = s.settle(ctx, item, expect, lease, attempt)
 	}
 	return revision, err
