--- a/pkg/ownership/machine.go
+++ b/pkg/ownership/machine.go
@@ -144,13 +144,12 @@
 // adopt makes a record the one in force and takes the role that it gives.
 func (m *Machine) adopt(record Record, revision int64, now clock.Time) {
 	wasOwner := m.role == Owner && record.Epoch == m.record.Epoch
-	wasSuccessor := m.role == Successor && record.Epoch == m.record.Epoch
 	m.record, m.revision = record, revision
 	switch m.self.Incarnation {
 	case record.Owner.Incarnation:
 		m.becomeOwner(wasOwner, now)
 	case record.Successor.Incarnation:
-		m.becomeSuccessor(wasSuccessor, now)
+		m.becomeSuccessor(now)
 	default:
 		m.role = Bystander
 	}
@@ -172,11 +171,10 @@
 	}
 }
 
-func (m *Machine) becomeSuccessor(was bool, now clock.Time) {
+// becomeSuccessor begins anew with each record, also when an earlier one named this
+// process too: the one between them may not have been seen.
+func (m *Machine) becomeSuccessor(now clock.Time) {
 	m.role = Successor
-	if was {
-		return
-	}
 	// The owner may act on a grant of its former successor, or as sole, for one term
 	// from the write that named us, which was not after now.
 	m.successor = successorState{grantEnd: now.Add(m.terms.Grant + m.terms.Margin), lastAsk: now}
--- /dev/null
+++ b/pkg/ownership/machine_test.go
@@ -0,0 +1,147 @@
+package ownership
+
+import (
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	. "github.com/onsi/gomega"
+)
+
+var (
+	alpha = Holder{ID: "a", Incarnation: "a1"}
+	beta  = Holder{ID: "b", Incarnation: "b1"}
+	gamma = Holder{ID: "c", Incarnation: "c1"}
+)
+
+// after is a time some grants from the origin.
+func after(grants float64) clock.Time {
+	return clock.Time(0).Add(time.Duration(grants * float64(DefaultTerms.Grant)))
+}
+
+// granted exchanges one ask and its answer at one moment.
+func granted(g *WithT, owner, successor *Machine, now clock.Time) {
+	ask, due := owner.NextAsk(now)
+	g.Expect(due).To(BeTrue())
+	owner.Answered(ask, successor.Grant(ask, now))
+}
+
+// Found by spec/ownership.pml: a successor that was replaced and named again, and saw only
+// the second record, kept the end of its old grant and followed an owner that still acted.
+func TestSuccessorNamedAgainWaitsAnew(t *testing.T) {
+	g := NewWithT(t)
+	successor := NewMachine(beta, DefaultTerms)
+	successor.Observe(Record{Epoch: 1, Owner: alpha, Successor: beta, WriteID: "1"}, 1, 0)
+	now := after(5)
+	g.Expect(successor.GrantLapsed(now)).To(BeTrue())
+	successor.Observe(Record{Epoch: 1, Owner: alpha, Successor: beta, WriteID: "3"}, 3, now)
+	g.Expect(successor.GrantLapsed(now)).To(BeFalse())
+	g.Expect(successor.GrantLapsed(now.Add(DefaultTerms.Grant))).To(BeFalse())
+}
+
+func TestOwnerHasAuthorityForOneTermFromItsAsk(t *testing.T) {
+	g := NewWithT(t)
+	record := Record{Epoch: 1, Owner: alpha, Successor: beta, WriteID: "1"}
+	owner, successor := NewMachine(alpha, DefaultTerms), NewMachine(beta, DefaultTerms)
+	owner.Observe(record, 1, 0)
+	successor.Observe(record, 1, 0)
+	g.Expect(owner.AuthorityUntil()).To(BeZero())
+	ask, due := owner.NextAsk(10)
+	g.Expect(due).To(BeTrue())
+	owner.Answered(ask, successor.Grant(ask, 400)) // the ask was long under way
+	g.Expect(owner.AuthorityUntil()).To(Equal(clock.Time(10).Add(DefaultTerms.Grant)))
+	g.Expect(successor.GrantLapsed(clock.Time(400).Add(DefaultTerms.Grant))).To(BeFalse())
+}
+
+func TestNothingIsGrantedWhileAClaimIsNotSettled(t *testing.T) {
+	g := NewWithT(t)
+	record := Record{Epoch: 1, Owner: alpha, Successor: beta, WriteID: "1"}
+	owner, successor := NewMachine(alpha, DefaultTerms), NewMachine(beta, DefaultTerms)
+	owner.Observe(record, 1, 0)
+	successor.Observe(record, 1, 0)
+	now := after(2)
+	g.Expect(successor.GrantLapsed(now)).To(BeTrue())
+	claim, expect := successor.BeginWrite(WriteClaim, gamma, "2", now)
+	g.Expect(claim.Epoch).To(BeEquivalentTo(2))
+	g.Expect(expect).To(BeEquivalentTo(1))
+	ask := Ask{Epoch: 1, Owner: alpha, Record: record, Revision: 1, Sent: now}
+	g.Expect(successor.Grant(ask, now).Granted).To(BeFalse())
+	successor.Settle(NoEffect, Record{}, 0, now)
+	g.Expect(successor.Grant(ask, now).Granted).To(BeTrue())
+}
+
+func TestSoleOwnerThatNamesASuccessorActsForOneTermAtMost(t *testing.T) {
+	g := NewWithT(t)
+	owner := NewMachine(alpha, DefaultTerms)
+	owner.Observe(Record{Epoch: 1, Owner: alpha, WriteID: "1"}, 1, 0)
+	now := clock.Time(100)
+	owner.Tick(now)
+	g.Expect(owner.AuthorityUntil()).To(BeNumerically(">", now))
+	owner.BeginWrite(WriteSuccessor, beta, "2", now)
+	for now < after(3) {
+		now = now.Add(100 * time.Millisecond)
+		owner.Tick(now)
+	}
+	g.Expect(owner.AuthorityUntil()).To(BeNumerically("<", now))
+	owner.Settle(NoEffect, Record{}, 0, now)
+	owner.Tick(now)
+	g.Expect(owner.AuthorityUntil()).To(BeNumerically(">", now))
+}
+
+func TestSoleOwnerConfirmsAfterAPause(t *testing.T) {
+	g := NewWithT(t)
+	owner := NewMachine(alpha, DefaultTerms)
+	record := Record{Epoch: 1, Owner: alpha, WriteID: "1"}
+	owner.Observe(record, 1, 0)
+	owner.Tick(100)
+	late := after(10)
+	g.Expect(owner.AuthorityUntil()).To(BeNumerically("<", late))
+	g.Expect(owner.Tick(late)).To(BeTrue())
+	g.Expect(owner.Doubtful()).To(BeTrue())
+	g.Expect(owner.AuthorityUntil()).To(BeNumerically("<", late))
+	owner.Confirm(record, 1, late)
+	g.Expect(owner.AuthorityUntil()).To(BeNumerically(">", late))
+	owner.Tick(after(20))
+	owner.Confirm(Record{Epoch: 2, Owner: gamma, WriteID: "9"}, 2, after(20))
+	g.Expect(owner.Role()).To(Equal(Bystander))
+}
+
+func TestSuccessorFollowsWithoutTheStoreOnlyWhileTheGrantIsKnownToHold(t *testing.T) {
+	g := NewWithT(t)
+	record := Record{Epoch: 1, Owner: alpha, Successor: beta, WriteID: "1"}
+	owner, successor := NewMachine(alpha, DefaultTerms), NewMachine(beta, DefaultTerms)
+	owner.Observe(record, 1, 0)
+	successor.Observe(record, 1, 0)
+	now := clock.Time(10)
+	g.Expect(successor.OwnerProvenHeld(now)).To(BeFalse())
+	for range 3 {
+		granted(g, owner, successor, now)
+		now = now.Add(DefaultTerms.AskEvery)
+	}
+	g.Expect(successor.OwnerProvenHeld(now)).To(BeTrue())
+	g.Expect(successor.OwnerProvenHeld(now.Add(DefaultTerms.Grant))).To(BeFalse())
+	successor.FollowUnrecorded("2", now)
+	g.Expect(successor.Epoch()).To(BeEquivalentTo(2))
+	g.Expect(successor.AuthorityUntil()).To(BeNumerically(">", now))
+	g.Expect(successor.Unrecorded()).To(BeTrue())
+}
+
+func TestOwnerReplacesASilentSuccessorOnlyAfterTheSilence(t *testing.T) {
+	g := NewWithT(t)
+	owner, successor := NewMachine(alpha, DefaultTerms), NewMachine(beta, DefaultTerms)
+	record := Record{Epoch: 1, Owner: alpha, Successor: beta, WriteID: "1"}
+	owner.Observe(record, 1, 0)
+	successor.Observe(record, 1, 0)
+	granted(g, owner, successor, 10)
+	var lastAsk, replaced clock.Time
+	for now := clock.Time(20); replaced == 0 && now < after(10); now += 50 {
+		if _, due := owner.NextAsk(now); due {
+			lastAsk = now
+		}
+		if owner.WantsSuccessor(now) {
+			replaced = now
+		}
+	}
+	g.Expect(replaced.Sub(lastAsk)).To(BeNumerically(">", DefaultTerms.Grant+DefaultTerms.Margin))
+	g.Expect(replaced).To(BeNumerically("<", after(4)))
+}
