--- a/pkg/entry/operator.go
+++ b/pkg/entry/operator.go
@@ -30,7 +30,7 @@
 	revision, _, _ := p.settings.current()
 	s := &entryapi.ProcessStatus{
 		ID: p.cfg.ID, Hall: string(p.cfg.Hall), Revision: revision, Draining: p.draining.Load(),
-		Store: entryapi.ProcessStatusStoreDown, Shards: p.shardStatus(), Peers: p.peerStatus(),
+		Store: entryapi.ProcessStatusStoreDown, Shards: p.ShardStatuses(), Peers: p.peerStatus(),
 	}
 	if p.store.Up(watchWait + storeUpWithin) {
 		s.Store = entryapi.ProcessStatusStoreUp
@@ -38,7 +38,8 @@
 	return s, nil
 }
 
-func (p *Process) shardStatus() []entryapi.ShardStatus {
+// ShardStatuses tells of the shards of the hall.
+func (p *Process) ShardStatuses() []entryapi.ShardStatus {
 	list := []entryapi.ShardStatus{}
 	k := p.keeper.Load()
 	if k == nil {
--- /dev/null
+++ b/pkg/load/driver.go
@@ -0,0 +1,242 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/entry/entryapi"
+	"foldarch.dev/foldarch/pkg/result"
+	"foldarch.dev/foldarch/pkg/trace"
+)
+
+const (
+	idleConns    = 256
+	callTimeout  = 30 * time.Second
+	pollFirst    = 20 * time.Millisecond
+	pollMost     = 500 * time.Millisecond
+	submitTries  = 20
+	resubmitWait = 250 * time.Millisecond
+)
+
+// Target names the entry hosts of the cell.
+type Target struct {
+	Entries []netip.AddrPort
+}
+
+// Options say how to drive.
+type Options struct {
+	// Speed presses time together: 10 sends what was recorded in 10 s in one.
+	Speed float64
+	// KeepWork leaves the work of each request as recorded; otherwise it is pressed too.
+	KeepWork bool
+	// Settle is how long to wait for batch requests after the last event.
+	Settle time.Duration
+}
+
+// driver is one run.
+type driver struct {
+	target Target
+	opt    Options
+	http   *http.Client
+	begin  time.Time
+
+	mu     sync.Mutex
+	result *Result
+}
+
+// Run sends the events and returns what came of them.
+func Run(ctx context.Context, target Target, events []trace.Event, opt Options) *Result {
+	if opt.Speed <= 0 {
+		opt.Speed = 1
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConns, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	d := &driver{
+		target: target, opt: opt, begin: time.Now(), result: newResult(),
+		http: &http.Client{Transport: transport, Timeout: callTimeout},
+	}
+	var senders sync.WaitGroup
+	for _, e := range events {
+		at := time.Duration(float64(e.At()) / opt.Speed)
+		if !waitUntil(ctx, d.begin.Add(at)) {
+			break
+		}
+		senders.Go(func() { d.send(ctx, e, d.begin.Add(at)) })
+	}
+	senders.Wait()
+	d.result.Seconds = time.Since(d.begin).Seconds()
+	return d.result
+}
+
+func waitUntil(ctx context.Context, at time.Time) bool {
+	t := time.NewTimer(time.Until(at))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func (d *driver) entry() netip.AddrPort {
+	return d.target.Entries[rand.IntN(len(d.target.Entries))]
+}
+
+func (d *driver) send(ctx context.Context, e trace.Event, due time.Time) {
+	if !d.opt.KeepWork {
+		e.WorkMS = max(int64(float64(e.WorkMS)/d.opt.Speed), 1)
+	}
+	if e.Batch {
+		d.runBatch(ctx, e, due)
+		return
+	}
+	d.call(ctx, e, due)
+}
+
+func (d *driver) call(ctx context.Context, e trace.Event, due time.Time) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost,
+		fmt.Sprintf("http://%s/v1/services/%s/calls", d.entry(), e.Workload), strings.NewReader(e.Body()))
+	if err != nil {
+		return
+	}
+	req.Header.Set("Content-Type", "application/octet-stream")
+	req.Header.Set("Foldarch-Caller", e.Caller)
+	setIf(req, "Idempotency-Key", e.Key)
+	setIf(req, "Foldarch-Class", e.Class)
+	if e.Key != "" {
+		req.Header.Set("Foldarch-Issued-At", strconv.FormatInt(time.Now().UnixMilli(), 10))
+	}
+	if e.LimitMS > 0 {
+		req.Header.Set("Foldarch-Deadline", strconv.FormatInt(time.Now().UnixMilli()+e.LimitMS, 10))
+	}
+	if e.Once {
+		req.Header.Set("Foldarch-Not-Repeatable", "true")
+	}
+	status, body, err := d.do(req)
+	work := time.Duration(e.WorkMS) * time.Millisecond
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case err != nil:
+		d.result.add(e, outcome{name: "connection_lost"})
+	case status != http.StatusOK:
+		d.result.add(e, outcome{name: problemName(body)})
+	case !strings.HasSuffix(body, e.Body()):
+		d.result.add(e, outcome{name: "wrong_answer"})
+	default:
+		took := time.Since(due)
+		d.result.add(e, outcome{name: result.OK.String(), took: took, waited: max(took-work, 0), at: time.Since(d.begin)})
+	}
+}
+
+func setIf(req *http.Request, header, value string) {
+	if value != "" {
+		req.Header.Set(header, value)
+	}
+}
+
+func (d *driver) do(req *http.Request) (int, string, error) {
+	resp, err := d.http.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body), err
+}
+
+func problemName(body string) string {
+	var p entryapi.Problem
+	if err := p.UnmarshalJSON([]byte(body)); err != nil {
+		return "unreadable"
+	}
+	return p.Name
+}
+
+// runBatch submits a request until it is kept or refused for good, and polls its end.
+func (d *driver) runBatch(ctx context.Context, e trace.Event, due time.Time) {
+	id, name := d.submit(ctx, e)
+	if id == "" {
+		d.finish(e, outcome{name: name})
+		return
+	}
+	pause := pollFirst
+	deadline := time.Now().Add(d.opt.Settle + time.Duration(e.WorkMS)*time.Millisecond)
+	for time.Now().Before(deadline) && waitUntil(ctx, time.Now().Add(pause)) {
+		pause = min(pause*3/2, pollMost)
+		s, err := d.read(ctx, e, id)
+		if err != nil {
+			continue
+		}
+		if s.State == entryapi.BatchStatusStateWaiting || s.State == entryapi.BatchStatusStateRunning {
+			continue
+		}
+		took := time.Since(due)
+		o := outcome{name: "batch_" + string(s.State), took: took, at: time.Since(d.begin)}
+		o.waited = max(took-time.Duration(e.WorkMS)*time.Millisecond, 0)
+		o.late = e.Window > 0 && took > time.Duration(float64(e.Window)/d.opt.Speed)*time.Millisecond
+		d.finish(e, o)
+		return
+	}
+	d.finish(e, outcome{name: "batch_open"})
+}
+
+func (d *driver) finish(e trace.Event, o outcome) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.result.add(e, o)
+}
+
+func (d *driver) submit(ctx context.Context, e trace.Event) (id, name string) {
+	text, err := json.Marshal(map[string]string{"workload": e.Workload, "payload": e.Body()})
+	if err != nil {
+		return "", err.Error()
+	}
+	for range submitTries {
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/v1/batches", d.entry()), bytes.NewReader(text))
+		if err != nil {
+			return "", err.Error()
+		}
+		req.Header.Set("Content-Type", "application/json")
+		req.Header.Set("Foldarch-Caller", e.Caller)
+		req.Header.Set("Idempotency-Key", e.Key)
+		status, body, err := d.do(req)
+		var s entryapi.BatchStatus
+		if err == nil && status == http.StatusAccepted && s.UnmarshalJSON([]byte(body)) == nil {
+			return s.ID, ""
+		}
+		name = "connection_lost"
+		if err == nil {
+			name = problemName(body)
+		}
+		if !waitUntil(ctx, time.Now().Add(resubmitWait)) {
+			break
+		}
+	}
+	return "", name
+}
+
+func (d *driver) read(ctx context.Context, e trace.Event, id string) (entryapi.BatchStatus, error) {
+	var s entryapi.BatchStatus
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/v1/batches/%s", d.entry(), id), nil)
+	if err != nil {
+		return s, err
+	}
+	req.Header.Set("Foldarch-Caller", e.Caller)
+	_, body, err := d.do(req)
+	if err != nil {
+		return s, err
+	}
+	return s, s.UnmarshalJSON([]byte(body))
+}
--- /dev/null
+++ b/pkg/load/result.go
@@ -0,0 +1,169 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/trace"
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+)
+
+// Histograms count microseconds from 1 to ten minutes with two significant digits.
+const (
+	histogramLowest  = 1
+	histogramHighest = int64(10 * time.Minute / time.Microsecond)
+	histogramDigits  = 2
+)
+
+// outcome is what came of one request.
+type outcome struct {
+	name   string
+	took   time.Duration
+	waited time.Duration // beyond the work itself
+	at     time.Duration // since the begin of the run
+	late   bool          // after its window
+}
+
+// Result is what a run came to.
+type Result struct {
+	Seconds   float64              `json:"seconds"`
+	Workloads map[string]*Workload `json:"workloads"`
+	// Timeline counts by second of the run.
+	Timeline []Second `json:"timeline"`
+}
+
+// Workload sums up one workload.
+type Workload struct {
+	Sent   int            `json:"sent"`
+	ByName map[string]int `json:"by_name"`
+	Late   int            `json:"late"`
+	// Milliseconds that requests which ran waited beyond their own work.
+	WaitP50 float64 `json:"wait_p50_ms"`
+	WaitP99 float64 `json:"wait_p99_ms"`
+	WaitMax float64 `json:"wait_max_ms"`
+
+	waits *hdrhistogram.Histogram
+}
+
+// Second sums up one second of a run.
+type Second struct {
+	Done      int     `json:"done"`
+	Refused   int     `json:"refused"`
+	WorstWait float64 `json:"worst_wait_ms"`
+}
+
+func newResult() *Result {
+	return &Result{Workloads: map[string]*Workload{}}
+}
+
+func (r *Result) add(e trace.Event, o outcome) {
+	w, ok := r.Workloads[e.Workload]
+	if !ok {
+		w = &Workload{ByName: map[string]int{}, waits: hdrhistogram.New(histogramLowest, histogramHighest, histogramDigits)}
+		r.Workloads[e.Workload] = w
+	}
+	w.Sent++
+	w.ByName[o.name]++
+	if o.late {
+		w.Late++
+	}
+	s := r.second(o.at)
+	if o.took == 0 {
+		s.Refused++
+		return
+	}
+	s.Done++
+	s.WorstWait = max(s.WorstWait, millis(o.waited))
+	_ = w.waits.RecordValue(max(o.waited.Microseconds(), histogramLowest))
+	w.WaitP50 = float64(w.waits.ValueAtQuantile(50)) / 1000
+	w.WaitP99 = float64(w.waits.ValueAtQuantile(99)) / 1000
+	w.WaitMax = float64(w.waits.Max()) / 1000
+}
+
+func (r *Result) second(at time.Duration) *Second {
+	i := int(at / time.Second)
+	for len(r.Timeline) <= i {
+		r.Timeline = append(r.Timeline, Second{})
+	}
+	return &r.Timeline[i]
+}
+
+func millis(d time.Duration) float64 {
+	return float64(d.Microseconds()) / 1000
+}
+
+// Done counts the requests that ran to their end.
+func (w *Workload) Done() int {
+	return w.ByName["ok"] + w.ByName["batch_done"]
+}
+
+// Print writes a table that fits 100 columns.
+func (r *Result) Print(w io.Writer) {
+	fmt.Fprintf(w, "%-12s %7s %7s %6s %10s %10s %10s  %s\n", "WORKLOAD", "SENT", "DONE", "LATE", "WAIT P50", "WAIT P99", "WAIT MAX", "OTHERS")
+	for _, name := range slices.Sorted(maps.Keys(r.Workloads)) {
+		s := r.Workloads[name]
+		fmt.Fprintf(w, "%-12s %7d %7d %6d %8.1fms %8.1fms %8.1fms  %s\n",
+			name, s.Sent, s.Done(), s.Late, s.WaitP50, s.WaitP99, s.WaitMax, s.others())
+	}
+}
+
+func (w *Workload) others() string {
+	text := ""
+	for _, name := range slices.Sorted(maps.Keys(w.ByName)) {
+		if name != "ok" && name != "batch_done" {
+			text += fmt.Sprintf("%s %d ", name, w.ByName[name])
+		}
+	}
+	if text == "" {
+		return "-"
+	}
+	return text
+}
+
+// Save writes the result as JSON.
+func (r *Result) Save(path string) error {
+	text, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode result")
+	}
+	return errors.Wrap(os.WriteFile(path, append(text, '\n'), 0o600), "write result")
+}
+
+// LoadResult reads a result that Save wrote.
+func LoadResult(path string) (*Result, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read result")
+	}
+	var r Result
+	if err := json.Unmarshal(text, &r); err != nil {
+		return nil, errors.Wrapf(err, "result %s", path)
+	}
+	return &r, nil
+}
+
+// Compare writes two results side by side, as ratios of the second to the first.
+func Compare(w io.Writer, a, b *Result) {
+	fmt.Fprintf(w, "%-12s %10s %10s %12s %12s\n", "WORKLOAD", "DONE A", "DONE B", "P50 B/A", "P99 B/A")
+	for _, name := range slices.Sorted(maps.Keys(a.Workloads)) {
+		x, y := a.Workloads[name], b.Workloads[name]
+		if y == nil {
+			fmt.Fprintf(w, "%-12s %10d %10s\n", name, x.Done(), "-")
+			continue
+		}
+		fmt.Fprintf(w, "%-12s %10d %10d %12.2f %12.2f\n", name, x.Done(), y.Done(), quotient(y.WaitP50, x.WaitP50), quotient(y.WaitP99, x.WaitP99))
+	}
+}
+
+func quotient(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
--- /dev/null
+++ b/pkg/local/cell.go
@@ -0,0 +1,223 @@
+package local
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/dialer"
+	"foldarch.dev/foldarch/pkg/entry"
+	"foldarch.dev/foldarch/pkg/procconf"
+	"foldarch.dev/foldarch/pkg/revision"
+	"foldarch.dev/foldarch/pkg/settings"
+	"foldarch.dev/foldarch/pkg/standin"
+	"foldarch.dev/foldarch/pkg/store"
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	hostsPerHall   = 2
+	workersPerHall = 4
+	readyTimeout   = 30 * time.Second
+	readyPause     = 50 * time.Millisecond
+	leaveGrace     = 50 * time.Millisecond
+)
+
+var (
+	halls    = []cell.Hall{"seoul-1", "seoul-2", "derby-1"}
+	capacity = cell.Resources{CPUMillis: 16000, MemoryMB: 65536}
+)
+
+// localCell is a cell in this process.
+type localCell struct {
+	out       io.Writer
+	farm      *standin.Farm
+	processes []*entry.Process
+	configs   []procconf.Entry
+	log       *decisionCounter
+	cancel    context.CancelFunc
+	running   sync.WaitGroup
+}
+
+func start(out io.Writer) (*localCell, error) {
+	farm, err := standin.StartFarm(standin.FarmConfig{Workers: standin.Uniform(halls, workersPerHall, capacity)})
+	if err != nil {
+		return nil, err
+	}
+	c := &localCell{out: out, farm: farm, log: &decisionCounter{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	if err := c.startEntries(ctx); err != nil {
+		c.stop()
+		return nil, err
+	}
+	fmt.Fprintf(out, "a cell of %d entry hosts and %d workers in %d halls, on the loopback\n",
+		len(c.processes), len(farm.Workers), len(halls))
+	return c, nil
+}
+
+func (c *localCell) startEntries(ctx context.Context) error {
+	addresses, err := freeAddresses(2 * hostsPerHall * len(halls))
+	if err != nil {
+		return err
+	}
+	var peers []netip.AddrPort
+	for i := 1; i < len(addresses); i += 2 {
+		peers = append(peers, addresses[i])
+	}
+	for i, hall := range halls {
+		for n := range hostsPerHall {
+			cfg := procconf.DefaultEntry()
+			at := 2 * (i*hostsPerHall + n)
+			cfg.ID, cfg.Hall = fmt.Sprintf("%s-%c", hall, 'a'+n), hall
+			cfg.CallersAddress, cfg.PeerAddress = addresses[at], addresses[at+1]
+			cfg.Store, cfg.Peers = []netip.AddrPort{c.farm.StoreAddress()}, peers
+			cfg.Times.LeaveGrace = procconf.Duration(leaveGrace)
+			cfg.Limits.MemoryMB = 1024 // one process for all
+			if err := c.startEntry(ctx, cfg); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (c *localCell) startEntry(ctx context.Context, cfg procconf.Entry) error {
+	p, err := entry.New(cfg, c.log.newLog())
+	if err != nil {
+		return err
+	}
+	c.processes = append(c.processes, p)
+	c.configs = append(c.configs, cfg)
+	c.running.Go(func() {
+		if err := p.Run(ctx); err != nil {
+			fmt.Fprintf(c.out, "entry host %s: %v\n", cfg.ID, err)
+		}
+	})
+	return nil
+}
+
+// freeAddresses finds ports of the loopback that nobody listens on.
+func freeAddresses(n int) ([]netip.AddrPort, error) {
+	var addresses []netip.AddrPort
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "free port")
+		}
+		defer l.Close()
+		addresses = append(addresses, l.Addr().(*net.TCPAddr).AddrPort())
+	}
+	return addresses, nil
+}
+
+func (c *localCell) stop() {
+	c.cancel()
+	c.running.Wait()
+	c.farm.Close()
+}
+
+func (c *localCell) addresses() []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, cfg := range c.configs {
+		list = append(list, cfg.CallersAddress)
+	}
+	return list
+}
+
+// apply puts the embedded declarations in force.
+func (c *localCell) apply() error {
+	docs, err := documents()
+	if err != nil {
+		return err
+	}
+	clk := clock.System()
+	s, err := store.New(store.Config{
+		Addresses: []netip.AddrPort{c.farm.StoreAddress()}, CallTimeout: time.Second,
+		ReadsPerSecond: 100, WritesPerSecond: 100,
+	}, dialer.New(nil, time.Second), clk, metrics.NewRegistry())
+	if err != nil {
+		return err
+	}
+	_, err = revision.New(s, clk).Apply(context.Background(), revision.Head{}, docs, revision.Change{Author: "local", Note: "the bundled declarations"})
+	return err
+}
+
+// waitReady waits until every instance of every service runs.
+func (c *localCell) waitReady() error {
+	docs, err := documents()
+	if err != nil {
+		return err
+	}
+	tree, faults := settings.Parse(docs)
+	if len(faults) > 0 {
+		return errors.Newf("bundled declarations: %s", faults[0])
+	}
+	wanted := 0
+	for _, w := range tree.Workloads {
+		wanted += w.Instances
+	}
+	for begin := time.Now(); time.Since(begin) < readyTimeout; time.Sleep(readyPause) {
+		if c.endpoints() == wanted {
+			fmt.Fprintf(c.out, "%d instances of services are placed and take requests after %.1f s\n", wanted, time.Since(begin).Seconds())
+			return nil
+		}
+	}
+	return errors.Newf("%d of %d instances run after %s", c.endpoints(), wanted, readyTimeout)
+}
+
+func (c *localCell) endpoints() int {
+	n := 0
+	for _, p := range c.processes {
+		for _, s := range p.ShardStatuses() {
+			n += s.Endpoints
+		}
+	}
+	return n
+}
+
+// decisionCounter is a log that counts decisions instead of printing them.
+type decisionCounter struct {
+	mu         sync.Mutex
+	placements int
+	routes     int
+}
+
+func (d *decisionCounter) newLog() *logrus.Entry {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	l.AddHook(d)
+	return logrus.NewEntry(l)
+}
+
+// Levels is for logrus.Hook.
+func (d *decisionCounter) Levels() []logrus.Level {
+	return []logrus.Level{logrus.InfoLevel}
+}
+
+// Fire is for logrus.Hook.
+func (d *decisionCounter) Fire(e *logrus.Entry) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch e.Message {
+	case "placement":
+		d.placements++
+	case "route":
+		d.routes++
+	}
+	return nil
+}
+
+func (d *decisionCounter) counts() (placements, routes int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.placements, d.routes
+}
--- a/pkg/local/run.go
+++ b/pkg/local/run.go
@@ -1,16 +1,119 @@
 package local
 
 import (
+	"context"
+	"embed"
+	"fmt"
 	"io"
+	"io/fs"
 	"time"
+
+	"foldarch.dev/foldarch/pkg/load"
+	"foldarch.dev/foldarch/pkg/standin"
+	"foldarch.dev/foldarch/pkg/trace"
+	"github.com/cockroachdb/errors"
 )
 
 // Options say what to run.
 type Options struct {
-	Trace    string
+	Trace    string // "hanbit", "association" or "all"
 	Duration time.Duration
 	Seed     uint64
 }
 
-// Run runs the cell.
-func Run(io.Writer, Options) error { return nil }
+const settle = 20 * time.Second
+
+//go:embed declarations
+var declarations embed.FS
+
+// Run starts a cell, sends recorded traffic, and prints what happened.
+func Run(out io.Writer, opt Options) error {
+	c, err := start(out)
+	if err != nil {
+		return err
+	}
+	defer c.stop()
+	if err := c.apply(); err != nil {
+		return err
+	}
+	if err := c.waitReady(); err != nil {
+		return err
+	}
+	for _, name := range tracesOf(opt.Trace) {
+		if err := c.play(name, opt); err != nil {
+			return err
+		}
+	}
+	c.printPlacement()
+	return c.printVerdict()
+}
+
+func tracesOf(name string) []trace.Name {
+	if name == "all" {
+		return []trace.Name{trace.Hanbit, trace.Association}
+	}
+	return []trace.Name{trace.Name(name)}
+}
+
+func (c *localCell) play(name trace.Name, opt Options) error {
+	events, err := trace.Bundled(name)
+	if opt.Seed != trace.BundledSeed {
+		events, err = trace.Generate(name, opt.Seed), nil
+	}
+	if err != nil {
+		return err
+	}
+	length := events[len(events)-1].At()
+	speed := max(float64(length)/float64(opt.Duration), 1)
+	fmt.Fprintf(c.out, "\n%s: %d requests recorded in %s, sent %.0f times as fast\n\n", name, len(events), length.Round(time.Second), speed)
+	r := load.Run(context.Background(), load.Target{Entries: c.addresses()}, events, load.Options{Speed: speed, Settle: settle})
+	r.Print(c.out)
+	return nil
+}
+
+// printPlacement tells what the owners placed, and how full their workers are.
+func (c *localCell) printPlacement() {
+	fmt.Fprintf(c.out, "\n%-12s %-12s %6s %8s %6s %10s\n", "SHARD", "OWNER", "EPOCH", "WORKERS", "TASKS", "CPU IN USE")
+	for _, p := range c.processes {
+		for _, s := range p.ShardStatuses() {
+			if s.Authority {
+				fmt.Fprintf(c.out, "%-12s %-12s %6d %8d %6d %9d%%\n", s.Shard, s.Owner, s.Epoch, s.Workers, s.Tasks, s.CPUUsedPct.Value)
+			}
+		}
+	}
+	placements, routes := c.log.counts()
+	fmt.Fprintf(c.out, "\n%d placements and %d routings decided\n", placements, routes)
+}
+
+// printVerdict asks the stand-ins' ledger whether every promise was kept.
+func (c *localCell) printVerdict() error {
+	v := c.farm.Ledger.Judge()
+	fmt.Fprintf(c.out, "%d runs in the back ends' ledger; violations: ", v.Runs)
+	broken := 0
+	for _, promise := range standin.Promises() {
+		broken += v.Violations[promise]
+	}
+	fmt.Fprintln(c.out, broken)
+	if broken > 0 {
+		return errors.Newf("promises were broken: %v", v.Notes)
+	}
+	return nil
+}
+
+// documents returns the embedded declarations by path.
+func documents() (map[string]string, error) {
+	docs := map[string]string{}
+	root, err := fs.Sub(declarations, "declarations")
+	if err != nil {
+		return nil, errors.Wrap(err, "declarations")
+	}
+	err = fs.WalkDir(root, ".", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() {
+			return err
+		}
+		text, err := fs.ReadFile(root, path)
+		docs[path] = string(text)
+		return err
+	})
+	return docs, errors.Wrap(err, "declarations")
+}
