--- a/pkg/cli/apply.go
+++ b/pkg/cli/apply.go
@@ -16,7 +16,7 @@
 // ApplyCommand puts a directory in force.
 type ApplyCommand struct {
 	storeFlags
-	Dir     string         `arg:"" help:"Directory of declarations." type:"existingdir"`
+	Dir     string         `arg:"" help:"Directory of declarations."`
 	Author  string         `default:"operator" env:"USER" help:"Who makes the change."`
 	Note    string         `help:"Why the change is made."`
 	Base    int64          `default:"-1" help:"Refuse unless this revision is in force."`
--- a/pkg/cli/plan.go
+++ b/pkg/cli/plan.go
@@ -15,7 +15,7 @@
 // PlanCommand compares a directory with the settings in force.
 type PlanCommand struct {
 	storeFlags
-	Dir string `arg:"" help:"Directory of declarations." type:"existingdir"`
+	Dir string `arg:"" help:"Directory of declarations."`
 }
 
 // Help gives an example.
--- a/pkg/cli/program.go
+++ b/pkg/cli/program.go
@@ -39,6 +39,7 @@
 	Explain  ExplainCommand  `cmd:"" help:"Show the rules of a workload, where each came from, and what was decided."`
 	Drain    DrainCommand    `cmd:"" help:"Make a worker or an entry host leave without cutting a request."`
 	Release  ReleaseCommand  `cmd:"" help:"Free a shard whose owner and successor are known to have ended."`
+	Replay   ReplayCommand   `cmd:"" help:"Run a recorded trace through the decisions and print them."`
 	Local    LocalCommand    `cmd:"" help:"Run a small cell in this process with recorded traffic."`
 }
 
--- a/pkg/cli/validate.go
+++ b/pkg/cli/validate.go
@@ -9,7 +9,7 @@
 
 // ValidateCommand checks a directory and needs no cell.
 type ValidateCommand struct {
-	Dir string `arg:"" help:"Directory of declarations." type:"existingdir"`
+	Dir string `arg:"" help:"Directory of declarations."`
 }
 
 // Help gives an example.
--- /dev/null
+++ b/pkg/replay/placement.go
@@ -0,0 +1,102 @@
+package replay
+
+import (
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/placement"
+	"foldarch.dev/foldarch/pkg/settings"
+	"github.com/cockroachdb/errors"
+)
+
+// amount is [processors in thousandths, memory in MB, accelerators].
+type amount [3]int64
+
+func (a amount) resources() cell.Resources {
+	return cell.Resources{CPUMillis: a[0], MemoryMB: a[1], Accelerators: a[2]}
+}
+
+type putWorker struct {
+	ID       string   `json:"id"`
+	Region   string   `json:"region"`
+	Hall     string   `json:"hall"`
+	Rack     string   `json:"rack"`
+	Labels   []string `json:"labels"`
+	Capacity amount   `json:"capacity"`
+}
+
+type submit struct {
+	ID       string   `json:"id"`
+	Workload string   `json:"workload"`
+	Team     string   `json:"team"`
+	Class    string   `json:"class"`
+	Policy   string   `json:"policy"`
+	Need     amount   `json:"need"`
+	Deadline int64    `json:"deadline"`
+	Once     bool     `json:"once"`
+	Allow    []string `json:"allow"` // labels
+	Forbid   []string `json:"forbid"`
+}
+
+type quota struct {
+	Team   string `json:"team"`
+	Amount amount `json:"amount"`
+}
+
+func (p *player) playPlacement(e event, now clock.Time) (known bool, err error) {
+	switch {
+	case e.PutWorker != nil:
+		w := e.PutWorker
+		p.placer.PutWorker(placement.Worker{
+			ID: w.ID, Capacity: w.Capacity.resources(),
+			Site: settings.Site{Region: w.Region, Hall: cell.Hall(w.Hall), Rack: w.Rack, Labels: w.Labels},
+		})
+	case e.CloseWorker != "":
+		p.placer.CloseWorker(e.CloseWorker, true)
+	case e.RemoveWorker != "":
+		for _, t := range p.placer.RemoveWorker(e.RemoveWorker) {
+			p.print(now, "task=%s decision=lost worker=%s", t.ID, e.RemoveWorker)
+		}
+	case e.Submit != nil:
+		p.placer.Submit(e.Submit.task(), now)
+	case e.End != "":
+		p.placer.End(e.End)
+	case e.Quota != nil:
+		p.placer.SetQuotas(map[string]cell.Resources{e.Quota.Team: e.Quota.Amount.resources()})
+	case e.Next > 0:
+		p.next(e.Next, now)
+	default:
+		return false, nil
+	}
+	return true, nil
+}
+
+func (s submit) task() placement.Task {
+	clause := settings.Clause{Level: "trace"}
+	for _, label := range s.Allow {
+		clause.Allow = append(clause.Allow, settings.Selector{Kind: settings.ByLabel, Value: label})
+	}
+	for _, label := range s.Forbid {
+		clause.Forbid = append(clause.Forbid, settings.Selector{Kind: settings.ByLabel, Value: label})
+	}
+	return placement.Task{
+		ID: s.ID, Workload: s.Workload, Team: s.Team, Class: settings.Class(s.Class), Policy: settings.Policy(s.Policy),
+		Resources: s.Need.resources(), Deadline: clock.Time(s.Deadline), Repeatable: !s.Once,
+		Place: settings.Place{Clauses: []settings.Clause{clause}},
+	}
+}
+
+func (p *player) next(most int, now clock.Time) {
+	for _, d := range p.placer.Next(now, most) {
+		if d.Kind == placement.Preempt {
+			p.print(now, "task=%s decision=preempt worker=%s for=%s", d.Task.ID, d.Worker, d.For)
+			continue
+		}
+		p.print(now, "task=%s decision=start worker=%s", d.Task.ID, d.Worker)
+	}
+	if u := p.placer.Usage(); u.Waiting > 0 {
+		p.print(now, "waiting=%d", u.Waiting)
+	}
+}
+
+// errNoKey is the fault of an answer to a key that was not used.
+var errNoKey = errors.New("the key is not in use")
--- /dev/null
+++ b/pkg/replay/replay.go
@@ -0,0 +1,99 @@
+package replay
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/keys"
+	"foldarch.dev/foldarch/pkg/placement"
+	"foldarch.dev/foldarch/pkg/routing"
+	"github.com/cockroachdb/errors"
+)
+
+// event is one line of a trace; exactly one field besides At is set.
+type event struct {
+	At int64 `json:"at"`
+
+	PutService  *putService  `json:"put_service"`
+	PutEndpoint *putEndpoint `json:"put_endpoint"`
+	Leaving     string       `json:"leaving"`
+	Foreign     *foreign     `json:"foreign"`
+	Arrive      *arrive      `json:"arrive"`
+	Release     *release     `json:"release"`
+	Expire      bool         `json:"expire"`
+
+	PutWorker    *putWorker `json:"put_worker"`
+	CloseWorker  string     `json:"close_worker"`
+	RemoveWorker string     `json:"remove_worker"`
+	Submit       *submit    `json:"submit"`
+	End          string     `json:"end"`
+	Quota        *quota     `json:"quota"`
+	Next         int        `json:"next"`
+
+	Takeover bool `json:"takeover"`
+	Use      *use `json:"use"`
+	Answer   *end `json:"answer"`
+	NotRun   *end `json:"not_run"`
+}
+
+// player is a replay under way.
+type player struct {
+	out      io.Writer
+	router   *routing.Router
+	placer   *placement.Placer
+	memory   *keys.Memory
+	requests map[string]*request
+}
+
+// request is a routing request with its name in the trace.
+type request struct {
+	id       string
+	request  routing.Request
+	endpoint *routing.Endpoint
+}
+
+// Run replays a trace and writes the decisions. An error names the line.
+func Run(in io.Reader, out io.Writer) error {
+	w := bufio.NewWriter(out)
+	p := &player{
+		out: w, router: routing.New(), placer: placement.New(placement.DefaultConfig),
+		memory: keys.New(keys.DefaultConfig, time.Time{}), requests: map[string]*request{},
+	}
+	scanner := bufio.NewScanner(in)
+	for line := 1; scanner.Scan(); line++ {
+		if len(bytes.TrimSpace(scanner.Bytes())) == 0 {
+			continue
+		}
+		decoder := json.NewDecoder(bytes.NewReader(scanner.Bytes()))
+		decoder.DisallowUnknownFields()
+		var e event
+		if err := decoder.Decode(&e); err != nil {
+			return errors.Wrapf(err, "line %d", line)
+		}
+		if err := p.play(e, clock.Time(e.At)); err != nil {
+			return errors.Wrapf(err, "line %d", line)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return errors.Wrap(err, "read trace")
+	}
+	return errors.Wrap(w.Flush(), "write decisions")
+}
+
+func (p *player) play(e event, now clock.Time) error {
+	for _, step := range []func(event, clock.Time) (bool, error){p.playRouting, p.playPlacement, p.playKeys} {
+		if known, err := step(e, now); known || err != nil {
+			return err
+		}
+	}
+	return errors.New("the line has no event")
+}
+
+func (p *player) print(now clock.Time, format string, args ...any) {
+	fmt.Fprintf(p.out, "at=%d %s\n", now, fmt.Sprintf(format, args...))
+}
--- /dev/null
+++ b/pkg/replay/routing.go
@@ -0,0 +1,106 @@
+package replay
+
+import (
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/routing"
+	"github.com/cockroachdb/errors"
+)
+
+type putService struct {
+	Name  string `json:"name"`
+	Queue int    `json:"queue"`
+}
+
+type putEndpoint struct {
+	Service   string `json:"service"`
+	ID        string `json:"id"`
+	Slots     int    `json:"slots"`
+	Inherited bool   `json:"inherited"`
+}
+
+type foreign struct {
+	ID   string `json:"id"`
+	Most int    `json:"most"`
+}
+
+type arrive struct {
+	ID       string `json:"id"`
+	Service  string `json:"service"`
+	Caller   string `json:"caller"`
+	Class    int    `json:"class"`
+	Deadline int64  `json:"deadline"`
+}
+
+type release struct {
+	ID      string `json:"id"`
+	Outcome string `json:"outcome"`
+	Took    int64  `json:"took"`
+}
+
+var outcomes = map[string]routing.Outcome{
+	"served": routing.Served, "failed": routing.Failed, "lost": routing.Lost,
+	"refused": routing.Refused, "unreached": routing.Unreached, "unsent": routing.Unsent,
+}
+
+func (p *player) playRouting(e event, now clock.Time) (known bool, err error) {
+	switch {
+	case e.PutService != nil:
+		p.router.PutService(e.PutService.Name, routing.Service{QueueLimit: e.PutService.Queue})
+	case e.PutEndpoint != nil:
+		p.router.PutEndpoint(e.PutEndpoint.Service, e.PutEndpoint.ID, e.PutEndpoint.Slots, e.PutEndpoint.Inherited)
+		p.decided(now, p.router.PullAll(now)...)
+	case e.Leaving != "":
+		p.router.Leaving(e.Leaving)
+	case e.Foreign != nil:
+		p.decided(now, p.router.Foreign(e.Foreign.ID, e.Foreign.Most, now)...)
+	case e.Arrive != nil:
+		p.arrive(*e.Arrive, now)
+	case e.Release != nil:
+		return true, p.release(*e.Release, now)
+	case e.Expire:
+		p.decided(now, p.router.Expire(now)...)
+	default:
+		return false, nil
+	}
+	return true, nil
+}
+
+func (p *player) arrive(a arrive, now clock.Time) {
+	r := &request{id: a.ID}
+	r.request = routing.Request{
+		Service: a.Service, Caller: a.Caller, Class: routing.Class(a.Class), Deadline: clock.Time(a.Deadline), Tag: r,
+	}
+	p.requests[a.ID] = r
+	p.decided(now, p.router.Arrive(&r.request, now))
+}
+
+func (p *player) release(r release, now clock.Time) error {
+	sent, ok := p.requests[r.ID]
+	outcome, known := outcomes[r.Outcome]
+	if !ok || sent.endpoint == nil || !known {
+		return errors.Newf("release of %q with outcome %q", r.ID, r.Outcome)
+	}
+	took := time.Duration(r.Took) * time.Millisecond
+	p.decided(now, p.router.Release(sent.endpoint, outcome, took, now)...)
+	return nil
+}
+
+func (p *player) decided(now clock.Time, decisions ...routing.Decision) {
+	for _, d := range decisions {
+		if d.Evicted != nil {
+			p.print(now, "request=%s decision=queue_full for=%s", d.Evicted.Tag.(*request).id, d.Request.Tag.(*request).id)
+		}
+		r := d.Request.Tag.(*request)
+		switch {
+		case d.Kind == routing.Send:
+			r.endpoint = d.Endpoint
+			p.print(now, "request=%s decision=send endpoint=%s", r.id, d.Endpoint.ID)
+		case d.RetryAfter > 0:
+			p.print(now, "request=%s decision=%s retry_after_ms=%d", r.id, d.Kind, d.RetryAfter.Milliseconds())
+		default:
+			p.print(now, "request=%s decision=%s", r.id, d.Kind)
+		}
+	}
+}
--- a/pkg/settings/tree.go
+++ b/pkg/settings/tree.go
@@ -34,10 +34,11 @@
 		Quotas:    map[string]cell.Resources{},
 		Workloads: map[string]Workload{},
 	}}
-	b.readRoot()
-	b.readGroups()
-	b.readWorkloads()
-	b.checkQuotas()
+	if b.readRoot() {
+		b.readGroups()
+		b.readWorkloads()
+		b.checkQuotas()
+	}
 	if len(b.faults) > 0 {
 		sortFaults(b.faults)
 		return nil, b.faults
@@ -60,18 +61,24 @@
 }
 
 // decode reports whether the document could be read; unknown keys alone don't hinder.
-func (b *builder) decode(file string, target any) {
+// What rests on a document that could not be read is not judged.
+func (b *builder) decode(file string, target any) bool {
+	read := true
 	for _, p := range tomlfile.Decode(b.docs[file], target) {
 		b.faults = append(b.faults, Fault{File: file, Line: p.Line, Key: p.Key, Text: p.Text})
+		read = read && !p.Unread
 	}
+	return read
 }
 
-func (b *builder) readRoot() {
+func (b *builder) readRoot() bool {
 	if _, ok := b.docs[rootFile]; !ok {
 		b.faults = append(b.faults, Fault{File: rootFile, Line: 1, Text: "the root document is missing"})
-		return
+		return false
+	}
+	if !b.decode(rootFile, &b.root) {
+		return false
 	}
-	b.decode(rootFile, &b.root)
 	b.readHalls()
 	for team, doc := range b.root.Teams {
 		if doc.Quota != nil {
@@ -81,6 +88,7 @@
 	if b.root.LargestWorker != nil {
 		b.tree.LargestWorker = b.root.LargestWorker.resources()
 	}
+	return true
 }
 
 func (b *builder) readHalls() {
@@ -111,8 +119,9 @@
 			continue
 		}
 		var doc groupDocument
-		b.decode(file, &doc)
-		b.groups[path.Dir(file)] = doc
+		if b.decode(file, &doc) {
+			b.groups[path.Dir(file)] = doc
+		}
 	}
 }
 
@@ -127,7 +136,9 @@
 
 func (b *builder) readWorkload(file string) {
 	var doc workloadDocument
-	b.decode(file, &doc)
+	if !b.decode(file, &doc) {
+		return
+	}
 	w := b.newWorkload(file, doc)
 	if other, ok := b.tree.Workloads[w.Name]; ok {
 		b.fault(file, "name", "the workload "+w.Name+" is claimed by "+other.File+" too")
--- a/pkg/tomlfile/decode.go
+++ b/pkg/tomlfile/decode.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"reflect"
+	"regexp"
+	"strconv"
 	"strings"
 	"unicode/utf8"
 
@@ -15,13 +17,17 @@
 	Line int // from 1
 	Key  string
 	Text string
+	// Unread says that the decoder stopped there, so that the target is not to be used.
+	Unread bool
 }
 
+var typeFault = regexp.MustCompile(`line (\d+) \(last key "([^"]*)"\): (.*)`)
+
 // Decode decodes text into the struct that target points to. It returns all unknown
 // keys, or the one fault of syntax or type that stopped the decoder.
 func Decode(text string, target any) []Problem {
 	if !utf8.ValidString(text) {
-		return []Problem{{Line: firstInvalidLine(text), Text: "the text is not UTF-8"}}
+		return []Problem{{Line: firstInvalidLine(text), Text: "the text is not UTF-8", Unread: true}}
 	}
 	meta, err := toml.Decode(text, target)
 	if err != nil {
@@ -42,9 +48,14 @@
 func problemOf(err error) Problem {
 	var parse toml.ParseError
 	if errors.As(err, &parse) {
-		return Problem{Line: parse.Position.Line, Key: parse.LastKey, Text: parse.Message}
+		return Problem{Line: parse.Position.Line, Key: parse.LastKey, Text: parse.Message, Unread: true}
+	}
+	// The library tells of a wrong type in a text only.
+	if m := typeFault.FindStringSubmatch(err.Error()); m != nil {
+		line, _ := strconv.Atoi(m[1])
+		return Problem{Line: line, Key: m[2], Text: m[3], Unread: true}
 	}
-	return Problem{Line: 1, Text: err.Error()}
+	return Problem{Line: 1, Text: err.Error(), Unread: true}
 }
 
 func firstInvalidLine(text string) int {
