Keep reservations by task; look at a part of the workers for policy spread

Each placement looked through all workers to give up a reservation that hardly any task has, and policy spread looked at every worker of the emptiest bucket. Ruled out: the index itself (the search of policy pack looks at 24 that fit).

The case folders of placement decide as before.

--- /dev/null
+++ b/bench/figures_test.go
@@ -0,0 +1,63 @@
+// Package bench measures foldarch and writes bench/figures.txt, one "name value unit" a
+// line. Figures of speed are ratios within one run where they can be; baselines stand in
+// these test files.
+package bench
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// figures collects what the benchmarks of one run found.
+var figures = map[string]string{}
+
+func figure(b *testing.B, name string, value float64, unit string) {
+	b.Helper()
+	text := fmt.Sprintf("%.4g", value)
+	figures[name] = fmt.Sprintf("%s %s %s", name, text, unit)
+	b.Logf("%s %s %s", name, text, unit)
+}
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if err := writeFigures(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		code = 1
+	}
+	os.Exit(code)
+}
+
+// writeFigures replaces the lines that were measured and keeps the others.
+func writeFigures() error {
+	if len(figures) == 0 {
+		return nil
+	}
+	old, err := os.ReadFile("figures.txt")
+	if err != nil && !os.IsNotExist(err) {
+		return err
+	}
+	for _, line := range strings.Split(string(old), "\n") {
+		name, _, found := strings.Cut(line, " ")
+		if _, measured := figures[name]; found && !measured {
+			figures[name] = line
+		}
+	}
+	lines := make([]string, 0, len(figures))
+	for _, line := range figures {
+		lines = append(lines, line)
+	}
+	slices.Sort(lines)
+	return os.WriteFile("figures.txt", []byte(strings.Join(lines, "\n")+"\n"), 0o600)
+}
+
+// quantile returns a quantile of values, which it sorts.
+func quantile(values []float64, q float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[min(int(q*float64(len(values))), len(values)-1)]
+}
--- /dev/null
+++ b/bench/routing_test.go
@@ -0,0 +1,238 @@
+package bench
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/routing"
+)
+
+const (
+	benchEndpoints = 25
+	benchSlots     = 8
+)
+
+func newRouter(queue int) *routing.Router {
+	r := routing.New()
+	r.PutService("s", routing.Service{QueueLimit: queue})
+	for i := range benchEndpoints {
+		r.PutEndpoint("s", fmt.Sprintf("e%02d", i), benchSlots, false)
+	}
+	return r
+}
+
+// BenchmarkRoute measures one decision with its release, at three quarters of the slots.
+func BenchmarkRoute(b *testing.B) {
+	r := newRouter(1000)
+	const inFlight = benchEndpoints * benchSlots * 3 / 4
+	var sent [inFlight]*routing.Endpoint
+	var requests [inFlight]routing.Request
+	for i := range sent {
+		requests[i] = routing.Request{Service: "s", Caller: "c", Deadline: 1 << 60}
+		sent[i] = r.Arrive(&requests[i], 0).Endpoint
+	}
+	b.ReportAllocs()
+	i := 0
+	allocs := testing.AllocsPerRun(1000, func() {
+		r.Release(sent[i], routing.Served, time.Millisecond, 1)
+		sent[i] = r.Arrive(&requests[i], 1).Endpoint
+		i = (i + 1) % inFlight
+	})
+	for b.Loop() {
+		r.Release(sent[i], routing.Served, time.Millisecond, 1)
+		sent[i] = r.Arrive(&requests[i], 1).Endpoint
+		i = (i + 1) % inFlight
+	}
+	figure(b, "route_ns", float64(b.Elapsed().Nanoseconds())/float64(b.N), "ns")
+	figure(b, "route_allocs", allocs, "allocs")
+}
+
+// arrival is one request of a simulated load.
+type arrival struct {
+	at      clock.Time // microseconds in these simulations
+	work    int64
+	class   routing.Class
+	request routing.Request
+}
+
+// load draws arrivals at a part of the slots' capacity; an eighth are ticks.
+func load(seed uint64, n int, part float64) []*arrival {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	const meanWork = 20000.0
+	gap := meanWork / (part * benchEndpoints * benchSlots)
+	var at float64
+	list := make([]*arrival, 0, n)
+	for range n {
+		at += rng.ExpFloat64() * gap
+		a := &arrival{at: clock.Time(at), work: int64(meanWork*0.5 + meanWork*0.5*rng.ExpFloat64()), class: routing.Normal}
+		if rng.IntN(8) == 0 {
+			a.class = routing.Urgent
+		}
+		list = append(list, a)
+	}
+	return list
+}
+
+// ending is a request that ends at a time.
+type ending struct {
+	at clock.Time
+	a  *arrival
+	e  *routing.Endpoint
+}
+
+type endings []ending
+
+func (h endings) Len() int           { return len(h) }
+func (h endings) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h endings) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *endings) Push(x any)        { *h = append(*h, x.(ending)) }
+func (h *endings) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+// served is what came of a simulated load.
+type served struct {
+	waits   map[routing.Class][]float64
+	done    map[routing.Class]int
+	refused map[routing.Class]int
+	lastEnd clock.Time
+}
+
+func newServed() *served {
+	return &served{waits: map[routing.Class][]float64{}, done: map[routing.Class]int{}, refused: map[routing.Class]int{}}
+}
+
+// simulate runs a load through the router; limit is how long a request is of use.
+func simulate(list []*arrival, queue int, limit clock.Time) *served {
+	r := newRouter(queue)
+	s := newServed()
+	var busy endings
+	take := func(now clock.Time, decisions ...routing.Decision) {
+		for _, d := range decisions {
+			if d.Evicted != nil {
+				s.refused[d.Evicted.Tag.(*arrival).class]++
+			}
+			a := d.Request.Tag.(*arrival)
+			switch d.Kind {
+			case routing.Send:
+				s.waits[a.class] = append(s.waits[a.class], float64(now-a.at))
+				s.done[a.class]++
+				heap.Push(&busy, ending{now + clock.Time(a.work), a, d.Endpoint})
+			case routing.Queued:
+			default:
+				s.refused[a.class]++
+			}
+		}
+	}
+	release := func(until clock.Time) {
+		for len(busy) > 0 && busy[0].at <= until {
+			x := heap.Pop(&busy).(ending)
+			s.lastEnd = x.at
+			take(x.at, r.Release(x.e, routing.Served, time.Duration(x.a.work)*time.Microsecond, x.at)...)
+		}
+	}
+	for _, a := range list {
+		release(a.at)
+		take(a.at, r.Expire(a.at)...)
+		a.request = routing.Request{Service: "s", Caller: "c", Class: a.class, Deadline: a.at + limit, Tag: a}
+		take(a.at, r.Arrive(&a.request, a.at))
+	}
+	release(1 << 60)
+	return s
+}
+
+// ideal is one shared queue in the order of arrival, urgent first, before all slots.
+func ideal(list []*arrival) *served {
+	s := newServed()
+	var busy endings
+	var waiting [2][]*arrival
+	free := benchEndpoints * benchSlots
+	startAll := func(now clock.Time) {
+		for class := range waiting {
+			for free > 0 && len(waiting[class]) > 0 {
+				a := waiting[class][0]
+				waiting[class] = waiting[class][1:]
+				free--
+				s.waits[a.class] = append(s.waits[a.class], float64(now-a.at))
+				heap.Push(&busy, ending{at: now + clock.Time(a.work), a: a})
+			}
+		}
+	}
+	release := func(until clock.Time) {
+		for len(busy) > 0 && busy[0].at <= until {
+			x := heap.Pop(&busy).(ending)
+			free++
+			startAll(x.at)
+		}
+	}
+	for _, a := range list {
+		release(a.at)
+		waiting[a.class] = append(waiting[a.class], a)
+		startAll(a.at)
+	}
+	release(1 << 60)
+	return s
+}
+
+// partitioned sends each request to one endpoint's own queue, in turn or at random, the
+// baselines without knowledge of the slots.
+func partitioned(list []*arrival, pick func(i int) int) *served {
+	s := newServed()
+	var free [benchEndpoints][]clock.Time // when each slot is free
+	for e := range free {
+		free[e] = make([]clock.Time, benchSlots)
+	}
+	for i, a := range list {
+		slots := free[pick(i)]
+		best := 0
+		for j := range slots {
+			if slots[j] < slots[best] {
+				best = j
+			}
+		}
+		start := max(a.at, slots[best])
+		slots[best] = start + clock.Time(a.work)
+		s.waits[a.class] = append(s.waits[a.class], float64(start-a.at))
+	}
+	return s
+}
+
+// BenchmarkWaiting compares the wait at 95% load with one ideal queue and with baselines.
+func BenchmarkWaiting(b *testing.B) {
+	for b.Loop() {
+		const n, part, noLimit = 400000, 0.95, 1 << 50
+		ours, best := simulate(load(1, n, part), n, noLimit), ideal(load(1, n, part))
+		turn := partitioned(load(1, n, part), func(i int) int { return i % benchEndpoints })
+		rng := rand.New(rand.NewPCG(5, 5))
+		random := partitioned(load(1, n, part), func(int) int { return rng.IntN(benchEndpoints) })
+		// A wait of one microsecond more keeps ratios of waits near zero readable.
+		ratio := func(s *served, class routing.Class) float64 {
+			return (quantile(s.waits[class], 0.99) + 1) / (quantile(best.waits[class], 0.99) + 1)
+		}
+		figure(b, "tick_wait_p99_ratio", ratio(ours, routing.Urgent), "x_ideal")
+		figure(b, "recap_wait_p99_ratio", ratio(ours, routing.Normal), "x_ideal")
+		figure(b, "recap_wait_p99_ratio_round_robin", ratio(turn, routing.Normal), "x_ideal")
+		figure(b, "recap_wait_p99_ratio_random", ratio(random, routing.Normal), "x_ideal")
+	}
+}
+
+// BenchmarkOverload compares useful answers at twice the capacity with those at capacity.
+func BenchmarkOverload(b *testing.B) {
+	for b.Loop() {
+		const n, queue, limit = 200000, 256, 200000
+		at1, at2 := simulate(load(2, n, 1), queue, limit), simulate(load(2, 2*n, 2), queue, limit)
+		rate := func(s *served) float64 {
+			return float64(s.done[routing.Normal]+s.done[routing.Urgent]) / float64(s.lastEnd)
+		}
+		figure(b, "goodput_at_2x", rate(at2)/rate(at1), "x_capacity")
+		ticks := at2.done[routing.Urgent] + at2.refused[routing.Urgent]
+		figure(b, "tick_loss_at_2x", float64(at2.refused[routing.Urgent])/float64(ticks), "part")
+	}
+}
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -8,6 +8,9 @@
 // enoughCandidates is how many workers that fit are compared before the best is taken.
 const enoughCandidates = 24
 
+// enoughSpread is the same for policy spread, which needs to see several racks.
+const enoughSpread = 64
+
 // acceleratorPenalty makes a task without accelerators the last choice for a worker that
 // still has some free.
 const acceleratorPenalty = 4.0
@@ -73,13 +76,17 @@
 	return float64(left) / float64(whole)
 }
 
-// chooseSpread looks from the emptiest workers down.
+// chooseSpread looks from the emptiest workers down, each time from another one on, so
+// that in a large shard all racks come into view in turn.
 func (p *Placer) chooseSpread(t *Task) (*worker, int) {
+	p.rotor += enoughSpread
 	spread := p.spreads[t.Workload]
 	var best *worker
 	examined, candidates := 0, 0
-	for b := nBuckets - 1; b >= bucketOf(t.Resources.CPUMillis) && candidates < enoughCandidates; b-- {
-		for _, w := range p.index.buckets[b] {
+	for b := nBuckets - 1; b >= bucketOf(t.Resources.CPUMillis) && candidates < enoughSpread; b-- {
+		bucket := p.index.buckets[b]
+		for i := range bucket {
+			w := bucket[(i+p.rotor)%len(bucket)]
 			examined++
 			if !w.fits(t) {
 				continue
@@ -88,6 +95,9 @@
 			if best == nil || spread.better(w, best) {
 				best = w
 			}
+			if candidates >= enoughSpread {
+				break
+			}
 		}
 	}
 	return best, examined
--- a/pkg/placement/placer.go
+++ b/pkg/placement/placer.go
@@ -26,6 +26,10 @@
 	usage   map[string]cell.Resources // by team
 	quotas  map[string]cell.Resources // by team, this shard's part
 	aged    clock.Time
+	// reserved holds the workers that are kept free, by the task they are kept for.
+	reserved map[string]*worker
+	// rotor moves the begin of the search of policy spread on.
+	rotor int
 }
 
 // New returns a placer without workers.
@@ -33,6 +37,7 @@
 	return &Placer{
 		cfg: cfg, workers: map[string]*worker{}, waiting: newWaiting(), placed: map[string]*placed{},
 		spreads: map[string]*spreadCount{}, usage: map[string]cell.Resources{}, quotas: map[string]cell.Resources{},
+		reserved: map[string]*worker{},
 	}
 }
 
@@ -74,6 +79,7 @@
 		lost = append(lost, w.tasks[taskID].Task)
 		p.End(taskID)
 	}
+	p.unreserve(w.reserved)
 	p.index.remove(w)
 	p.addTotal(w.Capacity, -1)
 	delete(p.workers, id)
--- a/pkg/placement/preempt.go
+++ b/pkg/placement/preempt.go
@@ -12,12 +12,12 @@
 // reserve keeps one worker free for a task that has waited long: the one that has to be
 // emptied least. A worker is kept for one task at a time.
 func (p *Placer) reserve(t *Task) {
+	if _, ok := p.reserved[t.ID]; ok {
+		return
+	}
 	var best *worker
 	for _, id := range slices.Sorted(maps.Keys(p.workers)) {
 		w := p.workers[id]
-		if w.reserved == t.ID {
-			return
-		}
 		allowed, _ := t.Place.Allows(w.Site)
 		if w.closed || w.reserved != "" || !allowed || !t.Resources.Fits(w.Capacity) {
 			continue
@@ -27,15 +27,19 @@
 		}
 	}
 	if best != nil {
-		best.reserved = t.ID
+		p.keepFree(best, t.ID)
 	}
 }
 
+func (p *Placer) keepFree(w *worker, taskID string) {
+	w.reserved = taskID
+	p.reserved[taskID] = w
+}
+
 func (p *Placer) unreserve(taskID string) {
-	for _, w := range p.workers {
-		if w.reserved == taskID {
-			w.reserved = ""
-		}
+	if w, ok := p.reserved[taskID]; ok {
+		w.reserved = ""
+		delete(p.reserved, taskID)
 	}
 }
 
@@ -44,13 +48,13 @@
 // only repeatable ones; an urgent task is never stopped, so that two can't displace each
 // other. The worker is kept for the urgent task until that starts.
 func (p *Placer) preempt(t *Task) []Decision {
+	if _, ok := p.reserved[t.ID]; ok {
+		return nil // its victims are being stopped
+	}
 	var best *worker
 	var bestVictims []*placed
 	for _, id := range slices.Sorted(maps.Keys(p.workers)) {
 		w := p.workers[id]
-		if w.reserved == t.ID {
-			return nil // its victims are being stopped
-		}
 		allowed, _ := t.Place.Allows(w.Site)
 		if w.closed || w.reserved != "" || !allowed {
 			continue
@@ -63,7 +67,7 @@
 	if best == nil {
 		return nil
 	}
-	best.reserved = t.ID
+	p.keepFree(best, t.ID)
 	var out []Decision
 	for _, v := range bestVictims {
 		v.preempted = true
