--- a/pkg/cli/program.go
+++ b/pkg/cli/program.go
@@ -92,7 +92,7 @@
 func (f storeFlags) openStore(clk clock.Clock) (*store.Store, error) {
 	s, err := store.New(store.Config{
 		Addresses: f.Store, CallTimeout: storeTimeout, ReadsPerSecond: storeRate, WritesPerSecond: storeRate,
-	}, dialer.New(nil, storeTimeout), clk, metrics.NewRegistry())
+	}, dialer.New(nil, storeTimeout, metrics.NewCounter()), clk, metrics.NewRegistry())
 	return s, errors.Wrap(err, "platform store")
 }
 
--- a/pkg/dialer/dialer.go
+++ b/pkg/dialer/dialer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
 )
 
 // idleTimeout is how long an unused connection is kept.
@@ -18,11 +19,13 @@
 type Dialer struct {
 	routes  map[netip.AddrPort]netip.AddrPort
 	timeout time.Duration
+	bytes   metrics.Counter
 }
 
-// New returns a dialer with a table of routes and a time limit for each connection.
-func New(routes map[netip.AddrPort]netip.AddrPort, timeout time.Duration) *Dialer {
-	return &Dialer{routes: routes, timeout: timeout}
+// New returns a dialer with a table of routes and a time limit for each connection. The
+// bytes that pass its connections are counted in bytes.
+func New(routes map[netip.AddrPort]netip.AddrPort, timeout time.Duration, bytes metrics.Counter) *Dialer {
+	return &Dialer{routes: routes, timeout: timeout, bytes: bytes}
 }
 
 // Dial opens a connection to an address, by way of its route if there is one.
@@ -31,7 +34,11 @@
 		address = via
 	}
 	nd := net.Dialer{Timeout: d.timeout}
-	return nd.DialContext(ctx, "tcp", address.String())
+	conn, err := nd.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, err
+	}
+	return &meteredConn{conn, d.bytes}, nil
 }
 
 // Transport returns an HTTP transport that dials through d and keeps up to idle unused
--- a/pkg/dialer/doc.go
+++ b/pkg/dialer/doc.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	d := dialer.New(routes, 500*time.Millisecond)
+//	d := dialer.New(routes, 500*time.Millisecond, bytes)
 //	client := &http.Client{Transport: d.Transport(64)}
 //
 // NotSent tells whether a failed HTTP exchange is known not to have reached the server,
--- a/pkg/entry/process.go
+++ b/pkg/entry/process.go
@@ -37,6 +37,10 @@
 	dispatchFlight = 250 * time.Millisecond
 	drainTimeout   = 60 * time.Second
 	metricsPath    = "/metrics"
+
+	// Metrics: bytes both ways, to peers, workers and the store, and to endpoints.
+	controlBytes = "control.bytes"
+	callBytes    = "calls.bytes"
 )
 
 // Process is one entry host at work.
@@ -47,16 +51,17 @@
 	clk      clock.Clock
 	registry metrics.Registry
 
-	dialer    *dialer.Dialer
-	store     *store.Store
-	book      *revision.Book
-	peers     *peer.Client
-	workers   *worker.Client
-	endpoints *endpoint.Client
-	settings  *settingsHolder
-	keeper    atomic.Pointer[ownership.Keeper] // nil until the layout is known
-	draining  atomic.Bool
-	stopAsked chan struct{} // of size 1
+	controlBytes metrics.Counter
+	dialer       *dialer.Dialer
+	store        *store.Store
+	book         *revision.Book
+	peers        *peer.Client
+	workers      *worker.Client
+	endpoints    *endpoint.Client
+	settings     *settingsHolder
+	keeper       atomic.Pointer[ownership.Keeper] // nil until the layout is known
+	draining     atomic.Bool
+	stopAsked    chan struct{} // of size 1
 
 	mu      sync.Mutex
 	table   *members.Table
@@ -70,7 +75,9 @@
 func New(cfg procconf.Entry, log *logrus.Entry) (*Process, error) {
 	clk := clock.System()
 	registry := metrics.NewRegistry()
-	d := dialer.New(cfg.RouteTable(), dialTimeout)
+	control := metrics.NewRegisteredCounter(controlBytes, registry)
+	d := dialer.New(cfg.RouteTable(), dialTimeout, control)
+	calls := dialer.New(cfg.RouteTable(), dialTimeout, metrics.NewRegisteredCounter(callBytes, registry))
 	s, err := store.New(store.Config{
 		Addresses: cfg.Store, CallTimeout: storeCallTimeout,
 		ReadsPerSecond: cfg.Limits.StoreReadsPerSecond, WritesPerSecond: cfg.Limits.StoreWritesPerSecond,
@@ -84,8 +91,8 @@
 	}
 	p := &Process{
 		cfg: cfg, self: self, log: log.WithField("process", cfg.ID), clk: clk, registry: registry,
-		dialer: d, store: s, book: revision.New(s, clk), peers: peer.NewClient(d),
-		workers: worker.New(d, clk), endpoints: endpoint.New(d, cfg.Limits.MaxBodyKB<<10),
+		controlBytes: control, dialer: d, store: s, book: revision.New(s, clk), peers: peer.NewClient(d),
+		workers: worker.New(d, clk), endpoints: endpoint.New(calls, cfg.Limits.MaxBodyKB<<10),
 		settings: newSettingsHolder(), table: members.New(self), stopAsked: make(chan struct{}, 1),
 		records: map[cell.ShardID]ownership.Record{}, engines: map[cell.ShardID]*runningEngine{},
 	}
@@ -133,7 +140,8 @@
 }
 
 func (p *Process) startDuties(ctx context.Context, peers net.Listener) {
-	p.duties.Go(func() { _ = peer.Serve(ctx, peers, p.handlers()) })
+	metered := dialer.MeterListener(peers, p.controlBytes)
+	p.duties.Go(func() { _ = peer.Serve(ctx, metered, p.handlers()) })
 	p.duties.Go(func() { p.watchStore(ctx) })
 	p.duties.Go(func() { p.watchHosts(ctx) })
 	p.duties.Go(func() { p.exchangeBeats(ctx) })
--- a/pkg/local/cell.go
+++ b/pkg/local/cell.go
@@ -105,16 +105,24 @@
 	return nil
 }
 
+// Ports are taken from below the range that the kernel uses for outgoing connections.
+const (
+	firstPort = 30000
+	lastPort  = 32000
+)
+
 // freeAddresses finds ports of the loopback that nobody listens on.
 func freeAddresses(n int) ([]netip.AddrPort, error) {
 	var addresses []netip.AddrPort
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "free port")
+	for port := firstPort; port < lastPort && len(addresses) < n; port++ {
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(port))
+		if l, err := net.Listen("tcp", address.String()); err == nil {
+			_ = l.Close()
+			addresses = append(addresses, address)
 		}
-		defer l.Close()
-		addresses = append(addresses, l.Addr().(*net.TCPAddr).AddrPort())
+	}
+	if len(addresses) < n {
+		return nil, errors.Newf("no %d free ports from %d to %d", n, firstPort, lastPort)
 	}
 	return addresses, nil
 }
@@ -143,7 +151,7 @@
 	s, err := store.New(store.Config{
 		Addresses: []netip.AddrPort{c.farm.StoreAddress()}, CallTimeout: time.Second,
 		ReadsPerSecond: 100, WritesPerSecond: 100,
-	}, dialer.New(nil, time.Second), clk, metrics.NewRegistry())
+	}, dialer.New(nil, time.Second, metrics.NewCounter()), clk, metrics.NewRegistry())
 	if err != nil {
 		return err
 	}
--- a/pkg/store/store_test.go
+++ b/pkg/store/store_test.go
@@ -35,7 +35,7 @@
 	s, err := store.New(store.Config{
 		Addresses:   []netip.AddrPort{netip.MustParseAddrPort(strings.TrimPrefix(url, "http://"))},
 		CallTimeout: 5 * time.Second, ReadsPerSecond: 1e6, WritesPerSecond: 1e6,
-	}, dialer.New(nil, time.Second), clock.System(), metrics.NewRegistry())
+	}, dialer.New(nil, time.Second, metrics.NewCounter()), clock.System(), metrics.NewRegistry())
 	g.Expect(err).NotTo(HaveOccurred())
 	return s
 }
--- a/test/e2e/cell_test.go
+++ b/test/e2e/cell_test.go
@@ -70,18 +70,27 @@
 	return l.buf.String()
 }
 
+// Ports are taken from below the range that the kernel uses for outgoing connections, so
+// that none of those can take one between its choice and its use.
+const (
+	firstPort = 15000
+	portRange = 15000
+)
+
+var nextPort = os.Getpid() * 101 % portRange
+
 // freePorts finds ports that nobody listens on.
 func freePorts(n int) []netip.AddrPort {
 	var ports []netip.AddrPort
-	var listeners []net.Listener
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		listeners = append(listeners, l)
-		ports = append(ports, l.Addr().(*net.TCPAddr).AddrPort())
-	}
-	for _, l := range listeners {
+	for len(ports) < n {
+		nextPort = (nextPort + 1) % portRange
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
 		_ = l.Close()
+		ports = append(ports, netip.MustParseAddrPort(address))
 	}
 	return ports
 }
--- /dev/null
+++ b/test/e2e/slopes_test.go
@@ -0,0 +1,112 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// controlBytes reads how many bytes a process has exchanged for control.
+func (c *cell) controlBytes(id string) float64 {
+	resp, err := client.Get(fmt.Sprintf("http://%s/metrics", c.entries[id].callers))
+	Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	var metrics map[string]struct{ Count float64 }
+	Expect(json.NewDecoder(resp.Body).Decode(&metrics)).To(Succeed())
+	return metrics["control.bytes"].Count
+}
+
+// size is one cell of a series.
+type size struct {
+	workers, tasks, hosts int
+	startsPerSecond       int
+}
+
+// sample is what control costs the owner of a hall.
+type sample struct {
+	cpuPct, rssMB, bytesPerSecond float64
+}
+
+// measure runs one hall of a size and reads what its owner spends. With ReportEvery at its
+// default, as in production.
+func measure(b *testing.B, s size) sample {
+	c := newCell(b, []string{"north"}, s.workers, s.hosts, "")
+	c.write("scoring.toml", fmt.Sprintf("kind = \"service\"\nteam = \"t\"\ninstances = %d\n[rules.resources]\ncpu_millis = 100\nmemory_mb = 100\n", s.tasks))
+	c.write("ticks.toml", "kind = \"batch\"\nteam = \"t\"\n")
+	c.apply()
+	c.ready(s.tasks)
+	owner, err := c.ownerOf("north-a")
+	Expect(err).NotTo(HaveOccurred())
+	time.Sleep(4 * time.Second)
+	const window = 12 * time.Second
+	cpu, bytes := c.entries[owner].cpu(), c.controlBytes(owner)
+	c.submitFor(window, s.startsPerSecond, owner)
+	return sample{
+		cpuPct:         100 * float64(c.entries[owner].cpu()-cpu) / float64(window),
+		rssMB:          c.entries[owner].rssMB(),
+		bytesPerSecond: (c.controlBytes(owner) - bytes) / window.Seconds(),
+	}
+}
+
+// submitFor sends batch requests at a rate for a time.
+func (c *cell) submitFor(window time.Duration, rate int, via string) {
+	if rate == 0 {
+		time.Sleep(window)
+		return
+	}
+	var senders sync.WaitGroup
+	ticker := time.NewTicker(time.Second / time.Duration(rate))
+	defer ticker.Stop()
+	for i, end := 0, time.Now().Add(window); time.Now().Before(end); i++ {
+		<-ticker.C
+		senders.Go(func() { c.batch(via, "fit", fmt.Sprintf("s%d-%d", rate, i), "ms=100 x") })
+	}
+	senders.Wait()
+}
+
+// slope is the least-squares slope and intercept of y over x.
+func slope(xs, ys []float64) (perUnit, base float64) {
+	var sx, sy, sxx, sxy float64
+	n := float64(len(xs))
+	for i := range xs {
+		sx, sy, sxx, sxy = sx+xs[i], sy+ys[i], sxx+xs[i]*xs[i], sxy+xs[i]*ys[i]
+	}
+	perUnit = (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	return perUnit, (sy - perUnit*sx) / n
+}
+
+// BenchmarkSlopes measures what control costs the owner of a hall against workers, tasks,
+// hosts and starts a second, four sizes each; docs/CAPACITY.md reckons with the slopes.
+func BenchmarkSlopes(b *testing.B) {
+	RegisterTestingT(b)
+	series := []struct {
+		name  string
+		sizes []size
+		x     func(size) float64
+	}{
+		{"workers", []size{{5, 4, 2, 0}, {20, 4, 2, 0}, {40, 4, 2, 0}, {80, 4, 2, 0}}, func(s size) float64 { return float64(s.workers) }},
+		{"tasks", []size{{10, 4, 2, 0}, {10, 50, 2, 0}, {10, 100, 2, 0}, {10, 200, 2, 0}}, func(s size) float64 { return float64(s.tasks) }},
+		{"hosts", []size{{5, 4, 2, 0}, {5, 4, 4, 0}, {5, 4, 6, 0}, {5, 4, 9, 0}}, func(s size) float64 { return float64(s.hosts) }},
+		{"starts", []size{{10, 4, 2, 0}, {10, 4, 2, 5}, {10, 4, 2, 10}, {10, 4, 2, 20}}, func(s size) float64 { return float64(s.startsPerSecond) }},
+	}
+	for b.Loop() {
+		for _, line := range series {
+			var xs, cpu, rss, bytes []float64
+			for _, s := range line.sizes {
+				got := measure(b, s)
+				b.Logf("%s %v: cpu %.2f %% rss %.1f MB %.0f B/s", line.name, s, got.cpuPct, got.rssMB, got.bytesPerSecond)
+				xs = append(xs, line.x(s))
+				cpu, rss, bytes = append(cpu, got.cpuPct), append(rss, got.rssMB), append(bytes, got.bytesPerSecond)
+			}
+			for what, ys := range map[string][]float64{"control_cpu_pct": cpu, "control_rss_mb": rss, "control_bytes_per_s": bytes} {
+				perUnit, base := slope(xs, ys)
+				figure(b, fmt.Sprintf("%s_per_%s", what, line.name[:len(line.name)-1]), perUnit, "per_unit")
+				figure(b, fmt.Sprintf("%s_base_%s", what, line.name), base, "base")
+			}
+		}
+	}
+}
