--- a/pkg/load/doc.go
+++ b/pkg/load/doc.go
@@ -12,5 +12,5 @@
 //	r.Print(os.Stdout)
 //
 // An experiment in TOML describes arrivals and mixes; see Experiment. Results are written
-// as JSON, drawn by Plot, and compared by Compare.
+// as JSON by Save and compared by Compare; package loadcli draws them.
 package load
--- /dev/null
+++ b/pkg/load/experiment.go
@@ -0,0 +1,116 @@
+package load
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/tomlfile"
+	"foldarch.dev/foldarch/pkg/trace"
+	"github.com/cockroachdb/errors"
+)
+
+// Experiment describes a load in TOML.
+type Experiment struct {
+	Entries  []netip.AddrPort `toml:"entries"`
+	Duration Duration         `toml:"duration"`
+	Seed     uint64           `toml:"seed"`
+	Settle   Duration         `toml:"settle"` // wait for batch requests after the last one
+	Loads    []Load           `toml:"load"`
+}
+
+// Load is one stream of requests with random arrivals (Poisson).
+type Load struct {
+	Workload string   `toml:"workload"`
+	Batch    bool     `toml:"batch"`
+	Rate     float64  `toml:"rate"` // requests a second
+	Callers  int      `toml:"callers"`
+	Class    string   `toml:"class"`
+	Work     Duration `toml:"work"` // mean; the stand-ins work as long as the request says
+	Deadline Duration `toml:"deadline"`
+	Window   Duration `toml:"window"`
+	Once     bool     `toml:"once"`
+	Keyed    bool     `toml:"keyed"`
+	Begin    Duration `toml:"begin"` // since the begin of the run; 0 is the begin
+	End      Duration `toml:"end"`   // 0 is the end of the run
+}
+
+// Duration is written with a unit, such as "90s".
+type Duration time.Duration
+
+// UnmarshalText reads a duration that is not below zero.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil || v < 0 {
+		return errors.Newf("%q is not a duration such as \"500ms\" or \"12s\"", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// LoadExperiment reads and checks an experiment; the error names file, line and key.
+func LoadExperiment(path string) (Experiment, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Experiment{}, errors.Wrap(err, "experiment")
+	}
+	var e Experiment
+	var faults []string
+	for _, p := range tomlfile.Decode(string(text), &e) {
+		faults = append(faults, fmt.Sprintf("%s:%d: %s: %s", path, p.Line, p.Key, p.Text))
+	}
+	complain := func(wrong bool, key, what string) {
+		if wrong && len(faults) == 0 {
+			faults = append(faults, fmt.Sprintf("%s:%d: %s: %s", path, tomlfile.LineOf(string(text), key), key, what))
+		}
+	}
+	complain(len(e.Entries) == 0, "entries", "needs the callers' address of an entry host")
+	complain(e.Duration == 0, "duration", "is needed")
+	complain(len(e.Loads) == 0, "load", "needs at least one [[load]]")
+	for _, l := range e.Loads {
+		complain(l.Workload == "", "load", "needs a workload")
+		complain(l.Rate <= 0, "load.rate", "must be above zero")
+	}
+	if len(faults) > 0 {
+		return Experiment{}, errors.New(strings.Join(faults, "\n"))
+	}
+	return e, nil
+}
+
+// Events draws the arrivals; the same experiment gives the same events.
+func (e Experiment) Events() []trace.Event {
+	var events []trace.Event
+	for i, l := range e.Loads {
+		events = append(events, l.events(i, time.Duration(e.Duration), rand.New(rand.NewPCG(e.Seed, uint64(i))))...)
+	}
+	slices.SortStableFunc(events, func(a, b trace.Event) int { return int(a.AtMS - b.AtMS) })
+	return events
+}
+
+func (l Load) events(stream int, duration time.Duration, rng *rand.Rand) []trace.Event {
+	end := duration
+	if l.End > 0 {
+		end = min(end, time.Duration(l.End))
+	}
+	var events []trace.Event
+	for at := time.Duration(l.Begin).Seconds(); ; {
+		at += rng.ExpFloat64() / l.Rate
+		if at >= end.Seconds() {
+			return events
+		}
+		e := trace.Event{
+			AtMS: int64(at * 1000), Workload: l.Workload, Batch: l.Batch, Class: l.Class, Once: l.Once,
+			Caller:  fmt.Sprintf("caller-%d", rng.IntN(max(l.Callers, 1))),
+			WorkMS:  int64(float64(time.Duration(l.Work).Milliseconds()) * (0.5 + 0.5*rng.ExpFloat64())),
+			LimitMS: time.Duration(l.Deadline).Milliseconds(), Window: time.Duration(l.Window).Milliseconds(),
+		}
+		if l.Keyed || l.Batch {
+			e.Key = fmt.Sprintf("x%d-%d-%d", stream, len(events), rng.Uint32())
+		}
+		events = append(events, e)
+	}
+}
--- /dev/null
+++ b/pkg/loadcli/main.go
@@ -0,0 +1,100 @@
+package loadcli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/load"
+	"github.com/alecthomas/kong"
+)
+
+// Exit codes of the program.
+const (
+	exitOK    = 0
+	exitFault = 1
+	exitUsage = 2
+)
+
+type commandLine struct {
+	Run     runCommand     `cmd:"" help:"Run an experiment and write its result."`
+	Compare compareCommand `cmd:"" help:"Compare two results."`
+}
+
+type runCommand struct {
+	Experiment string `arg:"" help:"Experiment, in TOML."`
+	Result     string `help:"File for the result, in JSON." placeholder:"FILE"`
+	Plot       string `help:"File for a plot, .png or .svg." placeholder:"FILE"`
+}
+
+type compareCommand struct {
+	A string `arg:"" help:"A result."`
+	B string `arg:"" help:"Another result."`
+}
+
+// Main runs the program foldarch-load and returns its exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	var c commandLine
+	parser, err := kong.New(&c, kong.Name("foldarch-load"), kong.Writers(out, errOut), kong.Exit(func(int) {}),
+		kong.Description("Drives a running cell, open-loop, and measures what callers see.\n\n"+
+			"Example: foldarch-load run --result before.json --plot before.png examples/load.toml"))
+	if err != nil {
+		return complain(errOut, err, exitFault)
+	}
+	ctx, err := parser.Parse(args)
+	if err != nil {
+		return complain(errOut, err, exitUsage)
+	}
+	if ctx.Command() == "" {
+		return exitOK // --help was printed
+	}
+	ctx.BindTo(out, (*io.Writer)(nil))
+	if err := ctx.Run(); err != nil {
+		return complain(errOut, err, exitFault)
+	}
+	return exitOK
+}
+
+// Run runs the experiment; an interrupt ends it early with what was measured.
+func (c runCommand) Run(out io.Writer) error {
+	e, err := load.LoadExperiment(c.Experiment)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	r := load.Run(ctx, load.Target{Entries: e.Entries}, e.Events(), load.Options{Speed: 1, KeepWork: true, Settle: time.Duration(e.Settle)})
+	r.Print(out)
+	if c.Result != "" {
+		if err := r.Save(c.Result); err != nil {
+			return err
+		}
+	}
+	if c.Plot != "" {
+		return Plot(r, c.Plot)
+	}
+	return nil
+}
+
+// Run compares two results.
+func (c compareCommand) Run(out io.Writer) error {
+	a, err := load.LoadResult(c.A)
+	if err != nil {
+		return err
+	}
+	b, err := load.LoadResult(c.B)
+	if err != nil {
+		return err
+	}
+	load.Compare(out, a, b)
+	return nil
+}
+
+func complain(w io.Writer, err error, code int) int {
+	fmt.Fprintf(w, "foldarch-load: %v\n", err)
+	return code
+}
