--- a/pkg/cli/program.go
+++ b/pkg/cli/program.go
@@ -1,13 +1,13 @@
 package cli
 
 import (
-	"fmt"
 	"io"
 	"net/netip"
 	"time"
 
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/dialer"
+	"foldarch.dev/foldarch/pkg/program"
 	"foldarch.dev/foldarch/pkg/revision"
 	"foldarch.dev/foldarch/pkg/store"
 	"github.com/alecthomas/kong"
@@ -15,12 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// Exit codes of the program.
-const (
-	ExitOK    = 0
-	ExitFault = 1 // the command could not be carried out
-	ExitUsage = 2 // the command line is wrong
-)
+const programName = "foldarch"
 
 const (
 	storeTimeout   = 2 * time.Second
@@ -63,29 +58,24 @@
 // Main runs the program and returns its exit code.
 func Main(args []string, out, errOut io.Writer) int {
 	var p Program
-	parser, err := kong.New(&p, kong.Name("foldarch"),
+	parser, err := kong.New(&p, kong.Name(programName),
 		kong.Description("Declares what a foldarch cell runs, and looks into it.\n\n"+
 			"Example: foldarch apply --store 127.0.0.1:7000 --author kim --note \"more scoring\" declarations"),
 		kong.Writers(out, errOut), kong.UsageOnError(), kong.Exit(func(int) {}))
 	if err != nil {
-		return fail(errOut, err, ExitFault)
+		return program.Complain(errOut, programName, err, program.ExitFault)
 	}
 	ctx, err := parser.Parse(args)
 	if err != nil {
-		return fail(errOut, err, ExitUsage)
+		return program.Complain(errOut, programName, err, program.ExitUsage)
 	}
 	if ctx.Command() == "" {
-		return ExitOK // --help was printed
+		return program.ExitOK // --help was printed
 	}
 	if err := ctx.Run(&env{out: out, clk: clock.System()}); err != nil {
-		return fail(errOut, err, ExitFault)
+		return program.Complain(errOut, programName, err, program.ExitFault)
 	}
-	return ExitOK
-}
-
-func fail(w io.Writer, err error, code int) int {
-	fmt.Fprintf(w, "foldarch: %v\n", err)
-	return code
+	return program.ExitOK
 }
 
 // openStore returns the client of the platform store.
--- a/pkg/entry/main.go
+++ b/pkg/entry/main.go
@@ -2,23 +2,18 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"foldarch.dev/foldarch/pkg/procconf"
+	"foldarch.dev/foldarch/pkg/program"
 	"github.com/alecthomas/kong"
 	"github.com/sirupsen/logrus"
 )
 
-// Exit codes of the program.
-const (
-	exitOK    = 0
-	exitFault = 1
-	exitUsage = 2
-)
+const programName = "foldarch-entry"
 
 type commandLine struct {
 	Config string `arg:"" help:"Settings of this process, in TOML."`
@@ -28,33 +23,33 @@
 // Main runs the program foldarch-entry and returns its exit code.
 func Main(args []string, errOut io.Writer) int {
 	var c commandLine
-	parser, err := kong.New(&c, kong.Name("foldarch-entry"), kong.Writers(errOut, errOut),
+	parser, err := kong.New(&c, kong.Name(programName), kong.Writers(errOut, errOut),
 		kong.Description("Serves callers on one entry host and owns shards of its hall.\n\n"+
 			"SIGTERM and SIGINT stop it as planned: shards are handed over, no request is cut.\n\n"+
 			"Example: foldarch-entry /etc/foldarch/entry.toml"))
 	if err != nil {
-		return complain(errOut, err, exitFault)
+		return program.Complain(errOut, programName, err, program.ExitFault)
 	}
 	if _, err := parser.Parse(args); err != nil {
-		return complain(errOut, err, exitUsage)
+		return program.Complain(errOut, programName, err, program.ExitUsage)
 	}
 	cfg, err := procconf.Load(c.Config)
 	if err != nil {
-		return complain(errOut, err, exitUsage)
+		return program.Complain(errOut, programName, err, program.ExitUsage)
 	}
 	if c.Check {
-		return exitOK
+		return program.ExitOK
 	}
 	p, err := New(cfg, newLog(errOut, cfg.LogLevel))
 	if err != nil {
-		return complain(errOut, err, exitFault)
+		return program.Complain(errOut, programName, err, program.ExitFault)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := p.Run(ctx); err != nil {
-		return complain(errOut, err, exitFault)
+		return program.Complain(errOut, programName, err, program.ExitFault)
 	}
-	return exitOK
+	return program.ExitOK
 }
 
 // newLog returns a log of one key=value line an event.
@@ -67,8 +62,3 @@
 	}
 	return logrus.NewEntry(l)
 }
-
-func complain(w io.Writer, err error, code int) int {
-	fmt.Fprintf(w, "foldarch-entry: %v\n", err)
-	return code
-}
--- a/pkg/load/experiment.go
+++ b/pkg/load/experiment.go
@@ -16,44 +16,31 @@
 
 // Experiment describes a load in TOML.
 type Experiment struct {
-	Entries  []netip.AddrPort `toml:"entries"`
-	Duration Duration         `toml:"duration"`
-	Seed     uint64           `toml:"seed"`
-	Settle   Duration         `toml:"settle"` // wait for batch requests after the last one
-	Loads    []Load           `toml:"load"`
+	Entries  []netip.AddrPort  `toml:"entries"`
+	Duration tomlfile.Duration `toml:"duration"`
+	Seed     uint64            `toml:"seed"`
+	Settle   tomlfile.Duration `toml:"settle"` // wait for batch requests after the last one
+	Loads    []Load            `toml:"load"`
 }
 
 // Load is one stream of requests with random arrivals (Poisson).
 type Load struct {
-	Workload string   `toml:"workload"`
-	Batch    bool     `toml:"batch"`
-	Rate     float64  `toml:"rate"` // requests a second
-	Callers  int      `toml:"callers"`
-	Class    string   `toml:"class"`
-	Work     Duration `toml:"work"` // mean; the stand-ins work as long as the request says
-	Deadline Duration `toml:"deadline"`
-	Window   Duration `toml:"window"`
-	Once     bool     `toml:"once"`
-	Keyed    bool     `toml:"keyed"`
-	Begin    Duration `toml:"begin"` // since the begin of the run; 0 is the begin
-	End      Duration `toml:"end"`   // 0 is the end of the run
+	Workload string            `toml:"workload"`
+	Batch    bool              `toml:"batch"`
+	Rate     float64           `toml:"rate"` // requests a second
+	Callers  int               `toml:"callers"`
+	Class    string            `toml:"class"`
+	Work     tomlfile.Duration `toml:"work"` // mean; the stand-ins work as long as the request says
+	Deadline tomlfile.Duration `toml:"deadline"`
+	Window   tomlfile.Duration `toml:"window"`
+	Once     bool              `toml:"once"`
+	Keyed    bool              `toml:"keyed"`
+	Begin    tomlfile.Duration `toml:"begin"` // since the begin of the run; 0 is the begin
+	End      tomlfile.Duration `toml:"end"`   // 0 is the end of the run
 }
 
-// Duration is written with a unit, such as "90s".
-type Duration time.Duration
-
-// UnmarshalText reads a duration that is not below zero.
-func (d *Duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
-	if err != nil || v < 0 {
-		return errors.Newf("%q is not a duration such as \"500ms\" or \"12s\"", text)
-	}
-	*d = Duration(v)
-	return nil
-}
-
-// LoadExperiment reads and checks an experiment; the error names file, line and key.
-func LoadExperiment(path string) (Experiment, error) {
+// ReadExperiment reads and checks an experiment; the error names file, line and key.
+func ReadExperiment(path string) (Experiment, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return Experiment{}, errors.Wrap(err, "experiment")
--- a/pkg/load/result.go
+++ b/pkg/load/result.go
@@ -135,8 +135,8 @@
 	return errors.Wrap(os.WriteFile(path, append(text, '\n'), 0o600), "write result")
 }
 
-// LoadResult reads a result that Save wrote.
-func LoadResult(path string) (*Result, error) {
+// ReadResult reads a result that Save wrote.
+func ReadResult(path string) (*Result, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "read result")
--- a/pkg/loadcli/main.go
+++ b/pkg/loadcli/main.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"os"
 	"os/signal"
@@ -10,15 +9,11 @@
 	"time"
 
 	"foldarch.dev/foldarch/pkg/load"
+	"foldarch.dev/foldarch/pkg/program"
 	"github.com/alecthomas/kong"
 )
 
-// Exit codes of the program.
-const (
-	exitOK    = 0
-	exitFault = 1
-	exitUsage = 2
-)
+const programName = "foldarch-load"
 
 type commandLine struct {
 	Run     runCommand     `cmd:"" help:"Run an experiment and write its result."`
@@ -39,29 +34,29 @@
 // Main runs the program foldarch-load and returns its exit code.
 func Main(args []string, out, errOut io.Writer) int {
 	var c commandLine
-	parser, err := kong.New(&c, kong.Name("foldarch-load"), kong.Writers(out, errOut), kong.Exit(func(int) {}),
+	parser, err := kong.New(&c, kong.Name(programName), kong.Writers(out, errOut), kong.Exit(func(int) {}),
 		kong.Description("Drives a running cell, open-loop, and measures what callers see.\n\n"+
 			"Example: foldarch-load run --result before.json --plot before.png examples/load.toml"))
 	if err != nil {
-		return complain(errOut, err, exitFault)
+		return program.Complain(errOut, programName, err, program.ExitFault)
 	}
 	ctx, err := parser.Parse(args)
 	if err != nil {
-		return complain(errOut, err, exitUsage)
+		return program.Complain(errOut, programName, err, program.ExitUsage)
 	}
 	if ctx.Command() == "" {
-		return exitOK // --help was printed
+		return program.ExitOK // --help was printed
 	}
 	ctx.BindTo(out, (*io.Writer)(nil))
 	if err := ctx.Run(); err != nil {
-		return complain(errOut, err, exitFault)
+		return program.Complain(errOut, programName, err, program.ExitFault)
 	}
-	return exitOK
+	return program.ExitOK
 }
 
 // Run runs the experiment; an interrupt ends it early with what was measured.
 func (c runCommand) Run(out io.Writer) error {
-	e, err := load.LoadExperiment(c.Experiment)
+	e, err := load.ReadExperiment(c.Experiment)
 	if err != nil {
 		return err
 	}
@@ -82,19 +77,14 @@
 
 // Run compares two results.
 func (c compareCommand) Run(out io.Writer) error {
-	a, err := load.LoadResult(c.A)
+	a, err := load.ReadResult(c.A)
 	if err != nil {
 		return err
 	}
-	b, err := load.LoadResult(c.B)
+	b, err := load.ReadResult(c.B)
 	if err != nil {
 		return err
 	}
 	load.Compare(out, a, b)
 	return nil
 }
-
-func complain(w io.Writer, err error, code int) int {
-	fmt.Fprintf(w, "foldarch-load: %v\n", err)
-	return code
-}
--- a/pkg/loadcli/plot.go
+++ b/pkg/loadcli/plot.go
@@ -20,6 +20,7 @@
 	p.Title.Text = "foldarch-load"
 	p.X.Label.Text = "second of the run"
 	p.Y.Label.Text = "requests a second, worst wait in ms"
+	p.Legend.Top = true
 	done, refused, wait := make(plotter.XYs, len(r.Timeline)), make(plotter.XYs, len(r.Timeline)), make(plotter.XYs, len(r.Timeline))
 	for i, s := range r.Timeline {
 		done[i] = plotter.XY{X: float64(i), Y: float64(s.Done)}
--- a/pkg/local/cell.go
+++ b/pkg/local/cell.go
@@ -18,6 +18,7 @@
 	"foldarch.dev/foldarch/pkg/settings"
 	"foldarch.dev/foldarch/pkg/standin"
 	"foldarch.dev/foldarch/pkg/store"
+	"foldarch.dev/foldarch/pkg/tomlfile"
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
@@ -80,7 +81,7 @@
 			cfg.ID, cfg.Hall = fmt.Sprintf("%s-%c", hall, 'a'+n), hall
 			cfg.CallersAddress, cfg.PeerAddress = addresses[at], addresses[at+1]
 			cfg.Store, cfg.Peers = []netip.AddrPort{c.farm.StoreAddress()}, peers
-			cfg.Times.LeaveGrace = procconf.Duration(leaveGrace)
+			cfg.Times.LeaveGrace = tomlfile.Duration(leaveGrace)
 			cfg.Limits.MemoryMB = 1024 // one process for all
 			if err := c.startEntry(ctx, cfg); err != nil {
 				return err
--- a/pkg/ownership/history_test.go
+++ b/pkg/ownership/history_test.go
@@ -14,7 +14,6 @@
 	machines []*Machine
 	holders  []Holder
 	dead     []bool
-	clocks   []clock.Time // how far each process has come: a paused one lags behind
 	record   Record
 	revision int64
 	writes   []write
--- a/pkg/procconf/procconf.go
+++ b/pkg/procconf/procconf.go
@@ -52,23 +52,10 @@
 
 // Times are the terms of leases and time limits.
 type Times struct {
-	TaskLease   Duration `toml:"task_lease"`
-	ReportEvery Duration `toml:"report_every"`
-	KeyWindow   Duration `toml:"key_window"`
-	LeaveGrace  Duration `toml:"leave_grace"`
-}
-
-// Duration is a time.Duration written with a unit, such as "12s".
-type Duration time.Duration
-
-// UnmarshalText reads a duration above zero.
-func (d *Duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
-	if err != nil || v <= 0 {
-		return errors.Newf("%q is not a duration such as \"500ms\" or \"12s\"", text)
-	}
-	*d = Duration(v)
-	return nil
+	TaskLease   tomlfile.Duration `toml:"task_lease"`
+	ReportEvery tomlfile.Duration `toml:"report_every"`
+	KeyWindow   tomlfile.Duration `toml:"key_window"`
+	LeaveGrace  tomlfile.Duration `toml:"leave_grace"`
 }
 
 // DefaultEntry returns the settings of an entry host that have a default.
@@ -80,8 +67,8 @@
 			MaxBodyKB: 1024, MemoryMB: 24,
 		},
 		Times: Times{
-			TaskLease: Duration(12 * time.Second), ReportEvery: Duration(3 * time.Second),
-			KeyWindow: Duration(2 * time.Minute), LeaveGrace: Duration(time.Second),
+			TaskLease: tomlfile.Duration(12 * time.Second), ReportEvery: tomlfile.Duration(3 * time.Second),
+			KeyWindow: tomlfile.Duration(2 * time.Minute), LeaveGrace: tomlfile.Duration(time.Second),
 		},
 	}
 }
--- /dev/null
+++ b/pkg/program/exit.go
@@ -0,0 +1,19 @@
+package program
+
+import (
+	"fmt"
+	"io"
+)
+
+// Exit codes of the programs.
+const (
+	ExitOK    = 0
+	ExitFault = 1 // the program could not do its work
+	ExitUsage = 2 // the command line or the program's settings are wrong
+)
+
+// Complain writes an error after the program's name and returns the exit code.
+func Complain(w io.Writer, name string, err error, code int) int {
+	fmt.Fprintf(w, "%s: %v\n", name, err)
+	return code
+}
--- a/pkg/settings/document.go
+++ b/pkg/settings/document.go
@@ -1,10 +1,6 @@
 package settings
 
-import (
-	"time"
-
-	"github.com/cockroachdb/errors"
-)
+import "foldarch.dev/foldarch/pkg/tomlfile"
 
 // File names with a meaning of their own.
 const (
@@ -13,22 +9,6 @@
 	suffix    = ".toml"
 )
 
-// Duration is a time.Duration written as a text with a unit, such as "90s".
-type Duration time.Duration
-
-// UnmarshalText reads a duration; it must be above zero and have a unit.
-func (d *Duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
-	if err != nil {
-		return errors.Newf("%q is not a duration such as \"500ms\", \"90s\" or \"2h\"", text)
-	}
-	if v <= 0 {
-		return errors.Newf("%q is not above zero", text)
-	}
-	*d = Duration(v)
-	return nil
-}
-
 type cellDocument struct {
 	Halls         []hallDocument          `toml:"hall"`
 	Teams         map[string]teamDocument `toml:"team"`
@@ -64,9 +44,9 @@
 	Class      *string            `toml:"class"`
 	Policy     *string            `toml:"policy"`
 	Repeatable *bool              `toml:"repeatable"`
-	Window     *Duration          `toml:"window"`
-	TimeLimit  *Duration          `toml:"time_limit"`
-	Drain      *Duration          `toml:"drain"`
+	Window     *tomlfile.Duration `toml:"window"`
+	TimeLimit  *tomlfile.Duration `toml:"time_limit"`
+	Drain      *tomlfile.Duration `toml:"drain"`
 	Retries    *int               `toml:"retries"`
 	MaxBodyKB  *int64             `toml:"max_body_kb"`
 	Queue      *int               `toml:"queue"`
--- a/pkg/settings/inherit.go
+++ b/pkg/settings/inherit.go
@@ -1,15 +1,19 @@
 package settings
 
-import "time"
+import (
+	"time"
+
+	"foldarch.dev/foldarch/pkg/tomlfile"
+)
 
 // inherit lays the rules of one level over what the levels above have set.
 func (b *builder) inherit(w *Workload, level string, rules rulesDocument) {
 	override(w, level, "rules.class", rules.Class, func(v string) { w.Class = Class(v) })
 	override(w, level, "rules.policy", rules.Policy, func(v string) { w.Policy = Policy(v) })
 	override(w, level, "rules.repeatable", rules.Repeatable, func(v bool) { w.Repeatable = v })
-	override(w, level, "rules.window", rules.Window, func(v Duration) { w.Window = time.Duration(v) })
-	override(w, level, "rules.time_limit", rules.TimeLimit, func(v Duration) { w.TimeLimit = time.Duration(v) })
-	override(w, level, "rules.drain", rules.Drain, func(v Duration) { w.Drain = time.Duration(v) })
+	override(w, level, "rules.window", rules.Window, func(v tomlfile.Duration) { w.Window = time.Duration(v) })
+	override(w, level, "rules.time_limit", rules.TimeLimit, func(v tomlfile.Duration) { w.TimeLimit = time.Duration(v) })
+	override(w, level, "rules.drain", rules.Drain, func(v tomlfile.Duration) { w.Drain = time.Duration(v) })
 	override(w, level, "rules.retries", rules.Retries, func(v int) { w.Retries = v })
 	override(w, level, "rules.max_body_kb", rules.MaxBodyKB, func(v int64) { w.MaxBody = v << 10 })
 	override(w, level, "rules.queue", rules.Queue, func(v int) { w.Queue = v })
--- a/pkg/standin/main.go
+++ b/pkg/standin/main.go
@@ -13,18 +13,14 @@
 	"time"
 
 	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/program"
 	"github.com/alecthomas/kong"
 )
 
-// Exit codes of the program.
-const (
-	exitOK    = 0
-	exitFault = 1
-	exitUsage = 2
-)
-
 const adminHeaderTimeout = 5 * time.Second
 
+const programName = "foldarch-standin"
+
 type commandLine struct {
 	Store        netip.AddrPort `default:"127.0.0.1:7000" help:"Where the platform store listens."`
 	Admin        netip.AddrPort `default:"127.0.0.1:7001" help:"Where faults are switched and the ledger is read."`
@@ -39,19 +35,19 @@
 // Main runs the program foldarch-standin and returns its exit code.
 func Main(args []string, out, errOut io.Writer) int {
 	var c commandLine
-	parser, err := kong.New(&c, kong.Name("foldarch-standin"), kong.Writers(out, errOut),
+	parser, err := kong.New(&c, kong.Name(programName), kong.Writers(out, errOut),
 		kong.Description("Runs stand-ins for the platform store, workers and endpoints. For tests and try-outs only.\n\n"+
 			"Example: foldarch-standin --halls seoul-1,seoul-2 --workers 4"))
 	if err != nil {
-		return complain(errOut, err, exitFault)
+		return program.Complain(errOut, programName, err, program.ExitFault)
 	}
 	if _, err := parser.Parse(args); err != nil {
-		return complain(errOut, err, exitUsage)
+		return program.Complain(errOut, programName, err, program.ExitUsage)
 	}
 	if err := c.run(out); err != nil {
-		return complain(errOut, err, exitFault)
+		return program.Complain(errOut, programName, err, program.ExitFault)
 	}
-	return exitOK
+	return program.ExitOK
 }
 
 func (c commandLine) run(out io.Writer) error {
@@ -81,8 +77,3 @@
 	<-ctx.Done()
 	return nil
 }
-
-func complain(w io.Writer, err error, code int) int {
-	fmt.Fprintf(w, "foldarch-standin: %v\n", err)
-	return code
-}
--- a/test/cases/cases_test.go
+++ b/test/cases/cases_test.go
@@ -14,6 +14,7 @@
 	"testing"
 
 	"foldarch.dev/foldarch/pkg/cli"
+	"foldarch.dev/foldarch/pkg/program"
 	. "github.com/onsi/gomega"
 )
 
@@ -51,7 +52,7 @@
 
 func run(words []byte) string {
 	var out bytes.Buffer
-	if code := cli.Main(strings.Fields(string(words)), &out, &out); code != cli.ExitOK {
+	if code := cli.Main(strings.Fields(string(words)), &out, &out); code != program.ExitOK {
 		out.WriteString("exit code " + string(rune('0'+code)) + "\n")
 	}
 	return out.String()
