--- /dev/null
+++ b/pkg/batch/batch_test.go
@@ -0,0 +1,139 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/store"
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+var shard = cell.ShardID{Hall: "seoul-1", Index: 2}
+
+func TestIDTellsItsShard(t *testing.T) {
+	g := NewWithT(t)
+	id := NewID(shard, "foundry", "quote-17")
+	g.Expect(id).To(Equal(NewID(shard, "foundry", "quote-17")))
+	g.Expect(id).NotTo(Equal(NewID(shard, "foundryquote", "-17")))
+	got, err := id.Shard()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got).To(Equal(shard))
+	_, err = ID("nonsense").Shard()
+	g.Expect(err).To(HaveOccurred())
+}
+
+func TestBookTakesEntriesInAnyOrderAndTwice(t *testing.T) {
+	g := NewWithT(t)
+	end := End{ID: "a", State: Done, Result: "r"}
+	request := Request{ID: "a", Workload: "fit"}
+	b := NewBook()
+	for _, e := range []Entry{{Ended: &end}, {Starting: "a"}, {Submitted: &request}, {Ended: &end}, {Submitted: &request}} {
+		b.Apply(e)
+	}
+	r, ok := b.Get("a")
+	g.Expect(ok).To(BeTrue())
+	g.Expect(r.State).To(Equal(Done))
+	g.Expect(r.Intended).To(BeTrue())
+	g.Expect(b.Open()).To(BeEmpty())
+}
+
+// Whatever is removed, in whatever order, what is left in the store never tells of a
+// request without its end that has one.
+func TestRemovalNeverBringsARequestBack(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var entries []Entry
+		book, segments, stored := NewBook(), NewSegments(), map[string][]Entry{}
+		for i := range rapid.IntRange(1, 8).Draw(rt, "requests") {
+			id := ID(rune('a' + i))
+			entries = append(entries, Entry{Submitted: &Request{ID: id, Workload: "w"}})
+			if rapid.Bool().Draw(rt, "intended") {
+				entries = append(entries, Entry{Starting: id})
+			}
+			entries = append(entries, Entry{Ended: &End{ID: id, State: Done, At: time.Unix(int64(i), 0)}})
+		}
+		for n := 0; len(entries) > 0; n++ {
+			k := min(rapid.IntRange(1, 4).Draw(rt, "group"), len(entries))
+			key := string(rune('0' + n))
+			stored[key] = entries[:k]
+			segments.Add(Segment{Key: key, Entries: entries[:k]})
+			for _, e := range entries[:k] {
+				book.Apply(e)
+			}
+			entries = entries[k:]
+		}
+		now := time.Unix(int64(rapid.IntRange(0, 10).Draw(rt, "now")), 0)
+		for {
+			s, ok := segments.Removable(book, now, func(Record) time.Duration { return 0 })
+			if !ok {
+				break
+			}
+			delete(stored, s.Key)
+			segments.Removed(s.Key, book)
+			again := NewBook()
+			for _, group := range stored {
+				for _, e := range group {
+					again.Apply(e)
+				}
+			}
+			if open := again.Open(); len(open) > 0 {
+				rt.Fatalf("a new owner would run %v again", open)
+			}
+		}
+	})
+}
+
+func TestJournalWritesTogetherWhatWaits(t *testing.T) {
+	g := NewWithT(t)
+	written := make(chan []Entry, 10)
+	goOn := make(chan struct{})
+	j := NewJournal(shard, time.Microsecond, JournalDeps{
+		Put: func(_ context.Context, _, value string) (int64, error) {
+			var entries []Entry
+			g.Expect(json.Unmarshal([]byte(value), &entries)).To(Succeed())
+			written <- entries
+			<-goOn
+			return 1, nil
+		},
+		Authorized: func() bool { return true },
+		Stored:     func(Segment) {},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go j.Run(ctx)
+	results := make(chan error, 6)
+	add := func() { results <- j.Append(ctx, Entry{Starting: "x"}) }
+	go add()
+	g.Eventually(written, "10s").Should(Receive(HaveLen(1)))
+	for range 5 {
+		go add()
+	}
+	g.Eventually(func() int { return len(j.ring) }, "10s").Should(Equal(5))
+	close(goOn)
+	g.Eventually(written, "10s").Should(Receive(HaveLen(5)))
+	for range 6 {
+		g.Eventually(results, "10s").Should(Receive(BeNil()))
+	}
+}
+
+func TestSegmentStoredAfterTheAuthorityEndedIsNotAcknowledged(t *testing.T) {
+	g := NewWithT(t)
+	authorized := true
+	j := NewJournal(shard, time.Microsecond, JournalDeps{
+		Put: func(context.Context, string, string) (int64, error) {
+			authorized = false
+			return 1, nil
+		},
+		Authorized: func() bool { return authorized },
+		Stored:     func(Segment) {},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go j.Run(ctx)
+	err := j.Append(ctx, Entry{Starting: "x"})
+	g.Expect(errors.Is(err, store.ErrUnsettled)).To(BeTrue(), "%v", err)
+}
--- a/pkg/batch/doc.go
+++ b/pkg/batch/doc.go
@@ -13,12 +13,17 @@
 // a repeatable one runs (again, its former run being certainly over), one that is not
 // repeatable runs if no intention was written, and is of unknown outcome otherwise.
 //
+// A segment is removed when all its requests ended long enough ago; one that tells the end
+// of a request goes after those that tell of its submission.
+//
 // # Usage
 //
 //	book := batch.NewBook()
-//	entries, err := batch.Load(ctx, store, shard)
-//	for _, e := range entries {
-//		book.Apply(e)
+//	segments, err := batch.Load(ctx, store, shard)
+//	for _, s := range segments {
+//		for _, e := range s.Entries {
+//			book.Apply(e)
+//		}
 //	}
 //	j := batch.NewJournal(shard, interval, deps)
 //	go j.Run(ctx)
--- a/pkg/batch/journal.go
+++ b/pkg/batch/journal.go
@@ -36,7 +36,9 @@
 // JournalDeps are what a journal needs of the world.
 type JournalDeps struct {
 	// Put writes a new key of the store; errors as of store.Swap.
-	Put func(ctx context.Context, key, value string) error
+	Put func(ctx context.Context, key, value string) (revision int64, err error)
+	// Stored is told of each segment that was written.
+	Stored func(Segment)
 	// Authorized is asked right before each write.
 	Authorized func() bool
 }
@@ -52,19 +54,19 @@
 	return &Journal{shard: shard, interval: interval, deps: deps, ring: make(chan pendingEntry, ringSize)}
 }
 
-// Load reads all entries of a shard, for a new owner, in no certain order.
-func Load(ctx context.Context, s *store.Store, shard cell.ShardID) ([]Entry, error) {
+// Load reads all segments of a shard, for a new owner, in no certain order.
+func Load(ctx context.Context, s *store.Store, shard cell.ShardID) ([]Segment, error) {
 	items, _, err := s.List(ctx, prefixOf(shard))
 	if err != nil {
 		return nil, errors.Wrapf(err, "batch segments of %s", shard)
 	}
-	var all []Entry
+	var all []Segment
 	for _, item := range items {
-		var entries []Entry
-		if err := json.Unmarshal([]byte(item.Value), &entries); err != nil {
+		segment := Segment{Key: item.Key, Revision: item.Revision}
+		if err := json.Unmarshal([]byte(item.Value), &segment.Entries); err != nil {
 			return nil, errors.Wrapf(err, "batch segment %s", item.Key)
 		}
-		all = append(all, entries...)
+		all = append(all, segment)
 	}
 	return all, nil
 }
@@ -143,9 +145,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	if err := j.deps.Put(ctx, prefixOf(j.shard)+uuid.NewString(), string(text)); err != nil {
+	key := prefixOf(j.shard) + uuid.NewString()
+	revision, err := j.deps.Put(ctx, key, string(text))
+	if err != nil {
 		return err
 	}
+	j.deps.Stored(Segment{Key: key, Revision: revision, Entries: entries})
 	// A segment that was stored after the authority ended may have been missed by the
 	// next owner, so it must not be acknowledged.
 	if !j.deps.Authorized() {
--- a/pkg/entry/engines.go
+++ b/pkg/entry/engines.go
@@ -127,16 +127,16 @@
 	return shard.Deps{
 		Clock: p.clk, Workers: p.workers, Endpoints: p.endpoints,
 		Authority: func() (cell.Epoch, clock.Time, bool) { return k.Authority(id) },
-		LoadBatches: func(ctx context.Context) ([]batch.Entry, error) {
+		LoadBatches: func(ctx context.Context) ([]batch.Segment, error) {
 			return batch.Load(ctx, p.store, id)
 		},
 		StoreUp: p.storeUp,
-		PutSegment: func(ctx context.Context, key, value string) error {
-			_, err := p.store.Swap(ctx, store.Item{Key: key, Value: value}, 0)
-			return err
+		PutSegment: func(ctx context.Context, key, value string) (int64, error) {
+			return p.store.Swap(ctx, store.Item{Key: key, Value: value}, 0)
 		},
-		Delegate: p.delegate,
-		Log:      p.log.WithField("shard", id),
+		RemoveSegment: p.store.Delete,
+		Delegate:      p.delegate,
+		Log:           p.log.WithField("shard", id),
 	}
 }
 
--- a/pkg/shard/batch.go
+++ b/pkg/shard/batch.go
@@ -142,20 +142,23 @@
 // requests.
 func (e *Engine) recoverBatches(ctx context.Context) {
 	for attempt := 0; ctx.Err() == nil; attempt++ {
-		entries, err := e.deps.LoadBatches(ctx)
+		segments, err := e.deps.LoadBatches(ctx)
 		if err == nil {
-			e.takeBatches(entries)
+			e.takeBatches(segments)
 			return
 		}
 		_ = store.Pause(ctx, min(attempt, recoverAttempts))
 	}
 }
 
-func (e *Engine) takeBatches(entries []batch.Entry) {
+func (e *Engine) takeBatches(segments []batch.Segment) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, entry := range entries {
-		e.book.Apply(entry)
+	for _, segment := range segments {
+		e.segments.Add(segment)
+		for _, entry := range segment.Entries {
+			e.book.Apply(entry)
+		}
 	}
 	e.recovery.batchesIn = true
 	for _, w := range e.workers {
--- a/pkg/shard/call.go
+++ b/pkg/shard/call.go
@@ -101,6 +101,7 @@
 	if refused != nil {
 		return nil, refused
 	}
+	e.retries.earn()
 	c.NotRepeatable = c.NotRepeatable || !w.Repeatable
 	t := &ticket{call: c, workload: w, key: c.Caller + "/" + c.Key, decided: make(chan routing.Decision, 1)}
 	if c.Key == "" {
@@ -181,13 +182,20 @@
 	var a Answer
 	for range resendMost + 1 {
 		var again bool
-		if a, again = e.try(t); !again {
+		if a, again = e.try(t); !again || !e.mayResend() {
 			return a
 		}
 	}
 	return a
 }
 
+// mayResend asks the budget of retries.
+func (e *Engine) mayResend() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.retries.take()
+}
+
 // try waits for an endpoint and calls it.
 func (e *Engine) try(t *ticket) (a Answer, again bool) {
 	t.request = routing.Request{
--- a/pkg/shard/doc.go
+++ b/pkg/shard/doc.go
@@ -9,6 +9,7 @@
 //	worker      one for each worker: sends commands, renews leases, takes in reports
 //	health      asks endpoints for what they run when that is in doubt
 //	journal     writes batch entries to the store in groups
+//	removal     removes batch segments that are of no use any more
 //	recovery    once: reads the batch requests and waits for the workers' reports
 //
 // State is guarded by one lock, held for the time of a decision and never while anything
--- a/pkg/shard/engine.go
+++ b/pkg/shard/engine.go
@@ -47,11 +47,13 @@
 	// ownership.Keeper.Authority does.
 	Authority func() (cell.Epoch, clock.Time, bool)
 	// LoadBatches reads all batch entries of the shard from the store.
-	LoadBatches func(ctx context.Context) ([]batch.Entry, error)
+	LoadBatches func(ctx context.Context) ([]batch.Segment, error)
 	// StoreUp says whether the store answered lately.
 	StoreUp func() bool
 	// PutSegment writes a batch segment to the store.
-	PutSegment func(ctx context.Context, key, value string) error
+	PutSegment func(ctx context.Context, key, value string) (revision int64, err error)
+	// RemoveSegment removes one that is of no use any more.
+	RemoveSegment func(ctx context.Context, key string, revision int64) error
 	// Delegate has another shard run a request of a key that is at home here.
 	Delegate func(home cell.ShardID, c Call) Answer
 	Log      *logrus.Entry
@@ -70,6 +72,7 @@
 	placer    *placement.Placer
 	memory    *keys.Memory
 	book      *batch.Book
+	segments  *batch.Segments
 	tree      *settings.Tree
 	desired   map[string]settings.Workload // service tasks of this shard, by id
 	workers   map[string]*workerDuty
@@ -77,6 +80,7 @@
 	ending    map[batch.ID]bool // whose end is being stored
 	began     clock.Time
 	recovery  recoveryState
+	retries   retryBudget
 	duties    sync.WaitGroup
 	runCtx    context.Context
 	inFlight  int
@@ -98,6 +102,7 @@
 		router: routing.New(), placer: placement.New(placement.DefaultConfig), book: batch.NewBook(),
 		desired: map[string]settings.Workload{}, workers: map[string]*workerDuty{},
 		endpoints: map[string]*endpointState{}, ending: map[batch.ID]bool{}, began: deps.Clock.Now(),
+		retries: newRetryBudget(), segments: batch.NewSegments(),
 	}
 	e.recovery.inherited = cfg.Epoch > 1
 	takenOver := time.Time{}
@@ -106,7 +111,7 @@
 	}
 	e.memory = keys.New(cfg.Keys, takenOver)
 	e.journal = batch.NewJournal(cfg.Shard, cfg.JournalInterval, batch.JournalDeps{
-		Put: deps.PutSegment, Authorized: e.authorized,
+		Put: deps.PutSegment, Authorized: e.authorized, Stored: e.segmentStored,
 	})
 	return e
 }
@@ -120,6 +125,7 @@
 	e.duties.Go(func() { e.place(ctx) })
 	e.duties.Go(func() { e.watchHealth(ctx) })
 	e.duties.Go(func() { e.recoverBatches(ctx) })
+	e.duties.Go(func() { e.removeSegments(ctx) })
 	<-ctx.Done()
 	e.stopped.Store(true)
 	e.refuseWaiting()
--- a/test/e2e/chaos_test.go
+++ b/test/e2e/chaos_test.go
@@ -168,6 +168,7 @@
 	c.apply()
 	c.ready(4)
 	tr := c.startTraffic(12, *chaosSeed)
+	tr.done.Go(tr.watchRevisions)
 	x := &chaos{cell: c, rng: rand.New(rand.NewPCG(*chaosSeed, 77)), busy: map[string]bool{}}
 	names := map[string]int{}
 	for end := time.Now().Add(time.Duration(*chaosSeconds) * time.Second); time.Now().Before(end); {
--- a/test/e2e/traffic_test.go
+++ b/test/e2e/traffic_test.go
@@ -25,6 +25,8 @@
 	sent  []sent
 	okAt  map[string]time.Time // by service and hall of the entry host
 	codes map[int]int
+
+	reverted []string // processes that showed a lower revision than before
 }
 
 // sent is one request and what its caller was told.
@@ -123,7 +125,7 @@
 func (t *traffic) violations() []string {
 	close(t.stop)
 	t.done.Wait()
-	found := t.batchesLost()
+	found := append(t.batchesLost(), t.reverted...)
 	var runs []standin.Run
 	t.cell.ledger("runs", &runs)
 	count := map[string]int{}
@@ -167,6 +169,29 @@
 	return false
 }
 
+// watchRevisions looks whether a process, also one that was replaced, ever has settings
+// in force that are older than those it had. With none in force it serves nobody.
+func (t *traffic) watchRevisions() {
+	highest := map[string]int64{}
+	for {
+		select {
+		case <-t.stop:
+			return
+		case <-time.After(pollPause):
+		}
+		for _, id := range t.cell.order {
+			s, err := t.cell.status(id)
+			if err != nil || s.Revision == 0 {
+				continue
+			}
+			if s.Revision < highest[id] {
+				t.reverted = append(t.reverted, fmt.Sprintf("%s went from revision %d to %d", id, highest[id], s.Revision))
+			}
+			highest[id] = s.Revision
+		}
+	}
+}
+
 // batchesLost waits for the end of every batch request that was acknowledged, and lists
 // those that have none.
 func (t *traffic) batchesLost() []string {
