--- a/test/e2e/figures_test.go
+++ b/test/e2e/figures_test.go
@@ -190,12 +190,18 @@
 	Eventually(c.batchState(via, id), generous, "5ms").Should(Equal("done"))
 }
 
-// BenchmarkConfigInForce measures from an accepted change until every process has it.
+// BenchmarkConfigInForce measures from an accepted change until every process has it, with
+// one of the halls slow.
 func BenchmarkConfigInForce(b *testing.B) {
 	RegisterTestingT(b)
 	c := newCell(b, halls, 2, 2, "")
 	c.apply()
 	c.ready(4)
+	for ends, r := range c.relays {
+		if hallOf(ends[0]) == "south" {
+			r.slow(300 * time.Millisecond) // each way, to the store and the other halls
+		}
+	}
 	for b.Loop() {
 		var took []float64
 		for i := range 40 {
@@ -249,6 +255,41 @@
 	}
 }
 
+// BenchmarkCutHall compares what a hall gets done of its own when it is cut off from the
+// store and the other halls with what it got done before: ticks with keys of the hall, and
+// repeatable requests without a key.
+func BenchmarkCutHall(b *testing.B) {
+	RegisterTestingT(b)
+	c := newCell(b, halls, 4, 2, "")
+	c.apply()
+	c.ready(4)
+	for b.Loop() {
+		const window = 8 * time.Second
+		n := 0
+		round := func() (ticks, repeatable float64) {
+			for end := time.Now().Add(window); time.Now().Before(end); n++ {
+				via := []string{"north-a", "north-b"}[n%2]
+				issued := fmt.Sprint(time.Now().UnixMilli())
+				if c.call(via, "ticks", fmt.Sprintf("north/%d", n), "ms=5 x", "Foldarch-Issued-At", issued).ok() {
+					ticks++
+				}
+				if c.call(via, "scoring", "", "ms=5 x").ok() {
+					repeatable++
+				}
+			}
+			return ticks, repeatable
+		}
+		time.Sleep(2 * time.Second)
+		ticksBefore, repeatableBefore := round()
+		c.cutHall("north", true, true, false, true)
+		ticksCut, repeatableCut := round()
+		c.cutHall("north", true, true, false, false)
+		figure(b, "cut_hall_goodput_ratio_ticks", ticksCut/ticksBefore, "x_before")
+		figure(b, "cut_hall_goodput_ratio_repeatable", repeatableCut/repeatableBefore, "x_before")
+		c.expectPromisesKept()
+	}
+}
+
 // callsDone counts the calls that were answered.
 func (t *traffic) callsDone() int {
 	t.mu.Lock()
--- a/test/e2e/relay_test.go
+++ b/test/e2e/relay_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -20,6 +21,7 @@
 	mu    sync.Mutex
 	open  *sync.Cond
 	isCut bool
+	delay time.Duration // of all that passes
 }
 
 func startRelay(t test, target netip.AddrPort) *relay {
@@ -63,7 +65,7 @@
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
-		r.waitOpen()
+		time.Sleep(r.waitOpen())
 		if n > 0 {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				return
@@ -75,12 +77,20 @@
 	}
 }
 
-func (r *relay) waitOpen() {
+// waitOpen waits while the relay is cut, and returns its delay.
+func (r *relay) waitOpen() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for r.isCut {
 		r.open.Wait()
 	}
+	return r.delay
+}
+
+func (r *relay) slow(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
 }
 
 func (r *relay) cut(yes bool) {
