Claim a shard only under the record that was found free

Failure: a process took a shard from a live owner.

Cause: at the start no shard has a record, so every process of the hall finds it free and waits its turn (400 ms a rank) before it claims. A record that another one wrote meanwhile did not undo that finding, and the claim went out with the new record's revision, so that the compare-and-swap let it through. Ruled out: the proof of an end (nobody had ended, no probe said so) and the successor's grant. The model has the proof and the claim in one step, and could not show it.

Test: TestShardThatWasTakenMeanwhileIsNotClaimed fails without the change and passes with it; so does the spec, 9.6 s.

--- a/pkg/ownership/keeper.go
+++ b/pkg/ownership/keeper.go
@@ -72,6 +72,8 @@
 	writing   bool
 	seen      bool       // the store was read, so that an absent record is known to be absent
 	claimable clock.Time // since when the shard has looked free, 0 when it does not
+	// freeRecord is the write id of the record under which the shard looked free.
+	freeRecord string
 }
 
 // NewKeeper returns a keeper for the given shards.
--- a/pkg/ownership/keeper_actions.go
+++ b/pkg/ownership/keeper_actions.go
@@ -75,7 +75,9 @@
 	if k.leaving || !s.seen || s.probing || s.writing || !k.deps.StoreUp() {
 		return
 	}
-	if s.claimable == 0 {
+	// What was found of one record says nothing of the next, whose owner may be alive.
+	if record, _ := s.machine.Record(); s.claimable == 0 || record.WriteID != s.freeRecord {
+		s.claimable = 0
 		s.probing = true
 		k.duties.Go(func() { k.probeHolders(ctx, s) })
 		return
@@ -164,7 +166,7 @@
 	s.probing = false
 	current, _ := s.machine.Record()
 	if free && current.WriteID == record.WriteID && s.machine.Role() == Bystander {
-		s.claimable = k.deps.Clock.Now()
+		s.claimable, s.freeRecord = k.deps.Clock.Now(), record.WriteID
 	}
 }
 
--- a/pkg/ownership/keeper_test.go
+++ b/pkg/ownership/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"slices"
 	"sync"
@@ -125,3 +126,33 @@
 		return f.lastWritten().Epoch
 	}, "20s").Should(BeEquivalentTo(2))
 }
+
+// A process that found a shard free waits its turn before it claims it. It once claimed it
+// also when another one had become owner while it waited, and so took a shard from a live
+// owner without any proof. Found by the e2e spec of `foldarch release`.
+func TestShardThatWasTakenMeanwhileIsNotClaimed(t *testing.T) {
+	g := NewWithT(t)
+	var others []Peer
+	for i := range 30 {
+		id := fmt.Sprintf("peer-%d", i)
+		others = append(others, Peer{Holder: Holder{ID: id, Incarnation: id}, Heard: 1})
+	}
+	f := &fakeHall{peers: others, ended: map[string]bool{}}
+	k := NewKeeper(gamma, []cell.ShardID{testShard}, DefaultTerms, f.deps())
+	g.Expect(k.rank(testShard)).To(BeNumerically(">", 0))
+	k.StoreSeen()
+	claimable := func() bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return k.machines[testShard].claimable != 0
+	}
+	f.advance(time.Second)
+	g.Eventually(func() bool { k.Step(context.Background()); return claimable() }, "10s").Should(BeTrue())
+	k.Observe(testShard, Record{Epoch: 1, Owner: alpha, Successor: beta, WriteID: "1"}, 1)
+	for range 50 {
+		f.advance(claimStagger)
+		k.Step(context.Background())
+		k.duties.Wait()
+	}
+	g.Expect(f.lastWritten()).To(Equal(Record{}))
+}
