Let a successor follow a planned stop that the store does not answer

Cause: the store went down just after the stop began. The write that hands the shard over was neither done nor refused, and was settled for the whole drain time, 60 s. Meanwhile no grants were asked, so that the successor could not follow without the store either, and its own claim, tried because the store had answered 2.5 s before, was not settled.

Ruled out: requests in flight (none in the log) and the callers' door.

Change: the write has 600 ms; then the process closes its peer port, which is proof for the successor, while it finishes what is in flight. A successor that may follow without the store does so first and records it later, naming nobody, so that it keeps its authority while that is not settled.

Before: e2e spec 'lets a successor follow an owner that stops as planned in a store outage' timed out after 40 s at the exit; with the first change alone it passed the exit and timed out at the new owner. After: passes (18.4 s with three others).

--- a/pkg/entry/process.go
+++ b/pkg/entry/process.go
@@ -36,7 +36,11 @@
 	storeUpWithin  = 2500 * time.Millisecond
 	dispatchFlight = 250 * time.Millisecond
 	drainTimeout   = 60 * time.Second
-	metricsPath    = "/metrics"
+	// handoverTimeout bounds the write that hands shards over. When the store does not
+	// answer, the successors follow on the proof that the peer port is closed, and have to
+	// see it while the last grant certainly holds.
+	handoverTimeout = 600 * time.Millisecond
+	metricsPath     = "/metrics"
 
 	// Metrics: bytes both ways, to peers, workers and the store, and to endpoints.
 	controlBytes = "control.bytes"
@@ -109,11 +113,12 @@
 	if err != nil {
 		return errors.Wrap(err, "callers_address")
 	}
-	peers, err := net.Listen("tcp", p.cfg.PeerAddress.String())
+	l, err := net.Listen("tcp", p.cfg.PeerAddress.String())
 	if err != nil {
 		_ = callers.Close()
 		return errors.Wrap(err, "peer_address")
 	}
+	peers := newPeerListener(l)
 	debug.SetMemoryLimit(p.cfg.Limits.MemoryMB << 20)
 	server, err := p.httpServer()
 	if err != nil {
@@ -131,7 +136,7 @@
 	case <-ctx.Done():
 	case <-p.stopAsked:
 	}
-	p.leave(server)
+	p.leave(server, peers)
 	stop()
 	p.peers.Close()
 	p.duties.Wait()
@@ -150,15 +155,18 @@
 
 // leave ends the process as planned. New requests are refused with where to go on; the
 // shards go to their successors; what is in flight is finished.
-func (p *Process) leave(server *http.Server) {
+func (p *Process) leave(server *http.Server, peers *peerListener) {
 	p.draining.Store(true)
 	p.log.Info("leaving")
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
 	sleep(ctx, time.Duration(p.cfg.Times.LeaveGrace))
 	if k := p.keeper.Load(); k != nil {
-		k.Leave(ctx)
+		handover, done := context.WithTimeout(ctx, handoverTimeout)
+		k.Leave(handover)
+		done()
 	}
+	peers.Refuse()
 	_ = server.Shutdown(ctx)
 	for p.inFlight() > 0 && ctx.Err() == nil {
 		sleep(ctx, 20*time.Millisecond)
--- a/pkg/ownership/keeper_actions.go
+++ b/pkg/ownership/keeper_actions.go
@@ -52,7 +52,8 @@
 	record, _ := m.Record()
 	switch {
 	case m.Unrecorded() && !m.Pending():
-		k.write(ctx, s, WriteRecord, next, now)
+		// Nobody is named yet: a sole owner keeps its authority while this is not settled.
+		k.write(ctx, s, WriteRecord, Holder{}, now)
 	case m.WantsSuccessor(now) && next.Incarnation != record.Successor.Incarnation:
 		k.write(ctx, s, WriteSuccessor, next, now)
 	}
@@ -140,13 +141,15 @@
 		return
 	}
 	k.suspectOwner(s.machine, now)
-	if k.deps.StoreUp() {
-		k.write(ctx, s, WriteClaim, k.choose(s.shard), now)
-		return
-	}
+	// Without the store first, also when it seems to be up: it may have gone down a moment
+	// ago, and a claim that is not settled would leave the shard without an owner.
 	if s.machine.OwnerProvenHeld(now) {
 		s.machine.FollowUnrecorded(uuid.NewString(), now)
 		k.publish(s)
+		return
+	}
+	if k.deps.StoreUp() {
+		k.write(ctx, s, WriteClaim, k.choose(s.shard), now)
 	}
 }
 
--- a/spec/ownership.pml
+++ b/spec/ownership.pml
@@ -12,6 +12,7 @@
  *   -DBROKEN_GRANT   the successor grants while its own claim is not settled
  *   -DBROKEN_SOLE    a sole owner keeps its authority while it names a successor
  *   -DBROKEN_FOLLOW  the successor follows a dead owner without knowing that its grant held
+ *   -DBROKEN_STALE   a process claims a shard that it found free under an earlier record
  *   -DBROKEN_ANEW    a successor that is named again keeps the end of its old grant
  */
 #define NP    3
@@ -47,8 +48,13 @@
 byte outages = 0;
 byte deaths = 0, writes = 0, asks = 0;
 
+#ifdef EMPTY
+/* the store has no record yet */
+byte sEpoch = 0, sOwner = NONE, sSucc = NONE, sRev = 0;
+#else
 /* the record in the store: process 0 owns the shard and 1 is its successor */
 byte sEpoch = 1, sOwner = 0, sSucc = 1, sRev = 1;
+#endif
 
 /* what each process knows */
 byte kEpoch[NP], kOwner[NP] = NONE, kSucc[NP] = NONE, kRev[NP];
@@ -67,6 +73,9 @@
 /* successor */
 byte grantEnd[NP], lastEcho[NP], proven[NP];
 
+/* bystander: the record, by revision plus one, that was found free */
+byte found[NP];
+
 /* the write of each process */
 byte wState[NP], wEpoch[NP], wOwner[NP] = NONE, wSucc[NP] = NONE, wExpect[NP], wRev[NP];
 
@@ -110,6 +119,9 @@
 	wasOwner = (role[i_] == OWNER && kEpoch[i_] == e_);
 	wasSucc = (role[i_] == SUCCESSOR && kEpoch[i_] == e_);
 	kEpoch[i_] = e_; kOwner[i_] = o_; kSucc[i_] = s_; kRev[i_] = r_;
+#ifndef BROKEN_STALE
+	found[i_] = 0;
+#endif
 	if
 	:: o_ == i_ ->
 		role[i_] = OWNER;
@@ -145,6 +157,12 @@
 
 #define PENDING(i) (wState[i] != IDLE)
 
+#ifdef BROKEN_STALE
+#define FOUNDFREE(i) (found[i] != 0)
+#else
+#define FOUNDFREE(i) (found[i] == kRev[i] + 1)
+#endif
+
 #ifdef BROKEN_GRANT
 #define MAYGRANT(i) true
 #else
@@ -239,9 +257,14 @@
 		kEpoch[i]++; kOwner[i] = i; kSucc[i] = NONE;
 		role[i] = OWNER; clearOwner(i); clearSuccessor(i); sole[i] = true }
 
-	/* a claim of a bystander: no record, or proof that both holders have ended */
-	:: atomic { !dead[i] && role[i] == BYSTANDER && !PENDING(i) && writes < MAXWRITES &&
+	/* Keeper.probeHolders: no record, or proof that both holders have ended */
+	:: atomic { !dead[i] && role[i] == BYSTANDER && !PENDING(i) && found[i] == 0 &&
 		(kOwner[i] == NONE || (dead[kOwner[i]] && (kSucc[i] == NONE || dead[kSucc[i]]))) ->
+		found[i] = kRev[i] + 1 }
+
+	/* Keeper.actAsBystander: a claim under the record that was found free */
+	:: atomic { !dead[i] && role[i] == BYSTANDER && !PENDING(i) && writes < MAXWRITES && FOUNDFREE(i) ->
+		found[i] = 0;
 		if
 		:: c = (i + 1) % NP
 		:: c = (i + 2) % NP
@@ -313,7 +336,9 @@
 
 init {
 	atomic {
+#ifndef EMPTY
 		kEpoch[0] = 1; kOwner[0] = 0; kSucc[0] = 1; kRev[0] = 1; role[0] = OWNER; since[0] = 1; lastAsk[0] = 1;
+#endif
 		run Store(); run Clock(); run Process(0); run Process(1); run Process(2)
 	}
 }
--- a/test/e2e/failure_test.go
+++ b/test/e2e/failure_test.go
@@ -174,6 +174,18 @@
 		t.finish()
 	})
 
+	ginkgo.It("lets a successor follow an owner that stops as planned in a store outage", func() {
+		first, other := owner("north")
+		c.fault("store", standin.StoreFaults{Down: true})
+		c.entries[first].signal(syscall.SIGTERM)
+		Eventually(c.entries[first].exited, generous).Should(BeClosed())
+		Eventually(ownedBy(other), generous).Should(Equal(other))
+		Eventually(t.okSince("north", time.Now()), generous).Should(BeTrue())
+		c.fault("store", standin.StoreFaults{})
+		c.start(first)
+		t.finish()
+	})
+
 	ginkgo.It("hands shards over on a planned stop without cutting a request", func() {
 		first, other := owner("north")
 		c.entries[first].signal(syscall.SIGTERM)
