--- a/pkg/entry/calls.go
+++ b/pkg/entry/calls.go
@@ -15,7 +15,6 @@
 	"foldarch.dev/foldarch/pkg/result"
 	"foldarch.dev/foldarch/pkg/routing"
 	"foldarch.dev/foldarch/pkg/settings"
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/ogen-go/ogen/ogenerrors"
@@ -186,70 +185,6 @@
 	return time.Unix(sec, nsec)
 }
 
-// SubmitBatch keeps a batch request.
-func (h *handler) SubmitBatch(ctx context.Context, req *entryapi.BatchRequest, params entryapi.SubmitBatchParams) (*entryapi.BatchStatus, error) {
-	w, layout, err := h.p.workload(req.Workload, settings.KindBatch)
-	if err != nil {
-		return nil, err
-	}
-	home, ok := batchHome(w, layout, params.FoldarchCaller, params.IdempotencyKey)
-	if !ok {
-		return nil, result.New(result.NoEndpoint, "no hall satisfies the place rule of %s", w.Name)
-	}
-	a := h.p.forward(ctx, peer.Request{
-		Kind: peer.BatchSubmit, Shard: home, Service: w.Name, Caller: params.FoldarchCaller,
-		Key: params.IdempotencyKey, TimeLeft: w.TimeLimit, Body: []byte(req.Payload),
-	})
-	h.p.count("batches", a.Code)
-	return batchStatus(a)
-}
-
-// batchHome is the shard that keeps and runs a batch request: a key that begins with a
-// hall's name stays in that hall, any other is spread over the halls that are allowed.
-func batchHome(w settings.Workload, layout cell.Layout, caller, key string) (cell.ShardID, bool) {
-	var allowed []cell.ShardID
-	prefix, _, _ := strings.Cut(key, "/")
-	for _, id := range layout.Shards() {
-		h, _ := layout.Hall(id.Hall)
-		if ok, _ := w.Place.AllowsHall(h); !ok {
-			continue
-		}
-		if string(id.Hall) == prefix {
-			return layout.ShardOf(id.Hall, caller+"/"+key)
-		}
-		allowed = append(allowed, id)
-	}
-	if len(allowed) == 0 {
-		return cell.ShardID{}, false
-	}
-	return allowed[xxhash.Sum64String(caller+"/"+key)%uint64(len(allowed))], true
-}
-
-// ReadBatch tells how far a batch request is, and its result.
-func (h *handler) ReadBatch(ctx context.Context, params entryapi.ReadBatchParams) (*entryapi.BatchStatus, error) {
-	home, err := batchShard(params.ID)
-	if err != nil {
-		return nil, err
-	}
-	return batchStatus(h.p.forward(ctx, peer.Request{
-		Kind: peer.BatchRead, Shard: home, Caller: params.FoldarchCaller, ID: params.ID, TimeLeft: storeCallTimeout,
-	}))
-}
-
-func batchStatus(a peer.Answer) (*entryapi.BatchStatus, error) {
-	if a.Code != result.OK {
-		return nil, problemOf(a)
-	}
-	s := &entryapi.BatchStatus{ID: a.ID, State: entryapi.BatchStatusState(a.State)}
-	if a.Worker != "" {
-		s.Worker = entryapi.NewOptString(a.Worker)
-	}
-	if len(a.Body) > 0 {
-		s.Result = entryapi.NewOptString(string(a.Body))
-	}
-	return s, nil
-}
-
 // count counts answers by code, such as calls.overloaded.
 func (p *Process) count(what string, code result.Code) {
 	metrics.GetOrRegisterCounter(what+"."+code.String(), p.registry).Inc(1)
--- a/pkg/entry/operator.go
+++ b/pkg/entry/operator_queries.go
@@ -7,7 +7,6 @@
 	"slices"
 	"strings"
 
-	"foldarch.dev/foldarch/pkg/batch"
 	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/entry/entryapi"
 	"foldarch.dev/foldarch/pkg/members"
@@ -16,14 +15,6 @@
 	"foldarch.dev/foldarch/pkg/shard"
 )
 
-func batchShard(id string) (cell.ShardID, error) {
-	home, err := batch.ID(id).Shard()
-	if err != nil {
-		return cell.ShardID{}, result.New(result.UnknownBatch, "%v", err)
-	}
-	return home, nil
-}
-
 // ReadCellStatus tells of this process, the shards of its hall and the members it knows.
 func (h *handler) ReadCellStatus(context.Context) (*entryapi.ProcessStatus, error) {
 	p := h.p
@@ -145,38 +136,3 @@
 	}
 	return peer.Answer{Code: result.OK, Body: text}
 }
-
-// Drain makes a worker, or this entry host, leave.
-func (h *handler) Drain(ctx context.Context, req *entryapi.DrainTarget) (*entryapi.DrainTarget, error) {
-	p := h.p
-	if req.Kind == entryapi.DrainTargetKindEntry {
-		if req.ID != p.cfg.ID {
-			return nil, result.New(result.UnknownTarget, "this is %s; send the command to %s itself", p.cfg.ID, req.ID)
-		}
-		p.stopRequested()
-		return req, nil
-	}
-	id, err := p.shardOfWorker(req.ID)
-	if err != nil {
-		return nil, err
-	}
-	a := p.forward(ctx, peer.Request{Kind: peer.Drain, Shard: id, ID: req.ID, TimeLeft: storeCallTimeout})
-	if a.Code != result.OK {
-		return nil, problemOf(a)
-	}
-	return req, nil
-}
-
-func (p *Process) shardOfWorker(worker string) (cell.ShardID, error) {
-	_, _, tree := p.settings.current()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, host := range p.hosts {
-		if host.Worker && host.ID == worker && tree != nil {
-			if id, ok := tree.Layout.ShardOf(host.Hall, host.ID); ok {
-				return id, nil
-			}
-		}
-	}
-	return cell.ShardID{}, result.New(result.UnknownTarget, "the host list has no worker %s", worker)
-}
--- a/pkg/replay/keys.go
+++ b/pkg/replay/keys.go
@@ -6,6 +6,7 @@
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/keys"
 	"foldarch.dev/foldarch/pkg/result"
+	"github.com/cockroachdb/errors"
 )
 
 // use is one arrival of a key; times are milliseconds of the trace.
@@ -18,6 +19,9 @@
 	Limit  int64  `json:"limit"`
 }
 
+// errNoKey is the fault of an answer to a key that was not used.
+var errNoKey = errors.New("the key is not in use")
+
 type end struct {
 	Caller string `json:"caller"`
 	Key    string `json:"key"`
--- a/pkg/replay/placement.go
+++ b/pkg/replay/placement.go
@@ -5,7 +5,6 @@
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/placement"
 	"foldarch.dev/foldarch/pkg/settings"
-	"github.com/cockroachdb/errors"
 )
 
 // amount is [processors in thousandths, memory in MB, accelerators].
@@ -97,6 +96,3 @@
 		p.print(now, "waiting=%d", u.Waiting)
 	}
 }
-
-// errNoKey is the fault of an answer to a key that was not used.
-var errNoKey = errors.New("the key is not in use")
