--- a/pkg/entry/membership.go
+++ b/pkg/entry/membership.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/dialer"
 	"foldarch.dev/foldarch/pkg/members"
 	"foldarch.dev/foldarch/pkg/ownership"
@@ -40,21 +41,14 @@
 
 // exchangeBeats is the duty that keeps the table of members.
 func (p *Process) exchangeBeats(ctx context.Context) {
-	ticker := time.NewTicker(beatTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	clock.Every(ctx, beatTick, func() {
 		p.mu.Lock()
 		due := p.table.Due(p.clk.Now())
 		p.mu.Unlock()
 		for _, address := range due {
 			p.duties.Go(func() { p.beat(ctx, address) })
 		}
-	}
+	})
 }
 
 func (p *Process) beat(ctx context.Context, address netip.AddrPort) {
--- a/pkg/ownership/keeper.go
+++ b/pkg/ownership/keeper.go
@@ -89,17 +89,8 @@
 
 // Run drives the machines until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
-	t := time.NewTicker(tickEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			k.duties.Wait()
-			return
-		case <-t.C:
-			k.Step(ctx)
-		}
-	}
+	clock.Every(ctx, tickEvery, func() { k.Step(ctx) })
+	k.duties.Wait()
 }
 
 // Step looks at every machine once and starts what is due.
--- a/pkg/shard/call.go
+++ b/pkg/shard/call.go
@@ -332,19 +332,12 @@
 
 // expire is the duty that refuses requests whose deadline has come.
 func (e *Engine) expire(ctx context.Context) {
-	ticker := time.NewTicker(expireEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	clock.Every(ctx, expireEvery, func() {
 		e.mu.Lock()
+		defer e.mu.Unlock()
 		e.decideAll(e.router.Expire(e.now()))
 		e.decideAll(e.router.PullAll(e.now()))
-		e.mu.Unlock()
-	}
+	})
 }
 
 // refuseWaiting tells all waiting requests that they were not run.
--- a/pkg/shard/health.go
+++ b/pkg/shard/health.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/endpoint"
 )
 
@@ -23,18 +24,11 @@
 
 // watchHealth is the duty that asks endpoints in doubt what they run.
 func (e *Engine) watchHealth(ctx context.Context) {
-	ticker := time.NewTicker(healthEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	clock.Every(ctx, healthEvery, func() {
 		for _, d := range e.doubts() {
 			e.askHealth(ctx, d)
 		}
-	}
+	})
 }
 
 // doubts lists the endpoints to ask; none while a request of the former owner may still
--- a/pkg/shard/removal.go
+++ b/pkg/shard/removal.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"foldarch.dev/foldarch/pkg/batch"
+	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/settings"
 	"foldarch.dev/foldarch/pkg/store"
 	"github.com/cockroachdb/errors"
@@ -23,16 +24,7 @@
 // removeSegments is the duty that removes batch segments of which every request ended
 // longer ago than its window.
 func (e *Engine) removeSegments(ctx context.Context) {
-	ticker := time.NewTicker(removeEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		e.removeOne(ctx)
-	}
+	clock.Every(ctx, removeEvery, func() { e.removeOne(ctx) })
 }
 
 func (e *Engine) removeOne(ctx context.Context) {
