Read the whole change once more: one loop for services, fewer steps on hot paths

- submitServicesOnly and submitDesired had the same loop; one function serves both.
- The stand-ins' tick and the watch over a forwarded call use clock.Every.
- The tests of Machine share the pair that four of them built.

No behaviour is meant to change.

--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -9,6 +9,7 @@
 
 	"foldarch.dev/foldarch/pkg/batch"
 	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/dialer"
 	"foldarch.dev/foldarch/pkg/keys"
 	"foldarch.dev/foldarch/pkg/peer"
@@ -63,26 +64,21 @@
 func (p *Process) forwardTo(ctx context.Context, address netip.AddrPort, r peer.Request) (peer.Answer, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go p.cancelWhenReplaced(ctx, cancel, address, r.Shard)
+	// Most calls end before the timer, and cost no more than that.
+	watch := time.AfterFunc(replacedEvery, func() { p.cancelWhenReplaced(ctx, cancel, address, r.Shard) })
+	defer watch.Stop()
 	return p.peers.Forward(ctx, address, r)
 }
 
 // cancelWhenReplaced ends a call to an owner a moment after another process has become
 // the owner: the answer that the former one may still give is on its way by then.
 func (p *Process) cancelWhenReplaced(ctx context.Context, cancel context.CancelFunc, address netip.AddrPort, id cell.ShardID) {
-	ticker := time.NewTicker(replacedEvery)
-	defer ticker.Stop()
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	clock.Every(ctx, replacedEvery, func() {
 		if now, ok := p.addressOf(id); ok && now != address {
 			sleep(ctx, replacedGrace)
 			cancel()
 		}
-	}
+	})
 }
 
 func refused(code result.Code, message string) peer.Answer {
--- a/pkg/ownership/keeper_actions.go
+++ b/pkg/ownership/keeper_actions.go
@@ -48,13 +48,19 @@
 	if s.writing || !k.deps.StoreUp() {
 		return
 	}
-	next := k.choose(s.shard)
-	record, _ := m.Record()
 	switch {
 	case m.Unrecorded() && !m.Pending():
 		// Nobody is named yet: a sole owner keeps its authority while this is not settled.
 		k.write(ctx, s, WriteRecord, Holder{}, now)
-	case m.WantsSuccessor(now) && next.Incarnation != record.Successor.Incarnation:
+	case m.WantsSuccessor(now):
+		k.replaceSuccessor(ctx, s, now)
+	}
+}
+
+// replaceSuccessor names another successor, or none, when the one named is not the best.
+func (k *Keeper) replaceSuccessor(ctx context.Context, s *shardKeeper, now clock.Time) {
+	record, _ := s.machine.Record()
+	if next := k.choose(s.shard); next.Incarnation != record.Successor.Incarnation {
 		k.write(ctx, s, WriteSuccessor, next, now)
 	}
 }
--- a/pkg/ownership/machine_test.go
+++ b/pkg/ownership/machine_test.go
@@ -19,6 +19,17 @@
 	return clock.Time(0).Add(time.Duration(grants * float64(DefaultTerms.Grant)))
 }
 
+// firstRecord names alpha as owner and beta as its successor.
+var firstRecord = Record{Epoch: 1, Owner: alpha, Successor: beta, WriteID: "1"}
+
+// newPair returns an owner and its successor that have both seen firstRecord.
+func newPair() (owner, successor *Machine) {
+	owner, successor = NewMachine(alpha, DefaultTerms), NewMachine(beta, DefaultTerms)
+	owner.Observe(firstRecord, 1, 0)
+	successor.Observe(firstRecord, 1, 0)
+	return owner, successor
+}
+
 // granted exchanges one ask and its answer at one moment.
 func granted(g *WithT, owner, successor *Machine, now clock.Time) {
 	ask, due := owner.NextAsk(now)
@@ -41,10 +52,7 @@
 
 func TestOwnerHasAuthorityForOneTermFromItsAsk(t *testing.T) {
 	g := NewWithT(t)
-	record := Record{Epoch: 1, Owner: alpha, Successor: beta, WriteID: "1"}
-	owner, successor := NewMachine(alpha, DefaultTerms), NewMachine(beta, DefaultTerms)
-	owner.Observe(record, 1, 0)
-	successor.Observe(record, 1, 0)
+	owner, successor := newPair()
 	g.Expect(owner.AuthorityUntil()).To(BeZero())
 	ask, due := owner.NextAsk(10)
 	g.Expect(due).To(BeTrue())
@@ -55,16 +63,13 @@
 
 func TestNothingIsGrantedWhileAClaimIsNotSettled(t *testing.T) {
 	g := NewWithT(t)
-	record := Record{Epoch: 1, Owner: alpha, Successor: beta, WriteID: "1"}
-	owner, successor := NewMachine(alpha, DefaultTerms), NewMachine(beta, DefaultTerms)
-	owner.Observe(record, 1, 0)
-	successor.Observe(record, 1, 0)
+	_, successor := newPair()
 	now := after(2)
 	g.Expect(successor.GrantLapsed(now)).To(BeTrue())
 	claim, expect := successor.BeginWrite(WriteClaim, gamma, "2", now)
 	g.Expect(claim.Epoch).To(BeEquivalentTo(2))
 	g.Expect(expect).To(BeEquivalentTo(1))
-	ask := Ask{Epoch: 1, Owner: alpha, Record: record, Revision: 1, Sent: now}
+	ask := Ask{Epoch: 1, Owner: alpha, Record: firstRecord, Revision: 1, Sent: now}
 	g.Expect(successor.Grant(ask, now).Granted).To(BeFalse())
 	successor.Settle(NoEffect, Record{}, 0, now)
 	g.Expect(successor.Grant(ask, now).Granted).To(BeTrue())
@@ -108,10 +113,7 @@
 
 func TestSuccessorFollowsWithoutTheStoreOnlyWhileTheGrantIsKnownToHold(t *testing.T) {
 	g := NewWithT(t)
-	record := Record{Epoch: 1, Owner: alpha, Successor: beta, WriteID: "1"}
-	owner, successor := NewMachine(alpha, DefaultTerms), NewMachine(beta, DefaultTerms)
-	owner.Observe(record, 1, 0)
-	successor.Observe(record, 1, 0)
+	owner, successor := newPair()
 	now := clock.Time(10)
 	g.Expect(successor.OwnerProvenHeld(now)).To(BeFalse())
 	for range 3 {
@@ -128,10 +130,7 @@
 
 func TestOwnerReplacesASilentSuccessorOnlyAfterTheSilence(t *testing.T) {
 	g := NewWithT(t)
-	owner, successor := NewMachine(alpha, DefaultTerms), NewMachine(beta, DefaultTerms)
-	record := Record{Epoch: 1, Owner: alpha, Successor: beta, WriteID: "1"}
-	owner.Observe(record, 1, 0)
-	successor.Observe(record, 1, 0)
+	owner, successor := newPair()
 	granted(g, owner, successor, 10)
 	var lastAsk, replaced clock.Time
 	for now := clock.Time(20); replaced == 0 && now < after(10); now += 50 {
--- a/pkg/shard/tasks.go
+++ b/pkg/shard/tasks.go
@@ -50,9 +50,12 @@
 // submitDesired lets the service tasks that run nowhere wait for a place. Before a new
 // owner knows what runs, it must not start anything that may run already.
 func (e *Engine) submitDesired() {
-	if !e.recovery.settled {
-		return
+	if e.recovery.settled {
+		e.submitServices()
 	}
+}
+
+func (e *Engine) submitServices() {
 	for id, w := range e.desired {
 		e.placer.Submit(taskOf(w, id), e.now())
 	}
@@ -141,7 +144,7 @@
 		return
 	}
 	if !r.batchesIn {
-		e.submitServicesOnly()
+		e.submitServices() // what services lack needs no word from the store
 		return
 	}
 	r.settled = true
@@ -152,14 +155,6 @@
 	}
 }
 
-// submitServicesOnly starts what services lack while the store can't tell of the batch
-// requests.
-func (e *Engine) submitServicesOnly() {
-	for id, w := range e.desired {
-		e.placer.Submit(taskOf(w, id), e.now())
-	}
-}
-
 func (e *Engine) allReported() bool {
 	for _, w := range e.workers {
 		if !w.reported {
--- a/pkg/standin/farm.go
+++ b/pkg/standin/farm.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/store"
 	"foldarch.dev/foldarch/pkg/store/storeapi"
 	"github.com/cockroachdb/errors"
@@ -194,17 +195,10 @@
 }
 
 func (f *Farm) tick(ctx context.Context) {
-	t := time.NewTicker(tickEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	clock.Every(ctx, tickEvery, func() {
 		f.Store.Tick()
 		for _, w := range f.Workers {
 			w.Tick()
 		}
-	}
+	})
 }
