--- a/Makefile
+++ b/Makefile
@@ -26,8 +26,8 @@
 	$(TOOLS)/ogen --target pkg/worker/workerapi --package workerapi --clean api/worker.yaml
 	$(TOOLS)/ogen --target pkg/entry/entryapi --package entryapi --clean api/callers.yaml
 	PATH=$(TOOLS):$$PATH protoc --go_out=. --go_opt=module=foldarch.dev/foldarch \
-		--go-drpc_out=. --go-drpc_opt=module=foldarch.dev/foldarch api/peer.proto
-	gofmt -w pkg/store/storeapi pkg/worker/workerapi pkg/entry/entryapi pkg/peer/peerpb
+		--go-drpc_out=. --go-drpc_opt=module=foldarch.dev/foldarch api/peer.proto api/pool.proto
+	gofmt -w pkg/store/storeapi pkg/worker/workerapi pkg/entry/entryapi pkg/peer/peerpb pkg/poolrpc/poolpb
 
 check: tools
 	./.ci/check
--- a/cmd/foldarch-entry/main.go
+++ b/cmd/foldarch-entry/main.go
@@ -9,5 +9,5 @@
 )
 
 func main() {
-	os.Exit(entry.Main(os.Args[1:], os.Stderr))
+	os.Exit(entry.Main(os.Args[1:], os.Stdout, os.Stderr))
 }
--- /dev/null
+++ b/pkg/dispatch/advice.go
@@ -0,0 +1,279 @@
+package dispatch
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"foldarch.dev/foldarch/pkg/clock"
+)
+
+const (
+	// maxNamed is how many workers a call names at most.
+	maxNamed = 100
+	// longAsk is the length of a call from which it must leave some processes free for
+	// short ones.
+	longAsk = 150 * time.Millisecond
+	// spareForShort is how many processes long calls leave free.
+	spareForShort = 2
+	// askSlack is how much longer than it should a call may take.
+	askSlack = 300 * time.Millisecond
+	// askAgain is the least time between two calls for a step.
+	askAgain = 60 * time.Millisecond
+	// surplus is by how much the expected room of named workers exceeds the need.
+	surplus = 1.4
+	// firstRate is the share of allowed workers that is assumed of a queue at first.
+	firstRate = 0.5
+	// rateWeight is the weight of a new answer in a queue's rate.
+	rateWeight = 0.15
+)
+
+// stepAdvice is what is known of the workers that may run a step. Which ones may does not
+// change, but tickets lapse.
+type stepAdvice struct {
+	good      map[WorkerID]bool
+	denied    map[WorkerID]bool
+	tickets   map[WorkerID]ticket
+	pending   *pendingAsk
+	notBefore clock.Time
+}
+
+type ticket struct {
+	text  string
+	until clock.Time
+}
+
+type pendingAsk struct {
+	ask    Ask
+	step   *step // nil when the answer is of no use any more
+	known  int   // how many of the named were known to be allowed; they come first
+	sentAt clock.Time
+	cost   time.Duration
+	queue  string
+}
+
+// advisers are the processes that make calls for advice, one at a time each.
+type advisers struct {
+	idle   map[string]bool
+	asks   map[int64]*pendingAsk
+	last   int64
+	long   int
+	rates  map[string]float64
+	offset int // shifts which of like workers are named
+}
+
+func newAdvisers() advisers {
+	return advisers{idle: map[string]bool{}, asks: map[int64]*pendingAsk{}, rates: map[string]float64{}}
+}
+
+// PutAdviser takes in a process that can make calls for advice.
+func (p *Pool) PutAdviser(name string) {
+	p.advice.idle[name] = true
+}
+
+// RemoveAdviser takes in that a process can't be reached any more.
+func (p *Pool) RemoveAdviser(name string, now clock.Time) {
+	for n, a := range p.advice.asks {
+		if a.ask.Adviser == name {
+			p.AdviceAnswered(n, nil, false, now)
+		}
+	}
+	delete(p.advice.idle, name)
+}
+
+// ask has advice called for, if a step needs it and a process is free for the call.
+func (p *Pool) ask(s *step, reserved reservations, now clock.Time, out *Actions) {
+	q := s.time.job.queue
+	if q.Advice == nil || s.advice.pending != nil || now < s.advice.notBefore || s.time.job.outcome != "" {
+		return
+	}
+	adviser := p.idleAdviser()
+	if adviser == "" {
+		return
+	}
+	named, known := p.name(s, reserved, now)
+	if len(named) == 0 {
+		return
+	}
+	cost := q.Advice.Of(len(named))
+	if cost >= longAsk && p.advice.long >= max(1, len(p.advice.idle)-spareForShort) {
+		return
+	}
+	p.advice.last++
+	a := &pendingAsk{step: s, known: known, sentAt: now, cost: cost, queue: q.Name, ask: Ask{
+		Number: p.advice.last, Step: s.id(), Workers: named, Adviser: adviser, Limit: cost + cost/2 + askSlack,
+	}}
+	if cost >= longAsk {
+		p.advice.long++
+	}
+	p.advice.idle[adviser] = false
+	p.advice.asks[a.ask.Number] = a
+	s.advice.pending = a
+	out.Asks = append(out.Asks, a.ask)
+}
+
+func (p *Pool) idleAdviser() string {
+	best := ""
+	for name, idle := range p.advice.idle {
+		if idle && (best == "" || name < best) {
+			best = name
+		}
+	}
+	return best
+}
+
+// name lists the workers to name in a call: those known to be allowed whose tickets have
+// lapsed, and as many others as are likely to have room for what waits.
+func (p *Pool) name(s *step, reserved reservations, now clock.Time) (named []WorkerID, nKnown int) {
+	need := float64(s.waiting())
+	rate := p.rate(s.time.job.queue.Name)
+	var known, others []*worker
+	for id, w := range p.workers {
+		if !p.eligible(s, w, now) || reserved.holds(id, s.time.job.queue.Priority) || s.advice.denied[id] {
+			continue
+		}
+		n := fits(s, w)
+		if n == 0 {
+			continue
+		}
+		switch {
+		case now.Add(ticketMargin) < s.advice.tickets[id].until:
+			need -= float64(n)
+		case s.advice.good[id]:
+			known = append(known, w)
+		default:
+			others = append(others, w)
+		}
+	}
+	if need <= 0 {
+		return nil, 0
+	}
+	need *= surplus
+	named, expected := take(s, known, nil, need, 1)
+	nKnown = len(named)
+	named, more := take(s, p.shuffled(s, others), named, need-expected, rate)
+	if expected += more; s.spec.Gang && expected < float64(s.waiting()) && len(s.advice.denied) > 0 {
+		return nil, 0 // room for all is not to be expected yet
+	}
+	return named, nKnown
+}
+
+// shuffled orders workers by room, and those with the same room in changing order, so that
+// steps that ask at the same moment name different ones.
+func (p *Pool) shuffled(s *step, workers []*worker) []*worker {
+	slices.SortFunc(workers, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	if n := len(workers); n > 0 {
+		p.advice.offset += 7
+		at := p.advice.offset % n
+		workers = append(slices.Clone(workers[at:]), workers[:at]...)
+	}
+	if s.spec.Gang || s.waiting() > 3 {
+		slices.SortStableFunc(workers, func(a, b *worker) int { return cmp.Compare(fits(s, b), fits(s, a)) })
+	}
+	return workers
+}
+
+// take names workers until the room that is expected of them suffices.
+func take(s *step, workers []*worker, named []WorkerID, need, rate float64) ([]WorkerID, float64) {
+	expected := 0.0
+	for _, w := range workers {
+		if expected >= need || len(named) >= maxNamed {
+			break
+		}
+		named = append(named, w.info.ID)
+		expected += rate * math.Min(float64(fits(s, w)), need)
+	}
+	return named, expected
+}
+
+func (p *Pool) rate(queueName string) float64 {
+	if r, ok := p.advice.rates[queueName]; ok {
+		return max(r, 0.05)
+	}
+	return firstRate
+}
+
+// AdviceAnswered takes in the answer of a call for advice, or that it failed.
+func (p *Pool) AdviceAnswered(number int64, tickets []Ticket, ok bool, now clock.Time) {
+	a, known := p.advice.asks[number]
+	if !known {
+		return
+	}
+	delete(p.advice.asks, number)
+	if _, there := p.advice.idle[a.ask.Adviser]; there {
+		p.advice.idle[a.ask.Adviser] = true
+	}
+	if a.cost >= longAsk {
+		p.advice.long--
+	}
+	if ok {
+		p.learnRate(a, tickets)
+	}
+	s := a.step
+	if s == nil || s.advice.pending != a {
+		return
+	}
+	s.advice.pending = nil
+	s.advice.notBefore = now.Add(askAgain)
+	if ok {
+		s.advice.learn(a, tickets, s.time.job.queue.Advice.Validity)
+	}
+}
+
+// learnRate takes the share of allowed workers among those named for the first time.
+func (p *Pool) learnRate(a *pendingAsk, tickets []Ticket) {
+	fresh := a.ask.Workers[a.known:]
+	if len(fresh) == 0 {
+		return
+	}
+	allowed := 0
+	for _, t := range tickets {
+		if slices.Contains(fresh, t.Worker) {
+			allowed++
+		}
+	}
+	share := float64(allowed) / float64(len(fresh))
+	p.advice.rates[a.queue] = p.rate(a.queue)*(1-rateWeight) + share*rateWeight
+}
+
+// learn keeps what a call told. The tickets hold from when the service gave them, which it
+// did not do before the call had taken its time.
+func (s *stepAdvice) learn(a *pendingAsk, tickets []Ticket, validity time.Duration) {
+	if s.good == nil {
+		s.good, s.denied, s.tickets = map[WorkerID]bool{}, map[WorkerID]bool{}, map[WorkerID]ticket{}
+	}
+	for _, id := range a.ask.Workers {
+		s.denied[id] = true
+	}
+	until := a.sentAt.Add(a.cost + validity)
+	for _, t := range tickets {
+		delete(s.denied, t.Worker)
+		s.good[t.Worker] = true
+		s.tickets[t.Worker] = ticket{t.Text, until}
+	}
+}
+
+// dropAsk makes the answer of a step's pending call useless.
+func (p *Pool) dropAsk(s *step) {
+	if a := s.advice.pending; a != nil {
+		a.step = nil
+		s.advice.pending = nil
+	}
+}
+
+// expireAsks gives up calls whose answers do not come.
+func (p *Pool) expireAsks(now clock.Time) {
+	const grace = 500 * time.Millisecond
+	for n, a := range p.advice.asks {
+		if now.Sub(a.sentAt) > a.ask.Limit+grace {
+			p.AdviceAnswered(n, nil, false, now)
+		}
+	}
+}
+
+func isNotSent(err error) bool {
+	return errors.Is(err, ErrNotSent)
+}
--- /dev/null
+++ b/pkg/dispatch/commit.go
@@ -0,0 +1,137 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"foldarch.dev/foldarch/pkg/job"
+)
+
+// Change is what the store has to be told of one job.
+type Change struct {
+	Job job.ID
+	// Outcome is set when the job has ended; otherwise Progress is to be kept.
+	Outcome  job.State
+	Progress job.Progress
+	// Stored says that the store has progress of the job, to be removed with its end.
+	Stored bool
+}
+
+// Commit is what has to be written before ends may be forgotten by the workers.
+type Commit struct {
+	Changes []Change
+	seen    map[*worker]int64
+}
+
+// TakeCommit returns what changed since the last one; it is empty when nothing did.
+func (p *Pool) TakeCommit() Commit {
+	c := Commit{seen: map[*worker]int64{}}
+	for j := range p.dirty {
+		c.Changes = append(c.Changes, p.changeOf(j))
+	}
+	clear(p.dirty)
+	slices.SortFunc(c.Changes, func(a, b Change) int { return cmp.Compare(a.Job, b.Job) })
+	for _, w := range p.workers {
+		if w.seen > w.noted {
+			c.seen[w] = w.seen
+		}
+	}
+	return c
+}
+
+// Empty says that there is nothing to write and nothing to note.
+func (c Commit) Empty() bool {
+	return len(c.Changes) == 0 && len(c.seen) == 0
+}
+
+// Committed takes in that the store has all changes of a commit.
+func (p *Pool) Committed(c Commit) {
+	for w, number := range c.seen {
+		w.noted = max(w.noted, number)
+	}
+	for _, change := range c.Changes {
+		j, ok := p.jobs[change.Job]
+		if !ok {
+			continue
+		}
+		if change.Outcome == "" {
+			j.stored = true
+			continue
+		}
+		j.committed = true
+		p.outcomes[change.Job] = change.Outcome
+		p.forgetIfIdle(j)
+	}
+}
+
+// Noted says whether all ends that a worker has reported are committed.
+func (p *Pool) Noted(id WorkerID) bool {
+	w, ok := p.workers[id]
+	return !ok || w.noted == w.seen
+}
+
+func (p *Pool) changeOf(j *jobState) Change {
+	c := Change{Job: j.job.ID, Outcome: j.outcome, Stored: j.stored}
+	if j.outcome == "" {
+		c.Progress = progressOf(j)
+		j.stored = true
+	}
+	return c
+}
+
+func progressOf(j *jobState) job.Progress {
+	var out job.Progress
+	for _, t := range j.times {
+		if t == nil {
+			continue
+		}
+		for _, s := range t.steps {
+			for i := range s.tasks {
+				x := &s.tasks[i]
+				if !x.done && x.failures == 0 && x.lastEnded == 0 {
+					continue
+				}
+				row := job.TaskProgress{
+					Time: t.index, Step: s.index, Index: i, Done: x.done, Failures: x.failures, LastRun: x.lastEnded,
+				}
+				if !x.done {
+					row.Checkpoint = x.checkpoint
+				}
+				out.Tasks = append(out.Tasks, row)
+			}
+		}
+	}
+	return out
+}
+
+// takeProgress takes in what a former owner kept of a job.
+func (p *Pool) takeProgress(j *jobState, progress job.Progress) {
+	for _, row := range progress.Tasks {
+		id := job.TaskID{StepID: job.StepID{Job: j.job.ID, Time: row.Time, Step: row.Step}, Index: row.Index}
+		t := p.task(id)
+		if t == nil {
+			continue
+		}
+		j.began = true
+		t.failures, t.lastEnded, t.checkpoint = row.Failures, row.LastRun, row.Checkpoint
+		t.lastRun = max(t.lastRun, row.LastRun)
+		t.step.gang.number = max(t.step.gang.number, row.LastRun)
+		t.step.gang.failed = max(t.step.gang.failed, row.LastRun)
+		if row.Done && !t.done {
+			t.done = true
+			t.step.done++
+		}
+	}
+	for _, t := range j.times {
+		if t == nil {
+			continue
+		}
+		t.left = 0
+		for _, s := range t.steps {
+			if !s.finished() {
+				t.left++
+			}
+		}
+		p.updateReady(t)
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/doc.go
@@ -0,0 +1,35 @@
+// Package dispatch decides, for the owner of a pool, which task of which job starts on
+// which worker, and what the reports of workers mean for the jobs.
+//
+// The package is pure: events with a clock reading go in, and Plan gives the actions to be
+// carried out. It is not safe for concurrent use; package poolowner drives it.
+//
+// # What is certain about a run
+//
+// A run counts against its worker's room from the moment its start is decided until the
+// worker has listed its end, or it is certain that it can't run:
+//
+//   - the start was rejected, or was never sent;
+//   - a hold with a higher fencing token was answered after the start, and lists the run
+//     neither as active nor as finished (a call with a lower token does nothing any more);
+//   - the worker's incarnation is gone;
+//   - the latest deadline that was ever sent to the worker has passed on its clock.
+//
+// Only then may the task start elsewhere, so no task runs twice.
+//
+// # Taking over
+//
+// A new owner first raises the fence on every worker and adopts what their reports list.
+// While a worker has not answered, jobs that a former owner may have known keep waiting,
+// until everything that owner can have started there has lapsed (takeover.go).
+//
+// # Usage
+//
+//	p := dispatch.New(cfg)
+//	p.PutWorker(info, now)
+//	p.AddJob(record, progress, now)
+//	actions := p.Plan(now)
+//	// carry them out; tell the answers: p.StartAnswered(…), p.HoldAnswered(…)
+//	commit := p.TakeCommit()
+//	// write it to the store, then p.Committed(commit)
+package dispatch
--- /dev/null
+++ b/pkg/dispatch/model.go
@@ -0,0 +1,174 @@
+package dispatch
+
+import (
+	"net/netip"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/job"
+	"github.com/cockroachdb/errors"
+)
+
+// ErrNotSent marks the failure of an order that certainly did not reach the worker.
+var ErrNotSent = errors.New("the order was not sent")
+
+// WorkerID names one incarnation of a worker.
+type WorkerID string
+
+// WorkerInfo is what a worker says of itself.
+type WorkerInfo struct {
+	ID       WorkerID
+	Pool     string
+	Address  netip.AddrPort
+	Zone     string
+	Rack     string
+	Labels   []string
+	Capacity cell.Resources
+	Draining bool
+	// Remaining is the least time that a draining worker has left; 0 when not told.
+	Remaining time.Duration
+}
+
+// Verdict is how a worker answered an order.
+type Verdict int
+
+// The verdicts.
+const (
+	VerdictUnknown          Verdict = iota // the outcome is not known
+	VerdictDone                            // carried out
+	VerdictFenced                          // the worker has seen a higher fencing token
+	VerdictOldRun                          // the run's number is not above an ended one
+	VerdictLate                            // the deadline has passed
+	VerdictNoRoom                          // the worker has no room
+	VerdictNoTicket                        // the ticket does not hold
+	VerdictOtherIncarnation                // another incarnation answers at the address
+	VerdictUnhealthy                       // the worker does nothing at present
+	VerdictOther                           // rejected for another reason
+)
+
+var verdictNames = [...]string{
+	"unknown", "done", "fenced", "old_run", "late", "no_room", "no_ticket", "other_incarnation", "unhealthy", "other",
+}
+
+// String returns the verdict's name for logs.
+func (v Verdict) String() string {
+	return verdictNames[v]
+}
+
+// Answer is a worker's answer to an order.
+type Answer struct {
+	Verdict Verdict
+	Clock   int64 // of the worker, in milliseconds; 0 when not told
+}
+
+// End is how a run ended.
+type End int
+
+// The ends of runs.
+const (
+	EndUnknown End = iota
+	EndDone
+	EndFailed
+	EndStopped
+	EndLapsed
+	EndBroken // another member of the gang ended
+	EndAlone  // the other members of the gang did not come
+	EndLost   // the worker's incarnation is gone, or its leases have lapsed unseen
+)
+
+var endNames = [...]string{"unknown", "done", "failed", "stopped", "lapsed", "broken", "alone", "lost"}
+
+// String returns the end's name for logs.
+func (e End) String() string {
+	return endNames[e]
+}
+
+// Active is a run that a worker lists as running.
+type Active struct {
+	Task       job.TaskID
+	Run        int
+	Checkpoint string
+	Percent    int
+}
+
+// Finished is an end that a worker lists.
+type Finished struct {
+	Number     int64 // rises within a life of the worker
+	Task       job.TaskID
+	Run        int
+	How        End
+	Checkpoint string
+}
+
+// Report is what a worker lists in answer to a hold.
+type Report struct {
+	Active   []Active
+	Finished []Finished
+}
+
+// Ticket allows a worker to run the tasks of a step.
+type Ticket struct {
+	Worker WorkerID
+	Text   string
+}
+
+// Start is an order to start a task.
+type Start struct {
+	Task       job.TaskID
+	Run        int
+	Worker     WorkerID
+	Address    netip.AddrPort
+	Token      int64
+	Spec       string
+	Checkpoint string
+	Ticket     string
+	Deadline   int64 // on the worker's clock, in milliseconds
+}
+
+// Stop is an order to stop a run.
+type Stop struct {
+	Task    job.TaskID
+	Run     int
+	Worker  WorkerID
+	Address netip.AddrPort
+	Token   int64
+}
+
+// Hold is an order to extend what runs on a worker and to report it.
+type Hold struct {
+	Worker   WorkerID
+	Address  netip.AddrPort
+	Token    int64
+	LastSeen int64
+	Deadline int64      // on the worker's clock; 0 when it is not known yet
+	SentAt   clock.Time // set by the caller of HoldFor
+}
+
+// Ask is a call for advice on which workers may run a step.
+type Ask struct {
+	Number  int64
+	Step    job.StepID
+	Workers []WorkerID
+	Adviser string // the process that makes the call
+	Limit   time.Duration
+}
+
+// Actions are what Plan wants done.
+type Actions struct {
+	Starts []Start
+	Stops  []Stop
+	Asks   []Ask
+	// Settles name workers that need a hold with a higher token at once.
+	Settles []WorkerID
+}
+
+// Event is a line for the log: something that was decided or learned.
+type Event struct {
+	Name   string
+	Task   job.TaskID
+	Job    job.ID
+	Run    int
+	Worker WorkerID
+	Detail string
+}
--- /dev/null
+++ b/pkg/dispatch/plan.go
@@ -0,0 +1,378 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+)
+
+const (
+	// resendStopAfter is how long the end of a stopped run may take before the stop is sent
+	// again.
+	resendStopAfter = 800 * time.Millisecond
+	// A run whose progress stands still for stuckAfter and stuckShare of its estimated time
+	// is stopped and started elsewhere.
+	stuckAfter = 1500 * time.Millisecond
+	stuckShare = 0.15
+	// almostDone is the progress in percent from which a run is left alone.
+	almostDone = 98
+)
+
+// Plan decides what is to be done now. Without authority nothing is started or asked for.
+func (p *Pool) Plan(now clock.Time, authority bool) Actions {
+	p.expireWorkers(now)
+	p.expireAsks(now)
+	p.settleTakeover(now)
+	for j := range p.timed {
+		p.openDueTimes(j)
+	}
+	var out Actions
+	if authority {
+		p.place(now, &out)
+	}
+	p.takeStops(now, &out)
+	for _, w := range p.settles {
+		if !w.gone {
+			out.Settles = append(out.Settles, w.info.ID)
+		}
+	}
+	p.settles = p.settles[:0]
+	return out
+}
+
+// Inspect looks at all runs: it stops those that stand still and sends stops again. It is to
+// be called a few times a second.
+func (p *Pool) Inspect(now clock.Time) {
+	for _, w := range p.workers {
+		if w.gone || !w.fenced || now.Sub(w.lastAnswer) >= usableWithin {
+			continue
+		}
+		for _, r := range w.runs {
+			p.inspectRun(w, r, now)
+		}
+	}
+}
+
+func (p *Pool) inspectRun(w *worker, r *run, now clock.Time) {
+	if r.state != runActive {
+		return
+	}
+	if r.stopSentAt != 0 {
+		if now.Sub(r.stopSentAt) > resendStopAfter {
+			r.stopSentAt = 0
+			p.stopRun(r)
+		}
+		return
+	}
+	s := r.task.step
+	if s.spec.LongRunning || s.spec.Filler || r.percent >= almostDone || r.task.current != r {
+		return
+	}
+	limit := stuckAfter + time.Duration(stuckShare*float64(s.spec.Estimate))
+	if now.Sub(r.percentAt) < limit {
+		return
+	}
+	p.cfg.Log(Event{Name: "run_stuck", Task: r.task.id(), Run: r.number, Worker: w.info.ID})
+	r.task.avoid = w.info.ID
+	p.suspend(w, suspendFor, "a run stands still", now)
+	if s.spec.Gang {
+		p.breakGang(s, now)
+	} else {
+		p.stopRun(r)
+	}
+}
+
+func (p *Pool) takeStops(now clock.Time, out *Actions) {
+	for _, r := range p.stops {
+		w := r.worker
+		if w.gone || w.runs[runKey{r.task.id(), r.number}] != r && !r.task.done {
+			continue
+		}
+		r.stopSentAt = now
+		out.Stops = append(out.Stops, Stop{
+			Task: r.task.id(), Run: r.number, Worker: w.info.ID, Address: w.info.Address, Token: w.token,
+		})
+	}
+	p.stops = p.stops[:0]
+}
+
+// place starts tasks and asks for advice, in the order in which steps go.
+func (p *Pool) place(now clock.Time, out *Actions) {
+	reserved := reservations{}
+	for _, s := range p.order(now) {
+		j := s.time.job
+		if p.blocked(j) {
+			continue
+		}
+		if s.spec.Gang {
+			p.placeGang(s, reserved, now, out)
+		} else {
+			p.placeTasks(s, reserved, now, out)
+		}
+		if s.waiting() == 0 {
+			delete(p.ready, s)
+			continue
+		}
+		p.ask(s, reserved, now, out)
+		reserved.add(s, now)
+	}
+}
+
+// standing is what a job's outcome can still be worth.
+type standing int
+
+const (
+	inTime standing = iota
+	late
+	worthless
+)
+
+func (j *jobState) standing(now clock.Time) standing {
+	switch {
+	case now <= j.objective:
+		return inTime
+	case now <= j.latest:
+		return late
+	}
+	return worthless
+}
+
+// order lists the ready steps: what is still worth most first, then by priority, then by
+// the latest moment at which the step may begin.
+func (p *Pool) order(now clock.Time) []*step {
+	type entry struct {
+		step     *step
+		standing standing
+		priority int
+		latest   clock.Time
+	}
+	entries := make([]entry, 0, len(p.ready))
+	for s := range p.ready {
+		j := s.time.job
+		entries = append(entries, entry{s, j.standing(now), j.queue.Priority, j.objective.Add(-s.chain)})
+	}
+	slices.SortFunc(entries, func(a, b entry) int {
+		return cmp.Or(cmp.Compare(a.standing, b.standing), cmp.Compare(a.priority, b.priority),
+			cmp.Compare(a.latest, b.latest), compareTasks(&a.step.tasks[0], &b.step.tasks[0]))
+	})
+	out := make([]*step, len(entries))
+	for i, e := range entries {
+		out[i] = e.step
+	}
+	return out
+}
+
+// reservations hold the workers that a step with higher priority waits for.
+type reservations map[WorkerID]int
+
+// add keeps the workers that may run a waiting step from steps of a lower priority.
+func (r reservations) add(s *step, now clock.Time) {
+	if s.time.job.standing(now) != inTime {
+		return
+	}
+	priority := s.time.job.queue.Priority
+	for id := range s.advice.good {
+		if held, ok := r[id]; !ok || held > priority {
+			r[id] = priority
+		}
+	}
+}
+
+// holds says that a worker is kept from steps of a priority.
+func (r reservations) holds(id WorkerID, priority int) bool {
+	held, ok := r[id]
+	return ok && held < priority
+}
+
+// begin books a run of a task on a worker and returns its order.
+func (p *Pool) begin(t *task, w *worker, number int, checkpoint string, now clock.Time) Start {
+	r := &run{task: t, number: number, worker: w, token: w.token, state: runStarting, sentAt: now}
+	t.lastRun = number
+	t.current = r
+	p.count(r)
+	deadline := w.deadline(now, p.cfg.Hold)
+	w.bound = max(w.bound, deadline)
+	o := Start{
+		Task: t.id(), Run: number, Worker: w.info.ID, Address: w.info.Address, Token: w.token,
+		Spec: t.step.time.job.job.Spec, Checkpoint: checkpoint, Deadline: deadline,
+	}
+	o.Ticket = t.step.advice.tickets[w.info.ID].text
+	return o
+}
+
+// nextRun is the number of a task's next run. A former owner may have given numbers that
+// we don't know of.
+func (p *Pool) nextRun(j *jobState, last int) int {
+	if p.cfg.Takeover && j.learnedAt < p.takeover.freeFrom {
+		return max(last, p.cfg.FirstRun) + 1
+	}
+	return last + 1
+}
+
+// placeTasks starts as many tasks of a step as there is room for.
+func (p *Pool) placeTasks(s *step, reserved reservations, now clock.Time, out *Actions) {
+	var candidates []*worker
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if !t.waiting() || now < t.notBefore {
+			continue
+		}
+		if candidates == nil {
+			if candidates = p.candidates(s, reserved, now); len(candidates) == 0 {
+				return
+			}
+		}
+		w := bestFit(t, candidates)
+		if w == nil {
+			return
+		}
+		out.Starts = append(out.Starts, p.begin(t, w, p.nextRun(s.time.job, t.lastRun), t.checkpoint, now))
+	}
+}
+
+// placeGang starts all members of a gang, or none.
+func (p *Pool) placeGang(s *step, reserved reservations, now clock.Time, out *Actions) {
+	if s.waiting() == 0 || now < s.tasks[0].notBefore {
+		return
+	}
+	chosen := p.gangWorkers(s, p.candidates(s, reserved, now))
+	if chosen == nil {
+		return
+	}
+	last := s.gang.number
+	for i := range s.tasks {
+		last = max(last, s.tasks[i].lastRun)
+	}
+	number := p.nextRun(s.time.job, last)
+	s.gang.number, s.gang.broken = number, false
+	checkpoint := s.gangCheckpoint()
+	for i, w := range chosen {
+		out.Starts = append(out.Starts, p.begin(&s.tasks[i], w, number, checkpoint, now))
+	}
+}
+
+// gangWorkers chooses a worker for each member, on as few workers and if possible in one
+// rack; nil when there is no room for all.
+func (p *Pool) gangWorkers(s *step, candidates []*worker) []*worker {
+	if s.spec.SameRack {
+		for _, rack := range racks(candidates) {
+			if chosen := fill(s, rack); chosen != nil {
+				return chosen
+			}
+		}
+	}
+	return fill(s, candidates)
+}
+
+// racks groups workers by their rack, in the order of the racks' names.
+func racks(workers []*worker) [][]*worker {
+	byRack := map[string][]*worker{}
+	var names []string
+	for _, w := range workers {
+		if _, ok := byRack[w.info.Rack]; !ok {
+			names = append(names, w.info.Rack)
+		}
+		byRack[w.info.Rack] = append(byRack[w.info.Rack], w)
+	}
+	slices.Sort(names)
+	out := make([][]*worker, 0, len(names))
+	for _, n := range names {
+		out = append(out, byRack[n])
+	}
+	return out
+}
+
+// fill gives each member a worker, those with most room first; nil when they don't suffice.
+func fill(s *step, workers []*worker) []*worker {
+	sorted := slices.Clone(workers)
+	slices.SortFunc(sorted, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(fits(s, b), fits(s, a)), cmp.Compare(a.info.ID, b.info.ID))
+	})
+	var chosen []*worker
+	for _, w := range sorted {
+		for range fits(s, w) {
+			if chosen = append(chosen, w); len(chosen) == len(s.tasks) {
+				return chosen
+			}
+		}
+	}
+	return nil
+}
+
+// fits is how many more tasks of a step a worker has room for.
+func fits(s *step, w *worker) int {
+	need, free := s.spec.Need(), w.free()
+	n := len(s.tasks)
+	if need.CPUMillis > 0 {
+		n = min(n, int(free.CPUMillis/need.CPUMillis))
+	}
+	if need.MemoryMB > 0 {
+		n = min(n, int(free.MemoryMB/need.MemoryMB))
+	}
+	if need.Accelerators > 0 {
+		n = min(n, int(free.Accelerators/need.Accelerators))
+	}
+	if s.perOf != nil {
+		n = min(n, s.spec.MaxPerWorker-s.perOf[w.info.ID])
+	}
+	return max(n, 0)
+}
+
+// eligible says whether a worker may run tasks of a step at all, advice apart.
+func (p *Pool) eligible(s *step, w *worker, now clock.Time) bool {
+	return w.info.Pool == s.time.job.queue.Pool && w.usable(now) &&
+		(s.spec.Requirement == "" || slices.Contains(w.info.Labels, s.spec.Requirement))
+}
+
+// ticketMargin is how long a ticket must hold on for a start to be sent with it.
+const ticketMargin = 80 * time.Millisecond
+
+// candidates lists the workers that may be given a task of the step now, by id.
+func (p *Pool) candidates(s *step, reserved reservations, now clock.Time) []*worker {
+	priority := s.time.job.queue.Priority
+	var out []*worker
+	take := func(w *worker) {
+		if p.eligible(s, w, now) && !reserved.holds(w.info.ID, priority) && fits(s, w) > 0 {
+			out = append(out, w)
+		}
+	}
+	if s.time.job.queue.Advice == nil {
+		for _, w := range p.workers {
+			take(w)
+		}
+	} else {
+		for id, ticket := range s.advice.tickets {
+			if w, ok := p.workers[id]; ok && now.Add(ticketMargin) < ticket.until {
+				take(w)
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	return out
+}
+
+// bestFit chooses the worker that a task uses up most, near its data and away from where it
+// failed; nil when none has room.
+func bestFit(t *task, candidates []*worker) *worker {
+	var best *worker
+	var bestScore float64
+	need := t.step.spec.Need()
+	for _, w := range candidates {
+		if fits(t.step, w) == 0 {
+			continue
+		}
+		score := w.free().Sub(need).DominantShare(w.info.Capacity)
+		if t.step.spec.Affinity != "" && w.info.Rack != t.step.spec.Affinity {
+			score += 10
+		}
+		if t.avoid == w.info.ID {
+			score += 100
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/pkg/dispatch/pool.go
@@ -0,0 +1,388 @@
+package dispatch
+
+import (
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/queue"
+)
+
+// Config are the terms that decisions depend on.
+type Config struct {
+	// Hold is how long what runs on a worker is leased with each hold.
+	Hold time.Duration
+	// MaxHold is the longest lease that a worker accepts.
+	MaxHold time.Duration
+	// Token is the owner's fencing token; tokens up to Token + MaxBumps are the owner's own.
+	Token int64
+	// FirstRun is below the numbers that this owner gives to runs of tasks about which it
+	// may not know all; it is above those of former owners.
+	FirstRun int
+	// Takeover says that there was a former owner, whose runs have to be found.
+	Takeover bool
+	// AuthorityTerm is how long a former owner may go on after it was fenced.
+	AuthorityTerm time.Duration
+	// Wall reads the time of day, for schedules.
+	Wall func() time.Time
+	// Log takes events; it must not block.
+	Log func(Event)
+}
+
+// MaxBumps is how often an owner may raise the token of a worker.
+const MaxBumps = 1<<20 - 1
+
+// Pool is the owner's view of a pool of workers and of the jobs for it.
+type Pool struct {
+	cfg      Config
+	takeover takeover
+	config   *queue.Config
+	jobs     map[job.ID]*jobState
+	outcomes map[job.ID]job.State // of jobs that have ended and been committed
+	workers  map[WorkerID]*worker
+	ready    map[*step]struct{} // steps whose turn has come and that have waiting tasks
+	timed    map[*jobState]struct{}
+	dirty    map[*jobState]struct{}
+	advice   advisers
+	stops    []*run
+	settles  []*worker
+	fenced   bool // a worker has seen a token of a later owner
+}
+
+// New returns a pool without workers and jobs.
+func New(cfg Config, now clock.Time) *Pool {
+	return &Pool{
+		cfg: cfg, takeover: newTakeover(cfg, now),
+		jobs: map[job.ID]*jobState{}, outcomes: map[job.ID]job.State{}, workers: map[WorkerID]*worker{},
+		ready: map[*step]struct{}{}, timed: map[*jobState]struct{}{}, dirty: map[*jobState]struct{}{},
+		advice: newAdvisers(),
+	}
+}
+
+// SetConfig puts a configuration in force for the queues of all jobs.
+func (p *Pool) SetConfig(cfg *queue.Config) {
+	p.config = cfg
+	for _, j := range p.jobs {
+		if q, ok := cfg.Queue(j.queue.Name); ok {
+			j.queue = q
+		}
+	}
+}
+
+// jobState is what the owner knows of a job that has not ended, or whose end is not
+// committed, or of which something may still run.
+type jobState struct {
+	job       job.Job
+	queue     queue.Queue
+	times     []*timeState // index is the number of the time; nil before it is due
+	nextTime  int
+	learnedAt clock.Time
+	began     bool
+	outcome   job.State // final, not necessarily committed; empty before
+	committed bool      // the outcome is in the store
+	stored    bool      // the store has progress of the job
+	objective clock.Time
+	latest    clock.Time // the last moment at which a late outcome is worth anything
+}
+
+// timeState is one time of a job's steps.
+type timeState struct {
+	job   *jobState
+	index int
+	steps []*step
+	left  int // steps that are not done
+}
+
+// step is one step of one time.
+type step struct {
+	time     *timeState
+	index    int
+	spec     *job.Step
+	tasks    []task
+	done     int
+	advice   stepAdvice
+	gang     gang
+	perOf    map[WorkerID]int // runs of the step on a worker; only with MaxPerWorker
+	chain    time.Duration    // estimate of the work from this step to the end of the job
+	failures int              // highest count of failures of a task
+}
+
+// task is one task of a step.
+type task struct {
+	step       *step
+	index      int
+	done       bool
+	current    *run
+	failures   int
+	lastRun    int // highest number given or seen
+	lastEnded  int // highest number whose end was taken in
+	checkpoint string
+	avoid      WorkerID // where it failed last
+	notBefore  clock.Time
+}
+
+// run is one start of a task.
+type run struct {
+	task        *task
+	number      int
+	worker      *worker
+	token       int64
+	state       runState
+	sentAt      clock.Time
+	confirmedAt clock.Time
+	percent     int
+	percentAt   clock.Time
+	missing     int // reports in a row that did not list it
+	stopSentAt  clock.Time
+}
+
+type runState int
+
+const (
+	runStarting  runState = iota // the order is on its way
+	runUnsettled                 // its answer was lost
+	runActive
+)
+
+func (t *task) id() job.TaskID {
+	return job.TaskID{StepID: t.step.id(), Index: t.index}
+}
+
+func (t *task) waiting() bool {
+	return !t.done && t.current == nil
+}
+
+func (s *step) id() job.StepID {
+	return job.StepID{Job: s.time.job.job.ID, Time: s.time.index, Step: s.index}
+}
+
+func (s *step) finished() bool {
+	return s.done == len(s.tasks)
+}
+
+// AddJob takes in an accepted job; it is known only once. age is how long ago it was
+// accepted, as far as the clocks of two hosts tell.
+func (p *Pool) AddJob(r job.Record, progress job.Progress, stored bool, age time.Duration, now clock.Time) {
+	id := r.Job.ID
+	if _, known := p.jobs[id]; known || p.outcomes[id] != "" {
+		return
+	}
+	j := &jobState{job: r.Job, queue: r.Queue, learnedAt: now, stored: stored}
+	if p.config != nil {
+		if q, ok := p.config.Queue(r.Queue.Name); ok {
+			j.queue = q
+		}
+	}
+	j.times = make([]*timeState, r.Job.Schedule.Times())
+	p.setObjective(j, now.Add(-age))
+	p.jobs[id] = j
+	p.takeProgress(j, progress)
+	if r.Job.Schedule.Repeat > 0 {
+		p.timed[j] = struct{}{}
+		p.openDueTimes(j)
+	} else {
+		p.openTime(j, 0)
+	}
+	p.finishIfDone(j)
+}
+
+// AddOutcome takes in a job that has ended.
+func (p *Pool) AddOutcome(id job.ID, outcome job.State) {
+	if _, known := p.jobs[id]; !known {
+		p.outcomes[id] = outcome
+	}
+}
+
+// adviceWorkers is how many workers a call for advice names in a job's objective.
+const adviceWorkers = 30
+
+func (p *Pool) setObjective(j *jobState, accepted clock.Time) {
+	longest := time.Duration(0)
+	for _, c := range chains(j) {
+		longest = max(longest, c)
+	}
+	span := time.Duration(float64(longest)*max(j.queue.Extension, 1)) + j.queue.TargetLatency
+	j.objective = accepted.Add(span)
+	j.latest = accepted.Add(3 * span)
+}
+
+// chains returns for each step the estimated time from its start to the end of the job.
+func chains(j *jobState) []time.Duration {
+	out := make([]time.Duration, len(j.job.Steps))
+	for i := len(j.job.Steps) - 1; i >= 0; i-- {
+		s := &j.job.Steps[i]
+		own := s.Estimate
+		if j.queue.Advice != nil {
+			own += j.queue.Advice.Of(adviceWorkers)
+		}
+		out[i] += own
+		for _, a := range s.After {
+			out[a] = max(out[a], out[i])
+		}
+	}
+	return out
+}
+
+// openTime makes the steps of a time and lets those begin whose turn has come.
+func (p *Pool) openTime(j *jobState, k int) *timeState {
+	if j.times[k] != nil {
+		return j.times[k]
+	}
+	t := &timeState{job: j, index: k, left: len(j.job.Steps)}
+	chain := chains(j)
+	for i := range j.job.Steps {
+		spec := &j.job.Steps[i]
+		s := &step{time: t, index: i, spec: spec, tasks: make([]task, spec.Count), chain: chain[i]}
+		for n := range s.tasks {
+			s.tasks[n] = task{step: s, index: n}
+		}
+		if spec.MaxPerWorker > 0 {
+			s.perOf = map[WorkerID]int{}
+		}
+		t.steps = append(t.steps, s)
+	}
+	j.times[k] = t
+	p.updateReady(t)
+	return t
+}
+
+// openDueTimes opens the times of a scheduled job that have come.
+func (p *Pool) openDueTimes(j *jobState) {
+	wall := p.cfg.Wall()
+	for j.nextTime < len(j.times) && !j.job.Schedule.Due(j.nextTime).After(wall) {
+		p.openTime(j, j.nextTime)
+		j.nextTime++
+	}
+	if j.nextTime == len(j.times) {
+		delete(p.timed, j)
+	}
+}
+
+// updateReady puts the steps of a time whose turn has come among the ready ones.
+func (p *Pool) updateReady(t *timeState) {
+	for _, s := range t.steps {
+		if t.job.outcome == "" && s.turnHasCome() && s.waiting() > 0 {
+			p.ready[s] = struct{}{}
+		} else {
+			delete(p.ready, s)
+		}
+	}
+}
+
+func (s *step) turnHasCome() bool {
+	for _, a := range s.spec.After {
+		if !s.time.steps[a].finished() {
+			return false
+		}
+	}
+	return true
+}
+
+// waiting counts the tasks that may be started; of a gang all or none.
+func (s *step) waiting() int {
+	n := 0
+	for i := range s.tasks {
+		if s.tasks[i].waiting() {
+			n++
+		}
+	}
+	if s.spec.Gang && n < len(s.tasks) {
+		return 0
+	}
+	return n
+}
+
+// Cancel ends a job. It says whether the job is known.
+func (p *Pool) Cancel(id job.ID, now clock.Time) bool {
+	j, ok := p.jobs[id]
+	if !ok {
+		return p.outcomes[id] != ""
+	}
+	if j.outcome == "" {
+		p.finish(j, job.Cancelled, now)
+	}
+	return true
+}
+
+// finish gives a job its outcome and stops what still runs of it.
+func (p *Pool) finish(j *jobState, outcome job.State, now clock.Time) {
+	j.outcome = outcome
+	p.dirty[j] = struct{}{}
+	delete(p.timed, j)
+	for _, t := range j.times {
+		if t == nil {
+			continue
+		}
+		p.updateReady(t)
+		for _, s := range t.steps {
+			p.dropAsk(s)
+			for i := range s.tasks {
+				p.stopRun(s.tasks[i].current)
+			}
+		}
+	}
+	p.cfg.Log(Event{Name: "job_ended", Job: j.job.ID, Detail: string(outcome)})
+	_ = now
+}
+
+// finishIfDone completes a job all of whose times are done.
+func (p *Pool) finishIfDone(j *jobState) {
+	if j.outcome != "" {
+		return
+	}
+	for _, t := range j.times {
+		if t == nil || t.left > 0 {
+			return
+		}
+	}
+	p.finish(j, job.Completed, 0)
+}
+
+// State tells how far a job is, as it may be shown. ok is false when it is not known.
+func (p *Pool) State(id job.ID) (state job.State, ok bool) {
+	if outcome, ended := p.outcomes[id]; ended {
+		return outcome, true
+	}
+	j, known := p.jobs[id]
+	switch {
+	case !known:
+		return "", false
+	case j.outcome == job.Cancelled:
+		return job.Cancelled, true
+	case j.began:
+		return job.Running, true
+	}
+	return job.Queued, true
+}
+
+// Pending counts the jobs of a queue of which no task has begun.
+func (p *Pool) Pending(queueName string) int {
+	n := 0
+	for _, j := range p.jobs {
+		if j.queue.Name == queueName && !j.began && j.outcome == "" {
+			n++
+		}
+	}
+	return n
+}
+
+// Fenced says that a worker has seen a higher token: another owner has taken over.
+func (p *Pool) Fenced() bool {
+	return p.fenced
+}
+
+// task returns the task of an id, or nil.
+func (p *Pool) task(id job.TaskID) *task {
+	j, ok := p.jobs[id.Job]
+	if !ok || id.Time < 0 || id.Time >= len(j.times) {
+		return nil
+	}
+	t := j.times[id.Time]
+	if t == nil {
+		t = p.openTime(j, id.Time)
+	}
+	if id.Step < 0 || id.Step >= len(t.steps) || id.Index < 0 || id.Index >= len(t.steps[id.Step].tasks) {
+		return nil
+	}
+	return &t.steps[id.Step].tasks[id.Index]
+}
--- /dev/null
+++ b/pkg/dispatch/reports.go
@@ -0,0 +1,193 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/job"
+)
+
+// HoldAnswered takes in a worker's answer to a hold.
+func (p *Pool) HoldAnswered(h Hold, a Answer, report Report, now clock.Time) {
+	w, ok := p.workers[h.Worker]
+	if !ok || w.gone {
+		return
+	}
+	switch a.Verdict {
+	case VerdictDone:
+	case VerdictFenced:
+		p.checkFence(w, h.Token)
+		return
+	case VerdictOtherIncarnation:
+		p.workerGone(w, "another incarnation answers", now)
+		return
+	default:
+		return
+	}
+	overtaken := a.Clock < w.clock
+	w.heard(a.Clock, now)
+	w.lastAnswer = now
+	w.fenced = true
+	p.takeFinished(w, report.Finished, now)
+	if !overtaken {
+		p.takeActive(w, h, report, now)
+	}
+}
+
+// checkFence tells a token that we raised ourselves from one of a later owner.
+func (p *Pool) checkFence(w *worker, sent int64) {
+	if sent >= w.token {
+		p.fenced = true
+	}
+}
+
+func (p *Pool) takeFinished(w *worker, finished []Finished, now clock.Time) {
+	slices.SortFunc(finished, func(a, b Finished) int { return cmp.Compare(a.Number, b.Number) })
+	for _, f := range finished {
+		if f.Number <= w.seen {
+			continue
+		}
+		if !p.knows(f.Task.Job) && p.mayBeTold(w, now) {
+			return // the end comes again with the next report
+		}
+		w.seen = f.Number
+		if r, ok := w.runs[runKey{f.Task, f.Run}]; ok {
+			p.runEnded(r, f.How, f.Checkpoint, now)
+			continue
+		}
+		p.unknownRunEnded(w, f, now)
+	}
+}
+
+// unknownRunEnded takes in the end of a run of a former owner.
+func (p *Pool) unknownRunEnded(w *worker, f Finished, now clock.Time) {
+	t := p.task(f.Task)
+	if t == nil || t.done || t.current != nil || f.Run <= t.lastEnded {
+		return
+	}
+	r := &run{task: t, number: f.Run, worker: w}
+	t.lastRun = max(t.lastRun, f.Run)
+	p.taskEnded(r, f.How, f.Checkpoint, now)
+}
+
+func (p *Pool) takeActive(w *worker, h Hold, report Report, now clock.Time) {
+	w.foreign = 0
+	listed := make(map[runKey]bool, len(report.Active))
+	for _, row := range report.Active {
+		key := runKey{row.Task, row.Run}
+		listed[key] = true
+		r, ok := w.runs[key]
+		if !ok {
+			r = p.adopt(w, row, now)
+		}
+		if r != nil {
+			p.observe(r, row, now)
+		}
+	}
+	for _, r := range sortedRuns(w) {
+		if !listed[runKey{r.task.id(), r.number}] {
+			p.notListed(r, h, now)
+		}
+	}
+}
+
+// observe takes in what a report says of a run that goes on.
+func (p *Pool) observe(r *run, row Active, now clock.Time) {
+	if r.state != runActive {
+		p.confirm(r, now)
+	}
+	r.missing = 0
+	if row.Percent != r.percent || r.percentAt == 0 {
+		r.percent, r.percentAt = row.Percent, now
+	}
+	if row.Checkpoint != "" {
+		r.task.checkpoint = row.Checkpoint
+	}
+}
+
+// confirm takes in that a run has begun.
+func (p *Pool) confirm(r *run, now clock.Time) {
+	r.state = runActive
+	r.confirmedAt = now
+	r.percentAt = now
+	j := r.task.step.time.job
+	j.began = true
+	if j.outcome != "" || r.task.step.gang.broken {
+		p.stopRun(r)
+	}
+}
+
+// notListed decides what it means that a report does not list a run that we count.
+func (p *Pool) notListed(r *run, h Hold, now clock.Time) {
+	const sure = 2
+	switch {
+	case r.state == runUnsettled && h.Token > r.token:
+		p.cfg.Log(Event{Name: "start_void", Task: r.task.id(), Run: r.number, Worker: r.worker.info.ID})
+		p.runEnded(r, EndLost, "", now)
+	case r.state == runActive && r.confirmedAt < h.SentAt:
+		if r.missing++; r.missing >= sure {
+			p.runEnded(r, EndLost, "", now)
+		}
+	}
+}
+
+// adopt takes in a run that a report lists and that we did not start, or gave up. It
+// returns nil when nothing is known of the task.
+func (p *Pool) adopt(w *worker, row Active, now clock.Time) *run {
+	t := p.task(row.Task)
+	if t == nil {
+		w.foreign++
+		if p.knows(row.Task.Job) || !p.mayBeTold(w, now) {
+			p.stops = append(p.stops, &run{task: unknownTask(row.Task), number: row.Run, worker: w, state: runActive})
+		}
+		return nil
+	}
+	r := &run{task: t, number: row.Run, worker: w, token: w.token, state: runActive, confirmedAt: now, percentAt: now}
+	p.count(r)
+	t.lastRun = max(t.lastRun, row.Run)
+	j := t.step.time.job
+	j.began = true
+	p.cfg.Log(Event{Name: "run_adopted", Task: row.Task, Run: row.Run, Worker: w.info.ID})
+	if t.done || t.current != nil || j.outcome != "" || row.Run <= t.lastEnded {
+		p.stopRun(r)
+		return r
+	}
+	t.current = r
+	if t.step.spec.Gang {
+		t.step.gang.number = max(t.step.gang.number, row.Run)
+	}
+	p.updateReady(t.step.time)
+	return r
+}
+
+// knows says that a job is known, be it as ended.
+func (p *Pool) knows(id job.ID) bool {
+	return p.jobs[id] != nil || p.outcomes[id] != ""
+}
+
+// toldWithin is how long it takes at most until the owner is told of an accepted job.
+const toldWithin = 3 * time.Second
+
+// mayBeTold says that a job which a worker lists may become known yet: a former owner may
+// have been told of it before us.
+func (p *Pool) mayBeTold(w *worker, now clock.Time) bool {
+	if w.strangerAt == 0 {
+		w.strangerAt = now
+	}
+	return now.Sub(w.strangerAt) < toldWithin
+}
+
+// unknownTask stands for a task of which nothing but its name is known.
+func unknownTask(id job.TaskID) *task {
+	j := &jobState{job: job.Job{ID: id.Job, Steps: make([]job.Step, id.Step+1)}, outcome: job.Cancelled}
+	t := &timeState{job: j, index: id.Time}
+	s := &step{time: t, index: id.Step, spec: &j.job.Steps[id.Step]}
+	return &task{step: s, index: id.Index, done: true}
+}
+
+func compareTasks(a, b *task) int {
+	x, y := a.id(), b.id()
+	return cmp.Or(cmp.Compare(x.Job, y.Job), cmp.Compare(x.Time, y.Time), cmp.Compare(x.Step, y.Step), cmp.Compare(x.Index, y.Index))
+}
--- /dev/null
+++ b/pkg/dispatch/takeover.go
@@ -0,0 +1,63 @@
+package dispatch
+
+import (
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+)
+
+// slowClock is how much slower than ours a worker's clock may run.
+const slowClock = 0.02
+
+// takeover tells which jobs have to wait until the runs of former owners are known.
+//
+// A former owner goes on for at most AuthorityTerm after most workers were fenced. What it
+// starts until then on a worker that has not been fenced lapses within MaxHold. So jobs
+// that were learned of later than that term are free, and the others are free when all
+// workers are fenced, or when everything has lapsed.
+type takeover struct {
+	pending  bool
+	freeFrom clock.Time // jobs learned of from then on are free
+	lapsed   clock.Time // everything of former owners has ended
+	roster   map[WorkerID]bool
+}
+
+func newTakeover(cfg Config, now clock.Time) takeover {
+	return takeover{pending: cfg.Takeover, freeFrom: now.Add(cfg.AuthorityTerm), lapsed: now.Add(cfg.AuthorityTerm + lapseTime(cfg.MaxHold))}
+}
+
+// lapseTime is the time by our clock after which a lease of a duration by a worker's clock
+// has certainly ended.
+func lapseTime(hold time.Duration) time.Duration {
+	const slack = 20 * time.Millisecond
+	return time.Duration(float64(hold)*(1+2*slowClock)) + slack
+}
+
+// Fencing begins anew to count the terms of a takeover: most workers are fenced only now.
+func (p *Pool) Fencing(now clock.Time) {
+	if p.takeover.pending {
+		p.takeover = newTakeover(p.cfg, now)
+	}
+}
+
+// settleTakeover ends the waiting when all is known.
+func (p *Pool) settleTakeover(now clock.Time) {
+	if !p.takeover.pending {
+		return
+	}
+	if now < p.takeover.lapsed {
+		for _, w := range p.workers {
+			if !w.fenced && !w.gone {
+				return
+			}
+		}
+	}
+	p.takeover.pending = false
+	p.cfg.Log(Event{Name: "takeover_settled"})
+	p.stopPartialGangs(now)
+}
+
+// blocked says that a former owner may have started tasks of the job that we don't know of.
+func (p *Pool) blocked(j *jobState) bool {
+	return p.takeover.pending && j.learnedAt < p.takeover.freeFrom
+}
--- /dev/null
+++ b/pkg/dispatch/worker.go
@@ -0,0 +1,224 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/job"
+)
+
+const (
+	// usableWithin is how long ago a worker may have answered to be given a task.
+	usableWithin = 1700 * time.Millisecond
+	// A worker is left out for suspendFor after suspendAfter failures in a row that are not
+	// all of one job.
+	suspendAfter = 3
+	suspendFor   = 4 * time.Second
+)
+
+type runKey struct {
+	task job.TaskID
+	run  int
+}
+
+// worker is one incarnation of a worker.
+type worker struct {
+	info   WorkerInfo
+	listed bool // its entry stands in the store
+	gone   bool // the incarnation has ended, or can't run anything any more
+	fenced bool // it has answered this owner
+	token  int64
+
+	clock      int64 // its clock when it answered last …
+	clockAt    clock.Time
+	lastAnswer clock.Time
+	bound      int64 // latest deadline sent, on its clock
+
+	used    cell.Resources
+	runs    map[runKey]*run
+	foreign int // runs there of which nothing is known
+	// strangerAt is when a job was first listed of which nothing was known; 0 for never.
+	strangerAt clock.Time
+
+	seen  int64 // highest number of an end taken in
+	noted int64 // highest number whose job changes are committed
+
+	suspended clock.Time // not to be given tasks before
+	failures  int        // in a row
+	failedJob job.ID     // of the last failure
+	probation bool
+}
+
+func (w *worker) free() cell.Resources {
+	return w.info.Capacity.Sub(w.used)
+}
+
+// usable says whether the worker may be given a task now.
+func (w *worker) usable(now clock.Time) bool {
+	return w.listed && w.fenced && !w.gone && !w.info.Draining && w.foreign == 0 &&
+		now.Sub(w.lastAnswer) < usableWithin && now >= w.suspended
+}
+
+// deadline is the time on the worker's clock up to which a lease is given now.
+func (w *worker) deadline(now clock.Time, hold time.Duration) int64 {
+	return w.clock + now.Sub(w.clockAt).Milliseconds() + hold.Milliseconds()
+}
+
+// lapsedAt is when everything on the worker has ended, by our clock.
+func (w *worker) lapsedAt() clock.Time {
+	left := time.Duration(w.bound-w.clock) * time.Millisecond
+	return w.clockAt.Add(lapseTime(max(left, 0)))
+}
+
+// heard takes in the clock of an answer that has just arrived.
+func (w *worker) heard(workerClock int64, now clock.Time) {
+	if workerClock >= w.clock && workerClock > 0 {
+		w.clock, w.clockAt = workerClock, now
+	}
+}
+
+// PutWorker takes in a worker's entry. It says whether the worker is new.
+func (p *Pool) PutWorker(info WorkerInfo, listed bool) bool {
+	if w, ok := p.workers[info.ID]; ok {
+		if listed || info.Address.IsValid() {
+			w.info = info
+		}
+		w.listed = listed
+		return false
+	}
+	p.workers[info.ID] = &worker{info: info, listed: listed, token: p.cfg.Token, runs: map[runKey]*run{}}
+	return true
+}
+
+// UnlistWorker takes in that a worker's entry is gone. What runs there may go on.
+func (p *Pool) UnlistWorker(id WorkerID) {
+	if w, ok := p.workers[id]; ok {
+		w.listed = false
+	}
+}
+
+// Workers lists the workers that have not gone, by id.
+func (p *Pool) Workers() []WorkerInfo {
+	var out []WorkerInfo
+	for _, w := range p.workers {
+		if !w.gone {
+			out = append(out, w.info)
+		}
+	}
+	slices.SortFunc(out, func(a, b WorkerInfo) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Answering counts the workers that have answered within a time, and all that are listed
+// or may run something.
+func (p *Pool) Answering(now clock.Time, within time.Duration) (answering, all int) {
+	for _, w := range p.workers {
+		if w.gone || !w.listed && len(w.runs) == 0 && w.fenced {
+			continue
+		}
+		all++
+		if w.fenced && now.Sub(w.lastAnswer) < within {
+			answering++
+		}
+	}
+	return answering, all
+}
+
+// HoldFor returns the next hold for a worker; ok is false when there is none to be sent any
+// more. raise asks for a higher token, which settles lost answers.
+func (p *Pool) HoldFor(id WorkerID, raise, extend bool, now clock.Time) (h Hold, ok bool) {
+	w, known := p.workers[id]
+	if !known || w.gone {
+		return Hold{}, false
+	}
+	if raise && w.token < p.cfg.Token+MaxBumps {
+		w.token++
+	}
+	h = Hold{Worker: id, Address: w.info.Address, Token: w.token, LastSeen: w.noted, SentAt: now}
+	if w.fenced && extend {
+		h.Deadline = w.deadline(now, p.cfg.Hold)
+		w.bound = max(w.bound, h.Deadline)
+	}
+	return h, true
+}
+
+// workerGone takes in that nothing of a worker runs any more.
+func (p *Pool) workerGone(w *worker, why string, now clock.Time) {
+	if w.gone {
+		return
+	}
+	w.gone = true
+	p.cfg.Log(Event{Name: "worker_gone", Worker: w.info.ID, Detail: why})
+	p.loseRuns(w, now)
+}
+
+func (p *Pool) loseRuns(w *worker, now clock.Time) {
+	for _, r := range sortedRuns(w) {
+		p.runEnded(r, EndLost, "", now)
+	}
+}
+
+func sortedRuns(w *worker) []*run {
+	out := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b *run) int {
+		return compareTasks(a.task, b.task)
+	})
+	return out
+}
+
+// expireWorkers ends the runs of workers that have been silent for so long that all their
+// leases have lapsed, and forgets workers that left.
+func (p *Pool) expireWorkers(now clock.Time) {
+	for id, w := range p.workers {
+		if w.gone {
+			if !w.listed {
+				delete(p.workers, id)
+			}
+			continue
+		}
+		if now.Sub(w.lastAnswer) < usableWithin || now < w.lapsedAt() {
+			continue
+		}
+		if len(w.runs) > 0 && w.fenced {
+			p.cfg.Log(Event{Name: "worker_lapsed", Worker: id, Detail: now.Sub(w.lastAnswer).String()})
+			p.loseRuns(w, now)
+		}
+		if !w.listed && w.fenced {
+			p.workerGone(w, "left", now)
+		}
+	}
+}
+
+// judge counts the ends on a worker to leave out one that fails whatever it is given.
+func (p *Pool) judge(w *worker, r *run, how End, now clock.Time) {
+	switch how {
+	case EndDone:
+		w.failures, w.probation = 0, false
+	case EndFailed:
+		id := r.task.step.time.job.job.ID
+		if w.failures == 0 || w.failedJob != id {
+			w.failures++
+		}
+		w.failedJob = id
+		if w.failures >= suspendAfter || w.probation && w.failures > 0 {
+			p.suspend(w, suspendFor, "failures", now)
+			w.failures, w.probation = 0, true
+		}
+	}
+}
+
+// suspend leaves a worker out for a time.
+func (p *Pool) suspend(w *worker, d time.Duration, why string, now clock.Time) {
+	w.suspended = max(w.suspended, now.Add(d))
+	p.cfg.Log(Event{Name: "worker_suspended", Worker: w.info.ID, Detail: why})
+}
--- a/pkg/entry/main.go
+++ b/pkg/entry/main.go
@@ -2,54 +2,124 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
+	"foldarch.dev/foldarch/pkg/jobhost"
+	"foldarch.dev/foldarch/pkg/logring"
 	"foldarch.dev/foldarch/pkg/procconf"
 	"foldarch.dev/foldarch/pkg/program"
+	"foldarch.dev/foldarch/platform"
 	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 )
 
-const programName = "foldarch-entry"
+const (
+	programName = "foldarch-entry"
+	// logRing bounds the lines that wait to be written.
+	logRing = 4096
+)
 
 type commandLine struct {
+	Serve    serveCommand    `cmd:"" default:"withargs" help:"Serve a cell of foldarch's own."`
+	Platform platformCommand `cmd:"" help:"Serve the jobs of the users' platform."`
+	Check    checkCommand    `cmd:"" help:"Check a settings file of the platform and stop."`
+}
+
+type serveCommand struct {
 	Config string `arg:"" help:"Settings of this process, in TOML."`
 	Check  bool   `help:"Check the settings and stop."`
 }
 
+type platformCommand struct{}
+
+type checkCommand struct {
+	File string `arg:"" help:"A settings file of the platform."`
+}
+
+// usageError is an error of the command line or the settings.
+type usageError struct {
+	error
+}
+
 // Main runs the program foldarch-entry and returns its exit code.
-func Main(args []string, errOut io.Writer) int {
+func Main(args []string, out, errOut io.Writer) int {
 	var c commandLine
 	parser, err := kong.New(&c, kong.Name(programName), kong.Writers(errOut, errOut),
-		kong.Description("Serves callers on one entry host and owns shards of its hall.\n\n"+
-			"SIGTERM and SIGINT stop it as planned: shards are handed over, no request is cut.\n\n"+
-			"Example: foldarch-entry /etc/foldarch/entry.toml"))
+		kong.Description("Serves callers on one entry host.\n\n"+
+			"SIGTERM and SIGINT stop it as planned: what it owns is handed over, no request is cut.\n\n"+
+			"Examples:\n  foldarch-entry /etc/foldarch/entry.toml\n  foldarch-entry check node.toml\n"+
+			"  "+platform.SettingsVariable+"=node.toml foldarch-entry platform"))
 	if err != nil {
 		return program.Complain(errOut, programName, err, program.ExitFault)
 	}
-	if _, err := parser.Parse(args); err != nil {
+	ctx, err := parser.Parse(args)
+	if err != nil {
 		return program.Complain(errOut, programName, err, program.ExitUsage)
 	}
+	ctx.Bind(streams{out, errOut})
+	err = ctx.Run()
+	if usage := (usageError{}); errors.As(err, &usage) {
+		return program.Complain(errOut, programName, err, program.ExitUsage)
+	}
+	if err != nil {
+		return program.Complain(errOut, programName, err, program.ExitFault)
+	}
+	return program.ExitOK
+}
+
+type streams struct {
+	out, errOut io.Writer
+}
+
+// Run serves a cell of foldarch's own until a signal.
+func (c serveCommand) Run(s streams) error {
 	cfg, err := procconf.Load(c.Config)
 	if err != nil {
-		return program.Complain(errOut, programName, err, program.ExitUsage)
+		return usageError{err}
 	}
 	if c.Check {
-		return program.ExitOK
+		return nil
 	}
-	p, err := New(cfg, newLog(errOut, cfg.LogLevel))
+	p, err := New(cfg, newLog(s.errOut, cfg.LogLevel))
 	if err != nil {
-		return program.Complain(errOut, programName, err, program.ExitFault)
+		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := stopSignal()
 	defer stop()
-	if err := p.Run(ctx); err != nil {
-		return program.Complain(errOut, programName, err, program.ExitFault)
+	return p.Run(ctx)
+}
+
+// Run serves the platform's jobs until a signal.
+func (c platformCommand) Run(s streams) error {
+	cfg, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		return usageError{err}
 	}
-	return program.ExitOK
+	w := logring.New(s.out, logRing)
+	defer w.Close()
+	ctx, stop := stopSignal()
+	defer stop()
+	return jobhost.New(cfg, newLog(w, logrus.InfoLevel.String())).Run(ctx)
+}
+
+// Run checks a settings file.
+func (c checkCommand) Run(s streams) error {
+	cfg, err := platform.LoadSettings(c.File)
+	if err != nil {
+		return usageError{err}
+	}
+	_, err = fmt.Fprintf(s.out, "%s: host %s in %s, no faults\n", c.File, cfg.Name, cfg.Zone)
+	return err
+}
+
+func stopSignal() (context.Context, context.CancelFunc) {
+	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 }
 
 // newLog returns a log of one key=value line an event.
--- /dev/null
+++ b/pkg/job/job.go
@@ -0,0 +1,171 @@
+package job
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"github.com/cockroachdb/errors"
+)
+
+// ID names a job; the caller chooses it. It is 16 hexadecimal digits.
+type ID string
+
+const idLength = 16
+
+// ParseID returns a job's id, or an error that tells what is wrong with it.
+func ParseID(text string) (ID, error) {
+	if len(text) != idLength {
+		return "", errors.Newf("job id %q: want %d hexadecimal digits", text, idLength)
+	}
+	for _, r := range text {
+		if !strings.ContainsRune("0123456789abcdefABCDEF", r) {
+			return "", errors.Newf("job id %q: want %d hexadecimal digits", text, idLength)
+		}
+	}
+	return ID(text), nil
+}
+
+// State says how far a job is, as callers see it.
+type State string
+
+// The states of a job.
+const (
+	Queued    State = "queued"
+	Running   State = "running"
+	Completed State = "completed"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
+
+// Ended says whether the state is final.
+func (s State) Ended() bool {
+	return s == Completed || s == Failed || s == Cancelled
+}
+
+// Job is what a caller handed in.
+type Job struct {
+	ID       ID
+	Spec     string
+	Steps    []Step
+	Schedule Schedule
+}
+
+// Step is a group of like tasks.
+type Step struct {
+	Count     int
+	Resources cell.Resources // of each task
+	Estimate  time.Duration  // the caller's rough guess of a task's time
+	After     []int          // earlier steps that must be done first
+	// Checkpointing says that the tasks save their progress.
+	Checkpointing bool
+	// Gang says that the tasks work only together.
+	Gang     bool
+	SameRack bool
+	// Requirement is a label that the worker must have; empty for none.
+	Requirement string
+	// Affinity is the rack that holds the data; empty for none.
+	Affinity string
+	// MaxPerWorker bounds the tasks of the step on one worker; 0 for no bound.
+	MaxPerWorker int
+	// Speculative says that copies of a task may run at the same time.
+	Speculative bool
+	// LongRunning tasks run until the job is cancelled.
+	LongRunning bool
+	// Filler tasks get the processors that others leave unused; theirs are not counted.
+	Filler bool
+	// Image names what the tasks run.
+	Image string
+	// TargetTail bounds the tail of the answer times of serving tasks; 0 for none.
+	TargetTail time.Duration
+	// MissAllowed is how many tasks may be away at once by the scheduler's doing.
+	MissAllowed int
+}
+
+// Need is what a task of the step takes of a worker's capacity.
+func (s Step) Need() cell.Resources {
+	if s.Filler {
+		return cell.Resources{MemoryMB: s.Resources.MemoryMB, Accelerators: s.Resources.Accelerators}
+	}
+	return s.Resources
+}
+
+// Schedule repeats the steps of a job. Repeat 0 is a job that runs once, at once.
+type Schedule struct {
+	Repeat   int
+	Start    time.Time
+	Interval time.Duration
+}
+
+// Times is how many times the steps run.
+func (s Schedule) Times() int {
+	return max(s.Repeat, 1)
+}
+
+// Due is when time k may begin; the zero time for a job without a schedule.
+func (s Schedule) Due(k int) time.Time {
+	if s.Repeat == 0 {
+		return time.Time{}
+	}
+	return s.Start.Add(time.Duration(k) * s.Interval)
+}
+
+// Validate returns what makes the job one that can't be accepted, or nil.
+func (j Job) Validate() error {
+	if len(j.Steps) == 0 {
+		return errors.New("steps: a job has at least one step")
+	}
+	for n, s := range j.Steps {
+		if s.Count <= 0 {
+			return errors.Newf("steps[%d].count: want 1 or more, not %d", n, s.Count)
+		}
+		for _, a := range s.After {
+			if a < 0 || a >= n {
+				return errors.Newf("steps[%d].after: %d is not an earlier step", n, a)
+			}
+		}
+	}
+	return nil
+}
+
+// StepID names one step of one time of a job.
+type StepID struct {
+	Job  ID
+	Time int
+	Step int
+}
+
+// String returns ID.K.STEP.
+func (s StepID) String() string {
+	return string(s.Job) + "." + strconv.Itoa(s.Time) + "." + strconv.Itoa(s.Step)
+}
+
+// TaskID names one task of one time of a job.
+type TaskID struct {
+	StepID
+	Index int
+}
+
+// String returns ID.K.STEP.INDEX.
+func (t TaskID) String() string {
+	return t.StepID.String() + "." + strconv.Itoa(t.Index)
+}
+
+// ParseTaskID returns the task that a text of the form ID.K.STEP.INDEX names.
+func ParseTaskID(text string) (TaskID, error) {
+	parts := strings.Split(text, ".")
+	if len(parts) != 4 {
+		return TaskID{}, errors.Newf("task %q: want ID.TIME.STEP.INDEX", text)
+	}
+	var numbers [3]int
+	for i, part := range parts[1:] {
+		n, err := strconv.Atoi(part)
+		if err != nil {
+			return TaskID{}, errors.Wrap(err, fmt.Sprintf("task %q", text))
+		}
+		numbers[i] = n
+	}
+	return TaskID{StepID{ID(parts[0]), numbers[0], numbers[1]}, numbers[2]}, nil
+}
--- /dev/null
+++ b/pkg/job/record.go
@@ -0,0 +1,67 @@
+package job
+
+import (
+	"encoding/json"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/queue"
+	"github.com/cockroachdb/errors"
+)
+
+// Record is what the store keeps of an accepted job.
+type Record struct {
+	Job Job `json:"job,omitzero"`
+	// Queue is the job's queue as the configuration had it when the job was accepted.
+	Queue queue.Queue `json:"queue,omitzero"`
+	// AcceptedAt is the time of day at the host that accepted the job.
+	AcceptedAt time.Time `json:"accepted_at,omitzero"`
+	// Outcome is set once the job has ended; Job is left out then.
+	Outcome State `json:"outcome,omitempty"`
+}
+
+// Encode returns the record as the store keeps it.
+func (r Record) Encode() ([]byte, error) {
+	text, err := json.Marshal(r)
+	return text, errors.Wrap(err, "encode job record")
+}
+
+// DecodeRecord reads what Encode returned.
+func DecodeRecord(text []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(text, &r); err != nil {
+		return Record{}, errors.Wrap(err, "job record")
+	}
+	return r, nil
+}
+
+// Progress is what the store keeps of a job that has not ended: the ends that the owner
+// has taken note of. Tasks that are neither done nor failed nor stopped have no entry.
+type Progress struct {
+	Tasks []TaskProgress `json:"tasks"`
+}
+
+// TaskProgress is what was noted of one task, or of a gang under its task 0.
+type TaskProgress struct {
+	Time       int    `json:"k,omitempty"`
+	Step       int    `json:"s,omitempty"`
+	Index      int    `json:"i,omitempty"`
+	Done       bool   `json:"d,omitempty"`
+	Failures   int    `json:"f,omitempty"`
+	LastRun    int    `json:"r,omitempty"`
+	Checkpoint string `json:"c,omitempty"`
+}
+
+// Encode returns the progress as the store keeps it.
+func (p Progress) Encode() ([]byte, error) {
+	text, err := json.Marshal(p)
+	return text, errors.Wrap(err, "encode job progress")
+}
+
+// DecodeProgress reads what Encode returned.
+func DecodeProgress(text []byte) (Progress, error) {
+	var p Progress
+	if err := json.Unmarshal(text, &p); err != nil {
+		return Progress{}, errors.Wrap(err, "job progress")
+	}
+	return p, nil
+}
--- /dev/null
+++ b/pkg/jobhost/door.go
@@ -0,0 +1,182 @@
+package jobhost
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/dispatch"
+	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/jobstore"
+	"foldarch.dev/foldarch/pkg/poolrpc/poolpb"
+	"foldarch.dev/foldarch/pkg/queue"
+	"foldarch.dev/foldarch/platform"
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// refusedPause is when a refused caller may come back.
+	refusedPause = time.Second
+	// askTimeout bounds a question to the owner, which the store can answer as well.
+	askTimeout = 600 * time.Millisecond
+)
+
+func (h *Host) door() http.Handler {
+	return &platform.Door{
+		Config: h.config.Load, Submit: h.submit, State: h.state, Cancel: h.cancelJob, Pending: h.pending,
+		Closing: h.stopping.Load, RetryAfter: func() time.Duration { return refusedPause },
+	}
+}
+
+// submit keeps a job in the store and tells the owner.
+func (h *Host) submit(ctx context.Context, q queue.Queue, j job.Job) error {
+	text, err := job.Record{Job: j, Queue: q, AcceptedAt: h.clk.Wall()}.Encode()
+	if err != nil {
+		return errors.Mark(err, platform.ErrRefused)
+	}
+	started := h.clk.Now()
+	err = h.intake.put(ctx, jobstore.JobKey(j.ID), text)
+	h.logOutcome("job_accepted", j.ID, q.Name, started, err)
+	if err != nil {
+		return err
+	}
+	if o := h.owner.Load(); o != nil {
+		o.Accepted(j.ID, text)
+	} else if m := h.member.Load(); m != nil {
+		m.Accepted(string(j.ID), text)
+	}
+	return nil
+}
+
+func (h *Host) logOutcome(event string, id job.ID, queueName string, started clock.Time, err error) {
+	fields := logrus.Fields{"job": id, "queue": queueName, "took_ms": h.clk.Now().Sub(started).Milliseconds()}
+	if err != nil {
+		fields["error"] = err.Error()
+		event += "_not"
+	}
+	h.log.WithFields(fields).Info(event)
+}
+
+// state tells how far a job is. What the owner does not know, the store may.
+func (h *Host) state(ctx context.Context, id job.ID) (job.State, error) {
+	if a := h.ask(ctx, &poolpb.Question{Job: string(id)}); a != nil && !a.Unknown {
+		return job.State(a.State), nil
+	}
+	record, err := h.readRecord(ctx, id)
+	switch {
+	case err != nil:
+		return "", err
+	case record.Outcome != "":
+		return record.Outcome, nil
+	}
+	return h.storedState(ctx, id), nil
+}
+
+// storedState tells how far a job is that has not ended, as far as the store tells.
+func (h *Host) storedState(ctx context.Context, id job.ID) job.State {
+	if _, err := h.store.Read(ctx, jobstore.CancelKey(id)); err == nil {
+		return job.Cancelled
+	}
+	if _, err := h.store.Read(ctx, jobstore.ProgressKey(id)); err == nil {
+		return job.Running
+	}
+	return job.Queued
+}
+
+// readRecord reads a job's record. Errors: platform.ErrNoJob, platform.ErrUnsettled.
+func (h *Host) readRecord(ctx context.Context, id job.ID) (job.Record, error) {
+	item, err := h.store.Read(ctx, jobstore.JobKey(id))
+	if errors.Is(err, platform.ErrAbsent) {
+		return job.Record{}, errors.Mark(err, platform.ErrNoJob)
+	}
+	if err != nil {
+		return job.Record{}, errors.Wrapf(platform.ErrUnsettled, "%v", err)
+	}
+	record, err := job.DecodeRecord(item.Value)
+	if err != nil {
+		return job.Record{}, errors.Mark(err, platform.ErrUnsettled)
+	}
+	return record, nil
+}
+
+// ask asks the owner; nil when it can't be asked.
+func (h *Host) ask(ctx context.Context, q *poolpb.Question) *poolpb.Answer {
+	if o := h.owner.Load(); o != nil {
+		return o.Answer(q)
+	}
+	m := h.member.Load()
+	if m == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	a, err := m.Ask(ctx, q)
+	if err != nil {
+		return nil
+	}
+	return a
+}
+
+// cancelJob keeps the cancelling of a job in the store and tells the owner.
+func (h *Host) cancelJob(ctx context.Context, id job.ID) error {
+	record, err := h.readRecord(ctx, id)
+	if err != nil {
+		return err
+	}
+	if record.Outcome != "" {
+		return errors.Wrap(platform.ErrNoJob, "the job has ended")
+	}
+	started := h.clk.Now()
+	err = h.intake.put(ctx, jobstore.CancelKey(id), []byte{})
+	h.logOutcome("job_cancelled", id, record.Queue.Name, started, err)
+	if err != nil {
+		return err
+	}
+	if o := h.owner.Load(); o != nil {
+		o.Cancelled(id)
+	} else if m := h.member.Load(); m != nil {
+		m.Cancelled(string(id))
+	}
+	return nil
+}
+
+// pending counts the jobs of a queue that have not begun. Only the owner can tell.
+func (h *Host) pending(ctx context.Context, q queue.Queue) (int, error) {
+	a := h.ask(ctx, &poolpb.Question{Queue: q.Name})
+	if a == nil || a.Unknown {
+		return 0, errors.Wrap(platform.ErrRefused, "the owner can't be asked")
+	}
+	return int(a.Pending), nil
+}
+
+// advise makes a call for advice that the owner handed out.
+func (h *Host) advise(ctx context.Context, call *poolpb.AdviceCall) *poolpb.AdviceResult {
+	result := &poolpb.AdviceResult{Number: call.Number}
+	if h.advice == nil {
+		return result
+	}
+	tickets, err := h.advice.Advise(ctx, stepOf(call), workersOf(call), time.Duration(call.LimitMs)*time.Millisecond)
+	if err != nil {
+		h.log.WithFields(logrus.Fields{"step": stepOf(call), "error": err}).Warn("advice_failed")
+		return result
+	}
+	result.Ok = true
+	for _, t := range tickets {
+		result.Tickets = append(result.Tickets, &poolpb.Ticket{Worker: string(t.Worker), Text: t.Text})
+	}
+	return result
+}
+
+func stepOf(call *poolpb.AdviceCall) job.StepID {
+	return job.StepID{Job: job.ID(call.Job), Time: int(call.Time), Step: int(call.Step)}
+}
+
+func workersOf(call *poolpb.AdviceCall) []dispatch.WorkerID {
+	out := make([]dispatch.WorkerID, 0, len(call.Workers))
+	for _, w := range call.Workers {
+		out = append(out, dispatch.WorkerID(w))
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/jobhost/election.go
@@ -0,0 +1,305 @@
+package jobhost
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/jobstore"
+	"foldarch.dev/foldarch/pkg/poolowner"
+	"foldarch.dev/foldarch/pkg/poolrpc"
+	"foldarch.dev/foldarch/pkg/poolrpc/poolpb"
+	"foldarch.dev/foldarch/platform"
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	ownerWait   = time.Second
+	ownerRetry  = 100 * time.Millisecond
+	linkRetry   = 60 * time.Millisecond
+	linkTimeout = 400 * time.Millisecond
+	// leaseTerm is how long the owner's lease in the store lasts without a renewal.
+	leaseTerm  = 1500 * time.Millisecond
+	leaseEvery = 400 * time.Millisecond
+	// campaignEvery is the time between two looks at whether to take over.
+	campaignEvery = 50 * time.Millisecond
+	// silentFor is how long the owner must not have been heard before a takeover.
+	silentFor = 700 * time.Millisecond
+	// campaignSpread spreads the campaigns of several hosts.
+	campaignSpread = 60 * time.Millisecond
+	// yieldAfter is how long an owner goes on whose store does not answer.
+	yieldAfter = 1200 * time.Millisecond
+)
+
+// election is what a host knows of the owner.
+type election struct {
+	mu      sync.Mutex
+	known   bool // the record, or that there is none, was read
+	holder  jobstore.Holder
+	record  int64 // revision of the holder's record; 0 for none
+	alive   bool  // the holder's lease stands
+	yielded bool  // the holder has asked this host to take over
+	heardAt clock.Time
+	changed chan struct{} // of size 1: the holder has changed
+}
+
+// watchOwner is the duty that follows the owner's record.
+func (h *Host) watchOwner(ctx context.Context) {
+	after := int64(-1)
+	for ctx.Err() == nil {
+		if after < 0 {
+			items, at, err := h.store.List(ctx, jobstore.OwnerPrefix)
+			if err != nil {
+				wait(ctx, ownerRetry)
+				continue
+			}
+			h.takeOwnerList(items)
+			after = at
+			continue
+		}
+		items, at, err := h.store.Watch(ctx, jobstore.OwnerPrefix, after, ownerWait)
+		if err != nil {
+			after = -1
+			continue
+		}
+		h.takeOwnerItems(items)
+		after = at
+	}
+}
+
+// takeOwnerList takes in all keys; one that is not among them is gone.
+func (h *Host) takeOwnerList(items []platform.Item) {
+	present := map[string]bool{}
+	for _, i := range items {
+		present[i.Key] = true
+	}
+	for _, key := range []string{jobstore.HolderKey, jobstore.AliveKey} {
+		if !present[key] {
+			items = append(items, platform.Item{Key: key, Gone: true})
+		}
+	}
+	h.takeOwnerItems(items)
+}
+
+func (h *Host) takeOwnerItems(items []platform.Item) {
+	e := &h.election
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.known = true
+	for _, i := range items {
+		switch i.Key {
+		case jobstore.AliveKey:
+			e.alive = !i.Gone
+		case jobstore.HolderKey:
+			h.takeHolder(i)
+		}
+	}
+}
+
+// takeHolder takes in the owner's record. The caller holds the election's lock.
+func (h *Host) takeHolder(i platform.Item) {
+	e := &h.election
+	if i.Gone || i.Revision <= e.record {
+		return
+	}
+	holder, err := jobstore.DecodeHolder(i.Value)
+	if err != nil {
+		h.log.WithField("error", err).Error("holder_unreadable")
+		return
+	}
+	e.holder, e.record, e.yielded, e.heardAt = holder, i.Revision, false, h.clk.Now()
+	h.log.WithFields(logrus.Fields{"owner": holder.Name, "term": holder.Term, "revision": i.Revision}).Info("owner_known")
+	if o := h.owner.Load(); o != nil && holder.Life != h.life {
+		o.Depose()
+	}
+	select {
+	case e.changed <- struct{}{}:
+	default:
+	}
+}
+
+// mayTakeOver says whether the owner's record should be replaced by this host now, and
+// whether the absence of the owner's lease is a condition.
+func (h *Host) mayTakeOver() (may, ifNotAlive bool, record int64, term int64) {
+	e := &h.election
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	record, term = e.record, e.holder.Term
+	switch {
+	case !e.known || h.config.Load() == nil || h.stopping.Load() || h.owner.Load() != nil:
+		return false, false, record, term
+	case e.record == 0:
+		return true, true, record, term
+	case e.holder.Name == h.cfg.Name && e.holder.Life != h.life, e.yielded:
+		return true, false, record, term
+	case e.holder.Life == h.life:
+		return !e.alive, true, record, term // deposed without a successor
+	}
+	silent := h.clk.Now().Sub(e.heardAt) > silentFor
+	return silent && !e.alive, true, record, term
+}
+
+// campaign is the duty that takes over when the owner is gone.
+func (h *Host) campaign(ctx context.Context) {
+	clock.Every(ctx, campaignEvery, func() {
+		may, _, _, _ := h.mayTakeOver()
+		if !may {
+			return
+		}
+		wait(ctx, rand.N(campaignSpread))
+		may, ifNotAlive, record, term := h.mayTakeOver()
+		if !may {
+			return
+		}
+		h.tryTakeOver(ctx, ifNotAlive, record, term)
+	})
+}
+
+// tryTakeOver puts this host on record as the owner and owns the pool until deposed.
+func (h *Host) tryTakeOver(ctx context.Context, ifNotAlive bool, record, term int64) {
+	began := h.clk.Now()
+	lease, _, err := h.store.OpenLease(ctx, max(leaseTerm, h.cfg.Store.MinLease))
+	if err != nil {
+		return
+	}
+	holder := jobstore.Holder{Name: h.cfg.Name, Life: h.life, Address: h.cfg.Peers, Term: term + 1}
+	text, err := holder.Encode()
+	if err != nil {
+		return
+	}
+	t := platform.Txn{
+		Expect: []platform.Expect{{Key: jobstore.HolderKey, Revision: record}},
+		Put: []platform.Put{
+			{Key: jobstore.HolderKey, Value: text},
+			{Key: jobstore.AliveKey, Value: []byte(h.life), Lease: lease},
+			{Key: jobstore.CommitKey, Value: fmt.Appendf(nil, "%d/0", holder.Term)},
+		},
+	}
+	if ifNotAlive {
+		t.Expect = append(t.Expect, platform.Expect{Key: jobstore.AliveKey})
+	}
+	revision, ok := h.claim(ctx, t, string(text))
+	if !ok {
+		return
+	}
+	h.log.WithFields(logrus.Fields{"term": holder.Term, "revision": revision, "took": h.clk.Now().Sub(began)}).Info("owner_elected")
+	h.takeOwnerItems([]platform.Item{{Key: jobstore.HolderKey, Value: text, Revision: revision}, {Key: jobstore.AliveKey}})
+	h.own(ctx, poolowner.Claim{Term: holder.Term, Revision: revision, First: record == 0}, lease, began)
+}
+
+// claim carries out the transaction that makes this host the owner, and settles a lost
+// answer by trying again.
+func (h *Host) claim(ctx context.Context, t platform.Txn, value string) (revision int64, ok bool) {
+	const tries = 5
+	for range tries {
+		revision, found, err := h.store.Commit(ctx, t)
+		switch {
+		case err == nil:
+			return revision, true
+		case errors.Is(err, platform.ErrConflict):
+			for _, i := range found {
+				if i.Key == jobstore.HolderKey && string(i.Value) == value {
+					return i.Revision, true
+				}
+			}
+			return 0, false
+		case errors.Is(err, platform.ErrUnsettled):
+			continue
+		}
+		return 0, false
+	}
+	return 0, false
+}
+
+// own owns the pool until another host has taken over, or ctx ends.
+func (h *Host) own(ctx context.Context, claim poolowner.Claim, lease int64, renewedAt clock.Time) {
+	k := &leaseKeeper{host: h, lease: lease, record: claim.Revision}
+	k.renewedAt.Store(int64(renewedAt))
+	o := poolowner.New(poolowner.Deps{
+		Name: h.cfg.Name, Clock: h.clk, Store: h.store, Workers: h.worker, Bounds: h.cfg.Bounds,
+		Advise: h.advise, Leased: k.holds, Log: h.log,
+	}, claim)
+	o.SetConfig(h.config.Load())
+	h.owner.Store(o)
+	o.SetConfig(h.config.Load()) // one that came in between
+	ctx, cancel := context.WithCancel(ctx)
+	h.duties.Go(func() { k.run(ctx, o) })
+	err := o.Run(ctx)
+	cancel()
+	h.owner.Store(nil)
+	h.log.WithFields(logrus.Fields{"term": claim.Term, "error": err}).Info("owner_ended")
+}
+
+// keepLink is the duty that keeps a link to the owner.
+func (h *Host) keepLink(ctx context.Context) {
+	for ctx.Err() == nil {
+		e := &h.election
+		e.mu.Lock()
+		holder, record := e.holder, e.record
+		e.mu.Unlock()
+		if record == 0 || holder.Life == h.life || holder.Name == h.cfg.Name {
+			wait(ctx, linkRetry)
+			continue
+		}
+		h.link(ctx, holder)
+		wait(ctx, linkRetry)
+	}
+}
+
+// link keeps one link to a holder until it breaks or another host is on record.
+func (h *Host) link(ctx context.Context, holder jobstore.Holder) {
+	d := net.Dialer{Timeout: linkTimeout}
+	conn, err := d.DialContext(ctx, "tcp", holder.Address.String())
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	m := poolrpc.NewMember(poolrpc.MemberHandlers{
+		Status: h.memberStatus, Advise: h.advise,
+		OwnerStatus: func(s *poolpb.OwnerStatus) { h.ownerHeard(holder, s) },
+	}, h.clk)
+	h.member.Store(m)
+	defer h.member.CompareAndSwap(m, nil)
+	go func() {
+		defer cancel()
+		for ctx.Err() == nil {
+			select {
+			case <-ctx.Done():
+				return
+			case <-h.election.changed:
+				if h.holderLife() != holder.Life {
+					return
+				}
+			}
+		}
+	}()
+	_ = m.Run(ctx, conn)
+}
+
+func (h *Host) holderLife() string {
+	h.election.mu.Lock()
+	defer h.election.mu.Unlock()
+	return h.election.holder.Life
+}
+
+func (h *Host) memberStatus() *poolpb.MemberStatus {
+	return &poolpb.MemberStatus{Name: h.cfg.Name, StoreAnswers: h.storeAnswers(), Stopping: h.stopping.Load()}
+}
+
+// ownerHeard takes in a heartbeat of the owner.
+func (h *Host) ownerHeard(holder jobstore.Holder, s *poolpb.OwnerStatus) {
+	e := &h.election
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.holder.Life != holder.Life || e.holder.Term != s.Term {
+		return
+	}
+	e.heardAt = h.clk.Now()
+	e.yielded = s.Yield == h.cfg.Name
+}
--- /dev/null
+++ b/pkg/jobhost/host.go
@@ -0,0 +1,157 @@
+package jobhost
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/poolowner"
+	"foldarch.dev/foldarch/pkg/poolrpc"
+	"foldarch.dev/foldarch/pkg/queue"
+	"foldarch.dev/foldarch/platform"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	storeTimeout  = 400 * time.Millisecond
+	workerTimeout = 450 * time.Millisecond
+	// storeShare is the part of the store's rate that one host may use.
+	storeShare = 0.25
+	// storeFresh is how long ago the store may have answered to count as up.
+	storeFresh = 1500 * time.Millisecond
+	// memoryShare is the part of the memory limit at which the collector works harder.
+	memoryShare = 0.8
+	gcPercent   = 200
+	// stopMargin is left of the time for a planned stop.
+	stopMargin = 1500 * time.Millisecond
+	// stopPause is how long a stopping host goes on taking in requests, so that callers
+	// and the platform's balancer can go elsewhere.
+	stopPause     = 2500 * time.Millisecond
+	headerTimeout = 10 * time.Second
+)
+
+// Host is one entry host at work.
+type Host struct {
+	cfg    platform.Settings
+	life   string
+	log    *logrus.Entry
+	clk    clock.Clock
+	store  *platform.Store
+	worker *platform.Workers
+	advice *platform.Adviser
+
+	config   atomic.Pointer[queue.Config]
+	intake   *intake
+	election election
+	member   atomic.Pointer[poolrpc.Member]
+	owner    atomic.Pointer[poolowner.Owner]
+	stopping atomic.Bool
+	duties   sync.WaitGroup
+}
+
+// New returns a host that does nothing before Run.
+func New(cfg platform.Settings, log *logrus.Entry) *Host {
+	clk := clock.System()
+	store := platform.NewStore(cfg.Store, platform.StoreOptions{
+		CallTimeout:     storeTimeout,
+		WritesPerSecond: cfg.Store.WritesPerSecond * storeShare,
+		ReadsPerSecond:  cfg.Store.ReadsPerSecond * storeShare,
+	}, clk)
+	h := &Host{
+		cfg: cfg, life: uuid.NewString(), log: log.WithField("host", cfg.Name), clk: clk, store: store,
+		worker: platform.NewWorkers(workerTimeout), intake: newIntake(store, clk),
+		election: election{changed: make(chan struct{}, 1)},
+	}
+	if cfg.Advice.IsValid() {
+		h.advice = platform.NewAdviser(cfg.Advice)
+	}
+	return h
+}
+
+// Run works until ctx ends and then stops as planned: the pool is handed over and requests
+// in flight are answered.
+func (h *Host) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(float64(h.cfg.MemoryBytes) * memoryShare))
+	debug.SetGCPercent(gcPercent)
+	callers, err := net.Listen("tcp", h.cfg.Callers.String())
+	if err != nil {
+		return errors.Wrap(err, "callers' address")
+	}
+	ready, err := net.Listen("tcp", h.cfg.Ready.String())
+	if err != nil {
+		return errors.Wrap(err, "ready address")
+	}
+	peers, err := net.Listen("tcp", h.cfg.Peers.String())
+	if err != nil {
+		return errors.Wrap(err, "peers' address")
+	}
+	h.log.WithFields(logrus.Fields{"life": h.life, "callers": h.cfg.Callers, "peers": h.cfg.Peers, "zone": h.cfg.Zone}).Info("started")
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	server := &http.Server{Handler: h.door(), ReadHeaderTimeout: headerTimeout}
+	probe := &http.Server{Handler: http.HandlerFunc(h.ready), ReadHeaderTimeout: headerTimeout}
+	go func() { _ = server.Serve(callers) }()
+	go func() { _ = probe.Serve(ready) }()
+	h.startDuties(work, peers)
+	<-ctx.Done()
+	h.leave(server)
+	stop()
+	h.duties.Wait()
+	h.log.Info("stopped")
+	return nil
+}
+
+func (h *Host) startDuties(ctx context.Context, peers net.Listener) {
+	h.duties.Go(func() { h.watchConfig(ctx) })
+	h.duties.Go(func() { h.intake.run(ctx) })
+	h.duties.Go(func() { h.watchOwner(ctx) })
+	h.duties.Go(func() { h.campaign(ctx) })
+	h.duties.Go(func() { h.keepLink(ctx) })
+	h.duties.Go(func() { _ = poolrpc.Serve(ctx, peers, h.ownerHandlers, h.clk) })
+}
+
+func (h *Host) ownerHandlers() (poolrpc.OwnerHandlers, bool) {
+	o := h.owner.Load()
+	if o == nil {
+		return poolrpc.OwnerHandlers{}, false
+	}
+	return o.Handlers(), true
+}
+
+// ready answers the platform's health check.
+func (h *Host) ready(w http.ResponseWriter, _ *http.Request) {
+	if h.config.Load() == nil || h.stopping.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// leave stops as planned, within the time that the platform gives.
+func (h *Host) leave(server *http.Server) {
+	h.stopping.Store(true)
+	h.log.Info("stopping")
+	deadline := h.clk.Now().Add(h.cfg.Bounds.Grace - stopMargin)
+	until := h.clk.Now().Add(min(stopPause, h.cfg.Bounds.Grace-stopMargin))
+	for h.clk.Now() < until || h.owner.Load() != nil && h.clk.Now() < deadline {
+		if o := h.owner.Load(); o != nil {
+			o.Yield("stopping")
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), max(deadline.Sub(h.clk.Now()), 0)+stopMargin/2)
+	defer cancel()
+	_ = server.Shutdown(ctx)
+}
+
+// storeAnswers says whether the store has answered lately.
+func (h *Host) storeAnswers() bool {
+	return h.clk.Now().Sub(h.store.LastAnswer()) < storeFresh
+}
--- /dev/null
+++ b/pkg/jobhost/intake.go
@@ -0,0 +1,198 @@
+package jobhost
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/platform"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// intakeRing bounds the writes that wait.
+	intakeRing = 512
+	// intakeAtOnce is how many transactions may be on their way.
+	intakeAtOnce = 4
+	// entriesPerWrite is how many entries of a transaction a write needs at most.
+	entriesPerWrite = 2
+	// intakeLinger is how long a write waits for others while a transaction is on its way.
+	intakeLinger = 8 * time.Millisecond
+	// settleFor bounds the tries to settle a write whose answer was lost.
+	settleFor   = 1600 * time.Millisecond
+	settlePause = 30 * time.Millisecond
+	// distrustFor is how long after a failure new writes are refused at once, except one
+	// that finds out whether the store is back.
+	distrustFor = 300 * time.Millisecond
+)
+
+// write is one key to be written by a host, if it is not there yet.
+type write struct {
+	key     string
+	value   []byte
+	arrived clock.Time
+	done    chan error
+}
+
+// intake writes keys into the store, many with one transaction.
+type intake struct {
+	store *platform.Store
+	clk   clock.Clock
+	ring  chan *write
+	slots chan struct{}
+	// failing is when the store last failed to answer; 0 while it answers.
+	failing atomic.Int64
+	probing atomic.Bool
+}
+
+func newIntake(store *platform.Store, clk clock.Clock) *intake {
+	return &intake{store: store, clk: clk, ring: make(chan *write, intakeRing), slots: make(chan struct{}, intakeAtOnce)}
+}
+
+// put writes a key that nobody changes; it is no error when it is there already. Errors:
+// platform.ErrRefused when it was certainly not written and never will be,
+// platform.ErrUnsettled.
+func (t *intake) put(ctx context.Context, key string, value []byte) error {
+	if t.distrusts() {
+		return errors.Wrap(platform.ErrRefused, "the store does not answer")
+	}
+	w := &write{key: key, value: value, arrived: t.clk.Now(), done: make(chan error, 1)}
+	select {
+	case t.ring <- w:
+	default:
+		return errors.Wrap(platform.ErrRefused, "too many writes wait")
+	}
+	select {
+	case err := <-w.done:
+		return err
+	case <-ctx.Done():
+		return errors.Mark(ctx.Err(), platform.ErrUnsettled)
+	}
+}
+
+// distrusts says that the store has just failed and somebody else is trying it.
+func (t *intake) distrusts() bool {
+	failed := t.failing.Load()
+	if failed == 0 {
+		return false
+	}
+	if t.clk.Now().Sub(clock.Time(failed)) < distrustFor {
+		return true
+	}
+	return !t.probing.CompareAndSwap(false, true)
+}
+
+func (t *intake) answered(ok bool) {
+	t.probing.Store(false)
+	if ok {
+		t.failing.Store(0)
+		return
+	}
+	t.failing.Store(int64(t.clk.Now()))
+}
+
+// run is the duty that groups writes.
+func (t *intake) run(ctx context.Context) {
+	for {
+		var group []*write
+		select {
+		case <-ctx.Done():
+			return
+		case w := <-t.ring:
+			group = append(group, w)
+		}
+		if len(t.slots) > 0 {
+			wait(ctx, intakeLinger)
+		}
+		t.slots <- struct{}{}
+		group = t.collect(group)
+		go func() {
+			defer func() { <-t.slots }()
+			t.commit(ctx, group)
+		}()
+	}
+}
+
+func (t *intake) collect(group []*write) []*write {
+	for len(group) < platform.MaxTxnEntries/entriesPerWrite {
+		select {
+		case w := <-t.ring:
+			group = append(group, w)
+		default:
+			return group
+		}
+	}
+	return group
+}
+
+// commit writes a group. Writes whose key is there already are answered, and the others
+// tried again; a lost answer is settled by trying again, too, since a key is written once.
+func (t *intake) commit(ctx context.Context, group []*write) {
+	started := t.clk.Now()
+	unsettled := false
+	for len(group) > 0 {
+		_, found, err := t.store.Commit(ctx, txnOf(group))
+		switch {
+		case err == nil:
+			t.answered(true)
+			answerAll(group, nil)
+			return
+		case errors.Is(err, platform.ErrConflict):
+			t.answered(true)
+			group = answerPresent(group, found)
+			continue
+		case errors.Is(err, platform.ErrUnsettled):
+			unsettled = true
+		}
+		t.answered(false)
+		if !unsettled {
+			answerAll(group, errors.Mark(err, platform.ErrRefused))
+			return
+		}
+		if ctx.Err() != nil || t.clk.Now().Sub(started) > settleFor {
+			answerAll(group, errors.Mark(errors.Newf("%v", err), platform.ErrUnsettled))
+			return
+		}
+		wait(ctx, settlePause)
+	}
+}
+
+func txnOf(group []*write) platform.Txn {
+	var t platform.Txn
+	for _, w := range group {
+		t.Expect = append(t.Expect, platform.Expect{Key: w.key})
+		t.Put = append(t.Put, platform.Put{Key: w.key, Value: w.value})
+	}
+	return t
+}
+
+func answerAll(group []*write, err error) {
+	for _, w := range group {
+		w.done <- err
+	}
+}
+
+// answerPresent answers the writes whose keys were found, and returns the others.
+func answerPresent(group []*write, found []platform.Item) []*write {
+	present := make(map[string]bool, len(found))
+	for _, i := range found {
+		if i.Revision > 0 && !i.Gone {
+			present[i.Key] = true
+		}
+	}
+	var rest []*write
+	for _, w := range group {
+		if present[w.key] {
+			w.done <- nil
+		} else {
+			rest = append(rest, w)
+		}
+	}
+	if len(rest) == len(group) {
+		// Nothing was found although there is a conflict: a key came and went.
+		answerAll(group, errors.Mark(errors.New("conflict without a key"), platform.ErrUnsettled))
+		return nil
+	}
+	return rest
+}
--- /dev/null
+++ b/pkg/jobstore/keys.go
@@ -0,0 +1,67 @@
+package jobstore
+
+import (
+	"encoding/json"
+	"net/netip"
+	"strings"
+
+	"foldarch.dev/foldarch/pkg/job"
+	"github.com/cockroachdb/errors"
+)
+
+// The keys and the prefixes that are listed or watched.
+const (
+	JobsPrefix     = "foldarch/jobs/"
+	ProgressPrefix = "foldarch/progress/"
+	OwnerPrefix    = "foldarch/owner/"
+	HolderKey      = OwnerPrefix + "holder"
+	AliveKey       = OwnerPrefix + "alive"
+	CommitKey      = "foldarch/commit"
+	RosterKey      = "foldarch/roster"
+
+	cancelSuffix = "/cancel"
+)
+
+// JobKey is where a job's record stands.
+func JobKey(id job.ID) string {
+	return JobsPrefix + string(id)
+}
+
+// CancelKey stands when a job was cancelled.
+func CancelKey(id job.ID) string {
+	return JobKey(id) + cancelSuffix
+}
+
+// ProgressKey is where a job's progress stands.
+func ProgressKey(id job.ID) string {
+	return ProgressPrefix + string(id)
+}
+
+// ParseJobKey returns the job of a key under JobsPrefix and whether the key cancels it.
+func ParseJobKey(key string) (id job.ID, cancel bool) {
+	text := strings.TrimPrefix(key, JobsPrefix)
+	name, cancel := strings.CutSuffix(text, cancelSuffix)
+	return job.ID(name), cancel
+}
+
+// Holder is the record of the host that owns the pool.
+type Holder struct {
+	Name    string         `json:"name"`
+	Life    string         `json:"life"` // of the process
+	Address netip.AddrPort `json:"address"`
+	// Term counts the owners.
+	Term int64 `json:"term"`
+}
+
+// Encode returns the record as the store keeps it.
+func (h Holder) Encode() ([]byte, error) {
+	text, err := json.Marshal(h)
+	return text, errors.Wrap(err, "encode holder")
+}
+
+// DecodeHolder reads what Encode returned.
+func DecodeHolder(text []byte) (Holder, error) {
+	var h Holder
+	err := json.Unmarshal(text, &h)
+	return h, errors.Wrap(err, "holder record")
+}
--- /dev/null
+++ b/pkg/logring/writer.go
@@ -0,0 +1,65 @@
+package logring
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+)
+
+const closeTimeout = 200 * time.Millisecond
+
+// Writer takes lines and writes them in the background.
+type Writer struct {
+	ring    chan []byte
+	dropped atomic.Int64
+	done    chan struct{}
+}
+
+// New returns a writer with room for size lines.
+func New(out io.Writer, size int) *Writer {
+	w := &Writer{ring: make(chan []byte, size), done: make(chan struct{})}
+	go w.run(out)
+	return w
+}
+
+// Write takes one line. It never fails and never waits.
+func (w *Writer) Write(line []byte) (int, error) {
+	select {
+	case w.ring <- append([]byte(nil), line...):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped is how many lines were dropped and not yet told of in the log.
+func (w *Writer) Dropped() int64 {
+	return w.dropped.Load()
+}
+
+// Close writes what is in the ring, as far as the output takes it soon.
+func (w *Writer) Close() {
+	select {
+	case w.ring <- nil:
+	case <-time.After(closeTimeout):
+		return
+	}
+	select {
+	case <-w.done:
+	case <-time.After(closeTimeout):
+	}
+}
+
+func (w *Writer) run(out io.Writer) {
+	defer close(w.done)
+	for line := range w.ring {
+		if line == nil {
+			return
+		}
+		_, _ = out.Write(line)
+		if n := w.dropped.Swap(0); n > 0 {
+			_, _ = fmt.Fprintf(out, "level=warning msg=log_lines_dropped count=%d\n", n)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/poolowner/loading.go
@@ -0,0 +1,262 @@
+package poolowner
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/dispatch"
+	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/jobstore"
+	"foldarch.dev/foldarch/platform"
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// jobsEvery is the time between two looks for jobs of which no host has told.
+	jobsEvery = 500 * time.Millisecond
+	// workersWait is how long a watch on the workers' entries waits.
+	workersWait = time.Second
+	storeRetry  = 100 * time.Millisecond
+)
+
+// position is how far a duty has followed the store.
+type position struct {
+	jobs    int64
+	workers int64
+}
+
+// load reads the workers and the jobs, trying again until the store answers.
+func (o *Owner) load(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := o.loadOnce(ctx)
+		if err == nil {
+			o.loaded.Store(true)
+			return nil
+		}
+		o.deps.Log.WithField("error", err).Warn("owner_loading")
+		pause(ctx, storeRetry)
+	}
+	return ctx.Err()
+}
+
+func (o *Owner) loadOnce(ctx context.Context) error {
+	if err := o.listWorkers(ctx); err != nil {
+		return err
+	}
+	if err := o.readRoster(ctx); err != nil {
+		return err
+	}
+	if err := o.listJobs(ctx); err != nil {
+		return err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, w := range o.pool.Workers() {
+		o.openSession(ctx, w.ID)
+	}
+	return nil
+}
+
+// listJobs reads all jobs and their progress.
+func (o *Owner) listJobs(ctx context.Context) error {
+	started := o.deps.Clock.Now()
+	items, at, err := o.deps.Store.List(ctx, jobstore.JobsPrefix)
+	if err != nil {
+		return errors.Wrap(err, "jobs")
+	}
+	progressItems, _, err := o.deps.Store.List(ctx, jobstore.ProgressPrefix)
+	if err != nil {
+		return errors.Wrap(err, "progress of jobs")
+	}
+	progress := make(map[job.ID]job.Progress, len(progressItems))
+	for _, i := range progressItems {
+		p, err := job.DecodeProgress(i.Value)
+		if err != nil {
+			return errors.Wrap(err, i.Key)
+		}
+		progress[job.ID(strings.TrimPrefix(i.Key, jobstore.ProgressPrefix))] = p
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.takeJobs(items, progress)
+	o.position.jobs = at
+	o.deps.Log.WithFields(logrus.Fields{
+		"items": len(items), "progress": len(progress), "took": o.deps.Clock.Now().Sub(started),
+	}).Info("jobs_listed")
+	return nil
+}
+
+// takeJobs takes in items under JobsPrefix. The caller holds o.mu.
+func (o *Owner) takeJobs(items []platform.Item, progress map[job.ID]job.Progress) {
+	for _, i := range items {
+		id, cancel := jobstore.ParseJobKey(i.Key)
+		switch {
+		case i.Gone:
+		case cancel:
+			if !o.pool.Cancel(id, o.deps.Clock.Now()) {
+				o.cancelled[id] = true
+			}
+		default:
+			record, err := job.DecodeRecord(i.Value)
+			if err != nil {
+				o.deps.Log.WithFields(logrus.Fields{"job": id, "error": err}).Error("record_unreadable")
+				continue
+			}
+			p, stored := progress[id]
+			o.addJob(id, record, p, stored)
+		}
+	}
+}
+
+// watchJobs is the duty that looks for jobs of which no host has told the owner.
+func (o *Owner) watchJobs(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, jobsEvery)
+		items, at, err := o.deps.Store.Watch(ctx, jobstore.JobsPrefix, o.position.jobs, 0)
+		if errors.Is(err, platform.ErrHistoryIsGone) {
+			_ = o.listJobs(ctx)
+			o.wake()
+			continue
+		}
+		if err != nil || len(items) == 0 {
+			if err == nil {
+				o.position.jobs = at
+			}
+			continue
+		}
+		o.mu.Lock()
+		o.takeJobs(items, nil)
+		o.mu.Unlock()
+		o.position.jobs = at
+		o.wake()
+	}
+}
+
+// listWorkers reads all entries of workers.
+func (o *Owner) listWorkers(ctx context.Context) error {
+	items, at, err := o.deps.Store.List(ctx, platform.WorkersPrefix)
+	if err != nil {
+		return errors.Wrap(err, "workers")
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	listed := make(map[dispatch.WorkerID]bool, len(items))
+	for _, i := range items {
+		if info, err := platform.ParseWorker(i); err == nil {
+			listed[info.ID] = true
+			o.pool.PutWorker(info, true)
+		}
+	}
+	for _, w := range o.pool.Workers() {
+		if !listed[w.ID] {
+			o.pool.UnlistWorker(w.ID)
+		}
+	}
+	o.position.workers = at
+	return nil
+}
+
+// watchWorkers is the duty that follows the workers' entries, and keeps the roster.
+func (o *Owner) watchWorkers(ctx context.Context) {
+	o.writeRoster(ctx)
+	for ctx.Err() == nil {
+		items, at, err := o.deps.Store.Watch(ctx, platform.WorkersPrefix, o.position.workers, workersWait)
+		if errors.Is(err, platform.ErrHistoryIsGone) {
+			err = o.listWorkers(ctx)
+			at = o.position.workers
+		}
+		if err != nil {
+			pause(ctx, storeRetry)
+			continue
+		}
+		o.takeWorkers(ctx, items)
+		o.position.workers = at
+	}
+}
+
+func (o *Owner) takeWorkers(ctx context.Context, items []platform.Item) {
+	added := false
+	o.mu.Lock()
+	for _, i := range items {
+		info, err := platform.ParseWorker(i)
+		if err != nil {
+			o.deps.Log.WithField("error", err).Error("worker_unreadable")
+			continue
+		}
+		if i.Gone {
+			o.pool.UnlistWorker(info.ID)
+			continue
+		}
+		added = o.pool.PutWorker(info, true) || added
+		o.logWorker(info)
+	}
+	for _, w := range o.pool.Workers() {
+		o.openSession(ctx, w.ID)
+	}
+	o.mu.Unlock()
+	o.wake()
+	if added {
+		o.writeRoster(ctx)
+	}
+}
+
+func (o *Owner) logWorker(w dispatch.WorkerInfo) {
+	o.deps.Log.WithFields(logrus.Fields{
+		"worker": w.ID, "address": w.Address, "zone": w.Zone, "rack": w.Rack, "draining": w.Draining, "capacity": w.Capacity,
+	}).Info("worker_listed")
+}
+
+// readRoster takes in the workers that former owners have used, since the entry of one may
+// be gone while it runs on.
+func (o *Owner) readRoster(ctx context.Context) error {
+	item, err := o.deps.Store.Read(ctx, jobstore.RosterKey)
+	if errors.Is(err, platform.ErrAbsent) {
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "roster")
+	}
+	var roster []dispatch.WorkerInfo
+	if err := json.Unmarshal(item.Value, &roster); err != nil {
+		return errors.Wrap(err, "roster")
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	known := map[dispatch.WorkerID]bool{}
+	for _, w := range o.pool.Workers() {
+		known[w.ID] = true
+	}
+	for _, w := range roster {
+		if !known[w.ID] {
+			o.pool.PutWorker(w, false)
+		}
+	}
+	return nil
+}
+
+// writeRoster keeps the workers that are in use, for the next owner.
+func (o *Owner) writeRoster(ctx context.Context) {
+	o.mu.Lock()
+	text, err := json.Marshal(o.pool.Workers())
+	o.mu.Unlock()
+	if err != nil {
+		return
+	}
+	for ctx.Err() == nil {
+		_, _, err := o.deps.Store.Commit(ctx, platform.Txn{
+			Expect: []platform.Expect{{Key: jobstore.HolderKey, Revision: o.claim.Revision}},
+			Put:    []platform.Put{{Key: jobstore.RosterKey, Value: text}},
+		})
+		if err == nil {
+			return
+		}
+		if errors.Is(err, platform.ErrConflict) {
+			o.depose("roster")
+			return
+		}
+		pause(ctx, storeRetry)
+	}
+}
--- /dev/null
+++ b/pkg/poolowner/members.go
@@ -0,0 +1,171 @@
+package poolowner
+
+import (
+	"context"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/dispatch"
+	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/poolrpc"
+	"foldarch.dev/foldarch/pkg/poolrpc/poolpb"
+	"github.com/sirupsen/logrus"
+)
+
+// Handlers are what the owner does with what other hosts say.
+func (o *Owner) Handlers() poolrpc.OwnerHandlers {
+	return poolrpc.OwnerHandlers{
+		Joined: o.joined, Left: o.left, Answer: o.Answer, Advice: o.adviceAnswered, Status: o.status, Done: o.done,
+		Accepted:  func(a *poolpb.Accepted) { o.Accepted(job.ID(a.Id), a.Record) },
+		Cancelled: func(c *poolpb.Cancelled) { o.Cancelled(job.ID(c.Id)) },
+	}
+}
+
+func (o *Owner) joined(s *poolrpc.Session) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.members[s.Name] = s
+	o.pool.PutAdviser(s.Name)
+	o.deps.Log.WithField("member", s.Name).Info("member_joined")
+}
+
+func (o *Owner) left(s *poolrpc.Session) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.members[s.Name] != s {
+		return
+	}
+	delete(o.members, s.Name)
+	o.pool.RemoveAdviser(s.Name, o.deps.Clock.Now())
+	o.deps.Log.WithField("member", s.Name).Info("member_left")
+}
+
+func (o *Owner) status() *poolpb.OwnerStatus {
+	st := &poolpb.OwnerStatus{Term: o.claim.Term}
+	if name := o.yield.Load(); name != nil {
+		st.Yield = *name
+	}
+	return st
+}
+
+// Yield asks a member whose store answers to take over. It says whether there is one.
+func (o *Owner) Yield(why string) bool {
+	o.mu.Lock()
+	best := ""
+	for name, s := range o.members {
+		st := s.Status()
+		if st.StoreAnswers && !st.Stopping && (best == "" || name < best) {
+			best = name
+		}
+	}
+	o.mu.Unlock()
+	if best == "" {
+		return false
+	}
+	if old := o.yield.Swap(&best); old == nil || *old != best {
+		o.deps.Log.WithFields(logrus.Fields{"to": best, "why": why}).Info("owner_yields")
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, s := range o.members {
+		s.Send(&poolpb.OwnerMessage{Content: &poolpb.OwnerMessage_Status{Status: o.status()}})
+	}
+	return true
+}
+
+// Stay takes back what Yield asked for.
+func (o *Owner) Stay() {
+	o.yield.Store(nil)
+}
+
+// Answer tells the state of a job or the pending jobs of a queue.
+func (o *Owner) Answer(q *poolpb.Question) *poolpb.Answer {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	a := &poolpb.Answer{Number: q.Number}
+	if !o.loaded.Load() {
+		a.Unknown = true
+		return a
+	}
+	if q.Job == "" {
+		a.Pending = int64(o.pool.Pending(q.Queue))
+		return a
+	}
+	state, ok := o.pool.State(job.ID(q.Job))
+	a.State, a.Unknown = string(state), !ok
+	return a
+}
+
+// ask has a call for advice made, by this host or by a member.
+func (o *Owner) ask(ctx context.Context, member *poolrpc.Session, a dispatch.Ask) {
+	call := &poolpb.AdviceCall{
+		Number: a.Number, Job: string(a.Step.Job), Time: int64(a.Step.Time), Step: int64(a.Step.Step),
+		LimitMs: a.Limit.Milliseconds(),
+	}
+	for _, w := range a.Workers {
+		call.Workers = append(call.Workers, string(w))
+	}
+	if a.Adviser == o.deps.Name {
+		go func() { o.adviceAnswered(o.deps.Advise(ctx, call)) }()
+		return
+	}
+	if member == nil || !member.Send(&poolpb.OwnerMessage{Content: &poolpb.OwnerMessage_Advice{Advice: call}}) {
+		go o.adviceAnswered(&poolpb.AdviceResult{Number: a.Number})
+	}
+}
+
+func (o *Owner) adviceAnswered(r *poolpb.AdviceResult) {
+	tickets := make([]dispatch.Ticket, 0, len(r.Tickets))
+	for _, t := range r.Tickets {
+		tickets = append(tickets, dispatch.Ticket{Worker: dispatch.WorkerID(t.Worker), Text: t.Text})
+	}
+	o.mu.Lock()
+	o.pool.AdviceAnswered(r.Number, tickets, r.Ok, o.deps.Clock.Now())
+	o.mu.Unlock()
+	o.wake()
+}
+
+// Accepted takes in a job that a host has put into the store.
+func (o *Owner) Accepted(id job.ID, text []byte) {
+	record, err := job.DecodeRecord(text)
+	if err != nil {
+		o.deps.Log.WithFields(logrus.Fields{"job": id, "error": err}).Error("record_unreadable")
+		return
+	}
+	o.mu.Lock()
+	o.addJob(id, record, job.Progress{}, false)
+	o.mu.Unlock()
+	o.wake()
+}
+
+// addJob takes in a job's record, whatever it tells. The caller holds o.mu.
+func (o *Owner) addJob(id job.ID, record job.Record, progress job.Progress, stored bool) {
+	if record.Outcome != "" {
+		o.pool.AddOutcome(id, record.Outcome)
+		return
+	}
+	now := o.deps.Clock.Now()
+	o.pool.AddJob(record, progress, stored, max(o.age(record), 0), now)
+	if o.cancelled[id] {
+		delete(o.cancelled, id)
+		o.pool.Cancel(id, now)
+	}
+}
+
+// age is how long ago a job was accepted, as far as clocks of two hosts tell.
+func (o *Owner) age(r job.Record) time.Duration {
+	const most = time.Minute
+	if r.AcceptedAt.IsZero() {
+		return 0
+	}
+	return min(o.deps.Clock.Wall().Sub(r.AcceptedAt), most)
+}
+
+// Cancelled takes in that a job was cancelled.
+func (o *Owner) Cancelled(id job.ID) {
+	o.mu.Lock()
+	if !o.pool.Cancel(id, o.deps.Clock.Now()) {
+		o.cancelled[id] = true
+	}
+	o.mu.Unlock()
+	o.wake()
+}
--- /dev/null
+++ b/pkg/poolowner/owner.go
@@ -0,0 +1,258 @@
+package poolowner
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/dispatch"
+	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/poolrpc"
+	"foldarch.dev/foldarch/pkg/poolrpc/poolpb"
+	"foldarch.dev/foldarch/pkg/queue"
+	"foldarch.dev/foldarch/platform"
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// AuthorityTerm is how long after its last confirmation an owner may give orders.
+	AuthorityTerm = 2 * time.Second
+	// takeoverTerm also covers orders that were decided at its very end.
+	takeoverTerm = AuthorityTerm + 200*time.Millisecond
+	// tokenStep leaves room for the tokens of one owner (dispatch.MaxBumps).
+	tokenStep = dispatch.MaxBumps + 1
+	// runsOfTerm is how far apart the run numbers of two owners begin.
+	runsOfTerm = 1000
+
+	maxLease       = 5700 * time.Millisecond
+	leaseMargin    = 300 * time.Millisecond
+	planEvery      = 50 * time.Millisecond
+	planPause      = 2 * time.Millisecond
+	inspectEvery   = 250 * time.Millisecond
+	ordersAtOnce   = 2
+	ordersPerQueue = 512
+)
+
+// ErrDeposed says that another owner has taken over.
+var ErrDeposed = errors.New("another owner has taken over")
+
+// Claim is the ownership as the store has it.
+type Claim struct {
+	Term     int64
+	Revision int64 // of the transaction that made this host the owner
+	// First says that there was no owner before.
+	First bool
+}
+
+// Deps are what an owner works with.
+type Deps struct {
+	Name    string
+	Clock   clock.Clock
+	Store   *platform.Store
+	Workers *platform.Workers
+	Bounds  platform.Bounds
+	// Advise makes a call for advice from this host.
+	Advise func(ctx context.Context, call *poolpb.AdviceCall) *poolpb.AdviceResult
+	// Leased says that the store has confirmed the ownership within AuthorityTerm.
+	Leased func(now clock.Time) bool
+	Log    *logrus.Entry
+}
+
+// Owner owns a pool.
+type Owner struct {
+	deps  Deps
+	claim Claim
+	done  chan struct{}
+	kick  chan struct{} // of size 1: there may be something to plan
+
+	mu        sync.Mutex
+	pool      *dispatch.Pool
+	sessions  map[dispatch.WorkerID]*workerSession
+	members   map[string]*poolrpc.Session
+	cancelled map[job.ID]bool // told before the job itself
+	committed chan struct{}   // closed and renewed with each commit
+	fenced    bool            // most workers were fenced
+	position  position        // each field belongs to one duty
+
+	commitRevision int64
+	commitNumber   int64
+	yield          atomic.Pointer[string]
+	loaded         atomic.Bool
+	deposed        atomic.Bool
+	cancel         context.CancelCauseFunc
+	duties         sync.WaitGroup
+}
+
+// New returns an owner that does nothing before Run.
+func New(deps Deps, claim Claim) *Owner {
+	now := deps.Clock.Now()
+	o := &Owner{
+		deps: deps, claim: claim, done: make(chan struct{}), kick: make(chan struct{}, 1),
+		sessions: map[dispatch.WorkerID]*workerSession{}, members: map[string]*poolrpc.Session{},
+		cancelled: map[job.ID]bool{}, committed: make(chan struct{}), commitRevision: claim.Revision,
+	}
+	o.pool = dispatch.New(dispatch.Config{
+		Hold: min(maxLease, deps.Bounds.MaxHold-leaseMargin), MaxHold: deps.Bounds.MaxHold,
+		Token: claim.Revision * tokenStep, FirstRun: int(claim.Term) * runsOfTerm, Takeover: !claim.First,
+		AuthorityTerm: takeoverTerm, Wall: deps.Clock.Wall, Log: o.logEvent,
+	}, now)
+	o.pool.PutAdviser(deps.Name)
+	return o
+}
+
+// Run owns the pool until ctx ends, or until another owner has taken over (ErrDeposed).
+func (o *Owner) Run(ctx context.Context) error {
+	ctx, o.cancel = context.WithCancelCause(ctx)
+	defer o.cancel(nil)
+	defer close(o.done)
+	if err := o.load(ctx); err != nil {
+		return err
+	}
+	o.duties.Go(func() { o.runPlans(ctx) })
+	o.duties.Go(func() { clock.Every(ctx, inspectEvery, o.inspect) })
+	o.duties.Go(func() { o.runCommits(ctx) })
+	o.duties.Go(func() { o.watchJobs(ctx) })
+	o.duties.Go(func() { o.watchWorkers(ctx) })
+	<-ctx.Done()
+	o.duties.Wait()
+	if o.deposed.Load() {
+		return ErrDeposed
+	}
+	return nil
+}
+
+// depose ends the owner for good: another one has taken over.
+func (o *Owner) depose(why string) {
+	if o.deposed.Swap(true) {
+		return
+	}
+	o.deps.Log.WithFields(logrus.Fields{"term": o.claim.Term, "why": why}).Info("owner_deposed")
+	o.cancel(ErrDeposed)
+}
+
+// Depose ends the owner because the store has another one on record.
+func (o *Owner) Depose() {
+	o.depose("record")
+}
+
+// SetConfig puts a configuration in force.
+func (o *Owner) SetConfig(cfg *queue.Config) {
+	o.mu.Lock()
+	o.pool.SetConfig(cfg)
+	o.mu.Unlock()
+	o.wake()
+}
+
+// wake has the plan made anew soon.
+func (o *Owner) wake() {
+	select {
+	case o.kick <- struct{}{}:
+	default:
+	}
+}
+
+// authority says whether orders may be given. The caller holds o.mu.
+func (o *Owner) authority(now clock.Time) bool {
+	if o.deposed.Load() {
+		return false
+	}
+	if o.pool.Fenced() {
+		o.depose("fenced")
+		return false
+	}
+	answering, all := o.pool.Answering(now, AuthorityTerm)
+	if !o.fenced && 2*answering > all {
+		o.fenced = true
+		o.pool.Fencing(now)
+	}
+	return 2*answering > all || o.deps.Leased(now)
+}
+
+// runPlans is the duty that plans, a little after something has changed.
+func (o *Owner) runPlans(ctx context.Context) {
+	t := time.NewTicker(planEvery)
+	defer t.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		case <-o.kick:
+			time.Sleep(planPause)
+		}
+		o.carryOut(ctx)
+	}
+}
+
+func (o *Owner) inspect() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.pool.Inspect(o.deps.Clock.Now())
+}
+
+func (o *Owner) carryOut(ctx context.Context) {
+	o.mu.Lock()
+	now := o.deps.Clock.Now()
+	actions := o.pool.Plan(now, o.authority(now))
+	sessions := make([]*workerSession, len(actions.Starts)+len(actions.Stops)+len(actions.Settles))
+	n := 0
+	find := func(id dispatch.WorkerID) {
+		sessions[n] = o.sessions[id]
+		n++
+	}
+	for _, a := range actions.Starts {
+		find(a.Worker)
+	}
+	for _, a := range actions.Stops {
+		find(a.Worker)
+	}
+	for _, id := range actions.Settles {
+		find(id)
+	}
+	members := make([]*poolrpc.Session, len(actions.Asks))
+	for i, a := range actions.Asks {
+		members[i] = o.members[a.Adviser]
+	}
+	o.mu.Unlock()
+
+	n = 0
+	for _, a := range actions.Starts {
+		o.sendStart(sessions[n], a)
+		n++
+	}
+	for _, a := range actions.Stops {
+		o.sendStop(sessions[n], a)
+		n++
+	}
+	for range actions.Settles {
+		if s := sessions[n]; s != nil {
+			s.settle(ctx)
+		}
+		n++
+	}
+	for i, a := range actions.Asks {
+		o.ask(ctx, members[i], a)
+	}
+}
+
+// logEvent writes what the pool decided or learned.
+func (o *Owner) logEvent(e dispatch.Event) {
+	fields := logrus.Fields{}
+	if e.Task.Job != "" {
+		fields["task"] = e.Task.String()
+		fields["run"] = e.Run
+	}
+	if e.Job != "" {
+		fields["job"] = e.Job
+	}
+	if e.Worker != "" {
+		fields["worker"] = e.Worker
+	}
+	if e.Detail != "" {
+		fields["detail"] = e.Detail
+	}
+	o.deps.Log.WithFields(fields).Info(e.Name)
+}
--- /dev/null
+++ b/pkg/poolowner/sessions.go
@@ -0,0 +1,226 @@
+package poolowner
+
+import (
+	"context"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/dispatch"
+	"foldarch.dev/foldarch/platform"
+)
+
+const (
+	// holdWait is how long a worker lets a hold wait for an end.
+	holdWait = 900 * time.Millisecond
+	// holdRetry is the pause after a hold that failed.
+	holdRetry = 100 * time.Millisecond
+	// noteWait bounds the waiting for the commit of reported ends before the next hold.
+	noteWait = 400 * time.Millisecond
+	// settleTries bounds the holds that settle one lost answer.
+	settleTries = 60
+)
+
+// workerSession talks with one incarnation of a worker.
+type workerSession struct {
+	owner  *Owner
+	id     dispatch.WorkerID
+	orders chan func(context.Context)
+	cancel context.CancelFunc
+	// settling is of size 1: a hold with a higher token is on its way.
+	settling chan struct{}
+}
+
+// openSession begins to talk with a worker. The caller holds o.mu.
+func (o *Owner) openSession(ctx context.Context, id dispatch.WorkerID) {
+	if o.sessions[id] != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	s := &workerSession{
+		owner: o, id: id, orders: make(chan func(context.Context), ordersPerQueue), cancel: cancel,
+		settling: make(chan struct{}, 1),
+	}
+	o.sessions[id] = s
+	o.duties.Go(func() {
+		s.runHolds(ctx)
+		s.close()
+	})
+	for range ordersAtOnce {
+		o.duties.Go(func() { s.runOrders(ctx) })
+	}
+}
+
+func (s *workerSession) close() {
+	s.cancel()
+	s.owner.mu.Lock()
+	defer s.owner.mu.Unlock()
+	if s.owner.sessions[s.id] == s {
+		delete(s.owner.sessions, s.id)
+	}
+}
+
+// runHolds is the duty that renews leases and takes in reports.
+func (s *workerSession) runHolds(ctx context.Context) {
+	wait := time.Duration(0)
+	for ctx.Err() == nil {
+		answered, known := s.hold(ctx, false, wait)
+		if !known {
+			return
+		}
+		if !answered {
+			wait = 0
+			pause(ctx, holdRetry)
+			continue
+		}
+		if wait == 0 {
+			wait = holdWait // the first one learned the worker's clock
+			continue
+		}
+		s.awaitNote(ctx)
+	}
+}
+
+// hold sends one hold and takes in its answer. known is false when there is nothing to be
+// asked of the worker any more.
+func (s *workerSession) hold(ctx context.Context, raise bool, wait time.Duration) (answered, known bool) {
+	o := s.owner
+	o.mu.Lock()
+	now := o.deps.Clock.Now()
+	h, ok := o.pool.HoldFor(s.id, raise, o.authority(now), now)
+	o.mu.Unlock()
+	if !ok {
+		return false, false
+	}
+	a, report, err := o.deps.Workers.Hold(ctx, platform.HoldOrder{
+		Order:    platform.Order{Worker: h.Worker, Address: h.Address, Token: h.Token},
+		LastSeen: h.LastSeen, Deadline: h.Deadline, Wait: wait,
+	})
+	if err != nil {
+		return false, true
+	}
+	o.mu.Lock()
+	o.pool.HoldAnswered(h, a, report, o.deps.Clock.Now())
+	o.mu.Unlock()
+	o.wake()
+	return a.Verdict == dispatch.VerdictDone, true
+}
+
+// awaitNote waits until the ends that were reported are committed, since the worker would
+// report them again at once.
+func (s *workerSession) awaitNote(ctx context.Context) {
+	limit := time.NewTimer(noteWait)
+	defer limit.Stop()
+	for {
+		s.owner.mu.Lock()
+		noted, committed := s.owner.pool.Noted(s.id), s.owner.committed
+		s.owner.mu.Unlock()
+		if noted {
+			return
+		}
+		select {
+		case <-committed:
+		case <-limit.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// settle sends holds with a higher token until one is answered, so that orders without an
+// answer are settled.
+func (s *workerSession) settle(ctx context.Context) {
+	select {
+	case s.settling <- struct{}{}:
+	default:
+		return // one that has not been sent yet will do
+	}
+	s.owner.duties.Go(func() {
+		pause(ctx, 5*time.Millisecond)
+		<-s.settling
+		for range settleTries {
+			answered, known := s.hold(ctx, true, 0)
+			if answered || !known || ctx.Err() != nil {
+				return
+			}
+			pause(ctx, holdRetry)
+		}
+	})
+}
+
+// runOrders sends starts and stops, one after the other.
+func (s *workerSession) runOrders(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case order := <-s.orders:
+			order(ctx)
+		}
+	}
+}
+
+// put queues an order; it says whether there was room.
+func (s *workerSession) put(order func(context.Context)) bool {
+	if s == nil {
+		return false
+	}
+	select {
+	case s.orders <- order:
+		return true
+	default:
+		return false
+	}
+}
+
+func (o *Owner) sendStart(s *workerSession, a dispatch.Start) {
+	sent := s.put(func(ctx context.Context) {
+		if !o.mayOrder() {
+			o.startAnswered(a, dispatch.Answer{}, dispatch.ErrNotSent)
+			return
+		}
+		answer, err := o.deps.Workers.Start(ctx, platform.StartOrder{
+			Order: platform.Order{Worker: a.Worker, Address: a.Address, Token: a.Token},
+			Task:  a.Task, Run: a.Run, Spec: a.Spec, Checkpoint: a.Checkpoint, Ticket: a.Ticket, Deadline: a.Deadline,
+		})
+		o.startAnswered(a, answer, err)
+	})
+	if !sent {
+		o.startAnswered(a, dispatch.Answer{}, dispatch.ErrNotSent)
+	}
+}
+
+// mayOrder asks for the authority once more, right before an order is sent.
+func (o *Owner) mayOrder() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.authority(o.deps.Clock.Now())
+}
+
+func (o *Owner) startAnswered(a dispatch.Start, answer dispatch.Answer, err error) {
+	o.mu.Lock()
+	o.pool.StartAnswered(a, answer, err, o.deps.Clock.Now())
+	o.mu.Unlock()
+	o.wake()
+}
+
+func (o *Owner) sendStop(s *workerSession, a dispatch.Stop) {
+	s.put(func(ctx context.Context) {
+		answer, err := o.deps.Workers.Stop(ctx, platform.Order{Worker: a.Worker, Address: a.Address, Token: a.Token}, a.Task, a.Run)
+		if err != nil {
+			return // sent again when the end does not come
+		}
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.pool.StopAnswered(a, answer, o.deps.Clock.Now())
+	})
+}
+
+// pause waits, but not beyond the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/pkg/poolrpc/member.go
@@ -0,0 +1,199 @@
+package poolrpc
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/poolrpc/poolpb"
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcconn"
+)
+
+const (
+	// HeartbeatEvery is the time between two heartbeats of either side.
+	HeartbeatEvery = 250 * time.Millisecond
+	// SilenceLimit is how long a side waits for a heartbeat.
+	SilenceLimit = 900 * time.Millisecond
+	// outboxSize bounds the messages that wait to be sent.
+	outboxSize = 1024
+)
+
+// ErrNoLink says that there is no stream to the owner, or that it broke.
+var ErrNoLink = errors.New("no link to the owner")
+
+// MemberHandlers are what a member does.
+type MemberHandlers struct {
+	// Status describes this host.
+	Status func() *poolpb.MemberStatus
+	// OwnerStatus takes in a heartbeat of the owner.
+	OwnerStatus func(*poolpb.OwnerStatus)
+	// Advise makes a call for advice; it is called in a goroutine of its own.
+	Advise func(context.Context, *poolpb.AdviceCall) *poolpb.AdviceResult
+}
+
+// Member is a host's side of its stream to the owner.
+type Member struct {
+	handlers MemberHandlers
+	clk      clock.Clock
+	outbox   chan *poolpb.MemberMessage
+	heardAt  atomic.Int64
+	number   atomic.Int64
+
+	mu      sync.Mutex
+	waiting map[int64]chan *poolpb.Answer
+	closed  bool
+}
+
+// NewMember returns the side of a member before it has a connection.
+func NewMember(h MemberHandlers, clk clock.Clock) *Member {
+	m := &Member{
+		handlers: h, clk: clk, outbox: make(chan *poolpb.MemberMessage, outboxSize),
+		waiting: map[int64]chan *poolpb.Answer{},
+	}
+	m.heardAt.Store(int64(clk.Now()))
+	return m
+}
+
+// HeardAt is when the owner was heard last.
+func (m *Member) HeardAt() clock.Time {
+	return clock.Time(m.heardAt.Load())
+}
+
+// Run keeps the stream over a connection until it ends or the owner falls silent.
+func (m *Member) Run(ctx context.Context, conn net.Conn) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer m.close()
+	c := drpcconn.New(conn)
+	defer func() { _ = c.Close() }()
+	stream, err := poolpb.NewDRPCPoolClient(c).Join(ctx)
+	if err != nil {
+		return errors.Mark(err, ErrNoLink)
+	}
+	var duties sync.WaitGroup
+	defer duties.Wait()
+	defer cancel()
+	duties.Go(func() {
+		defer cancel()
+		sendAll(ctx, m.outbox, stream.Send)
+	})
+	duties.Go(func() { m.beat(ctx, cancel) })
+	m.send(&poolpb.MemberMessage{Content: &poolpb.MemberMessage_Status{Status: m.handlers.Status()}})
+	for {
+		msg, err := stream.Recv()
+		if err != nil {
+			return errors.Mark(err, ErrNoLink)
+		}
+		m.heardAt.Store(int64(m.clk.Now()))
+		m.take(ctx, msg)
+	}
+}
+
+// sendAll sends what comes out of a ring until ctx ends or the stream breaks.
+func sendAll[M any](ctx context.Context, outbox <-chan M, send func(M) error) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case msg := <-outbox:
+			if send(msg) != nil {
+				return
+			}
+		}
+	}
+}
+
+func (m *Member) beat(ctx context.Context, cancel context.CancelFunc) {
+	clock.Every(ctx, HeartbeatEvery, func() {
+		if m.clk.Now().Sub(m.HeardAt()) > SilenceLimit {
+			cancel()
+			return
+		}
+		m.send(&poolpb.MemberMessage{Content: &poolpb.MemberMessage_Status{Status: m.handlers.Status()}})
+	})
+}
+
+func (m *Member) take(ctx context.Context, msg *poolpb.OwnerMessage) {
+	switch c := msg.Content.(type) {
+	case *poolpb.OwnerMessage_Status:
+		m.handlers.OwnerStatus(c.Status)
+	case *poolpb.OwnerMessage_Answer:
+		m.mu.Lock()
+		ch := m.waiting[c.Answer.Number]
+		delete(m.waiting, c.Answer.Number)
+		m.mu.Unlock()
+		if ch != nil {
+			ch <- c.Answer
+		}
+	case *poolpb.OwnerMessage_Advice:
+		go func() {
+			result := m.handlers.Advise(ctx, c.Advice)
+			m.send(&poolpb.MemberMessage{Content: &poolpb.MemberMessage_Advice{Advice: result}})
+		}()
+	}
+}
+
+// send puts a message into the outbox; it says whether there was room.
+func (m *Member) send(msg *poolpb.MemberMessage) bool {
+	select {
+	case m.outbox <- msg:
+		return true
+	default:
+		return false
+	}
+}
+
+// Accepted tells the owner of an accepted job. It may get lost.
+func (m *Member) Accepted(id string, record []byte) {
+	m.send(&poolpb.MemberMessage{Content: &poolpb.MemberMessage_Accepted{Accepted: &poolpb.Accepted{Id: id, Record: record}}})
+}
+
+// Cancelled tells the owner of a cancelled job. It may get lost.
+func (m *Member) Cancelled(id string) {
+	m.send(&poolpb.MemberMessage{Content: &poolpb.MemberMessage_Cancelled{Cancelled: &poolpb.Cancelled{Id: id}}})
+}
+
+// Ask asks the owner and waits for its answer.
+func (m *Member) Ask(ctx context.Context, q *poolpb.Question) (*poolpb.Answer, error) {
+	q.Number = m.number.Add(1)
+	ch := make(chan *poolpb.Answer, 1)
+	m.mu.Lock()
+	if m.closed {
+		m.mu.Unlock()
+		return nil, ErrNoLink
+	}
+	m.waiting[q.Number] = ch
+	m.mu.Unlock()
+	defer func() {
+		m.mu.Lock()
+		delete(m.waiting, q.Number)
+		m.mu.Unlock()
+	}()
+	if !m.send(&poolpb.MemberMessage{Content: &poolpb.MemberMessage_Question{Question: q}}) {
+		return nil, ErrNoLink
+	}
+	select {
+	case a, ok := <-ch:
+		if !ok {
+			return nil, ErrNoLink
+		}
+		return a, nil
+	case <-ctx.Done():
+		return nil, errors.Mark(ctx.Err(), ErrNoLink)
+	}
+}
+
+// close lets all that wait for an answer know that there will be none.
+func (m *Member) close() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.closed = true
+	for n, ch := range m.waiting {
+		close(ch)
+		delete(m.waiting, n)
+	}
+}
--- /dev/null
+++ b/pkg/poolrpc/owner.go
@@ -0,0 +1,139 @@
+package poolrpc
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/poolrpc/poolpb"
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+)
+
+// OwnerHandlers are what the owner does with what members say.
+type OwnerHandlers struct {
+	// Joined is told of a member's first status, Left of the end of its stream.
+	Joined    func(*Session)
+	Left      func(*Session)
+	Accepted  func(*poolpb.Accepted)
+	Cancelled func(*poolpb.Cancelled)
+	Answer    func(*poolpb.Question) *poolpb.Answer
+	Advice    func(*poolpb.AdviceResult)
+	// Status returns the owner's heartbeat.
+	Status func() *poolpb.OwnerStatus
+	// Done ends with the ownership.
+	Done <-chan struct{}
+}
+
+// Session is the owner's side of a member's stream.
+type Session struct {
+	Name    string
+	status  atomic.Pointer[poolpb.MemberStatus]
+	outbox  chan *poolpb.OwnerMessage
+	heardAt atomic.Int64
+}
+
+// Status is what the member said of itself last.
+func (s *Session) Status() *poolpb.MemberStatus {
+	return s.status.Load()
+}
+
+// Send puts a message into the session's outbox; it says whether there was room.
+func (s *Session) Send(msg *poolpb.OwnerMessage) bool {
+	select {
+	case s.outbox <- msg:
+		return true
+	default:
+		return false
+	}
+}
+
+// Serve answers other hosts until ctx ends. owner returns what the owner does, or false when
+// this host is not the owner.
+func Serve(ctx context.Context, l net.Listener, owner func() (OwnerHandlers, bool), clk clock.Clock) error {
+	mux := drpcmux.New()
+	if err := poolpb.DRPCRegisterPool(mux, &server{owner, clk}); err != nil {
+		return errors.Wrap(err, "pool server")
+	}
+	return drpcserver.New(mux).Serve(ctx, l)
+}
+
+type server struct {
+	owner func() (OwnerHandlers, bool)
+	clk   clock.Clock
+}
+
+// Join serves the stream of one member.
+func (s *server) Join(stream poolpb.DRPCPool_JoinStream) error {
+	h, ok := s.owner()
+	if !ok {
+		return errors.New("this host is not the owner")
+	}
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	session := &Session{outbox: make(chan *poolpb.OwnerMessage, outboxSize)}
+	session.heardAt.Store(int64(s.clk.Now()))
+	var duties sync.WaitGroup
+	defer duties.Wait()
+	defer cancel()
+	duties.Go(func() {
+		sendAll(ctx, session.outbox, stream.Send)
+		_ = stream.Close()
+	})
+	duties.Go(func() { s.beat(ctx, cancel, session, h) })
+	defer func() {
+		if session.Name != "" {
+			h.Left(session)
+		}
+	}()
+	for {
+		msg, err := stream.Recv()
+		if err != nil {
+			return errors.Wrap(err, "member's stream")
+		}
+		session.heardAt.Store(int64(s.clk.Now()))
+		session.take(msg, h)
+	}
+}
+
+func (s *server) beat(ctx context.Context, cancel context.CancelFunc, session *Session, h OwnerHandlers) {
+	send := func() {
+		session.Send(&poolpb.OwnerMessage{Content: &poolpb.OwnerMessage_Status{Status: h.Status()}})
+	}
+	send()
+	clock.Every(ctx, HeartbeatEvery, func() {
+		silent := s.clk.Now().Sub(clock.Time(session.heardAt.Load())) > SilenceLimit
+		select {
+		case <-h.Done:
+			silent = true
+		default:
+		}
+		if silent {
+			cancel()
+			return
+		}
+		send()
+	})
+}
+
+func (s *Session) take(msg *poolpb.MemberMessage, h OwnerHandlers) {
+	switch c := msg.Content.(type) {
+	case *poolpb.MemberMessage_Status:
+		s.status.Store(c.Status)
+		if s.Name == "" {
+			s.Name = c.Status.Name
+			h.Joined(s)
+		}
+	case *poolpb.MemberMessage_Accepted:
+		h.Accepted(c.Accepted)
+	case *poolpb.MemberMessage_Cancelled:
+		h.Cancelled(c.Cancelled)
+	case *poolpb.MemberMessage_Question:
+		s.Send(&poolpb.OwnerMessage{Content: &poolpb.OwnerMessage_Answer{Answer: h.Answer(c.Question)}})
+	case *poolpb.MemberMessage_Advice:
+		h.Advice(c.Advice)
+	}
+}
--- /dev/null
+++ b/pkg/queue/config.go
@@ -0,0 +1,89 @@
+package queue
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Queue is one queue of jobs.
+type Queue struct {
+	Name   string `json:"name"`
+	Host   string `json:"host,omitempty"`
+	Prefix string `json:"prefix,omitempty"`
+	// Pool names the workers that run the queue's tasks.
+	Pool string `json:"pool"`
+	// Priority 0 goes first.
+	Priority    int `json:"priority,omitempty"`
+	MaxAttempts int `json:"max_attempts,omitempty"`
+	// Extension times a job's chain of work plus TargetLatency is its objective.
+	Extension     float64       `json:"extension,omitempty"`
+	TargetLatency time.Duration `json:"target_latency,omitempty"`
+	// Advice is what a call for advice costs; nil when any worker of the pool may run a step.
+	Advice *AdviceCost `json:"advice,omitempty"`
+}
+
+// AdviceCost is how long the advice service takes for a queue's steps.
+type AdviceCost struct {
+	Base      time.Duration `json:"base"`
+	PerWorker time.Duration `json:"per_worker"`
+	Validity  time.Duration `json:"validity"`
+}
+
+// Of returns the time that a call takes which names n workers.
+func (a AdviceCost) Of(n int) time.Duration {
+	return a.Base + time.Duration(n)*a.PerWorker
+}
+
+// Pool is one pool of workers.
+type Pool struct {
+	Name string
+	// Guarded says that its workers reject a task for which there is no room.
+	Guarded bool
+	// Headroom says that its machines are off until they are moved elsewhere.
+	Headroom bool
+}
+
+// Config is one version of the configuration. It must not be changed.
+type Config struct {
+	Version int64
+	Queues  []Queue
+	Pools   []Pool
+
+	byHost map[string][]*Queue // longest prefix first
+	byName map[string]*Queue
+}
+
+// NewConfig returns a configuration with its indexes.
+func NewConfig(version int64, queues []Queue, pools []Pool) *Config {
+	c := &Config{Version: version, Queues: queues, Pools: pools, byHost: map[string][]*Queue{}, byName: map[string]*Queue{}}
+	for i := range queues {
+		q := &queues[i]
+		c.byName[q.Name] = q
+		c.byHost[q.Host] = append(c.byHost[q.Host], q)
+	}
+	for _, list := range c.byHost {
+		slices.SortFunc(list, func(a, b *Queue) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return c
+}
+
+// Find returns the queue of a request and the part of its path after the queue's prefix.
+func (c *Config) Find(host, path string) (q Queue, rest string, ok bool) {
+	for _, q := range c.byHost[host] {
+		if rest, ok := strings.CutPrefix(path, q.Prefix); ok {
+			return *q, rest, true
+		}
+	}
+	return Queue{}, "", false
+}
+
+// Queue returns the queue of a name.
+func (c *Config) Queue(name string) (Queue, bool) {
+	q, ok := c.byName[name]
+	if !ok {
+		return Queue{}, false
+	}
+	return *q, true
+}
