--- a/pkg/dispatch/commit.go
+++ b/pkg/dispatch/commit.go
@@ -88,7 +88,7 @@
 		for _, s := range t.steps {
 			for i := range s.tasks {
 				x := &s.tasks[i]
-				if !x.done && x.failures == 0 && x.lastEnded == 0 {
+				if !x.done && len(x.failures) == 0 && x.lastEnded == 0 {
 					continue
 				}
 				row := job.TaskProgress{
@@ -116,7 +116,6 @@
 		t.failures, t.lastEnded, t.checkpoint = row.Failures, row.LastRun, row.Checkpoint
 		t.lastRun = max(t.lastRun, row.LastRun)
 		t.step.gang.number = max(t.step.gang.number, row.LastRun)
-		t.step.gang.failed = max(t.step.gang.failed, row.LastRun)
 		if row.Done && !t.done {
 			t.done = true
 			t.step.done++
--- a/pkg/dispatch/ends.go
+++ b/pkg/dispatch/ends.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"foldarch.dev/foldarch/pkg/clock"
@@ -102,27 +103,33 @@
 	p.finishIfDone(s.time.job)
 }
 
-// taskFailed counts a failure; a gang's members fail together, once a run.
+// taskFailed takes in that a task's current run failed.
 func (p *Pool) taskFailed(t *task, r *run, now clock.Time) {
+	s := t.step
+	t.avoid = r.worker.info.ID
+	if p.countFailure(t, r.number, now) && s.spec.Gang {
+		p.breakGang(s, now)
+	}
+}
+
+// countFailure counts the failure of a run, once; a gang's members fail together. It says
+// whether the job goes on.
+func (p *Pool) countFailure(t *task, number int, now clock.Time) bool {
 	s, j := t.step, t.step.time.job
 	counted := t
 	if s.spec.Gang {
 		counted = &s.tasks[0]
-		if r.number <= s.gang.failed {
-			return
-		}
-		s.gang.failed = r.number
 	}
-	counted.failures++
-	t.avoid = r.worker.info.ID
+	if slices.Contains(counted.failures, number) || s.spec.LongRunning {
+		return true
+	}
+	counted.failures = append(counted.failures, number)
 	p.dirty[j] = struct{}{}
-	if counted.failures >= max(j.queue.MaxAttempts, 1) {
+	if len(counted.failures) >= max(j.queue.MaxAttempts, 1) {
 		p.finish(j, job.Failed, now)
-		return
-	}
-	if s.spec.Gang {
-		p.breakGang(s, now)
+		return false
 	}
+	return true
 }
 
 // StartAnswered takes in a worker's answer to a start, or that there was none.
--- a/pkg/dispatch/gang.go
+++ b/pkg/dispatch/gang.go
@@ -6,7 +6,6 @@
 // same number.
 type gang struct {
 	number int  // of the last run
-	failed int  // number of the last run that was counted as failed
 	broken bool // the last run can't go on; its members are being stopped
 }
 
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -95,16 +95,15 @@
 
 // step is one step of one time.
 type step struct {
-	time     *timeState
-	index    int
-	spec     *job.Step
-	tasks    []task
-	done     int
-	advice   stepAdvice
-	gang     gang
-	perOf    map[WorkerID]int // runs of the step on a worker; only with MaxPerWorker
-	chain    time.Duration    // estimate of the work from this step to the end of the job
-	failures int              // highest count of failures of a task
+	time   *timeState
+	index  int
+	spec   *job.Step
+	tasks  []task
+	done   int
+	advice stepAdvice
+	gang   gang
+	perOf  map[WorkerID]int // runs of the step on a worker; only with MaxPerWorker
+	chain  time.Duration    // estimate of the work from this step to the end of the job
 }
 
 // task is one task of a step.
@@ -113,9 +112,9 @@
 	index      int
 	done       bool
 	current    *run
-	failures   int
-	lastRun    int // highest number given or seen
-	lastEnded  int // highest number whose end was taken in
+	failures   []int // numbers of the runs that failed; of a gang, at its task 0
+	lastRun    int   // highest number given or seen
+	lastEnded  int   // highest number whose end was taken in
 	checkpoint string
 	avoid      WorkerID // where it failed last
 	notBefore  clock.Time
@@ -186,11 +185,19 @@
 	p.finishIfDone(j)
 }
 
-// AddOutcome takes in a job that has ended.
-func (p *Pool) AddOutcome(id job.ID, outcome job.State) {
-	if _, known := p.jobs[id]; !known {
-		p.outcomes[id] = outcome
+// AddOutcome takes in a job that has ended, as the store tells.
+func (p *Pool) AddOutcome(id job.ID, outcome job.State, now clock.Time) {
+	p.outcomes[id] = outcome
+	j, known := p.jobs[id]
+	if !known {
+		return
+	}
+	if j.outcome == "" {
+		p.finish(j, outcome, now)
 	}
+	delete(p.dirty, j)
+	j.committed = true
+	p.forgetIfIdle(j)
 }
 
 // adviceWorkers is how many workers a call for advice names in a job's objective.
--- /dev/null
+++ b/pkg/dispatch/pool_test.go
@@ -0,0 +1,436 @@
+package dispatch
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/queue"
+	. "github.com/onsi/gomega"
+)
+
+// fixture is a pool with a few workers that answer as the test says.
+type fixture struct {
+	*WithT
+	pool *Pool
+	now  clock.Time
+	wall time.Time
+	// workerClock is the clock of all workers; it runs with ours.
+	workerClock int64
+	events      []Event
+}
+
+const (
+	epoch     = 1000 << 20
+	nextEpoch = 2000 << 20
+)
+
+var testQueue = queue.Queue{Name: "ticks", Pool: "pool", MaxAttempts: 3, Extension: 2, TargetLatency: time.Second}
+
+func newFixture(t *testing.T, workers int, change func(*Config)) *fixture {
+	f := &fixture{WithT: NewWithT(t), now: 100_000, wall: time.Unix(1_700_000_000, 0), workerClock: 50_000}
+	cfg := Config{
+		Hold: 5 * time.Second, MaxHold: 6 * time.Second, Token: epoch, AuthorityTerm: 2 * time.Second,
+		Wall: func() time.Time { return f.wall }, Log: func(e Event) { f.events = append(f.events, e) },
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	f.pool = New(cfg, f.now)
+	f.pool.SetConfig(queue.NewConfig(1, []queue.Queue{testQueue}, nil))
+	for n := range workers {
+		f.addWorker(n)
+	}
+	return f
+}
+
+func workerID(n int) WorkerID {
+	return WorkerID(fmt.Sprintf("w%d", n))
+}
+
+func (f *fixture) addWorker(n int) {
+	f.pool.PutWorker(WorkerInfo{
+		ID: workerID(n), Pool: "pool", Address: netip.MustParseAddrPort("10.0.0.1:80"), Rack: fmt.Sprintf("r1-%d", n/2),
+		Capacity: cell.Resources{CPUMillis: 4000, MemoryMB: 8000},
+	}, true)
+}
+
+// pass lets time pass for all clocks.
+func (f *fixture) pass(d time.Duration) {
+	f.now = f.now.Add(d)
+	f.wall = f.wall.Add(d)
+	f.workerClock += d.Milliseconds()
+}
+
+// report has a worker answer a hold.
+func (f *fixture) report(n int, r Report) Answer {
+	h, ok := f.pool.HoldFor(workerID(n), false, true, f.now)
+	f.Expect(ok).To(BeTrue())
+	f.pass(time.Millisecond)
+	a := Answer{Verdict: VerdictDone, Clock: f.workerClock}
+	f.pool.HoldAnswered(h, a, r, f.now)
+	return a
+}
+
+// reportAll has all workers answer that nothing runs.
+func (f *fixture) reportAll(workers int) {
+	for n := range workers {
+		f.report(n, Report{})
+	}
+}
+
+func (f *fixture) plan() Actions {
+	f.pass(time.Millisecond)
+	return f.pool.Plan(f.now, true)
+}
+
+// accept has an order carried out.
+func (f *fixture) accept(s Start) {
+	f.pool.StartAnswered(s, Answer{Verdict: VerdictDone, Clock: f.workerClock}, nil, f.now)
+}
+
+func (f *fixture) end(s Start, number int64, how End) Report {
+	return Report{Finished: []Finished{{Number: number, Task: s.Task, Run: s.Run, How: how}}}
+}
+
+func testJob(id string, steps ...job.Step) job.Record {
+	return job.Record{Job: job.Job{ID: job.ID(id), Spec: "spec", Steps: steps}, Queue: testQueue}
+}
+
+func testStep(count int) job.Step {
+	return job.Step{Count: count, Resources: cell.Resources{CPUMillis: 1000, MemoryMB: 1000}, Estimate: time.Second}
+}
+
+func (f *fixture) add(r job.Record) {
+	f.pool.AddJob(r, job.Progress{}, false, 0, f.now)
+}
+
+func numberOf(id WorkerID) int {
+	var n int
+	_, _ = fmt.Sscanf(string(id), "w%d", &n)
+	return n
+}
+
+func TestJobOfTwoStepsCompletes(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	second := testStep(1)
+	second.After = []int{0}
+	f.add(testJob("a", testStep(2), second))
+	starts := f.plan().Starts
+	f.Expect(starts).To(HaveLen(2))
+	f.Expect(f.pool.Pending("ticks")).To(Equal(1))
+	for _, s := range starts {
+		f.Expect(s.Task.Step).To(Equal(0))
+		f.accept(s)
+	}
+	f.Expect(f.pool.Pending("ticks")).To(Equal(0))
+	f.report(numberOf(starts[0].Worker), f.end(starts[0], 1, EndDone))
+	f.Expect(f.plan().Starts).To(BeEmpty(), "the first step is not done")
+	f.report(numberOf(starts[1].Worker), f.end(starts[1], 2, EndDone))
+	last := f.plan().Starts
+	f.Expect(last).To(HaveLen(1))
+	f.accept(last[0])
+	f.report(numberOf(last[0].Worker), f.end(last[0], 3, EndDone))
+	state, _ := f.pool.State("a")
+	f.Expect(state).To(Equal(job.Running), "the end is not committed")
+	f.pool.Committed(f.pool.TakeCommit())
+	state, _ = f.pool.State("a")
+	f.Expect(state).To(Equal(job.Completed))
+}
+
+func TestEndsAreNotedOnlyWhenCommitted(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	f.reportAll(1)
+	f.add(testJob("a", testStep(1)))
+	s := f.plan().Starts[0]
+	f.accept(s)
+	f.report(0, f.end(s, 7, EndDone))
+	h, _ := f.pool.HoldFor("w0", false, true, f.now)
+	f.Expect(h.LastSeen).To(BeZero())
+	f.pool.Committed(f.pool.TakeCommit())
+	h, _ = f.pool.HoldFor("w0", false, true, f.now)
+	f.Expect(h.LastSeen).To(Equal(int64(7)))
+}
+
+func TestRoomIsNeverExceeded(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	f.reportAll(1)
+	f.add(testJob("a", testStep(9)))
+	starts := f.plan().Starts
+	f.Expect(starts).To(HaveLen(4), "a worker has 4 processors")
+	for _, s := range starts {
+		f.accept(s)
+	}
+	f.pool.Cancel("a", f.now)
+	f.add(testJob("b", testStep(1)))
+	f.Expect(f.plan().Stops).To(HaveLen(4))
+	f.Expect(f.plan().Starts).To(BeEmpty(), "what is being stopped counts")
+	f.report(0, f.end(starts[0], 1, EndStopped))
+	f.Expect(f.plan().Starts).To(HaveLen(1))
+}
+
+func TestUnansweredStartBlocksItsTaskUntilSettled(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	f.add(testJob("a", testStep(1)))
+	s := f.plan().Starts[0]
+	w := numberOf(s.Worker)
+	f.pool.StartAnswered(s, Answer{}, fmt.Errorf("no answer"), f.now)
+	actions := f.plan()
+	f.Expect(actions.Starts).To(BeEmpty())
+	f.Expect(actions.Settles).To(Equal([]WorkerID{s.Worker}))
+	f.report(w, Report{}) // of a hold with the same token: it may still be carried out
+	f.Expect(f.plan().Starts).To(BeEmpty())
+	h, _ := f.pool.HoldFor(s.Worker, true, true, f.now)
+	f.Expect(h.Token).To(BeNumerically(">", s.Token))
+	f.pass(time.Millisecond)
+	f.pool.HoldAnswered(h, Answer{Verdict: VerdictDone, Clock: f.workerClock}, Report{}, f.now)
+	again := f.plan().Starts
+	f.Expect(again).To(HaveLen(1))
+	f.Expect(again[0].Run).To(BeNumerically(">", s.Run))
+}
+
+func TestUnansweredStartThatWasCarriedOutIsAdopted(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	f.add(testJob("a", testStep(1)))
+	s := f.plan().Starts[0]
+	f.pool.StartAnswered(s, Answer{}, fmt.Errorf("no answer"), f.now)
+	f.report(numberOf(s.Worker), Report{Active: []Active{{Task: s.Task, Run: s.Run, Percent: 10}}})
+	f.Expect(f.plan().Starts).To(BeEmpty())
+	state, _ := f.pool.State("a")
+	f.Expect(state).To(Equal(job.Running))
+}
+
+func TestSilentWorkerHoldsItsTaskUntilItsLeaseLapsed(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	f.add(testJob("a", testStep(1)))
+	s := f.plan().Starts[0]
+	f.accept(s)
+	other := 1 - numberOf(s.Worker)
+	for elapsed := time.Duration(0); elapsed < 5*time.Second; elapsed += 500 * time.Millisecond {
+		f.pass(500 * time.Millisecond)
+		f.report(other, Report{})
+		f.Expect(f.plan().Starts).To(BeEmpty())
+	}
+	f.pass(400 * time.Millisecond)
+	f.report(other, Report{})
+	starts := f.plan().Starts
+	f.Expect(starts).To(HaveLen(1))
+	f.Expect(numberOf(starts[0].Worker)).To(Equal(other))
+}
+
+func TestJobFailsAfterItsAttempts(t *testing.T) {
+	f := newFixture(t, 3, nil)
+	f.reportAll(3)
+	f.add(testJob("a", testStep(1)))
+	for n := range int64(3) {
+		starts := f.plan().Starts
+		f.Expect(starts).To(HaveLen(1))
+		f.accept(starts[0])
+		f.report(numberOf(starts[0].Worker), f.end(starts[0], n+1, EndFailed))
+	}
+	f.Expect(f.plan().Starts).To(BeEmpty())
+	f.pool.Committed(f.pool.TakeCommit())
+	state, _ := f.pool.State("a")
+	f.Expect(state).To(Equal(job.Failed))
+}
+
+func afterFormerOwner(c *Config) {
+	c.Token, c.Takeover, c.FirstRun = nextEpoch, true, 1000
+}
+
+// Seed: trouble-3 of hanbit-ops. A new owner reads three failures from two workers, the
+// later one first; the earlier one must count.
+func TestFailuresOfFormerOwnerCountInAnyOrder(t *testing.T) {
+	f := newFixture(t, 3, afterFormerOwner)
+	f.add(testJob("a", testStep(1)))
+	id := job.TaskID{StepID: job.StepID{Job: "a"}}
+	f.report(0, Report{Finished: []Finished{{Number: 1, Task: id, Run: 1, How: EndFailed}, {Number: 2, Task: id, Run: 3, How: EndFailed}}})
+	f.report(1, Report{Finished: []Finished{{Number: 1, Task: id, Run: 2, How: EndFailed}}})
+	f.report(2, Report{})
+	f.Expect(f.plan().Starts).To(BeEmpty(), "three attempts have failed")
+}
+
+// The same failure is counted once, though it is reported again after a takeover.
+func TestCommittedFailureIsNotCountedAgain(t *testing.T) {
+	f := newFixture(t, 1, afterFormerOwner)
+	id := job.TaskID{StepID: job.StepID{Job: "a"}}
+	f.pool.AddJob(testJob("a", testStep(1)), job.Progress{Tasks: []job.TaskProgress{{Failures: []int{1, 2}, LastRun: 2}}}, true, 0, f.now)
+	f.report(0, Report{Finished: []Finished{{Number: 1, Task: id, Run: 1, How: EndFailed}, {Number: 2, Task: id, Run: 2, How: EndFailed}}})
+	f.Expect(f.plan().Starts).To(HaveLen(1))
+}
+
+// Seed: trouble-2 of hanbit-ops. A host tells of a job that was handed in again after its
+// end, before the new owner has listed the outcomes.
+func TestOutcomeOfTheStoreEndsAJobThatWasToldAgain(t *testing.T) {
+	f := newFixture(t, 1, afterFormerOwner)
+	f.add(testJob("a", testStep(1)))
+	f.pool.AddOutcome("a", job.Completed, f.now)
+	f.reportAll(1)
+	f.Expect(f.plan().Starts).To(BeEmpty())
+	state, _ := f.pool.State("a")
+	f.Expect(state).To(Equal(job.Completed))
+}
+
+func TestTakeoverWaitsForAWorkerThatDoesNotAnswer(t *testing.T) {
+	f := newFixture(t, 2, afterFormerOwner)
+	f.add(testJob("a", testStep(1)))
+	f.report(0, Report{})
+	f.Expect(f.plan().Starts).To(BeEmpty(), "the task may run on w1")
+	f.pass(2500 * time.Millisecond)
+	f.add(testJob("b", testStep(1)))
+	f.report(0, Report{})
+	starts := f.plan().Starts
+	f.Expect(starts).To(HaveLen(1), "the former owner can't know b")
+	f.Expect(starts[0].Task.Job).To(Equal(job.ID("b")))
+	f.pass(6 * time.Second)
+	f.report(0, Report{})
+	f.Expect(f.plan().Starts).To(HaveLen(1), "what the former owner started has lapsed")
+}
+
+func TestTakeoverAdoptsWhatRuns(t *testing.T) {
+	f := newFixture(t, 2, afterFormerOwner)
+	f.add(testJob("a", testStep(2)))
+	id := job.TaskID{StepID: job.StepID{Job: "a"}}
+	f.report(0, Report{Active: []Active{{Task: id, Run: 4, Percent: 50}}})
+	f.report(1, Report{})
+	starts := f.plan().Starts
+	f.Expect(starts).To(HaveLen(1))
+	f.Expect(starts[0].Task.Index).To(Equal(1))
+	f.Expect(starts[0].Run).To(BeNumerically(">", 1000))
+}
+
+func TestHigherTokenAtAWorkerEndsTheOwner(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	f.reportAll(1)
+	h, _ := f.pool.HoldFor("w0", false, true, f.now)
+	f.pool.HoldAnswered(h, Answer{Verdict: VerdictFenced}, Report{}, f.now)
+	f.Expect(f.pool.Fenced()).To(BeTrue())
+}
+
+func TestOwnHigherTokenDoesNotEndTheOwner(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	f.reportAll(1)
+	h, _ := f.pool.HoldFor("w0", false, true, f.now)
+	_, _ = f.pool.HoldFor("w0", true, true, f.now)
+	f.pool.HoldAnswered(h, Answer{Verdict: VerdictFenced}, Report{}, f.now)
+	f.Expect(f.pool.Fenced()).To(BeFalse())
+}
+
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	gang := testStep(9)
+	gang.Gang = true
+	f.add(testJob("a", gang))
+	f.Expect(f.plan().Starts).To(BeEmpty(), "there is room for 8")
+	f.addWorker(2)
+	f.report(2, Report{})
+	starts := f.plan().Starts
+	f.Expect(starts).To(HaveLen(9))
+	for _, s := range starts {
+		f.Expect(s.Run).To(Equal(1))
+	}
+}
+
+func TestGangIsStoppedWhenOneMemberIsRejected(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	gang := testStep(2)
+	gang.Gang = true
+	f.add(testJob("a", gang))
+	starts := f.plan().Starts
+	f.accept(starts[0])
+	f.pool.StartAnswered(starts[1], Answer{Verdict: VerdictUnhealthy}, nil, f.now)
+	actions := f.plan()
+	f.Expect(actions.Starts).To(BeEmpty())
+	f.Expect(actions.Stops).To(HaveLen(1))
+	f.report(numberOf(starts[0].Worker), f.end(starts[0], 1, EndStopped))
+	f.pass(time.Second)
+	f.reportAll(2)
+	again := f.plan().Starts
+	f.Expect(again).To(HaveLen(2))
+	f.Expect(again[0].Run).To(Equal(2))
+}
+
+func TestCancelStopsAStartThatIsOnItsWay(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	f.reportAll(1)
+	f.add(testJob("a", testStep(1)))
+	s := f.plan().Starts[0]
+	f.pool.Cancel("a", f.now)
+	f.Expect(f.plan().Stops).To(BeEmpty())
+	f.accept(s)
+	f.Expect(f.plan().Stops).To(HaveLen(1))
+}
+
+func TestScheduledTimesBeginWhenDue(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	f.reportAll(1)
+	r := testJob("a", testStep(1))
+	r.Job.Schedule = job.Schedule{Repeat: 2, Start: f.wall.Add(time.Second), Interval: time.Second}
+	f.add(r)
+	f.Expect(f.plan().Starts).To(BeEmpty())
+	f.pass(time.Second)
+	starts := f.plan().Starts
+	f.Expect(starts).To(HaveLen(1))
+	f.accept(starts[0])
+	f.pass(time.Second)
+	f.report(0, Report{Active: []Active{{Task: starts[0].Task, Run: 1, Percent: 50}}})
+	starts = f.plan().Starts
+	f.Expect(starts).To(HaveLen(1), "times may overlap")
+	f.Expect(starts[0].Task.Time).To(Equal(1))
+}
+
+func TestLabelsSpreadAndDrainBindPlaces(t *testing.T) {
+	f := newFixture(t, 3, nil)
+	f.reportAll(3)
+	s := testStep(3)
+	s.MaxPerWorker = 1
+	f.add(testJob("a", s))
+	starts := f.plan().Starts
+	f.Expect(starts).To(HaveLen(3))
+	f.Expect(map[WorkerID]bool{starts[0].Worker: true, starts[1].Worker: true, starts[2].Worker: true}).To(HaveLen(3))
+	labelled := testStep(1)
+	labelled.Requirement = "fast"
+	f.add(testJob("b", labelled))
+	f.Expect(f.plan().Starts).To(BeEmpty())
+}
+
+func TestDrainingWorkerGetsNothing(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	f.reportAll(1)
+	w := f.pool.Workers()[0]
+	w.Draining = true
+	f.pool.PutWorker(w, true)
+	f.add(testJob("a", testStep(1)))
+	f.Expect(f.plan().Starts).To(BeEmpty())
+}
+
+func TestStuckRunIsStoppedAndStartedElsewhere(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	f.add(testJob("a", testStep(1)))
+	s := f.plan().Starts[0]
+	f.accept(s)
+	row := Active{Task: s.Task, Run: s.Run, Percent: 20, Checkpoint: "c1"}
+	for range 5 {
+		f.pass(500 * time.Millisecond)
+		f.report(numberOf(s.Worker), Report{Active: []Active{row}})
+		f.report(1-numberOf(s.Worker), Report{})
+		f.pool.Inspect(f.now)
+	}
+	f.Expect(f.plan().Stops).To(HaveLen(1))
+	f.report(numberOf(s.Worker), f.end(s, 1, EndStopped))
+	again := f.plan().Starts
+	f.Expect(again).To(HaveLen(1))
+	f.Expect(again[0].Worker).NotTo(Equal(s.Worker))
+	f.Expect(again[0].Checkpoint).To(Equal("c1"))
+}
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -61,15 +61,21 @@
 	}
 }
 
-// unknownRunEnded takes in the end of a run of a former owner.
+// unknownRunEnded takes in the end of a run of a former owner. Ends of several workers come
+// in any order, so a failure counts whatever else is known of the task.
 func (p *Pool) unknownRunEnded(w *worker, f Finished, now clock.Time) {
 	t := p.task(f.Task)
-	if t == nil || t.done || t.current != nil || f.Run <= t.lastEnded {
+	if t == nil || t.done || t.step.time.job.outcome != "" {
 		return
 	}
-	r := &run{task: t, number: f.Run, worker: w}
 	t.lastRun = max(t.lastRun, f.Run)
-	p.taskEnded(r, f.How, f.Checkpoint, now)
+	if f.How == EndFailed && !p.countFailure(t, f.Run, now) {
+		return
+	}
+	if t.current != nil || f.Run <= t.lastEnded && f.How != EndDone {
+		return
+	}
+	p.taskEnded(&run{task: t, number: f.Run, worker: w}, f.How, f.Checkpoint, now)
 }
 
 func (p *Pool) takeActive(w *worker, h Hold, report Report, now clock.Time) {
--- a/pkg/job/record.go
+++ b/pkg/job/record.go
@@ -46,7 +46,7 @@
 	Step       int    `json:"s,omitempty"`
 	Index      int    `json:"i,omitempty"`
 	Done       bool   `json:"d,omitempty"`
-	Failures   int    `json:"f,omitempty"`
+	Failures   []int  `json:"f,omitempty"` // numbers of the runs that failed
 	LastRun    int    `json:"r,omitempty"`
 	Checkpoint string `json:"c,omitempty"`
 }
--- a/pkg/jobhost/door.go
+++ b/pkg/jobhost/door.go
@@ -37,10 +37,10 @@
 		return errors.Mark(err, platform.ErrRefused)
 	}
 	started := h.clk.Now()
-	err = h.intake.put(ctx, jobstore.JobKey(j.ID), text)
+	created, err := h.intake.put(ctx, jobstore.JobKey(j.ID), text)
 	h.logOutcome("job_accepted", j.ID, q.Name, started, err)
-	if err != nil {
-		return err
+	if err != nil || !created {
+		return err // handed in before: the owner knows it, and maybe as ended
 	}
 	if o := h.owner.Load(); o != nil {
 		o.Accepted(j.ID, text)
@@ -129,7 +129,7 @@
 		return errors.Wrap(platform.ErrNoJob, "the job has ended")
 	}
 	started := h.clk.Now()
-	err = h.intake.put(ctx, jobstore.CancelKey(id), []byte{})
+	_, err = h.intake.put(ctx, jobstore.CancelKey(id), []byte{})
 	h.logOutcome("job_cancelled", id, record.Queue.Name, started, err)
 	if err != nil {
 		return err
--- a/pkg/jobhost/intake.go
+++ b/pkg/jobhost/intake.go
@@ -1,6 +1,7 @@
 package jobhost
 
 import (
+	"bytes"
 	"context"
 	"sync/atomic"
 	"time"
@@ -32,7 +33,14 @@
 	key     string
 	value   []byte
 	arrived clock.Time
-	done    chan error
+	done    chan putResult
+}
+
+// putResult is the outcome of a write. created says that the key holds the value of this
+// write; otherwise an earlier one was there.
+type putResult struct {
+	created bool
+	err     error
 }
 
 // intake writes keys into the store, many with one transaction.
@@ -50,24 +58,24 @@
 	return &intake{store: store, clk: clk, ring: make(chan *write, intakeRing), slots: make(chan struct{}, intakeAtOnce)}
 }
 
-// put writes a key that nobody changes; it is no error when it is there already. Errors:
-// platform.ErrRefused when it was certainly not written and never will be,
-// platform.ErrUnsettled.
-func (t *intake) put(ctx context.Context, key string, value []byte) error {
+// put writes a key that nobody changes; it is no error when it is there already, but
+// created is false then. Errors: platform.ErrRefused when it was certainly not written and
+// never will be, platform.ErrUnsettled.
+func (t *intake) put(ctx context.Context, key string, value []byte) (created bool, err error) {
 	if t.distrusts() {
-		return errors.Wrap(platform.ErrRefused, "the store does not answer")
+		return false, errors.Wrap(platform.ErrRefused, "the store does not answer")
 	}
-	w := &write{key: key, value: value, arrived: t.clk.Now(), done: make(chan error, 1)}
+	w := &write{key: key, value: value, arrived: t.clk.Now(), done: make(chan putResult, 1)}
 	select {
 	case t.ring <- w:
 	default:
-		return errors.Wrap(platform.ErrRefused, "too many writes wait")
+		return false, errors.Wrap(platform.ErrRefused, "too many writes wait")
 	}
 	select {
-	case err := <-w.done:
-		return err
+	case result := <-w.done:
+		return result.created, result.err
 	case <-ctx.Done():
-		return errors.Mark(ctx.Err(), platform.ErrUnsettled)
+		return false, errors.Mark(ctx.Err(), platform.ErrUnsettled)
 	}
 }
 
@@ -169,22 +177,22 @@
 
 func answerAll(group []*write, err error) {
 	for _, w := range group {
-		w.done <- err
+		w.done <- putResult{created: err == nil, err: err}
 	}
 }
 
 // answerPresent answers the writes whose keys were found, and returns the others.
 func answerPresent(group []*write, found []platform.Item) []*write {
-	present := make(map[string]bool, len(found))
+	present := make(map[string][]byte, len(found))
 	for _, i := range found {
 		if i.Revision > 0 && !i.Gone {
-			present[i.Key] = true
+			present[i.Key] = i.Value
 		}
 	}
 	var rest []*write
 	for _, w := range group {
-		if present[w.key] {
-			w.done <- nil
+		if value, ok := present[w.key]; ok {
+			w.done <- putResult{created: bytes.Equal(value, w.value)}
 		} else {
 			rest = append(rest, w)
 		}
--- a/pkg/poolowner/members.go
+++ b/pkg/poolowner/members.go
@@ -124,8 +124,12 @@
 	o.wake()
 }
 
-// Accepted takes in a job that a host has put into the store.
+// Accepted takes in a job that a host has put into the store. Before all jobs are listed it
+// is left to the list, which may have it as ended.
 func (o *Owner) Accepted(id job.ID, text []byte) {
+	if !o.loaded.Load() {
+		return
+	}
 	record, err := job.DecodeRecord(text)
 	if err != nil {
 		o.deps.Log.WithFields(logrus.Fields{"job": id, "error": err}).Error("record_unreadable")
@@ -139,11 +143,11 @@
 
 // addJob takes in a job's record, whatever it tells. The caller holds o.mu.
 func (o *Owner) addJob(id job.ID, record job.Record, progress job.Progress, stored bool) {
+	now := o.deps.Clock.Now()
 	if record.Outcome != "" {
-		o.pool.AddOutcome(id, record.Outcome)
+		o.pool.AddOutcome(id, record.Outcome, now)
 		return
 	}
-	now := o.deps.Clock.Now()
 	o.pool.AddJob(record, progress, stored, max(o.age(record), 0), now)
 	if o.cancelled[id] {
 		delete(o.cancelled, id)
