Let a silent worker's leases lapse at a known time

A worker had left; every hold that it did not answer carried a later deadline, which had to count as possibly carried out, so its runs were never known to have ended and their tasks, or their whole gangs, waited for ever.

Ruled out: a lost end (the worker listed none: it was gone), a broken gang that is not started again (its last member was on the worker that left).

Conclusion: leases are extended only while the worker answers.

--- a/pkg/dispatch/pool_test.go
+++ b/pkg/dispatch/pool_test.go
@@ -226,6 +226,26 @@
 	f.Expect(numberOf(starts[0].Worker)).To(Equal(other))
 }
 
+// Seed: mix 625966707817 of mmda-foldarch. A worker left; every hold that it did not answer
+// put off the time from which its runs were known to have ended.
+func TestUnansweredHoldsDoNotPutOffTheLapse(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	f.add(testJob("a", testStep(1)))
+	s := f.plan().Starts[0]
+	f.accept(s)
+	other := 1 - numberOf(s.Worker)
+	var starts []Start
+	for elapsed := time.Duration(0); elapsed < 8*time.Second; elapsed += 200 * time.Millisecond {
+		f.pass(200 * time.Millisecond)
+		f.report(other, Report{})
+		_, _ = f.pool.HoldFor(s.Worker, false, true, f.now) // no answer
+		starts = append(starts, f.plan().Starts...)
+	}
+	f.Expect(starts).To(HaveLen(1))
+	f.Expect(numberOf(starts[0].Worker)).To(Equal(other))
+}
+
 func TestJobFailsAfterItsAttempts(t *testing.T) {
 	f := newFixture(t, 3, nil)
 	f.reportAll(3)
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -12,6 +12,9 @@
 const (
 	// usableWithin is how long ago a worker may have answered to be given a task.
 	usableWithin = 1700 * time.Millisecond
+	// extendWithin is how long ago a worker may have answered for its leases to be extended.
+	// A silent one is only asked, so that what it runs lapses at a time that we know.
+	extendWithin = 1500 * time.Millisecond
 	// A worker is left out for suspendFor after suspendAfter failures in a row that are not
 	// all of one job.
 	suspendAfter = 3
@@ -142,7 +145,7 @@
 		w.token++
 	}
 	h = Hold{Worker: id, Address: w.info.Address, Token: w.token, LastSeen: w.noted, SentAt: now}
-	if w.fenced && extend {
+	if w.fenced && extend && now.Sub(w.lastAnswer) < extendWithin {
 		h.Deadline = w.deadline(now, p.cfg.Hold)
 		w.bound = max(w.bound, h.Deadline)
 	}
