Relay writes through the owner, move work off leaving workers, keep a roster

Cause: (1) hosts that the store turned away refused their callers although the owner could write for them; (2) a host cut off from store and owner called itself ready; (3) an owner yielded in an outage of the store for all, since a member's news of it were stale; (4) work on a leaving worker was lost and waited for its lease to lapse; (5) an order without answer cost 450 ms, more than a tick can wait; (6) a worker of which no later owner would know could be used before the roster named it.

Ruled out for (5): slow workers (answers come within 5 ms or not at all).

--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -16,6 +16,10 @@
 	// is stopped and started elsewhere.
 	stuckAfter = 1500 * time.Millisecond
 	stuckShare = 0.15
+	// minPercent is the progress from which a run's end can be told.
+	minPercent = 5
+	// leaveSlack is how much longer than told a leaving worker is trusted to stay.
+	leaveSlack = 200 * time.Millisecond
 	// almostDone is the progress in percent from which a run is left alone.
 	almostDone = 98
 )
@@ -67,6 +71,10 @@
 		return
 	}
 	s := r.task.step
+	if w.leavesAt != 0 && r.task.current == r && !s.finished() && p.endsTooLate(w, r, now) {
+		p.move(r, "its worker leaves", now)
+		return
+	}
 	if s.spec.LongRunning || s.spec.Filler || r.percent >= almostDone || r.task.current != r {
 		return
 	}
@@ -74,14 +82,34 @@
 	if now.Sub(r.percentAt) < limit {
 		return
 	}
-	p.cfg.Log(Event{Name: "run_stuck", Task: r.task.id(), Run: r.number, Worker: w.info.ID})
-	r.task.avoid = w.info.ID
 	p.suspend(w, suspendFor, "a run stands still", now)
-	if s.spec.Gang {
-		p.breakGang(s, now)
-	} else {
-		p.stopRun(r)
+	p.move(r, "it stands still", now)
+}
+
+// move stops a run so that its task starts elsewhere; with a gang, all its members.
+func (p *Pool) move(r *run, why string, now clock.Time) {
+	p.cfg.Log(Event{Name: "run_moved", Task: r.task.id(), Run: r.number, Worker: r.worker.info.ID, Detail: why})
+	r.task.avoid = r.worker.info.ID
+	if r.task.step.spec.Gang {
+		p.breakGang(r.task.step, now)
+		return
 	}
+	p.stopRun(r)
+}
+
+// endsTooLate says whether a run won't be done before its worker may leave.
+func (p *Pool) endsTooLate(w *worker, r *run, now clock.Time) bool {
+	s := r.task.step
+	if s.spec.LongRunning {
+		return true
+	}
+	elapsed := now.Sub(r.confirmedAt)
+	left := s.spec.Estimate - elapsed
+	if r.percent >= minPercent && r.startPercent < r.percent {
+		done := r.percent - r.startPercent
+		left = elapsed * time.Duration(100-r.percent) / time.Duration(done)
+	}
+	return now.Add(left) > w.leavesAt.Add(leaveSlack)
 }
 
 func (p *Pool) takeStops(now clock.Time, out *Actions) {
@@ -370,6 +398,9 @@
 		if t.avoid == w.info.ID {
 			score += 100
 		}
+		if t.avoid != "" && w.failures > 0 {
+			score += 50
+		}
 		if best == nil || score < bestScore {
 			best, bestScore = w, score
 		}
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -14,6 +14,8 @@
 	Hold time.Duration
 	// MaxHold is the longest lease that a worker accepts.
 	MaxHold time.Duration
+	// Drain is the least time that a draining worker stays.
+	Drain time.Duration
 	// Token is the owner's fencing token; tokens up to Token + MaxBumps are the owner's own.
 	Token int64
 	// FirstRun is below the numbers that this owner gives to runs of tasks about which it
@@ -122,17 +124,19 @@
 
 // run is one start of a task.
 type run struct {
-	task        *task
-	number      int
-	worker      *worker
-	token       int64
-	state       runState
-	sentAt      clock.Time
-	confirmedAt clock.Time
-	percent     int
-	percentAt   clock.Time
-	missing     int // reports in a row that did not list it
-	stopSentAt  clock.Time
+	task         *task
+	number       int
+	worker       *worker
+	token        int64
+	state        runState
+	sentAt       clock.Time
+	confirmedAt  clock.Time
+	percent      int
+	observed     bool
+	startPercent int // at the first report, with what a checkpoint brought
+	percentAt    clock.Time
+	missing      int // reports in a row that did not list it
+	stopSentAt   clock.Time
 }
 
 type runState int
--- a/pkg/dispatch/pool_test.go
+++ b/pkg/dispatch/pool_test.go
@@ -56,7 +56,8 @@
 	f.pool.PutWorker(WorkerInfo{
 		ID: workerID(n), Pool: "pool", Address: netip.MustParseAddrPort("10.0.0.1:80"), Rack: fmt.Sprintf("r1-%d", n/2),
 		Capacity: cell.Resources{CPUMillis: 4000, MemoryMB: 8000},
-	}, true)
+	}, true, f.now)
+	f.pool.Rostered([]WorkerID{workerID(n)})
 }
 
 // pass lets time pass for all clocks.
@@ -429,7 +430,7 @@
 	f.reportAll(1)
 	w := f.pool.Workers()[0]
 	w.Draining = true
-	f.pool.PutWorker(w, true)
+	f.pool.PutWorker(w, true, f.now)
 	f.add(testJob("a", testStep(1)))
 	f.Expect(f.plan().Starts).To(BeEmpty())
 }
@@ -454,3 +455,50 @@
 	f.Expect(again[0].Worker).NotTo(Equal(s.Worker))
 	f.Expect(again[0].Checkpoint).To(Equal("c1"))
 }
+
+func TestRunThatOutlastsItsLeavingWorkerIsMoved(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	long := testStep(1)
+	long.Estimate = 10 * time.Second
+	f.add(testJob("a", long))
+	s := f.plan().Starts[0]
+	f.accept(s)
+	w := f.pool.workers[s.Worker].info
+	w.Draining, w.Remaining = true, 2*time.Second
+	f.pool.PutWorker(w, true, f.now)
+	f.report(numberOf(s.Worker), Report{Active: []Active{{Task: s.Task, Run: s.Run, Percent: 1}}})
+	f.pool.Inspect(f.now)
+	f.Expect(f.plan().Stops).To(HaveLen(1))
+	f.report(numberOf(s.Worker), f.end(s, 1, EndStopped))
+	again := f.plan().Starts
+	f.Expect(again).To(HaveLen(1))
+	f.Expect(again[0].Worker).NotTo(Equal(s.Worker))
+}
+
+func TestRunThatEndsBeforeItsWorkerLeavesIsLeftAlone(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	f.reportAll(1)
+	f.add(testJob("a", testStep(1)))
+	s := f.plan().Starts[0]
+	f.accept(s)
+	w := f.pool.workers[s.Worker].info
+	w.Draining, w.Remaining = true, 2*time.Second
+	f.pool.PutWorker(w, true, f.now)
+	f.report(0, Report{Active: []Active{{Task: s.Task, Run: s.Run, Percent: 1}}})
+	f.pool.Inspect(f.now)
+	f.Expect(f.plan().Stops).To(BeEmpty())
+}
+
+func TestWorkerIsUsedOnlyOnceTheRosterHasIt(t *testing.T) {
+	f := newFixture(t, 0, nil)
+	f.pool.PutWorker(WorkerInfo{
+		ID: "w0", Pool: "pool", Address: netip.MustParseAddrPort("10.0.0.1:80"),
+		Capacity: cell.Resources{CPUMillis: 4000, MemoryMB: 8000},
+	}, true, f.now)
+	f.report(0, Report{})
+	f.add(testJob("a", testStep(1)))
+	f.Expect(f.plan().Starts).To(BeEmpty())
+	f.pool.Rostered([]WorkerID{"w0"})
+	f.Expect(f.plan().Starts).To(HaveLen(1))
+}
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -105,6 +105,9 @@
 		p.confirm(r, now)
 	}
 	r.missing = 0
+	if !r.observed {
+		r.observed, r.startPercent = true, row.Percent
+	}
 	if row.Percent != r.percent || r.percentAt == 0 {
 		r.percent, r.percentAt = row.Percent, now
 	}
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -17,7 +17,7 @@
 	extendWithin = 1500 * time.Millisecond
 	// A worker is left out for suspendFor after suspendAfter failures in a row that are not
 	// all of one job.
-	suspendAfter = 3
+	suspendAfter = 2
 	suspendFor   = 4 * time.Second
 )
 
@@ -30,9 +30,12 @@
 type worker struct {
 	info   WorkerInfo
 	listed bool // its entry stands in the store
-	gone   bool // the incarnation has ended, or can't run anything any more
-	fenced bool // it has answered this owner
-	token  int64
+	// rostered says that the roster has it, so that a later owner will ask it.
+	rostered bool
+	leavesAt clock.Time // when a draining worker may end; 0 when it stays
+	gone     bool       // the incarnation has ended, or can't run anything any more
+	fenced   bool       // it has answered this owner
+	token    int64
 
 	clock      int64 // its clock when it answered last …
 	clockAt    clock.Time
@@ -60,7 +63,7 @@
 
 // usable says whether the worker may be given a task now.
 func (w *worker) usable(now clock.Time) bool {
-	return w.listed && w.fenced && !w.gone && !w.info.Draining && w.foreign == 0 &&
+	return w.listed && w.rostered && w.fenced && !w.gone && !w.info.Draining && w.foreign == 0 &&
 		now.Sub(w.lastAnswer) < usableWithin && now >= w.suspended
 }
 
@@ -82,17 +85,29 @@
 	}
 }
 
-// PutWorker takes in a worker's entry. It says whether the worker is new.
-func (p *Pool) PutWorker(info WorkerInfo, listed bool) bool {
-	if w, ok := p.workers[info.ID]; ok {
-		if listed || info.Address.IsValid() {
-			w.info = info
+// PutWorker takes in a worker's entry. It says whether the worker is new, so that the
+// roster has to be written before it is used (Rostered).
+func (p *Pool) PutWorker(info WorkerInfo, listed bool, now clock.Time) bool {
+	w, known := p.workers[info.ID]
+	if !known {
+		w = &worker{token: p.cfg.Token, runs: map[runKey]*run{}}
+		p.workers[info.ID] = w
+	}
+	w.info, w.listed = info, listed
+	if info.Draining && w.leavesAt == 0 {
+		w.leavesAt = now.Add(max(info.Remaining, p.cfg.Drain))
+		p.cfg.Log(Event{Name: "worker_draining", Worker: info.ID, Detail: w.leavesAt.Sub(now).String()})
+	}
+	return !known
+}
+
+// Rostered takes in that the roster of the store names workers.
+func (p *Pool) Rostered(ids []WorkerID) {
+	for _, id := range ids {
+		if w, ok := p.workers[id]; ok {
+			w.rostered = true
 		}
-		w.listed = listed
-		return false
 	}
-	p.workers[info.ID] = &worker{info: info, listed: listed, token: p.cfg.Token, runs: map[runKey]*run{}}
-	return true
 }
 
 // UnlistWorker takes in that a worker's entry is gone. What runs there may go on.
--- a/pkg/jobhost/door.go
+++ b/pkg/jobhost/door.go
@@ -9,6 +9,7 @@
 	"foldarch.dev/foldarch/pkg/dispatch"
 	"foldarch.dev/foldarch/pkg/job"
 	"foldarch.dev/foldarch/pkg/jobstore"
+	"foldarch.dev/foldarch/pkg/poolrpc"
 	"foldarch.dev/foldarch/pkg/poolrpc/poolpb"
 	"foldarch.dev/foldarch/pkg/queue"
 	"foldarch.dev/foldarch/platform"
@@ -37,7 +38,7 @@
 		return errors.Mark(err, platform.ErrRefused)
 	}
 	started := h.clk.Now()
-	created, err := h.intake.put(ctx, jobstore.JobKey(j.ID), text)
+	created, err := h.put(ctx, jobstore.JobKey(j.ID), text)
 	h.logOutcome("job_accepted", j.ID, q.Name, started, err)
 	if err != nil || !created {
 		return err // handed in before: the owner knows it, and maybe as ended
@@ -50,6 +51,46 @@
 	return nil
 }
 
+// put writes a key that nobody changes. When the store does not answer this host it may
+// answer the owner. Errors as of intake.put.
+func (h *Host) put(ctx context.Context, key string, value []byte) (created bool, err error) {
+	created, err = h.intake.put(ctx, key, value)
+	m := h.member.Load()
+	if err == nil || m == nil {
+		return created, err
+	}
+	created, relayed := relay(ctx, m, key, value)
+	if errors.Is(relayed, platform.ErrRefused) && !errors.Is(err, platform.ErrRefused) {
+		return false, err // our own try may have written the key
+	}
+	return created, relayed
+}
+
+// relay has the owner write a key.
+func relay(ctx context.Context, m *poolrpc.Member, key string, value []byte) (created bool, err error) {
+	a, err := m.Write(ctx, key, value)
+	switch {
+	case errors.Is(err, poolrpc.ErrNotSent):
+		return false, errors.Mark(err, platform.ErrRefused)
+	case err != nil:
+		return false, errors.Mark(err, platform.ErrUnsettled)
+	case a.Refused:
+		return false, errors.Wrap(platform.ErrRefused, "the owner could not write")
+	case a.Unknown:
+		return false, errors.Wrap(platform.ErrUnsettled, "the owner does not know")
+	}
+	return a.Created, nil
+}
+
+// writeFor puts a key into the store for a member, while this host is the owner.
+func (h *Host) writeFor(ctx context.Context, key string, value []byte) *poolpb.Answer {
+	created, err := h.intake.put(ctx, key, value)
+	return &poolpb.Answer{
+		Created: created, Refused: errors.Is(err, platform.ErrRefused),
+		Unknown: err != nil && !errors.Is(err, platform.ErrRefused),
+	}
+}
+
 func (h *Host) logOutcome(event string, id job.ID, queueName string, started clock.Time, err error) {
 	fields := logrus.Fields{"job": id, "queue": queueName, "took_ms": h.clk.Now().Sub(started).Milliseconds()}
 	if err != nil {
@@ -129,7 +170,7 @@
 		return errors.Wrap(platform.ErrNoJob, "the job has ended")
 	}
 	started := h.clk.Now()
-	_, err = h.intake.put(ctx, jobstore.CancelKey(id), []byte{})
+	_, err = h.put(ctx, jobstore.CancelKey(id), []byte{})
 	h.logOutcome("job_cancelled", id, record.Queue.Name, started, err)
 	if err != nil {
 		return err
--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -135,7 +135,7 @@
 		return false, false, record, term
 	case e.record == 0:
 		return true, true, record, term
-	case e.holder.Name == h.cfg.Name && e.holder.Life != h.life, e.yielded:
+	case e.holder.Name == h.cfg.Name && e.holder.Life != h.life, e.yielded && h.storeAnswers():
 		return true, false, record, term
 	case e.holder.Life == h.life:
 		return !e.alive, true, record, term // deposed without a successor
@@ -222,7 +222,7 @@
 	k.renewedAt.Store(int64(renewedAt))
 	o := poolowner.New(poolowner.Deps{
 		Name: h.cfg.Name, Clock: h.clk, Store: h.store, Workers: h.worker, Bounds: h.cfg.Bounds,
-		Advise: h.advise, Leased: k.holds, Log: h.log,
+		Advise: h.advise, Write: h.writeFor, StoreAge: h.storeAge, Leased: k.holds, Log: h.log,
 	}, claim)
 	o.SetConfig(h.config.Load())
 	h.owner.Store(o)
@@ -289,7 +289,7 @@
 }
 
 func (h *Host) memberStatus() *poolpb.MemberStatus {
-	return &poolpb.MemberStatus{Name: h.cfg.Name, StoreAnswers: h.storeAnswers(), Stopping: h.stopping.Load()}
+	return &poolpb.MemberStatus{Name: h.cfg.Name, StoreAgeMs: h.storeAge().Milliseconds(), Stopping: h.stopping.Load()}
 }
 
 // ownerHeard takes in a heartbeat of the owner.
--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -21,7 +21,7 @@
 
 const (
 	storeTimeout  = 400 * time.Millisecond
-	workerTimeout = 450 * time.Millisecond
+	workerTimeout = 160 * time.Millisecond
 	// storeShare is the part of the store's rate that one host may use.
 	storeShare = 0.25
 	// storeFresh is how long ago the store may have answered to count as up.
@@ -125,9 +125,11 @@
 	return o.Handlers(), true
 }
 
-// ready answers the platform's health check.
+// ready answers the platform's health check. A host that reaches neither the store nor the
+// owner can take in nothing.
 func (h *Host) ready(w http.ResponseWriter, _ *http.Request) {
-	if h.config.Load() == nil || h.stopping.Load() {
+	cutOff := !h.storeAnswers() && !h.reachesOwner()
+	if h.config.Load() == nil || h.stopping.Load() || cutOff {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -142,7 +144,7 @@
 	until := h.clk.Now().Add(min(stopPause, h.cfg.Bounds.Grace-stopMargin))
 	for h.clk.Now() < until || h.owner.Load() != nil && h.clk.Now() < deadline {
 		if o := h.owner.Load(); o != nil {
-			o.Yield("stopping")
+			o.Yield(true)
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
@@ -151,7 +153,17 @@
 	_ = server.Shutdown(ctx)
 }
 
+// storeAge is how long ago the store answered this host.
+func (h *Host) storeAge() time.Duration {
+	return h.clk.Now().Sub(h.store.LastAnswer())
+}
+
 // storeAnswers says whether the store has answered lately.
 func (h *Host) storeAnswers() bool {
-	return h.clk.Now().Sub(h.store.LastAnswer()) < storeFresh
+	return h.storeAge() < storeFresh
+}
+
+// reachesOwner says whether this host owns the pool or has a link to the owner.
+func (h *Host) reachesOwner() bool {
+	return h.owner.Load() != nil || h.member.Load() != nil
 }
--- a/pkg/jobhost/intake.go
+++ b/pkg/jobhost/intake.go
@@ -21,11 +21,11 @@
 	// intakeLinger is how long a write waits for others while a transaction is on its way.
 	intakeLinger = 8 * time.Millisecond
 	// settleFor bounds the tries to settle a write whose answer was lost.
-	settleFor   = 1600 * time.Millisecond
+	settleFor   = 900 * time.Millisecond
 	settlePause = 30 * time.Millisecond
-	// distrustFor is how long after a failure new writes are refused at once, except one
-	// that finds out whether the store is back.
-	distrustFor = 300 * time.Millisecond
+	// distrustAfter is how long the store must not have answered anything for writes to be
+	// refused at once after one has failed.
+	distrustAfter = 500 * time.Millisecond
 )
 
 // write is one key to be written by a host, if it is not there yet.
@@ -45,13 +45,11 @@
 
 // intake writes keys into the store, many with one transaction.
 type intake struct {
-	store *platform.Store
-	clk   clock.Clock
-	ring  chan *write
-	slots chan struct{}
-	// failing is when the store last failed to answer; 0 while it answers.
-	failing atomic.Int64
-	probing atomic.Bool
+	store   *platform.Store
+	clk     clock.Clock
+	ring    chan *write
+	slots   chan struct{}
+	failing atomic.Bool // the last transaction got no answer
 }
 
 func newIntake(store *platform.Store, clk clock.Clock) *intake {
@@ -79,25 +77,10 @@
 	}
 }
 
-// distrusts says that the store has just failed and somebody else is trying it.
+// distrusts says that the store does not answer at present. The duties that watch the store
+// find out when it is back.
 func (t *intake) distrusts() bool {
-	failed := t.failing.Load()
-	if failed == 0 {
-		return false
-	}
-	if t.clk.Now().Sub(clock.Time(failed)) < distrustFor {
-		return true
-	}
-	return !t.probing.CompareAndSwap(false, true)
-}
-
-func (t *intake) answered(ok bool) {
-	t.probing.Store(false)
-	if ok {
-		t.failing.Store(0)
-		return
-	}
-	t.failing.Store(int64(t.clk.Now()))
+	return t.failing.Load() && t.clk.Now().Sub(t.store.LastAnswer()) > distrustAfter
 }
 
 // run is the duty that groups writes.
@@ -143,17 +126,17 @@
 		_, found, err := t.store.Commit(ctx, txnOf(group))
 		switch {
 		case err == nil:
-			t.answered(true)
+			t.failing.Store(false)
 			answerAll(group, nil)
 			return
 		case errors.Is(err, platform.ErrConflict):
-			t.answered(true)
+			t.failing.Store(false)
 			group = answerPresent(group, found)
 			continue
 		case errors.Is(err, platform.ErrUnsettled):
 			unsettled = true
 		}
-		t.answered(false)
+		t.failing.Store(true)
 		if !unsettled {
 			answerAll(group, errors.Mark(err, platform.ErrRefused))
 			return
--- a/pkg/jobhost/lease.go
+++ b/pkg/jobhost/lease.go
@@ -35,8 +35,8 @@
 		}
 		switch {
 		case k.host.stopping.Load(): // leave asks for the takeover
-		case k.host.clk.Now().Sub(k.host.store.LastAnswer()) > yieldAfter:
-			o.Yield("the store does not answer")
+		case k.host.storeAge() > yieldAfter:
+			o.Yield(false)
 		default:
 			o.Stay()
 		}
--- a/pkg/poolowner/commits.go
+++ b/pkg/poolowner/commits.go
@@ -33,7 +33,7 @@
 		if c.Empty() {
 			return
 		}
-		if err := o.write(ctx, c.Changes); err != nil {
+		if err := o.writeChanges(ctx, c.Changes); err != nil {
 			return // only when this owner ends
 		}
 		o.mu.Lock()
@@ -44,8 +44,8 @@
 	})
 }
 
-// write puts changes into the store, whatever it takes; an error says that the owner ends.
-func (o *Owner) write(ctx context.Context, changes []dispatch.Change) error {
+// writeChanges puts changes into the store, whatever it takes; an error says that the owner ends.
+func (o *Owner) writeChanges(ctx context.Context, changes []dispatch.Change) error {
 	const most = (platform.MaxTxnEntries - ownEntries) / entriesPerChange
 	for len(changes) > 0 {
 		n := min(most, len(changes))
--- a/pkg/poolowner/loading.go
+++ b/pkg/poolowner/loading.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
@@ -147,7 +148,7 @@
 	for _, i := range items {
 		if info, err := platform.ParseWorker(i); err == nil {
 			listed[info.ID] = true
-			o.pool.PutWorker(info, true)
+			o.pool.PutWorker(info, true, o.deps.Clock.Now())
 		}
 	}
 	for _, w := range o.pool.Workers() {
@@ -172,14 +173,16 @@
 			pause(ctx, storeRetry)
 			continue
 		}
-		o.takeWorkers(ctx, items)
+		o.takeWorkers(items)
+		o.openSessions(ctx)
+		o.writeRoster(ctx)
 		o.position.workers = at
 	}
 }
 
-func (o *Owner) takeWorkers(ctx context.Context, items []platform.Item) {
-	added := false
+func (o *Owner) takeWorkers(items []platform.Item) {
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	for _, i := range items {
 		info, err := platform.ParseWorker(i)
 		if err != nil {
@@ -190,17 +193,18 @@
 			o.pool.UnlistWorker(info.ID)
 			continue
 		}
-		added = o.pool.PutWorker(info, true) || added
+		o.pool.PutWorker(info, true, o.deps.Clock.Now())
 		o.logWorker(info)
 	}
+}
+
+// openSessions begins to talk with the workers that are new.
+func (o *Owner) openSessions(ctx context.Context) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	for _, w := range o.pool.Workers() {
 		o.openSession(ctx, w.ID)
 	}
-	o.mu.Unlock()
-	o.wake()
-	if added {
-		o.writeRoster(ctx)
-	}
 }
 
 func (o *Owner) logWorker(w dispatch.WorkerInfo) {
@@ -231,26 +235,39 @@
 	}
 	for _, w := range roster {
 		if !known[w.ID] {
-			o.pool.PutWorker(w, false)
+			o.pool.PutWorker(w, false, o.deps.Clock.Now())
 		}
 	}
 	return nil
 }
 
-// writeRoster keeps the workers that are in use, for the next owner.
+// writeRoster keeps the workers that are in use, for the next owner, if they have changed.
 func (o *Owner) writeRoster(ctx context.Context) {
 	o.mu.Lock()
-	text, err := json.Marshal(o.pool.Workers())
+	workers := o.pool.Workers()
 	o.mu.Unlock()
+	text, err := json.Marshal(workers)
 	if err != nil {
 		return
 	}
+	ids := make([]dispatch.WorkerID, 0, len(workers))
+	for _, w := range workers {
+		ids = append(ids, w.ID)
+	}
+	if slices.Equal(ids, o.roster) {
+		return
+	}
 	for ctx.Err() == nil {
 		_, _, err := o.deps.Store.Commit(ctx, platform.Txn{
 			Expect: []platform.Expect{{Key: jobstore.HolderKey, Revision: o.claim.Revision}},
 			Put:    []platform.Put{{Key: jobstore.RosterKey, Value: text}},
 		})
 		if err == nil {
+			o.mu.Lock()
+			o.pool.Rostered(ids)
+			o.roster = ids
+			o.mu.Unlock()
+			o.wake()
 			return
 		}
 		if errors.Is(err, platform.ErrConflict) {
--- a/pkg/poolowner/members.go
+++ b/pkg/poolowner/members.go
@@ -11,12 +11,16 @@
 	"github.com/sirupsen/logrus"
 )
 
+// writeTimeout bounds a write for a member.
+const writeTimeout = 3 * time.Second
+
 // Handlers are what the owner does with what other hosts say.
 func (o *Owner) Handlers() poolrpc.OwnerHandlers {
 	return poolrpc.OwnerHandlers{
 		Joined: o.joined, Left: o.left, Answer: o.Answer, Advice: o.adviceAnswered, Status: o.status, Done: o.done,
 		Accepted:  func(a *poolpb.Accepted) { o.Accepted(job.ID(a.Id), a.Record) },
 		Cancelled: func(c *poolpb.Cancelled) { o.Cancelled(job.ID(c.Id)) },
+		Write:     o.write,
 	}
 }
 
@@ -47,31 +51,56 @@
 	return st
 }
 
-// Yield asks a member whose store answers to take over. It says whether there is one.
-func (o *Owner) Yield(why string) bool {
-	o.mu.Lock()
-	best := ""
-	for name, s := range o.members {
-		st := s.Status()
-		if st.StoreAnswers && !st.Stopping && (best == "" || name < best) {
-			best = name
-		}
+// yieldGain is by how much better a member must reach the store for an owner to yield that
+// does not stop. It covers the time between two calls and between two heartbeats.
+const yieldGain = 800 * time.Millisecond
+
+// Yield asks a member that reaches the store to take over. An owner that does not stop
+// yields only to a member that reaches the store clearly better: when the store is down for
+// all, nothing is gained. It says whether there is such a member.
+func (o *Owner) Yield(stopping bool) bool {
+	limit := o.deps.StoreAge() - yieldGain
+	if stopping {
+		limit = time.Hour
 	}
-	o.mu.Unlock()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	best := o.bestMember(limit)
 	if best == "" {
 		return false
 	}
 	if old := o.yield.Swap(&best); old == nil || *old != best {
-		o.deps.Log.WithFields(logrus.Fields{"to": best, "why": why}).Info("owner_yields")
+		o.deps.Log.WithFields(logrus.Fields{"to": best, "stopping": stopping}).Info("owner_yields")
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
 	for _, s := range o.members {
 		s.Send(&poolpb.OwnerMessage{Content: &poolpb.OwnerMessage_Status{Status: o.status()}})
 	}
 	return true
 }
 
+// bestMember names the member that reached the store last, within a limit. The caller holds
+// o.mu.
+func (o *Owner) bestMember(limit time.Duration) string {
+	best, bestAge := "", limit
+	for name, s := range o.members {
+		st := s.Status()
+		age := time.Duration(st.StoreAgeMs) * time.Millisecond
+		if !st.Stopping && (age < bestAge || age == bestAge && name < best) {
+			best, bestAge = name, age
+		}
+	}
+	return best
+}
+
+// write puts a key into the store for a member.
+func (o *Owner) write(w *poolpb.Write) *poolpb.Answer {
+	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	defer cancel()
+	a := o.deps.Write(ctx, w.Key, w.Value)
+	a.Number = w.Number
+	return a
+}
+
 // Stay takes back what Yield asked for.
 func (o *Owner) Stay() {
 	o.yield.Store(nil)
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -56,6 +56,10 @@
 	Bounds  platform.Bounds
 	// Advise makes a call for advice from this host.
 	Advise func(ctx context.Context, call *poolpb.AdviceCall) *poolpb.AdviceResult
+	// Write puts a key into the store for a member.
+	Write func(ctx context.Context, key string, value []byte) *poolpb.Answer
+	// StoreAge is how long ago the store answered this host.
+	StoreAge func() time.Duration
 	// Leased says that the store has confirmed the ownership within AuthorityTerm.
 	Leased func(now clock.Time) bool
 	Log    *logrus.Entry
@@ -72,10 +76,11 @@
 	pool      *dispatch.Pool
 	sessions  map[dispatch.WorkerID]*workerSession
 	members   map[string]*poolrpc.Session
-	cancelled map[job.ID]bool // told before the job itself
-	committed chan struct{}   // closed and renewed with each commit
-	fenced    bool            // most workers were fenced
-	position  position        // each field belongs to one duty
+	cancelled map[job.ID]bool     // told before the job itself
+	committed chan struct{}       // closed and renewed with each commit
+	fenced    bool                // most workers were fenced
+	roster    []dispatch.WorkerID // as written last; of the duty that watches workers
+	position  position            // each field belongs to one duty
 
 	commitRevision int64
 	commitNumber   int64
@@ -95,7 +100,7 @@
 		cancelled: map[job.ID]bool{}, committed: make(chan struct{}), commitRevision: claim.Revision,
 	}
 	o.pool = dispatch.New(dispatch.Config{
-		Hold: min(maxLease, deps.Bounds.MaxHold-leaseMargin), MaxHold: deps.Bounds.MaxHold,
+		Hold: min(maxLease, deps.Bounds.MaxHold-leaseMargin), MaxHold: deps.Bounds.MaxHold, Drain: deps.Bounds.Drain,
 		Token: claim.Revision * tokenStep, FirstRun: int(claim.Term) * runsOfTerm, Takeover: !claim.First,
 		AuthorityTerm: takeoverTerm, Wall: deps.Clock.Wall, Log: o.logEvent,
 	}, now)
--- a/pkg/poolowner/sessions.go
+++ b/pkg/poolowner/sessions.go
@@ -10,7 +10,7 @@
 
 const (
 	// holdWait is how long a worker lets a hold wait for an end.
-	holdWait = 900 * time.Millisecond
+	holdWait = 600 * time.Millisecond
 	// holdRetry is the pause after a hold that failed.
 	holdRetry = 100 * time.Millisecond
 	// noteWait bounds the waiting for the commit of reported ends before the next hold.
--- a/pkg/poolrpc/member.go
+++ b/pkg/poolrpc/member.go
@@ -25,6 +25,9 @@
 // ErrNoLink says that there is no stream to the owner, or that it broke.
 var ErrNoLink = errors.New("no link to the owner")
 
+// ErrNotSent says that a message was not even put on its way.
+var ErrNotSent = errors.New("not sent to the owner")
+
 // MemberHandlers are what a member does.
 type MemberHandlers struct {
 	// Status describes this host.
@@ -159,22 +162,40 @@
 
 // Ask asks the owner and waits for its answer.
 func (m *Member) Ask(ctx context.Context, q *poolpb.Question) (*poolpb.Answer, error) {
-	q.Number = m.number.Add(1)
+	return m.exchange(ctx, func(number int64) *poolpb.MemberMessage {
+		q.Number = number
+		return &poolpb.MemberMessage{Content: &poolpb.MemberMessage_Question{Question: q}}
+	})
+}
+
+// Write has the owner put a key into the store and waits for its answer. After an error it
+// is not known whether the key was written, unless the error is ErrNotSent.
+func (m *Member) Write(ctx context.Context, key string, value []byte) (*poolpb.Answer, error) {
+	return m.exchange(ctx, func(number int64) *poolpb.MemberMessage {
+		return &poolpb.MemberMessage{Content: &poolpb.MemberMessage_Write{
+			Write: &poolpb.Write{Number: number, Key: key, Value: value},
+		}}
+	})
+}
+
+// exchange sends a message with a number of its own and waits for the answer to it.
+func (m *Member) exchange(ctx context.Context, message func(number int64) *poolpb.MemberMessage) (*poolpb.Answer, error) {
+	number := m.number.Add(1)
 	ch := make(chan *poolpb.Answer, 1)
 	m.mu.Lock()
 	if m.closed {
 		m.mu.Unlock()
-		return nil, ErrNoLink
+		return nil, ErrNotSent
 	}
-	m.waiting[q.Number] = ch
+	m.waiting[number] = ch
 	m.mu.Unlock()
 	defer func() {
 		m.mu.Lock()
-		delete(m.waiting, q.Number)
+		delete(m.waiting, number)
 		m.mu.Unlock()
 	}()
-	if !m.send(&poolpb.MemberMessage{Content: &poolpb.MemberMessage_Question{Question: q}}) {
-		return nil, ErrNoLink
+	if !m.send(message(number)) {
+		return nil, ErrNotSent
 	}
 	select {
 	case a, ok := <-ch:
--- a/pkg/poolrpc/owner.go
+++ b/pkg/poolrpc/owner.go
@@ -22,6 +22,8 @@
 	Cancelled func(*poolpb.Cancelled)
 	Answer    func(*poolpb.Question) *poolpb.Answer
 	Advice    func(*poolpb.AdviceResult)
+	// Write puts a key into the store; it is called in a goroutine of its own.
+	Write func(*poolpb.Write) *poolpb.Answer
 	// Status returns the owner's heartbeat.
 	Status func() *poolpb.OwnerStatus
 	// Done ends with the ownership.
@@ -135,5 +137,9 @@
 		s.Send(&poolpb.OwnerMessage{Content: &poolpb.OwnerMessage_Answer{Answer: h.Answer(c.Question)}})
 	case *poolpb.MemberMessage_Advice:
 		h.Advice(c.Advice)
+	case *poolpb.MemberMessage_Write:
+		go func() {
+			s.Send(&poolpb.OwnerMessage{Content: &poolpb.OwnerMessage_Answer{Answer: h.Write(c.Write)}})
+		}()
 	}
 }
