Give each time of a schedule its own objective; watch workers at most thrice a second

Cause: (1) on copies of the sites with timed jobs, all times of a job shared the objective of the first, so later ones counted as worthless and went behind everything. (2) workers' entries change with each heartbeat, so that the owner's watch answered 30 times a second.

Ruled out for (1): too few advisers (busy, but with calls for worthless steps). Labels: the copies ask for labels that no worker of the site has; those jobs can't run.

The owner logs a summary of the pool each second, jobs log their steps.

--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -26,6 +26,7 @@
 
 // Plan decides what is to be done now. Without authority nothing is started or asked for.
 func (p *Pool) Plan(now clock.Time, authority bool) Actions {
+	p.now = now
 	p.expireWorkers(now)
 	p.expireAsks(now)
 	p.settleTakeover(now)
@@ -148,7 +149,7 @@
 	}
 }
 
-// standing is what a job's outcome can still be worth.
+// standing is what the end of a time can still be worth.
 type standing int
 
 const (
@@ -157,11 +158,11 @@
 	worthless
 )
 
-func (j *jobState) standing(now clock.Time) standing {
+func (t *timeState) standing(now clock.Time) standing {
 	switch {
-	case now <= j.objective:
+	case now <= t.objective:
 		return inTime
-	case now <= j.latest:
+	case now <= t.latest:
 		return late
 	}
 	return worthless
@@ -179,7 +180,7 @@
 	entries := make([]entry, 0, len(p.ready))
 	for s := range p.ready {
 		j := s.time.job
-		entries = append(entries, entry{s, j.standing(now), j.queue.Priority, j.objective.Add(-s.chain)})
+		entries = append(entries, entry{s, s.time.standing(now), j.queue.Priority, s.time.objective.Add(-s.chain)})
 	}
 	slices.SortFunc(entries, func(a, b entry) int {
 		return cmp.Or(cmp.Compare(a.standing, b.standing), cmp.Compare(a.priority, b.priority),
@@ -197,7 +198,7 @@
 
 // add keeps the workers that may run a waiting step from steps of a lower priority.
 func (r reservations) add(s *step, now clock.Time) {
-	if s.time.job.standing(now) != inTime {
+	if s.time.standing(now) != inTime {
 		return
 	}
 	priority := s.time.job.queue.Priority
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"foldarch.dev/foldarch/pkg/clock"
@@ -50,7 +51,8 @@
 	advice   advisers
 	stops    []*run
 	settles  []*worker
-	fenced   bool // a worker has seen a token of a later owner
+	fenced   bool       // a worker has seen a token of a later owner
+	now      clock.Time // of the present event
 }
 
 // New returns a pool without workers and jobs.
@@ -86,8 +88,8 @@
 	outcome   job.State // final, not necessarily committed; empty before
 	committed bool      // the outcome is in the store
 	stored    bool      // the store has progress of the job
-	objective clock.Time
-	latest    clock.Time // the last moment at which a late outcome is worth anything
+	accepted  clock.Time
+	chains    []time.Duration // for each step, the estimated time from its start to the end
 }
 
 // timeState is one time of a job's steps.
@@ -96,6 +98,10 @@
 	index int
 	steps []*step
 	left  int // steps that are not done
+	// objective is when all tasks should have ended, and latest the last moment at which
+	// that is still worth something.
+	objective clock.Time
+	latest    clock.Time
 }
 
 // step is one step of one time.
@@ -169,6 +175,7 @@
 // AddJob takes in an accepted job; it is known only once. age is how long ago it was
 // accepted, as far as the clocks of two hosts tell.
 func (p *Pool) AddJob(r job.Record, progress job.Progress, stored bool, age time.Duration, now clock.Time) {
+	p.now = now
 	id := r.Job.ID
 	if _, known := p.jobs[id]; known || p.outcomes[id] != "" {
 		return
@@ -180,7 +187,7 @@
 		}
 	}
 	j.times = make([]*timeState, r.Job.Schedule.Times())
-	p.setObjective(j, now.Add(-age))
+	j.accepted, j.chains = now.Add(-age), chains(j)
 	p.jobs[id] = j
 	p.takeProgress(j, progress)
 	if r.Job.Schedule.Repeat > 0 {
@@ -207,17 +214,26 @@
 	p.forgetIfIdle(j)
 }
 
+// lateFactor times the objective is the last moment at which a late end is worth something.
+const lateFactor = 3
+
 // adviceWorkers is how many workers a call for advice names in a job's objective.
 const adviceWorkers = 30
 
-func (p *Pool) setObjective(j *jobState, accepted clock.Time) {
-	longest := time.Duration(0)
-	for _, c := range chains(j) {
-		longest = max(longest, c)
+// setObjective gives a time its objective, counted from when it began to wait.
+func (t *timeState) setObjective(from clock.Time) {
+	longest := slices.Max(t.job.chains)
+	span := time.Duration(float64(longest)*max(t.job.queue.Extension, 1)) + t.job.queue.TargetLatency
+	t.objective = from.Add(span)
+	t.latest = from.Add(lateFactor * span)
+}
+
+// dueAt is when a time begins to wait, by the steady clock.
+func (p *Pool) dueAt(j *jobState, k int, now clock.Time) clock.Time {
+	if j.job.Schedule.Repeat == 0 {
+		return j.accepted
 	}
-	span := time.Duration(float64(longest)*max(j.queue.Extension, 1)) + j.queue.TargetLatency
-	j.objective = accepted.Add(span)
-	j.latest = accepted.Add(3 * span)
+	return max(now.Add(j.job.Schedule.Due(k).Sub(p.cfg.Wall())), j.accepted)
 }
 
 // chains returns for each step the estimated time from its start to the end of the job.
@@ -243,10 +259,10 @@
 		return j.times[k]
 	}
 	t := &timeState{job: j, index: k, left: len(j.job.Steps)}
-	chain := chains(j)
+	t.setObjective(p.dueAt(j, k, p.now))
 	for i := range j.job.Steps {
 		spec := &j.job.Steps[i]
-		s := &step{time: t, index: i, spec: spec, tasks: make([]task, spec.Count), chain: chain[i]}
+		s := &step{time: t, index: i, spec: spec, tasks: make([]task, spec.Count), chain: j.chains[i]}
 		for n := range s.tasks {
 			s.tasks[n] = task{step: s, index: n}
 		}
--- a/pkg/dispatch/pool_test.go
+++ b/pkg/dispatch/pool_test.go
@@ -526,3 +526,19 @@
 	f.pool.Rostered([]WorkerID{"w0"})
 	f.Expect(f.plan().Starts).To(HaveLen(1))
 }
+
+// Seed: a copy of hanbit-ops with timed jobs. All times shared the objective of the first,
+// so that later ones went behind everything.
+func TestEachTimeHasItsOwnObjective(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	f.reportAll(1)
+	r := testJob("a", testStep(1))
+	r.Job.Schedule = job.Schedule{Repeat: 2, Start: f.wall, Interval: time.Minute}
+	f.add(r)
+	j := f.pool.jobs["a"]
+	first := j.times[0].objective
+	f.pass(time.Minute)
+	f.plan()
+	f.Expect(j.times[1].objective.Sub(first)).To(BeNumerically("~", time.Minute, 10*time.Millisecond))
+	f.Expect(j.times[1].standing(f.now)).To(Equal(inTime))
+}
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -11,6 +11,7 @@
 
 // HoldAnswered takes in a worker's answer to a hold.
 func (p *Pool) HoldAnswered(h Hold, a Answer, report Report, now clock.Time) {
+	p.now = now
 	w, ok := p.workers[h.Worker]
 	if !ok || w.gone {
 		return
--- /dev/null
+++ b/pkg/dispatch/status.go
@@ -0,0 +1,55 @@
+package dispatch
+
+import (
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/clock"
+)
+
+// Status is a summary of a pool, for logs and metrics.
+type Status struct {
+	Workers  int // that may be given tasks now
+	Silent   int // that have not answered lately
+	Jobs     int // not ended
+	Steps    int // ready, with waiting tasks
+	Waiting  int // tasks of the ready steps
+	Runs     int // counted against workers
+	Calls    int // for advice, on their way
+	Advisers int // that are free
+	Used     cell.Resources
+	Capacity cell.Resources
+	// Takeover says that runs of a former owner are still looked for.
+	Takeover bool
+}
+
+// Status summarizes the pool.
+func (p *Pool) Status(now clock.Time) Status {
+	s := Status{Steps: len(p.ready), Calls: len(p.advice.asks), Takeover: p.takeover.pending}
+	for _, w := range p.workers {
+		if w.gone {
+			continue
+		}
+		if w.usable(now) {
+			s.Workers++
+		}
+		if now.Sub(w.lastAnswer) >= usableWithin {
+			s.Silent++
+		}
+		s.Runs += len(w.runs)
+		s.Used = s.Used.Add(w.used)
+		s.Capacity = s.Capacity.Add(w.info.Capacity)
+	}
+	for _, j := range p.jobs {
+		if j.outcome == "" {
+			s.Jobs++
+		}
+	}
+	for step := range p.ready {
+		s.Waiting += step.waiting()
+	}
+	for _, idle := range p.advice.idle {
+		if idle {
+			s.Advisers++
+		}
+	}
+	return s
+}
--- a/pkg/job/job.go
+++ b/pkg/job/job.go
@@ -169,3 +169,32 @@
 	}
 	return TaskID{StepID{ID(parts[0]), numbers[0], numbers[1]}, numbers[2]}, nil
 }
+
+// Summary describes the steps for logs, such as "2x(cpu=1400m mem=5200MB acc=0) gang".
+func (j Job) Summary() string {
+	parts := make([]string, 0, len(j.Steps))
+	for _, s := range j.Steps {
+		parts = append(parts, s.summary())
+	}
+	return strings.Join(parts, "; ")
+}
+
+func (s Step) summary() string {
+	text := fmt.Sprintf("%dx(%s)", s.Count, s.Resources)
+	flags := []struct {
+		name string
+		set  bool
+	}{
+		{"gang", s.Gang}, {"same_rack", s.SameRack}, {"checkpointing", s.Checkpointing}, {"speculative", s.Speculative},
+		{"long_running", s.LongRunning}, {"filler", s.Filler},
+		{"label=" + s.Requirement, s.Requirement != ""}, {"near=" + s.Affinity, s.Affinity != ""},
+		{"per_worker=" + strconv.Itoa(s.MaxPerWorker), s.MaxPerWorker > 0},
+		{fmt.Sprintf("after=%v", s.After), len(s.After) > 0},
+	}
+	for _, f := range flags {
+		if f.set {
+			text += " " + f.name
+		}
+	}
+	return text
+}
--- a/pkg/jobhost/door.go
+++ b/pkg/jobhost/door.go
@@ -39,7 +39,7 @@
 	}
 	started := h.clk.Now()
 	created, err := h.put(ctx, jobstore.JobKey(j.ID), text)
-	h.logOutcome("job_accepted", j.ID, q.Name, started, err)
+	h.logOutcome("job_accepted", j.ID, q.Name, j.Summary(), started, err)
 	if err != nil || !created {
 		return err // handed in before: the owner knows it, and maybe as ended
 	}
@@ -91,8 +91,11 @@
 	}
 }
 
-func (h *Host) logOutcome(event string, id job.ID, queueName string, started clock.Time, err error) {
+func (h *Host) logOutcome(event string, id job.ID, queueName, steps string, started clock.Time, err error) {
 	fields := logrus.Fields{"job": id, "queue": queueName, "took_ms": h.clk.Now().Sub(started).Milliseconds()}
+	if steps != "" {
+		fields["steps"] = steps
+	}
 	if err != nil {
 		fields["error"] = err.Error()
 		event += "_not"
@@ -171,7 +174,7 @@
 	}
 	started := h.clk.Now()
 	_, err = h.put(ctx, jobstore.CancelKey(id), []byte{})
-	h.logOutcome("job_cancelled", id, record.Queue.Name, started, err)
+	h.logOutcome("job_cancelled", id, record.Queue.Name, "", started, err)
 	if err != nil {
 		return err
 	}
--- a/pkg/poolowner/loading.go
+++ b/pkg/poolowner/loading.go
@@ -20,7 +20,10 @@
 	jobsEvery = 500 * time.Millisecond
 	// workersWait is how long a watch on the workers' entries waits.
 	workersWait = time.Second
-	storeRetry  = 100 * time.Millisecond
+	// workersPause is the time between two watches: entries change with each heartbeat, and
+	// a change of state may come a little late.
+	workersPause = 300 * time.Millisecond
+	storeRetry   = 100 * time.Millisecond
 )
 
 // position is how far a duty has followed the store.
@@ -146,9 +149,14 @@
 	defer o.mu.Unlock()
 	listed := make(map[dispatch.WorkerID]bool, len(items))
 	for _, i := range items {
-		if info, err := platform.ParseWorker(i); err == nil {
-			listed[info.ID] = true
-			o.pool.PutWorker(info, true, o.deps.Clock.Now())
+		info, err := platform.ParseWorker(i)
+		if err != nil {
+			o.deps.Log.WithField("error", err).Error("worker_unreadable")
+			continue
+		}
+		listed[info.ID] = true
+		if o.pool.PutWorker(info, true, o.deps.Clock.Now()) {
+			o.logWorker(info)
 		}
 	}
 	for _, w := range o.pool.Workers() {
@@ -177,6 +185,7 @@
 		o.openSessions(ctx)
 		o.writeRoster(ctx)
 		o.position.workers = at
+		pause(ctx, workersPause)
 	}
 }
 
@@ -193,8 +202,9 @@
 			o.pool.UnlistWorker(info.ID)
 			continue
 		}
-		o.pool.PutWorker(info, true, o.deps.Clock.Now())
-		o.logWorker(info)
+		if o.pool.PutWorker(info, true, o.deps.Clock.Now()) {
+			o.logWorker(info)
+		}
 	}
 }
 
@@ -209,7 +219,7 @@
 
 func (o *Owner) logWorker(w dispatch.WorkerInfo) {
 	o.deps.Log.WithFields(logrus.Fields{
-		"worker": w.ID, "address": w.Address, "zone": w.Zone, "rack": w.Rack, "draining": w.Draining, "capacity": w.Capacity,
+		"worker": w.ID, "address": w.Address, "zone": w.Zone, "rack": w.Rack, "labels": strings.Join(w.Labels, ","), "draining": w.Draining, "capacity": w.Capacity,
 	}).Info("worker_listed")
 }
 
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -32,6 +32,7 @@
 	planEvery      = 50 * time.Millisecond
 	planPause      = 2 * time.Millisecond
 	inspectEvery   = 250 * time.Millisecond
+	statusEvery    = time.Second
 	ordersAtOnce   = 2
 	ordersPerQueue = 512
 )
@@ -118,6 +119,7 @@
 	}
 	o.duties.Go(func() { o.runPlans(ctx) })
 	o.duties.Go(func() { clock.Every(ctx, inspectEvery, o.inspect) })
+	o.duties.Go(func() { clock.Every(ctx, statusEvery, o.logStatus) })
 	o.duties.Go(func() { o.runCommits(ctx) })
 	o.duties.Go(func() { o.watchJobs(ctx) })
 	o.duties.Go(func() { o.watchWorkers(ctx) })
@@ -198,6 +200,21 @@
 	o.pool.Inspect(o.deps.Clock.Now())
 }
 
+// Status summarizes the pool.
+func (o *Owner) Status() dispatch.Status {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.pool.Status(o.deps.Clock.Now())
+}
+
+func (o *Owner) logStatus() {
+	s := o.Status()
+	o.deps.Log.WithFields(logrus.Fields{
+		"workers": s.Workers, "silent": s.Silent, "jobs": s.Jobs, "steps": s.Steps, "waiting": s.Waiting, "runs": s.Runs,
+		"calls": s.Calls, "advisers": s.Advisers, "takeover": s.Takeover, "used": s.Used, "capacity": s.Capacity,
+	}).Info("pool_status")
+}
+
 func (o *Owner) carryOut(ctx context.Context) {
 	o.mu.Lock()
 	now := o.deps.Clock.Now()
