Emulate the platform for tests; reload settings; leave done gangs alone

Its first seed found that the members of a done gang whose ends were not listed yet were sent stops.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TOOLS   := $(CURDIR)/.tools
 PROGRAMS := foldarch foldarch-entry foldarch-standin foldarch-load
 
-.PHONY: build run test check bench model gen tools chaos
+.PHONY: build run test check bench model gen tools chaos soak
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -38,5 +38,8 @@
 chaos:
 	$(GO) test ./test/e2e -run TestChaos -count=1 -v -timeout 60m -chaos.seed=$(or $(SEED),1) -chaos.seconds=$$(( $(or $(MINUTES),1) * 60 ))
 
+soak:
+	$(GO) test ./test/platform -run TestSoak -count=1 -v -timeout 90m -soak.seed=$(or $(SEED),1) -soak.seeds=$(or $(SEEDS),1) -soak.seconds=$(or $(SECONDS),12)
+
 model:
 	./spec/run
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -346,6 +346,9 @@
 		p.updateReady(t)
 		for _, s := range t.steps {
 			p.dropAsk(s)
+			if outcome == job.Completed {
+				continue // what is still counted of it has ended: members of gangs
+			}
 			for i := range s.tasks {
 				p.stopRun(s.tasks[i].current)
 			}
--- a/pkg/dispatch/pool_test.go
+++ b/pkg/dispatch/pool_test.go
@@ -542,3 +542,22 @@
 	f.Expect(j.times[1].objective.Sub(first)).To(BeNumerically("~", time.Minute, 10*time.Millisecond))
 	f.Expect(j.times[1].standing(f.now)).To(Equal(inTime))
 }
+
+// Seed: soak 1. One end counts for all members of a gang; those whose end is not listed yet
+// have ended too, and are not stopped.
+func TestMembersOfADoneGangAreNotStopped(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	gang := testStep(2)
+	gang.Gang, gang.MaxPerWorker = true, 1
+	f.add(testJob("a", gang))
+	starts := f.plan().Starts
+	f.Expect(starts).To(HaveLen(2))
+	f.accept(starts[0])
+	f.accept(starts[1])
+	f.report(numberOf(starts[0].Worker), f.end(starts[0], 1, EndDone))
+	f.Expect(f.plan().Stops).To(BeEmpty())
+	f.pool.Committed(f.pool.TakeCommit())
+	state, _ := f.pool.State("a")
+	f.Expect(state).To(Equal(job.Completed))
+}
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -124,7 +124,7 @@
 	r.percentAt = now
 	j := r.task.step.time.job
 	j.began = true
-	if j.outcome != "" || r.task.step.gang.broken {
+	if j.outcome != "" && j.outcome != job.Completed || r.task.step.gang.broken && !r.task.done {
 		p.stopRun(r)
 	}
 }
--- a/pkg/entry/main.go
+++ b/pkg/entry/main.go
@@ -96,15 +96,20 @@
 
 // Run serves the platform's jobs until a signal.
 func (c platformCommand) Run(s streams) error {
-	cfg, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	path := os.Getenv(platform.SettingsVariable)
+	if path == "" {
+		return usageError{errors.Newf("the environment variable %s names no settings file", platform.SettingsVariable)}
+	}
+	cfg, err := platform.LoadSettings(path)
 	if err != nil {
 		return usageError{err}
 	}
+	signal.Ignore(syscall.SIGHUP) // until the settings are watched
 	w := logring.New(s.out, logRing)
 	defer w.Close()
 	ctx, stop := stopSignal()
 	defer stop()
-	return jobhost.New(cfg, newLog(w, logrus.InfoLevel.String())).Run(ctx)
+	return jobhost.New(cfg, newLog(w, logrus.InfoLevel.String())).Run(ctx, path)
 }
 
 // Run checks a settings file.
@@ -118,7 +123,7 @@
 }
 
 func stopSignal() (context.Context, context.CancelFunc) {
-	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+	signal.Ignore(syscall.SIGPIPE)
 	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 }
 
--- a/pkg/jobhost/door.go
+++ b/pkg/jobhost/door.go
@@ -198,10 +198,11 @@
 // advise makes a call for advice that the owner handed out.
 func (h *Host) advise(ctx context.Context, call *poolpb.AdviceCall) *poolpb.AdviceResult {
 	result := &poolpb.AdviceResult{Number: call.Number}
-	if h.advice == nil {
+	adviser := h.advice.Load()
+	if adviser == nil {
 		return result
 	}
-	tickets, err := h.advice.Advise(ctx, stepOf(call), workersOf(call), time.Duration(call.LimitMs)*time.Millisecond)
+	tickets, err := adviser.Advise(ctx, stepOf(call), workersOf(call), time.Duration(call.LimitMs)*time.Millisecond)
 	if err != nil {
 		h.log.WithFields(logrus.Fields{"step": stepOf(call), "error": err}).Warn("advice_failed")
 		return result
--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -135,7 +135,7 @@
 		return false, false, record, term
 	case e.record == 0:
 		return true, true, record, term
-	case e.holder.Name == h.cfg.Name && e.holder.Life != h.life, e.yielded && h.storeAnswers():
+	case e.holder.Name == h.cfg.Load().Name && e.holder.Life != h.life, e.yielded && h.storeAnswers():
 		return true, false, record, term
 	case e.holder.Life == h.life:
 		return !e.alive, true, record, term // deposed without a successor
@@ -163,11 +163,11 @@
 // tryTakeOver puts this host on record as the owner and owns the pool until deposed.
 func (h *Host) tryTakeOver(ctx context.Context, ifNotAlive bool, record, term int64) {
 	began := h.clk.Now()
-	lease, _, err := h.store.OpenLease(ctx, max(leaseTerm, h.cfg.Store.MinLease))
+	lease, _, err := h.store.OpenLease(ctx, max(leaseTerm, h.cfg.Load().Store.MinLease))
 	if err != nil {
 		return
 	}
-	holder := jobstore.Holder{Name: h.cfg.Name, Life: h.life, Address: h.cfg.Peers, Term: term + 1}
+	holder := jobstore.Holder{Name: h.cfg.Load().Name, Life: h.life, Address: h.cfg.Load().Peers, Term: term + 1}
 	text, err := holder.Encode()
 	if err != nil {
 		return
@@ -221,7 +221,7 @@
 	k := &leaseKeeper{host: h, lease: lease, record: claim.Revision}
 	k.renewedAt.Store(int64(renewedAt))
 	o := poolowner.New(poolowner.Deps{
-		Name: h.cfg.Name, Clock: h.clk, Store: h.store, Workers: h.worker, Bounds: h.cfg.Bounds,
+		Name: h.cfg.Load().Name, Clock: h.clk, Store: h.store, Workers: h.worker, Bounds: h.cfg.Load().Bounds,
 		Advise: h.advise, Write: h.writeFor, StoreAge: h.storeAge, Leased: k.holds, Log: h.log,
 	}, claim)
 	o.SetConfig(h.config.Load())
@@ -242,7 +242,7 @@
 		e.mu.Lock()
 		holder, record := e.holder, e.record
 		e.mu.Unlock()
-		if record == 0 || holder.Life == h.life || holder.Name == h.cfg.Name {
+		if record == 0 || holder.Life == h.life || holder.Name == h.cfg.Load().Name {
 			wait(ctx, linkRetry)
 			continue
 		}
@@ -296,7 +296,7 @@
 }
 
 func (h *Host) memberStatus() *poolpb.MemberStatus {
-	return &poolpb.MemberStatus{Name: h.cfg.Name, StoreAgeMs: h.storeAge().Milliseconds(), Stopping: h.stopping.Load()}
+	return &poolpb.MemberStatus{Name: h.cfg.Load().Name, StoreAgeMs: h.storeAge().Milliseconds(), Stopping: h.stopping.Load()}
 }
 
 // ownerHeard takes in a heartbeat of the owner.
@@ -308,5 +308,5 @@
 		return
 	}
 	e.heardAt = h.clk.Now()
-	e.yielded = s.Yield == h.cfg.Name
+	e.yielded = s.Yield == h.cfg.Load().Name
 }
--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -39,13 +40,13 @@
 
 // Host is one entry host at work.
 type Host struct {
-	cfg    platform.Settings
+	cfg    atomic.Pointer[platform.Settings]
 	life   string
 	log    *logrus.Entry
 	clk    clock.Clock
 	store  *platform.Store
 	worker *platform.Workers
-	advice *platform.Adviser
+	advice atomic.Pointer[platform.Adviser] // nil when there is no advice service
 
 	config   atomic.Pointer[queue.Config]
 	intake   *intake
@@ -65,34 +66,43 @@
 		ReadsPerSecond:  cfg.Store.ReadsPerSecond * storeShare,
 	}, clk)
 	h := &Host{
-		cfg: cfg, life: uuid.NewString(), log: log.WithField("host", cfg.Name), clk: clk, store: store,
+		life: uuid.NewString(), log: log.WithField("host", cfg.Name), clk: clk, store: store,
 		worker: platform.NewWorkers(workerTimeout), intake: newIntake(store, clk),
 		election: election{changed: make(chan struct{}, 1)},
 	}
-	if cfg.Advice.IsValid() {
-		h.advice = platform.NewAdviser(cfg.Advice)
-	}
+	h.cfg.Store(&cfg)
+	h.setAdvice(cfg.Advice)
 	return h
 }
 
+// setAdvice sets the address of the advice service; an invalid one means that there is none.
+func (h *Host) setAdvice(address netip.AddrPort) {
+	if !address.IsValid() {
+		h.advice.Store(nil)
+		return
+	}
+	h.advice.Store(platform.NewAdviser(address))
+}
+
 // Run works until ctx ends and then stops as planned: the pool is handed over and requests
-// in flight are answered.
-func (h *Host) Run(ctx context.Context) error {
-	debug.SetMemoryLimit(int64(float64(h.cfg.MemoryBytes) * memoryShare))
+// in flight are answered. Settings that change in the file at path are put in force.
+func (h *Host) Run(ctx context.Context, path string) error {
+	cfg := h.cfg.Load()
+	debug.SetMemoryLimit(memoryLimit(*cfg))
 	debug.SetGCPercent(gcPercent)
-	callers, err := net.Listen("tcp", h.cfg.Callers.String())
+	callers, err := net.Listen("tcp", cfg.Callers.String())
 	if err != nil {
 		return errors.Wrap(err, "callers' address")
 	}
-	ready, err := net.Listen("tcp", h.cfg.Ready.String())
+	ready, err := net.Listen("tcp", cfg.Ready.String())
 	if err != nil {
 		return errors.Wrap(err, "ready address")
 	}
-	peers, err := net.Listen("tcp", h.cfg.Peers.String())
+	peers, err := net.Listen("tcp", cfg.Peers.String())
 	if err != nil {
 		return errors.Wrap(err, "peers' address")
 	}
-	h.log.WithFields(logrus.Fields{"life": h.life, "callers": h.cfg.Callers, "peers": h.cfg.Peers, "zone": h.cfg.Zone}).Info("started")
+	h.log.WithFields(logrus.Fields{"life": h.life, "callers": cfg.Callers, "peers": cfg.Peers, "zone": cfg.Zone}).Info("started")
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	server := &http.Server{Handler: h.door(), ReadHeaderTimeout: headerTimeout}
@@ -100,6 +110,7 @@
 	go func() { _ = server.Serve(callers) }()
 	go func() { _ = probe.Serve(ready) }()
 	h.startDuties(work, peers)
+	h.duties.Go(func() { h.watchSettings(work, path) })
 	<-ctx.Done()
 	h.leave(server)
 	stop()
@@ -140,8 +151,9 @@
 func (h *Host) leave(server *http.Server) {
 	h.stopping.Store(true)
 	h.log.Info("stopping")
-	deadline := h.clk.Now().Add(h.cfg.Bounds.Grace - stopMargin)
-	until := h.clk.Now().Add(min(stopPause, h.cfg.Bounds.Grace-stopMargin))
+	grace := h.cfg.Load().Bounds.Grace
+	deadline := h.clk.Now().Add(grace - stopMargin)
+	until := h.clk.Now().Add(min(stopPause, grace-stopMargin))
 	for h.clk.Now() < until || h.owner.Load() != nil && h.clk.Now() < deadline {
 		if o := h.owner.Load(); o != nil {
 			o.Yield(true)
--- a/pkg/jobhost/lease.go
+++ b/pkg/jobhost/lease.go
@@ -54,7 +54,7 @@
 // reopen opens a new lease after the platform has ended the last one, unless another host
 // is on record.
 func (k *leaseKeeper) reopen(ctx context.Context) bool {
-	lease, _, err := k.host.store.OpenLease(ctx, max(leaseTerm, k.host.cfg.Store.MinLease))
+	lease, _, err := k.host.store.OpenLease(ctx, max(leaseTerm, k.host.cfg.Load().Store.MinLease))
 	if err != nil {
 		return false
 	}
--- /dev/null
+++ b/test/platform/cell_test.go
@@ -0,0 +1,248 @@
+// Package platform_test runs foldarch-entry as separate processes on an emulated platform and
+// injects faults from outside: signals to the processes, faults of the store and of workers.
+package platform_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/jobstore"
+	"foldarch.dev/foldarch/platform/emulator"
+	. "github.com/onsi/gomega"
+)
+
+var (
+	soakSeed    = flag.Uint64("soak.seed", 1, "first seed of the soak")
+	soakSeeds   = flag.Int("soak.seeds", 1, "how many seeds the soak plays")
+	soakSeconds = flag.Int("soak.seconds", 12, "how long each seed lasts")
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	dir, err := os.MkdirTemp("", "foldarch-platform-")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "foldarch-entry")
+	build := exec.Command("go", "build", "-o", binary, "foldarch.dev/foldarch/cmd/foldarch-entry")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%s", out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is one entry host.
+type process struct {
+	host emulator.Host
+	cmd  *exec.Cmd
+	log  *bytes.Buffer
+	done chan struct{}
+}
+
+// cell is an emulated platform with entry hosts.
+type cell struct {
+	*WithT
+	t       *testing.T
+	p       *emulator.Platform
+	callers *emulator.Callers
+	dir     string
+
+	mu    sync.Mutex
+	hosts []*process
+	logs  []*bytes.Buffer
+	taken map[int]bool // hosts that a trouble of the soak has taken
+}
+
+// take reserves a host for one trouble at a time.
+func (c *cell) take(n int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.taken[n] {
+		return false
+	}
+	c.taken[n] = true
+	return true
+}
+
+func (c *cell) release(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.taken, n)
+}
+
+// newCell starts an emulated platform and hosts, and waits until all are ready.
+func newCell(t *testing.T, hosts int, o emulator.Options) *cell {
+	t.Parallel()
+	c := &cell{WithT: NewWithT(t), t: t, dir: t.TempDir(), taken: map[int]bool{}}
+	p, err := emulator.Start(o)
+	c.Expect(err).NotTo(HaveOccurred())
+	c.p = p
+	t.Cleanup(p.Close)
+	p.PutConfig(1)
+	var doors []string
+	for n := range hosts {
+		h, err := p.WriteSettings(c.dir, fmt.Sprintf("host-%d", n))
+		c.Expect(err).NotTo(HaveOccurred())
+		c.hosts = append(c.hosts, &process{host: h})
+		c.start(n)
+		doors = append(doors, h.Door)
+	}
+	c.callers = emulator.NewCallers(p, doors)
+	t.Cleanup(c.stopAll)
+	for n := range hosts {
+		c.awaitReady(n)
+	}
+	c.Eventually(c.owner, "10s", "20ms").Should(BeNumerically(">=", 0))
+	return c
+}
+
+// start starts the process of a host.
+func (c *cell) start(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.hosts[n]
+	p.log = &bytes.Buffer{}
+	c.logs = append(c.logs, p.log)
+	p.cmd = exec.Command(binary, "platform")
+	p.cmd.Env = append(os.Environ(), "FOLDARCH_NODE_FILE="+p.host.Settings)
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	c.Expect(p.cmd.Start()).To(Succeed())
+	p.done = make(chan struct{})
+	go func(cmd *exec.Cmd, done chan struct{}) {
+		_ = cmd.Wait()
+		close(done)
+	}(p.cmd, p.done)
+}
+
+func (c *cell) awaitReady(n int) {
+	c.Eventually(func() bool { return c.ready(n) }, "10s", "20ms").Should(BeTrue(), "host %d", n)
+}
+
+func (c *cell) ready(n int) bool {
+	res, err := http.Get("http://" + c.hosts[n].host.Ready + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = res.Body.Close() }()
+	_, _ = io.Copy(io.Discard, res.Body)
+	return res.StatusCode == http.StatusOK
+}
+
+// signal sends a signal to the process of a host.
+func (c *cell) signal(n int, s syscall.Signal) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_ = c.hosts[n].cmd.Process.Signal(s)
+}
+
+// kill kills a host's process and waits for its end.
+func (c *cell) kill(n int) {
+	c.signal(n, syscall.SIGKILL)
+	c.mu.Lock()
+	done := c.hosts[n].done
+	c.mu.Unlock()
+	<-done
+}
+
+// term stops a host's process as planned and waits for its end.
+func (c *cell) term(n int) {
+	c.signal(n, syscall.SIGTERM)
+	c.mu.Lock()
+	done := c.hosts[n].done
+	c.mu.Unlock()
+	c.Eventually(done, "8s").Should(BeClosed(), "host %d ends within its grace", n)
+}
+
+func (c *cell) stopAll() {
+	for n := range c.hosts {
+		c.signal(n, syscall.SIGCONT)
+		c.kill(n)
+	}
+	if !c.t.Failed() {
+		return
+	}
+	path := filepath.Join(os.TempDir(), strings.ReplaceAll(c.t.Name(), "/", "_")+".log")
+	var all bytes.Buffer
+	for _, l := range c.logs {
+		all.Write(l.Bytes())
+	}
+	_ = os.WriteFile(path, all.Bytes(), 0o600)
+	c.t.Logf("logs of the hosts are in %s", path)
+}
+
+// owner is the index of the host that owns the pool by the store's record; -1 for none.
+func (c *cell) owner() int {
+	var holder jobstore.Holder
+	if json.Unmarshal(c.p.Store.Value(jobstore.HolderKey), &holder) != nil {
+		return -1
+	}
+	for n, h := range c.hosts {
+		if h.host.Name == holder.Name {
+			return n
+		}
+	}
+	return -1
+}
+
+// load hands in jobs at a rate until ctx ends.
+func (c *cell) load(ctx context.Context, perSecond int, jobs ...jobKind) *sync.WaitGroup {
+	var all sync.WaitGroup
+	all.Go(func() {
+		tick := time.NewTicker(time.Second / time.Duration(perSecond))
+		defer tick.Stop()
+		for n := 0; ; n++ {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+			}
+			k := jobs[n%len(jobs)]
+			all.Go(func() { c.callers.Submit(context.Background(), k.spec, k.steps) })
+		}
+	})
+	return &all
+}
+
+// jobKind is a kind of job to load the cell with.
+type jobKind struct {
+	spec  string
+	steps []emulator.Step
+}
+
+var (
+	quickJob = jobKind{"ms=150", []emulator.Step{{Count: 2, CPU: 1000, MemoryMB: 1000, Estimate: 150}}}
+	chainJob = jobKind{"ms=300 fail=0.05", []emulator.Step{
+		{Count: 3, CPU: 500, MemoryMB: 500, Estimate: 300}, {Count: 2, CPU: 500, MemoryMB: 500, Estimate: 300, After: []int{0}},
+	}}
+	gangJob = jobKind{"ms=600 gang=4", []emulator.Step{{Count: 4, CPU: 1500, MemoryMB: 2000, Estimate: 600, Gang: true}}}
+)
+
+// finish waits until all accepted jobs have ended, and asks the ledger.
+func (c *cell) finish(within time.Duration) emulator.Counts {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	open := c.callers.Await(ctx)
+	counts := c.callers.Counts()
+	c.t.Logf("%+v, %d starts, %d done, %d store calls", counts, c.p.Ledger.Starts(), c.p.Ledger.Ends("done"), c.p.Store.Calls())
+	c.Expect(c.p.Ledger.Faults()).To(BeEmpty())
+	c.Expect(open).To(BeEmpty(), "accepted jobs that have not ended")
+	return counts
+}
--- /dev/null
+++ b/test/platform/faults_test.go
@@ -0,0 +1,229 @@
+package platform_test
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/platform/emulator"
+	. "github.com/onsi/gomega"
+)
+
+// during loads a cell for a time and makes trouble meanwhile.
+func (c *cell) during(load time.Duration, trouble func()) {
+	ctx, cancel := context.WithTimeout(context.Background(), load)
+	defer cancel()
+	all := c.load(ctx, 25, quickJob, chainJob, quickJob, gangJob)
+	trouble()
+	<-ctx.Done()
+	all.Wait()
+}
+
+func TestCalm(t *testing.T) {
+	c := newCell(t, 3, emulator.Options{Workers: 6, Advice: true})
+	c.during(3*time.Second, func() {})
+	counts := c.finish(15 * time.Second)
+	c.Expect(counts.Accepted).To(Equal(counts.Sent))
+	c.Expect(counts.Completed).To(BeNumerically(">=", counts.Accepted*9/10))
+}
+
+func TestKilledOwner(t *testing.T) {
+	c := newCell(t, 3, emulator.Options{Workers: 6})
+	c.during(5*time.Second, func() {
+		time.Sleep(time.Second)
+		n := c.owner()
+		c.kill(n)
+		c.Eventually(c.owner, "4s", "20ms").ShouldNot(Equal(n))
+		c.start(n)
+	})
+	c.finish(20 * time.Second)
+}
+
+func TestFrozenOwner(t *testing.T) {
+	c := newCell(t, 3, emulator.Options{Workers: 6})
+	c.during(6*time.Second, func() {
+		time.Sleep(time.Second)
+		n := c.owner()
+		c.signal(n, syscall.SIGSTOP)
+		c.Eventually(c.owner, "4s", "20ms").ShouldNot(Equal(n))
+		time.Sleep(time.Second)
+		c.signal(n, syscall.SIGCONT)
+	})
+	c.finish(20 * time.Second)
+}
+
+func TestAllHostsKilledRightAfterAnAcknowledgement(t *testing.T) {
+	c := newCell(t, 3, emulator.Options{Workers: 6})
+	for range 2 {
+		_, accepted := c.callers.Submit(context.Background(), chainJob.spec, chainJob.steps)
+		c.Expect(accepted).To(BeTrue())
+		for n := range c.hosts {
+			c.kill(n)
+		}
+		for n := range c.hosts {
+			c.start(n)
+		}
+		for n := range c.hosts {
+			c.awaitReady(n)
+		}
+	}
+	c.Expect(c.finish(20 * time.Second).Completed).To(Equal(2))
+}
+
+func TestStoreOutageOfEachKind(t *testing.T) {
+	for name, mode := range map[string]emulator.StoreMode{
+		"busy": emulator.StoreBusy, "silent": emulator.StoreSilent, "reset": emulator.StoreReset,
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCell(t, 3, emulator.Options{Workers: 6})
+			c.during(6*time.Second, func() {
+				time.Sleep(time.Second)
+				owner := c.owner()
+				c.p.Store.SetMode(mode)
+				time.Sleep(3 * time.Second)
+				c.p.Store.SetMode(emulator.StoreUp)
+				c.Expect(c.owner()).To(Equal(owner), "nothing is gained by another owner")
+			})
+			c.finish(20 * time.Second)
+			c.Expect(c.p.Ledger.Ends("lapsed")).To(BeZero(), "work runs on through the outage")
+		})
+	}
+}
+
+func TestLostAnswersOfTheStore(t *testing.T) {
+	c := newCell(t, 3, emulator.Options{Workers: 6})
+	c.during(5*time.Second, func() {
+		c.p.Store.SetLost(0.35)
+		time.Sleep(4 * time.Second)
+		c.p.Store.SetLost(0)
+	})
+	c.finish(20 * time.Second)
+}
+
+func TestSlowStoreAndForgottenHistory(t *testing.T) {
+	c := newCell(t, 3, emulator.Options{Workers: 6})
+	c.during(5*time.Second, func() {
+		c.p.Store.SetDelay(200 * time.Millisecond)
+		for range 4 {
+			time.Sleep(time.Second)
+			c.p.Store.Compact()
+		}
+		c.p.Store.SetDelay(0)
+	})
+	c.finish(20 * time.Second)
+}
+
+func TestRevokedLeases(t *testing.T) {
+	c := newCell(t, 3, emulator.Options{Workers: 6})
+	c.during(4*time.Second, func() {
+		for range 3 {
+			time.Sleep(time.Second)
+			c.p.Store.Revoke()
+		}
+	})
+	c.finish(20 * time.Second)
+}
+
+func TestOrdersCarriedOutLate(t *testing.T) {
+	c := newCell(t, 3, emulator.Options{Workers: 6})
+	c.during(6*time.Second, func() {
+		for _, w := range c.p.Workers {
+			w.SetFault(emulator.WorkerFault{Late: 0.1, LateBy: 2500 * time.Millisecond})
+		}
+		time.Sleep(4 * time.Second)
+		for _, w := range c.p.Workers {
+			w.SetFault(emulator.WorkerFault{})
+		}
+	})
+	c.finish(30 * time.Second)
+}
+
+func TestWorkersThatCrashOrAreCutOff(t *testing.T) {
+	c := newCell(t, 3, emulator.Options{Workers: 6})
+	c.during(8*time.Second, func() {
+		time.Sleep(time.Second)
+		c.p.Workers[0].Crash(2 * time.Second)
+		c.p.Workers[1].SetFault(emulator.WorkerFault{Silent: true})
+		time.Sleep(4 * time.Second)
+		c.p.Workers[1].SetFault(emulator.WorkerFault{})
+		c.p.Workers[2].Drain(2500 * time.Millisecond)
+	})
+	c.finish(30 * time.Second)
+}
+
+func TestWorkersThatFailOrStall(t *testing.T) {
+	c := newCell(t, 3, emulator.Options{Workers: 6})
+	c.during(6*time.Second, func() {
+		c.p.Workers[0].SetFault(emulator.WorkerFault{Fail: true})
+		c.p.Workers[1].SetFault(emulator.WorkerFault{Stall: true})
+		time.Sleep(4 * time.Second)
+		c.p.Workers[0].SetFault(emulator.WorkerFault{})
+		c.p.Workers[1].SetFault(emulator.WorkerFault{})
+	})
+	c.finish(30 * time.Second)
+}
+
+func TestRollingStops(t *testing.T) {
+	c := newCell(t, 3, emulator.Options{Workers: 6})
+	c.during(14*time.Second, func() {
+		for n := range c.hosts {
+			c.term(n)
+			c.start(n)
+			c.awaitReady(n)
+		}
+	})
+	c.finish(20 * time.Second)
+}
+
+func TestSameJobHandedInAtOnceAtTwoHosts(t *testing.T) {
+	c := newCell(t, 3, emulator.Options{Workers: 6})
+	id, accepted := c.callers.Submit(context.Background(), quickJob.spec, quickJob.steps)
+	c.Expect(accepted).To(BeTrue())
+	var all sync.WaitGroup
+	for range 8 {
+		all.Go(func() { c.callers.Again(context.Background(), id) })
+	}
+	all.Wait()
+	c.finish(10 * time.Second)
+	c.Expect(c.p.Ledger.Ends("done")).To(Equal(2))
+}
+
+func TestCancelledJobIsStopped(t *testing.T) {
+	c := newCell(t, 3, emulator.Options{Workers: 6})
+	id, accepted := c.callers.Submit(context.Background(), "ms=60000", quickJob.steps)
+	c.Expect(accepted).To(BeTrue())
+	state := func() string { return c.callers.State(context.Background(), id) }
+	c.Eventually(state, "5s", "50ms").Should(Equal("running"))
+	c.Expect(c.callers.Cancel(context.Background(), id)).To(Equal(http.StatusOK))
+	c.Eventually(state, "5s", "50ms").Should(Equal("cancelled"))
+	c.Eventually(func() int { return c.p.Ledger.Ends("stopped") }, "5s", "50ms").Should(Equal(2))
+	c.Expect(c.callers.State(context.Background(), "0123456789abcdef")).To(Equal("gone"))
+}
+
+func TestPendingCountsJobsThatHaveNotBegun(t *testing.T) {
+	c := newCell(t, 3, emulator.Options{Workers: 1})
+	whole := []emulator.Step{{Count: 1, CPU: emulator.CPU, MemoryMB: 1000, Estimate: 60000}}
+	for range 4 {
+		_, accepted := c.callers.Submit(context.Background(), "ms=60000", whole)
+		c.Expect(accepted).To(BeTrue())
+	}
+	c.Eventually(func() int {
+		n, _ := c.callers.Pending(context.Background())
+		return n
+	}, "5s", "50ms").Should(Equal(3))
+}
+
+func TestConfigurationIsFollowed(t *testing.T) {
+	c := newCell(t, 2, emulator.Options{Workers: 2})
+	c.p.Store.Compact()
+	c.p.PutEmptyConfig(2)
+	status := func() int { return c.callers.Probe(context.Background()) }
+	c.Eventually(status, "2s", "20ms").Should(Equal(http.StatusNotFound))
+	c.p.PutConfig(1) // an older version never comes back in force
+	c.Consistently(status, "1500ms", "50ms").Should(Equal(http.StatusNotFound))
+	c.p.PutConfig(3)
+	c.Eventually(status, "2s", "20ms").Should(Equal(http.StatusOK))
+}
--- /dev/null
+++ b/test/platform/soak_test.go
@@ -0,0 +1,130 @@
+package platform_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/platform/emulator"
+)
+
+// trouble is one kind of fault that the soak draws.
+type trouble struct {
+	name string
+	do   func(c *cell, r *rand.Rand)
+}
+
+func between(r *rand.Rand, low, high time.Duration) time.Duration {
+	return low + time.Duration(r.Int64N(int64(high-low)))
+}
+
+// storeFault lets the store misbehave for a time.
+func storeFault(set, reset func(*emulator.Store)) func(*cell, *rand.Rand) {
+	return func(c *cell, r *rand.Rand) {
+		set(c.p.Store)
+		time.Sleep(between(r, 500*time.Millisecond, 4*time.Second))
+		reset(c.p.Store)
+	}
+}
+
+// workerFault lets some workers misbehave for a time.
+func workerFault(f emulator.WorkerFault) func(*cell, *rand.Rand) {
+	return func(c *cell, r *rand.Rand) {
+		n := 1 + r.IntN(2)
+		at := r.IntN(len(c.p.Workers))
+		for i := range n {
+			c.p.Workers[(at+i)%len(c.p.Workers)].SetFault(f)
+		}
+		time.Sleep(between(r, time.Second, 5*time.Second))
+		for i := range n {
+			c.p.Workers[(at+i)%len(c.p.Workers)].SetFault(emulator.WorkerFault{})
+		}
+	}
+}
+
+func storeMode(m emulator.StoreMode) func(*cell, *rand.Rand) {
+	return storeFault(func(s *emulator.Store) { s.SetMode(m) }, func(s *emulator.Store) { s.SetMode(emulator.StoreUp) })
+}
+
+// hostTrouble takes a host, mostly the owner, that nothing else is being done to.
+func hostTrouble(do func(c *cell, r *rand.Rand, n int)) func(*cell, *rand.Rand) {
+	return func(c *cell, r *rand.Rand) {
+		n := c.owner()
+		if n < 0 || r.IntN(3) == 0 {
+			n = r.IntN(len(c.hosts))
+		}
+		if !c.take(n) {
+			return
+		}
+		defer c.release(n)
+		do(c, r, n)
+	}
+}
+
+var troubles = []trouble{
+	{"kill", hostTrouble(func(c *cell, r *rand.Rand, n int) {
+		c.kill(n)
+		time.Sleep(between(r, 100*time.Millisecond, 3*time.Second))
+		c.start(n)
+	})},
+	{"freeze", hostTrouble(func(c *cell, r *rand.Rand, n int) {
+		c.signal(n, syscall.SIGSTOP)
+		time.Sleep(between(r, 300*time.Millisecond, 5*time.Second))
+		c.signal(n, syscall.SIGCONT)
+	})},
+	{"term", hostTrouble(func(c *cell, _ *rand.Rand, n int) {
+		c.term(n)
+		c.start(n)
+	})},
+	{"hangup", hostTrouble(func(c *cell, _ *rand.Rand, n int) { c.signal(n, syscall.SIGHUP) })},
+	{"store busy", storeMode(emulator.StoreBusy)},
+	{"store silent", storeMode(emulator.StoreSilent)},
+	{"store reset", storeMode(emulator.StoreReset)},
+	{"store slow", storeFault(func(s *emulator.Store) { s.SetDelay(250 * time.Millisecond) }, func(s *emulator.Store) { s.SetDelay(0) })},
+	{"store lost", storeFault(func(s *emulator.Store) { s.SetLost(0.35) }, func(s *emulator.Store) { s.SetLost(0) })},
+	{"store revoke", func(c *cell, _ *rand.Rand) { c.p.Store.Revoke() }},
+	{"store compact", func(c *cell, _ *rand.Rand) { c.p.Store.Compact() }},
+	{"worker silent", workerFault(emulator.WorkerFault{Silent: true})},
+	{"worker late", workerFault(emulator.WorkerFault{Late: 0.3, LateBy: 2500 * time.Millisecond})},
+	{"worker lost", workerFault(emulator.WorkerFault{Lost: 0.2})},
+	{"worker fail", workerFault(emulator.WorkerFault{Fail: true})},
+	{"worker stall", workerFault(emulator.WorkerFault{Stall: true})},
+	{"worker crash", func(c *cell, r *rand.Rand) {
+		c.p.Workers[r.IntN(len(c.p.Workers))].Crash(between(r, 200*time.Millisecond, 3*time.Second))
+	}},
+	{"worker drain", func(c *cell, r *rand.Rand) {
+		c.p.Workers[r.IntN(len(c.p.Workers))].Drain(between(r, 2*time.Second, 4*time.Second))
+	}},
+}
+
+// TestSoak plays drawn troubles, several at once, for a time; then all accepted jobs have to
+// end. Run by hand with: make soak SEED=n SEEDS=m SECONDS=s.
+func TestSoak(t *testing.T) {
+	for seed := *soakSeed; seed < *soakSeed+uint64(*soakSeeds); seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { soak(t, seed) })
+	}
+}
+
+func soak(t *testing.T, seed uint64) {
+	t.Helper()
+	r := rand.New(rand.NewPCG(seed, 0))
+	c := newCell(t, 3+r.IntN(3), emulator.Options{Workers: 4 + r.IntN(6), Advice: r.IntN(2) == 0})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(*soakSeconds)*time.Second)
+	defer cancel()
+	load := c.load(ctx, 20, quickJob, chainJob, quickJob, gangJob)
+	var all sync.WaitGroup
+	for ctx.Err() == nil {
+		x := troubles[r.IntN(len(troubles))]
+		own := rand.New(rand.NewPCG(r.Uint64(), 1))
+		t.Logf("%s", x.name)
+		all.Go(func() { x.do(c, own) })
+		time.Sleep(between(r, 200*time.Millisecond, 2*time.Second))
+	}
+	all.Wait()
+	load.Wait()
+	c.finish(60 * time.Second)
+}
