Hold work while a new owner loads; let workers that left as they said be gone at once

Work was not held on while the new owner read the jobs, and a lease of a former owner was taken to be as long as the platform allows (10 s), not as long as we give (5.7 s).

--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -13,7 +13,7 @@
 type Config struct {
 	// Hold is how long what runs on a worker is leased with each hold.
 	Hold time.Duration
-	// MaxHold is the longest lease that a worker accepts.
+	// MaxHold is the longest lease that a former owner may have given.
 	MaxHold time.Duration
 	// Drain is the least time that a draining worker stays.
 	Drain time.Duration
@@ -51,6 +51,7 @@
 	advice   advisers
 	stops    []*run
 	settles  []*worker
+	loaded   bool       // the jobs of the store are known
 	fenced   bool       // a worker has seen a token of a later owner
 	now      clock.Time // of the present event
 }
@@ -65,6 +66,12 @@
 	}
 }
 
+// SetLoaded takes in that all jobs of the store are known. Before that, workers are held but
+// what they report is left to the next report.
+func (p *Pool) SetLoaded() {
+	p.loaded = true
+}
+
 // SetConfig puts a configuration in force for the queues of all jobs.
 func (p *Pool) SetConfig(cfg *queue.Config) {
 	p.config = cfg
@@ -82,7 +89,6 @@
 	queue     queue.Queue
 	times     []*timeState // index is the number of the time; nil before it is due
 	nextTime  int
-	learnedAt clock.Time
 	free      bool // no former owner can have started it
 	began     bool
 	outcome   job.State // final, not necessarily committed; empty before
@@ -180,7 +186,7 @@
 	if _, known := p.jobs[id]; known || p.outcomes[id] != "" {
 		return
 	}
-	j := &jobState{job: r.Job, queue: r.Queue, learnedAt: now, stored: stored, free: r.Term >= p.cfg.Term}
+	j := &jobState{job: r.Job, queue: r.Queue, stored: stored, free: r.Term >= p.cfg.Term}
 	if p.config != nil {
 		if q, ok := p.config.Queue(r.Queue.Name); ok {
 			j.queue = q
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -31,6 +31,10 @@
 	w.heard(a.Clock, now)
 	w.lastAnswer = now
 	w.fenced = true
+	if !p.loaded {
+		return
+	}
+	w.reported = true
 	p.takeFinished(w, report.Finished, now)
 	if !overtaken {
 		p.takeActive(w, h, report, now)
--- a/pkg/dispatch/takeover.go
+++ b/pkg/dispatch/takeover.go
@@ -12,19 +12,17 @@
 // takeover tells which jobs have to wait until the runs of former owners are known.
 //
 // A former owner goes on for at most AuthorityTerm after most workers were fenced. What it
-// starts until then on a worker that has not been fenced lapses within MaxHold. So jobs
-// that were learned of later than that term are free, and the others are free when all
-// workers are fenced, or when everything has lapsed. A job that was accepted under our own
-// term is free at once: a former owner that is told of it ends.
+// starts until then on a worker that has not been fenced lapses within MaxHold. Jobs that
+// were accepted under a former term are free when all workers have reported, or when
+// everything has lapsed. A job that was accepted under our own term is free at once: a
+// former owner that is told of it ends.
 type takeover struct {
-	pending  bool
-	freeFrom clock.Time // jobs learned of from then on are free
-	lapsed   clock.Time // everything of former owners has ended
-	roster   map[WorkerID]bool
+	pending bool
+	lapsed  clock.Time // everything of former owners has ended
 }
 
 func newTakeover(cfg Config, now clock.Time) takeover {
-	return takeover{pending: cfg.Takeover, freeFrom: now.Add(cfg.AuthorityTerm), lapsed: now.Add(cfg.AuthorityTerm + lapseTime(cfg.MaxHold))}
+	return takeover{pending: cfg.Takeover, lapsed: now.Add(cfg.AuthorityTerm + lapseTime(cfg.MaxHold))}
 }
 
 // lapseTime is the time by our clock after which a lease of a duration by a worker's clock
@@ -43,12 +41,12 @@
 
 // settleTakeover ends the waiting when all is known.
 func (p *Pool) settleTakeover(now clock.Time) {
-	if !p.takeover.pending {
+	if !p.takeover.pending || !p.loaded {
 		return
 	}
 	if now < p.takeover.lapsed {
 		for _, w := range p.workers {
-			if !w.fenced && !w.gone {
+			if !w.reported && !w.gone {
 				return
 			}
 		}
@@ -65,5 +63,5 @@
 
 // unknownToFormer says that no former owner can have started the job.
 func (p *Pool) unknownToFormer(j *jobState) bool {
-	return !p.cfg.Takeover || j.free || j.learnedAt >= p.takeover.freeFrom
+	return !p.cfg.Takeover || j.free
 }
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -14,7 +14,7 @@
 	usableWithin = 1700 * time.Millisecond
 	// extendWithin is how long ago a worker may have answered for its leases to be extended.
 	// A silent one is only asked, so that what it runs lapses at a time that we know.
-	extendWithin = 1500 * time.Millisecond
+	extendWithin = 900 * time.Millisecond
 	// A worker is left out for suspendFor after suspendAfter failures in a row that are not
 	// all of one job.
 	suspendAfter = 2
@@ -35,6 +35,7 @@
 	leavesAt clock.Time // when a draining worker may end; 0 when it stays
 	gone     bool       // the incarnation has ended, or can't run anything any more
 	fenced   bool       // it has answered this owner
+	reported bool       // its lists were taken in
 	token    int64
 
 	clock      int64 // its clock when it answered last …
@@ -63,7 +64,7 @@
 
 // usable says whether the worker may be given a task now.
 func (w *worker) usable(now clock.Time) bool {
-	return w.listed && w.rostered && w.fenced && !w.gone && !w.info.Draining && w.foreign == 0 &&
+	return w.listed && w.rostered && w.reported && !w.gone && !w.info.Draining && w.foreign == 0 &&
 		now.Sub(w.lastAnswer) < usableWithin && now >= w.suspended
 }
 
@@ -110,10 +111,17 @@
 	}
 }
 
-// UnlistWorker takes in that a worker's entry is gone. What runs there may go on.
-func (p *Pool) UnlistWorker(id WorkerID) {
-	if w, ok := p.workers[id]; ok {
-		w.listed = false
+// UnlistWorker takes in that a worker's entry is gone. What runs there may go on, unless the
+// entry was fresh, that is, written too lately to have gone for want of heartbeats, and the
+// worker was to leave by now.
+func (p *Pool) UnlistWorker(id WorkerID, fresh bool, now clock.Time) {
+	w, ok := p.workers[id]
+	if !ok {
+		return
+	}
+	w.listed = false
+	if fresh && w.leavesAt != 0 && now >= w.leavesAt.Add(-leaveSlack) {
+		p.workerGone(w, "left as it said", now)
 	}
 }
 
@@ -207,11 +215,11 @@
 		if now.Sub(w.lastAnswer) < usableWithin || now < w.lapsedAt() {
 			continue
 		}
-		if len(w.runs) > 0 && w.fenced {
+		if len(w.runs) > 0 && w.reported {
 			p.cfg.Log(Event{Name: "worker_lapsed", Worker: id, Detail: now.Sub(w.lastAnswer).String()})
 			p.loseRuns(w, now)
 		}
-		if !w.listed && (w.fenced || now >= p.takeover.lapsed) {
+		if !w.listed && (w.reported || now >= p.takeover.lapsed) {
 			p.workerGone(w, "left", now)
 		}
 	}
--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -144,6 +144,13 @@
 	return silent && !e.alive, true, record, term
 }
 
+// formerLife says that the owner on record is a former process of this host.
+func (h *Host) formerLife() bool {
+	h.election.mu.Lock()
+	defer h.election.mu.Unlock()
+	return h.election.holder.Name == h.cfg.Load().Name && h.election.holder.Life != h.life
+}
+
 // campaign is the duty that takes over when the owner is gone.
 func (h *Host) campaign(ctx context.Context) {
 	clock.Every(ctx, campaignEvery, func() {
@@ -163,6 +170,7 @@
 // tryTakeOver puts this host on record as the owner and owns the pool until deposed.
 func (h *Host) tryTakeOver(ctx context.Context, ifNotAlive bool, record, term int64) {
 	began := h.clk.Now()
+	formerEnded := h.formerLife()
 	lease, _, err := h.store.OpenLease(ctx, max(leaseTerm, h.cfg.Load().Store.MinLease))
 	if err != nil {
 		return
@@ -189,7 +197,9 @@
 	}
 	h.log.WithFields(logrus.Fields{"term": holder.Term, "revision": revision, "took": h.clk.Now().Sub(began)}).Info("owner_elected")
 	h.takeOwnerItems([]platform.Item{{Key: jobstore.HolderKey, Value: text, Revision: revision}, {Key: jobstore.AliveKey}})
-	h.own(ctx, poolowner.Claim{Term: holder.Term, Revision: revision, First: record == 0}, lease, began)
+	h.own(ctx, poolowner.Claim{
+		Term: holder.Term, Revision: revision, First: record == 0, FormerEnded: formerEnded,
+	}, lease, began)
 }
 
 // claim carries out the transaction that makes this host the owner, and settles a lost
@@ -221,7 +231,7 @@
 	k := &leaseKeeper{host: h, lease: lease, record: claim.Revision}
 	k.renewedAt.Store(int64(renewedAt))
 	o := poolowner.New(poolowner.Deps{
-		Name: h.cfg.Load().Name, Clock: h.clk, Store: h.store, Workers: h.worker, Bounds: h.cfg.Load().Bounds,
+		Name: h.cfg.Load().Name, Clock: h.clk, Store: h.store, Workers: h.worker, Bounds: h.cfg.Load().Bounds, Heartbeat: h.cfg.Load().Heartbeat,
 		Advise: h.advise, Write: h.writeFor, StoreAge: h.storeAge, Leased: k.holds, Log: h.log,
 	}, claim)
 	o.SetConfig(h.config.Load())
--- a/pkg/poolowner/loading.go
+++ b/pkg/poolowner/loading.go
@@ -37,7 +37,6 @@
 	for ctx.Err() == nil {
 		err := o.loadOnce(ctx)
 		if err == nil {
-			o.loaded.Store(true)
 			return nil
 		}
 		o.deps.Log.WithField("error", err).Warn("owner_loading")
@@ -53,14 +52,14 @@
 	if err := o.readRoster(ctx); err != nil {
 		return err
 	}
+	o.openSessions(ctx) // what runs is held on while the jobs are read
 	if err := o.listJobs(ctx); err != nil {
 		return err
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, w := range o.pool.Workers() {
-		o.openSession(ctx, w.ID)
-	}
+	o.pool.SetLoaded()
+	o.loaded.Store(true)
 	return nil
 }
 
@@ -161,7 +160,7 @@
 	}
 	for _, w := range o.pool.Workers() {
 		if !listed[w.ID] {
-			o.pool.UnlistWorker(w.ID)
+			o.pool.UnlistWorker(w.ID, false, o.deps.Clock.Now())
 		}
 	}
 	o.position.workers = at
@@ -178,6 +177,7 @@
 			at = o.position.workers
 		}
 		if err != nil {
+			o.beats.interrupted()
 			pause(ctx, storeRetry)
 			continue
 		}
@@ -192,6 +192,8 @@
 func (o *Owner) takeWorkers(items []platform.Item) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	now := o.deps.Clock.Now()
+	o.beats.answered(now)
 	for _, i := range items {
 		info, err := platform.ParseWorker(i)
 		if err != nil {
@@ -199,10 +201,11 @@
 			continue
 		}
 		if i.Gone {
-			o.pool.UnlistWorker(info.ID)
+			o.pool.UnlistWorker(info.ID, o.beats.fresh(info.ID, now), now)
 			continue
 		}
-		if o.pool.PutWorker(info, true, o.deps.Clock.Now()) {
+		o.beats.seen(info.ID)
+		if o.pool.PutWorker(info, true, now) {
 			o.logWorker(info)
 		}
 	}
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -27,6 +27,8 @@
 	// runsOfTerm is how far apart the run numbers of two owners begin.
 	runsOfTerm = 1000
 
+	// maxLease is how long what runs on a worker is leased at most: long enough for a
+	// takeover, short enough for what a crashed worker ran to start elsewhere soon.
 	maxLease       = 5700 * time.Millisecond
 	leaseMargin    = 300 * time.Millisecond
 	planEvery      = 50 * time.Millisecond
@@ -46,6 +48,8 @@
 	Revision int64 // of the transaction that made this host the owner
 	// First says that there was no owner before.
 	First bool
+	// FormerEnded says that the former owner's process has certainly ended.
+	FormerEnded bool
 }
 
 // Deps are what an owner works with.
@@ -55,6 +59,8 @@
 	Store   *platform.Store
 	Workers *platform.Workers
 	Bounds  platform.Bounds
+	// Heartbeat is the time between two writes of a worker's entry.
+	Heartbeat time.Duration
 	// Advise makes a call for advice from this host.
 	Advise func(ctx context.Context, call *poolpb.AdviceCall) *poolpb.AdviceResult
 	// Write puts a key into the store for a member.
@@ -81,6 +87,7 @@
 	committed chan struct{}       // closed and renewed with each commit
 	fenced    bool                // most workers were fenced
 	roster    []dispatch.WorkerID // as written last; of the duty that watches workers
+	beats     beats               // of the duty that watches workers
 	position  position            // each field belongs to one duty
 
 	commitRevision int64
@@ -99,16 +106,26 @@
 		deps: deps, claim: claim, done: make(chan struct{}), kick: make(chan struct{}, 1),
 		sessions: map[dispatch.WorkerID]*workerSession{}, members: map[string]*poolrpc.Session{},
 		cancelled: map[job.ID]bool{}, committed: make(chan struct{}), commitRevision: claim.Revision,
+		beats: newBeats(deps.Heartbeat),
 	}
+	lease := min(maxLease, deps.Bounds.MaxHold-leaseMargin)
 	o.pool = dispatch.New(dispatch.Config{
-		Hold: min(maxLease, deps.Bounds.MaxHold-leaseMargin), MaxHold: deps.Bounds.MaxHold, Drain: deps.Bounds.Drain,
+		Hold: lease, MaxHold: lease, Drain: deps.Bounds.Drain,
 		Token: claim.Revision * tokenStep, Term: claim.Term, FirstRun: int(claim.Term) * runsOfTerm, Takeover: !claim.First,
-		AuthorityTerm: takeoverTerm, Wall: deps.Clock.Wall, Log: o.logEvent,
+		AuthorityTerm: formerTerm(claim), Wall: deps.Clock.Wall, Log: o.logEvent,
 	}, now)
 	o.pool.PutAdviser(deps.Name)
 	return o
 }
 
+// formerTerm is how long a former owner may go on giving orders.
+func formerTerm(c Claim) time.Duration {
+	if c.FormerEnded {
+		return 0
+	}
+	return takeoverTerm
+}
+
 // Run owns the pool until ctx ends, or until another owner has taken over (ErrDeposed).
 func (o *Owner) Run(ctx context.Context) error {
 	ctx, o.cancel = context.WithCancelCause(ctx)
