Send a lost member of a gang again; log starts and calls for advice; serve figures

Starts and calls for advice left no line, so a late job could not be explained; there were no counters.

Ruled out: a shorter time limit for starts (160 ms; answers take up to 90 ms at busy hosts).

Conclusion: kept; the member is sent under the same run for 1.2 s, then the run is given up.

--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/job"
 )
 
 const (
@@ -124,6 +126,8 @@
 	p.advice.asks[a.ask.Number] = a
 	s.advice.pending = a
 	out.Asks = append(out.Asks, a.ask)
+	p.cfg.Log(Event{Name: "advice_asked", Task: job.TaskID{StepID: s.id()}, Detail: fmt.Sprintf(
+		"workers=%d known=%d waiting=%d by=%s cost_ms=%d", len(named), known, s.waiting(), adviser, cost.Milliseconds())})
 }
 
 func (p *Pool) idleAdviser() string {
@@ -227,6 +231,8 @@
 	if s == nil || s.advice.pending != a {
 		return
 	}
+	p.cfg.Log(Event{Name: "advice_answered", Task: job.TaskID{StepID: s.id()}, Detail: fmt.Sprintf(
+		"allowed=%d of=%d ok=%t took_ms=%d", len(tickets), len(a.ask.Workers), ok, now.Sub(a.sentAt).Milliseconds())})
 	s.advice.pending = nil
 	s.advice.notBefore = now.Add(askAgain)
 	if ok {
--- a/pkg/dispatch/ends.go
+++ b/pkg/dispatch/ends.go
@@ -162,7 +162,7 @@
 	w := r.worker
 	if isNotSent(err) {
 		p.suspend(w, 500*time.Millisecond, "not reached", now)
-		p.rejected(r, now)
+		p.rejected(r, rejectedPause, now)
 		return
 	}
 	p.cfg.Log(Event{Name: "start_unsettled", Task: r.task.id(), Run: r.number, Worker: w.info.ID})
@@ -170,9 +170,6 @@
 		r.state = runUnsettled
 	}
 	p.settles = append(p.settles, w)
-	if r.task.step.spec.Gang {
-		p.breakGang(r.task.step, now)
-	}
 }
 
 func (p *Pool) startRejected(r *run, o Start, v Verdict, now clock.Time) {
@@ -184,6 +181,7 @@
 		t.lastRun++
 		if t.step.spec.Gang {
 			t.step.gang.number++
+			p.breakGang(t.step, now)
 		}
 	case VerdictNoTicket:
 		delete(t.step.advice.tickets, w.info.ID)
@@ -196,21 +194,18 @@
 		p.suspend(w, time.Second, "unhealthy", now)
 	case VerdictLate, VerdictOther, VerdictUnknown, VerdictDone:
 	}
-	p.rejected(r, now)
+	p.rejected(r, rejectedPause, now)
 }
 
-// rejected takes back a start that was not carried out.
-func (p *Pool) rejected(r *run, now clock.Time) {
+// rejected takes back a start that was not carried out; its task waits for a pause.
+func (p *Pool) rejected(r *run, pause time.Duration, now clock.Time) {
 	p.release(r)
 	t := r.task
 	if t.current != r {
 		return
 	}
 	t.current = nil
-	t.notBefore = now.Add(rejectedPause)
-	if t.step.spec.Gang {
-		p.breakGang(t.step, now)
-	}
+	t.notBefore = now.Add(pause)
 	p.updateReady(t.step.time)
 	p.forgetIfIdle(t.step.time.job)
 }
--- a/pkg/dispatch/gang.go
+++ b/pkg/dispatch/gang.go
@@ -1,14 +1,23 @@
 package dispatch
 
-import "foldarch.dev/foldarch/pkg/clock"
+import (
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+)
 
 // gang is the state of a step whose tasks work only together. All members of a run have the
 // same number.
 type gang struct {
-	number int  // of the last run
-	broken bool // the last run can't go on; its members are being stopped
+	number    int        // of the last run
+	broken    bool       // the last run can't go on; its members are being stopped
+	startedAt clock.Time // of the last run
 }
 
+// completeWithin is how long after the start of a run a member that was not started may be
+// sent again. The others wait for it, for as long as the platform lets them.
+const completeWithin = 1200 * time.Millisecond
+
 // breakGang gives up the present run of a gang: what runs is stopped, and the next run
 // starts when nothing of this one is left.
 func (p *Pool) breakGang(s *step, now clock.Time) {
@@ -46,6 +55,29 @@
 	return n > 0 && n < len(s.tasks) && !s.finished()
 }
 
+// missing says that a run goes on of which some members have to be sent again.
+func (s *step) missing() bool {
+	return s.spec.Gang && !s.gang.broken && s.partial()
+}
+
+// completeGang sends the members again that were not started, under the run's number, or
+// gives the run up when that takes too long.
+func (p *Pool) completeGang(s *step, candidates []*worker, now clock.Time, out *Actions) {
+	if now.Sub(s.gang.startedAt) > completeWithin {
+		p.breakGang(s, now)
+		return
+	}
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if !t.waiting() || now < t.notBefore {
+			continue
+		}
+		if w := bestFit(t, candidates); w != nil {
+			out.Starts = append(out.Starts, p.begin(t, w, s.gang.number, s.gangCheckpoint(), now))
+		}
+	}
+}
+
 // gangCheckpoint is a checkpoint from which all members may go on.
 func (s *step) gangCheckpoint() string {
 	for i := range s.tasks {
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -227,10 +228,24 @@
 		Task: t.id(), Run: number, Worker: w.info.ID, Address: w.info.Address, Token: w.token,
 		Spec: t.step.time.job.job.Spec, Checkpoint: checkpoint, Deadline: deadline,
 	}
-	o.Ticket = t.step.advice.tickets[w.info.ID].text
+	ticket := t.step.advice.tickets[w.info.ID]
+	o.Ticket = ticket.text
+	p.logStart(o, w, ticket, now)
 	return o
 }
 
+// logStart tells what decided a start: how long the job waited and what it had left, how old
+// the news of the worker are, how long the ticket still holds, and what stays free there.
+func (p *Pool) logStart(o Start, w *worker, ticket ticket, now clock.Time) {
+	t := p.jobs[o.Task.Job].times[o.Task.Time]
+	detail := fmt.Sprintf("left_ms=%d worker_age_ms=%d free=%s", t.objective.Sub(now).Milliseconds(),
+		now.Sub(w.lastAnswer).Milliseconds(), w.free())
+	if ticket.text != "" {
+		detail += fmt.Sprintf(" ticket_left_ms=%d", ticket.until.Sub(now).Milliseconds())
+	}
+	p.cfg.Log(Event{Name: "run_ordered", Task: o.Task, Run: o.Run, Worker: o.Worker, Detail: detail})
+}
+
 // nextRun is the number of a task's next run. A former owner may have given numbers that
 // we don't know of.
 func (p *Pool) nextRun(j *jobState, last int) int {
@@ -263,6 +278,10 @@
 
 // placeGang starts all members of a gang, or none.
 func (p *Pool) placeGang(s *step, reserved reservations, now clock.Time, out *Actions) {
+	if s.missing() {
+		p.completeGang(s, p.candidates(s, reserved, now), now, out)
+		return
+	}
 	if s.waiting() == 0 || now < s.tasks[0].notBefore {
 		return
 	}
@@ -275,7 +294,7 @@
 		last = max(last, s.tasks[i].lastRun)
 	}
 	number := p.nextRun(s.time.job, last)
-	s.gang.number, s.gang.broken = number, false
+	s.gang = gang{number: number, startedAt: now}
 	checkpoint := s.gangCheckpoint()
 	for i, w := range chosen {
 		out.Starts = append(out.Starts, p.begin(&s.tasks[i], w, number, checkpoint, now))
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -317,7 +317,8 @@
 	return true
 }
 
-// waiting counts the tasks that may be started; of a gang all or none.
+// waiting counts the tasks that may be started; of a gang all, those that are missing, or
+// none.
 func (s *step) waiting() int {
 	n := 0
 	for i := range s.tasks {
@@ -325,7 +326,7 @@
 			n++
 		}
 	}
-	if s.spec.Gang && n < len(s.tasks) {
+	if s.spec.Gang && n < len(s.tasks) && !s.missing() {
 		return 0
 	}
 	return n
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -139,7 +139,7 @@
 	switch {
 	case r.state == runUnsettled && h.Token > r.token:
 		p.cfg.Log(Event{Name: "start_void", Task: r.task.id(), Run: r.number, Worker: r.worker.info.ID})
-		p.runEnded(r, EndLost, "", now)
+		p.rejected(r, 0, now)
 	case r.state == runActive && r.confirmedAt < h.SentAt:
 		if r.missing++; r.missing >= sure {
 			p.runEnded(r, EndLost, "", now)
--- a/pkg/entry/main.go
+++ b/pkg/entry/main.go
@@ -35,7 +35,9 @@
 	Check  bool   `help:"Check the settings and stop."`
 }
 
-type platformCommand struct{}
+type platformCommand struct {
+	Metrics uint16 `help:"Port for counters and latencies, as text at /metrics; 0 for none." placeholder:"PORT"`
+}
 
 type checkCommand struct {
 	File string `arg:"" help:"A settings file of the platform."`
@@ -109,7 +111,7 @@
 	defer w.Close()
 	ctx, stop := stopSignal()
 	defer stop()
-	return jobhost.New(cfg, newLog(w, logrus.InfoLevel.String())).Run(ctx, path)
+	return jobhost.New(cfg, newLog(w, logrus.InfoLevel.String())).Run(ctx, path, c.Metrics)
 }
 
 // Run checks a settings file.
--- a/pkg/jobhost/door.go
+++ b/pkg/jobhost/door.go
@@ -39,6 +39,7 @@
 	}
 	started := h.clk.Now()
 	created, err := h.put(ctx, jobstore.JobKey(j.ID), text)
+	h.countAccept(started, err)
 	h.logOutcome("job_accepted", j.ID, q.Name, j.Summary(), started, err)
 	if err != nil || !created {
 		return err // handed in before: the owner knows it, and maybe as ended
@@ -51,6 +52,18 @@
 	return nil
 }
 
+func (h *Host) countAccept(started clock.Time, err error) {
+	h.figures.accept.Update(h.clk.Now().Sub(started))
+	switch {
+	case err == nil:
+		h.figures.accepted.Inc(1)
+	case errors.Is(err, platform.ErrRefused):
+		h.figures.refused.Inc(1)
+	default:
+		h.figures.unknown.Inc(1)
+	}
+}
+
 // put writes a key that nobody changes. When the store does not answer this host it may
 // answer the owner. Errors as of intake.put.
 func (h *Host) put(ctx context.Context, key string, value []byte) (created bool, err error) {
@@ -92,7 +105,10 @@
 }
 
 func (h *Host) logOutcome(event string, id job.ID, queueName, steps string, started clock.Time, err error) {
-	fields := logrus.Fields{"job": id, "queue": queueName, "took_ms": h.clk.Now().Sub(started).Milliseconds()}
+	fields := logrus.Fields{
+		"job": id, "queue": queueName, "took_ms": h.clk.Now().Sub(started).Milliseconds(),
+		"config": h.config.Load().Version, "term": h.knownTerm(), "store_age_ms": h.storeAge().Milliseconds(),
+	}
 	if steps != "" {
 		fields["steps"] = steps
 	}
@@ -105,6 +121,7 @@
 
 // state tells how far a job is. What the owner does not know, the store may.
 func (h *Host) state(ctx context.Context, id job.ID) (job.State, error) {
+	defer h.figures.state.UpdateSince(time.Now())
 	if a := h.ask(ctx, &poolpb.Question{Job: string(id)}); a != nil && !a.Unknown {
 		return job.State(a.State), nil
 	}
--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -232,7 +232,7 @@
 	k.renewedAt.Store(int64(renewedAt))
 	o := poolowner.New(poolowner.Deps{
 		Name: h.cfg.Load().Name, Clock: h.clk, Store: h.store, Workers: h.worker, Bounds: h.cfg.Load().Bounds, Heartbeat: h.cfg.Load().Heartbeat,
-		Advise: h.advise, Write: h.writeFor, StoreAge: h.storeAge, Leased: k.holds, Log: h.log,
+		Advise: h.advise, Write: h.writeFor, StoreAge: h.storeAge, Leased: k.holds, Log: h.log, Figures: h.figures.registry,
 	}, claim)
 	o.SetConfig(h.config.Load())
 	h.owner.Store(o)
--- /dev/null
+++ b/pkg/jobhost/figures.go
@@ -0,0 +1,95 @@
+package jobhost
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/poolowner"
+	"github.com/rcrowley/go-metrics"
+)
+
+// figures are the counters and latency histograms of a host.
+type figures struct {
+	registry metrics.Registry
+	accept   metrics.Timer // from a request to its answer, accepted or not
+	accepted metrics.Counter
+	refused  metrics.Counter
+	unknown  metrics.Counter
+	state    metrics.Timer
+}
+
+func newFigures() *figures {
+	r := metrics.NewRegistry()
+	return &figures{
+		registry: r,
+		accept:   metrics.NewRegisteredTimer("jobs.accept", r),
+		accepted: metrics.NewRegisteredCounter("jobs.accepted", r),
+		refused:  metrics.NewRegisteredCounter("jobs.refused", r),
+		unknown:  metrics.NewRegisteredCounter("jobs.outcome_unknown", r),
+		state:    metrics.NewRegisteredTimer("jobs.state", r),
+	}
+}
+
+// serveFigures writes all figures as text, a line each, such as "jobs.accept.p99_ms 12.1".
+func (h *Host) serveFigures(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	writeRegistry(w, h.figures.registry)
+	writeFigure(w, "store.calls", float64(h.store.Calls()))
+	writeFigure(w, "store.age_ms", float64(h.storeAge().Milliseconds()))
+	if cfg := h.config.Load(); cfg != nil {
+		writeFigure(w, "config.version", float64(cfg.Version))
+	}
+	writeFigure(w, "owner.term", float64(h.knownTerm()))
+	o := h.owner.Load()
+	writeFigure(w, "owner.self", boolFigure(o != nil))
+	writeFigure(w, "owner.linked", boolFigure(h.reachesOwner()))
+	if o != nil {
+		writePool(w, o)
+	}
+}
+
+func boolFigure(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func writePool(w io.Writer, o *poolowner.Owner) {
+	s := o.Status()
+	values := map[string]int64{
+		"pool.workers": int64(s.Workers), "pool.workers_silent": int64(s.Silent), "pool.jobs": int64(s.Jobs),
+		"pool.steps_waiting": int64(s.Steps), "pool.tasks_waiting": int64(s.Waiting), "pool.runs": int64(s.Runs),
+		"pool.advice_calls": int64(s.Calls), "pool.advisers_free": int64(s.Advisers),
+		"pool.used_cpu_millis": s.Used.CPUMillis, "pool.capacity_cpu_millis": s.Capacity.CPUMillis,
+		"pool.used_memory_mb": s.Used.MemoryMB, "pool.capacity_memory_mb": s.Capacity.MemoryMB,
+	}
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		writeFigure(w, name, float64(values[name]))
+	}
+}
+
+func writeRegistry(w io.Writer, r metrics.Registry) {
+	found := map[string]any{}
+	r.Each(func(name string, m any) { found[name] = m })
+	for _, name := range slices.Sorted(maps.Keys(found)) {
+		switch m := found[name].(type) {
+		case metrics.Counter:
+			writeFigure(w, name, float64(m.Count()))
+		case metrics.Timer:
+			s := m.Snapshot()
+			writeFigure(w, name+".count", float64(s.Count()))
+			for _, p := range []float64{0.5, 0.9, 0.99} {
+				writeFigure(w, fmt.Sprintf("%s.p%g_ms", name, p*100), s.Percentile(p)/float64(time.Millisecond))
+			}
+		}
+	}
+}
+
+func writeFigure(w io.Writer, name string, value float64) {
+	_, _ = fmt.Fprintf(w, "%s %g\n", name, value)
+}
--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -50,6 +50,7 @@
 
 	config   atomic.Pointer[queue.Config]
 	intake   *intake
+	figures  *figures
 	election election
 	member   atomic.Pointer[poolrpc.Member]
 	owner    atomic.Pointer[poolowner.Owner]
@@ -67,7 +68,7 @@
 	}, clk)
 	h := &Host{
 		life: uuid.NewString(), log: log.WithField("host", cfg.Name), clk: clk, store: store,
-		worker: platform.NewWorkers(workerTimeout), intake: newIntake(store, clk),
+		worker: platform.NewWorkers(workerTimeout), intake: newIntake(store, clk), figures: newFigures(),
 		election: election{changed: make(chan struct{}, 1)},
 	}
 	h.cfg.Store(&cfg)
@@ -85,8 +86,9 @@
 }
 
 // Run works until ctx ends and then stops as planned: the pool is handed over and requests
-// in flight are answered. Settings that change in the file at path are put in force.
-func (h *Host) Run(ctx context.Context, path string) error {
+// in flight are answered. Settings that change in the file at path are put in force. Figures
+// are served at metricsPort of the host's address, unless it is 0.
+func (h *Host) Run(ctx context.Context, path string, metricsPort uint16) error {
 	cfg := h.cfg.Load()
 	debug.SetMemoryLimit(memoryLimit(*cfg))
 	debug.SetGCPercent(gcPercent)
@@ -109,6 +111,10 @@
 	probe := &http.Server{Handler: http.HandlerFunc(h.ready), ReadHeaderTimeout: headerTimeout}
 	go func() { _ = server.Serve(callers) }()
 	go func() { _ = probe.Serve(ready) }()
+	if metricsPort != 0 {
+		address := netip.AddrPortFrom(cfg.Ready.Addr(), metricsPort)
+		go func() { _ = http.ListenAndServe(address.String(), http.HandlerFunc(h.serveFigures)) }()
+	}
 	h.startDuties(work, peers)
 	h.duties.Go(func() { h.watchSettings(work, path) })
 	<-ctx.Done()
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -14,6 +14,7 @@
 	"foldarch.dev/foldarch/pkg/queue"
 	"foldarch.dev/foldarch/platform"
 	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 )
 
@@ -70,6 +71,8 @@
 	// Leased says that the store has confirmed the ownership within AuthorityTerm.
 	Leased func(now clock.Time) bool
 	Log    *logrus.Entry
+	// Figures takes counters of what was decided and learned, by event.
+	Figures metrics.Registry
 }
 
 // Owner owns a pool.
@@ -279,6 +282,7 @@
 
 // logEvent writes what the pool decided or learned.
 func (o *Owner) logEvent(e dispatch.Event) {
+	o.countEvent(e)
 	fields := logrus.Fields{}
 	if e.Task.Job != "" {
 		fields["task"] = e.Task.String()
@@ -295,3 +299,12 @@
 	}
 	o.deps.Log.WithFields(fields).Info(e.Name)
 }
+
+// countEvent counts an event under its name, and ends and rejected starts by their kind.
+func (o *Owner) countEvent(e dispatch.Event) {
+	name := "pool." + e.Name
+	if e.Name == "run_ended" || e.Name == "start_rejected" || e.Name == "job_ended" {
+		name += "." + e.Detail
+	}
+	metrics.GetOrRegisterCounter(name, o.deps.Figures).Inc(1)
+}
