--- /dev/null
+++ b/pkg/dispatch/closing.go
@@ -0,0 +1,47 @@
+package dispatch
+
+import "foldarch.dev/foldarch/pkg/clock"
+
+// Close keeps exactly the named workers from getting new tasks.
+func (p *Pool) Close(ids map[WorkerID]bool) {
+	for id, w := range p.workers {
+		w.closed = ids[id]
+	}
+}
+
+// Empty says whether a worker may be taken away: nothing runs there any more. With force,
+// what runs there is moved first; a step that lasts loses no more tasks than it allows.
+func (p *Pool) Empty(id WorkerID, force bool, now clock.Time) bool {
+	w, ok := p.workers[id]
+	if !ok || w.gone {
+		return true
+	}
+	if !w.reported || !w.closed {
+		return false
+	}
+	for _, r := range sortedRuns(w) {
+		lasting := r.task.step.spec.LongRunning
+		if (force || lasting) && r.state == runActive && !r.stopAsked && r.task.step.spares(r.task) {
+			p.move(r, "its machine goes into upkeep", now)
+		}
+	}
+	return len(w.runs) == 0 && w.foreign == 0
+}
+
+// atWork is the progress of a lasting task that serves.
+const atWork = 100
+
+// spares says whether a step bears that one more of its tasks is away.
+func (s *step) spares(t *task) bool {
+	if !s.spec.LongRunning || s.spec.MissAllowed == 0 {
+		return true
+	}
+	away := 0
+	for i := range s.tasks {
+		x := &s.tasks[i]
+		if x != t && (x.current == nil || x.current.state != runActive || x.current.stopAsked || x.current.percent < atWork) {
+			away++
+		}
+	}
+	return away < s.spec.MissAllowed
+}
--- a/pkg/dispatch/ends.go
+++ b/pkg/dispatch/ends.go
@@ -213,6 +213,7 @@
 // stopRun has a run stopped, if there is one that goes on.
 func (p *Pool) stopRun(r *run) {
 	if r != nil && r.state == runActive && r.stopSentAt == 0 {
+		r.stopAsked = true
 		p.stops = append(p.stops, r)
 	}
 }
--- /dev/null
+++ b/pkg/dispatch/lasting_test.go
@@ -0,0 +1,114 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/job"
+	. "github.com/onsi/gomega"
+)
+
+func servingStep(count int) job.Step {
+	return job.Step{
+		Count: count, LongRunning: true, TargetTail: 100 * time.Millisecond, MissAllowed: 1,
+		Resources: cell.Resources{CPUMillis: 1000, MemoryMB: 1000},
+	}
+}
+
+func fillerStep(count int) job.Step {
+	return job.Step{
+		Count: count, LongRunning: true, Filler: true,
+		Resources: cell.Resources{CPUMillis: 4000, MemoryMB: 1000},
+	}
+}
+
+func TestLastingTaskStartsAgainHoweverItEnds(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	f.reportAll(1)
+	f.add(testJob("a", servingStep(1)))
+	for n, how := range []End{EndFailed, EndFailed, EndFailed, EndFailed, EndDone} {
+		starts := f.plan().Starts
+		f.Expect(starts).To(HaveLen(1), "after %d ends", n)
+		f.accept(starts[0])
+		f.pass(5 * time.Second)
+		f.report(0, f.end(starts[0], int64(n+1), how))
+	}
+	state, _ := f.pool.State("a")
+	f.Expect(state).To(Equal(job.Running))
+	f.pool.Cancel("a", f.now)
+	f.Expect(f.plan().Starts).To(BeEmpty())
+}
+
+// serving starts a serving task and a filler on one worker and returns their orders.
+func serving(f *fixture) (server, filler Start) {
+	f.reportAll(1)
+	f.add(testJob("a", servingStep(1)))
+	f.add(testJob("b", fillerStep(1)))
+	starts := f.plan().Starts
+	f.Expect(starts).To(HaveLen(2), "a filler's processors are not counted")
+	for _, s := range starts {
+		f.accept(s)
+		if s.Task.Job == "a" {
+			server = s
+		} else {
+			filler = s
+		}
+	}
+	return server, filler
+}
+
+// look reports the tail of the serving task and returns the pace that is ordered, or -1.
+func (f *fixture) look(server, filler Start, tail int) int {
+	f.pass(250 * time.Millisecond)
+	f.report(0, Report{Active: []Active{
+		{Task: server.Task, Run: server.Run, Percent: 100, Load: tail}, {Task: filler.Task, Run: filler.Run, Percent: 10, Load: 500},
+	}})
+	f.pool.Inspect(f.now)
+	paces := f.plan().Paces
+	if len(paces) == 0 {
+		return -1
+	}
+	f.Expect(paces).To(HaveLen(1))
+	f.Expect(paces[0].Task).To(Equal(filler.Task))
+	return paces[0].Percent
+}
+
+func TestFillerIsSlowedDownWhenATailIsHighAndLetGoAgain(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	server, filler := serving(f)
+	f.Expect(f.look(server, filler, 95)).To(Equal(30))
+	f.Expect(f.look(server, filler, 95)).To(Equal(12))
+	f.Expect(f.look(server, filler, 95)).To(Equal(4))
+	f.Expect(f.look(server, filler, 95)).To(Equal(1))
+	f.Expect(f.look(server, filler, 95)).To(Equal(0))
+	f.Expect(f.look(server, filler, 95)).To(Equal(-1), "it stands still already")
+	var up []int
+	for range 20 {
+		if pace := f.look(server, filler, 20); pace >= 0 {
+			up = append(up, pace)
+		}
+	}
+	f.Expect(up[:2]).To(Equal([]int{15, 30}))
+}
+
+func TestUpkeepSparesAStepThatLastsAndEmptiesItsWorker(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	s := servingStep(2)
+	s.MaxPerWorker = 1
+	f.add(testJob("a", s))
+	starts := f.plan().Starts
+	f.Expect(starts).To(HaveLen(2))
+	reports := map[int]Report{}
+	for _, o := range starts {
+		f.accept(o)
+		reports[numberOf(o.Worker)] = Report{Active: []Active{{Task: o.Task, Run: o.Run, Percent: 100}}}
+	}
+	f.report(0, reports[0])
+	f.report(1, reports[1])
+	f.pool.Close(map[WorkerID]bool{"w0": true, "w1": true})
+	f.Expect(f.pool.Empty("w0", false, f.now)).To(BeFalse())
+	f.Expect(f.pool.Empty("w1", false, f.now)).To(BeFalse())
+	f.Expect(f.plan().Stops).To(HaveLen(1), "one of its tasks may be away")
+}
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -90,6 +90,9 @@
 	Run        int
 	Checkpoint string
 	Percent    int
+	// Load is the tail of the answer times in milliseconds for a task that serves, otherwise
+	// the processors in use in thousandths; 0 when not told.
+	Load int
 }
 
 // Finished is an end that a worker lists.
@@ -135,6 +138,12 @@
 	Token   int64
 }
 
+// Pace is an order to set a run to work at a share of its speed.
+type Pace struct {
+	Stop
+	Percent int
+}
+
 // Hold is an order to extend what runs on a worker and to report it.
 type Hold struct {
 	Worker   WorkerID
@@ -158,11 +167,17 @@
 type Actions struct {
 	Starts []Start
 	Stops  []Stop
+	Paces  []Pace
 	Asks   []Ask
 	// Settles name workers that need a hold with a higher token at once.
 	Settles []WorkerID
 }
 
+// Empty says that there is nothing to do.
+func (a Actions) Empty() bool {
+	return len(a.Starts)+len(a.Stops)+len(a.Paces)+len(a.Asks)+len(a.Settles) == 0
+}
+
 // Event is a line for the log: something that was decided or learned.
 type Event struct {
 	Name   string
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -39,6 +39,7 @@
 		p.place(now, &out)
 	}
 	p.takeStops(now, &out)
+	p.takePaces(&out)
 	for _, w := range p.settles {
 		if !w.gone {
 			out.Settles = append(out.Settles, w.info.ID)
@@ -58,6 +59,7 @@
 		for _, r := range w.runs {
 			p.inspectRun(w, r, now)
 		}
+		p.paceFillers(w, now)
 	}
 }
 
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -51,6 +51,7 @@
 	advice   advisers
 	stops    []*run
 	settles  []*worker
+	paces    []*run
 	loaded   bool       // the jobs of the store are known
 	fenced   bool       // a worker has seen a token of a later owner
 	now      clock.Time // of the present event
@@ -153,7 +154,11 @@
 	startPercent int // at the first report, with what a checkpoint brought
 	percentAt    clock.Time
 	missing      int // reports in a row that did not list it
+	stopAsked    bool
 	stopSentAt   clock.Time
+	load         int  // as reported last
+	pace         int  // of a filler, in percent
+	paced        bool // an order for a pace was given
 }
 
 type runState int
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -110,6 +110,7 @@
 		p.confirm(r, now)
 	}
 	r.missing = 0
+	r.load = row.Load
 	if !r.observed {
 		r.observed, r.startPercent = true, row.Percent
 	}
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -52,6 +52,8 @@
 	seen  int64 // highest number of an end taken in
 	noted int64 // highest number whose job changes are committed
 
+	pacing    pacing
+	closed    bool       // it is being emptied
 	suspended clock.Time // not to be given tasks before
 	failures  int        // in a row
 	failedJob job.ID     // of the last failure
@@ -64,7 +66,7 @@
 
 // usable says whether the worker may be given a task now.
 func (w *worker) usable(now clock.Time) bool {
-	return w.listed && w.rostered && w.reported && !w.gone && !w.info.Draining && w.foreign == 0 &&
+	return w.listed && w.rostered && w.reported && !w.gone && !w.info.Draining && !w.closed && w.foreign == 0 &&
 		now.Sub(w.lastAnswer) < usableWithin && now >= w.suspended
 }
 
--- a/pkg/jobhost/config.go
+++ b/pkg/jobhost/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"foldarch.dev/foldarch/pkg/poolowner"
 	"foldarch.dev/foldarch/pkg/queue"
 	"foldarch.dev/foldarch/platform"
 	"github.com/cockroachdb/errors"
@@ -35,24 +36,55 @@
 			continue
 		}
 		for _, i := range items {
-			if i.Key == platform.ConfigKey && !i.Gone {
-				h.takeConfig(i)
-			}
+			h.takeOperatorItem(i)
 		}
 		after = at
 	}
 }
 
-// readConfig reads the configuration and returns the revision from which to watch on, or
+// readConfig reads what the operator has written and returns the revision from which to watch on, or
 // -1 when it could not be read.
 func (h *Host) readConfig(ctx context.Context) int64 {
-	item, err := h.store.Read(ctx, platform.ConfigKey)
+	items, at, err := h.store.List(ctx, platform.OperatorPrefix)
 	if err != nil {
 		wait(ctx, configRetry)
 		return -1
 	}
-	h.takeConfig(item)
-	return item.Revision
+	for _, i := range items {
+		h.takeOperatorItem(i)
+	}
+	return at
+}
+
+// takeOperatorItem takes in a key that the operator has written.
+func (h *Host) takeOperatorItem(i platform.Item) {
+	if i.Key == platform.ConfigKey && !i.Gone {
+		h.takeConfig(i)
+		return
+	}
+	w, ok, err := platform.ParseWave(i)
+	if err != nil {
+		h.log.WithField("error", err).Error("wave_unreadable")
+		return
+	}
+	if !ok {
+		return
+	}
+	h.mu.Lock()
+	h.waves[w.Number] = w
+	h.mu.Unlock()
+	if o := h.owner.Load(); o != nil {
+		o.PutWave(w)
+	}
+}
+
+// tellWaves tells a new owner the waves that are known.
+func (h *Host) tellWaves(o *poolowner.Owner) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, w := range h.waves {
+		o.PutWave(w)
+	}
 }
 
 // takeConfig puts a configuration in force if it is newer than the present one.
--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -230,13 +230,19 @@
 func (h *Host) own(ctx context.Context, claim poolowner.Claim, lease int64, renewedAt clock.Time) {
 	k := &leaseKeeper{host: h, lease: lease, record: claim.Revision}
 	k.renewedAt.Store(int64(renewedAt))
+	var machines *platform.Machines
+	if address := h.cfg.Load().Machines; address.IsValid() {
+		machines = platform.NewMachines(address)
+	}
 	o := poolowner.New(poolowner.Deps{
-		Name: h.cfg.Load().Name, Clock: h.clk, Store: h.store, Workers: h.worker, Bounds: h.cfg.Load().Bounds, Heartbeat: h.cfg.Load().Heartbeat,
+		Machines: machines,
+		Name:     h.cfg.Load().Name, Clock: h.clk, Store: h.store, Workers: h.worker, Bounds: h.cfg.Load().Bounds, Heartbeat: h.cfg.Load().Heartbeat,
 		Advise: h.advise, Write: h.writeFor, StoreAge: h.storeAge, Leased: k.holds, Log: h.log, Figures: h.figures.registry,
 	}, claim)
 	o.SetConfig(h.config.Load())
 	h.owner.Store(o)
 	o.SetConfig(h.config.Load()) // one that came in between
+	h.tellWaves(o)
 	ctx, cancel := context.WithCancel(ctx)
 	h.duties.Go(func() { k.run(ctx, o) })
 	err := o.Run(ctx)
--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -14,6 +14,7 @@
 	"foldarch.dev/foldarch/pkg/poolowner"
 	"foldarch.dev/foldarch/pkg/poolrpc"
 	"foldarch.dev/foldarch/pkg/queue"
+	"foldarch.dev/foldarch/pkg/upkeep"
 	"foldarch.dev/foldarch/platform"
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
@@ -55,7 +56,11 @@
 	member   atomic.Pointer[poolrpc.Member]
 	owner    atomic.Pointer[poolowner.Owner]
 	stopping atomic.Bool
-	duties   sync.WaitGroup
+
+	mu    sync.Mutex
+	waves map[int64]upkeep.Wave // that the operator asks for
+
+	duties sync.WaitGroup
 }
 
 // New returns a host that does nothing before Run.
@@ -68,7 +73,7 @@
 	}, clk)
 	h := &Host{
 		life: uuid.NewString(), log: log.WithField("host", cfg.Name), clk: clk, store: store,
-		worker: platform.NewWorkers(workerTimeout), intake: newIntake(store, clk), figures: newFigures(),
+		worker: platform.NewWorkers(workerTimeout), intake: newIntake(store, clk), figures: newFigures(), waves: map[int64]upkeep.Wave{},
 		election: election{changed: make(chan struct{}, 1)},
 	}
 	h.cfg.Store(&cfg)
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 	"foldarch.dev/foldarch/pkg/poolrpc"
 	"foldarch.dev/foldarch/pkg/poolrpc/poolpb"
 	"foldarch.dev/foldarch/pkg/queue"
+	"foldarch.dev/foldarch/pkg/upkeep"
 	"foldarch.dev/foldarch/platform"
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
@@ -59,7 +61,9 @@
 	Clock   clock.Clock
 	Store   *platform.Store
 	Workers *platform.Workers
-	Bounds  platform.Bounds
+	// Machines is nil when there is no service of machines.
+	Machines *platform.Machines
+	Bounds   platform.Bounds
 	// Heartbeat is the time between two writes of a worker's entry.
 	Heartbeat time.Duration
 	// Advise makes a call for advice from this host.
@@ -84,6 +88,7 @@
 
 	mu        sync.Mutex
 	pool      *dispatch.Pool
+	upkeep    *upkeep.Planner
 	sessions  map[dispatch.WorkerID]*workerSession
 	members   map[string]*poolrpc.Session
 	cancelled map[job.ID]bool     // told before the job itself
@@ -109,7 +114,7 @@
 		deps: deps, claim: claim, done: make(chan struct{}), kick: make(chan struct{}, 1),
 		sessions: map[dispatch.WorkerID]*workerSession{}, members: map[string]*poolrpc.Session{},
 		cancelled: map[job.ID]bool{}, committed: make(chan struct{}), commitRevision: claim.Revision,
-		beats: newBeats(deps.Heartbeat),
+		beats: newBeats(deps.Heartbeat), upkeep: upkeep.New(),
 	}
 	lease := min(maxLease, deps.Bounds.MaxHold-leaseMargin)
 	o.pool = dispatch.New(dispatch.Config{
@@ -143,6 +148,7 @@
 	o.duties.Go(func() { o.runCommits(ctx) })
 	o.duties.Go(func() { o.watchJobs(ctx) })
 	o.duties.Go(func() { o.watchWorkers(ctx) })
+	o.duties.Go(func() { o.runUpkeep(ctx) })
 	<-ctx.Done()
 	o.duties.Wait()
 	if o.deposed.Load() {
@@ -239,41 +245,30 @@
 	o.mu.Lock()
 	now := o.deps.Clock.Now()
 	actions := o.pool.Plan(now, o.authority(now))
-	sessions := make([]*workerSession, len(actions.Starts)+len(actions.Stops)+len(actions.Settles))
-	n := 0
-	find := func(id dispatch.WorkerID) {
-		sessions[n] = o.sessions[id]
-		n++
-	}
-	for _, a := range actions.Starts {
-		find(a.Worker)
-	}
-	for _, a := range actions.Stops {
-		find(a.Worker)
-	}
-	for _, id := range actions.Settles {
-		find(id)
+	if actions.Empty() {
+		o.mu.Unlock()
+		return
 	}
+	sessions := make(map[dispatch.WorkerID]*workerSession, len(o.sessions))
+	maps.Copy(sessions, o.sessions)
 	members := make([]*poolrpc.Session, len(actions.Asks))
 	for i, a := range actions.Asks {
 		members[i] = o.members[a.Adviser]
 	}
 	o.mu.Unlock()
-
-	n = 0
 	for _, a := range actions.Starts {
-		o.sendStart(sessions[n], a)
-		n++
+		o.sendStart(sessions[a.Worker], a)
 	}
 	for _, a := range actions.Stops {
-		o.sendStop(sessions[n], a)
-		n++
+		o.sendStop(sessions[a.Worker], a)
 	}
-	for range actions.Settles {
-		if s := sessions[n]; s != nil {
+	for _, a := range actions.Paces {
+		o.sendPace(sessions[a.Worker], a)
+	}
+	for _, id := range actions.Settles {
+		if s := sessions[id]; s != nil {
 			s.settle(ctx)
 		}
-		n++
 	}
 	for i, a := range actions.Asks {
 		o.ask(ctx, members[i], a)
--- a/pkg/poolowner/sessions.go
+++ b/pkg/poolowner/sessions.go
@@ -215,6 +215,25 @@
 	})
 }
 
+func (o *Owner) sendPace(s *workerSession, a dispatch.Pace) {
+	sent := s.put(func(ctx context.Context) {
+		answer, err := o.deps.Workers.Pace(ctx, platform.Order{Worker: a.Worker, Address: a.Address, Token: a.Token}, a.Task, a.Run, a.Percent)
+		if err == nil && answer.Verdict == dispatch.VerdictDone {
+			return
+		}
+		o.paceFailed(a)
+	})
+	if !sent {
+		o.paceFailed(a)
+	}
+}
+
+func (o *Owner) paceFailed(a dispatch.Pace) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.pool.PaceFailed(a)
+}
+
 // pause waits, but not beyond the end of ctx.
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/test/platform/faults_test.go
+++ b/test/platform/faults_test.go
@@ -227,3 +227,19 @@
 	c.p.PutConfig(3)
 	c.Eventually(status, "2s", "20ms").Should(Equal(http.StatusOK))
 }
+
+func TestWaveOfUpkeep(t *testing.T) {
+	c := newCell(t, 3, emulator.Options{Workers: 5})
+	c.during(9*time.Second, func() {
+		time.Sleep(2 * time.Second)
+		c.p.PutWave(1, 3, 1, 12*time.Second)
+		c.Eventually(c.p.WaveState, "3s", "50ms").Should(Equal("running"))
+		time.Sleep(time.Second)
+		c.kill(c.owner())
+		c.Eventually(c.p.WaveState, "25s", "50ms").Should(Equal("completed"))
+		had, most := c.p.Upkeep()
+		c.Expect(had).To(Equal(3))
+		c.Expect(most).To(Equal(1))
+	})
+	c.finish(20 * time.Second)
+}
