--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -181,7 +181,7 @@
 		return
 	}
 	t := platform.Txn{
-		Expect: []platform.Expect{{Key: jobstore.HolderKey, Revision: record}},
+		Conditions: []platform.Condition{{Key: jobstore.HolderKey, Revision: record}},
 		Put: []platform.Put{
 			{Key: jobstore.HolderKey, Value: text},
 			{Key: jobstore.AliveKey, Value: []byte(h.life), Lease: lease},
@@ -189,7 +189,7 @@
 		},
 	}
 	if ifNotAlive {
-		t.Expect = append(t.Expect, platform.Expect{Key: jobstore.AliveKey})
+		t.Conditions = append(t.Conditions, platform.Condition{Key: jobstore.AliveKey})
 	}
 	revision, ok := h.claim(ctx, t, string(text))
 	if !ok {
--- a/pkg/jobhost/intake.go
+++ b/pkg/jobhost/intake.go
@@ -152,7 +152,7 @@
 func txnOf(group []*write) platform.Txn {
 	var t platform.Txn
 	for _, w := range group {
-		t.Expect = append(t.Expect, platform.Expect{Key: w.key})
+		t.Conditions = append(t.Conditions, platform.Condition{Key: w.key})
 		t.Put = append(t.Put, platform.Put{Key: w.key, Value: w.value})
 	}
 	return t
--- a/pkg/jobhost/lease.go
+++ b/pkg/jobhost/lease.go
@@ -59,8 +59,8 @@
 		return false
 	}
 	_, _, err = k.host.store.Commit(ctx, platform.Txn{
-		Expect: []platform.Expect{{Key: jobstore.HolderKey, Revision: k.record}},
-		Put:    []platform.Put{{Key: jobstore.AliveKey, Value: []byte(k.host.life), Lease: lease}},
+		Conditions: []platform.Condition{{Key: jobstore.HolderKey, Revision: k.record}},
+		Put:        []platform.Put{{Key: jobstore.AliveKey, Value: []byte(k.host.life), Lease: lease}},
 	})
 	if err != nil {
 		return false
--- a/pkg/poolowner/commits.go
+++ b/pkg/poolowner/commits.go
@@ -93,7 +93,7 @@
 func (o *Owner) commit(ctx context.Context, t platform.Txn) error {
 	o.commitNumber++
 	mark := fmt.Appendf(nil, "%d/%d", o.claim.Term, o.commitNumber)
-	t.Expect = []platform.Expect{{Key: jobstore.CommitKey, Revision: o.commitRevision}}
+	t.Conditions = []platform.Condition{{Key: jobstore.CommitKey, Revision: o.commitRevision}}
 	t.Put = append(t.Put, platform.Put{Key: jobstore.CommitKey, Value: mark})
 	for ctx.Err() == nil {
 		revision, found, err := o.deps.Store.Commit(ctx, t)
--- a/pkg/poolowner/loading.go
+++ b/pkg/poolowner/loading.go
@@ -272,8 +272,8 @@
 	}
 	for ctx.Err() == nil {
 		_, _, err := o.deps.Store.Commit(ctx, platform.Txn{
-			Expect: []platform.Expect{{Key: jobstore.HolderKey, Revision: o.claim.Revision}},
-			Put:    []platform.Put{{Key: jobstore.RosterKey, Value: text}},
+			Conditions: []platform.Condition{{Key: jobstore.HolderKey, Revision: o.claim.Revision}},
+			Put:        []platform.Put{{Key: jobstore.RosterKey, Value: text}},
 		})
 		if err == nil {
 			o.mu.Lock()
--- a/pkg/poolowner/upkeep.go
+++ b/pkg/poolowner/upkeep.go
@@ -102,8 +102,8 @@
 		}
 	}
 	_, _, err := o.deps.Store.Commit(ctx, platform.Txn{
-		Expect: []platform.Expect{{Key: jobstore.HolderKey, Revision: o.claim.Revision}},
-		Put:    []platform.Put{{Key: platform.WaveStatusKey(s.Wave), Value: platform.WaveStatus(s.State)}},
+		Conditions: []platform.Condition{{Key: jobstore.HolderKey, Revision: o.claim.Revision}},
+		Put:        []platform.Put{{Key: platform.WaveStatusKey(s.Wave), Value: platform.WaveStatus(s.State)}},
 	})
 	if err != nil {
 		return
