Load at the same time what a new owner needs; keep log lines whole

Lines of the log were torn at the borders of large writes, so that some were missing.

Ruled out: the planned stop itself (the old owner goes on until the claim stands).

--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -167,14 +167,11 @@
 	})
 }
 
-// tryTakeOver puts this host on record as the owner and owns the pool until deposed.
+// tryTakeOver puts this host on record as the owner and owns the pool until deposed. The
+// lease follows (leaseKeeper): until then the owner's links keep others from taking over.
 func (h *Host) tryTakeOver(ctx context.Context, ifNotAlive bool, record, term int64) {
 	began := h.clk.Now()
 	formerEnded := h.formerLife()
-	lease, _, err := h.store.OpenLease(ctx, max(leaseTerm, h.cfg.Load().Store.MinLease))
-	if err != nil {
-		return
-	}
 	holder := jobstore.Holder{Name: h.cfg.Load().Name, Life: h.life, Address: h.cfg.Load().Peers, Term: term + 1}
 	text, err := holder.Encode()
 	if err != nil {
@@ -184,7 +181,6 @@
 		Conditions: []platform.Condition{{Key: jobstore.HolderKey, Revision: record}},
 		Put: []platform.Put{
 			{Key: jobstore.HolderKey, Value: text},
-			{Key: jobstore.AliveKey, Value: []byte(h.life), Lease: lease},
 			{Key: jobstore.CommitKey, Value: fmt.Appendf(nil, "%d/0", holder.Term)},
 		},
 	}
@@ -196,10 +192,10 @@
 		return
 	}
 	h.log.WithFields(logrus.Fields{"term": holder.Term, "revision": revision, "took": h.clk.Now().Sub(began)}).Info("owner_elected")
-	h.takeOwnerItems([]platform.Item{{Key: jobstore.HolderKey, Value: text, Revision: revision}, {Key: jobstore.AliveKey}})
+	h.takeOwnerItems([]platform.Item{{Key: jobstore.HolderKey, Value: text, Revision: revision}})
 	h.own(ctx, poolowner.Claim{
 		Term: holder.Term, Revision: revision, First: record == 0, FormerEnded: formerEnded,
-	}, lease, began)
+	}, began)
 }
 
 // claim carries out the transaction that makes this host the owner, and settles a lost
@@ -227,9 +223,9 @@
 }
 
 // own owns the pool until another host has taken over, or ctx ends.
-func (h *Host) own(ctx context.Context, claim poolowner.Claim, lease int64, renewedAt clock.Time) {
-	k := &leaseKeeper{host: h, lease: lease, record: claim.Revision}
-	k.renewedAt.Store(int64(renewedAt))
+func (h *Host) own(ctx context.Context, claim poolowner.Claim, confirmedAt clock.Time) {
+	k := &leaseKeeper{host: h, record: claim.Revision}
+	k.renewedAt.Store(int64(confirmedAt))
 	var machines *platform.Machines
 	if address := h.cfg.Load().Machines; address.IsValid() {
 		machines = platform.NewMachines(address)
--- a/pkg/jobhost/lease.go
+++ b/pkg/jobhost/lease.go
@@ -15,7 +15,7 @@
 // what the owner may do does not hang on it alone (package poolowner).
 type leaseKeeper struct {
 	host      *Host
-	lease     int64
+	lease     int64 // 0 before the first one
 	record    int64
 	renewedAt atomic.Int64
 }
@@ -28,7 +28,7 @@
 // run is the duty that renews the lease, and has another host take over when the store
 // does not answer this one.
 func (k *leaseKeeper) run(ctx context.Context, o *poolowner.Owner) {
-	clock.Every(ctx, leaseEvery, func() {
+	keep := func() {
 		began := k.host.clk.Now()
 		if k.renew(ctx) {
 			k.renewedAt.Store(int64(began))
@@ -40,10 +40,15 @@
 		default:
 			o.Stay()
 		}
-	})
+	}
+	keep()
+	clock.Every(ctx, leaseEvery, keep)
 }
 
 func (k *leaseKeeper) renew(ctx context.Context) bool {
+	if k.lease == 0 {
+		return k.reopen(ctx)
+	}
 	err := k.host.store.KeepLease(ctx, k.lease)
 	if errors.Is(err, platform.ErrNoLease) {
 		return k.reopen(ctx)
@@ -51,8 +56,8 @@
 	return err == nil
 }
 
-// reopen opens a new lease after the platform has ended the last one, unless another host
-// is on record.
+// reopen opens a lease, the first one or after the platform has ended the last one, unless
+// another host is on record.
 func (k *leaseKeeper) reopen(ctx context.Context) bool {
 	lease, _, err := k.host.store.OpenLease(ctx, max(leaseTerm, k.host.cfg.Load().Store.MinLease))
 	if err != nil {
@@ -66,6 +71,6 @@
 		return false
 	}
 	k.lease = lease
-	k.host.log.Info("lease_reopened")
+	k.host.log.Info("lease_opened")
 	return true
 }
--- a/pkg/logring/writer.go
+++ b/pkg/logring/writer.go
@@ -10,9 +10,10 @@
 
 const (
 	closeTimeout = 200 * time.Millisecond
-	// gatherFor is how long lines are gathered for one write of up to maxWrite bytes.
+	// gatherFor is how long lines are gathered for one write of up to maxWrite bytes. A pipe
+	// takes that many at once, so that lines are not torn apart.
 	gatherFor = 20 * time.Millisecond
-	maxWrite  = 64 << 10
+	maxWrite  = 4000
 )
 
 // Writer takes lines and writes them in the background.
@@ -57,22 +58,25 @@
 	}
 }
 
-// run gathers lines for a moment, so that one system call writes many.
+// run gathers lines for a moment, so that one system call writes several.
 func (w *Writer) run(out io.Writer) {
 	defer close(w.done)
 	var buffer bytes.Buffer
+	flush := func() {
+		_, _ = out.Write(buffer.Bytes())
+		buffer.Reset()
+	}
 	for line := range w.ring {
-		open := line != nil
-		buffer.Write(line)
-		if open {
-			time.Sleep(gatherFor)
-			open = w.drain(&buffer)
+		if line == nil {
+			return
 		}
+		buffer.Write(line)
+		time.Sleep(gatherFor)
+		open := w.drain(&buffer, flush)
 		if n := w.dropped.Swap(0); n > 0 {
 			_, _ = fmt.Fprintf(&buffer, "level=warning msg=log_lines_dropped count=%d\n", n)
 		}
-		_, _ = out.Write(buffer.Bytes())
-		buffer.Reset()
+		flush()
 		if !open {
 			return
 		}
@@ -80,17 +84,19 @@
 }
 
 // drain takes what is in the ring; it says whether the writer stays open.
-func (w *Writer) drain(buffer *bytes.Buffer) bool {
-	for buffer.Len() < maxWrite {
+func (w *Writer) drain(buffer *bytes.Buffer, flush func()) bool {
+	for {
 		select {
 		case line := <-w.ring:
 			if line == nil {
 				return false
 			}
+			if buffer.Len()+len(line) > maxWrite {
+				flush()
+			}
 			buffer.Write(line)
 		default:
 			return true
 		}
 	}
-	return true
 }
--- a/pkg/poolowner/loading.go
+++ b/pkg/poolowner/loading.go
@@ -13,6 +13,7 @@
 	"foldarch.dev/foldarch/platform"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -45,42 +46,49 @@
 	return ctx.Err()
 }
 
+// loadOnce reads workers and jobs at the same time, since the store may be slow. What runs
+// is held on as soon as the workers are known.
 func (o *Owner) loadOnce(ctx context.Context) error {
-	if err := o.listWorkers(ctx); err != nil {
-		return err
-	}
-	if err := o.readRoster(ctx); err != nil {
-		return err
-	}
-	o.openSessions(ctx) // what runs is held on while the jobs are read
-	if err := o.listJobs(ctx); err != nil {
+	var group errgroup.Group
+	group.Go(func() error {
+		if err := o.listWorkers(ctx); err != nil {
+			return err
+		}
+		if err := o.readRoster(ctx); err != nil {
+			return err
+		}
+		o.openSessions(ctx)
+		return nil
+	})
+	group.Go(func() error { return o.listJobs(ctx) })
+	if err := group.Wait(); err != nil {
 		return err
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.pool.SetLoaded()
 	o.loaded.Store(true)
+	close(o.jobsKnown)
 	return nil
 }
 
-// listJobs reads all jobs and their progress.
+// listJobs reads all jobs and their progress, which nobody else changes any more.
 func (o *Owner) listJobs(ctx context.Context) error {
 	started := o.deps.Clock.Now()
-	items, at, err := o.deps.Store.List(ctx, jobstore.JobsPrefix)
-	if err != nil {
+	var items []platform.Item
+	var at int64
+	var progress map[job.ID]job.Progress
+	var group errgroup.Group
+	group.Go(func() (err error) {
+		items, at, err = o.deps.Store.List(ctx, jobstore.JobsPrefix)
 		return errors.Wrap(err, "jobs")
-	}
-	progressItems, _, err := o.deps.Store.List(ctx, jobstore.ProgressPrefix)
-	if err != nil {
-		return errors.Wrap(err, "progress of jobs")
-	}
-	progress := make(map[job.ID]job.Progress, len(progressItems))
-	for _, i := range progressItems {
-		p, err := job.DecodeProgress(i.Value)
-		if err != nil {
-			return errors.Wrap(err, i.Key)
-		}
-		progress[job.ID(strings.TrimPrefix(i.Key, jobstore.ProgressPrefix))] = p
+	})
+	group.Go(func() (err error) {
+		progress, err = o.listProgress(ctx)
+		return err
+	})
+	if err := group.Wait(); err != nil {
+		return err
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -92,6 +100,22 @@
 	return nil
 }
 
+func (o *Owner) listProgress(ctx context.Context) (map[job.ID]job.Progress, error) {
+	items, _, err := o.deps.Store.List(ctx, jobstore.ProgressPrefix)
+	if err != nil {
+		return nil, errors.Wrap(err, "progress of jobs")
+	}
+	progress := make(map[job.ID]job.Progress, len(items))
+	for _, i := range items {
+		p, err := job.DecodeProgress(i.Value)
+		if err != nil {
+			return nil, errors.Wrap(err, i.Key)
+		}
+		progress[job.ID(strings.TrimPrefix(i.Key, jobstore.ProgressPrefix))] = p
+	}
+	return progress, nil
+}
+
 // takeJobs takes in items under JobsPrefix. The caller holds o.mu.
 func (o *Owner) takeJobs(items []platform.Item, progress map[job.ID]job.Progress) {
 	for _, i := range items {
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -85,6 +85,8 @@
 	claim Claim
 	done  chan struct{}
 	kick  chan struct{} // of size 1: there may be something to plan
+	// jobsKnown is closed when the jobs of the store are known.
+	jobsKnown chan struct{}
 
 	mu        sync.Mutex
 	pool      *dispatch.Pool
@@ -111,7 +113,7 @@
 func New(deps Deps, claim Claim) *Owner {
 	now := deps.Clock.Now()
 	o := &Owner{
-		deps: deps, claim: claim, done: make(chan struct{}), kick: make(chan struct{}, 1),
+		deps: deps, claim: claim, done: make(chan struct{}), kick: make(chan struct{}, 1), jobsKnown: make(chan struct{}),
 		sessions: map[dispatch.WorkerID]*workerSession{}, members: map[string]*poolrpc.Session{},
 		cancelled: map[job.ID]bool{}, committed: make(chan struct{}), commitRevision: claim.Revision,
 		beats: newBeats(deps.Heartbeat), upkeep: upkeep.New(),
--- a/pkg/poolowner/sessions.go
+++ b/pkg/poolowner/sessions.go
@@ -15,6 +15,8 @@
 	holdRetry = 100 * time.Millisecond
 	// noteWait bounds the waiting for the commit of reported ends before the next hold.
 	noteWait = 400 * time.Millisecond
+	// loadingHold is the time between two holds while the jobs are read.
+	loadingHold = 300 * time.Millisecond
 	// settleTries bounds the holds that settle one lost answer.
 	settleTries = 60
 )
@@ -71,6 +73,10 @@
 			pause(ctx, holdRetry)
 			continue
 		}
+		if !s.owner.loaded.Load() {
+			s.owner.awaitLoaded(ctx)
+			continue
+		}
 		if wait == 0 {
 			wait = holdWait // the first one learned the worker's clock
 			continue
@@ -79,6 +85,17 @@
 	}
 }
 
+// awaitLoaded waits until the jobs are known, but not so long that leases lapse.
+func (o *Owner) awaitLoaded(ctx context.Context) {
+	limit := time.NewTimer(loadingHold)
+	defer limit.Stop()
+	select {
+	case <-o.jobsKnown:
+	case <-limit.C:
+	case <-ctx.Done():
+	}
+}
+
 // hold sends one hold and takes in its answer. known is false when there is nothing to be
 // asked of the worker any more.
 func (s *workerSession) hold(ctx context.Context, raise bool, wait time.Duration) (answered, known bool) {
