--- /dev/null
+++ b/pkg/dispatch/explain.go
@@ -0,0 +1,102 @@
+package dispatch
+
+import (
+	"fmt"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/job"
+)
+
+// Explanation tells what the owner knows of a job and why its tasks wait.
+type Explanation struct {
+	Job     job.ID     `json:"job"`
+	State   job.State  `json:"state"`
+	Queue   string     `json:"queue,omitempty"`
+	Blocked string     `json:"blocked,omitempty"`
+	Steps   []StepView `json:"steps,omitempty"`
+}
+
+// StepView is one step of one time of a job.
+type StepView struct {
+	Step     string    `json:"step"`
+	Done     int       `json:"done"`
+	Count    int       `json:"count"`
+	LeftMs   int64     `json:"left_ms"` // of the objective
+	Waits    string    `json:"waits,omitempty"`
+	Runs     []RunView `json:"runs,omitempty"`
+	Failures int       `json:"failures,omitempty"`
+}
+
+// RunView is a run that counts against a worker.
+type RunView struct {
+	Task    int    `json:"task"`
+	Run     int    `json:"run"`
+	Worker  string `json:"worker"`
+	Percent int    `json:"percent"`
+	State   string `json:"state"`
+}
+
+var runStateNames = [...]string{"starting", "unsettled", "running"}
+
+// Explain tells what is known of a job; ok is false when nothing is.
+func (p *Pool) Explain(id job.ID, now clock.Time) (e Explanation, ok bool) {
+	state, ok := p.State(id)
+	e = Explanation{Job: id, State: state}
+	j, open := p.jobs[id]
+	if !open {
+		return e, ok
+	}
+	e.Queue = j.queue.Name
+	if p.blocked(j) {
+		e.Blocked = "runs of a former owner are still looked for"
+	}
+	for _, t := range j.times {
+		if t == nil {
+			continue
+		}
+		for _, s := range t.steps {
+			e.Steps = append(e.Steps, p.explainStep(s, now))
+		}
+	}
+	return e, ok
+}
+
+func (p *Pool) explainStep(s *step, now clock.Time) StepView {
+	v := StepView{
+		Step: s.id().String(), Done: s.done, Count: len(s.tasks), LeftMs: s.time.objective.Sub(now).Milliseconds(),
+		Waits: p.waitsFor(s, now),
+	}
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		v.Failures += len(t.failures)
+		if r := t.current; r != nil {
+			v.Runs = append(v.Runs, RunView{i, r.number, string(r.worker.info.ID), r.percent, runStateNames[r.state]})
+		}
+	}
+	return v
+}
+
+// waitsFor tells what the waiting tasks of a step wait for; empty when none waits.
+func (p *Pool) waitsFor(s *step, now clock.Time) string {
+	switch {
+	case s.finished():
+		return ""
+	case !s.turnHasCome():
+		return fmt.Sprintf("steps %v", s.spec.After)
+	case s.waiting() == 0:
+		return ""
+	case s.advice.pending != nil:
+		return "advice from " + s.advice.pending.ask.Adviser
+	case len(p.candidates(s, reservations{}, now)) > 0:
+		return "its turn"
+	case s.time.job.queue.Advice != nil && len(s.advice.good) == 0:
+		return fmt.Sprintf("a call for advice (%d of %d hosts are free)", p.advice.free, len(p.advice.idle))
+	}
+	eligible := 0
+	for _, w := range p.workers {
+		if p.eligible(s, w, now) && !s.advice.denied[w.info.ID] {
+			eligible++
+		}
+	}
+	return fmt.Sprintf("room for %s on one of %d workers that may run it", s.spec.Need(), eligible)
+}
--- a/pkg/jobhost/figures.go
+++ b/pkg/jobhost/figures.go
@@ -1,6 +1,7 @@
 package jobhost
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -8,6 +9,7 @@
 	"slices"
 	"time"
 
+	"foldarch.dev/foldarch/pkg/job"
 	"foldarch.dev/foldarch/pkg/poolowner"
 	"github.com/rcrowley/go-metrics"
 )
@@ -52,6 +54,49 @@
 	}
 }
 
+// operatorQueries answers operators: figures, who owns the pool, and what the owner knows of
+// a job. Nothing there changes anything.
+func (h *Host) operatorQueries() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", h.serveFigures)
+	mux.HandleFunc("GET /owner", func(w http.ResponseWriter, _ *http.Request) {
+		h.election.mu.Lock()
+		defer h.election.mu.Unlock()
+		writeAnswer(w, h.election.holder)
+	})
+	mux.HandleFunc("GET /jobs/{id}", h.serveExplanation)
+	return mux
+}
+
+// serveExplanation tells what the owner knows of a job. A host that is not the owner answers
+// 421 with the owner's record.
+func (h *Host) serveExplanation(w http.ResponseWriter, r *http.Request) {
+	id, err := job.ParseID(r.PathValue("id"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	o := h.owner.Load()
+	if o == nil {
+		h.election.mu.Lock()
+		defer h.election.mu.Unlock()
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		writeAnswer(w, h.election.holder)
+		return
+	}
+	e, ok := o.Explain(id)
+	if !ok {
+		http.Error(w, "the owner knows of no job "+string(id), http.StatusNotFound)
+		return
+	}
+	writeAnswer(w, e)
+}
+
+func writeAnswer(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
 func boolFigure(b bool) float64 {
 	if b {
 		return 1
--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -92,7 +92,7 @@
 
 // Run works until ctx ends and then stops as planned: the pool is handed over and requests
 // in flight are answered. Settings that change in the file at path are put in force. Figures
-// are served at metricsPort of the host's address, unless it is 0.
+// and explanations are served at metricsPort of the host's address, unless it is 0.
 func (h *Host) Run(ctx context.Context, path string, metricsPort uint16) error {
 	cfg := h.cfg.Load()
 	debug.SetMemoryLimit(memoryLimit(*cfg))
@@ -118,7 +118,7 @@
 	go func() { _ = probe.Serve(ready) }()
 	if metricsPort != 0 {
 		address := netip.AddrPortFrom(cfg.Ready.Addr(), metricsPort)
-		go func() { _ = http.ListenAndServe(address.String(), http.HandlerFunc(h.serveFigures)) }()
+		go func() { _ = http.ListenAndServe(address.String(), h.operatorQueries()) }()
 	}
 	h.startDuties(work, peers)
 	h.duties.Go(func() { h.watchSettings(work, path) })
--- a/pkg/poolowner/members.go
+++ b/pkg/poolowner/members.go
@@ -124,6 +124,13 @@
 	return a
 }
 
+// Explain tells what is known of a job; ok is false when nothing is.
+func (o *Owner) Explain(id job.ID) (e dispatch.Explanation, ok bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.pool.Explain(id, o.deps.Clock.Now())
+}
+
 // ask has a call for advice made, by this host or by a member.
 func (o *Owner) ask(ctx context.Context, member *poolrpc.Session, a dispatch.Ask) {
 	call := &poolpb.AdviceCall{
--- a/test/platform/faults_test.go
+++ b/test/platform/faults_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"syscall"
@@ -243,3 +245,35 @@
 	})
 	c.finish(20 * time.Second)
 }
+
+func TestFiguresAndExplanations(t *testing.T) {
+	c := newCell(t, 2, emulator.Options{Workers: 1})
+	id, accepted := c.callers.Submit(context.Background(), "ms=60000", quickJob.steps)
+	c.Expect(accepted).To(BeTrue())
+	state := func() string { return c.callers.State(context.Background(), id) }
+	c.Eventually(state, "5s", "50ms").Should(Equal("running"))
+	for n := range c.hosts {
+		host := fmt.Sprintf("127.0.0.1:%d", c.hosts[n].host.Figures)
+		status, figures := get("http://" + host + "/metrics")
+		c.Expect(status).To(Equal(http.StatusOK))
+		c.Expect(figures).To(ContainSubstring("jobs.accept.p99_ms"))
+		status, answer := get("http://" + host + "/jobs/" + id)
+		if n != c.owner() {
+			c.Expect(status).To(Equal(http.StatusMisdirectedRequest))
+			continue
+		}
+		c.Expect(status).To(Equal(http.StatusOK))
+		c.Expect(answer).To(ContainSubstring(`"state":"running"`))
+		c.Expect(figures).To(ContainSubstring("pool.run_ordered 2"))
+	}
+}
+
+func get(url string) (status int, body string) {
+	res, err := http.Get(url)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = res.Body.Close() }()
+	text, _ := io.ReadAll(res.Body)
+	return res.StatusCode, string(text)
+}
