--- /dev/null
+++ b/pkg/clock/sleep.go
@@ -0,0 +1,16 @@
+package clock
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for a duration, but not beyond the end of ctx.
+func Sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/jobs.go
@@ -0,0 +1,150 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/queue"
+)
+
+// jobState is what the owner knows of a job that has not ended, or whose end is not
+// committed, or of which something may still run.
+type jobState struct {
+	job       job.Job
+	queue     queue.Queue
+	times     []*timeState // index is the number of the time; nil before it is due
+	nextTime  int
+	free      bool // no former owner can have started it
+	began     bool
+	outcome   job.State // final, not necessarily committed; empty before
+	committed bool      // the outcome is in the store
+	stored    bool      // the store has progress of the job
+	accepted  clock.Time
+	chains    []time.Duration // for each step, the estimated time from its start to the end
+}
+
+// timeState is one time of a job's steps.
+type timeState struct {
+	job   *jobState
+	index int
+	steps []*step
+	left  int // steps that are not done
+	// objective is when all tasks should have ended, and latest the last moment at which
+	// that is still worth something.
+	objective clock.Time
+	latest    clock.Time
+}
+
+// step is one step of one time.
+type step struct {
+	number int64 // in the order of creation
+	time   *timeState
+	index  int
+	spec   *job.Step
+	tasks  []task
+	done   int
+	advice stepAdvice
+	gang   gang
+	perOf  map[WorkerID]int // runs of the step on a worker; only with MaxPerWorker
+	chain  time.Duration    // estimate of the work from this step to the end of the job
+}
+
+// task is one task of a step.
+type task struct {
+	step       *step
+	index      int
+	done       bool
+	current    *run
+	failures   []int // numbers of the runs that failed; of a gang, at its task 0
+	lastRun    int   // highest number given or seen
+	lastEnded  int   // highest number whose end was taken in
+	checkpoint string
+	avoid      WorkerID // where it failed last
+	notBefore  clock.Time
+}
+
+// run is one start of a task.
+type run struct {
+	task         *task
+	number       int
+	worker       *worker
+	token        int64
+	state        runState
+	sentAt       clock.Time
+	confirmedAt  clock.Time
+	percent      int
+	observed     bool
+	startPercent int // at the first report, with what a checkpoint brought
+	percentAt    clock.Time
+	missing      int // reports in a row that did not list it
+	stopAsked    bool
+	stopSentAt   clock.Time
+	load         int  // as reported last
+	pace         int  // of a filler, in percent
+	paced        bool // an order for a pace was given
+}
+
+type runState int
+
+const (
+	runStarting  runState = iota // the order is on its way
+	runUnsettled                 // its answer was lost
+	runActive
+)
+
+func (t *task) id() job.TaskID {
+	return job.TaskID{StepID: t.step.id(), Index: t.index}
+}
+
+func (t *task) waiting() bool {
+	return !t.done && t.current == nil
+}
+
+func (s *step) id() job.StepID {
+	return job.StepID{Job: s.time.job.job.ID, Time: s.time.index, Step: s.index}
+}
+
+func (s *step) finished() bool {
+	return s.done == len(s.tasks)
+}
+
+// lateFactor times the objective is the last moment at which a late end is worth something.
+const lateFactor = 3
+
+// adviceWorkers is how many workers a call for advice names in a job's objective.
+const adviceWorkers = 30
+
+// setObjective gives a time its objective, counted from when it began to wait.
+func (t *timeState) setObjective(from clock.Time) {
+	longest := slices.Max(t.job.chains)
+	span := time.Duration(float64(longest)*max(t.job.queue.Extension, 1)) + t.job.queue.TargetLatency
+	t.objective = from.Add(span)
+	t.latest = from.Add(lateFactor * span)
+}
+
+// dueAt is when a time begins to wait, by the steady clock.
+func (p *Pool) dueAt(j *jobState, k int, now clock.Time) clock.Time {
+	if j.job.Schedule.Repeat == 0 {
+		return j.accepted
+	}
+	return max(now.Add(j.job.Schedule.Due(k).Sub(p.cfg.Wall())), j.accepted)
+}
+
+// chains returns for each step the estimated time from its start to the end of the job.
+func chains(j *jobState) []time.Duration {
+	out := make([]time.Duration, len(j.job.Steps))
+	for i := len(j.job.Steps) - 1; i >= 0; i-- {
+		s := &j.job.Steps[i]
+		own := s.Estimate
+		if j.queue.Advice != nil {
+			own += j.queue.Advice.Of(adviceWorkers)
+		}
+		out[i] += own
+		for _, a := range s.After {
+			out[a] = max(out[a], out[i])
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/dispatch/place.go
@@ -0,0 +1,136 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+)
+
+// gangWorkers chooses a worker for each member, on as few workers and if possible in one
+// rack; nil when there is no room for all.
+func (p *Pool) gangWorkers(s *step, candidates []*worker) []*worker {
+	if s.spec.SameRack {
+		for _, rack := range racks(candidates) {
+			if chosen := fill(s, rack); chosen != nil {
+				return chosen
+			}
+		}
+	}
+	return fill(s, candidates)
+}
+
+// racks groups workers by their rack, in the order of the racks' names.
+func racks(workers []*worker) [][]*worker {
+	byRack := map[string][]*worker{}
+	var names []string
+	for _, w := range workers {
+		if _, ok := byRack[w.info.Rack]; !ok {
+			names = append(names, w.info.Rack)
+		}
+		byRack[w.info.Rack] = append(byRack[w.info.Rack], w)
+	}
+	slices.Sort(names)
+	out := make([][]*worker, 0, len(names))
+	for _, n := range names {
+		out = append(out, byRack[n])
+	}
+	return out
+}
+
+// fill gives each member a worker, those with most room first; nil when they don't suffice.
+func fill(s *step, workers []*worker) []*worker {
+	sorted := slices.Clone(workers)
+	slices.SortFunc(sorted, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(fits(s, b), fits(s, a)), cmp.Compare(a.info.ID, b.info.ID))
+	})
+	var chosen []*worker
+	for _, w := range sorted {
+		for range fits(s, w) {
+			if chosen = append(chosen, w); len(chosen) == len(s.tasks) {
+				return chosen
+			}
+		}
+	}
+	return nil
+}
+
+// fits is how many more tasks of a step a worker has room for.
+func fits(s *step, w *worker) int {
+	need, free := s.spec.Need(), w.free()
+	n := len(s.tasks)
+	if need.CPUMillis > 0 {
+		n = min(n, int(free.CPUMillis/need.CPUMillis))
+	}
+	if need.MemoryMB > 0 {
+		n = min(n, int(free.MemoryMB/need.MemoryMB))
+	}
+	if need.Accelerators > 0 {
+		n = min(n, int(free.Accelerators/need.Accelerators))
+	}
+	if s.perOf != nil {
+		n = min(n, s.spec.MaxPerWorker-s.perOf[w.info.ID])
+	}
+	return max(n, 0)
+}
+
+// eligible says whether a worker may run tasks of a step at all, advice apart.
+func (p *Pool) eligible(s *step, w *worker, now clock.Time) bool {
+	return w.info.Pool == s.time.job.queue.Pool && w.usable(now) &&
+		(s.spec.Requirement == "" || slices.Contains(w.info.Labels, s.spec.Requirement))
+}
+
+// ticketMargin is how long a ticket must hold on for a start to be sent with it.
+const ticketMargin = 80 * time.Millisecond
+
+// candidates lists the workers that may be given a task of the step now, by id.
+func (p *Pool) candidates(s *step, reserved reservations, now clock.Time) []*worker {
+	priority := s.time.job.queue.Priority
+	var out []*worker
+	take := func(w *worker) {
+		if p.eligible(s, w, now) && !reserved.holds(w.info.ID, priority) && fits(s, w) > 0 {
+			out = append(out, w)
+		}
+	}
+	if s.time.job.queue.Advice == nil {
+		for _, w := range p.workers {
+			take(w)
+		}
+	} else {
+		for id, ticket := range s.advice.tickets {
+			if w, ok := p.workers[id]; ok && now.Add(ticketMargin) < ticket.until {
+				take(w)
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	return out
+}
+
+// bestFit chooses the worker that a task uses up most, near its data and away from where it
+// failed; nil when none has room.
+func bestFit(t *task, candidates []*worker) *worker {
+	var best *worker
+	var bestScore float64
+	need := t.step.spec.Need()
+	for _, w := range candidates {
+		if fits(t.step, w) == 0 {
+			continue
+		}
+		score := w.free().Sub(need).DominantShare(w.info.Capacity)
+		if t.step.spec.Affinity != "" && w.info.Rack != t.step.spec.Affinity {
+			score += 10
+		}
+		if t.avoid == w.info.ID {
+			score += 100
+		}
+		if t.avoid != "" && w.failures > 0 {
+			score += 50
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -75,7 +75,7 @@
 func (p *Process) cancelWhenReplaced(ctx context.Context, cancel context.CancelFunc, address netip.AddrPort, id cell.ShardID) {
 	clock.Every(ctx, replacedEvery, func() {
 		if now, ok := p.addressOf(id); ok && now != address {
-			sleep(ctx, replacedGrace)
+			clock.Sleep(ctx, replacedGrace)
 			cancel()
 		}
 	})
--- a/pkg/entry/process.go
+++ b/pkg/entry/process.go
@@ -160,7 +160,7 @@
 	p.log.Info("leaving")
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
-	sleep(ctx, time.Duration(p.cfg.Times.LeaveGrace))
+	clock.Sleep(ctx, time.Duration(p.cfg.Times.LeaveGrace))
 	if k := p.keeper.Load(); k != nil {
 		handover, done := context.WithTimeout(ctx, handoverTimeout)
 		k.Leave(handover)
@@ -169,7 +169,7 @@
 	peers.Refuse()
 	_ = server.Shutdown(ctx)
 	for p.inFlight() > 0 && ctx.Err() == nil {
-		sleep(ctx, 20*time.Millisecond)
+		clock.Sleep(ctx, 20*time.Millisecond)
 	}
 }
 
@@ -195,16 +195,6 @@
 	return n
 }
 
-// sleep waits, but not beyond the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // holder is this process as the records name it.
 func (p *Process) holder() ownership.Holder {
 	return holderOf(p.self)
--- a/pkg/entry/settings_duty.go
+++ b/pkg/entry/settings_duty.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/ownership"
 	"foldarch.dev/foldarch/pkg/revision"
 	"foldarch.dev/foldarch/pkg/settings"
@@ -183,7 +184,7 @@
 		if err == nil {
 			p.takeHosts(hosts)
 		}
-		sleep(ctx, hostsEvery+rand.N(hostsUnequal))
+		clock.Sleep(ctx, hostsEvery+rand.N(hostsUnequal))
 	}
 }
 
--- a/pkg/jobhost/config.go
+++ b/pkg/jobhost/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/poolowner"
 	"foldarch.dev/foldarch/pkg/queue"
 	"foldarch.dev/foldarch/platform"
@@ -47,7 +48,7 @@
 func (h *Host) readConfig(ctx context.Context) int64 {
 	items, at, err := h.store.List(ctx, platform.OperatorPrefix)
 	if err != nil {
-		wait(ctx, configRetry)
+		clock.Sleep(ctx, configRetry)
 		return -1
 	}
 	for _, i := range items {
@@ -114,13 +115,3 @@
 		}
 	}
 }
-
-// wait pauses, but not beyond the end of ctx.
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -55,7 +55,7 @@
 		if after < 0 {
 			items, at, err := h.store.List(ctx, jobstore.OwnerPrefix)
 			if err != nil {
-				wait(ctx, ownerRetry)
+				clock.Sleep(ctx, ownerRetry)
 				continue
 			}
 			h.takeOwnerList(items)
@@ -158,7 +158,7 @@
 		if !may {
 			return
 		}
-		wait(ctx, rand.N(campaignSpread))
+		clock.Sleep(ctx, rand.N(campaignSpread))
 		may, ifNotAlive, record, term := h.mayTakeOver()
 		if !may {
 			return
@@ -255,11 +255,11 @@
 		holder, record := e.holder, e.record
 		e.mu.Unlock()
 		if record == 0 || holder.Life == h.life || holder.Name == h.cfg.Load().Name {
-			wait(ctx, linkRetry)
+			clock.Sleep(ctx, linkRetry)
 			continue
 		}
 		h.link(ctx, holder)
-		wait(ctx, linkRetry)
+		clock.Sleep(ctx, linkRetry)
 	}
 }
 
--- a/pkg/jobhost/intake.go
+++ b/pkg/jobhost/intake.go
@@ -94,7 +94,7 @@
 			group = append(group, w)
 		}
 		if len(t.slots) > 0 {
-			wait(ctx, intakeLinger)
+			clock.Sleep(ctx, intakeLinger)
 		}
 		t.slots <- struct{}{}
 		group = t.collect(group)
@@ -145,7 +145,7 @@
 			answerAll(group, errors.Mark(errors.Newf("%v", err), platform.ErrUnsettled))
 			return
 		}
-		wait(ctx, settlePause)
+		clock.Sleep(ctx, settlePause)
 	}
 }
 
--- a/pkg/poolowner/commits.go
+++ b/pkg/poolowner/commits.go
@@ -109,7 +109,7 @@
 			o.depose("commit")
 			return ErrDeposed
 		}
-		pause(ctx, commitRetry)
+		clock.Sleep(ctx, commitRetry)
 	}
 	return ctx.Err()
 }
--- a/pkg/poolowner/loading.go
+++ b/pkg/poolowner/loading.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/dispatch"
 	"foldarch.dev/foldarch/pkg/job"
 	"foldarch.dev/foldarch/pkg/jobstore"
@@ -41,7 +42,7 @@
 			return nil
 		}
 		o.deps.Log.WithField("error", err).Warn("owner_loading")
-		pause(ctx, storeRetry)
+		clock.Sleep(ctx, storeRetry)
 	}
 	return ctx.Err()
 }
@@ -141,7 +142,7 @@
 // watchJobs is the duty that looks for jobs of which no host has told the owner.
 func (o *Owner) watchJobs(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, jobsEvery)
+		clock.Sleep(ctx, jobsEvery)
 		items, at, err := o.deps.Store.Watch(ctx, jobstore.JobsPrefix, o.position.jobs, 0)
 		if errors.Is(err, platform.ErrHistoryIsGone) {
 			_ = o.listJobs(ctx)
@@ -202,14 +203,14 @@
 		}
 		if err != nil {
 			o.beats.interrupted()
-			pause(ctx, storeRetry)
+			clock.Sleep(ctx, storeRetry)
 			continue
 		}
 		o.takeWorkers(items)
 		o.openSessions(ctx)
 		o.writeRoster(ctx)
 		o.position.workers = at
-		pause(ctx, workersPause)
+		clock.Sleep(ctx, workersPause)
 	}
 }
 
@@ -311,6 +312,6 @@
 			o.depose("roster")
 			return
 		}
-		pause(ctx, storeRetry)
+		clock.Sleep(ctx, storeRetry)
 	}
 }
--- a/pkg/poolowner/sessions.go
+++ b/pkg/poolowner/sessions.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/dispatch"
 	"foldarch.dev/foldarch/platform"
 )
@@ -70,7 +71,7 @@
 		}
 		if !answered {
 			wait = 0
-			pause(ctx, holdRetry)
+			clock.Sleep(ctx, holdRetry)
 			continue
 		}
 		if !s.owner.loaded.Load() {
@@ -152,14 +153,14 @@
 		return // one that has not been sent yet will do
 	}
 	s.owner.duties.Go(func() {
-		pause(ctx, 5*time.Millisecond)
+		clock.Sleep(ctx, 5*time.Millisecond)
 		<-s.settling
 		for range settleTries {
 			answered, known := s.hold(ctx, true, 0)
 			if answered || !known || ctx.Err() != nil {
 				return
 			}
-			pause(ctx, holdRetry)
+			clock.Sleep(ctx, holdRetry)
 		}
 	})
 }
@@ -250,13 +251,3 @@
 	defer o.mu.Unlock()
 	o.pool.PaceFailed(a)
 }
-
-// pause waits, but not beyond the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/pkg/poolowner/upkeep.go
+++ b/pkg/poolowner/upkeep.go
@@ -30,7 +30,7 @@
 		return
 	}
 	// Orders of two owners must not come in turns.
-	pause(ctx, o.deps.Bounds.MachineLease)
+	clock.Sleep(ctx, o.deps.Bounds.MachineLease)
 	known := map[int64]bool{}
 	clock.Every(ctx, upkeepEvery, func() {
 		o.mu.Lock()
