Drop outcomes that were kept long enough; be patient with workers that answer late

Cause: outcomes of jobs stayed in the store for ever, and a worker whose answers take longer than 160 ms would never have been heard.

Shown: TestOutcomesAreKeptForTheirTime.

--- a/pkg/dispatch/commit.go
+++ b/pkg/dispatch/commit.go
@@ -59,7 +59,7 @@
 			continue
 		}
 		j.committed = true
-		p.outcomes[change.Job] = change.Outcome
+		p.outcomes.put(change.Job, change.Outcome, p.now)
 		p.forgetIfIdle(j)
 	}
 }
--- a/pkg/dispatch/ends.go
+++ b/pkg/dispatch/ends.go
@@ -239,7 +239,7 @@
 		return
 	}
 	if p.jobs[j.job.ID] == j {
-		p.outcomes[j.job.ID] = j.outcome
+		p.outcomes.put(j.job.ID, j.outcome, p.now)
 		delete(p.jobs, j.job.ID)
 	}
 }
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -42,7 +42,7 @@
 	takeover takeover
 	config   *queue.Config
 	jobs     map[job.ID]*jobState
-	outcomes map[job.ID]job.State // of jobs that have ended and been committed
+	outcomes outcomes // of jobs that have ended and been committed
 	workers  map[WorkerID]*worker
 	ready    map[*step]struct{} // steps whose turn has come and that have waiting tasks
 	timed    map[*jobState]struct{}
@@ -61,7 +61,7 @@
 func New(cfg Config, now clock.Time) *Pool {
 	return &Pool{
 		cfg: cfg, takeover: newTakeover(cfg, now),
-		jobs: map[job.ID]*jobState{}, outcomes: map[job.ID]job.State{}, workers: map[WorkerID]*worker{},
+		jobs: map[job.ID]*jobState{}, outcomes: newOutcomes(), workers: map[WorkerID]*worker{},
 		ready: map[*step]struct{}{}, timed: map[*jobState]struct{}{}, dirty: map[*jobState]struct{}{},
 		advice: newAdvisers(),
 	}
@@ -88,7 +88,7 @@
 func (p *Pool) AddJob(r job.Record, progress job.Progress, stored bool, age time.Duration, now clock.Time) {
 	p.now = now
 	id := r.Job.ID
-	if _, known := p.jobs[id]; known || p.outcomes[id] != "" {
+	if _, known := p.jobs[id]; known || p.outcomes.knows(id) {
 		return
 	}
 	j := &jobState{job: r.Job, queue: r.Queue, stored: stored, free: r.Term >= p.cfg.Term}
@@ -112,7 +112,7 @@
 
 // AddOutcome takes in a job that has ended, as the store tells.
 func (p *Pool) AddOutcome(id job.ID, outcome job.State, now clock.Time) {
-	p.outcomes[id] = outcome
+	p.outcomes.put(id, outcome, now)
 	j, known := p.jobs[id]
 	if !known {
 		return
@@ -200,7 +200,7 @@
 func (p *Pool) Cancel(id job.ID, now clock.Time) bool {
 	j, ok := p.jobs[id]
 	if !ok {
-		return p.outcomes[id] != ""
+		return p.outcomes.knows(id)
 	}
 	if j.outcome == "" {
 		p.finish(j, job.Cancelled, now)
@@ -247,7 +247,7 @@
 
 // State tells how far a job is, as it may be shown. ok is false when it is not known.
 func (p *Pool) State(id job.ID) (state job.State, ok bool) {
-	if outcome, ended := p.outcomes[id]; ended {
+	if outcome, ended := p.outcomes.state(id); ended {
 		return outcome, true
 	}
 	j, known := p.jobs[id]
--- a/pkg/dispatch/pool_test.go
+++ b/pkg/dispatch/pool_test.go
@@ -616,3 +616,19 @@
 	state, _ := f.pool.State("a")
 	f.Expect(state).To(Equal(job.Completed))
 }
+
+func TestOutcomesAreKeptForTheirTime(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	f.pool.AddOutcome("a", job.Completed, f.now)
+	f.pass(time.Minute)
+	f.pool.AddOutcome("b", job.Failed, f.now)
+	f.Expect(f.pool.ExpiredOutcomes(2*time.Minute, 10, f.now)).To(BeEmpty())
+	f.pass(time.Minute)
+	expired := f.pool.ExpiredOutcomes(2*time.Minute, 10, f.now)
+	f.Expect(expired).To(Equal([]job.ID{"a"}))
+	f.pool.ForgetOutcomes(expired)
+	_, known := f.pool.State("a")
+	f.Expect(known).To(BeFalse())
+	state, _ := f.pool.State("b")
+	f.Expect(state).To(Equal(job.Failed))
+}
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -179,7 +179,7 @@
 
 // knows says that a job is known, be it as ended.
 func (p *Pool) knows(id job.ID) bool {
-	return p.jobs[id] != nil || p.outcomes[id] != ""
+	return p.jobs[id] != nil || p.outcomes.knows(id)
 }
 
 // toldWithin is how long it takes at most until the owner is told of an accepted job.
--- a/pkg/poolowner/commits.go
+++ b/pkg/poolowner/commits.go
@@ -16,6 +16,8 @@
 const (
 	// commitEvery is the time between two commits.
 	commitEvery = 40 * time.Millisecond
+	// dropEvery is the time between two removals of outcomes that have been kept long enough.
+	dropEvery = 200 * time.Millisecond
 	// commitRetry is the pause before a commit that failed is tried again.
 	commitRetry = 50 * time.Millisecond
 	// entriesPerChange is how many entries of a transaction a job may need, and
@@ -26,7 +28,12 @@
 
 // runCommits is the duty that writes what the pool has decided.
 func (o *Owner) runCommits(ctx context.Context) {
+	dropped := o.deps.Clock.Now()
 	clock.Every(ctx, commitEvery, func() {
+		if now := o.deps.Clock.Now(); now.Sub(dropped) >= dropEvery {
+			dropped = now
+			o.dropOutcomes(ctx)
+		}
 		o.mu.Lock()
 		c := o.pool.TakeCommit()
 		o.mu.Unlock()
@@ -44,6 +51,27 @@
 	})
 }
 
+// dropOutcomes removes outcomes from the store that have been kept long enough. It runs
+// between commits, in the same series.
+func (o *Owner) dropOutcomes(ctx context.Context) {
+	o.mu.Lock()
+	ids := o.pool.ExpiredOutcomes(o.deps.Bounds.KeepOutcomes, platform.MaxTxnEntries-ownEntries, o.deps.Clock.Now())
+	o.mu.Unlock()
+	if len(ids) == 0 {
+		return
+	}
+	var t platform.Txn
+	for _, id := range ids {
+		t.Remove = append(t.Remove, jobstore.JobKey(id))
+	}
+	if o.commit(ctx, t) != nil {
+		return // only when this owner ends
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.pool.ForgetOutcomes(ids)
+}
+
 // writeChanges puts changes into the store, whatever it takes; an error says that the owner ends.
 func (o *Owner) writeChanges(ctx context.Context, changes []dispatch.Change) error {
 	const most = (platform.MaxTxnEntries - ownEntries) / entriesPerChange
--- a/pkg/poolowner/sessions.go
+++ b/pkg/poolowner/sessions.go
@@ -12,6 +12,9 @@
 const (
 	// holdWait is how long a worker lets a hold wait for an end.
 	holdWait = 600 * time.Millisecond
+	// patienceStep is added to the time limit of a hold with each that got no answer.
+	patienceStep = 150 * time.Millisecond
+	mostPatience = 600 * time.Millisecond
 	// holdRetry is the pause after a hold that failed.
 	holdRetry = 100 * time.Millisecond
 	// noteWait bounds the waiting for the commit of reported ends before the next hold.
@@ -28,6 +31,8 @@
 	id     dispatch.WorkerID
 	orders chan func(context.Context)
 	cancel context.CancelFunc
+	// failures counts the holds in a row that got no answer; of the duty runHolds.
+	failures int
 	// settling is of size 1: a hold with a higher token is on its way.
 	settling chan struct{}
 }
@@ -69,7 +74,10 @@
 		if !known {
 			return
 		}
-		if !answered {
+		if answered {
+			s.failures = 0
+		} else {
+			s.failures++
 			wait = 0
 			clock.Sleep(ctx, holdRetry)
 			continue
@@ -110,7 +118,7 @@
 	}
 	a, report, err := o.deps.Workers.Hold(ctx, platform.HoldOrder{
 		Order:    platform.Order{Worker: h.Worker, Address: h.Address, Token: h.Token},
-		LastSeen: h.LastSeen, Deadline: h.Deadline, Wait: wait,
+		LastSeen: h.LastSeen, Deadline: h.Deadline, Wait: wait, Patience: s.patience(raise),
 	})
 	if err != nil {
 		return false, true
@@ -122,6 +130,15 @@
 	return a.Verdict == dispatch.VerdictDone, true
 }
 
+// patience gives a worker more time whose answers have not come in the usual one: it may be
+// far away or slow.
+func (s *workerSession) patience(raise bool) time.Duration {
+	if raise || s.failures == 0 {
+		return 0
+	}
+	return min(time.Duration(s.failures)*patienceStep, mostPatience)
+}
+
 // awaitNote waits until the ends that were reported are committed, since the worker would
 // report them again at once.
 func (s *workerSession) awaitNote(ctx context.Context) {
