--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -123,9 +123,10 @@
 	}
 }
 
-// mayTakeOver says whether the owner's record should be replaced by this host now, and
-// whether the absence of the owner's lease is a condition.
-func (h *Host) mayTakeOver() (may, ifNotAlive bool, record int64, term int64) {
+// mayTakeOver says whether the owner's record should be replaced by this host now. Unless the
+// owner has asked for it, or was a former process of this host, that is only when the owner's
+// lease is gone.
+func (h *Host) mayTakeOver() (may, asked bool, record int64, term int64) {
 	e := &h.election
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -134,14 +135,14 @@
 	case !e.known || h.config.Load() == nil || h.stopping.Load() || h.owner.Load() != nil:
 		return false, false, record, term
 	case e.record == 0:
-		return true, true, record, term
-	case e.holder.Name == h.cfg.Load().Name && e.holder.Life != h.life, e.yielded && h.storeAnswers():
 		return true, false, record, term
+	case e.holder.Name == h.cfg.Load().Name && e.holder.Life != h.life, e.yielded && h.storeAnswers():
+		return true, true, record, term
 	case e.holder.Life == h.life:
-		return !e.alive, true, record, term // deposed without a successor
+		return !e.alive, false, record, term // deposed without a successor
 	}
 	silent := h.clk.Now().Sub(e.heardAt) > silentFor
-	return silent && !e.alive, true, record, term
+	return silent && !e.alive, false, record, term
 }
 
 // formerLife says that the owner on record is a former process of this host.
@@ -153,17 +154,27 @@
 
 // campaign is the duty that takes over when the owner is gone.
 func (h *Host) campaign(ctx context.Context) {
+	since := clock.Time(0) // since when this host may take over
 	clock.Every(ctx, campaignEvery, func() {
-		may, _, _, _ := h.mayTakeOver()
+		may, asked, _, _ := h.mayTakeOver()
 		if !may {
+			since = 0
+			return
+		}
+		now := h.clk.Now()
+		if since == 0 {
+			since = now
+		}
+		if !asked && now.Sub(since) < takeoverDelay(strengthOf(*h.cfg.Load())) {
 			return
 		}
 		clock.Sleep(ctx, rand.N(campaignSpread))
-		may, ifNotAlive, record, term := h.mayTakeOver()
+		may, asked, record, term := h.mayTakeOver()
 		if !may {
 			return
 		}
-		h.tryTakeOver(ctx, ifNotAlive, record, term)
+		h.tryTakeOver(ctx, !asked, record, term)
+		since = 0
 	})
 }
 
@@ -233,7 +244,7 @@
 	o := poolowner.New(poolowner.Deps{
 		Machines: machines,
 		Name:     h.cfg.Load().Name, Clock: h.clk, Store: h.store, Workers: h.worker, Bounds: h.cfg.Load().Bounds, Heartbeat: h.cfg.Load().Heartbeat,
-		Advise: h.advise, Write: h.writeFor, StoreAge: h.storeAge, Leased: k.holds, Log: h.log, Figures: h.figures.registry,
+		Advise: h.advise, Write: h.writeFor, StoreAge: h.storeAge, Leased: k.holds, Log: h.log, Strength: strengthOf(*h.cfg.Load()), Figures: h.figures.registry,
 	}, claim)
 	o.SetConfig(h.config.Load())
 	h.owner.Store(o)
@@ -308,7 +319,8 @@
 }
 
 func (h *Host) memberStatus() *poolpb.MemberStatus {
-	return &poolpb.MemberStatus{Name: h.cfg.Load().Name, StoreAgeMs: h.storeAge().Milliseconds(), Stopping: h.stopping.Load()}
+	return &poolpb.MemberStatus{Name: h.cfg.Load().Name, StoreAgeMs: h.storeAge().Milliseconds(), Stopping: h.stopping.Load(),
+		Strength: int64(strengthOf(*h.cfg.Load()))}
 }
 
 // ownerHeard takes in a heartbeat of the owner.
--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -167,7 +167,7 @@
 	until := h.clk.Now().Add(min(stopPause, grace-stopMargin))
 	for h.clk.Now() < until || h.owner.Load() != nil && h.clk.Now() < deadline {
 		if o := h.owner.Load(); o != nil {
-			o.Yield(true)
+			o.Yield(poolowner.Stopping)
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
--- a/pkg/jobhost/lease.go
+++ b/pkg/jobhost/lease.go
@@ -36,7 +36,8 @@
 		switch {
 		case k.host.stopping.Load(): // leave asks for the takeover
 		case k.host.storeAge() > yieldAfter:
-			o.Yield(false)
+			o.Yield(poolowner.Unreached)
+		case !o.Strong() && o.Yield(poolowner.TooSmall):
 		default:
 			o.Stay()
 		}
--- a/pkg/poolowner/members.go
+++ b/pkg/poolowner/members.go
@@ -55,22 +55,39 @@
 // does not stop. It covers the time between two calls and between two heartbeats.
 const yieldGain = 800 * time.Millisecond
 
-// Yield asks a member that reaches the store to take over. An owner that does not stop
-// yields only to a member that reaches the store clearly better: when the store is down for
-// all, nothing is gained. It says whether there is such a member.
-func (o *Owner) Yield(stopping bool) bool {
-	limit := o.deps.StoreAge() - yieldGain
-	if stopping {
-		limit = time.Hour
-	}
+// enough is the strength of a host that is large enough to own the pool.
+const enough = 100
+
+// Reason is why an owner has another host take over.
+type Reason string
+
+// The reasons to yield.
+const (
+	// Stopping: the process is being stopped; any member will do.
+	Stopping Reason = "stopping"
+	// Unreached: the store does not answer this host; a member that reaches it clearly
+	// better will do. When the store is down for all, nothing is gained.
+	Unreached Reason = "store_unreached"
+	// TooSmall: the host is too small to own the pool; one that is large enough will do.
+	TooSmall Reason = "host_too_small"
+)
+
+// freshStore is how long ago the store may have answered a member that is to take over.
+const freshStore = 1500 * time.Millisecond
+
+// Yield asks a member to take over. It says whether there is one that will do.
+func (o *Owner) Yield(why Reason) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	best := o.bestMember(limit)
+	if old := o.yield.Load(); old != nil && o.willDo(*old, why) {
+		return true // it has been asked
+	}
+	best := o.bestMember(why)
 	if best == "" {
 		return false
 	}
 	if old := o.yield.Swap(&best); old == nil || *old != best {
-		o.deps.Log.WithFields(logrus.Fields{"to": best, "stopping": stopping}).Info("owner_yields")
+		o.deps.Log.WithFields(logrus.Fields{"to": best, "why": why}).Info("owner_yields")
 	}
 	for _, s := range o.members {
 		s.Send(&poolpb.OwnerMessage{Content: &poolpb.OwnerMessage_Status{Status: o.status()}})
@@ -78,20 +95,48 @@
 	return true
 }
 
-// bestMember names the member that reached the store last, within a limit. The caller holds
-// o.mu.
-func (o *Owner) bestMember(limit time.Duration) string {
-	best, bestAge := "", limit
+// bestMember names the strongest member that will do for a reason, among like ones the one
+// that reached the store last. The caller holds o.mu.
+func (o *Owner) bestMember(why Reason) string {
+	best, bestStrength, bestAge := "", int64(-1), time.Duration(0)
 	for name, s := range o.members {
-		st := s.Status()
-		age := time.Duration(st.StoreAgeMs) * time.Millisecond
-		if !st.Stopping && (age < bestAge || age == bestAge && name < best) {
-			best, bestAge = name, age
+		if !o.willDo(name, why) {
+			continue
+		}
+		strength, age := s.Status().Strength, storeAge(s)
+		better := strength > bestStrength || strength == bestStrength && (age < bestAge || age == bestAge && name < best)
+		if better {
+			best, bestStrength, bestAge = name, strength, age
 		}
 	}
 	return best
 }
 
+// willDo says whether a member can take over for a reason. The caller holds o.mu.
+func (o *Owner) willDo(name string, why Reason) bool {
+	s, ok := o.members[name]
+	if !ok || s.Status().Stopping {
+		return false
+	}
+	switch why {
+	case Stopping:
+		return true
+	case Unreached:
+		return storeAge(s) < o.deps.StoreAge()-yieldGain
+	}
+	return storeAge(s) < freshStore && s.Status().Strength >= enough
+}
+
+// storeAge is how long ago the store had answered a member when it said so last.
+func storeAge(s *poolrpc.Session) time.Duration {
+	return time.Duration(s.Status().StoreAgeMs) * time.Millisecond
+}
+
+// Strong says whether this host is large enough to own the pool.
+func (o *Owner) Strong() bool {
+	return o.deps.Strength >= enough
+}
+
 // write puts a key into the store for a member.
 func (o *Owner) write(w *poolpb.Write) *poolpb.Answer {
 	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -72,6 +72,8 @@
 	Write func(ctx context.Context, key string, value []byte) *poolpb.Answer
 	// StoreAge is how long ago the store answered this host.
 	StoreAge func() time.Duration
+	// Strength is how well this host can own the pool, in percent of what is enough.
+	Strength int
 	// Leased says that the store has confirmed the ownership within AuthorityTerm.
 	Leased func(now clock.Time) bool
 	Log    *logrus.Entry
