Give each emulated host a loopback address of its own

The emulator took free ports of 127.0.0.1, released them and wrote them into the settings; host 1's were taken before host 0's process had bound its own, so that both could get the same port, and an outgoing connection could take it, too.

Mend: each host has an address in 127/8 of its own, from which no outgoing connection is made, and all share their ports, as on the platform.

--- a/test/platform/cell_test.go
+++ b/test/platform/cell_test.go
@@ -122,7 +122,7 @@
 	p := c.hosts[n]
 	p.log = &bytes.Buffer{}
 	c.logs = append(c.logs, p.log)
-	p.cmd = exec.Command(binary, "platform", "--metrics", strconv.Itoa(p.host.Figures))
+	p.cmd = exec.Command(binary, "platform", "--metrics", strconv.Itoa(emulator.FiguresPort))
 	p.cmd.Env = append(os.Environ(), "FOLDARCH_NODE_FILE="+p.host.Settings)
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
 	c.Expect(p.cmd.Start()).To(Succeed())
--- a/test/platform/faults_test.go
+++ b/test/platform/faults_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -253,7 +252,7 @@
 	state := func() string { return c.callers.State(context.Background(), id) }
 	c.Eventually(state, "5s", "50ms").Should(Equal("running"))
 	for n := range c.hosts {
-		host := fmt.Sprintf("127.0.0.1:%d", c.hosts[n].host.Figures)
+		host := c.hosts[n].host.Figures
 		status, figures := get("http://" + host + "/metrics")
 		c.Expect(status).To(Equal(http.StatusOK))
 		c.Expect(figures).To(ContainSubstring("jobs.accept.p99_ms"))
