Name as many workers in a call for advice as make the calls shortest

Ruled out: want of room (a third of the workers in use), the order of steps (the jobs were asked for).

Mend: a call names the number of workers for which the expected time until the room suffices is least, from the queue's share of allowed workers (a binomial sum). Long calls leave two hosts free, but no more than half of them. Tests: TestLongCallsOfFewHosts, TestCallsNameMoreWorkers..., TestAtLeast.

--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -1,9 +1,7 @@
 package dispatch
 
 import (
-	"cmp"
 	"fmt"
-	"math"
 	"slices"
 	"time"
 
@@ -14,19 +12,15 @@
 )
 
 const (
-	// maxNamed is how many workers a call names at most.
-	maxNamed = 100
 	// longAsk is the length of a call from which it must leave some processes free for
 	// short ones.
 	longAsk = 150 * time.Millisecond
-	// spareForShort is how many processes long calls leave free.
+	// spareForShort is how many processes long calls leave free, but no more than half of them.
 	spareForShort = 2
 	// askSlack is how much longer than it should a call may take.
 	askSlack = 300 * time.Millisecond
 	// askAgain is the least time between two calls for a step.
 	askAgain = 60 * time.Millisecond
-	// surplus is by how much the expected room of named workers exceeds the need.
-	surplus = 1.4
 	// firstRate is the share of allowed workers that is assumed of a queue at first.
 	firstRate = 0.5
 	// rateWeight is the weight of a new answer in a queue's rate.
@@ -81,6 +75,12 @@
 	a.idle[name] = idle
 }
 
+// longAtOnce is how many long calls may be on their way.
+func (a *advisers) longAtOnce() int {
+	n := len(a.idle)
+	return max(1, n-min(spareForShort, n/2))
+}
+
 // PutAdviser takes in a process that can make calls for advice.
 func (p *Pool) PutAdviser(name string) {
 	p.advice.setIdle(name, true)
@@ -109,7 +109,7 @@
 		return
 	}
 	cost := q.Advice.Of(len(named))
-	if cost >= longAsk && p.advice.long >= max(1, len(p.advice.idle)-spareForShort) {
+	if cost >= longAsk && p.advice.long >= p.advice.longAtOnce() {
 		return
 	}
 	p.advice.last++
@@ -138,77 +138,6 @@
 	return best
 }
 
-// name lists the workers to name in a call: those known to be allowed whose tickets have
-// lapsed, and as many others as are likely to have room for what waits.
-func (p *Pool) name(s *step, reserved reservations, now clock.Time) (named []WorkerID, nKnown int) {
-	need := float64(s.waiting())
-	rate := p.rate(s.time.job.queue.Name)
-	var known, others []*worker
-	for id, w := range p.workers {
-		if !p.eligible(s, w, now) || reserved.holds(id, s.time.job.queue.Priority) || s.advice.denied[id] {
-			continue
-		}
-		n := fits(s, w)
-		if n == 0 {
-			continue
-		}
-		switch {
-		case now.Add(ticketMargin) < s.advice.tickets[id].until:
-			need -= float64(n)
-		case s.advice.good[id]:
-			known = append(known, w)
-		default:
-			others = append(others, w)
-		}
-	}
-	if need <= 0 {
-		return nil, 0
-	}
-	need *= surplus
-	named, expected := take(s, known, nil, need, 1)
-	nKnown = len(named)
-	named, more := take(s, p.shuffled(s, others), named, need-expected, rate)
-	if expected += more; s.spec.Gang && expected < float64(s.waiting()) && len(s.advice.denied) > 0 {
-		return nil, 0 // room for all is not to be expected yet
-	}
-	return named, nKnown
-}
-
-// shuffled orders workers by room, and those with the same room in changing order, so that
-// steps that ask at the same moment name different ones.
-func (p *Pool) shuffled(s *step, workers []*worker) []*worker {
-	slices.SortFunc(workers, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
-	if n := len(workers); n > 0 {
-		p.advice.offset += 7
-		at := p.advice.offset % n
-		workers = append(slices.Clone(workers[at:]), workers[:at]...)
-	}
-	if s.spec.Gang || s.waiting() > 3 {
-		slices.SortStableFunc(workers, func(a, b *worker) int { return cmp.Compare(fits(s, b), fits(s, a)) })
-	}
-	return workers
-}
-
-// take names workers until the room that is expected of them suffices.
-func take(s *step, workers []*worker, named []WorkerID, need, rate float64) ([]WorkerID, float64) {
-	expected := 0.0
-	for _, w := range workers {
-		if expected >= need || len(named) >= maxNamed {
-			break
-		}
-		named = append(named, w.info.ID)
-		expected += rate * math.Min(float64(fits(s, w)), need)
-	}
-	return named, expected
-}
-
-func (p *Pool) rate(queueName string) float64 {
-	if r, ok := p.advice.rates[queueName]; ok {
-		return max(r, 0.05)
-	}
-	return firstRate
-}
-
 // AdviceAnswered takes in the answer of a call for advice, or that it failed.
 func (p *Pool) AdviceAnswered(number int64, tickets []Ticket, ok bool, now clock.Time) {
 	a, known := p.advice.asks[number]
--- a/pkg/dispatch/advice_test.go
+++ b/pkg/dispatch/advice_test.go
@@ -56,9 +56,21 @@
 }
 
 func TestLongCallsLeaveHostsForShortOnes(t *testing.T) {
+	expectLongCalls(t, []string{"a", "b", "c", "d"}, 2)
+}
+
+// With three hosts, two make long calls: one alone does not get through them.
+func TestLongCallsOfFewHosts(t *testing.T) {
+	expectLongCalls(t, []string{"a", "b", "c"}, 2)
+	expectLongCalls(t, []string{"a", "b"}, 1)
+	expectLongCalls(t, []string{"a"}, 1)
+}
+
+func expectLongCalls(t *testing.T, hosts []string, calls int) {
+	t.Helper()
 	f := newFixture(t, 3, nil)
 	f.reportAll(3)
-	for _, name := range []string{"a", "b", "c", "d"} {
+	for _, name := range hosts {
 		f.pool.PutAdviser(name)
 	}
 	for _, id := range []string{"1", "2", "3", "4"} {
@@ -66,7 +78,37 @@
 		r.Queue.Advice = &queue.AdviceCost{Base: 500 * time.Millisecond, Validity: time.Second}
 		f.add(r)
 	}
-	f.Expect(f.plan().Asks).To(HaveLen(2))
+	f.Expect(f.plan().Asks).To(HaveLen(calls))
+}
+
+// A call with a long fixed time names so many workers that it most likely suffices; one
+// without names just enough.
+func TestCallsNameMoreWorkersWhenTheirFixedTimeIsLong(t *testing.T) {
+	named := func(base, perWorker time.Duration) int {
+		f := newFixture(t, 40, nil)
+		f.reportAll(40)
+		f.pool.PutAdviser("host")
+		f.pool.advice.rates["advised"] = 0.3
+		r := advisedJob("a", testStep(8)) // two workers have room for all
+		r.Queue.Advice = &queue.AdviceCost{Base: base, PerWorker: perWorker, Validity: time.Second}
+		f.add(r)
+		return len(f.plan().Asks[0].Workers)
+	}
+	f := NewWithT(t)
+	f.Expect(named(400*time.Millisecond, 6*time.Millisecond)).To(BeNumerically(">", 15))
+	f.Expect(named(0, 300*time.Millisecond)).To(BeNumerically("<", 12))
+}
+
+func TestAtLeast(t *testing.T) {
+	for _, c := range []struct {
+		k, n int
+		rate float64
+		want float64
+	}{
+		{0, 3, 0.5, 1}, {1, 1, 0.3, 0.3}, {2, 2, 0.5, 0.25}, {1, 2, 0.5, 0.75}, {3, 2, 0.9, 0}, {2, 3, 1, 1},
+	} {
+		NewWithT(t).Expect(atLeast(c.k, c.n, c.rate)).To(BeNumerically("~", c.want, 1e-9), "%+v", c)
+	}
 }
 
 func TestCallOfAHostThatLeftIsMadeAnew(t *testing.T) {
