Go on using workers whose entries lapsed with the store, for a while

Ruled out: want of advice (calls run), takeovers (none in that time).

Mend: a worker that answers holds and did not say that it leaves is used for 2.5 s after its entry was found gone; one whose entry stays away longer gets nothing.

--- a/pkg/dispatch/pool_test.go
+++ b/pkg/dispatch/pool_test.go
@@ -601,6 +601,45 @@
 	}
 }
 
+// All entries lapse while the store is away and come back one by one.
+func TestWorkerWhoseEntryLapsedIsUsedForAWhileIfItAnswers(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	for n := range 2 {
+		f.pool.UnlistWorker(workerID(n), false, f.now)
+	}
+	f.add(testJob("a", testStep(8)))
+	f.Expect(f.plan().Starts).To(HaveLen(8))
+	f.pass(2 * time.Second)
+	f.report(0, Report{})
+	f.add(testJob("b", testStep(8)))
+	f.Expect(f.plan().Starts).To(BeEmpty(), "worker 1 is silent, and on worker 0 the first runs count")
+}
+
+func TestWorkerWhoseEntryStaysAwayGetsNothing(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	f.reportAll(1)
+	f.pool.UnlistWorker("w0", false, f.now)
+	f.pass(3 * time.Second)
+	f.report(0, Report{})
+	f.add(testJob("a", testStep(1)))
+	f.Expect(f.plan().Starts).To(BeEmpty())
+	f.addWorker(0)
+	f.Expect(f.plan().Starts).To(HaveLen(1))
+}
+
+// A worker that leaves has said so before its entry goes.
+func TestDrainingWorkerWhoseEntryWentGetsNothing(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	f.reportAll(1)
+	w := f.pool.Workers()[0]
+	w.Draining = true
+	f.pool.PutWorker(w, true, f.now)
+	f.pool.UnlistWorker("w0", false, f.now)
+	f.add(testJob("a", testStep(1)))
+	f.Expect(f.plan().Starts).To(BeEmpty())
+}
+
 func TestNothingIsTakenFromReportsBeforeTheJobsAreKnown(t *testing.T) {
 	f := newFixture(t, 1, afterFormerOwner)
 	f.pool.loaded = false
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -15,6 +15,9 @@
 	// extendWithin is how long ago a worker may have answered for its leases to be extended.
 	// A silent one is only asked, so that what it runs lapses at a time that we know.
 	extendWithin = 900 * time.Millisecond
+	// relistWithin is how long after its entry was found gone a worker that answers is still
+	// given tasks. One that lives and reaches the store writes its entry again in that time.
+	relistWithin = 2500 * time.Millisecond
 	// A worker is left out for suspendFor after suspendAfter failures in a row that are not
 	// all of one job.
 	suspendAfter = 2
@@ -30,6 +33,8 @@
 type worker struct {
 	info   WorkerInfo
 	listed bool // its entry stands in the store
+	// unlistedAt is when its entry was found gone; 0 when that is not known.
+	unlistedAt clock.Time
 	// rostered says that the roster has it, so that a later owner will ask it.
 	rostered bool
 	leavesAt clock.Time // when a draining worker may end; 0 when it stays
@@ -66,10 +71,16 @@
 
 // usable says whether the worker may be given a task now.
 func (w *worker) usable(now clock.Time) bool {
-	return w.listed && w.rostered && w.reported && !w.gone && !w.info.Draining && !w.closed && w.foreign == 0 &&
+	return w.present(now) && w.rostered && w.reported && !w.gone && !w.info.Draining && !w.closed && w.foreign == 0 &&
 		now.Sub(w.lastAnswer) < usableWithin && now >= w.suspended
 }
 
+// present says that the worker's entry stands, or went so lately that the worker may still
+// write it anew: entries lapse while the store is away.
+func (w *worker) present(now clock.Time) bool {
+	return w.listed || w.unlistedAt != 0 && now.Sub(w.unlistedAt) < relistWithin
+}
+
 // deadline is the time on the worker's clock up to which a lease is given now.
 func (w *worker) deadline(now clock.Time, hold time.Duration) int64 {
 	return w.clock + now.Sub(w.clockAt).Milliseconds() + hold.Milliseconds()
@@ -97,6 +108,9 @@
 		p.workers[info.ID] = w
 	}
 	w.info, w.listed = info, listed
+	if listed {
+		w.unlistedAt = 0
+	}
 	if info.Draining && w.leavesAt == 0 {
 		w.leavesAt = now.Add(max(info.Remaining, p.cfg.Drain))
 		p.cfg.Log(Event{Name: "worker_draining", Worker: info.ID, Detail: w.leavesAt.Sub(now).String()})
@@ -121,7 +135,9 @@
 	if !ok {
 		return
 	}
-	w.listed = false
+	if w.listed {
+		w.listed, w.unlistedAt = false, now
+	}
 	if fresh && w.leavesAt != 0 && now >= w.leavesAt.Add(-leaveSlack) {
 		p.workerGone(w, "left as it said", now)
 	}
