Commit ends in lanes, and pack transactions by their entries

The owner's commits are one serial chain of at most ten changes each: 86 changes a second against some 290 jobs a second, two or more changes each. In the log the ends come in time and "completed" seconds later. Ruled out: acceptance (four transactions of 16 jobs at once a host), want of room, a takeover (one owner from -13 s to 12 s).

Mend: a transaction takes as many changes as it has entries for (most need one, not three), and what does not fit into one goes over six lanes at once, each with a key of its own. The transaction that makes a host the owner replaces all of them, so that it voids every lane of the former owner. Test: TestChangesArePackedIntoFewTransactions.

--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -190,10 +190,10 @@
 	}
 	t := platform.Txn{
 		Conditions: []platform.Condition{{Key: jobstore.HolderKey, Revision: record}},
-		Put: []platform.Put{
-			{Key: jobstore.HolderKey, Value: text},
-			{Key: jobstore.CommitKey, Value: fmt.Appendf(nil, "%d/0", holder.Term)},
-		},
+		Put:        []platform.Put{{Key: jobstore.HolderKey, Value: text}},
+	}
+	for lane := range jobstore.CommitLanes {
+		t.Put = append(t.Put, platform.Put{Key: jobstore.CommitKey(lane), Value: fmt.Appendf(nil, "%d/0", holder.Term)})
 	}
 	if ifNotAlive {
 		t.Conditions = append(t.Conditions, platform.Condition{Key: jobstore.AliveKey})
--- a/pkg/jobstore/keys.go
+++ b/pkg/jobstore/keys.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/netip"
+	"strconv"
 	"strings"
 
 	"foldarch.dev/foldarch/pkg/job"
@@ -16,12 +17,21 @@
 	OwnerPrefix    = "foldarch/owner/"
 	HolderKey      = OwnerPrefix + "holder"
 	AliveKey       = OwnerPrefix + "alive"
-	CommitKey      = "foldarch/commit"
 	RosterKey      = "foldarch/roster"
 
 	cancelSuffix = "/cancel"
+	commitPrefix = "foldarch/commit/"
 )
 
+// CommitLanes is how many series of commits an owner may have. All of them are voided by the
+// transaction that makes another host the owner.
+const CommitLanes = 6
+
+// CommitKey is replaced by each commit of a lane.
+func CommitKey(lane int) string {
+	return commitPrefix + strconv.Itoa(lane)
+}
+
 // JobKey is where a job's record stands.
 func JobKey(id job.ID) string {
 	return JobsPrefix + string(id)
--- a/pkg/poolowner/commits.go
+++ b/pkg/poolowner/commits.go
@@ -11,6 +11,7 @@
 	"foldarch.dev/foldarch/pkg/jobstore"
 	"foldarch.dev/foldarch/platform"
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -20,10 +21,8 @@
 	dropEvery = 200 * time.Millisecond
 	// commitRetry is the pause before a commit that failed is tried again.
 	commitRetry = 50 * time.Millisecond
-	// entriesPerChange is how many entries of a transaction a job may need, and
-	// ownEntries what each commit needs besides.
-	entriesPerChange = 3
-	ownEntries       = 2
+	// ownEntries is how many entries of a transaction each commit needs for itself.
+	ownEntries = 2
 )
 
 // runCommits is the duty that writes what the pool has decided.
@@ -64,7 +63,7 @@
 	for _, id := range ids {
 		t.Remove = append(t.Remove, jobstore.JobKey(id))
 	}
-	if o.commit(ctx, t) != nil {
+	if o.commit(ctx, &o.lanes[0], t) != nil {
 		return // only when this owner ends
 	}
 	o.mu.Lock()
@@ -72,66 +71,104 @@
 	o.pool.ForgetOutcomes(ids)
 }
 
-// writeChanges puts changes into the store, whatever it takes; an error says that the owner ends.
+// commitLane is one series of commits, each on condition of the one before it.
+type commitLane struct {
+	key      string
+	revision int64 // of the last commit
+	number   int64 // of the last commit
+}
+
+func newLanes(claim Claim) (lanes [jobstore.CommitLanes]commitLane) {
+	for n := range lanes {
+		lanes[n] = commitLane{key: jobstore.CommitKey(n), revision: claim.Revision}
+	}
+	return lanes
+}
+
+// writeChanges puts changes into the store, whatever it takes; an error says that the owner
+// ends. What does not fit into one transaction is spread over the lanes, so that a slow store
+// gets several at once; they are of different jobs and may be done in any order.
 func (o *Owner) writeChanges(ctx context.Context, changes []dispatch.Change) error {
-	const most = (platform.MaxTxnEntries - ownEntries) / entriesPerChange
-	for len(changes) > 0 {
-		n := min(most, len(changes))
-		t, err := o.txnOf(changes[:n])
-		if err != nil {
-			return err
-		}
-		if err := o.commit(ctx, t); err != nil {
-			return err
-		}
-		changes = changes[n:]
+	txns, err := packChanges(changes)
+	if err != nil {
+		return err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	for n := range min(len(o.lanes), len(txns)) {
+		group.Go(func() error {
+			for at := n; at < len(txns); at += len(o.lanes) {
+				if err := o.commit(ctx, &o.lanes[n], txns[at]); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
 	}
-	return nil
+	return group.Wait()
 }
 
-func (o *Owner) txnOf(changes []dispatch.Change) (platform.Txn, error) {
-	var t platform.Txn
+// packChanges makes transactions of changes, as few as hold them.
+func packChanges(changes []dispatch.Change) ([]platform.Txn, error) {
+	const most = platform.MaxTxnEntries - ownEntries
+	var txns []platform.Txn
+	var last platform.Txn
 	for _, c := range changes {
-		if c.Outcome == "" {
-			text, err := c.Progress.Encode()
-			if err != nil {
-				return t, err
-			}
-			t.Put = append(t.Put, platform.Put{Key: jobstore.ProgressKey(c.Job), Value: text})
-			continue
-		}
-		text, err := job.Record{Outcome: c.Outcome}.Encode()
+		entries, err := entriesOf(c)
 		if err != nil {
-			return t, err
-		}
-		t.Put = append(t.Put, platform.Put{Key: jobstore.JobKey(c.Job), Value: text})
-		if c.Stored {
-			t.Remove = append(t.Remove, jobstore.ProgressKey(c.Job))
+			return nil, err
 		}
-		if c.Outcome == job.Cancelled {
-			t.Remove = append(t.Remove, jobstore.CancelKey(c.Job))
+		if size(last)+size(entries) > most {
+			txns = append(txns, last)
+			last = platform.Txn{}
 		}
+		last.Put = append(last.Put, entries.Put...)
+		last.Remove = append(last.Remove, entries.Remove...)
+	}
+	if size(last) > 0 {
+		txns = append(txns, last)
+	}
+	return txns, nil
+}
+
+func size(t platform.Txn) int {
+	return len(t.Put) + len(t.Remove)
+}
+
+// entriesOf returns what one change writes and removes.
+func entriesOf(c dispatch.Change) (t platform.Txn, err error) {
+	if c.Outcome == "" {
+		text, err := c.Progress.Encode()
+		t.Put = []platform.Put{{Key: jobstore.ProgressKey(c.Job), Value: text}}
+		return t, err
+	}
+	text, err := job.Record{Outcome: c.Outcome}.Encode()
+	t.Put = []platform.Put{{Key: jobstore.JobKey(c.Job), Value: text}}
+	if c.Stored {
+		t.Remove = append(t.Remove, jobstore.ProgressKey(c.Job))
+	}
+	if c.Outcome == job.Cancelled {
+		t.Remove = append(t.Remove, jobstore.CancelKey(c.Job))
 	}
-	return t, nil
+	return t, err
 }
 
-// commit carries out one transaction exactly once. All commits replace one key under the
-// condition that nobody else has, so a lost answer is settled by trying again: whichever
+// commit carries out one transaction exactly once. All commits of a lane replace one key under
+// the condition that nobody else has, so a lost answer is settled by trying again: whichever
 // try comes second finds the key replaced.
-func (o *Owner) commit(ctx context.Context, t platform.Txn) error {
-	o.commitNumber++
-	mark := fmt.Appendf(nil, "%d/%d", o.claim.Term, o.commitNumber)
-	t.Conditions = []platform.Condition{{Key: jobstore.CommitKey, Revision: o.commitRevision}}
-	t.Put = append(t.Put, platform.Put{Key: jobstore.CommitKey, Value: mark})
+func (o *Owner) commit(ctx context.Context, lane *commitLane, t platform.Txn) error {
+	lane.number++
+	mark := fmt.Appendf(nil, "%d/%d", o.claim.Term, lane.number)
+	t.Conditions = []platform.Condition{{Key: lane.key, Revision: lane.revision}}
+	t.Put = append(t.Put, platform.Put{Key: lane.key, Value: mark})
 	for ctx.Err() == nil {
 		revision, found, err := o.deps.Store.Commit(ctx, t)
 		if err == nil {
-			o.commitRevision = revision
+			lane.revision = revision
 			return nil
 		}
 		if errors.Is(err, platform.ErrConflict) {
 			if len(found) == 1 && string(found[0].Value) == string(mark) {
-				o.commitRevision = found[0].Revision
+				lane.revision = found[0].Revision
 				return nil
 			}
 			o.depose("commit")
--- /dev/null
+++ b/pkg/poolowner/commits_test.go
@@ -0,0 +1,49 @@
+package poolowner
+
+import (
+	"fmt"
+	"testing"
+
+	"foldarch.dev/foldarch/pkg/dispatch"
+	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/platform"
+	. "github.com/onsi/gomega"
+)
+
+func changes(n int, c dispatch.Change) []dispatch.Change {
+	out := make([]dispatch.Change, n)
+	for i := range out {
+		out[i] = c
+		out[i].Job = job.ID(fmt.Sprintf("%016d", i))
+	}
+	return out
+}
+
+// A slow store takes a tenth of a second a transaction: few must do.
+func TestChangesArePackedIntoFewTransactions(t *testing.T) {
+	g := NewWithT(t)
+	none, err := packChanges(nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(none).To(BeEmpty())
+	for _, c := range []struct {
+		changes int
+		change  dispatch.Change
+		want    int
+	}{
+		{30, dispatch.Change{Outcome: job.Completed}, 1},
+		{30, dispatch.Change{}, 1},
+		{31, dispatch.Change{Outcome: job.Completed}, 2},
+		{30, dispatch.Change{Outcome: job.Completed, Stored: true}, 2},
+		{20, dispatch.Change{Outcome: job.Cancelled, Stored: true}, 2},
+	} {
+		txns, err := packChanges(changes(c.changes, c.change))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(txns).To(HaveLen(c.want), "%+v", c)
+		jobs := 0
+		for _, t := range txns {
+			g.Expect(size(t) + ownEntries).To(BeNumerically("<=", platform.MaxTxnEntries))
+			jobs += len(t.Put)
+		}
+		g.Expect(jobs).To(Equal(c.changes))
+	}
+}
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -10,6 +10,7 @@
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/dispatch"
 	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/jobstore"
 	"foldarch.dev/foldarch/pkg/poolrpc"
 	"foldarch.dev/foldarch/pkg/poolrpc/poolpb"
 	"foldarch.dev/foldarch/pkg/queue"
@@ -102,13 +103,12 @@
 	beats     beats               // of the duty that watches workers
 	position  position            // each field belongs to one duty
 
-	commitRevision int64
-	commitNumber   int64
-	yield          atomic.Pointer[string]
-	loaded         atomic.Bool
-	deposed        atomic.Bool
-	cancel         context.CancelCauseFunc
-	duties         sync.WaitGroup
+	lanes   [jobstore.CommitLanes]commitLane // of the duty that commits
+	yield   atomic.Pointer[string]
+	loaded  atomic.Bool
+	deposed atomic.Bool
+	cancel  context.CancelCauseFunc
+	duties  sync.WaitGroup
 }
 
 // New returns an owner that does nothing before Run.
@@ -117,7 +117,7 @@
 	o := &Owner{
 		deps: deps, claim: claim, done: make(chan struct{}), kick: make(chan struct{}, 1), jobsKnown: make(chan struct{}),
 		sessions: map[dispatch.WorkerID]*workerSession{}, members: map[string]*poolrpc.Session{},
-		cancelled: map[job.ID]bool{}, committed: make(chan struct{}), commitRevision: claim.Revision,
+		cancelled: map[job.ID]bool{}, committed: make(chan struct{}), lanes: newLanes(claim),
 		beats: newBeats(deps.Heartbeat), upkeep: upkeep.New(),
 	}
 	lease := min(maxLease, deps.Bounds.MaxHold-leaseMargin)
