Ask for all tickets of a gang at once

Ruled out by the log: want of calls (17 to 32 processes idle after 60 s).

Mend: for a gang, a ticket that lapses before the next answer counts as lapsed, so that the call names that worker again; and the room of known workers counts in whether there is room for all. Test: TestGangAsksAgainForTicketsThatLapseDuringTheCall (failed before).

--- a/pkg/dispatch/advice_test.go
+++ b/pkg/dispatch/advice_test.go
@@ -99,6 +99,30 @@
 	f.Expect(named(0, 300*time.Millisecond)).To(BeNumerically("<", 12))
 }
 
+// The members of a gang start together: a ticket that lapses before the next answer is of no
+// use beside it.
+func TestGangAsksAgainForTicketsThatLapseDuringTheCall(t *testing.T) {
+	f := newFixture(t, 6, nil)
+	f.reportAll(6)
+	f.pool.PutAdviser("host")
+	s := testStep(12) // on three workers
+	s.Gang = true
+	r := advisedJob("a", s)
+	r.Queue.Advice = &queue.AdviceCost{Base: 600 * time.Millisecond, Validity: time.Second}
+	f.add(r)
+	first := f.plan().Asks[0]
+	f.pass(600 * time.Millisecond)
+	f.reportAll(6)
+	allowed := first.Workers[:2]
+	f.pool.AdviceAnswered(first.Number, []Ticket{{Worker: allowed[0], Text: "t"}, {Worker: allowed[1], Text: "t"}}, true, f.now)
+	f.addWorker(6)
+	f.reportAll(7)
+	f.pass(500 * time.Millisecond)
+	second := f.plan().Asks[0]
+	f.Expect(second.Workers).To(ContainElements(allowed))
+	f.Expect(second.Workers).To(ContainElement(workerID(6)))
+}
+
 func TestAtLeast(t *testing.T) {
 	for _, c := range []struct {
 		k, n int
--- a/pkg/dispatch/naming.go
+++ b/pkg/dispatch/naming.go
@@ -24,6 +24,7 @@
 // lapsed, and as many others as make the calls for the step shortest (namedOthers).
 func (p *Pool) name(s *step, reserved reservations, now clock.Time) (named []WorkerID, nKnown int) {
 	need := float64(s.waiting())
+	usedBy := p.ticketsUsedBy(s, now)
 	var known, others []*worker
 	for id, w := range p.workers {
 		if !p.eligible(s, w, now) || reserved.holds(id, s.time.job.queue.Priority) || s.advice.denied[id] {
@@ -34,7 +35,7 @@
 			continue
 		}
 		switch {
-		case now.Add(ticketMargin) < s.advice.tickets[id].until:
+		case usedBy < s.advice.tickets[id].until:
 			need -= float64(n)
 		case s.advice.good[id]:
 			known = append(known, w)
@@ -45,13 +46,12 @@
 	if need <= 0 {
 		return nil, 0
 	}
-	need *= roomMargin
-	named, need = nameKnown(s, known, need)
-	nKnown = len(named)
-	others = p.shuffled(s, others)
-	if s.spec.Gang && len(s.advice.denied) > 0 && totalRoom(s, others) < need/roomMargin {
+	if s.spec.Gang && len(s.advice.denied) > 0 && totalRoom(s, known)+totalRoom(s, others) < need {
 		return nil, 0 // there is no room for all members, whoever is allowed
 	}
+	named, need = nameKnown(s, known, need*roomMargin)
+	nKnown = len(named)
+	others = p.shuffled(s, others)
 	n := namedOthers(s, others, need, p.rate(s.time.job.queue.Name), *s.time.job.queue.Advice, nKnown)
 	for _, w := range others[:n] {
 		named = append(named, w.info.ID)
@@ -59,6 +59,16 @@
 	return named, nKnown
 }
 
+// ticketsUsedBy is until when a ticket must hold to be of use beside those of the call that is
+// made now. Tasks of a gang start together, so after the answer; others start at once.
+func (p *Pool) ticketsUsedBy(s *step, now clock.Time) clock.Time {
+	by := now.Add(ticketMargin)
+	if s.spec.Gang {
+		by = by.Add(s.time.job.queue.Advice.Of(adviceWorkers))
+	}
+	return by
+}
+
 // nameKnown names workers that are certainly allowed until the room suffices, and returns the
 // room that is still needed.
 func nameKnown(s *step, known []*worker, need float64) (named []WorkerID, left float64) {
