--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -98,7 +98,7 @@
 }
 
 // ask has advice called for, if a step needs it and a process is free for the call.
-func (p *Pool) ask(s *step, reserved reservations, now clock.Time, out *Actions) {
+func (p *Pool) ask(s *step, reserved *reservations, now clock.Time, out *Actions) {
 	q := s.time.job.queue
 	if q.Advice == nil || p.advice.free == 0 || s.advice.pending != nil || now < s.advice.notBefore || s.time.job.outcome != "" {
 		return
--- a/pkg/dispatch/explain.go
+++ b/pkg/dispatch/explain.go
@@ -82,7 +82,7 @@
 		return ""
 	case s.advice.pending != nil:
 		return "advice from " + s.advice.pending.ask.Adviser
-	case len(p.candidates(s, reservations{}, now)) > 0:
+	case len(p.candidates(s, newReservations(), now)) > 0:
 		return "its turn"
 	case s.time.job.queue.Advice != nil && len(s.advice.good) == 0:
 		return fmt.Sprintf("a call for advice (%d of %d hosts are free)", p.advice.free, len(p.advice.idle))
--- a/pkg/dispatch/naming.go
+++ b/pkg/dispatch/naming.go
@@ -22,7 +22,7 @@
 
 // name lists the workers to name in a call: those known to be allowed whose tickets have
 // lapsed, and as many others as make the calls for the step shortest (namedOthers).
-func (p *Pool) name(s *step, reserved reservations, now clock.Time) (named []WorkerID, nKnown int) {
+func (p *Pool) name(s *step, reserved *reservations, now clock.Time) (named []WorkerID, nKnown int) {
 	need := float64(s.waiting())
 	usedBy := p.ticketsUsedBy(s, now)
 	var known, others []*worker
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/clock"
 )
 
@@ -58,7 +59,16 @@
 
 // fits is how many more tasks of a step a worker has room for.
 func fits(s *step, w *worker) int {
-	need, free := s.spec.Need(), w.free()
+	n := tasksWithin(s, w.free())
+	if s.perOf != nil {
+		n = min(n, s.spec.MaxPerWorker-s.perOf[w.info.ID])
+	}
+	return max(n, 0)
+}
+
+// tasksWithin is how many tasks of a step resources suffice for, at most all.
+func tasksWithin(s *step, free cell.Resources) int {
+	need := s.spec.Need()
 	n := len(s.tasks)
 	if need.CPUMillis > 0 {
 		n = min(n, int(free.CPUMillis/need.CPUMillis))
@@ -69,9 +79,6 @@
 	if need.Accelerators > 0 {
 		n = min(n, int(free.Accelerators/need.Accelerators))
 	}
-	if s.perOf != nil {
-		n = min(n, s.spec.MaxPerWorker-s.perOf[w.info.ID])
-	}
 	return max(n, 0)
 }
 
@@ -85,7 +92,7 @@
 const ticketMargin = 80 * time.Millisecond
 
 // candidates lists the workers that may be given a task of the step now, by id.
-func (p *Pool) candidates(s *step, reserved reservations, now clock.Time) []*worker {
+func (p *Pool) candidates(s *step, reserved *reservations, now clock.Time) []*worker {
 	priority := s.time.job.queue.Priority
 	var out []*worker
 	take := func(w *worker) {
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -136,7 +136,8 @@
 
 // place starts tasks and asks for advice, in the order in which steps go.
 func (p *Pool) place(now clock.Time, out *Actions) {
-	reserved := reservations{}
+	reserved := newReservations()
+	reserved.overloaded = p.overloaded()
 	for _, s := range p.order(now) {
 		j := s.time.job
 		if p.blocked(j) {
@@ -152,7 +153,7 @@
 			continue
 		}
 		p.ask(s, reserved, now, out)
-		reserved.add(s, now)
+		p.reserve(s, reserved, now)
 	}
 }
 
@@ -200,28 +201,6 @@
 	return out
 }
 
-// reservations hold the workers that a step with higher priority waits for.
-type reservations map[WorkerID]int
-
-// add keeps the workers that may run a waiting step from steps of a lower priority.
-func (r reservations) add(s *step, now clock.Time) {
-	if s.time.standing(now) != inTime {
-		return
-	}
-	priority := s.time.job.queue.Priority
-	for id := range s.advice.good {
-		if held, ok := r[id]; !ok || held > priority {
-			r[id] = priority
-		}
-	}
-}
-
-// holds says that a worker is kept from steps of a priority.
-func (r reservations) holds(id WorkerID, priority int) bool {
-	held, ok := r[id]
-	return ok && held < priority
-}
-
 // begin books a run of a task on a worker and returns its order.
 func (p *Pool) begin(t *task, w *worker, number int, checkpoint string, now clock.Time) Start {
 	r := &run{task: t, number: number, worker: w, token: w.token, state: runStarting}
@@ -262,7 +241,7 @@
 }
 
 // placeTasks starts as many tasks of a step as there is room for.
-func (p *Pool) placeTasks(s *step, reserved reservations, now clock.Time, out *Actions) {
+func (p *Pool) placeTasks(s *step, reserved *reservations, now clock.Time, out *Actions) {
 	var candidates []*worker
 	for i := range s.tasks {
 		t := &s.tasks[i]
@@ -283,7 +262,7 @@
 }
 
 // placeGang starts all members of a gang, or none.
-func (p *Pool) placeGang(s *step, reserved reservations, now clock.Time, out *Actions) {
+func (p *Pool) placeGang(s *step, reserved *reservations, now clock.Time, out *Actions) {
 	if s.missing() {
 		p.completeGang(s, p.candidates(s, reserved, now), now, out)
 		return
--- /dev/null
+++ b/pkg/dispatch/reserve.go
@@ -0,0 +1,126 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"foldarch.dev/foldarch/pkg/clock"
+)
+
+const (
+	// gangMargin is by how much the workers held for a gang exceed what it needs.
+	gangMargin = 1.25
+	// gangsAtOnce is how many gangs that are worth nothing any more hold workers.
+	gangsAtOnce = 2
+	// heldShare is the part of the workers that gangs hold at most.
+	heldShare = 0.15
+	// mostBacklog is the part of the pool's processors up to which what waits may need them
+	// for gangs to hold workers. With more, the room that stands idle is worth more to others.
+	mostBacklog = 0.3
+)
+
+// reservations hold the workers that a step waits for from steps that come later in the order.
+type reservations struct {
+	priorities map[WorkerID]int // steps of a lower priority don't get the worker
+	overloaded bool             // gangs hold nothing
+	forGangs   int              // workers that gangs hold
+	worthless  int              // gangs that are worth nothing any more and hold workers
+}
+
+func newReservations() *reservations {
+	return &reservations{priorities: map[WorkerID]int{}}
+}
+
+// overloaded says that more waits than the pool gets through soon.
+func (p *Pool) overloaded() bool {
+	var waiting, capacity int64
+	for s := range p.ready {
+		waiting += int64(s.waiting()) * s.spec.Need().CPUMillis
+	}
+	for _, w := range p.workers {
+		if !w.gone {
+			capacity += w.info.Capacity.CPUMillis
+		}
+	}
+	return float64(waiting) > mostBacklog*float64(capacity)
+}
+
+// holds says that a worker is kept from steps of a priority.
+func (r *reservations) holds(id WorkerID, priority int) bool {
+	held, ok := r.priorities[id]
+	return ok && held < priority
+}
+
+// put keeps a worker from steps of a lower priority.
+func (r *reservations) put(id WorkerID, priority int) {
+	if held, ok := r.priorities[id]; !ok || held > priority {
+		r.priorities[id] = priority
+	}
+}
+
+// reserve keeps workers for a step that waits, from steps that come later.
+//
+// A gang needs room on many workers at once, which it never finds while others fill each gap:
+// it holds just as many as it needs, also from later steps of its own priority. Other steps
+// hold all that may run them from steps of lower priorities.
+func (p *Pool) reserve(s *step, r *reservations, now clock.Time) {
+	standing, priority := s.time.standing(now), s.time.job.queue.Priority
+	switch {
+	case s.spec.Gang && standing == worthless:
+		if r.worthless < gangsAtOnce {
+			r.worthless++
+			p.reserveGang(s, r, beforeAll, now)
+		}
+	case standing == inTime:
+		if s.spec.Gang {
+			p.reserveGang(s, r, priority-1, now)
+		}
+		for id := range s.advice.good {
+			r.put(id, priority)
+		}
+	}
+}
+
+// beforeAll is a priority above that of any queue.
+const beforeAll = -1
+
+// reserveGang holds the workers on which a gang may have room soonest.
+func (p *Pool) reserveGang(s *step, r *reservations, priority int, now clock.Time) {
+	if r.overloaded {
+		return
+	}
+	need := gangMargin * float64(len(s.tasks))
+	for _, w := range p.gangCandidates(s, r, priority, now) {
+		if need <= 0 || float64(r.forGangs) >= heldShare*float64(len(p.workers)) {
+			return
+		}
+		r.put(w.info.ID, priority)
+		r.forGangs++
+		need -= float64(roomWhenEmpty(s, w))
+	}
+}
+
+// gangCandidates lists the workers that may run a gang and are not held for others, those
+// with most room first.
+func (p *Pool) gangCandidates(s *step, r *reservations, priority int, now clock.Time) []*worker {
+	var out []*worker
+	for id := range s.advice.good {
+		w, ok := p.workers[id]
+		if ok && p.eligible(s, w, now) && !r.holds(id, priority+1) {
+			out = append(out, w)
+		}
+	}
+	slices.SortFunc(out, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(b.free().CPUMillis, a.free().CPUMillis), cmp.Compare(a.info.ID, b.info.ID))
+	})
+	return out
+}
+
+// roomWhenEmpty is how many tasks of a step a worker holds that has nothing else to run.
+func roomWhenEmpty(s *step, w *worker) int {
+	n := tasksWithin(s, w.info.Capacity)
+	if s.perOf != nil {
+		n = min(n, s.spec.MaxPerWorker)
+	}
+	return n
+}
--- /dev/null
+++ b/pkg/dispatch/reserve_test.go
@@ -0,0 +1,70 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/job"
+	. "github.com/onsi/gomega"
+)
+
+// gangNeedingWholeWorkers is a gang of n members that fill a worker each.
+func gangNeedingWholeWorkers(n int) job.Step {
+	return job.Step{Count: n, Gang: true, Resources: cell.Resources{CPUMillis: 4000, MemoryMB: 1000}, Estimate: time.Second}
+}
+
+// waitingGang has a gang that needs all of four workers, which are all allowed, wait for one.
+func waitingGang(t *testing.T) *fixture {
+	f := newFixture(t, 20, nil)
+	f.reportAll(20)
+	f.pool.PutAdviser("host")
+	f.add(advisedJob("a", gangNeedingWholeWorkers(4)))
+	f.pool.openTime(f.pool.jobs["a"], 0)
+	s := f.pool.jobs["a"].times[0].steps[0]
+	s.advice.good = map[WorkerID]bool{"w0": true, "w1": true, "w2": true, "w3": true}
+	return f
+}
+
+func (f *fixture) reservedFor(id job.ID) *reservations {
+	r := newReservations()
+	r.overloaded = f.pool.overloaded()
+	f.pool.reserve(f.pool.jobs[id].times[0].steps[0], r, f.now)
+	return r
+}
+
+func TestGangHoldsWorkersFromLaterStepsOfItsPriority(t *testing.T) {
+	f := waitingGang(t)
+	r := f.reservedFor("a")
+	priority := testQueue.Priority
+	held := 0
+	for n := range 20 {
+		if r.holds(workerID(n), priority) {
+			held++
+		}
+	}
+	f.Expect(held).To(Equal(3), "15 in a hundred of the workers at most")
+	f.Expect(r.holds("w3", priority+1)).To(BeTrue(), "from lower priorities it holds all that may run it")
+	f.Expect(r.holds("w9", priority+1)).To(BeFalse())
+}
+
+func TestGangHoldsNothingWhenMoreWaitsThanThePoolGetsThrough(t *testing.T) {
+	f := waitingGang(t)
+	f.add(advisedJob("b", testStep(60))) // with the gang 76 of 80 cores
+	r := f.reservedFor("a")
+	f.Expect(r.holds("w0", testQueue.Priority)).To(BeFalse())
+	f.Expect(r.holds("w0", testQueue.Priority+1)).To(BeTrue())
+}
+
+func TestFewGangsThatAreWorthNothingHoldWorkers(t *testing.T) {
+	f := waitingGang(t)
+	f.pass(time.Hour)
+	f.reportAll(20)
+	r := newReservations()
+	s := f.pool.jobs["a"].times[0].steps[0]
+	for range gangsAtOnce + 1 {
+		f.pool.reserve(s, r, f.now)
+	}
+	f.Expect(r.worthless).To(Equal(gangsAtOnce))
+	f.Expect(r.holds("w0", 0)).To(BeTrue())
+}
