Put relays with faults between the hosts, the store and the workers in the soak

Each host now reaches the store, and all hosts reach each worker, through a relay of the test, with ten more troubles: delayed, silent, without calls, without answers, reset, of either kind.

No change of the product.

--- a/test/platform/cell_test.go
+++ b/test/platform/cell_test.go
@@ -70,6 +70,17 @@
 	hosts []*process
 	logs  []*bytes.Buffer
 	taken map[int]bool // hosts that a trouble of the soak has taken
+
+	storeLinks  []*link // from each host to the store
+	workerLinks []*link // to each worker
+}
+
+// newLink puts a relay in front of a listener, for as long as the test runs.
+func (c *cell) newLink(target string) *link {
+	k, err := newLink(target)
+	c.Expect(err).NotTo(HaveOccurred())
+	c.t.Cleanup(k.close)
+	return k
 }
 
 // take reserves a host for one trouble at a time.
@@ -93,6 +104,11 @@
 func newCell(t *testing.T, hosts int, o emulator.Options) *cell {
 	t.Parallel()
 	c := &cell{WithT: NewWithT(t), t: t, dir: t.TempDir(), taken: map[int]bool{}}
+	o.Via = func(address string) string {
+		k := c.newLink(address)
+		c.workerLinks = append(c.workerLinks, k)
+		return k.address()
+	}
 	p, err := emulator.Start(o)
 	c.Expect(err).NotTo(HaveOccurred())
 	c.p = p
@@ -100,7 +116,9 @@
 	p.PutConfig(1)
 	var doors []string
 	for n := range hosts {
-		h, err := p.WriteSettings(c.dir, fmt.Sprintf("host-%d", n))
+		k := c.newLink(p.StoreAddress())
+		c.storeLinks = append(c.storeLinks, k)
+		h, err := p.WriteSettings(c.dir, fmt.Sprintf("host-%d", n), k.address())
 		c.Expect(err).NotTo(HaveOccurred())
 		c.hosts = append(c.hosts, &process{host: h})
 		c.start(n)
--- /dev/null
+++ b/test/platform/link_test.go
@@ -0,0 +1,131 @@
+package platform_test
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// linkFault is how a link misbehaves.
+type linkFault struct {
+	delay        time.Duration // of each piece of data, each way
+	holdsOrders  bool          // nothing gets from the caller to the target
+	holdsAnswers bool          // nothing gets back
+}
+
+// link is a TCP relay of the loopback address in front of one listener, with faults. What a
+// fault holds up goes on when it ends, as with a partition.
+type link struct {
+	target   string
+	listener net.Listener
+
+	mu      sync.Mutex
+	fault   linkFault
+	changed chan struct{} // closed and renewed with each change of the fault
+	conns   map[net.Conn]struct{}
+}
+
+// newLink starts a relay to a target.
+func newLink(target string) (*link, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	k := &link{target: target, listener: l, changed: make(chan struct{}), conns: map[net.Conn]struct{}{}}
+	go k.accept()
+	return k, nil
+}
+
+func (k *link) address() string {
+	return k.listener.Addr().String()
+}
+
+// set puts a fault in force; the zero value ends it.
+func (k *link) set(f linkFault) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.fault = f
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
+// reset breaks all connections.
+func (k *link) reset() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for c := range k.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+func (k *link) close() {
+	_ = k.listener.Close()
+	k.set(linkFault{})
+	k.reset()
+}
+
+func (k *link) accept() {
+	for {
+		caller, err := k.listener.Accept()
+		if err != nil {
+			return
+		}
+		target, err := net.Dial("tcp", k.target)
+		if err != nil {
+			_ = caller.Close()
+			continue
+		}
+		k.add(caller, target)
+		go k.relay(target, caller, func(f linkFault) bool { return f.holdsOrders })
+		go k.relay(caller, target, func(f linkFault) bool { return f.holdsAnswers })
+	}
+}
+
+func (k *link) add(conns ...net.Conn) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, c := range conns {
+		k.conns[c] = struct{}{}
+	}
+}
+
+// relay copies one way until either end closes.
+func (k *link) relay(to, from net.Conn, held func(linkFault) bool) {
+	defer func() {
+		_, _ = to.Close(), from.Close()
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		delete(k.conns, to)
+		delete(k.conns, from)
+	}()
+	data := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(data)
+		if n > 0 {
+			k.pass(held)
+			if _, err := to.Write(data[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// pass waits until data may go on.
+func (k *link) pass(held func(linkFault) bool) {
+	for {
+		k.mu.Lock()
+		f, changed := k.fault, k.changed
+		k.mu.Unlock()
+		if !held(f) {
+			time.Sleep(f.delay)
+			return
+		}
+		<-changed
+	}
+}
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -65,7 +65,45 @@
 	}
 }
 
+// linkTrouble has some of the links misbehave for a time.
+func linkTrouble(links func(*cell) []*link, f linkFault) func(*cell, *rand.Rand) {
+	return func(c *cell, r *rand.Rand) {
+		k := drawLink(links(c), r)
+		k.set(f)
+		time.Sleep(between(r, 300*time.Millisecond, 5*time.Second))
+		k.set(linkFault{})
+	}
+}
+
+func linkReset(links func(*cell) []*link) func(*cell, *rand.Rand) {
+	return func(c *cell, r *rand.Rand) { drawLink(links(c), r).reset() }
+}
+
+func drawLink(links []*link, r *rand.Rand) *link {
+	return links[r.IntN(len(links))]
+}
+
+func toStore(c *cell) []*link  { return c.storeLinks }
+func toWorker(c *cell) []*link { return c.workerLinks }
+
+var (
+	delayed   = linkFault{delay: 120 * time.Millisecond}
+	silenced  = linkFault{holdsOrders: true, holdsAnswers: true}
+	noAnswers = linkFault{holdsAnswers: true}
+	noOrders  = linkFault{holdsOrders: true}
+)
+
 var troubles = []trouble{
+	{"store link delayed", linkTrouble(toStore, delayed)},
+	{"store link silent", linkTrouble(toStore, silenced)},
+	{"store link without answers", linkTrouble(toStore, noAnswers)},
+	{"store link without calls", linkTrouble(toStore, noOrders)},
+	{"store link reset", linkReset(toStore)},
+	{"worker link delayed", linkTrouble(toWorker, delayed)},
+	{"worker link silent", linkTrouble(toWorker, silenced)},
+	{"worker link without answers", linkTrouble(toWorker, noAnswers)},
+	{"worker link without orders", linkTrouble(toWorker, noOrders)},
+	{"worker link reset", linkReset(toWorker)},
 	{"kill", hostTrouble(func(c *cell, r *rand.Rand, n int) {
 		c.kill(n)
 		time.Sleep(between(r, 100*time.Millisecond, 3*time.Second))
