Let waits of holds grow with the pool, and keep what grows with it out of each call

Each worker is asked each 0.6 s (5,000 looks a second); each look counted all workers again for the authority; each call for advice sorted all workers by id and by room, computing the room in each comparison; each plan copied all sessions.

Test: TestHoldsWaitLongerInALargePool.

--- a/pkg/dispatch/bench_test.go
+++ b/pkg/dispatch/bench_test.go
@@ -37,3 +37,16 @@
 		f.pool.Plan(f.now, true)
 	}
 }
+
+// BenchmarkName lists the workers of a call for a gang in a pool of 3,000.
+func BenchmarkName(b *testing.B) {
+	f := newFixture(&testing.T{}, 3000, nil)
+	f.reportAll(3000)
+	s := testStep(30)
+	s.Gang = true
+	f.add(advisedJob("a", s))
+	waiting := f.pool.jobs["a"].times[0].steps[0]
+	for b.Loop() {
+		f.pool.name(waiting, newReservations(), f.now)
+	}
+}
--- a/pkg/dispatch/naming.go
+++ b/pkg/dispatch/naming.go
@@ -20,43 +20,94 @@
 	callAgain = 100 * time.Millisecond
 )
 
+// roomy is a worker and how many tasks of a step it has room for.
+type roomy struct {
+	worker *worker
+	room   int
+}
+
 // name lists the workers to name in a call: those known to be allowed whose tickets have
 // lapsed, and as many others as make the calls for the step shortest (namedOthers).
 func (p *Pool) name(s *step, reserved *reservations, now clock.Time) (named []WorkerID, nKnown int) {
-	need := float64(s.waiting())
+	waiting := s.waiting()
+	known, covered := p.knownWorkers(s, reserved, now)
+	need := float64(waiting - covered)
+	if need <= 0 {
+		return nil, 0
+	}
+	others := p.otherWorkers(s, reserved, s.spec.Gang || waiting > fewTasks, now)
+	if s.spec.Gang && len(s.advice.denied) > 0 && totalRoom(known)+totalRoom(others) < need {
+		return nil, 0 // there is no room for all members, whoever is allowed
+	}
+	named, need = nameKnown(known, need*roomMargin)
+	nKnown = len(named)
+	n := namedOthers(others, need, p.rate(s.time.job.queue.Name), *s.time.job.queue.Advice, nKnown)
+	for _, o := range others[:n] {
+		named = append(named, o.worker.info.ID)
+	}
+	return named, nKnown
+}
+
+// roomFor is how many tasks of a step a worker may be given now; 0 also when it is held for
+// other steps.
+func (p *Pool) roomFor(s *step, w *worker, reserved *reservations, now clock.Time) int {
+	if !p.eligible(s, w, now) || reserved.holds(w.info.ID, s.time.job.queue.Priority) {
+		return 0
+	}
+	return fits(s, w)
+}
+
+// knownWorkers lists the workers that are known to be allowed and whose tickets have lapsed,
+// those with most room first, and counts the tasks for which the others have room.
+func (p *Pool) knownWorkers(s *step, reserved *reservations, now clock.Time) (known []roomy, covered int) {
 	usedBy := p.ticketsUsedBy(s, now)
-	var known, others []*worker
-	for id, w := range p.workers {
-		if !p.eligible(s, w, now) || reserved.holds(id, s.time.job.queue.Priority) || s.advice.denied[id] {
-			continue
-		}
-		n := fits(s, w)
-		if n == 0 {
+	for id := range s.advice.good {
+		w, ok := p.workers[id]
+		if !ok {
 			continue
 		}
+		room := p.roomFor(s, w, reserved, now)
 		switch {
+		case room == 0:
 		case usedBy < s.advice.tickets[id].until:
-			need -= float64(n)
-		case s.advice.good[id]:
-			known = append(known, w)
+			covered += room
 		default:
-			others = append(others, w)
+			known = append(known, roomy{w, room})
 		}
 	}
-	if need <= 0 {
-		return nil, 0
-	}
-	if s.spec.Gang && len(s.advice.denied) > 0 && totalRoom(s, known)+totalRoom(s, others) < need {
-		return nil, 0 // there is no room for all members, whoever is allowed
+	slices.SortFunc(known, func(a, b roomy) int {
+		return cmp.Or(cmp.Compare(b.room, a.room), cmp.Compare(a.worker.info.ID, b.worker.info.ID))
+	})
+	return known, covered
+}
+
+// fewTasks is how many waiting tasks make a step small: a few workers will do, whichever.
+const fewTasks = 3
+
+// otherWorkers lists workers of which is not known whether they are allowed. They begin at
+// another place each time, so that steps that ask at the same moment name different ones;
+// with byRoom, those with most room come first.
+func (p *Pool) otherWorkers(s *step, reserved *reservations, byRoom bool, now clock.Time) []roomy {
+	const step = 7
+	p.advice.offset += step
+	workers := p.workersByID()
+	var others []roomy
+	for i := range workers {
+		w := workers[(p.advice.offset+i)%len(workers)]
+		if s.advice.denied[w.info.ID] || s.advice.good[w.info.ID] {
+			continue
+		}
+		if room := p.roomFor(s, w, reserved, now); room > 0 {
+			others = append(others, roomy{w, room})
+		}
+		if !byRoom && len(others) == maxNamed {
+			break
+		}
 	}
-	named, need = nameKnown(s, known, need*roomMargin)
-	nKnown = len(named)
-	others = p.shuffled(s, others)
-	n := namedOthers(s, others, need, p.rate(s.time.job.queue.Name), *s.time.job.queue.Advice, nKnown)
-	for _, w := range others[:n] {
-		named = append(named, w.info.ID)
+	if byRoom {
+		slices.SortStableFunc(others, func(a, b roomy) int { return cmp.Compare(b.room, a.room) })
 	}
-	return named, nKnown
+	return others
 }
 
 // ticketsUsedBy is until when a ticket must hold to be of use beside those of the call that is
@@ -69,50 +120,31 @@
 	return by
 }
 
-// nameKnown names workers that are certainly allowed until the room suffices, and returns the
-// room that is still needed.
-func nameKnown(s *step, known []*worker, need float64) (named []WorkerID, left float64) {
-	slices.SortFunc(known, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(fits(s, b), fits(s, a)), cmp.Compare(a.info.ID, b.info.ID))
-	})
-	for _, w := range known {
+// nameKnown names workers until the room suffices, and returns the room that is still needed.
+func nameKnown(known []roomy, need float64) (named []WorkerID, left float64) {
+	for _, k := range known {
 		if need <= 0 || len(named) >= maxNamed {
 			break
 		}
-		named = append(named, w.info.ID)
-		need -= float64(fits(s, w))
+		named = append(named, k.worker.info.ID)
+		need -= float64(k.room)
 	}
 	return named, need
 }
 
-func totalRoom(s *step, workers []*worker) float64 {
+func totalRoom(workers []roomy) float64 {
 	room := 0
 	for _, w := range workers {
-		room += fits(s, w)
+		room += w.room
 	}
 	return float64(room)
 }
 
-// shuffled orders workers by room, and those with the same room in changing order, so that
-// steps that ask at the same moment name different ones.
-func (p *Pool) shuffled(s *step, workers []*worker) []*worker {
-	slices.SortFunc(workers, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
-	if n := len(workers); n > 0 {
-		p.advice.offset += 7
-		at := p.advice.offset % n
-		workers = append(slices.Clone(workers[at:]), workers[:at]...)
-	}
-	if s.spec.Gang || s.waiting() > 3 {
-		slices.SortStableFunc(workers, func(a, b *worker) int { return cmp.Compare(fits(s, b), fits(s, a)) })
-	}
-	return workers
-}
-
 // namedOthers is how many of the workers, in their order, a call should name beside the known
 // ones: the number for which calls take the least time until the room suffices. A call that
 // names n takes a fixed time and some for each; it suffices with the probability that enough
 // of the n are allowed, each with the probability rate. Otherwise another call follows.
-func namedOthers(s *step, workers []*worker, need, rate float64, advice queue.AdviceCost, known int) int {
+func namedOthers(workers []roomy, need, rate float64, advice queue.AdviceCost, known int) int {
 	if need <= 0 {
 		return 0
 	}
@@ -120,7 +152,7 @@
 	best, bestTime := most, math.Inf(1)
 	room := 0
 	for n := 1; n <= most; n++ {
-		room += fits(s, workers[n-1])
+		room += workers[n-1].room
 		enough := int(math.Ceil(need * float64(n) / float64(room)))
 		suffices := atLeast(enough, n, rate)
 		if suffices < minSuffices {
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -101,14 +101,14 @@
 		}
 	}
 	if s.time.job.queue.Advice == nil {
-		for _, w := range p.workers {
+		for _, w := range p.workersByID() {
 			take(w)
 		}
-	} else {
-		for id, ticket := range s.advice.tickets {
-			if w, ok := p.workers[id]; ok && now.Add(ticketMargin) < ticket.until {
-				take(w)
-			}
+		return out
+	}
+	for id, ticket := range s.advice.tickets {
+		if w, ok := p.workers[id]; ok && now.Add(ticketMargin) < ticket.until {
+			take(w)
 		}
 	}
 	slices.SortFunc(out, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -44,6 +44,7 @@
 	jobs     map[job.ID]*jobState
 	outcomes outcomes // of jobs that have ended and been committed
 	workers  map[WorkerID]*worker
+	sorted   []*worker          // all workers by id; nil when one came or went (workersByID)
 	ready    map[*step]struct{} // steps whose turn has come and that have waiting tasks
 	timed    map[*jobState]struct{}
 	dirty    map[*jobState]struct{}
--- a/pkg/dispatch/pool_test.go
+++ b/pkg/dispatch/pool_test.go
@@ -601,6 +601,19 @@
 	}
 }
 
+// Calls to workers must not grow as the pool does.
+func TestHoldsWaitLongerInALargePool(t *testing.T) {
+	small := newFixture(t, 48, nil)
+	small.Expect(small.pool.HoldWait("w0")).To(Equal(holdWait))
+	large := newFixture(t, 3000, nil)
+	large.reportAll(3000)
+	large.Expect(large.pool.HoldWait("w0")).To(Equal(idleHoldWait))
+	large.add(testJob("a", testStep(1)))
+	s := large.plan().Starts[0]
+	large.Expect(large.pool.HoldWait(s.Worker)).To(Equal(longHoldWait))
+	large.Expect(idleHoldWait).To(BeNumerically("<", usableWithin))
+}
+
 // All entries lapse while the store is away and come back one by one.
 func TestWorkerWhoseEntryLapsedIsUsedForAWhileIfItAnswers(t *testing.T) {
 	f := newFixture(t, 2, nil)
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -106,6 +107,7 @@
 	if !known {
 		w = &worker{token: p.cfg.Token, runs: map[runKey]*run{}}
 		p.workers[info.ID] = w
+		p.sorted = nil
 	}
 	w.info, w.listed = info, listed
 	if listed {
@@ -143,20 +145,25 @@
 	}
 }
 
+// workersByID lists all workers, by id.
+func (p *Pool) workersByID() []*worker {
+	if p.sorted == nil {
+		for _, w := range p.workers {
+			p.sorted = append(p.sorted, w)
+		}
+		slices.SortFunc(p.sorted, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	}
+	return p.sorted
+}
+
 // Workers lists the workers that have not gone, by id.
 func (p *Pool) Workers() []WorkerInfo {
 	var out []WorkerInfo
-	for _, w := range p.workers {
+	for _, w := range p.workersByID() {
 		if !w.gone {
 			out = append(out, w.info)
 		}
 	}
-	slices.SortFunc(out, func(a, b WorkerInfo) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
 	return out
 }
 
@@ -175,6 +182,26 @@
 	return answering, all
 }
 
+// The waits of holds: how long a worker lets a hold wait for an end. They grow with the pool,
+// so that the calls to workers don't grow as it does, and stay below usableWithin and the
+// term of an owner's authority.
+const (
+	holdWait     = 600 * time.Millisecond  // in pools of up to usualPool workers
+	longHoldWait = time.Second             // at most, while something runs there
+	idleHoldWait = 1500 * time.Millisecond // at most, while nothing does
+	usualPool    = 400
+)
+
+// HoldWait is how long a worker is to let its next hold wait for an end.
+func (p *Pool) HoldWait(id WorkerID) time.Duration {
+	most := idleHoldWait
+	if w, ok := p.workers[id]; ok && len(w.runs) > 0 {
+		most = longHoldWait
+	}
+	scaled := holdWait * time.Duration(len(p.workers)) / usualPool
+	return min(max(scaled, holdWait), most)
+}
+
 // HoldFor returns the next hold for a worker; ok is false when there is none to be sent any
 // more. raise asks for a higher token, which settles lost answers.
 func (p *Pool) HoldFor(id WorkerID, raise, extend bool, now clock.Time) (h Hold, ok bool) {
@@ -227,6 +254,7 @@
 		if w.gone {
 			if !w.listed {
 				delete(p.workers, id)
+				p.sorted = nil
 			}
 			continue
 		}
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -96,9 +95,10 @@
 	upkeep    *upkeep.Planner
 	sessions  map[dispatch.WorkerID]*workerSession
 	members   map[string]*poolrpc.Session
-	cancelled map[job.ID]bool     // told before the job itself
-	committed chan struct{}       // closed and renewed with each commit
-	fenced    bool                // most workers were fenced
+	cancelled map[job.ID]bool // told before the job itself
+	committed chan struct{}   // closed and renewed with each commit
+	fenced    bool            // most workers were fenced
+	counted   answerCount
 	roster    []dispatch.WorkerID // as written last; of the duty that watches workers
 	beats     beats               // of the duty that watches workers
 	position  position            // each field belongs to one duty
@@ -200,12 +200,32 @@
 		o.depose("fenced")
 		return false
 	}
-	answering, all := o.pool.Answering(now, AuthorityTerm)
-	if !o.fenced && 2*answering > all {
+	most := o.mostAnswer(now)
+	if !o.fenced && most {
 		o.fenced = true
 		o.pool.Fencing(now)
 	}
-	return 2*answering > all || o.deps.Leased(now)
+	return most || o.deps.Leased(now)
+}
+
+// countEvery is how old the count of the workers that answer may be. It is asked for with each
+// call to a worker, and takes as long as there are workers. takeoverTerm covers it.
+const countEvery = 20 * time.Millisecond
+
+// mostAnswer says whether most workers have answered within AuthorityTerm. The caller holds
+// o.mu.
+func (o *Owner) mostAnswer(now clock.Time) bool {
+	if o.counted.at == 0 || now.Sub(o.counted.at) >= countEvery {
+		answering, all := o.pool.Answering(now, AuthorityTerm)
+		o.counted = answerCount{at: now, most: 2*answering > all}
+	}
+	return o.counted.most
+}
+
+// answerCount says whether most workers answered, at a time.
+type answerCount struct {
+	at   clock.Time
+	most bool
 }
 
 // runPlans is the duty that plans, a little after something has changed.
@@ -253,8 +273,7 @@
 		o.mu.Unlock()
 		return
 	}
-	sessions := make(map[dispatch.WorkerID]*workerSession, len(o.sessions))
-	maps.Copy(sessions, o.sessions)
+	sessions := o.sessionsFor(actions)
 	members := make([]*poolrpc.Session, len(actions.Asks))
 	for i, a := range actions.Asks {
 		members[i] = o.members[a.Adviser]
@@ -279,6 +298,24 @@
 	}
 }
 
+// sessionsFor returns the sessions with the workers that actions name. The caller holds o.mu.
+func (o *Owner) sessionsFor(a dispatch.Actions) map[dispatch.WorkerID]*workerSession {
+	out := map[dispatch.WorkerID]*workerSession{}
+	for _, s := range a.Starts {
+		out[s.Worker] = o.sessions[s.Worker]
+	}
+	for _, s := range a.Stops {
+		out[s.Worker] = o.sessions[s.Worker]
+	}
+	for _, s := range a.Paces {
+		out[s.Worker] = o.sessions[s.Worker]
+	}
+	for _, id := range a.Settles {
+		out[id] = o.sessions[id]
+	}
+	return out
+}
+
 // logEvent writes what the pool decided or learned.
 func (o *Owner) logEvent(e dispatch.Event) {
 	o.countEvent(e)
--- a/pkg/poolowner/sessions.go
+++ b/pkg/poolowner/sessions.go
@@ -10,8 +10,6 @@
 )
 
 const (
-	// holdWait is how long a worker lets a hold wait for an end.
-	holdWait = 600 * time.Millisecond
 	// patienceStep is added to the time limit of a hold with each that got no answer.
 	patienceStep = 150 * time.Millisecond
 	mostPatience = 600 * time.Millisecond
@@ -68,9 +66,9 @@
 
 // runHolds is the duty that renews leases and takes in reports.
 func (s *workerSession) runHolds(ctx context.Context) {
-	wait := time.Duration(0)
+	met := false // the first hold, which does not wait, learned the worker's clock
 	for ctx.Err() == nil {
-		answered, known := s.hold(ctx, false, wait)
+		answered, known := s.hold(ctx, false, met)
 		if !known {
 			return
 		}
@@ -78,7 +76,7 @@
 			s.failures = 0
 		} else {
 			s.failures++
-			wait = 0
+			met = false
 			clock.Sleep(ctx, holdRetry)
 			continue
 		}
@@ -86,8 +84,8 @@
 			s.owner.awaitLoaded(ctx)
 			continue
 		}
-		if wait == 0 {
-			wait = holdWait // the first one learned the worker's clock
+		if !met {
+			met = true
 			continue
 		}
 		s.awaitNote(ctx)
@@ -105,13 +103,17 @@
 	}
 }
 
-// hold sends one hold and takes in its answer. known is false when there is nothing to be
-// asked of the worker any more.
-func (s *workerSession) hold(ctx context.Context, raise bool, wait time.Duration) (answered, known bool) {
+// hold sends one hold and takes in its answer; with waits, the worker lets it wait for an end.
+// known is false when there is nothing to be asked of the worker any more.
+func (s *workerSession) hold(ctx context.Context, raise, waits bool) (answered, known bool) {
 	o := s.owner
 	o.mu.Lock()
 	now := o.deps.Clock.Now()
 	h, ok := o.pool.HoldFor(s.id, raise, o.authority(now), now)
+	wait := time.Duration(0)
+	if waits {
+		wait = o.pool.HoldWait(s.id)
+	}
 	o.mu.Unlock()
 	if !ok {
 		return false, false
@@ -173,7 +175,7 @@
 		clock.Sleep(ctx, 5*time.Millisecond)
 		<-s.settling
 		for range settleTries {
-			answered, known := s.hold(ctx, true, 0)
+			answered, known := s.hold(ctx, true, false)
 			if answered || !known || ctx.Err() != nil {
 				return
 			}
