--- a/pkg/dispatch/naming.go
+++ b/pkg/dispatch/naming.go
@@ -81,6 +81,9 @@
 	return known, covered
 }
 
+// offsetStep is by how many workers the place moves at which a call begins to name.
+const offsetStep = 7
+
 // fewTasks is how many waiting tasks make a step small: a few workers will do, whichever.
 const fewTasks = 3
 
@@ -88,8 +91,7 @@
 // another place each time, so that steps that ask at the same moment name different ones;
 // with byRoom, those with most room come first.
 func (p *Pool) otherWorkers(s *step, reserved *reservations, byRoom bool, now clock.Time) []roomy {
-	const step = 7
-	p.advice.offset += step
+	p.advice.offset += offsetStep
 	workers := p.workersByID()
 	var others []roomy
 	for i := range workers {
