Bound the calls to workers that one owner has on its hands; read entries until caught up

Two faults: (1) An answer of a watch holds 500 changes. 3,000 workers write 2,000 a second, and the owner paused 0.3 s after each answer: it read 1,500 a second, and was 6 s behind at second 0 of the traffic (scratch copy, log of each watch). (2) After a takeover all 3,000 workers are called at once.

Reading entries as the load: 500 take 3 ms.

The next watch follows at once while answers are large. A gate lets 64 calls begin before their limits start to run, orders first, silent workers last; a call counts 50 ms at most. A plan rests twice as long as the last one took, and asks for advice 16 times at most.

Leases of a former owner now last MaxHold from the first answer.

Tests, each failed first: TestOwnerHearsOfALeavingWorkerBehindThousandsOfHeartbeats, TestLeasesOfAFormerOwnerOutlastTheFirstAnswerOfASilentWorker; the gate has its own.

--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -19,6 +19,9 @@
 	spareForShort = 2
 	// askSlack is how much longer than it should a call may take.
 	askSlack = 300 * time.Millisecond
+	// asksPerPlan is how many calls one plan makes at most: choosing the workers to be named
+	// takes as long as there are workers, and a plan must not hold up what workers answer.
+	asksPerPlan = 16
 	// askAgain is the least time between two calls for a step.
 	askAgain = 60 * time.Millisecond
 	// firstRate is the share of allowed workers that is assumed of a queue at first.
@@ -100,7 +103,7 @@
 // ask has advice called for, if a step needs it and a process is free for the call.
 func (p *Pool) ask(s *step, reserved *reservations, now clock.Time, out *Actions) {
 	q := s.time.job.queue
-	if q.Advice == nil || p.advice.free == 0 || s.advice.pending != nil || now < s.advice.notBefore || s.time.job.outcome != "" {
+	if q.Advice == nil || p.advice.free == 0 || len(out.Asks) >= asksPerPlan || s.advice.pending != nil || now < s.advice.notBefore || s.time.job.outcome != "" {
 		return
 	}
 	adviser := p.idleAdviser()
--- a/pkg/dispatch/pool_test.go
+++ b/pkg/dispatch/pool_test.go
@@ -350,6 +350,24 @@
 	f.Expect(starts[0].Run).To(BeNumerically(">", 1000))
 }
 
+// Found on 3,000 workers with hosts of 0.5 cores: a new owner took 1.7 s from a worker's first
+// answer to its next call there, and held the leases of the former owner for lapsed.
+func TestLeasesOfAFormerOwnerOutlastTheFirstAnswerOfASilentWorker(t *testing.T) {
+	f := newFixture(t, 2, afterFormerOwner)
+	f.add(testJob("a", testStep(1)))
+	id := job.TaskID{StepID: job.StepID{Job: "a"}}
+	f.report(0, Report{Active: []Active{{Task: id, Run: 4, Percent: 50}}})
+	f.report(1, Report{})
+	for elapsed := time.Duration(0); elapsed < 5*time.Second; elapsed += 500 * time.Millisecond {
+		f.pass(500 * time.Millisecond)
+		f.report(1, Report{})
+		f.Expect(f.plan().Starts).To(BeEmpty(), "the former owner may have leased the run for 6 s")
+	}
+	f.pass(1400 * time.Millisecond)
+	f.report(1, Report{})
+	f.Expect(f.plan().Starts).To(HaveLen(1), "every lease of the former owner has lapsed")
+}
+
 func TestHigherTokenAtAWorkerEndsTheOwner(t *testing.T) {
 	f := newFixture(t, 1, nil)
 	f.reportAll(1)
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -34,6 +34,9 @@
 	if !p.loaded {
 		return
 	}
+	if !w.reported && p.cfg.Takeover && len(report.Active) > 0 {
+		w.inherited = now.Add(lapseTime(p.cfg.MaxHold)) // it has seen our token, so no lease is longer
+	}
 	w.reported = true
 	p.takeFinished(w, report.Finished, now)
 	if !overtaken {
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -48,6 +48,8 @@
 	clockAt    clock.Time
 	lastAnswer clock.Time
 	bound      int64 // latest deadline sent, on its clock
+	// inherited is when the leases that a former owner gave have ended; 0 without any.
+	inherited clock.Time
 
 	used    cell.Resources
 	runs    map[runKey]*run
@@ -90,7 +92,7 @@
 // lapsedAt is when everything on the worker has ended, by our clock.
 func (w *worker) lapsedAt() clock.Time {
 	left := time.Duration(w.bound-w.clock) * time.Millisecond
-	return w.clockAt.Add(lapseTime(max(left, 0)))
+	return max(w.clockAt.Add(lapseTime(max(left, 0))), w.inherited)
 }
 
 // heard takes in the clock of an answer that has just arrived.
--- a/pkg/poolowner/loading.go
+++ b/pkg/poolowner/loading.go
@@ -25,7 +25,10 @@
 	// workersPause is the time between two watches: entries change with each heartbeat, and
 	// a change of state may come a little late.
 	workersPause = 300 * time.Millisecond
-	storeRetry   = 100 * time.Millisecond
+	// manyChanges is how many changes in one answer tell that more may be there already: an
+	// answer holds about 500 at most, and thousands of workers write as many in a pause.
+	manyChanges = 250
+	storeRetry  = 100 * time.Millisecond
 )
 
 // position is how far a duty has followed the store.
@@ -204,10 +207,19 @@
 		o.openSessions(ctx)
 		o.writeRoster(ctx)
 		o.position.workers = at
-		clock.Sleep(ctx, workersPause)
+		clock.Sleep(ctx, pauseAfter(len(items)))
 	}
 }
 
+// pauseAfter is how long the next watch on the workers' entries is put off after an answer with
+// a number of changes. There is no pause until the owner has caught up.
+func pauseAfter(changes int) time.Duration {
+	if changes >= manyChanges {
+		return 0
+	}
+	return workersPause
+}
+
 func (o *Owner) takeWorkers(items []platform.Item) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- /dev/null
+++ b/pkg/poolowner/loading_test.go
@@ -0,0 +1,66 @@
+package poolowner
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/dispatch"
+	"foldarch.dev/foldarch/pkg/jobstore"
+	"foldarch.dev/foldarch/platform"
+	"foldarch.dev/foldarch/platform/emulator"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+)
+
+// ownerOfEmulated returns an owner on record in an emulated platform's store, and its pool's
+// only worker.
+func ownerOfEmulated(t *testing.T) (*Owner, *emulator.Platform, dispatch.WorkerInfo) {
+	g := NewWithT(t)
+	p, err := emulator.Start(emulator.Options{Workers: 1})
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(p.Close)
+	clk := clock.System()
+	store := platform.NewStore(platform.StoreSettings{Address: netip.MustParseAddrPort(p.StoreAddress())},
+		platform.StoreOptions{CallTimeout: time.Second, WritesPerSecond: 1000, ReadsPerSecond: 1000}, clk)
+	revision, _, err := store.Commit(t.Context(), platform.Txn{Put: []platform.Put{{Key: jobstore.HolderKey, Value: []byte("{}")}}})
+	g.Expect(err).NotTo(HaveOccurred())
+	items, _, err := store.List(t.Context(), platform.WorkersPrefix)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(items).To(HaveLen(1))
+	info, err := platform.ParseWorker(items[0])
+	g.Expect(err).NotTo(HaveOccurred())
+	o := New(Deps{
+		Name: "host", Clock: clk, Store: store, Workers: platform.NewWorkers(time.Second), Heartbeat: time.Second,
+		Bounds: platform.Bounds{MaxHold: 6 * time.Second, Drain: 2 * time.Second},
+		Leased: func(clock.Time) bool { return true }, Log: logrus.NewEntry(logrus.New()),
+	}, Claim{Term: 1, Revision: revision, First: true})
+	o.deps.Log.Logger.SetLevel(logrus.ErrorLevel)
+	return o, p, info
+}
+
+// Found by the sweep to 300 hosts: 3,000 workers write 2,000 times a second, an answer holds 500
+// changes, and the owner paused after each. It heard 5 s late that workers were leaving.
+func TestOwnerHearsOfALeavingWorkerBehindThousandsOfHeartbeats(t *testing.T) {
+	g := NewWithT(t)
+	o, p, info := ownerOfEmulated(t)
+	key := platform.WorkersPrefix + string(info.ID)
+	entry := p.Store.Value(key)
+	for range 8000 {
+		p.Store.Put(key, entry)
+	}
+	p.Workers[0].Drain(time.Minute)
+	ctx, cancel := context.WithCancel(t.Context())
+	o.duties.Go(func() { o.watchWorkers(ctx) })
+	defer o.duties.Wait()
+	defer cancel()
+	draining := func() bool {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		workers := o.pool.Workers()
+		return len(workers) == 1 && workers[0].Draining
+	}
+	g.Eventually(draining, 2*time.Second, 10*time.Millisecond).Should(BeTrue(), "the platform gives %s", o.deps.Bounds.Drain)
+}
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -32,10 +32,13 @@
 
 	// maxLease is how long what runs on a worker is leased at most: long enough for a
 	// takeover, short enough for what a crashed worker ran to start elsewhere soon.
-	maxLease     = 5700 * time.Millisecond
-	leaseMargin  = 300 * time.Millisecond
-	planEvery    = 50 * time.Millisecond
-	planPause    = 3 * time.Millisecond
+	maxLease    = 5700 * time.Millisecond
+	leaseMargin = 300 * time.Millisecond
+	planEvery   = 50 * time.Millisecond
+	planPause   = 3 * time.Millisecond
+	// planRest is how many times as long as a plan took the next one waits at least, so that a
+	// pool in which much waits leaves the processor to the calls to workers.
+	planRest     = 2
 	inspectEvery = 250 * time.Millisecond
 	statusEvery  = time.Second
 )
@@ -85,6 +88,7 @@
 	claim Claim
 	done  chan struct{}
 	kick  chan struct{} // of size 1: there may be something to plan
+	calls *callGate     // to workers
 	// jobsKnown is closed when the jobs of the store are known.
 	jobsKnown chan struct{}
 
@@ -114,6 +118,7 @@
 	now := deps.Clock.Now()
 	o := &Owner{
 		deps: deps, claim: claim, done: make(chan struct{}), kick: make(chan struct{}, 1), jobsKnown: make(chan struct{}),
+		calls:    newCallGate(callsAtOnce),
 		sessions: map[dispatch.WorkerID]*workerSession{}, members: map[string]*poolrpc.Session{},
 		cancelled: map[job.ID]bool{}, committed: make(chan struct{}), lanes: newLanes(claim),
 		beats: newBeats(deps.Heartbeat), upkeep: upkeep.New(),
@@ -230,15 +235,18 @@
 func (o *Owner) runPlans(ctx context.Context) {
 	t := time.NewTicker(planEvery)
 	defer t.Stop()
+	var took time.Duration // by the last plan
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		case <-o.kick:
-			time.Sleep(planPause)
+			clock.Sleep(ctx, max(planPause, planRest*took))
 		}
+		began := time.Now()
 		o.carryOut(ctx)
+		took = time.Since(began)
 	}
 }
 
--- a/pkg/poolowner/sessions.go
+++ b/pkg/poolowner/sessions.go
@@ -64,7 +64,7 @@
 func (s *workerSession) runHolds(ctx context.Context) {
 	met := false // the first hold, which does not wait, learned the worker's clock
 	for ctx.Err() == nil {
-		answered, known := s.hold(ctx, false, met)
+		answered, known := s.hold(ctx, s.holdClass(met), false, met)
 		if !known {
 			return
 		}
@@ -101,8 +101,13 @@
 
 // hold sends one hold and takes in its answer; with waits, the worker lets it wait for an end.
 // known is false when there is nothing to be asked of the worker any more.
-func (s *workerSession) hold(ctx context.Context, raise, waits bool) (answered, known bool) {
+func (s *workerSession) hold(ctx context.Context, class callClass, raise, waits bool) (answered, known bool) {
 	o := s.owner
+	leave, ok := o.calls.enter(ctx, class, holdCounts(waits))
+	if !ok {
+		return false, false
+	}
+	defer leave()
 	o.mu.Lock()
 	now := o.deps.Clock.Now()
 	h, ok := o.pool.HoldFor(s.id, raise, o.authority(now), now)
@@ -128,6 +133,25 @@
 	return a.Verdict == dispatch.VerdictDone, true
 }
 
+// holdClass is how urgent the session's next hold is; met says that the worker has answered.
+func (s *workerSession) holdClass(met bool) callClass {
+	switch {
+	case met:
+		return callHold
+	case s.failures > 0:
+		return callSilent
+	}
+	return callFirst
+}
+
+// holdCounts is how long a hold counts among the calls on their way.
+func holdCounts(waits bool) time.Duration {
+	if waits {
+		return waitCounts
+	}
+	return callCounts
+}
+
 // patience gives a worker more time whose answers have not come in the usual one: it may be
 // far away or slow.
 func (s *workerSession) patience(raise bool) time.Duration {
@@ -170,19 +194,32 @@
 	s.owner.duties.Go(func() {
 		clock.Sleep(ctx, 5*time.Millisecond)
 		<-s.settling
+		class := callOrder
 		for range settleTries {
-			answered, known := s.hold(ctx, true, false)
+			answered, known := s.hold(ctx, class, true, false)
 			if answered || !known || ctx.Err() != nil {
 				return
 			}
+			class = callSilent
 			clock.Sleep(ctx, holdRetry)
 		}
 	})
 }
 
-// put queues an order; it says whether there was room.
+// put queues an order; it says whether there was room. An order whose
+// session ends before its turn is dropped, as one that waits in the queue is.
 func (s *workerSession) put(order func(context.Context)) bool {
-	return s != nil && s.orders.put(order)
+	if s == nil {
+		return false
+	}
+	return s.orders.put(func(ctx context.Context) {
+		leave, ok := s.owner.calls.enter(ctx, callOrder, callCounts)
+		if !ok {
+			return
+		}
+		defer leave()
+		order(ctx)
+	})
 }
 
 func (o *Owner) sendStart(s *workerSession, a dispatch.Start) {
