Let holds have turns among a flood of orders

With more orders than a process can send, leases would lapse unseen. Found by reading; the test fails with strict priority. Conclusion: turns by weight, orders half of them.

--- a/pkg/poolowner/call_gate.go
+++ b/pkg/poolowner/call_gate.go
@@ -28,6 +28,11 @@
 	callClasses
 )
 
+// turns tells which class is asked first, release by release: a flood of orders must not keep
+// leases from being extended, nor new workers from being met. A class in which none waits
+// leaves its turn to the most urgent one.
+var turns = [...]callClass{callOrder, callHold, callOrder, callHold, callOrder, callFirst, callOrder, callSilent}
+
 // callGate bounds the calls to workers that this process has on its hands. A time limit runs
 // while a call waits for the processor, too: with too many calls begun at once all of them
 // fail, and are made again over new connections, which takes more time still. A gate that is
@@ -39,6 +44,7 @@
 
 	mu      sync.Mutex
 	free    int
+	turn    int // in turns
 	waiting [callClasses][]chan struct{}
 }
 
@@ -99,16 +105,30 @@
 	return false
 }
 
-// release hands a call on to the first that waits, of the most urgent class.
+// release hands a call on to one that waits.
 func (g *callGate) release() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for class, waiting := range g.waiting {
-		if len(waiting) > 0 {
-			g.waiting[class] = waiting[1:]
-			close(waiting[0])
+	g.turn = (g.turn + 1) % len(turns)
+	if g.admit(turns[g.turn]) {
+		return
+	}
+	for class := range callClasses {
+		if g.admit(class) {
 			return
 		}
 	}
 	g.free++
 }
+
+// admit lets the first through that waits in a class; it says whether there was one. The caller
+// holds g.mu.
+func (g *callGate) admit(class callClass) bool {
+	waiting := g.waiting[class]
+	if len(waiting) == 0 {
+		return false
+	}
+	g.waiting[class] = waiting[1:]
+	close(waiting[0])
+	return true
+}
--- a/pkg/poolowner/call_gate_test.go
+++ b/pkg/poolowner/call_gate_test.go
@@ -70,6 +70,7 @@
 	enterLater(g, callSilent, passed)
 	enterLater(g, callHold, passed)
 	enterLater(g, callOrder, passed)
+	g.turn = len(turns) - 1 // so that the turn is that of orders
 	leave()
 	Eventually(passed).Should(Receive(Equal(callOrder)))
 	g.release()
@@ -78,6 +79,30 @@
 	Eventually(passed).Should(Receive(Equal(callSilent)))
 }
 
+func TestFloodOfOrdersLeavesTurnsToHolds(t *testing.T) {
+	RegisterTestingT(t)
+	g, _ := gateForTest(1)
+	_, _ = g.enter(context.Background(), callOrder, time.Second)
+	passed := make(chan callClass, 40)
+	for range 12 {
+		enterLater(g, callOrder, passed)
+	}
+	for class := callHold; class < callClasses; class++ {
+		enterLater(g, class, passed)
+	}
+	let := map[callClass]int{}
+	for range len(turns) {
+		g.release()
+		var class callClass
+		Eventually(passed).Should(Receive(&class))
+		let[class]++
+	}
+	Expect(let[callHold]).To(Equal(1))
+	Expect(let[callFirst]).To(Equal(1))
+	Expect(let[callSilent]).To(Equal(1))
+	Expect(let[callOrder]).To(Equal(len(turns) - 3))
+}
+
 func TestCallToASilentWorkerCountsForAWhileOnly(t *testing.T) {
 	RegisterTestingT(t)
 	g, timers := gateForTest(1)
