Play random histories of owners and workers; take ends of lapsed runs; call a run stuck only by reports

A test in package dispatch now plays it without: owners that follow each other while the former still gives orders, workers with slow clocks, calls that are delayed, lost, or carried out seconds later. Ruled out: the histories' own picture of percentages (they change with each report) and of notes after a lapse.

--- a/pkg/dispatch/ends.go
+++ b/pkg/dispatch/ends.go
@@ -56,7 +56,7 @@
 		t.checkpoint = checkpoint
 	}
 	t.lastEnded = max(t.lastEnded, r.number)
-	if j.outcome != "" {
+	if j.outcome != "" || t.done && !s.spec.Gang {
 		return
 	}
 	switch {
--- /dev/null
+++ b/pkg/dispatch/history_test.go
@@ -0,0 +1,523 @@
+package dispatch
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/queue"
+)
+
+// Random histories of a pool: owners that follow each other while the former one still gives
+// orders, workers with clocks of their own, and calls that are delayed, lost, answered late or
+// carried out seconds later. The promises are checked at the workers, as callers see them.
+
+var (
+	historySeeds = flag.Int("history.seeds", 150, "how many random histories are played")
+	historyAll   = flag.Bool("history.all", false, "print the whole log of a history that broke a promise")
+	historySeed  = flag.Uint64("history.seed", 1, "seed of the first one")
+)
+
+const (
+	historyTick    = 20 * time.Millisecond
+	historyLength  = 40 * time.Second
+	historyWorkers = 4
+	historyJobs    = 12
+	// platformHold is the longest lease that a worker gives, by its own clock.
+	platformHold = 6 * time.Second
+	ownerTerm    = 2 * time.Second
+	callLimit    = 160 * time.Millisecond
+)
+
+// modelRun is a run at a modelled worker.
+type modelRun struct {
+	task   job.TaskID
+	run    int
+	need   cell.Resources
+	endsAt clock.Time
+	fails  bool
+}
+
+// modelWorker keeps the protocol of a worker.
+type modelWorker struct {
+	id       WorkerID
+	rate     float64 // of its clock
+	origin   float64
+	capacity cell.Resources
+	token    int64
+	lease    int64 // on its clock
+	runs     map[runKey]modelRun
+	ended    []Finished
+	endedAt  map[int64]clock.Time // of the ends, by their numbers
+	lapsedAt clock.Time           // when its lease had lapsed last
+	lastEnd  int64
+	highest  map[job.TaskID]int // runs up to it have ended or are there
+	cut      bool
+	dead     bool
+}
+
+func (m *modelWorker) clock(now clock.Time) int64 {
+	return int64(m.origin + m.rate*float64(now))
+}
+
+// modelOwner is an owner at work.
+type modelOwner struct {
+	pool    *Pool
+	term    int64
+	until   clock.Time // end of its authority; 0 while it is the present owner
+	holding map[WorkerID]clock.Time
+	ended   bool
+}
+
+// call is a call on its way.
+type call struct {
+	at clock.Time // when it arrives
+	do func()
+}
+
+// world is a pool with its workers, its store and its owners.
+type world struct {
+	t      *testing.T
+	seed   uint64
+	rand   *rand.Rand
+	now    clock.Time
+	wall   time.Time
+	store  map[job.ID]*storedJob
+	owners []*modelOwner
+	term   int64
+	worker []*modelWorker
+	calls  []call
+	done   map[job.TaskID]bool // ends that were noted, other than after the worker's lease lapsed
+	log    []string
+	bad    bool
+}
+
+// storedJob is what the store has of a job.
+type storedJob struct {
+	record   job.Record
+	progress job.Progress
+	stored   bool
+	outcome  job.State
+}
+
+func newWorld(t *testing.T, seed uint64) *world {
+	w := &world{
+		t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, 0)), now: 100_000, wall: time.Unix(1_700_000_000, 0),
+		store: map[job.ID]*storedJob{}, done: map[job.TaskID]bool{},
+	}
+	for n := range historyWorkers {
+		w.worker = append(w.worker, &modelWorker{
+			id: workerID(n), rate: 0.98 + 0.02*w.rand.Float64(), origin: float64(w.rand.IntN(500_000)),
+			capacity: cell.Resources{CPUMillis: 4000, MemoryMB: 8000}, runs: map[runKey]modelRun{}, highest: map[job.TaskID]int{},
+			endedAt: map[int64]clock.Time{},
+		})
+	}
+	return w
+}
+
+func (w *world) chance(p float64) bool {
+	return w.rand.Float64() < p
+}
+
+func (w *world) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(w.rand.Int64N(int64(most-least)))
+}
+
+func (w *world) note(format string, args ...any) {
+	w.log = append(w.log, fmt.Sprintf("%d ", w.now)+fmt.Sprintf(format, args...))
+}
+
+func (w *world) broken(format string, args ...any) {
+	w.bad = true
+	w.t.Errorf("seed %d at %d: "+format, append([]any{w.seed, w.now}, args...)...)
+}
+
+// ---------------------------------------------------------------- owners
+
+// elect makes a new owner; the former one goes on for a while.
+func (w *world) elect() {
+	w.term++
+	for _, o := range w.owners {
+		if o.until == 0 {
+			o.until = w.now.Add(w.between(0, ownerTerm))
+		}
+	}
+	o := &modelOwner{term: w.term, holding: map[WorkerID]clock.Time{}}
+	o.pool = New(Config{
+		Hold: 5700 * time.Millisecond, MaxHold: 5700 * time.Millisecond, Drain: time.Second, StopGrace: 400 * time.Millisecond,
+		Token: w.term << 20, Term: w.term, FirstRun: int(w.term) * 1000, Takeover: w.term > 1, AuthorityTerm: ownerTerm + 200*time.Millisecond,
+		Wall: func() time.Time { return w.wall },
+		Log: func(e Event) {
+			w.note("owner %d %s %s run %d %s %s", w.term, e.Name, e.Task, e.Run, e.Worker, e.Detail)
+		},
+	}, w.now)
+	o.pool.SetConfig(queue.NewConfig(1, []queue.Queue{testQueue}, nil))
+	for _, m := range w.worker {
+		if !m.dead {
+			o.pool.PutWorker(WorkerInfo{ID: m.id, Pool: "pool", Capacity: m.capacity}, true, w.now)
+			o.pool.Rostered([]WorkerID{m.id})
+		}
+	}
+	for _, id := range w.jobs() {
+		if s := w.store[id]; s.outcome == "" {
+			o.pool.AddJob(s.record, s.progress, s.stored, 0, w.now)
+		} else {
+			o.pool.AddOutcome(id, s.outcome, w.now)
+		}
+	}
+	o.pool.SetLoaded()
+	w.owners = append(w.owners, o)
+	w.note("owner %d elected", w.term)
+}
+
+// jobs lists the jobs of the store, in order.
+func (w *world) jobs() []job.ID {
+	var ids []job.ID
+	for id := range w.store {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (w *world) present() *modelOwner {
+	return w.owners[len(w.owners)-1]
+}
+
+// act lets an owner plan, commit and call workers.
+func (w *world) act(o *modelOwner) {
+	if o.ended || o.pool.Fenced() || o.until != 0 && w.now >= o.until {
+		o.ended = true
+		return
+	}
+	actions := o.pool.Plan(w.now, true)
+	for _, s := range actions.Starts {
+		w.sendStart(o, s)
+	}
+	for _, s := range actions.Stops {
+		w.sendStop(o, s)
+	}
+	for _, id := range actions.Settles {
+		w.sendHold(o, id, true)
+	}
+	for _, m := range w.worker {
+		if w.now >= o.holding[m.id] {
+			w.sendHold(o, m.id, false)
+		}
+	}
+	o.pool.Inspect(w.now)
+	w.commit(o)
+}
+
+// commit writes what an owner has decided; a former owner's commit fails and ends it.
+func (w *world) commit(o *modelOwner) {
+	c := o.pool.TakeCommit()
+	if c.Empty() {
+		return
+	}
+	if o != w.present() {
+		o.ended = true
+		return
+	}
+	for _, change := range c.Changes {
+		s := w.store[change.Job]
+		s.outcome, s.progress, s.stored = change.Outcome, change.Progress, true
+	}
+	o.pool.Committed(c)
+}
+
+// ---------------------------------------------------------------- calls
+
+// send has a call carried out by a worker and its answer taken in, unless one of them is lost.
+// A call without an answer may be carried out seconds later.
+func (w *world) send(m *modelWorker, carryOut func() (answer func()), unanswered func()) {
+	lost := m.cut || m.dead || w.chance(0.03)
+	if lost {
+		if !m.dead && w.chance(0.3) {
+			w.later(w.between(time.Second, 6*time.Second), func() { carryOut() })
+		}
+		w.later(callLimit, unanswered)
+		return
+	}
+	w.later(w.between(time.Millisecond, 30*time.Millisecond), func() {
+		answer := carryOut()
+		if m.cut || w.chance(0.02) {
+			w.later(callLimit, unanswered)
+			return
+		}
+		w.later(w.between(time.Millisecond, 30*time.Millisecond), answer)
+	})
+}
+
+func (w *world) later(d time.Duration, do func()) {
+	w.calls = append(w.calls, call{at: w.now.Add(d), do: do})
+}
+
+func (w *world) sendStart(o *modelOwner, s Start) {
+	m := w.worker[numberOf(s.Worker)]
+	w.send(m, func() func() {
+		a := w.start(m, s)
+		return func() { o.pool.StartAnswered(s, a, nil, w.now) }
+	}, func() { o.pool.StartAnswered(s, Answer{}, fmt.Errorf("no answer"), w.now) })
+}
+
+func (w *world) sendStop(o *modelOwner, s Stop) {
+	m := w.worker[numberOf(s.Worker)]
+	w.send(m, func() func() {
+		a := w.stop(m, s)
+		return func() { o.pool.StopAnswered(s, a, w.now) }
+	}, func() {})
+}
+
+func (w *world) sendHold(o *modelOwner, id WorkerID, raise bool) {
+	h, ok := o.pool.HoldFor(id, raise, true, w.now)
+	if !ok {
+		return
+	}
+	m := w.worker[numberOf(id)]
+	pause := w.between(historyTick, 300*time.Millisecond)
+	if w.chance(0.05) {
+		pause = w.between(time.Second, 3*time.Second) // the owner has too much to do
+	}
+	o.holding[id] = w.now.Add(callLimit + pause)
+	w.send(m, func() func() {
+		a, report := w.hold(m, h)
+		return func() { o.pool.HoldAnswered(h, a, report, w.now) }
+	}, func() {
+		if raise {
+			w.sendHold(o, id, true)
+		}
+	})
+}
+
+// ---------------------------------------------------------------- workers
+
+// fence takes in a token; it says whether the order counts.
+func (m *modelWorker) fence(token int64) bool {
+	if token < m.token {
+		return false
+	}
+	m.token = token
+	return true
+}
+
+// extend lets what runs go on up to a deadline.
+func (m *modelWorker) extend(deadline int64, now clock.Time) {
+	m.lease = max(m.lease, min(deadline, m.clock(now)+platformHold.Milliseconds()))
+}
+
+func (w *world) start(m *modelWorker, s Start) Answer {
+	a := Answer{Clock: m.clock(w.now)}
+	key := runKey{s.Task, s.Run}
+	switch _, there := m.runs[key]; {
+	case !m.fence(s.Token):
+		a.Verdict = VerdictFenced
+		return a
+	case s.Deadline <= a.Clock:
+		a.Verdict = VerdictLate
+		return a
+	case there:
+		a.Verdict = VerdictDone
+		return a
+	case s.Run <= m.highest[s.Task]:
+		a.Verdict = VerdictOldRun
+		return a
+	}
+	m.extend(s.Deadline, w.now)
+	m.highest[s.Task] = s.Run
+	need := w.store[s.Task.Job].record.Job.Steps[s.Task.Step].Resources
+	w.begin(m, modelRun{
+		task: s.Task, run: s.Run, need: need, fails: w.chance(0.05),
+		endsAt: w.now.Add(w.between(200*time.Millisecond, 4*time.Second)),
+	})
+	a.Verdict = VerdictDone
+	return a
+}
+
+// begin checks the promises and starts a run.
+func (w *world) begin(m *modelWorker, r modelRun) {
+	w.note("%s begins %s run %d", m.id, r.task, r.run)
+	used := r.need
+	for _, x := range m.runs {
+		used = used.Add(x.need)
+	}
+	if !used.Fits(m.capacity) {
+		w.broken("%s is given more than it holds by %s run %d", m.id, r.task, r.run)
+	}
+	if w.done[r.task] {
+		w.broken("%s begins again as run %d on %s after its end was noted", r.task, r.run, m.id)
+	}
+	for _, other := range w.worker {
+		for key := range other.runs {
+			if key.task == r.task {
+				w.broken("%s runs as %d on %s and as %d on %s", r.task, key.run, other.id, r.run, m.id)
+			}
+		}
+	}
+	m.runs[runKey{r.task, r.run}] = r
+}
+
+func (w *world) stop(m *modelWorker, s Stop) Answer {
+	a := Answer{Clock: m.clock(w.now), Verdict: VerdictDone}
+	if !m.fence(s.Token) {
+		a.Verdict = VerdictFenced
+		return a
+	}
+	if r, ok := m.runs[runKey{s.Task, s.Run}]; ok {
+		w.later(w.between(10*time.Millisecond, 400*time.Millisecond), func() { w.end(m, r, EndStopped) })
+	}
+	return a
+}
+
+func (w *world) hold(m *modelWorker, h Hold) (Answer, Report) {
+	a := Answer{Clock: m.clock(w.now), Verdict: VerdictDone}
+	if !m.fence(h.Token) {
+		a.Verdict = VerdictFenced
+		return a, Report{}
+	}
+	if h.Deadline > 0 {
+		m.extend(h.Deadline, w.now)
+	}
+	for _, f := range m.ended {
+		if f.Number <= h.LastSeen && f.How == EndDone && m.lapsedAt < m.endedAt[f.Number] {
+			w.note("%s: the end of %s run %d is noted", m.id, f.Task, f.Run)
+			w.done[f.Task] = true
+		}
+	}
+	m.ended = slices.DeleteFunc(m.ended, func(f Finished) bool { return f.Number <= h.LastSeen })
+	report := Report{Finished: slices.Clone(m.ended)}
+	for _, r := range m.runs {
+		report.Active = append(report.Active, Active{Task: r.task, Run: r.run, Percent: 1 + w.rand.IntN(90)})
+	}
+	return a, report
+}
+
+// end ends a run, if it is still there.
+func (w *world) end(m *modelWorker, r modelRun, how End) {
+	key := runKey{r.task, r.run}
+	if _, ok := m.runs[key]; !ok || m.dead {
+		return
+	}
+	delete(m.runs, key)
+	m.lastEnd++
+	m.endedAt[m.lastEnd] = w.now
+	m.ended = append(m.ended, Finished{Number: m.lastEnd, Task: r.task, Run: r.run, How: how})
+	w.note("%s ends %s run %d %s", m.id, r.task, r.run, how)
+}
+
+// advance ends what is over or whose lease has lapsed.
+func (w *world) advance(m *modelWorker) {
+	lapsed := m.clock(w.now) >= m.lease
+	if lapsed {
+		m.lapsedAt = w.now
+	}
+	for _, r := range m.runs {
+		switch {
+		case lapsed:
+			w.end(m, r, EndLapsed)
+		case w.now < r.endsAt:
+		case r.fails:
+			w.end(m, r, EndFailed)
+		default:
+			w.end(m, r, EndDone)
+		}
+	}
+}
+
+// ---------------------------------------------------------------- histories
+
+// trouble draws what happens at a tick.
+func (w *world) trouble() {
+	if w.chance(0.003) {
+		w.elect()
+	}
+	for _, m := range w.worker {
+		if w.chance(0.002) {
+			m.cut = true
+			w.note("%s is cut off", m.id)
+			w.later(w.between(200*time.Millisecond, 9*time.Second), func() { m.cut = false })
+		}
+	}
+}
+
+// handIn accepts a job.
+func (w *world) handIn(n int) {
+	id := job.ID(fmt.Sprintf("%016d", n))
+	s := job.Step{Count: 1 + w.rand.IntN(4), Resources: cell.Resources{CPUMillis: 1000 + 500*w.rand.Int64N(4), MemoryMB: 500}, Estimate: time.Second}
+	o := w.present()
+	r := job.Record{Job: job.Job{ID: id, Spec: "spec", Steps: []job.Step{s}}, Queue: testQueue, Term: o.term}
+	w.store[id] = &storedJob{record: r}
+	o.pool.AddJob(r, job.Progress{}, false, 0, w.now)
+}
+
+// deliver carries out the calls that are due.
+func (w *world) deliver() {
+	for {
+		due := slices.IndexFunc(w.calls, func(c call) bool { return c.at <= w.now })
+		if due < 0 {
+			return
+		}
+		c := w.calls[due]
+		w.calls = slices.Delete(w.calls, due, due+1)
+		c.do()
+	}
+}
+
+// play plays a history; calm says that nothing goes wrong any more.
+func (w *world) play() {
+	w.elect()
+	end := w.now.Add(historyLength)
+	calm := end.Add(-20 * time.Second)
+	handedIn := 0
+	for ; w.now < end && !w.bad; w.now = w.now.Add(historyTick) {
+		w.wall = w.wall.Add(historyTick)
+		if w.now < calm {
+			w.trouble()
+		}
+		if handedIn < historyJobs && w.chance(0.02) {
+			w.handIn(handedIn)
+			handedIn++
+		}
+		for _, m := range w.worker {
+			w.advance(m)
+		}
+		w.deliver()
+		for _, o := range w.owners {
+			w.act(o)
+		}
+	}
+	for _, id := range w.jobs() {
+		if !w.bad && w.store[id].outcome == "" {
+			w.broken("job %s has not ended after 20 s of calm", id)
+		}
+	}
+}
+
+func TestPromisesHoldInRandomHistories(t *testing.T) {
+	for n := range *historySeeds {
+		w := newWorld(t, *historySeed+uint64(n))
+		w.play()
+		if w.bad {
+			lines := 60
+			if *historyAll {
+				lines = len(w.log)
+			}
+			t.Logf("the last lines of seed %d:\n%s", w.seed, lastLines(w.log, lines))
+			return
+		}
+	}
+}
+
+func lastLines(lines []string, n int) string {
+	text := ""
+	for _, l := range lines[max(0, len(lines)-n):] {
+		text += l + "\n"
+	}
+	return text
+}
--- a/pkg/dispatch/jobs.go
+++ b/pkg/dispatch/jobs.go
@@ -102,7 +102,8 @@
 	confirmedAt  clock.Time
 	percent      int
 	observed     bool
-	startPercent int // at the first report, with what a checkpoint brought
+	observedAt   clock.Time // by the last report
+	startPercent int        // at the first report, with what a checkpoint brought
 	percentAt    clock.Time
 	missing      int // reports in a row that did not list it
 	stopAsked    bool
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -101,14 +101,20 @@
 	if s.spec.LongRunning || s.spec.Filler || r.percent >= almostDone || r.task.current != r {
 		return
 	}
-	limit := stuckAfter + time.Duration(stuckShare*float64(s.spec.Estimate))
-	if now.Sub(r.percentAt) < limit {
+	if !r.standsStill(now) {
 		return
 	}
 	p.suspend(w, suspendFor, "a run stands still", now)
 	p.move(r, "it stands still")
 }
 
+// standsStill says that a run's progress has not changed for too long. A report must have shown
+// so: a worker that was not asked tells nothing.
+func (r *run) standsStill(now clock.Time) bool {
+	limit := stuckAfter + time.Duration(stuckShare*float64(r.task.step.spec.Estimate))
+	return now.Sub(r.percentAt) >= limit && r.observedAt.Sub(r.percentAt) >= limit/2
+}
+
 // move stops a run so that its task starts elsewhere; with a gang, all its members.
 func (p *Pool) move(r *run, why string) {
 	p.cfg.Log(Event{Name: "run_moved", Task: r.task.id(), Run: r.number, Worker: r.worker.info.ID, Detail: why})
--- a/pkg/dispatch/pool_test.go
+++ b/pkg/dispatch/pool_test.go
@@ -348,6 +348,20 @@
 	f.Expect(again[0].Checkpoint).To(Equal("c1"))
 }
 
+// Seed 2965 of the random histories: an owner with much to do had not asked a worker for 1.65 s.
+func TestRunIsNotStuckBecauseItsWorkerWasNotAsked(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	f.add(testJob("a", testStep(1)))
+	s := f.plan().Starts[0]
+	f.accept(s)
+	f.pass(100 * time.Millisecond)
+	f.report(numberOf(s.Worker), Report{Active: []Active{{Task: s.Task, Run: s.Run, Percent: 20}}})
+	f.pass(1680 * time.Millisecond)
+	f.pool.Inspect(f.now)
+	f.Expect(f.plan().Stops).To(BeEmpty())
+}
+
 func TestRunThatOutlastsItsLeavingWorkerIsMoved(t *testing.T) {
 	f := newFixture(t, 2, nil)
 	f.reportAll(2)
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -80,6 +80,11 @@
 	if f.How == EndFailed && !p.countFailure(t, f.Run) {
 		return
 	}
+	if t.current != nil && f.How == EndDone && !t.step.spec.Gang && !t.step.spec.LongRunning {
+		p.stopRun(t.current) // started elsewhere when this one seemed lost
+		p.taskDone(t)
+		return
+	}
 	if t.current != nil || f.Run <= t.lastEnded && f.How != EndDone {
 		return
 	}
@@ -114,6 +119,7 @@
 	}
 	r.missing = 0
 	r.load = row.Load
+	r.observedAt = now
 	if !r.observed {
 		r.observed, r.startPercent = true, row.Percent
 	}
@@ -132,7 +138,9 @@
 	r.percentAt = now
 	j := r.task.step.time.job
 	j.began = true
-	if j.outcome != "" && j.outcome != job.Completed || r.task.step.gang.broken && !r.task.done {
+	s := r.task.step
+	needless := r.task.done && !s.spec.Gang
+	if j.outcome != "" && j.outcome != job.Completed || s.gang.broken && !r.task.done || needless {
 		p.stopRun(r)
 	}
 }
--- a/pkg/dispatch/takeover_test.go
+++ b/pkg/dispatch/takeover_test.go
@@ -135,3 +135,55 @@
 	state, _ := f.pool.State("a")
 	f.Expect(state).To(Equal(job.Completed))
 }
+
+// Seed 32 of the random histories. A worker that was cut off had done a task; the task was started
+// elsewhere when its lease had lapsed. The end was noted all the same when the worker was back,
+// but the task was not taken for done, and it was started once more after its second run was lost.
+func TestEndOfALapsedRunCountsThoughTheTaskRunsElsewhere(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	f.add(testJob("a", testStep(1)))
+	first := f.plan().Starts[0]
+	f.accept(first)
+	other := 1 - numberOf(first.Worker)
+	var second Start
+	for second.Run == 0 {
+		f.pass(200 * time.Millisecond)
+		f.report(other, Report{})
+		if starts := f.plan().Starts; len(starts) > 0 {
+			second = starts[0]
+		}
+	}
+	f.accept(second)
+	f.report(numberOf(first.Worker), f.end(first, 1, EndDone))
+	f.Expect(f.pool.jobs["a"].outcome).To(Equal(job.Completed))
+	stops := f.plan().Stops
+	f.Expect(stops).To(HaveLen(1))
+	f.Expect(stops[0].Run).To(Equal(second.Run))
+	f.report(other, f.end(second, 1, EndFailed))
+	f.Expect(f.pool.jobs["a"].outcome).To(Equal(job.Completed))
+	f.Expect(f.plan().Starts).To(BeEmpty())
+}
+
+func TestRunThatIsAnsweredAfterItsTaskIsDoneIsStopped(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	f.add(testJob("a", testStep(1), job.Step{Count: 1, After: []int{0}, Resources: testStep(1).Resources, Estimate: time.Second}))
+	first := f.plan().Starts[0]
+	f.accept(first)
+	other := 1 - numberOf(first.Worker)
+	var second Start
+	for second.Run == 0 {
+		f.pass(200 * time.Millisecond)
+		f.report(other, Report{})
+		if starts := f.plan().Starts; len(starts) > 0 {
+			second = starts[0]
+		}
+	}
+	f.report(numberOf(first.Worker), f.end(first, 1, EndDone)) // the second start is on its way
+	f.plan()
+	f.accept(second)
+	stops := f.plan().Stops
+	f.Expect(stops).To(HaveLen(1))
+	f.Expect(stops[0].Run).To(Equal(second.Run))
+}
