--- /dev/null
+++ b/pkg/dispatch/history_worker_test.go
@@ -0,0 +1,316 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/job"
+)
+
+// The workers of the random histories: they keep the platform's protocol, and check the promises
+// at each run that begins.
+
+// modelRun is a run at a modelled worker.
+type modelRun struct {
+	task   job.TaskID
+	run    int
+	need   cell.Resources
+	endsAt clock.Time // of a gang: when it gives up to wait for the others
+	fails  bool
+	gang   *modelGang // nil for none
+}
+
+// modelGang is one run of a gang.
+type modelGang struct {
+	members int
+	present int        // members that run
+	endsAt  clock.Time // set when all are there
+	fails   bool
+	broken  bool
+}
+
+// gangKey names one run of a gang.
+type gangKey struct {
+	step job.StepID
+	run  int
+}
+
+// modelWorker keeps the protocol of a worker.
+type modelWorker struct {
+	id       WorkerID
+	rate     float64 // of its clock
+	origin   float64
+	capacity cell.Resources
+	token    int64
+	lease    int64 // on its clock
+	runs     map[runKey]modelRun
+	ended    []Finished
+	endedAt  map[int64]clock.Time // of the ends, by their numbers
+	lapsedAt clock.Time           // when its lease had lapsed last
+	lastEnd  int64
+	highest  map[job.TaskID]int // runs up to it have ended or are there
+	cut      bool
+	dead     bool
+	replaced bool // another incarnation answers at its address
+}
+
+func (m *modelWorker) clock(now clock.Time) int64 {
+	return int64(m.origin + m.rate*float64(now))
+}
+
+// addWorker adds a new incarnation of a worker.
+func (w *world) addWorker() *modelWorker {
+	m := &modelWorker{
+		id: workerID(len(w.worker)), rate: 0.98 + 0.02*w.rand.Float64(), origin: float64(w.rand.IntN(500_000)),
+		capacity: cell.Resources{CPUMillis: 4000, MemoryMB: 8000}, runs: map[runKey]modelRun{}, highest: map[job.TaskID]int{},
+		endedAt: map[int64]clock.Time{},
+	}
+	w.worker = append(w.worker, m)
+	return m
+}
+
+// fence takes in a token; it says whether the order counts.
+func (m *modelWorker) fence(token int64) bool {
+	if token < m.token {
+		return false
+	}
+	m.token = token
+	return true
+}
+
+// extend lets what runs go on up to a deadline.
+func (m *modelWorker) extend(deadline int64, now clock.Time) {
+	m.lease = max(m.lease, min(deadline, m.clock(now)+platformHold.Milliseconds()))
+}
+
+func (w *world) start(m *modelWorker, s Start) Answer {
+	a := Answer{Clock: m.clock(w.now)}
+	key := runKey{s.Task, s.Run}
+	switch _, there := m.runs[key]; {
+	case !m.fence(s.Token):
+		a.Verdict = VerdictFenced
+		return a
+	case s.Deadline <= a.Clock:
+		a.Verdict = VerdictLate
+		return a
+	case there:
+		a.Verdict = VerdictDone
+		return a
+	case s.Run <= m.highest[s.Task]:
+		a.Verdict = VerdictOldRun
+		return a
+	}
+	m.extend(s.Deadline, w.now)
+	m.highest[s.Task] = s.Run
+	w.begin(m, w.newRun(s))
+	a.Verdict = VerdictDone
+	return a
+}
+
+func (w *world) newRun(s Start) modelRun {
+	step := w.store[s.Task.Job].record.Job.Steps[s.Task.Step]
+	r := modelRun{
+		task: s.Task, run: s.Run, need: step.Resources, fails: w.chance(0.05),
+		endsAt: w.now.Add(w.between(200*time.Millisecond, 4*time.Second)),
+	}
+	if !step.Gang {
+		return r
+	}
+	key := gangKey{s.Task.StepID, s.Run}
+	if w.gangs[key] == nil {
+		w.gangs[key] = &modelGang{members: step.Count, fails: w.chance(0.05)}
+	}
+	r.gang, r.endsAt = w.gangs[key], w.now.Add(gangTimeout)
+	r.gang.present++
+	if r.gang.present == r.gang.members {
+		r.gang.endsAt = w.now.Add(w.between(200*time.Millisecond, 3*time.Second))
+	}
+	return r
+}
+
+// counted is the task at which the failures of a task are counted.
+func (w *world) counted(t job.TaskID) job.TaskID {
+	if w.store[t.Job].record.Job.Steps[t.Step].Gang {
+		t.Index = 0
+	}
+	return t
+}
+
+// noted takes in that an owner has taken note of an end.
+func (w *world) noted(f Finished) {
+	switch f.How {
+	case EndDone:
+		for i := range w.store[f.Task.Job].record.Job.Steps[f.Task.Step].Count {
+			if t := (job.TaskID{StepID: f.Task.StepID, Index: i}); t == f.Task || w.counted(t) == w.counted(f.Task) {
+				w.done[t] = true
+			}
+		}
+	case EndFailed:
+		w.failed[w.counted(f.Task)]++
+	}
+}
+
+// checkOrder checks that a run begins after all steps before its own.
+func (w *world) checkOrder(m *modelWorker, r modelRun) {
+	steps := w.store[r.task.Job].record.Job.Steps
+	for _, a := range steps[r.task.Step].After {
+		done := 0
+		for i := range steps[a].Count {
+			if w.ended[job.TaskID{StepID: job.StepID{Job: r.task.Job, Step: a}, Index: i}] {
+				done++
+			}
+		}
+		if done < steps[a].Count && (!steps[a].Gang || done == 0) {
+			w.broken("%s begins run %d on %s before step %d is done", r.task, r.run, m.id, a)
+		}
+	}
+}
+
+// begin checks the promises and starts a run.
+func (w *world) begin(m *modelWorker, r modelRun) {
+	w.note("%s begins %s run %d", m.id, r.task, r.run)
+	used := r.need
+	for _, x := range m.runs {
+		used = used.Add(x.need)
+	}
+	if !used.Fits(m.capacity) {
+		w.broken("%s is given more than it holds by %s run %d", m.id, r.task, r.run)
+	}
+	w.checkOrder(m, r)
+	if w.failed[w.counted(r.task)] >= testQueue.MaxAttempts && r.gang == nil {
+		w.broken("%s begins as run %d on %s after all its attempts", r.task, r.run, m.id)
+	}
+	if w.done[r.task] {
+		w.broken("%s begins again as run %d on %s after its end was noted", r.task, r.run, m.id)
+	}
+	for _, other := range w.worker {
+		for key := range other.runs {
+			if key.task == r.task {
+				w.broken("%s runs as %d on %s and as %d on %s", r.task, key.run, other.id, r.run, m.id)
+			}
+		}
+	}
+	m.runs[runKey{r.task, r.run}] = r
+}
+
+func (w *world) stop(m *modelWorker, s Stop) Answer {
+	a := Answer{Clock: m.clock(w.now), Verdict: VerdictDone}
+	if !m.fence(s.Token) {
+		a.Verdict = VerdictFenced
+		return a
+	}
+	if r, ok := m.runs[runKey{s.Task, s.Run}]; ok {
+		w.later(w.between(10*time.Millisecond, 400*time.Millisecond), func() { w.end(m, r, EndStopped) })
+	}
+	return a
+}
+
+func (w *world) hold(m *modelWorker, h Hold) (Answer, Report) {
+	a := Answer{Clock: m.clock(w.now), Verdict: VerdictDone}
+	if !m.fence(h.Token) {
+		a.Verdict = VerdictFenced
+		return a, Report{}
+	}
+	if h.Deadline > 0 {
+		m.extend(h.Deadline, w.now)
+	}
+	for _, f := range m.ended {
+		if f.Number <= h.LastSeen && m.lapsedAt < m.endedAt[f.Number] {
+			w.note("%s: the end of %s run %d is noted", m.id, f.Task, f.Run)
+			w.noted(f)
+		}
+	}
+	m.ended = slices.DeleteFunc(m.ended, func(f Finished) bool { return f.Number <= h.LastSeen })
+	report := Report{Finished: slices.Clone(m.ended)}
+	for _, r := range m.runs {
+		report.Active = append(report.Active, Active{Task: r.task, Run: r.run, Percent: 1 + w.rand.IntN(90)})
+	}
+	return a, report
+}
+
+// end ends a run, if it is still there.
+func (w *world) end(m *modelWorker, r modelRun, how End) {
+	key := runKey{r.task, r.run}
+	if _, ok := m.runs[key]; !ok || m.dead {
+		return
+	}
+	delete(m.runs, key)
+	if r.gang != nil && how != EndDone {
+		r.gang.broken = true
+	}
+	if how == EndDone {
+		w.ended[r.task] = true
+	}
+	m.lastEnd++
+	m.endedAt[m.lastEnd] = w.now
+	m.ended = append(m.ended, Finished{Number: m.lastEnd, Task: r.task, Run: r.run, How: how})
+	w.note("%s ends %s run %d %s", m.id, r.task, r.run, how)
+}
+
+// advance ends what is over or whose lease has lapsed.
+func (w *world) advance(m *modelWorker) {
+	lapsed := m.clock(w.now) >= m.lease
+	if lapsed {
+		m.lapsedAt = w.now
+	}
+	for _, r := range m.runs {
+		switch {
+		case lapsed:
+			w.end(m, r, EndLapsed)
+		case r.gang != nil:
+			w.advanceGang(m, r)
+		case w.now < r.endsAt:
+		case r.fails:
+			w.end(m, r, EndFailed)
+		default:
+			w.end(m, r, EndDone)
+		}
+	}
+}
+
+// advanceGang ends a member of a gang when its gang is over.
+func (w *world) advanceGang(m *modelWorker, r modelRun) {
+	g := r.gang
+	switch {
+	case g.broken:
+		w.end(m, r, EndBroken)
+	case g.endsAt == 0 && w.now >= r.endsAt:
+		w.end(m, r, EndAlone)
+	case g.endsAt == 0 || w.now < g.endsAt:
+	case g.fails:
+		w.end(m, r, EndFailed)
+	default:
+		w.end(m, r, EndDone)
+	}
+}
+
+// crash ends an incarnation with all that it runs; another one follows.
+func (w *world) crash(m *modelWorker) {
+	w.note("%s crashes", m.id)
+	m.dead = true
+	for _, r := range m.runs {
+		if r.gang != nil {
+			r.gang.broken = true
+		}
+	}
+	clear(m.runs)
+	w.later(w.between(time.Second, 4*time.Second), func() {
+		m.replaced = true
+		next := w.addWorker()
+		for _, o := range w.owners {
+			o.pool.UnlistWorker(m.id, false, w.now)
+			o.meet(next, w.now)
+		}
+	})
+}
+
+// cancel cancels a job.
+func (w *world) cancel(id job.ID) {
+	if s := w.store[id]; s.outcome == "" {
+		w.note("%s is cancelled", id)
+		s.cancelled = true
+		w.present().pool.Cancel(id)
+	}
+}
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -83,6 +83,7 @@
 	if t.current != nil && f.How == EndDone && !t.step.spec.Gang && !t.step.spec.LongRunning {
 		p.stopRun(t.current) // started elsewhere when this one seemed lost
 		p.taskDone(t)
+		p.updateReady(t.step.time)
 		return
 	}
 	if t.current != nil || f.Run <= t.lastEnded && f.How != EndDone {
