One subcommand a file, commands and queries apart in the API of jobs; figure of calls that wait

Cause: house rules (commands and queries in separate files and paths; a family one a file). Cancelling is now POST /v1/jobs/{id}/cancellation.

--- /dev/null
+++ b/pkg/cli/job_client.go
@@ -0,0 +1,44 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+
+	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/jobapi/jobsapi"
+	"github.com/cockroachdb/errors"
+)
+
+// open returns a client of the host's API of jobs.
+func (f hostFlag) open() (*jobsapi.Client, error) {
+	client, err := jobsapi.NewClient("http://" + f.Host.String())
+	return client, errors.Wrap(err, "entry host")
+}
+
+// call makes one call about a job and prints its state.
+func (f hostFlag) call(e *env, id string, do func(context.Context, *jobsapi.Client) (*jobsapi.JobStatus, error)) error {
+	if _, err := job.ParseID(id); err != nil {
+		return err
+	}
+	client, err := f.open()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
+	defer cancel()
+	status, err := do(ctx, client)
+	if err != nil {
+		return problemError(err)
+	}
+	_, err = fmt.Fprintf(e.out, "%s %s\n", status.ID, status.State)
+	return err
+}
+
+// problemError puts an answer that is not a success into words.
+func problemError(err error) error {
+	var p *jobsapi.ProblemStatusCodeWithHeaders
+	if !errors.As(err, &p) {
+		return err
+	}
+	return errors.Newf("%s (%d): %s", p.Response.Name, p.Response.Code, p.Response.Message)
+}
--- /dev/null
+++ b/pkg/cli/job_queue.go
@@ -0,0 +1,35 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+
+	"foldarch.dev/foldarch/pkg/jobapi/jobsapi"
+)
+
+// JobQueueCommand counts what waits in a queue.
+type JobQueueCommand struct {
+	hostFlag
+	Name string `arg:"" help:"The queue, as the configuration names it."`
+}
+
+// Help gives an example.
+func (JobQueueCommand) Help() string {
+	return "Example:\n\n  foldarch job queue --host 10.1.0.13:9100 fits"
+}
+
+// Run asks for the count.
+func (c JobQueueCommand) Run(e *env) error {
+	client, err := c.open()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
+	defer cancel()
+	status, err := client.ReadQueue(ctx, jobsapi.ReadQueueParams{Queue: c.Name})
+	if err != nil {
+		return problemError(err)
+	}
+	_, err = fmt.Fprintf(e.out, "%s: %d pending\n", status.Queue, status.Pending)
+	return err
+}
--- /dev/null
+++ b/pkg/cli/job_show.go
@@ -0,0 +1,96 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+
+	"foldarch.dev/foldarch/pkg/dispatch"
+	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/jobstore"
+	"github.com/cockroachdb/errors"
+)
+
+// JobShowCommand tells what the owner of the pool knows of a job on the platform.
+type JobShowCommand struct {
+	hostFlag
+	jobArgument
+	JSON bool `help:"Print JSON."`
+}
+
+// Help gives an example.
+func (JobShowCommand) Help() string {
+	return "Example:\n\n  foldarch job --host 10.1.0.13:9100 5c0e7a21d94b36f8"
+}
+
+// Run asks the host, and the owner if that is another one.
+func (c JobShowCommand) Run(e *env) error {
+	id, err := job.ParseID(c.ID)
+	if err != nil {
+		return err
+	}
+	status, body, err := getJob(c.Host, id)
+	if err != nil {
+		return err
+	}
+	if status == http.StatusMisdirectedRequest {
+		holder, err := jobstore.DecodeHolder(body)
+		if err != nil || !holder.Address.IsValid() {
+			return errors.Newf("%s knows of no owner at present", c.Host)
+		}
+		owner := netip.AddrPortFrom(holder.Address.Addr(), c.Host.Port())
+		if status, body, err = getJob(owner, id); err != nil {
+			return err
+		}
+	}
+	if status != http.StatusOK {
+		return errors.Newf("job %s: %s", id, strings.TrimSpace(string(body)))
+	}
+	var x dispatch.Explanation
+	if err := json.Unmarshal(body, &x); err != nil {
+		return errors.Wrap(err, "answer")
+	}
+	if c.JSON {
+		encoder := json.NewEncoder(e.out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(x)
+	}
+	printExplanation(e.out, x)
+	return nil
+}
+
+func getJob(host netip.AddrPort, id job.ID) (status int, body []byte, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/jobs/%s", host, id), nil)
+	if err != nil {
+		return 0, nil, err
+	}
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, nil, errors.Wrapf(err, "ask %s", host)
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err = io.ReadAll(res.Body)
+	return res.StatusCode, body, err
+}
+
+func printExplanation(out io.Writer, x dispatch.Explanation) {
+	fmt.Fprintf(out, "job %s in queue %s: %s\n", x.Job, x.Queue, x.State)
+	if x.Blocked != "" {
+		fmt.Fprintf(out, "held back: %s\n", x.Blocked)
+	}
+	for _, s := range x.Steps {
+		fmt.Fprintf(out, "\nstep %s: %d of %d done, %d failures, %d ms left\n", s.Step, s.Done, s.Count, s.Failures, s.LeftMs)
+		if s.Waits != "" {
+			fmt.Fprintf(out, "    waits for %s\n", s.Waits)
+		}
+		for _, r := range s.Runs {
+			fmt.Fprintf(out, "    task %d run %d on %s: %s, %d%%\n", r.Task, r.Run, r.Worker, r.State, r.Percent)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/cli/job_submit.go
@@ -0,0 +1,58 @@
+package cli
+
+import (
+	"context"
+	"io"
+	"os"
+
+	"foldarch.dev/foldarch/pkg/jobapi/jobsapi"
+	"github.com/cockroachdb/errors"
+)
+
+// JobSubmitCommand hands in a job.
+type JobSubmitCommand struct {
+	hostFlag
+	Queue string `required:"" help:"The queue, as the configuration names it." placeholder:"NAME"`
+	jobArgument
+	File string `arg:"" help:"The job in JSON (JobRequest in api/jobs.yaml); - for standard input."`
+}
+
+// Help gives an example.
+func (JobSubmitCommand) Help() string {
+	return "Handing in the same id again changes nothing.\n\nExample:\n\n" +
+		"  echo '{\"spec\":\"alloy 7\",\"steps\":[{\"count\":4,\"cpu_millis\":500,\"memory_mb\":256}]}' |\n" +
+		"    foldarch job submit --host 10.1.0.13:9100 --queue fits 5c0e7a21d94b36f8 -"
+}
+
+// Run hands the job in.
+func (c JobSubmitCommand) Run(e *env) error {
+	request, err := readJobRequest(c.File)
+	if err != nil {
+		return err
+	}
+	return c.call(e, c.ID, func(ctx context.Context, client *jobsapi.Client) (*jobsapi.JobStatus, error) {
+		return client.SubmitJob(ctx, request, jobsapi.SubmitJobParams{Queue: c.Queue, ID: jobsapi.JobID(c.ID)})
+	})
+}
+
+// readJobRequest reads a job from a file, or from standard input if the file is "-".
+func readJobRequest(file string) (*jobsapi.JobRequest, error) {
+	in := os.Stdin
+	if file != "-" {
+		f, err := os.Open(file)
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = f.Close() }()
+		in = f
+	}
+	text, err := io.ReadAll(in)
+	if err != nil {
+		return nil, errors.Wrap(err, file)
+	}
+	var r jobsapi.JobRequest
+	if err := r.UnmarshalJSON(text); err != nil {
+		return nil, errors.Wrap(err, file)
+	}
+	return &r, errors.Wrap(r.Validate(), file)
+}
--- /dev/null
+++ b/pkg/jobapi/commands.go
@@ -0,0 +1,33 @@
+package jobapi
+
+import (
+	"context"
+
+	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/jobapi/jobsapi"
+	"foldarch.dev/foldarch/pkg/result"
+)
+
+// SubmitJob keeps a job; handing it in again changes nothing.
+func (h *handler) SubmitJob(ctx context.Context, req *jobsapi.JobRequest, params jobsapi.SubmitJobParams) (*jobsapi.JobStatus, error) {
+	q, err := h.queue(params.Queue)
+	if err != nil {
+		return nil, err
+	}
+	j := jobOf(job.ID(params.ID), req)
+	if err := j.Validate(); err != nil {
+		return nil, result.New(result.Malformed, "%v", err)
+	}
+	if err := h.Submit(ctx, q, j); err != nil {
+		return nil, resultOf(err)
+	}
+	return &jobsapi.JobStatus{ID: params.ID, State: jobsapi.JobStatusStateQueued}, nil
+}
+
+// CancelJob ends a job.
+func (h *handler) CancelJob(ctx context.Context, params jobsapi.CancelJobParams) (*jobsapi.JobStatus, error) {
+	if err := h.Cancel(ctx, job.ID(params.ID)); err != nil {
+		return nil, resultOf(err)
+	}
+	return &jobsapi.JobStatus{ID: params.ID, State: jobsapi.JobStatusStateCancelled}, nil
+}
--- a/pkg/jobapi/jobsapi/oas_client_gen.go
+++ b/pkg/jobapi/jobsapi/oas_client_gen.go
@@ -23,7 +23,7 @@
 type Invoker interface {
 	// CancelJob invokes cancelJob operation.
 	//
-	// DELETE /v1/jobs/{id}
+	// POST /v1/jobs/{id}/cancellation
 	CancelJob(ctx context.Context, params CancelJobParams) (*JobStatus, error)
 	// ReadJob invokes readJob operation.
 	//
@@ -80,7 +80,7 @@
 
 // CancelJob invokes cancelJob operation.
 //
-// DELETE /v1/jobs/{id}
+// POST /v1/jobs/{id}/cancellation
 func (c *Client) CancelJob(ctx context.Context, params CancelJobParams) (*JobStatus, error) {
 	res, err := c.sendCancelJob(ctx, params)
 	return res, err
@@ -89,7 +89,7 @@
 func (c *Client) sendCancelJob(ctx context.Context, params CancelJobParams) (res *JobStatus, err error) {
 
 	u := uri.Clone(c.requestURL(ctx))
-	var pathParts [2]string
+	var pathParts [3]string
 	pathParts[0] = "/v1/jobs/"
 	{
 		// Encode "id" parameter.
@@ -112,9 +112,10 @@
 		}
 		pathParts[1] = encoded
 	}
+	pathParts[2] = "/cancellation"
 	uri.AddPathParts(u, pathParts[:]...)
 
-	r, err := ht.NewRequest(ctx, "DELETE", u)
+	r, err := ht.NewRequest(ctx, "POST", u)
 	if err != nil {
 		return res, errors.Wrap(err, "create request")
 	}
--- a/pkg/jobapi/jobsapi/oas_handlers_gen.go
+++ b/pkg/jobapi/jobsapi/oas_handlers_gen.go
@@ -30,7 +30,7 @@
 
 // handleCancelJobRequest handles cancelJob operation.
 //
-// DELETE /v1/jobs/{id}
+// POST /v1/jobs/{id}/cancellation
 func (s *Server) handleCancelJobRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
 	statusWriter := &codeRecorder{ResponseWriter: w}
 	w = statusWriter
--- a/pkg/jobapi/jobsapi/oas_router_gen.go
+++ b/pkg/jobapi/jobsapi/oas_router_gen.go
@@ -11,7 +11,7 @@
 )
 
 var (
-	rn7AllowedHeaders = map[string]string{
+	rn8AllowedHeaders = map[string]string{
 		"PUT": "Content-Type",
 	}
 )
@@ -76,28 +76,23 @@
 				}
 
 				// Param: "id"
-				// Leaf parameter, slashes are prohibited
+				// Match until "/"
 				idx := strings.IndexByte(elem, '/')
-				if idx >= 0 {
-					break
+				if idx < 0 {
+					idx = len(elem)
 				}
-				args[0] = elem
-				elem = ""
+				args[0] = elem[:idx]
+				elem = elem[idx:]
 
 				if len(elem) == 0 {
-					// Leaf node.
 					switch r.Method {
-					case "DELETE":
-						s.handleCancelJobRequest([1]string{
-							args[0],
-						}, elemIsEscaped, w, r)
 					case "GET":
 						s.handleReadJobRequest([1]string{
 							args[0],
 						}, elemIsEscaped, w, r)
 					default:
 						s.notAllowed(w, r, notAllowedParams{
-							allowedMethods: "DELETE,GET",
+							allowedMethods: "GET",
 							allowedHeaders: nil,
 							acceptPost:     "",
 							acceptPatch:    "",
@@ -106,6 +101,35 @@
 
 					return
 				}
+				switch elem[0] {
+				case '/': // Prefix: "/cancellation"
+
+					if l := len("/cancellation"); len(elem) >= l && elem[0:l] == "/cancellation" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch r.Method {
+						case "POST":
+							s.handleCancelJobRequest([1]string{
+								args[0],
+							}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "POST",
+								allowedHeaders: nil,
+								acceptPost:     "",
+								acceptPatch:    "",
+							})
+						}
+
+						return
+					}
+
+				}
 
 			case 'q': // Prefix: "queues/"
 
@@ -170,7 +194,7 @@
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "PUT",
-								allowedHeaders: rn7AllowedHeaders,
+								allowedHeaders: rn8AllowedHeaders,
 								acceptPost:     "",
 								acceptPatch:    "",
 							})
@@ -290,26 +314,16 @@
 				}
 
 				// Param: "id"
-				// Leaf parameter, slashes are prohibited
+				// Match until "/"
 				idx := strings.IndexByte(elem, '/')
-				if idx >= 0 {
-					break
+				if idx < 0 {
+					idx = len(elem)
 				}
-				args[0] = elem
-				elem = ""
+				args[0] = elem[:idx]
+				elem = elem[idx:]
 
 				if len(elem) == 0 {
-					// Leaf node.
 					switch method {
-					case "DELETE":
-						r.name = CancelJobOperation
-						r.summary = ""
-						r.operationID = "cancelJob"
-						r.operationGroup = ""
-						r.pathPattern = "/v1/jobs/{id}"
-						r.args = args
-						r.count = 1
-						return r, true
 					case "GET":
 						r.name = ReadJobOperation
 						r.summary = ""
@@ -323,6 +337,33 @@
 						return
 					}
 				}
+				switch elem[0] {
+				case '/': // Prefix: "/cancellation"
+
+					if l := len("/cancellation"); len(elem) >= l && elem[0:l] == "/cancellation" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch method {
+						case "POST":
+							r.name = CancelJobOperation
+							r.summary = ""
+							r.operationID = "cancelJob"
+							r.operationGroup = ""
+							r.pathPattern = "/v1/jobs/{id}/cancellation"
+							r.args = args
+							r.count = 1
+							return r, true
+						default:
+							return
+						}
+					}
+
+				}
 
 			case 'q': // Prefix: "queues/"
 
--- a/pkg/jobapi/jobsapi/oas_server_gen.go
+++ b/pkg/jobapi/jobsapi/oas_server_gen.go
@@ -10,7 +10,7 @@
 type Handler interface {
 	// CancelJob implements cancelJob operation.
 	//
-	// DELETE /v1/jobs/{id}
+	// POST /v1/jobs/{id}/cancellation
 	CancelJob(ctx context.Context, params CancelJobParams) (*JobStatus, error)
 	// ReadJob implements readJob operation.
 	//
--- /dev/null
+++ b/pkg/jobapi/queries.go
@@ -0,0 +1,30 @@
+package jobapi
+
+import (
+	"context"
+
+	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/jobapi/jobsapi"
+)
+
+// ReadJob tells how far a job is.
+func (h *handler) ReadJob(ctx context.Context, params jobsapi.ReadJobParams) (*jobsapi.JobStatus, error) {
+	state, err := h.State(ctx, job.ID(params.ID))
+	if err != nil {
+		return nil, resultOf(err)
+	}
+	return &jobsapi.JobStatus{ID: params.ID, State: jobsapi.JobStatusState(state)}, nil
+}
+
+// ReadQueue counts what waits in a queue.
+func (h *handler) ReadQueue(ctx context.Context, params jobsapi.ReadQueueParams) (*jobsapi.QueueStatus, error) {
+	q, err := h.queue(params.Queue)
+	if err != nil {
+		return nil, err
+	}
+	pending, err := h.Pending(ctx, q)
+	if err != nil {
+		return nil, resultOf(err)
+	}
+	return &jobsapi.QueueStatus{Queue: q.Name, Pending: pending}, nil
+}
--- a/pkg/jobapi/server.go
+++ b/pkg/jobapi/server.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"foldarch.dev/foldarch/pkg/job"
 	"foldarch.dev/foldarch/pkg/jobapi/jobsapi"
 	"foldarch.dev/foldarch/pkg/queue"
 	"foldarch.dev/foldarch/pkg/result"
@@ -26,52 +25,6 @@
 	platform.Jobs
 }
 
-// SubmitJob keeps a job; handing it in again changes nothing.
-func (h *handler) SubmitJob(ctx context.Context, req *jobsapi.JobRequest, params jobsapi.SubmitJobParams) (*jobsapi.JobStatus, error) {
-	q, err := h.queue(params.Queue)
-	if err != nil {
-		return nil, err
-	}
-	j := jobOf(job.ID(params.ID), req)
-	if err := j.Validate(); err != nil {
-		return nil, result.New(result.Malformed, "%v", err)
-	}
-	if err := h.Submit(ctx, q, j); err != nil {
-		return nil, resultOf(err)
-	}
-	return &jobsapi.JobStatus{ID: params.ID, State: jobsapi.JobStatusStateQueued}, nil
-}
-
-// ReadJob tells how far a job is.
-func (h *handler) ReadJob(ctx context.Context, params jobsapi.ReadJobParams) (*jobsapi.JobStatus, error) {
-	state, err := h.State(ctx, job.ID(params.ID))
-	if err != nil {
-		return nil, resultOf(err)
-	}
-	return &jobsapi.JobStatus{ID: params.ID, State: jobsapi.JobStatusState(state)}, nil
-}
-
-// CancelJob ends a job.
-func (h *handler) CancelJob(ctx context.Context, params jobsapi.CancelJobParams) (*jobsapi.JobStatus, error) {
-	if err := h.Cancel(ctx, job.ID(params.ID)); err != nil {
-		return nil, resultOf(err)
-	}
-	return &jobsapi.JobStatus{ID: params.ID, State: jobsapi.JobStatusStateCancelled}, nil
-}
-
-// ReadQueue counts what waits in a queue.
-func (h *handler) ReadQueue(ctx context.Context, params jobsapi.ReadQueueParams) (*jobsapi.QueueStatus, error) {
-	q, err := h.queue(params.Queue)
-	if err != nil {
-		return nil, err
-	}
-	pending, err := h.Pending(ctx, q)
-	if err != nil {
-		return nil, resultOf(err)
-	}
-	return &jobsapi.QueueStatus{Queue: q.Name, Pending: pending}, nil
-}
-
 // queue returns a queue of the configuration in force.
 func (h *handler) queue(name string) (queue.Queue, error) {
 	cfg := h.Config()
--- a/pkg/poolowner/call_gate.go
+++ b/pkg/poolowner/call_gate.go
@@ -105,6 +105,17 @@
 	return false
 }
 
+// queued is how many calls wait.
+func (g *callGate) queued() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, waiting := range g.waiting {
+		n += len(waiting)
+	}
+	return n
+}
+
 // release hands a call on to one that waits.
 func (g *callGate) release() {
 	g.mu.Lock()
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -263,11 +263,17 @@
 	return o.pool.Status(o.deps.Clock.Now())
 }
 
+// CallsWaiting is how many calls to workers wait for their turn. More than a few for more than a
+// moment say that this host is too small for the pool.
+func (o *Owner) CallsWaiting() int {
+	return o.calls.queued()
+}
+
 func (o *Owner) logStatus() {
 	s := o.Status()
 	o.deps.Log.WithFields(logrus.Fields{
 		"workers": s.Workers, "silent": s.Silent, "jobs": s.Jobs, "steps": s.Steps, "waiting": s.Waiting, "runs": s.Runs,
-		"calls": s.Calls, "advisers": s.Advisers, "takeover": s.Takeover, "used": s.Used, "capacity": s.Capacity,
+		"calls": s.Calls, "advisers": s.Advisers, "takeover": s.Takeover, "calls_waiting": o.CallsWaiting(), "used": s.Used, "capacity": s.Capacity,
 	}).Info("pool_status")
 }
 
