--- /dev/null
+++ b/pkg/dispatch/worker_test.go
@@ -0,0 +1,249 @@
+package dispatch
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/job"
+	. "github.com/onsi/gomega"
+)
+
+func TestUnansweredStartBlocksItsTaskUntilSettled(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	f.add(testJob("a", testStep(1)))
+	s := f.plan().Starts[0]
+	w := numberOf(s.Worker)
+	f.pool.StartAnswered(s, Answer{}, fmt.Errorf("no answer"), f.now)
+	actions := f.plan()
+	f.Expect(actions.Starts).To(BeEmpty())
+	f.Expect(actions.Settles).To(Equal([]WorkerID{s.Worker}))
+	f.report(w, Report{}) // of a hold with the same token: it may still be carried out
+	f.Expect(f.plan().Starts).To(BeEmpty())
+	h, _ := f.pool.HoldFor(s.Worker, true, true, f.now)
+	f.Expect(h.Token).To(BeNumerically(">", s.Token))
+	f.pass(time.Millisecond)
+	f.pool.HoldAnswered(h, Answer{Verdict: VerdictDone, Clock: f.workerClock}, Report{}, f.now)
+	again := f.plan().Starts
+	f.Expect(again).To(HaveLen(1))
+	f.Expect(again[0].Run).To(BeNumerically(">", s.Run))
+}
+
+func TestUnansweredStartThatWasCarriedOutIsAdopted(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	f.add(testJob("a", testStep(1)))
+	s := f.plan().Starts[0]
+	f.pool.StartAnswered(s, Answer{}, fmt.Errorf("no answer"), f.now)
+	f.report(numberOf(s.Worker), Report{Active: []Active{{Task: s.Task, Run: s.Run, Percent: 10}}})
+	f.Expect(f.plan().Starts).To(BeEmpty())
+	state, _ := f.pool.State("a")
+	f.Expect(state).To(Equal(job.Running))
+}
+
+func TestSilentWorkerHoldsItsTaskUntilItsLeaseLapsed(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	f.add(testJob("a", testStep(1)))
+	s := f.plan().Starts[0]
+	f.accept(s)
+	other := 1 - numberOf(s.Worker)
+	for elapsed := time.Duration(0); elapsed < 5*time.Second; elapsed += 500 * time.Millisecond {
+		f.pass(500 * time.Millisecond)
+		f.report(other, Report{})
+		f.Expect(f.plan().Starts).To(BeEmpty())
+	}
+	f.pass(1400 * time.Millisecond)
+	f.report(other, Report{})
+	starts := f.plan().Starts
+	f.Expect(starts).To(HaveLen(1))
+	f.Expect(numberOf(starts[0].Worker)).To(Equal(other))
+}
+
+// Seed: mix 625966707817 of mmda-foldarch. A worker left; every hold that it did not answer
+// put off the time from which its runs were known to have ended.
+func TestUnansweredHoldsDoNotPutOffTheLapse(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	f.add(testJob("a", testStep(1)))
+	s := f.plan().Starts[0]
+	f.accept(s)
+	other := 1 - numberOf(s.Worker)
+	var starts []Start
+	for elapsed := time.Duration(0); elapsed < 8*time.Second; elapsed += 200 * time.Millisecond {
+		f.pass(200 * time.Millisecond)
+		f.report(other, Report{})
+		_, _ = f.pool.HoldFor(s.Worker, false, true, f.now) // no answer
+		starts = append(starts, f.plan().Starts...)
+	}
+	f.Expect(starts).To(HaveLen(1))
+	f.Expect(numberOf(starts[0].Worker)).To(Equal(other))
+}
+
+func TestDrainingWorkerGetsNothing(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	f.reportAll(1)
+	w := f.pool.Workers()[0]
+	w.Draining = true
+	f.pool.PutWorker(w, true, f.now)
+	f.add(testJob("a", testStep(1)))
+	f.Expect(f.plan().Starts).To(BeEmpty())
+}
+
+func TestStuckRunIsStoppedAndStartedElsewhere(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	f.add(testJob("a", testStep(1)))
+	s := f.plan().Starts[0]
+	f.accept(s)
+	row := Active{Task: s.Task, Run: s.Run, Percent: 20, Checkpoint: "c1"}
+	for range 5 {
+		f.pass(500 * time.Millisecond)
+		f.report(numberOf(s.Worker), Report{Active: []Active{row}})
+		f.report(1-numberOf(s.Worker), Report{})
+		f.pool.Inspect(f.now)
+	}
+	f.Expect(f.plan().Stops).To(HaveLen(1))
+	f.report(numberOf(s.Worker), f.end(s, 1, EndStopped))
+	again := f.plan().Starts
+	f.Expect(again).To(HaveLen(1))
+	f.Expect(again[0].Worker).NotTo(Equal(s.Worker))
+	f.Expect(again[0].Checkpoint).To(Equal("c1"))
+}
+
+// Seed 2965 of the random histories: an owner with much to do had not asked a worker for 1.65 s.
+func TestRunIsNotStuckBecauseItsWorkerWasNotAsked(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	f.add(testJob("a", testStep(1)))
+	s := f.plan().Starts[0]
+	f.accept(s)
+	f.pass(100 * time.Millisecond)
+	f.report(numberOf(s.Worker), Report{Active: []Active{{Task: s.Task, Run: s.Run, Percent: 20}}})
+	f.pass(1680 * time.Millisecond)
+	f.pool.Inspect(f.now)
+	f.Expect(f.plan().Stops).To(BeEmpty())
+}
+
+func TestRunThatOutlastsItsLeavingWorkerIsMoved(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	long := testStep(1)
+	long.Estimate = 10 * time.Second
+	f.add(testJob("a", long))
+	s := f.plan().Starts[0]
+	f.accept(s)
+	w := f.pool.workers[s.Worker].info
+	w.Draining, w.Remaining = true, 2*time.Second
+	f.pool.PutWorker(w, true, f.now)
+	f.report(numberOf(s.Worker), Report{Active: []Active{{Task: s.Task, Run: s.Run, Percent: 1}}})
+	f.pool.Inspect(f.now)
+	f.Expect(f.plan().Stops).To(HaveLen(1))
+	f.report(numberOf(s.Worker), f.end(s, 1, EndStopped))
+	again := f.plan().Starts
+	f.Expect(again).To(HaveLen(1))
+	f.Expect(again[0].Worker).NotTo(Equal(s.Worker))
+}
+
+func TestRunThatEndsBeforeItsWorkerLeavesIsLeftAlone(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	f.reportAll(1)
+	f.add(testJob("a", testStep(1)))
+	s := f.plan().Starts[0]
+	f.accept(s)
+	w := f.pool.workers[s.Worker].info
+	w.Draining, w.Remaining = true, 2*time.Second
+	f.pool.PutWorker(w, true, f.now)
+	f.report(0, Report{Active: []Active{{Task: s.Task, Run: s.Run, Percent: 1}}})
+	f.pool.Inspect(f.now)
+	f.Expect(f.plan().Stops).To(BeEmpty())
+}
+
+func TestWorkerIsUsedOnlyOnceTheRosterHasIt(t *testing.T) {
+	f := newFixture(t, 0, nil)
+	f.pool.PutWorker(WorkerInfo{
+		ID: "w0", Pool: "pool", Address: netip.MustParseAddrPort("10.0.0.1:80"),
+		Capacity: cell.Resources{CPUMillis: 4000, MemoryMB: 8000},
+	}, true, f.now)
+	f.report(0, Report{})
+	f.add(testJob("a", testStep(1)))
+	f.Expect(f.plan().Starts).To(BeEmpty())
+	f.pool.Rostered([]WorkerID{"w0"})
+	f.Expect(f.plan().Starts).To(HaveLen(1))
+}
+
+func TestWorkerThatLeftAsItSaidIsGoneAtOnce(t *testing.T) {
+	for _, fresh := range []bool{true, false} {
+		f := newFixture(t, 2, nil)
+		f.reportAll(2)
+		f.add(testJob("a", testStep(1)))
+		s := f.plan().Starts[0]
+		f.accept(s)
+		w := f.pool.workers[s.Worker].info
+		w.Draining, w.Remaining = true, 2*time.Second
+		f.pool.PutWorker(w, true, f.now)
+		f.pass(2 * time.Second)
+		f.report(1-numberOf(s.Worker), Report{})
+		f.pool.UnlistWorker(s.Worker, fresh, f.now)
+		if fresh {
+			f.Expect(f.plan().Starts).To(HaveLen(1))
+		} else {
+			f.Expect(f.plan().Starts).To(BeEmpty(), "it may have been cut off from the store")
+		}
+	}
+}
+
+// Calls to workers must not grow as the pool does.
+func TestHoldsWaitLongerInALargePool(t *testing.T) {
+	small := newFixture(t, 48, nil)
+	small.Expect(small.pool.HoldWait("w0")).To(Equal(holdWait))
+	large := newFixture(t, 3000, nil)
+	large.reportAll(3000)
+	large.Expect(large.pool.HoldWait("w0")).To(Equal(idleHoldWait))
+	large.add(testJob("a", testStep(1)))
+	s := large.plan().Starts[0]
+	large.Expect(large.pool.HoldWait(s.Worker)).To(Equal(longHoldWait))
+	large.Expect(idleHoldWait).To(BeNumerically("<", usableWithin))
+}
+
+// All entries lapse while the store is away and come back one by one.
+func TestWorkerWhoseEntryLapsedIsUsedForAWhileIfItAnswers(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	for n := range 2 {
+		f.pool.UnlistWorker(workerID(n), false, f.now)
+	}
+	f.add(testJob("a", testStep(8)))
+	f.Expect(f.plan().Starts).To(HaveLen(8))
+	f.pass(2 * time.Second)
+	f.report(0, Report{})
+	f.add(testJob("b", testStep(8)))
+	f.Expect(f.plan().Starts).To(BeEmpty(), "worker 1 is silent, and on worker 0 the first runs count")
+}
+
+func TestWorkerWhoseEntryStaysAwayGetsNothing(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	f.reportAll(1)
+	f.pool.UnlistWorker("w0", false, f.now)
+	f.pass(3 * time.Second)
+	f.report(0, Report{})
+	f.add(testJob("a", testStep(1)))
+	f.Expect(f.plan().Starts).To(BeEmpty())
+	f.addWorker(0)
+	f.Expect(f.plan().Starts).To(HaveLen(1))
+}
+
+// A worker that leaves has said so before its entry goes.
+func TestDrainingWorkerWhoseEntryWentGetsNothing(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	f.reportAll(1)
+	w := f.pool.Workers()[0]
+	w.Draining = true
+	f.pool.PutWorker(w, true, f.now)
+	f.pool.UnlistWorker("w0", false, f.now)
+	f.add(testJob("a", testStep(1)))
+	f.Expect(f.plan().Starts).To(BeEmpty())
+}
