--- a/pkg/dispatch/takeover_test.go
+++ b/pkg/dispatch/takeover_test.go
@@ -136,6 +136,17 @@
 	f.Expect(state).To(Equal(job.Completed))
 }
 
+// startedAgain lets time pass, with one worker answering, until a task is started there.
+func (f *fixture) startedAgain(worker int) Start {
+	for {
+		f.pass(200 * time.Millisecond)
+		f.report(worker, Report{})
+		if starts := f.plan().Starts; len(starts) > 0 {
+			return starts[0]
+		}
+	}
+}
+
 // Seed 32 of the random histories. A worker that was cut off had done a task; the task was started
 // elsewhere when its lease had lapsed. The end was noted all the same when the worker was back,
 // but the task was not taken for done, and it was started once more after its second run was lost.
@@ -146,14 +157,7 @@
 	first := f.plan().Starts[0]
 	f.accept(first)
 	other := 1 - numberOf(first.Worker)
-	var second Start
-	for second.Run == 0 {
-		f.pass(200 * time.Millisecond)
-		f.report(other, Report{})
-		if starts := f.plan().Starts; len(starts) > 0 {
-			second = starts[0]
-		}
-	}
+	second := f.startedAgain(other)
 	f.accept(second)
 	f.report(numberOf(first.Worker), f.end(first, 1, EndDone))
 	f.Expect(f.pool.jobs["a"].outcome).To(Equal(job.Completed))
@@ -172,14 +176,7 @@
 	first := f.plan().Starts[0]
 	f.accept(first)
 	other := 1 - numberOf(first.Worker)
-	var second Start
-	for second.Run == 0 {
-		f.pass(200 * time.Millisecond)
-		f.report(other, Report{})
-		if starts := f.plan().Starts; len(starts) > 0 {
-			second = starts[0]
-		}
-	}
+	second := f.startedAgain(other)
 	f.report(numberOf(first.Worker), f.end(first, 1, EndDone)) // the second start is on its way
 	next := f.plan().Starts
 	f.Expect(next).To(HaveLen(1))
