Let only the present owner put workers into the roster of the histories

A worker came 80 ms after a takeover, and the former owner, with authority left, started there what the new owner had started elsewhere. Traced: the history let any owner use a new worker at once. The product does not: a worker is used when the roster has it, and the roster is written on condition of the owner's record (poolowner.writeRoster), so that a former owner can't. So the history was wrong, not the product; it now does as the store would. Ruled out: a fault of the settling of takeovers.

--- a/pkg/dispatch/history_test.go
+++ b/pkg/dispatch/history_test.go
@@ -121,19 +121,21 @@
 			o.until = w.now.Add(w.between(0, ownerTerm))
 		}
 	}
-	o := &modelOwner{term: w.term, holding: map[WorkerID]clock.Time{}}
+	term := w.term
+	o := &modelOwner{term: term, holding: map[WorkerID]clock.Time{}}
 	o.pool = New(Config{
 		Hold: 5700 * time.Millisecond, MaxHold: 5700 * time.Millisecond, Drain: time.Second, StopGrace: 400 * time.Millisecond,
 		Token: w.term << 20, Term: w.term, FirstRun: int(w.term) * 1000, Takeover: w.term > 1, AuthorityTerm: ownerTerm + 200*time.Millisecond,
 		Wall: func() time.Time { return w.wall },
 		Log: func(e Event) {
-			w.note("owner %d %s %s run %d %s %s", w.term, e.Name, e.Task, e.Run, e.Worker, e.Detail)
+			w.note("owner %d %s %s run %d %s %s", term, e.Name, e.Task, e.Run, e.Worker, e.Detail)
 		},
 	}, w.now)
 	o.pool.SetConfig(queue.NewConfig(1, []queue.Queue{testQueue}, nil))
+	w.owners = append(w.owners, o)
 	for _, m := range w.worker {
 		if !m.dead {
-			o.meet(m, w.now)
+			w.meet(o, m)
 		}
 	}
 	for _, id := range w.jobs() {
@@ -147,14 +149,16 @@
 		}
 	}
 	o.pool.SetLoaded()
-	w.owners = append(w.owners, o)
 	w.note("owner %d elected", w.term)
 }
 
-// meet takes in a worker's entry, and that the roster has it.
-func (o *modelOwner) meet(m *modelWorker, now clock.Time) {
-	o.pool.PutWorker(WorkerInfo{ID: m.id, Pool: "pool", Capacity: m.capacity}, true, now)
-	o.pool.Rostered([]WorkerID{m.id})
+// meet takes in a worker's entry. Only the present owner can put a worker into the roster, since
+// that is a write on condition of the owner's record.
+func (w *world) meet(o *modelOwner, m *modelWorker) {
+	o.pool.PutWorker(WorkerInfo{ID: m.id, Pool: "pool", Capacity: m.capacity}, true, w.now)
+	if o == w.present() {
+		o.pool.Rostered([]WorkerID{m.id})
+	}
 }
 
 // jobs lists the jobs of the store, in order.
@@ -394,9 +398,19 @@
 	}
 }
 
+// keptSeeds are seeds that once broke a promise, with the cause. (Earlier ones drew other histories,
+// and stand as tests of their own.)
+var keptSeeds = []uint64{
+	109531, // the history let a former owner use a worker that came after the takeover; the roster forbids it
+}
+
 func TestPromisesHoldInRandomHistories(t *testing.T) {
+	seeds := keptSeeds
 	for n := range *historySeeds {
-		w := newWorld(t, *historySeed+uint64(n))
+		seeds = append(seeds, *historySeed+uint64(n))
+	}
+	for _, seed := range seeds {
+		w := newWorld(t, seed)
 		w.play()
 		if w.bad {
 			lines := 60
--- a/pkg/dispatch/history_worker_test.go
+++ b/pkg/dispatch/history_worker_test.go
@@ -301,7 +301,7 @@
 		next := w.addWorker()
 		for _, o := range w.owners {
 			o.pool.UnlistWorker(m.id, false, w.now)
-			o.meet(next, w.now)
+			w.meet(o, next)
 		}
 	})
 }
