--- a/pkg/entry/main.go
+++ b/pkg/entry/main.go
@@ -120,6 +120,11 @@
 	if err != nil {
 		return usageError{err}
 	}
+	for _, warning := range cfg.Warnings {
+		if _, err := fmt.Fprintf(s.out, "%s: warning: %s\n", c.File, warning); err != nil {
+			return err
+		}
+	}
 	_, err = fmt.Fprintf(s.out, "%s: host %s in %s, no faults\n", c.File, cfg.Name, cfg.Zone)
 	return err
 }
--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -110,6 +110,7 @@
 		return errors.Wrap(err, "peers' address")
 	}
 	h.log.WithFields(logrus.Fields{"life": h.life, "callers": cfg.Callers, "peers": cfg.Peers, "zone": cfg.Zone}).Info("started")
+	h.logWarnings(*cfg)
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	server := &http.Server{Handler: h.door(), ReadHeaderTimeout: headerTimeout}
--- a/pkg/jobhost/reload.go
+++ b/pkg/jobhost/reload.go
@@ -37,6 +37,14 @@
 	h.log.WithFields(logrus.Fields{
 		"restart_needed": s.Callers != old.Callers || s.Ready != old.Ready || s.Peers != old.Peers || s.Name != old.Name,
 	}).Info("settings_reloaded")
+	h.logWarnings(s)
+}
+
+// logWarnings tells which keys the settings do not have, and what is taken in their place.
+func (h *Host) logWarnings(s platform.Settings) {
+	for _, warning := range s.Warnings {
+		h.log.WithField("warning", warning).Warn("settings_incomplete")
+	}
 }
 
 func memoryLimit(s platform.Settings) int64 {
