Learn in one call who may run a step, and ask for tickets when the room will be there

Who may run a step does not change. So a call also names workers without room, those first that will have room soonest, as long as that takes no more than the fixed part of a call times the probability that this one does not suffice; none once four times the step's tasks could run on allowed workers. Room counts when it is expected by the time of the answer, from the progress of what runs there.

--- a/pkg/dispatch/naming.go
+++ b/pkg/dispatch/naming.go
@@ -27,7 +27,8 @@
 }
 
 // name lists the workers to name in a call: those known to be allowed whose tickets have
-// lapsed, and as many others as make the calls for the step shortest (namedOthers).
+// lapsed, as many others as make the calls for the step shortest (namedOthers), and some without
+// room, so that no other call has to learn of them.
 func (p *Pool) name(s *step, reserved *reservations, now clock.Time) (named []WorkerID, nKnown int) {
 	waiting := s.waiting()
 	known, covered := p.knownWorkers(s, reserved, now)
@@ -35,26 +36,63 @@
 	if need <= 0 {
 		return nil, 0
 	}
-	others := p.otherWorkers(s, reserved, s.spec.Gang || waiting > fewTasks, now)
-	if s.spec.Gang && len(s.advice.denied) > 0 && totalRoom(known)+totalRoom(others) < need {
-		return nil, 0 // there is no room for all members, whoever is allowed
+	others, full := p.otherWorkers(s, reserved, s.spec.Gang || waiting > fewTasks, now)
+	if s.spec.Gang && totalRoom(known)+totalRoom(others) < need {
+		known, others = nil, nil // there is no room for all members, whoever is allowed
 	}
 	named, need = nameKnown(known, need*roomMargin)
 	nKnown = len(named)
-	n := namedOthers(others, need, p.rate(s.time.job.queue.Name), *s.time.job.queue.Advice, nKnown)
+	cost, rate := *s.time.job.queue.Advice, p.rate(s.time.job.queue.Name)
+	n, suffices := namedOthers(others, need, rate, cost, nKnown)
 	for _, o := range others[:n] {
 		named = append(named, o.worker.info.ID)
 	}
-	return named, nKnown
+	return append(named, p.nameToLearn(s, full, suffices, maxNamed-len(named), now)...), nKnown
 }
 
-// roomFor is how many tasks of a step a worker may be given now; 0 also when it is held for
-// other steps.
+// nameToLearn lists workers without room to be named in a call, those first that will have room
+// soonest. Which workers may run a step does not change, so what is learned now saves the fixed part of
+// a later call, if there is one: that is why they may take as long as that part times the probability
+// that the call does not suffice. It lists none when enough is known for the time when there is room.
+func (p *Pool) nameToLearn(s *step, full []*worker, suffices float64, most int, now clock.Time) []WorkerID {
+	q := s.time.job.queue
+	missing := enoughKnown * float64(len(s.tasks))
+	for id := range s.advice.good {
+		if w, ok := p.workers[id]; ok && !w.gone {
+			missing -= float64(roomWhenEmpty(s, w))
+		}
+	}
+	budget := time.Duration((1 - suffices) * float64(q.Advice.Base))
+	if missing <= 0 || budget < q.Advice.PerWorker {
+		return nil
+	}
+	slices.SortStableFunc(full, func(a, b *worker) int { return cmp.Compare(a.roomIn(s, now), b.roomIn(s, now)) })
+	var out []WorkerID
+	for _, w := range full {
+		if missing <= 0 || len(out) >= most || budget < q.Advice.PerWorker {
+			break
+		}
+		out = append(out, w.info.ID)
+		budget -= q.Advice.PerWorker
+		missing -= p.rate(q.Name) * float64(roomWhenEmpty(s, w))
+	}
+	return out
+}
+
+// enoughKnown is how many times the tasks of a step the allowed workers should hold when empty, for
+// the step to find room among others soon.
+const enoughKnown = 4
+
+// roomFor is how many tasks of a step a worker may be given by the time that a call for advice is
+// answered; 0 also when it is held for other steps.
 func (p *Pool) roomFor(s *step, w *worker, reserved *reservations, now clock.Time) int {
-	if !p.eligible(s, w, now) || reserved.holds(w.info.ID, s.time.job.queue.Priority) {
+	if reserved.holds(w.info.ID, s.time.job.queue.Priority) {
 		return 0
 	}
-	return fits(s, w)
+	if n := fits(s, w); n > 0 {
+		return n
+	}
+	return fitsInto(s, w, w.freeBy(s.time.job.queue.Advice.Of(1), now))
 }
 
 // knownWorkers lists the workers that are known to be allowed and whose tickets have lapsed,
@@ -63,7 +101,7 @@
 	usedBy := p.ticketsUsedBy(s, now)
 	for id := range s.advice.good {
 		w, ok := p.workers[id]
-		if !ok {
+		if !ok || !p.eligible(s, w, now) {
 			continue
 		}
 		room := p.roomFor(s, w, reserved, now)
@@ -87,20 +125,21 @@
 // fewTasks is how many waiting tasks make a step small: a few workers will do, whichever.
 const fewTasks = 3
 
-// otherWorkers lists workers of which is not known whether they are allowed. They begin at
-// another place each time, so that steps that ask at the same moment name different ones;
-// with byRoom, those with most room come first.
-func (p *Pool) otherWorkers(s *step, reserved *reservations, byRoom bool, now clock.Time) []roomy {
+// otherWorkers lists workers of which is not known whether they are allowed: those with room, and
+// the full ones, by when they will have room. Those with room begin at another place each time, so that
+// steps that ask at the same moment name different ones; with byRoom, those with most room come first.
+func (p *Pool) otherWorkers(s *step, reserved *reservations, byRoom bool, now clock.Time) (others []roomy, full []*worker) {
 	p.advice.offset += offsetStep
 	workers := p.workersByID()
-	var others []roomy
 	for i := range workers {
 		w := workers[(p.advice.offset+i)%len(workers)]
-		if s.advice.denied[w.info.ID] || s.advice.good[w.info.ID] {
+		if s.advice.denied[w.info.ID] || s.advice.good[w.info.ID] || !p.eligible(s, w, now) {
 			continue
 		}
 		if room := p.roomFor(s, w, reserved, now); room > 0 {
 			others = append(others, roomy{w, room})
+		} else if len(full) < maxNamed {
+			full = append(full, w)
 		}
 		if !byRoom && len(others) == maxNamed {
 			break
@@ -109,7 +148,7 @@
 	if byRoom {
 		slices.SortStableFunc(others, func(a, b roomy) int { return cmp.Compare(b.room, a.room) })
 	}
-	return others
+	return others, full
 }
 
 // ticketsUsedBy is until when a ticket must hold to be of use beside those of the call that is
@@ -145,10 +184,11 @@
 // namedOthers is how many of the workers, in their order, a call should name beside the known
 // ones: the number for which calls take the least time until the room suffices. A call that
 // names n takes a fixed time and some for each; it suffices with the probability that enough
-// of the n are allowed, each with the probability rate. Otherwise another call follows.
-func namedOthers(workers []roomy, need, rate float64, advice queue.AdviceCost, known int) int {
+// of the n are allowed, each with the probability rate. Otherwise another call follows. The result
+// tells the probability too.
+func namedOthers(workers []roomy, need, rate float64, advice queue.AdviceCost, known int) (best int, bestSuffices float64) {
 	if need <= 0 {
-		return 0
+		return 0, 1
 	}
 	most := min(len(workers), maxNamed-known)
 	best, bestTime := most, math.Inf(1)
@@ -163,10 +203,10 @@
 		call := advice.Of(known + n)
 		expected := (float64(call) + (1-suffices)*float64(callAgain)) / suffices
 		if expected < bestTime {
-			best, bestTime = n, expected
+			best, bestSuffices, bestTime = n, suffices, expected
 		}
 	}
-	return best
+	return best, bestSuffices
 }
 
 // minSuffices is the probability below which a call is not expected to suffice.
--- /dev/null
+++ b/pkg/dispatch/naming_test.go
@@ -0,0 +1,75 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/queue"
+	. "github.com/onsi/gomega"
+)
+
+// fullPool has workers that are full until a time, and a step that waits for advice. A call takes a
+// fixed time and some for each worker.
+func fullPool(t *testing.T, workers int, full time.Duration, base, perWorker time.Duration) *fixture {
+	f := newFixture(t, workers, nil)
+	f.reportAll(workers)
+	s := testStep(4 * workers)
+	s.Estimate = full
+	f.add(testJob("full", s))
+	for _, o := range f.plan().Starts {
+		f.accept(o)
+	}
+	f.pool.PutAdviser("host")
+	r := advisedJob("a", testStep(2))
+	r.Queue.Advice = &queue.AdviceCost{Base: base, PerWorker: perWorker, Validity: 2 * time.Second}
+	f.add(r)
+	return f
+}
+
+// Seen on the market stalls: a step named only workers that had room at the moment, one a call, and
+// began after 18 calls and 49 s.
+func TestWorkersWithoutRoomAreNamedWhenTheFixedPartOfACallIsLong(t *testing.T) {
+	f := fullPool(t, 10, time.Minute, 500*time.Millisecond, 10*time.Millisecond)
+	asks := f.plan().Asks
+	f.Expect(asks).To(HaveLen(1))
+	f.Expect(len(asks[0].Workers)).To(BeNumerically(">=", 4), "enough for a step that needs half a worker")
+}
+
+func TestWorkersWithoutRoomAreNotNamedWhenEachTakesLong(t *testing.T) {
+	f := fullPool(t, 10, time.Minute, 10*time.Millisecond, 20*time.Millisecond)
+	f.Expect(f.plan().Asks).To(BeEmpty())
+}
+
+func TestWorkersAreNotNamedToLearnWhenEnoughIsKnown(t *testing.T) {
+	f := fullPool(t, 10, time.Minute, 500*time.Millisecond, 10*time.Millisecond)
+	s := f.pool.jobs["a"].times[0].steps[0]
+	s.advice.good = map[WorkerID]bool{"w0": true, "w1": true, "w2": true, "w3": true}
+	f.Expect(f.plan().Asks).To(BeEmpty())
+}
+
+func TestTicketIsAskedForWhenTheRoomWillBeThereWithTheAnswer(t *testing.T) {
+	f := fullPool(t, 1, 2*time.Second, 500*time.Millisecond, 10*time.Millisecond)
+	s := f.pool.jobs["a"].times[0].steps[0]
+	s.advice.good = map[WorkerID]bool{"w0": true}
+	f.Expect(f.plan().Asks).To(BeEmpty(), "the room comes in two seconds")
+	f.pass(1600 * time.Millisecond)
+	f.report(0, Report{Active: activeRows(f)})
+	f.Expect(f.plan().Asks).To(HaveLen(1))
+}
+
+func TestEndOfARunIsExpectedByItsProgress(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	f.reportAll(1)
+	f.add(testJob("a", testStep(1)))
+	o := f.plan().Starts[0]
+	f.accept(o)
+	r := f.pool.task(o.Task).current
+	f.Expect(r.left(f.now)).To(Equal(time.Second), "the estimate")
+	for percent := 0; percent <= 25; percent += 25 {
+		f.report(0, Report{Active: []Active{{Task: o.Task, Run: o.Run, Percent: percent}}})
+		f.pass(time.Second)
+	}
+	f.Expect(r.left(f.now)).To(BeNumerically("~", 2*time.Second, 20*time.Millisecond), "a quarter took one second, one has passed since")
+	f.Expect(f.pool.workers["w0"].roomIn(&step{spec: &job.Step{Count: 1, Resources: testStep(1).Resources}}, f.now)).To(BeZero())
+}
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -59,7 +59,12 @@
 
 // fits is how many more tasks of a step a worker has room for.
 func fits(s *step, w *worker) int {
-	n := tasksWithin(s, w.free())
+	return fitsInto(s, w, w.free())
+}
+
+// fitsInto is how many more tasks of a step a worker has room for with an amount free.
+func fitsInto(s *step, w *worker, free cell.Resources) int {
+	n := tasksWithin(s, free)
 	if s.perOf != nil {
 		n = min(n, s.spec.MaxPerWorker-s.perOf[w.info.ID])
 	}
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -15,8 +15,6 @@
 	// is stopped and started elsewhere.
 	stuckAfter = 1500 * time.Millisecond
 	stuckShare = 0.15
-	// minPercent is the progress from which a run's end can be told.
-	minPercent = 5
 	// leaveSlack is how much longer than told a leaving worker is trusted to stay.
 	leaveSlack = 200 * time.Millisecond
 	// almostDone is the progress in percent from which a run is left alone.
@@ -108,17 +106,7 @@
 
 // endsTooLate says whether a run won't be done before its worker may leave.
 func (p *Pool) endsTooLate(w *worker, r *run, now clock.Time) bool {
-	s := r.task.step
-	if s.spec.LongRunning {
-		return true
-	}
-	elapsed := now.Sub(r.confirmedAt)
-	left := s.spec.Estimate - elapsed
-	if r.percent >= minPercent && r.startPercent < r.percent {
-		done := r.percent - r.startPercent
-		left = elapsed * time.Duration(100-r.percent) / time.Duration(done)
-	}
-	return now.Add(left) > w.leavesAt.Add(leaveSlack)
+	return now.Add(r.left(now)) > w.leavesAt.Add(leaveSlack)
 }
 
 // stop is the order that stops a run.
