Let steps of any higher priority preempt, gangs too; pack by the scarcest resource; hold the soonest rooms

Cause: gangs for whole GPU workers (label-check) waited up to a minute while single-GPU tasks of a lower priority took each accelerator that came free. Only priority 0 could preempt, one run a worker, never for a gang; small tasks were packed by whatever resource was largest; and a waiting step held every worker that it may use from lower priorities.

--- a/pkg/cell/resources.go
+++ b/pkg/cell/resources.go
@@ -29,6 +29,40 @@
 	return r.CPUMillis <= free.CPUMillis && r.MemoryMB <= free.MemoryMB && r.Accelerators <= free.Accelerators
 }
 
+// Kind is a kind of resource.
+type Kind int
+
+// The kinds of resources.
+const (
+	CPU Kind = iota
+	Memory
+	Accelerator
+)
+
+// Dominant returns the kind of which r is the largest share of total.
+func (r Resources) Dominant(total Resources) Kind {
+	kind, share := CPU, ratio(r.CPUMillis, total.CPUMillis)
+	if s := ratio(r.MemoryMB, total.MemoryMB); s > share {
+		kind, share = Memory, s
+	}
+	if s := ratio(r.Accelerators, total.Accelerators); s > share {
+		kind = Accelerator
+	}
+	return kind
+}
+
+// ShareOf returns the share that r is of total, of one kind.
+func (r Resources) ShareOf(kind Kind, total Resources) float64 {
+	switch kind {
+	case Memory:
+		return ratio(r.MemoryMB, total.MemoryMB)
+	case Accelerator:
+		return ratio(r.Accelerators, total.Accelerators)
+	default:
+		return ratio(r.CPUMillis, total.CPUMillis)
+	}
+}
+
 // DominantShare returns the largest share, over the kinds of resource, that r is of total.
 // It is the measure of dominant resource fairness (Ghodsi et al., NSDI 2011).
 func (r Resources) DominantShare(total Resources) float64 {
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -120,6 +120,16 @@
 	return out
 }
 
+// leftOver is what a worker keeps free beside a task: first of the resource of which the task takes
+// the largest share, so that workers which are broken into already fill up and whole ones stay whole.
+func leftOver(w *worker, need cell.Resources) float64 {
+	left := w.free().Sub(need)
+	return left.ShareOf(need.Dominant(w.info.Capacity), w.info.Capacity) + restWeight*left.DominantShare(w.info.Capacity)
+}
+
+// restWeight makes the other resources decide among workers that are alike in the scarcest one.
+const restWeight = 0.1
+
 // bestFit chooses the worker that a task uses up most, near its data and away from where it
 // failed; nil when none has room.
 func bestFit(t *task, candidates []*worker) *worker {
@@ -130,7 +140,7 @@
 		if fits(t.step, w) == 0 {
 			continue
 		}
-		score := w.free().Sub(need).DominantShare(w.info.Capacity)
+		score := leftOver(w, need)
 		if t.step.spec.Affinity != "" && w.info.Rack != t.step.spec.Affinity {
 			score += 10
 		}
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -141,9 +141,7 @@
 		} else {
 			p.placeTasks(s, reserved, now, out)
 		}
-		if !s.spec.Gang && (s.time.job.queue.Priority == 0 || s.standing(now) == overdue) {
-			p.preempt(s, now)
-		}
+		p.preempt(s, now)
 		if s.waiting() == 0 {
 			delete(p.ready, s)
 			continue
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -18,6 +18,8 @@
 	Drain time.Duration
 	// StopGrace is how long a stopped run may take to end.
 	StopGrace time.Duration
+	// Restore is how long a run takes to go on from a checkpoint.
+	Restore time.Duration
 	// Token is the owner's fencing token; tokens up to Token + MaxBumps are the owner's own.
 	Token int64
 	// Term counts the owners. No former owner has started a job accepted under it.
--- a/pkg/dispatch/preempt.go
+++ b/pkg/dispatch/preempt.go
@@ -17,7 +17,7 @@
 	preemptAgain = 600 * time.Millisecond
 	// preemptLoss is how much work a preemption may throw away, in parts of the work of the
 	// tasks that it is made for.
-	preemptLoss = 1.0
+	preemptLoss = 0.6
 	// soonOver is how long a run may still take to be left alone: its room comes by itself, about as
 	// soon as that of a stopped one.
 	soonOver = 500 * time.Millisecond
@@ -66,7 +66,7 @@
 	var options []*roomOption
 	for _, w := range p.allowedWorkers(s, now) {
 		need -= fits(s, w)
-		options = append(options, newRoomOption(s, w, now))
+		options = append(options, newRoomOption(s, w, p.cfg.Restore, now))
 	}
 	var stops []*run
 	for ; need > 0; need-- {
@@ -106,16 +106,17 @@
 
 // roomOption is a worker on which stops can make room for one more task of a step.
 type roomOption struct {
-	worker *worker
-	free   cell.Resources
-	per    int    // tasks of the step there, with those that stops made room for
-	runs   []*run // that may be stopped, those that throw least away first
-	stops  []*run // of them, those that make room for one more task
-	lost   float64
+	worker  *worker
+	restore time.Duration // Config.Restore
+	free    cell.Resources
+	per     int    // tasks of the step there, with those that stops made room for
+	runs    []*run // that may be stopped, those that throw least away first
+	stops   []*run // of them, those that make room for one more task
+	lost    float64
 }
 
-func newRoomOption(s *step, w *worker, now clock.Time) *roomOption {
-	o := &roomOption{worker: w, free: w.free(), per: s.perOf[w.info.ID]}
+func newRoomOption(s *step, w *worker, restore time.Duration, now clock.Time) *roomOption {
+	o := &roomOption{worker: w, restore: restore, free: w.free(), per: s.perOf[w.info.ID]}
 	for range fits(s, w) { // room that is there is not made anew
 		o.free = o.free.Sub(s.spec.Need())
 		o.per++
@@ -126,7 +127,7 @@
 		}
 	}
 	slices.SortFunc(o.runs, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(a.lostByStop(now), b.lostByStop(now)), compareTasks(b.task, a.task))
+		return cmp.Or(cmp.Compare(a.lostByStop(restore, now), b.lostByStop(restore, now)), compareTasks(b.task, a.task))
 	})
 	return o
 }
@@ -155,7 +156,7 @@
 		}
 	}
 	for _, r := range o.stops {
-		o.lost += r.lostByStop(now)
+		o.lost += r.lostByStop(o.restore, now)
 	}
 	return true
 }
@@ -194,15 +195,24 @@
 	if s.time.job.queue.Priority <= waiting.time.job.queue.Priority || s.spec.Gang {
 		return false
 	}
-	return s.spec.Estimate-now.Sub(r.confirmedAt) > soonOver
+	return s.spec.Estimate-now.Sub(r.confirmedAt) > soonOver && r.bears(waiting.spec.Estimate, now)
 }
 
-// lostByStop is the work, in core-seconds, that is done anew after a stop.
-func (r *run) lostByStop(now clock.Time) float64 {
+// bears says that a run may wait for a time without making its job late: the job has time left, or is
+// late already.
+func (r *run) bears(d time.Duration, now clock.Time) bool {
+	s := r.task.step
+	left := r.left(now) + s.chain - s.spec.Estimate
+	return now > s.time.objective || now.Add(d+left) <= s.time.objective
+}
+
+// lostByStop is the work, in core-seconds, that is done anew after a stop. A run that saves its progress
+// loses the time that it takes to go on from its checkpoint.
+func (r *run) lostByStop(restore time.Duration, now clock.Time) float64 {
 	s := r.task.step
 	lost := now.Sub(r.confirmedAt)
 	if s.spec.Checkpointing {
-		lost = min(lost, restoring)
+		lost = min(lost, restore)
 	}
 	if s.spec.Gang {
 		return float64(len(s.tasks)) * work(s.spec.Need(), lost)
@@ -210,9 +220,6 @@
 	return work(s.spec.Need(), lost)
 }
 
-// restoring stands for the time that a run takes to go on from its checkpoint.
-const restoring = 250 * time.Millisecond
-
 // work is what resources do in a time, in core-seconds.
 func work(need cell.Resources, d time.Duration) float64 {
 	cores := float64(need.CPUMillis)/1000 + acceleratorCores*float64(need.Accelerators)
--- a/pkg/dispatch/preempt_test.go
+++ b/pkg/dispatch/preempt_test.go
@@ -101,3 +101,80 @@
 	}
 	return rows
 }
+
+// gpuPool has workers of 64 cores and 8 accelerators, and queues of two priorities.
+func gpuPool(t *testing.T, workers int) (f *fixture, first, second queue.Queue) {
+	f = newFixture(t, 0, func(c *Config) { c.StopGrace, c.Restore = 400*time.Millisecond, 600*time.Millisecond })
+	first, second = testQueue, testQueue
+	first.Name, first.Priority, first.TargetLatency = "checks", 1, 10*time.Second
+	second.Name, second.Priority, second.TargetLatency = "reviews", 2, time.Minute
+	f.pool.SetConfig(queue.NewConfig(2, []queue.Queue{first, second}, nil))
+	for n := range workers {
+		f.pool.PutWorker(WorkerInfo{ID: workerID(n), Pool: "pool", Capacity: cell.Resources{CPUMillis: 64000, MemoryMB: 128000, Accelerators: 8}}, true, f.now)
+		f.pool.Rostered([]WorkerID{workerID(n)})
+	}
+	f.reportAll(workers)
+	return f, first, second
+}
+
+func gpuStep(count int, accelerators int64) job.Step {
+	return job.Step{
+		Count: count, Estimate: 4 * time.Second, Checkpointing: true,
+		Resources: cell.Resources{CPUMillis: 5000, MemoryMB: 1000, Accelerators: accelerators},
+	}
+}
+
+// runAll plans and has all starts accepted.
+func (f *fixture) runAll() []Start {
+	starts := f.plan().Starts
+	for _, o := range starts {
+		f.accept(o)
+	}
+	return starts
+}
+
+// Seen on the market stalls: a gang for whole workers waited 22 s while small tasks of a lower priority
+// took each accelerator that came free.
+func TestGangPreemptsSeveralRunsOfALowerPriorityForAllItsMembers(t *testing.T) {
+	f, first, second := gpuPool(t, 3)
+	f.add(job.Record{Job: job.Job{ID: "small", Steps: []job.Step{gpuStep(20, 1)}}, Queue: second})
+	f.Expect(f.runAll()).To(HaveLen(20))
+	s := gpuStep(2, 8)
+	s.Gang = true
+	f.add(job.Record{Job: job.Job{ID: "wide", Steps: []job.Step{s}}, Queue: first})
+	f.Expect(f.plan().Stops).To(HaveLen(12), "the worker with four runs and one with eight")
+}
+
+func TestGangPreemptsNothingWhenItFindsNoRoomForAll(t *testing.T) {
+	f, first, second := gpuPool(t, 1)
+	f.add(job.Record{Job: job.Job{ID: "small", Steps: []job.Step{gpuStep(8, 1)}}, Queue: second})
+	f.runAll()
+	s := gpuStep(2, 8)
+	s.Gang = true
+	f.add(job.Record{Job: job.Job{ID: "wide", Steps: []job.Step{s}}, Queue: first})
+	f.Expect(f.plan().Stops).To(BeEmpty())
+}
+
+func TestRunIsNotPreemptedWhoseJobWouldBeLate(t *testing.T) {
+	f, first, second := gpuPool(t, 1)
+	second.TargetLatency, second.Extension = 3*time.Second, 1
+	f.pool.SetConfig(queue.NewConfig(3, []queue.Queue{first, second}, nil))
+	f.add(job.Record{Job: job.Job{ID: "small", Steps: []job.Step{gpuStep(8, 1)}}, Queue: second})
+	f.runAll()
+	f.add(job.Record{Job: job.Job{ID: "wide", Steps: []job.Step{gpuStep(1, 8)}}, Queue: first})
+	f.Expect(f.plan().Stops).To(BeEmpty(), "four seconds of work, three seconds of slack")
+}
+
+func TestSmallTasksFillWorkersThatAreBrokenInto(t *testing.T) {
+	f, _, second := gpuPool(t, 3)
+	memory := gpuStep(1, 0)
+	memory.Resources.MemoryMB = 100000
+	f.add(job.Record{Job: job.Job{ID: "memory", Steps: []job.Step{memory}}, Queue: second})
+	f.runAll()
+	f.add(job.Record{Job: job.Job{ID: "one", Steps: []job.Step{gpuStep(1, 4)}}, Queue: second})
+	one := f.runAll()[0]
+	f.add(job.Record{Job: job.Job{ID: "small", Steps: []job.Step{gpuStep(4, 1)}}, Queue: second})
+	for _, o := range f.runAll() {
+		f.Expect(o.Worker).To(Equal(one.Worker), "by accelerators, of which they take most")
+	}
+}
--- a/pkg/dispatch/reserve.go
+++ b/pkg/dispatch/reserve.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"foldarch.dev/foldarch/pkg/clock"
 )
@@ -73,9 +74,20 @@
 		if s.spec.Gang {
 			p.reserveGang(s, r, priority-1, now)
 		}
-		for id := range s.advice.good {
-			r.put(id, priority)
+		p.reserveSoonest(s, r, priority, now)
+	}
+}
+
+// reserveSoonest holds as many workers as the waiting tasks of a step need, those on which there will
+// be room soonest, from steps of lower priorities.
+func (p *Pool) reserveSoonest(s *step, r *reservations, priority int, now clock.Time) {
+	need := s.waiting()
+	for _, w := range p.soonest(s, r, priority, now) {
+		if need <= 0 {
+			return
 		}
+		r.put(w.info.ID, priority)
+		need -= max(fits(s, w), 1)
 	}
 }
 
@@ -90,7 +102,7 @@
 		return
 	}
 	need := gangMargin * float64(len(s.tasks))
-	for _, w := range p.gangCandidates(s, r, priority, now) {
+	for _, w := range p.soonest(s, r, priority, now) {
 		if need <= 0 || float64(gangs.workers) >= heldShare*float64(load.workers) {
 			return
 		}
@@ -100,9 +112,9 @@
 	}
 }
 
-// gangCandidates lists the workers that may run a gang and are not held for others, those
-// with most room first.
-func (p *Pool) gangCandidates(s *step, r *reservations, priority int, now clock.Time) []*worker {
+// soonest lists the workers that may run a step and are not held for others, those first on which
+// there will be room soonest.
+func (p *Pool) soonest(s *step, r *reservations, priority int, now clock.Time) []*worker {
 	var out []*worker
 	for id := range s.advice.good {
 		w, ok := p.workers[id]
@@ -110,8 +122,12 @@
 			out = append(out, w)
 		}
 	}
+	in := make(map[WorkerID]time.Duration, len(out))
+	for _, w := range out {
+		in[w.info.ID] = w.roomIn(s, now)
+	}
 	slices.SortFunc(out, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(b.free().CPUMillis, a.free().CPUMillis), cmp.Compare(a.info.ID, b.info.ID))
+		return cmp.Or(cmp.Compare(in[a.info.ID], in[b.info.ID]), cmp.Compare(fits(s, b), fits(s, a)), cmp.Compare(a.info.ID, b.info.ID))
 	})
 	return out
 }
--- a/pkg/dispatch/reserve_test.go
+++ b/pkg/dispatch/reserve_test.go
@@ -70,3 +70,26 @@
 	f.Expect(r.ofGangs("pool").worthless).To(Equal(gangsAtOnce))
 	f.Expect(r.holds("w0", 0)).To(BeTrue())
 }
+
+func TestStepHoldsOnlyTheWorkersThatWillHaveRoomSoonest(t *testing.T) {
+	f := newFixture(t, 4, nil)
+	f.reportAll(4)
+	f.pool.PutAdviser("host")
+	f.add(advisedJob("a", testStep(2)))
+	f.pool.jobs["a"].times[0].steps[0].advice.good = map[WorkerID]bool{"w0": true, "w1": true, "w2": true}
+	for n, estimate := range []time.Duration{time.Minute, time.Second, 2 * time.Second} {
+		s := testStep(4)
+		s.Estimate = estimate
+		f.add(testJob(string(workerID(n)), s))
+	}
+	f.runAll()
+	held := f.reservedFor("a")
+	f.Expect(held.priorities).To(HaveLen(2))
+	for id := range held.priorities {
+		busy := time.Duration(0)
+		for _, r := range f.pool.workers[id].runs {
+			busy = max(busy, r.left(f.now))
+		}
+		f.Expect(busy).To(BeNumerically("<=", 2*time.Second))
+	}
+}
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -129,7 +129,8 @@
 	lease := min(maxLease, deps.Bounds.MaxHold-leaseMargin)
 	o.pool = dispatch.New(dispatch.Config{
 		Hold: lease, MaxHold: lease, Drain: deps.Bounds.Drain, StopGrace: deps.Bounds.StopGrace,
-		Token: claim.Revision * tokenStep, Term: claim.Term, FirstRun: int(claim.Term) * runsOfTerm, Takeover: !claim.First,
+		Restore: deps.Bounds.Restore,
+		Token:   claim.Revision * tokenStep, Term: claim.Term, FirstRun: int(claim.Term) * runsOfTerm, Takeover: !claim.First,
 		AuthorityTerm: formerTerm(claim), Wall: deps.Clock.Wall, Log: o.logEvent,
 	}, now)
 	o.pool.PutAdviser(deps.Name)
