--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -38,6 +38,8 @@
 	tickets   map[WorkerID]ticket
 	pending   *pendingAsk
 	notBefore clock.Time
+	// answeredAt is when a call for the step was answered last, or failed; 0 for never.
+	answeredAt clock.Time
 }
 
 type ticket struct {
@@ -100,8 +102,9 @@
 	delete(p.advice.idle, name)
 }
 
-// ask has advice called for, if a step needs it and a process is free for the call.
-func (p *Pool) ask(s *step, reserved *reservations, now clock.Time, out *Actions) {
+// ask has advice called for, if a step needs it and a process is free for the call. No more than so
+// many long calls are to be on their way then.
+func (p *Pool) ask(s *step, longAtOnce int, reserved *reservations, now clock.Time, out *Actions) {
 	q := s.time.job.queue
 	if q.Advice == nil || p.advice.free == 0 || len(out.Asks) >= asksPerPlan || s.advice.pending != nil || now < s.advice.notBefore || s.time.job.outcome != "" {
 		return
@@ -112,7 +115,7 @@
 		return
 	}
 	cost := q.Advice.Of(len(named))
-	if cost >= longAsk && p.advice.long >= p.advice.longAtOnce() {
+	if cost >= longAsk && p.advice.long >= longAtOnce {
 		return
 	}
 	p.advice.last++
@@ -164,6 +167,7 @@
 	p.cfg.Log(Event{Name: "advice_answered", Task: job.TaskID{StepID: s.id()}, Detail: fmt.Sprintf(
 		"allowed=%d of=%d ok=%t took_ms=%d", len(tickets), len(a.ask.Workers), ok, now.Sub(a.sentAt).Milliseconds())})
 	s.advice.pending = nil
+	s.advice.answeredAt = now
 	s.advice.notBefore = now.Add(askAgain)
 	if ok {
 		s.advice.learn(a, tickets, s.time.job.queue.Advice.Validity)
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -131,7 +131,9 @@
 func (p *Pool) place(now clock.Time, out *Actions) {
 	p.sumBacklog()
 	reserved := newReservations()
-	for _, s := range p.order(now) {
+	ordered := p.order(now)
+	p.askForStarving(ordered, reserved, now, out)
+	for _, s := range ordered {
 		j := s.time.job
 		if p.blocked(j) {
 			continue
@@ -146,7 +148,7 @@
 			delete(p.ready, s)
 			continue
 		}
-		p.ask(s, reserved, now, out)
+		p.ask(s, p.advice.longAtOnce(), reserved, now, out)
 		p.reserve(s, reserved, now)
 	}
 }
--- /dev/null
+++ b/pkg/dispatch/starving.go
@@ -0,0 +1,63 @@
+package dispatch
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+)
+
+// starvingAfter is how long a step of a job of which nothing runs may wait for a call for advice before
+// it goes before the others. The platform counts a job lost that has waited 3 s while there was room;
+// a call and a start take up to 0.9 s of these.
+const starvingAfter = time.Second
+
+// longForStarving is how many long calls more than else may be on their way for steps that starve. With
+// all processes, short calls of the most urgent queue waited for 0.6 s each on tvmst-stalls (scale-2).
+const longForStarving = 1
+
+// askForStarving makes calls for advice for steps that have waited long, whatever their order, so that few
+// processes that make calls don't serve the first steps only. Those go first that have waited longest in
+// proportion to the time that a call takes (highest response ratio next, Brinch Hansen 1971).
+func (p *Pool) askForStarving(ordered []*step, reserved *reservations, now clock.Time, out *Actions) {
+	if p.advice.free == 0 {
+		return
+	}
+	var starving []*step
+	for _, s := range ordered {
+		if s.starves(now) && !p.blocked(s.time.job) {
+			starving = append(starving, s)
+		}
+	}
+	slices.SortStableFunc(starving, func(a, b *step) int { return cmp.Compare(b.responseRatio(now), a.responseRatio(now)) })
+	for _, s := range starving {
+		if p.advice.free == 0 {
+			return
+		}
+		p.ask(s, p.advice.longAtOnce()+longForStarving, reserved, now, out)
+	}
+}
+
+// starves says that a step has waited too long for a call for advice.
+func (s *step) starves(now clock.Time) bool {
+	if s.time.job.queue.Advice == nil || now.Sub(s.unadvisedSince()) <= starvingAfter {
+		return false
+	}
+	return s.standing(now) == overdue || !s.time.job.running()
+}
+
+// unadvisedSince is since when a step has waited without an answer to a call for advice.
+func (s *step) unadvisedSince() clock.Time {
+	return max(s.readySince, s.advice.answeredAt)
+}
+
+// responseRatio is how long a step has waited for a call for advice, in parts of the time of a call. A
+// task that lasts and is overdue comes first.
+func (s *step) responseRatio(now clock.Time) float64 {
+	if s.standing(now) == overdue {
+		return math.Inf(1)
+	}
+	return float64(now.Sub(s.unadvisedSince())) / float64(max(s.time.job.queue.Advice.Of(1), time.Millisecond))
+}
--- /dev/null
+++ b/pkg/dispatch/starving_test.go
@@ -0,0 +1,65 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/queue"
+	. "github.com/onsi/gomega"
+)
+
+// adviceJob is a job of a queue whose calls for advice take a time.
+func adviceJob(id string, priority int, call time.Duration) job.Record {
+	r := testJob(id, testStep(1))
+	r.Queue.Name, r.Queue.Priority = "queue of "+id, priority
+	r.Queue.Advice = &queue.AdviceCost{Base: call, Validity: 2 * time.Second}
+	return r
+}
+
+// asked plans once and returns the jobs for which calls for advice are made.
+func (f *fixture) asked() []job.ID {
+	var out []job.ID
+	for _, a := range f.plan().Asks {
+		out = append(out, a.Step.Job)
+	}
+	return out
+}
+
+// Found on copies of the market stalls with one host a hall: jobs past their worth found no free process
+// for a call before the end of the day (LOST, 5 to 17 times a day).
+func TestJobOfTheLastPriorityIsAskedForInTime(t *testing.T) {
+	f := newFixture(t, 4, nil)
+	f.reportAll(4)
+	f.pool.PutAdviser("host")
+	f.add(adviceJob("last", 3, 200*time.Millisecond))
+	f.pass(starvingAfter)
+	f.reportAll(4)
+	f.add(adviceJob("first", 0, 200*time.Millisecond))
+	f.Expect(f.asked()).To(Equal([]job.ID{"last"}))
+}
+
+func TestOfStarvingStepsThoseGoFirstThatWaitedLongestForTheirCalls(t *testing.T) {
+	f := newFixture(t, 4, nil)
+	f.reportAll(4)
+	f.pool.PutAdviser("host")
+	f.add(adviceJob("long", 1, 600*time.Millisecond))
+	f.pass(200 * time.Millisecond)
+	f.add(adviceJob("short", 2, 20*time.Millisecond))
+	f.pass(starvingAfter)
+	f.reportAll(4)
+	f.Expect(f.asked()).To(Equal([]job.ID{"short"}))
+}
+
+func TestTaskThatLastsIsAskedForBeforeOtherStarvingSteps(t *testing.T) {
+	f := newFixture(t, 4, nil)
+	f.reportAll(4)
+	f.pool.PutAdviser("host")
+	f.add(adviceJob("short", 0, 20*time.Millisecond))
+	r := adviceJob("lasts", 3, 600*time.Millisecond)
+	r.Job.Steps = []job.Step{servingStep(1)}
+	f.add(r)
+	f.pass(overdueAfter + 50*time.Millisecond)
+	f.reportAll(4)
+	f.Expect(f.asked()).To(Equal([]job.ID{"lasts"}))
+}
