--- a/pkg/jobhost/door.go
+++ b/pkg/jobhost/door.go
@@ -26,7 +26,7 @@
 
 func (h *Host) door() http.Handler {
 	return &platform.Door{
-		Jobs: h.jobs(), Closing: h.stopping.Load, RetryAfter: func() time.Duration { return refusedPause },
+		Jobs: h.jobs(), Closing: func() bool { return h.stopping.Load() || h.cutOff() }, RetryAfter: func() time.Duration { return refusedPause },
 	}
 }
 
--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -167,8 +167,7 @@
 // ready answers the platform's health check. A host that reaches neither the store nor the
 // owner can take in nothing.
 func (h *Host) ready(w http.ResponseWriter, _ *http.Request) {
-	cutOff := !h.storeAnswers() && !h.reachesOwner()
-	if h.config.Load() == nil || h.stopping.Load() || cutOff {
+	if h.config.Load() == nil || h.stopping.Load() || h.cutOff() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -203,6 +202,12 @@
 	return h.storeAge() < storeFresh
 }
 
+// cutOff says that this host reaches neither the store nor the owner, so that it can take in nothing. A
+// write that failed tells sooner than the silence of the store.
+func (h *Host) cutOff() bool {
+	return (!h.storeAnswers() || h.intake.distrusts()) && !h.reachesOwner()
+}
+
 // reachesOwner says whether this host owns the pool or has a link to the owner.
 func (h *Host) reachesOwner() bool {
 	return h.owner.Load() != nil || h.member.Load() != nil
