--- a/pkg/dispatch/ends.go
+++ b/pkg/dispatch/ends.go
@@ -41,12 +41,9 @@
 	p.release(r)
 	p.judge(r.worker, r, how, now)
 	p.cfg.Log(Event{Name: "run_ended", Task: r.task.id(), Run: r.number, Worker: r.worker.info.ID, Detail: how.String()})
-	switch r {
-	case r.task.current:
+	if r.task.current == r {
 		r.task.current = nil
 		p.taskEnded(r, how, checkpoint)
-	case r.task.doubted:
-		p.doubtedEnded(r, how, now)
 	}
 	p.forgetIfIdle(r.task.step.time.job)
 }
@@ -87,7 +84,6 @@
 	} else if !t.done {
 		t.done = true
 		s.done++
-		p.stopRun(t.doubted)
 	}
 	p.stepProgressed(s)
 }
@@ -166,7 +162,6 @@
 	if r.state == runStarting {
 		r.state = runUnsettled
 	}
-	w.unanswered = true
 	p.settles = append(p.settles, w)
 }
 
@@ -199,9 +194,6 @@
 func (p *Pool) rejected(r *run, pause time.Duration, now clock.Time) {
 	p.release(r)
 	t := r.task
-	if t.doubted == r {
-		t.doubted = nil
-	}
 	if t.current != r {
 		return
 	}
--- a/pkg/dispatch/history_test.go
+++ b/pkg/dispatch/history_test.go
@@ -369,14 +369,10 @@
 }
 
 func (w *world) someStep() job.Step {
-	s := job.Step{
+	return job.Step{
 		Count: 1 + w.rand.IntN(4), Resources: cell.Resources{CPUMillis: 1000 + 500*w.rand.Int64N(4), MemoryMB: 500},
 		Estimate: time.Second, Gang: w.chance(0.25),
 	}
-	// In every second history some steps allow copies. The draw is not taken from w.rand, so that the
-	// seeds that are kept go on to draw the same histories.
-	s.Speculative = w.seed%2 == 0 && !s.Gang && s.Count%2 == 0
-	return s
 }
 
 // deliver carries out the calls that are due.
--- a/pkg/dispatch/history_worker_test.go
+++ b/pkg/dispatch/history_worker_test.go
@@ -188,13 +188,9 @@
 		w.broken("%s is given more than it holds by %s run %d", m.id, r.task, r.run)
 	}
 	w.checkOrder(m, r)
-	if w.failed[w.counted(r.task)] >= testQueue.MaxAttempts && r.gang == nil && !w.mayRunTwice(r.task) {
+	if w.failed[w.counted(r.task)] >= testQueue.MaxAttempts && r.gang == nil {
 		w.broken("%s begins as run %d on %s after all its attempts", r.task, r.run, m.id)
 	}
-	if w.mayRunTwice(r.task) {
-		m.runs[runKey{r.task, r.run}] = r
-		return
-	}
 	if w.done[r.task] {
 		w.broken("%s begins again as run %d on %s after its end was noted", r.task, r.run, m.id)
 	}
@@ -208,11 +204,6 @@
 	m.runs[runKey{r.task, r.run}] = r
 }
 
-// mayRunTwice says that copies of a task may run at the same time, and after one has ended.
-func (w *world) mayRunTwice(t job.TaskID) bool {
-	return w.store[t.Job].record.Job.Steps[t.Step].Speculative
-}
-
 func (w *world) stop(m *modelWorker, s Stop) Answer {
 	a := Answer{Clock: m.clock(w.now), Verdict: VerdictDone}
 	if !m.fence(s.Token) {
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -49,7 +49,6 @@
 	clear(p.loads)
 	for _, w := range p.workers {
 		p.expireWorker(w, now)
-		p.doubtSilent(w, now)
 		if !w.gone {
 			l := p.load(w.info.Pool)
 			l.workers++
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -137,7 +137,7 @@
 	var bestScore float64
 	need := t.step.spec.Need()
 	for _, w := range candidates {
-		if fits(t.step, w) == 0 || t.doubted != nil && t.doubted.worker == w {
+		if fits(t.step, w) == 0 {
 			continue
 		}
 		score := leftOver(w, need)
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -83,10 +83,6 @@
 		return
 	}
 	p.suspend(w, suspendFor, "a run stands still", now)
-	if p.doubt(r, "it stands still", now) {
-		p.stopRun(r)
-		return
-	}
 	p.move(r, "it stands still")
 }
 
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -235,7 +235,6 @@
 		}
 		for i := range s.tasks {
 			p.stopRun(s.tasks[i].current)
-			p.stopRun(s.tasks[i].doubted)
 		}
 	}
 	p.cfg.Log(Event{Name: "job_ended", Job: j.job.ID, Detail: string(outcome)})
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -119,7 +119,6 @@
 		p.confirm(r, now)
 	}
 	r.missing = 0
-	p.trustAgain(r)
 	r.load = row.Load
 	r.observedAt = now
 	if !r.observed {
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -51,9 +51,6 @@
 	// inherited is when the leases that a former owner gave have ended; 0 without any.
 	inherited clock.Time
 
-	// unanswered says that an order got no answer and the worker has not been heard since.
-	unanswered bool
-
 	used    cell.Resources
 	runs    map[runKey]*run
 	foreign int // runs there of which nothing is known
@@ -77,7 +74,7 @@
 
 // usable says whether the worker may be given a task now.
 func (w *worker) usable(now clock.Time) bool {
-	return w.present(now) && w.rostered && w.reported && !w.gone && !w.info.Draining && !w.closed && w.foreign == 0 && !w.unanswered &&
+	return w.present(now) && w.rostered && w.reported && !w.gone && !w.info.Draining && !w.closed && w.foreign == 0 &&
 		now.Sub(w.lastAnswer) < usableWithin && now >= w.suspended
 }
 
@@ -100,7 +97,6 @@
 
 // heard takes in the clock of an answer that has just arrived.
 func (w *worker) heard(workerClock int64, now clock.Time) {
-	w.unanswered = false
 	if workerClock >= w.clock && workerClock > 0 {
 		w.clock, w.clockAt = workerClock, now
 	}
