--- a/pkg/dispatch/jobs.go
+++ b/pkg/dispatch/jobs.go
@@ -86,7 +86,6 @@
 	index      int
 	done       bool
 	current    *run
-	doubted    *run  // goes on beside the current one, or while that is looked for (speculate.go)
 	failures   []int // numbers of the runs that failed; of a gang, at its task 0
 	lastRun    int   // highest number given or seen
 	lastEnded  int   // highest number whose end was taken in
--- a/pkg/dispatch/pace.go
+++ b/pkg/dispatch/pace.go
@@ -10,12 +10,19 @@
 // serving task comes near its target, the fillers on its worker are slowed down at once; when
 // all tails there have stayed well below for a while, they are let go faster step by step.
 const (
-	fullPace   = 100
-	startPace  = 30 // of a filler beside a task that serves
+	fullPace = 100 // percent
+	// startPace, in percent, is the pace of a filler that has just started beside a task that serves:
+	// its disturbance is not known yet.
+	startPace = 30
+	// paceDownTo times the present pace is the next lower one. Four reports of a high tail bring a filler
+	// from full pace to a standstill nearly, within the 4 s in which the platform counts no harm.
 	paceDownTo = 0.4
-	paceUpBy   = 15
-	tailHigh   = 0.8
-	tailLow    = 0.55
+	// paceUpBy, in percentage points, takes seven seconds from a standstill to full pace.
+	paceUpBy = 15
+	// tailHigh and tailLow are shares of a target. Tails are rough figures over half a second, off by a
+	// fifth or so, so that fillers are slowed down a fifth before the target.
+	tailHigh = 0.8
+	tailLow  = 0.55
 	// calmFor is how long all tails must have been low before fillers go faster.
 	calmFor = time.Second
 )
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -130,6 +130,15 @@
 // restWeight makes the other resources decide among workers that are alike in the scarcest one.
 const restWeight = 0.1
 
+// What a worker costs in bestFit beside what is left free there, which is at most 1 + restWeight. Only the
+// order of these matters: data near goes before a good fit, a worker that has not failed lately before data
+// near, and any other worker before the one where the task failed.
+const (
+	farFromData = 10
+	failsLately = 50
+	failedThere = 100
+)
+
 // bestFit chooses the worker that a task uses up most, near its data and away from where it
 // failed; nil when none has room.
 func bestFit(t *task, candidates []*worker) *worker {
@@ -142,13 +151,13 @@
 		}
 		score := leftOver(w, need)
 		if t.step.spec.Affinity != "" && w.info.Rack != t.step.spec.Affinity {
-			score += 10
+			score += farFromData
 		}
 		if t.avoid == w.info.ID {
-			score += 100
+			score += failedThere
 		}
 		if t.avoid != "" && w.failures > 0 {
-			score += 50
+			score += failsLately
 		}
 		if best == nil || score < bestScore {
 			best, bestScore = w, score
--- a/pkg/dispatch/reserve.go
+++ b/pkg/dispatch/reserve.go
@@ -9,11 +9,13 @@
 )
 
 const (
-	// gangMargin is by how much the workers held for a gang exceed what it needs.
+	// gangMargin is by how much the workers held for a gang exceed what it needs: one in five of them is
+	// lost or slow before the gang begins on days with trouble.
 	gangMargin = 1.25
-	// gangsAtOnce is how many gangs that are worth nothing any more hold workers.
+	// gangsAtOnce is how many gangs of a pool that are worth nothing any more hold workers: one, and the next
+	// one meanwhile, so that all begin in bounded time at little cost to jobs that are worth something.
 	gangsAtOnce = 2
-	// heldShare is the part of a pool's workers that gangs hold at most.
+	// heldShare is the part of a pool's workers that gangs hold at most (measured with mostBacklog).
 	heldShare = 0.15
 )
 
