Show jobs on an emulated platform in make run, with the owner killed

foldarch's main job could not be tried without the users' bench. foldarch-standin platform serves the emulator and writes settings of hosts; examples/jobs/run starts three of them, hands in a job of two steps, a gang and a lasting task through foldarch job, kills the owner and shows each job's way. The ledger judges only that no task runs twice, since it does not know these callers.

--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,7 @@
 
 run: build
 	$(BIN)/foldarch local
+	./examples/jobs/run
 
 test:
 	$(GO) test -count=1 ./...
--- a/pkg/standin/main.go
+++ b/pkg/standin/main.go
@@ -21,7 +21,14 @@
 
 const programName = "foldarch-standin"
 
+// commandLine is the table of the program's commands.
 type commandLine struct {
+	Cell     cellCommand     `cmd:"" default:"withargs" help:"Stand-ins for a cell: store, workers and endpoints."`
+	Platform platformCommand `cmd:"" help:"An emulated platform: store, workers and settings of entry hosts."`
+}
+
+// cellCommand runs stand-ins for foldarch's own cell.
+type cellCommand struct {
 	Store        netip.AddrPort `default:"127.0.0.1:7000" help:"Where the platform store listens."`
 	Admin        netip.AddrPort `default:"127.0.0.1:7001" help:"Where faults are switched and the ledger is read."`
 	Halls        []string       `default:"seoul-1,seoul-2,seoul-3" help:"Halls."`
@@ -37,20 +44,28 @@
 	var c commandLine
 	parser, err := kong.New(&c, kong.Name(programName), kong.Writers(out, errOut),
 		kong.Description("Runs stand-ins for the platform store, workers and endpoints. For tests and try-outs only.\n\n"+
-			"Example: foldarch-standin --halls seoul-1,seoul-2 --workers 4"))
+			"Example: foldarch-standin --halls seoul-1,seoul-2 --workers 4\n"+
+			"Example: foldarch-standin platform --hosts 3 --dir /tmp/try"))
 	if err != nil {
 		return program.Complain(errOut, programName, err, program.ExitFault)
 	}
-	if _, err := parser.Parse(args); err != nil {
+	ctx, err := parser.Parse(args)
+	if err != nil {
 		return program.Complain(errOut, programName, err, program.ExitUsage)
 	}
-	if err := c.run(out); err != nil {
+	if err := ctx.Run(streams{out}); err != nil {
 		return program.Complain(errOut, programName, err, program.ExitFault)
 	}
 	return program.ExitOK
 }
 
-func (c commandLine) run(out io.Writer) error {
+// streams are where a command writes.
+type streams struct {
+	out io.Writer
+}
+
+// Run starts the stand-ins and waits for a signal.
+func (c cellCommand) Run(s streams) error {
 	var halls []cell.Hall
 	for _, h := range c.Halls {
 		halls = append(halls, cell.Hall(h))
@@ -71,9 +86,14 @@
 	admin := &http.Server{Handler: farm.AdminHandler(), ReadHeaderTimeout: adminHeaderTimeout}
 	go func() { _ = admin.Serve(l) }()
 	defer admin.Close()
-	fmt.Fprintf(out, "store %s admin %s workers %d\n", farm.StoreAddress(), l.Addr(), len(workers))
+	fmt.Fprintf(s.out, "store %s admin %s workers %d\n", farm.StoreAddress(), l.Addr(), len(workers))
+	awaitSignal()
+	return nil
+}
+
+// awaitSignal waits until the program is told to end.
+func awaitSignal() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	<-ctx.Done()
-	return nil
 }
