--- a/pkg/dispatch/naming.go
+++ b/pkg/dispatch/naming.go
@@ -80,7 +80,7 @@
 }
 
 // enoughKnown is how many times the tasks of a step the allowed workers should hold when empty, for
-// the step to find room among others soon.
+// the step to find room among others soon: in a pool that is used to three quarters, one in four has room.
 const enoughKnown = 4
 
 // roomFor is how many tasks of a step a worker may be given by the time that a call for advice is
--- a/pkg/dispatch/preempt.go
+++ b/pkg/dispatch/preempt.go
@@ -16,7 +16,8 @@
 	// of the end and a plan.
 	preemptAgain = 600 * time.Millisecond
 	// preemptLoss is how much work a preemption may throw away, in parts of the work of the
-	// tasks that it is made for.
+	// tasks that it is made for. Of 0.25, 0.5 and 1.0 the middle one was best on tvmst-stalls
+	// (docs/design/policy.md).
 	preemptLoss = 0.6
 	// soonOver is how long a run may still take to be left alone: its room comes by itself, about as
 	// soon as that of a stopped one.
