Count only room that is there for wide gangs

Ruled out: the hold of the soonest rooms (the gang's workers are held as before), confirmations (no owner_unconfirmed). For gangs of more than three members a call counts room that is there, as before. Test: TestWideGangIsNotAskedForByRoomThatIsOnlyExpected fails without it.

--- a/pkg/dispatch/naming.go
+++ b/pkg/dispatch/naming.go
@@ -84,12 +84,13 @@
 const enoughKnown = 4
 
 // roomFor is how many tasks of a step a worker may be given by the time that a call for advice is
-// answered; 0 also when it is held for other steps.
+// answered; 0 also when it is held for other steps. For wide gangs only room counts that is there: what
+// is expected on many workers does not come on all of them at the same time.
 func (p *Pool) roomFor(s *step, w *worker, reserved *reservations, now clock.Time) int {
 	if reserved.holds(w.info.ID, s.time.job.queue.Priority) {
 		return 0
 	}
-	if n := fits(s, w); n > 0 {
+	if n := fits(s, w); n > 0 || s.spec.Gang && len(s.tasks) > fewTasks {
 		return n
 	}
 	return fitsInto(s, w, w.freeBy(s.time.job.queue.Advice.Of(1), now))
--- a/pkg/dispatch/naming_test.go
+++ b/pkg/dispatch/naming_test.go
@@ -73,3 +73,23 @@
 	f.Expect(r.left(f.now)).To(BeNumerically("~", 2*time.Second, 20*time.Millisecond), "a quarter took one second, one has passed since")
 	f.Expect(f.pool.workers["w0"].roomIn(&step{spec: &job.Step{Count: 1, Resources: testStep(1).Resources}}, f.now)).To(BeZero())
 }
+
+// Found by hunts of hanbit-ops-grown (trouble-3 622615977533 and six others: LOST): gangs of 29 to 35 members
+// counted on room that was expected, asked for tickets on a few workers more with each call, and never had
+// tickets and room on all of them together.
+func TestWideGangIsNotAskedForByRoomThatIsOnlyExpected(t *testing.T) {
+	f := fullPool(t, 4, 2*time.Second, 500*time.Millisecond, 10*time.Millisecond)
+	s := f.pool.jobs["a"].times[0].steps[0]
+	f.pool.finish(s.time.job, job.Cancelled)
+	r := advisedJob("wide", testStep(12))
+	r.Job.Steps[0].Gang = true
+	r.Queue.Advice = &queue.AdviceCost{Base: 500 * time.Millisecond, PerWorker: 10 * time.Millisecond, Validity: 2 * time.Second}
+	f.add(r)
+	wide := f.pool.jobs["wide"].times[0].steps[0]
+	wide.advice.good = map[WorkerID]bool{"w0": true, "w1": true, "w2": true, "w3": true}
+	f.pass(1600 * time.Millisecond)
+	for n := range 4 {
+		f.pool.workers[workerID(n)].lastAnswer = f.now
+	}
+	f.Expect(f.plan().Asks).To(BeEmpty(), "the room is expected in 0.4 s, and not there")
+}
