--- a/pkg/dispatch/doc.go
+++ b/pkg/dispatch/doc.go
@@ -13,7 +13,8 @@
 //   - a hold with a higher fencing token was answered after the start, and lists the run
 //     neither as active nor as finished (a call with a lower token does nothing any more);
 //   - the worker's incarnation is gone;
-//   - the latest deadline that was ever sent to the worker has passed on its clock.
+//   - the latest deadline that was ever sent to the worker has passed on its clock, and the store
+//     has named this owner after that (confirmation.go).
 //
 // Only then may the task start elsewhere, so no task runs twice.
 //
@@ -23,6 +24,14 @@
 // While a worker has not answered, jobs that a former owner may have known keep waiting,
 // until everything that owner can have started there has lapsed (takeover.go).
 //
+// # Order and room
+//
+// Each plan goes through the steps that wait, in the order of what their end is still worth (order.go).
+// A step gets workers with room (place.go), or has runs of lower priorities stopped (preempt.go); what it
+// still waits for is held from later steps (reserve.go). Which workers may run a step is learned by calls for
+// advice (naming.go, advice.go), which steps that starve get first (starving.go). Sums are kept for
+// each pool (load.go), and ends are foreseen by progress (predict.go).
+//
 // # Usage
 //
 //	p := dispatch.New(cfg)
