--- a/pkg/dispatch/naming.go
+++ b/pkg/dispatch/naming.go
@@ -127,8 +127,8 @@
 const fewTasks = 3
 
 // otherWorkers lists workers of which is not known whether they are allowed: those with room, and
-// the full ones, by when they will have room. Those with room begin at another place each time, so that
-// steps that ask at the same moment name different ones; with byRoom, those with most room come first.
+// up to maxNamed full ones. Both begin at another place each time, so that steps that ask at the same moment
+// name different ones; with byRoom, those with most room come first.
 func (p *Pool) otherWorkers(s *step, reserved *reservations, byRoom bool, now clock.Time) (others []roomy, full []*worker) {
 	p.advice.offset += offsetStep
 	workers := p.workersByID()
