Add a seam to leave out each mechanism of the policy

Change: dispatch.Config.Without and poolowner.Deps.Without, a function field asked where each mechanism acts; nil leaves none out.

--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -81,8 +81,11 @@
 }
 
 // longAtOnce is how many long calls may be on their way.
-func (a *advisers) longAtOnce() int {
-	n := len(a.idle)
+func (p *Pool) longAtOnce() int {
+	n := len(p.advice.idle)
+	if p.without(SpareAdvisers) {
+		return n
+	}
 	return max(1, n-min(spareForShort, n/2))
 }
 
--- a/pkg/dispatch/ends.go
+++ b/pkg/dispatch/ends.go
@@ -99,7 +99,7 @@
 // taskFailed takes in that a task's current run failed.
 func (p *Pool) taskFailed(t *task, r *run) {
 	s := t.step
-	t.avoid = r.worker.info.ID
+	p.avoid(t, r.worker)
 	if p.countFailure(t, r.number) && s.spec.Gang {
 		p.breakGang(s)
 	}
--- a/pkg/dispatch/history_test.go
+++ b/pkg/dispatch/history_test.go
@@ -72,6 +72,8 @@
 	failed map[job.TaskID]int  // ends as failed that were noted, likewise; of a gang at its task 0
 	log    []string
 	bad    bool
+	// without leaves mechanisms out of all owners.
+	without Without
 }
 
 // storedJob is what the store has of a job.
@@ -129,7 +131,7 @@
 	o.pool = New(Config{
 		Hold: 5700 * time.Millisecond, MaxHold: 5700 * time.Millisecond, Drain: time.Second, StopGrace: 400 * time.Millisecond,
 		Token: w.term << 20, Term: w.term, FirstRun: int(w.term) * 1000, Takeover: w.term > 1, AuthorityTerm: ownerTerm + 200*time.Millisecond,
-		Wall: func() time.Time { return w.wall },
+		Wall: func() time.Time { return w.wall }, Without: w.without,
 		Log: func(e Event) {
 			w.note("owner %d %s %s run %d %s %s", term, e.Name, e.Task, e.Run, e.Worker, e.Detail)
 		},
--- /dev/null
+++ b/pkg/dispatch/mechanism.go
@@ -0,0 +1,55 @@
+package dispatch
+
+// Mechanism names a part of the policy that can be left out on its own, so that a test or a build for
+// trials can measure what it is worth (docs/design/policy.md). No promise about runs depends on one.
+type Mechanism string
+
+// The mechanisms.
+const (
+	// PriorityReservations hold workers for waiting steps from steps of lower priorities.
+	PriorityReservations Mechanism = "priority_reservations"
+	// GangReservations hold workers for gangs that wait for room on many of them.
+	GangReservations Mechanism = "gang_reservations"
+	// OverloadCheck has gangs hold nothing while more waits than the pool gets through soon.
+	OverloadCheck Mechanism = "overload_check"
+	// Preemption stops runs of lower priorities.
+	Preemption Mechanism = "preemption"
+	// NamingByCost names as many workers in a call for advice as make the expected time of calls least.
+	// Without it a call names workers with room for what is needed at the queue's rate.
+	NamingByCost Mechanism = "naming_by_cost"
+	// LearningFullWorkers also names workers without room in calls for advice.
+	LearningFullWorkers Mechanism = "learning_full_workers"
+	// ExpectedRoom counts room that is expected by the time that a call for advice is answered.
+	ExpectedRoom Mechanism = "expected_room"
+	// SpareAdvisers keeps some processes free for short calls for advice.
+	SpareAdvisers Mechanism = "spare_advisers"
+	// StarvingFirst makes calls for advice first for steps that have waited too long for one.
+	StarvingFirst Mechanism = "starving_first"
+	// Suspension leaves out workers that fail in a row, or on which a run stands still.
+	Suspension Mechanism = "suspension"
+	// Avoidance places a task away from the worker where it failed.
+	Avoidance Mechanism = "avoidance"
+	// StuckMoves stops runs that stand still, so that their tasks start elsewhere.
+	StuckMoves Mechanism = "stuck_moves"
+	// Pacing slows down tasks that fill what others leave when they disturb those that serve.
+	Pacing Mechanism = "pacing"
+	// CommitLanes writes commits of ends in several series at once.
+	CommitLanes Mechanism = "commit_lanes"
+	// PlanRests has plans follow each other more slowly the longer they take.
+	PlanRests Mechanism = "plan_rests"
+	// CallGate bounds the calls to workers that are begun and not over.
+	CallGate Mechanism = "call_gate"
+)
+
+// Without says whether a mechanism is left out; nil leaves out none.
+type Without func(Mechanism) bool
+
+// Has says that a mechanism is left out.
+func (w Without) Has(m Mechanism) bool {
+	return w != nil && w(m)
+}
+
+// without says whether a mechanism is left out of the pool's policy.
+func (p *Pool) without(m Mechanism) bool {
+	return p.cfg.Without.Has(m)
+}
--- a/pkg/dispatch/naming.go
+++ b/pkg/dispatch/naming.go
@@ -42,19 +42,41 @@
 	}
 	named, need = nameKnown(known, need*roomMargin)
 	nKnown = len(named)
-	cost, rate := *s.time.job.queue.Advice, p.rate(s.time.job.queue.Name)
-	n, suffices := namedOthers(others, need, rate, cost, nKnown)
+	n, suffices := p.countOthers(s, others, need, nKnown)
 	for _, o := range others[:n] {
 		named = append(named, o.worker.info.ID)
 	}
 	return append(named, p.nameToLearn(s, full, suffices, maxNamed-len(named), now)...), nKnown
 }
 
+// countOthers is how many of the workers, in their order, a call names beside the known ones, and the
+// probability that it suffices.
+func (p *Pool) countOthers(s *step, others []roomy, need float64, known int) (n int, suffices float64) {
+	cost, rate := *s.time.job.queue.Advice, p.rate(s.time.job.queue.Name)
+	if p.without(NamingByCost) {
+		return roomForNeed(others, need/rate, maxNamed-known), 1
+	}
+	return namedOthers(others, need, rate, cost, known)
+}
+
+// roomForNeed is how many of the workers, in their order, have room for a number of tasks; at most most.
+func roomForNeed(workers []roomy, need float64, most int) int {
+	n := 0
+	for n < min(len(workers), most) && need > 0 {
+		need -= float64(workers[n].room)
+		n++
+	}
+	return n
+}
+
 // nameToLearn lists workers without room to be named in a call, those first that will have room
 // soonest. Which workers may run a step does not change, so what is learned now saves the fixed part of
 // a later call, if there is one: that is why they may take as long as that part times the probability
 // that the call does not suffice. It lists none when enough is known for the time when there is room.
 func (p *Pool) nameToLearn(s *step, full []*worker, suffices float64, most int, now clock.Time) []WorkerID {
+	if p.without(LearningFullWorkers) {
+		return nil
+	}
 	q := s.time.job.queue
 	missing := enoughKnown * float64(len(s.tasks))
 	for id := range s.advice.good {
@@ -90,7 +112,8 @@
 	if reserved.holds(w.info.ID, s.time.job.queue.Priority) {
 		return 0
 	}
-	if n := fits(s, w); n > 0 || s.spec.Gang && len(s.tasks) > fewTasks {
+	n := fits(s, w)
+	if n > 0 || s.spec.Gang && len(s.tasks) > fewTasks || p.without(ExpectedRoom) {
 		return n
 	}
 	return fitsInto(s, w, w.freeBy(s.time.job.queue.Advice.Of(1), now))
--- a/pkg/dispatch/pace.go
+++ b/pkg/dispatch/pace.go
@@ -35,7 +35,7 @@
 // paceFillers decides how fast the fillers on a worker go.
 func (p *Pool) paceFillers(w *worker, now clock.Time) {
 	highest, serves := worstTail(w)
-	if !serves {
+	if !serves || p.without(Pacing) {
 		p.paceEach(w, func(int) int { return fullPace })
 		return
 	}
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -120,6 +120,13 @@
 	return out
 }
 
+// avoid has a task placed away from a worker if there is another one.
+func (p *Pool) avoid(t *task, w *worker) {
+	if !p.without(Avoidance) {
+		t.avoid = w.info.ID
+	}
+}
+
 // leftOver is what a worker keeps free beside a task: first of the resource of which the task takes
 // the largest share, so that workers which are broken into already fill up and whole ones stay whole.
 func leftOver(w *worker, need cell.Resources) float64 {
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -79,10 +79,12 @@
 	if s.spec.LongRunning || s.spec.Filler || r.percent >= almostDone || r.task.current != r {
 		return
 	}
-	if !r.standsStill(now) {
+	if !r.standsStill(now) || p.without(StuckMoves) {
 		return
 	}
-	p.suspend(w, suspendFor, "a run stands still", now)
+	if !p.without(Suspension) {
+		p.suspend(w, suspendFor, "a run stands still", now)
+	}
 	p.move(r, "it stands still")
 }
 
@@ -96,7 +98,7 @@
 // move stops a run so that its task starts elsewhere; with a gang, all its members.
 func (p *Pool) move(r *run, why string) {
 	p.cfg.Log(Event{Name: "run_moved", Task: r.task.id(), Run: r.number, Worker: r.worker.info.ID, Detail: why})
-	r.task.avoid = r.worker.info.ID
+	p.avoid(r.task, r.worker)
 	if r.task.step.spec.Gang {
 		p.breakGang(r.task.step)
 		return
@@ -148,7 +150,7 @@
 			delete(p.ready, s)
 			continue
 		}
-		p.ask(s, p.advice.longAtOnce(), reserved, now, out)
+		p.ask(s, p.longAtOnce(), reserved, now, out)
 		p.reserve(s, reserved, now)
 	}
 }
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -35,6 +35,8 @@
 	Wall func() time.Time
 	// Log takes events; it must not block.
 	Log func(Event)
+	// Without leaves mechanisms out, in tests and builds for trials.
+	Without Without
 }
 
 // MaxBumps is how often an owner may raise the token of a worker.
--- a/pkg/dispatch/preempt.go
+++ b/pkg/dispatch/preempt.go
@@ -50,7 +50,7 @@
 
 // mayPreempt says whether stopping others can still bring a step's end in time.
 func (p *Pool) mayPreempt(s *step, now clock.Time) bool {
-	if s.spec.Filler || s.waiting() == 0 || s.missing() {
+	if p.without(Preemption) || s.spec.Filler || s.waiting() == 0 || s.missing() {
 		return false
 	}
 	if s.preemptedAt != 0 && now.Sub(s.preemptedAt) < preemptAgain {
--- a/pkg/dispatch/reserve.go
+++ b/pkg/dispatch/reserve.go
@@ -76,7 +76,9 @@
 		if s.spec.Gang {
 			p.reserveGang(s, r, priority-1, now)
 		}
-		p.reserveSoonest(s, r, priority, now)
+		if !p.without(PriorityReservations) {
+			p.reserveSoonest(s, r, priority, now)
+		}
 	}
 }
 
@@ -100,7 +102,7 @@
 func (p *Pool) reserveGang(s *step, r *reservations, priority int, now clock.Time) {
 	pool := s.time.job.queue.Pool
 	load, gangs := p.load(pool), r.ofGangs(pool)
-	if load.overloaded() {
+	if p.without(GangReservations) || load.overloaded() && !p.without(OverloadCheck) {
 		return
 	}
 	need := gangMargin * float64(len(s.tasks))
--- a/pkg/dispatch/starving.go
+++ b/pkg/dispatch/starving.go
@@ -22,7 +22,7 @@
 // processes that make calls don't serve the first steps only. Those go first that have waited longest in
 // proportion to the time that a call takes (highest response ratio next, Brinch Hansen 1971).
 func (p *Pool) askForStarving(ordered []*step, reserved *reservations, now clock.Time, out *Actions) {
-	if p.advice.free == 0 {
+	if p.advice.free == 0 || p.without(StarvingFirst) {
 		return
 	}
 	var starving []*step
@@ -36,7 +36,7 @@
 		if p.advice.free == 0 {
 			return
 		}
-		p.ask(s, p.advice.longAtOnce()+longForStarving, reserved, now, out)
+		p.ask(s, p.longAtOnce()+longForStarving, reserved, now, out)
 	}
 }
 
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -289,6 +289,9 @@
 			w.failures++
 		}
 		w.failedJob = id
+		if p.without(Suspension) {
+			return
+		}
 		if w.failures >= suspendAfter || w.probation && w.failures > 0 {
 			p.suspend(w, suspendFor, "failures", now)
 			w.failures, w.probation = 0, true
--- a/pkg/poolowner/call_gate.go
+++ b/pkg/poolowner/call_gate.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"foldarch.dev/foldarch/pkg/dispatch"
 )
 
 const (
@@ -16,6 +18,16 @@
 	waitCounts = 10 * time.Millisecond
 )
 
+// unboundedCalls is more calls than an owner ever begins at once.
+const unboundedCalls = 1 << 20
+
+func callsAtOnceOf(deps Deps) int {
+	if deps.Without.Has(dispatch.CallGate) {
+		return unboundedCalls
+	}
+	return callsAtOnce
+}
+
 // callClass is the order in which calls are let through.
 type callClass int
 
--- a/pkg/poolowner/commits.go
+++ b/pkg/poolowner/commits.go
@@ -94,9 +94,13 @@
 		return err
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	for n := range min(len(o.lanes), len(txns)) {
+	lanes := len(o.lanes)
+	if o.deps.Without.Has(dispatch.CommitLanes) {
+		lanes = 1
+	}
+	for n := range min(lanes, len(txns)) {
 		group.Go(func() error {
-			for at := n; at < len(txns); at += len(o.lanes) {
+			for at := n; at < len(txns); at += lanes {
 				if err := o.commit(ctx, &o.lanes[n], txns[at]); err != nil {
 					return err
 				}
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -80,6 +80,8 @@
 	Log    *logrus.Entry
 	// Figures takes counters of what was decided and learned, by event.
 	Figures metrics.Registry
+	// Without leaves mechanisms out, in tests and builds for trials.
+	Without dispatch.Without
 }
 
 // Owner owns a pool.
@@ -121,7 +123,7 @@
 	o := &Owner{
 		deps: deps, claim: claim, done: make(chan struct{}), kick: make(chan struct{}, 1), jobsKnown: make(chan struct{}),
 		unconfirmed: make(chan struct{}, 1),
-		calls:       newCallGate(callsAtOnce),
+		calls:       newCallGate(callsAtOnceOf(deps)),
 		sessions:    map[dispatch.WorkerID]*workerSession{}, members: map[string]*poolrpc.Session{},
 		cancelled: map[job.ID]bool{}, committed: make(chan struct{}), lanes: newLanes(claim),
 		beats: newBeats(deps.Heartbeat), upkeep: upkeep.New(),
@@ -131,7 +133,7 @@
 		Hold: lease, MaxHold: lease, Drain: deps.Bounds.Drain, StopGrace: deps.Bounds.StopGrace,
 		Restore: deps.Bounds.Restore,
 		Token:   claim.Revision * tokenStep, Term: claim.Term, FirstRun: int(claim.Term) * runsOfTerm, Takeover: !claim.First,
-		AuthorityTerm: formerTerm(claim), Wall: deps.Clock.Wall, Log: o.logEvent,
+		AuthorityTerm: formerTerm(claim), Wall: deps.Clock.Wall, Log: o.logEvent, Without: deps.Without,
 	}, now)
 	o.pool.PutAdviser(deps.Name)
 	return o
@@ -247,7 +249,7 @@
 			return
 		case <-t.C:
 		case <-o.kick:
-			clock.Sleep(ctx, max(planPause, planRest*took))
+			clock.Sleep(ctx, o.restAfter(took))
 		}
 		began := time.Now()
 		o.carryOut(ctx)
@@ -255,6 +257,14 @@
 	}
 }
 
+// restAfter is how long the next plan waits at least after one that took a time.
+func (o *Owner) restAfter(took time.Duration) time.Duration {
+	if o.deps.Without.Has(dispatch.PlanRests) {
+		return planPause
+	}
+	return max(planPause, planRest*took)
+}
+
 func (o *Owner) inspect() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
