Have other hosts make the owner's calls to workers in large pools

Change: package relay. A relay is a part of the network: what it loses, delays or carries out late is covered by what holds for lost and late calls. Since answers may be held up by a relay, an owner counts the authority that an answer proves from when it asked. When the path to a worker changes, its token is raised. Settling of lost answers stays with the owner. Weighed: relays that extend leases on their own (they would have to hold authority).

--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -30,6 +30,7 @@
 	overtaken := a.Clock < w.clock
 	w.heard(a.Clock, now)
 	w.lastAnswer = now
+	w.provenAt = max(w.provenAt, h.SentAt)
 	w.fenced = true
 	if !p.loaded {
 		return
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -47,7 +47,10 @@
 	clock      int64 // its clock when it answered last …
 	clockAt    clock.Time
 	lastAnswer clock.Time
-	bound      int64 // latest deadline sent, on its clock
+	// provenAt is when the last hold was sent that was answered: the worker knew of no later owner at some time
+	// after that. lastAnswer may be later than that time, since answers are held up on their way.
+	provenAt clock.Time
+	bound    int64 // latest deadline sent, on its clock
 	// inherited is when the leases that a former owner gave have ended; 0 without any.
 	inherited clock.Time
 
@@ -169,15 +172,15 @@
 	return out
 }
 
-// Answering counts the workers that have answered within a time, and all that are listed
-// or may run something.
+// Answering counts the workers that have answered a hold that was sent within a time, and all that are
+// listed or may run something.
 func (p *Pool) Answering(now clock.Time, within time.Duration) (answering, all int) {
 	for _, w := range p.workers {
 		if w.gone || !w.listed && len(w.runs) == 0 && w.fenced {
 			continue
 		}
 		all++
-		if w.fenced && now.Sub(w.lastAnswer) < within {
+		if w.fenced && now.Sub(w.provenAt) < within {
 			answering++
 		}
 	}
--- a/pkg/jobhost/door.go
+++ b/pkg/jobhost/door.go
@@ -78,15 +78,15 @@
 	if err == nil || m == nil {
 		return created, err
 	}
-	created, relayed := relay(ctx, m, key, value)
-	if errors.Is(relayed, platform.ErrRefused) && !errors.Is(err, platform.ErrRefused) {
+	created, byOwner := writeByOwner(ctx, m, key, value)
+	if errors.Is(byOwner, platform.ErrRefused) && !errors.Is(err, platform.ErrRefused) {
 		return false, err // our own try may have written the key
 	}
-	return created, relayed
+	return created, byOwner
 }
 
-// relay has the owner write a key.
-func relay(ctx context.Context, m *poolrpc.Member, key string, value []byte) (created bool, err error) {
+// writeByOwner has the owner write a key.
+func writeByOwner(ctx context.Context, m *poolrpc.Member, key string, value []byte) (created bool, err error) {
 	a, err := m.Write(ctx, key, value)
 	switch {
 	case errors.Is(err, poolrpc.ErrNotSent):
--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -13,6 +13,7 @@
 	"foldarch.dev/foldarch/pkg/poolowner"
 	"foldarch.dev/foldarch/pkg/poolrpc"
 	"foldarch.dev/foldarch/pkg/poolrpc/poolpb"
+	"foldarch.dev/foldarch/pkg/relay"
 	"foldarch.dev/foldarch/platform"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
@@ -243,7 +244,7 @@
 	}
 	o := poolowner.New(poolowner.Deps{
 		Machines: machines,
-		Name:     h.cfg.Load().Name, Clock: h.clk, Store: h.store, Workers: h.worker, Bounds: h.cfg.Load().Bounds, Heartbeat: h.cfg.Load().Heartbeat,
+		Name:     h.cfg.Load().Name, Clock: h.clk, Store: h.store, Workers: h.worker, WorkerTimeout: workerTimeout, Bounds: h.cfg.Load().Bounds, Heartbeat: h.cfg.Load().Heartbeat,
 		Advise: h.advise, Write: h.writeFor, StoreAge: h.storeAge, Leased: k.holds, Log: h.log, Strength: strengthOf(*h.cfg.Load()), Figures: h.figures.registry,
 	}, claim)
 	o.SetConfig(h.config.Load())
@@ -283,10 +284,12 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	calls := relay.NewServer(relay.DirectCalls(h.worker))
 	m := poolrpc.NewMember(poolrpc.MemberHandlers{
-		Status: h.memberStatus, Advise: h.advise,
+		Status: h.memberStatus, Advise: h.advise, Orders: calls.Take,
 		OwnerStatus: func(s *poolpb.OwnerStatus) { h.ownerHeard(holder, s) },
 	}, h.clk)
+	go calls.Run(ctx, m.Send)
 	h.member.Store(m)
 	defer h.member.CompareAndSwap(m, nil)
 	go func() {
@@ -320,7 +323,7 @@
 
 func (h *Host) memberStatus() *poolpb.MemberStatus {
 	return &poolpb.MemberStatus{Name: h.cfg.Load().Name, StoreAgeMs: h.storeAge().Milliseconds(), Stopping: h.stopping.Load(),
-		Strength: int64(strengthOf(*h.cfg.Load()))}
+		Strength: int64(strengthOf(*h.cfg.Load())), Hall: h.cfg.Load().Zone}
 }
 
 // ownerHeard takes in a heartbeat of the owner.
--- a/pkg/jobhost/figures.go
+++ b/pkg/jobhost/figures.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"net/http/pprof"
 	"slices"
 	"time"
 
@@ -55,8 +56,8 @@
 	}
 }
 
-// operatorDoor answers operators: figures, who owns the pool, what the owner knows of a job,
-// and foldarch's own API of jobs under /v1/.
+// operatorDoor answers operators: figures, who owns the pool, what the owner knows of a job, profiles of
+// the process under /debug/pprof/, and foldarch's own API of jobs under /v1/.
 func (h *Host) operatorDoor() (http.Handler, error) {
 	jobs, err := jobapi.New(h.jobs())
 	if err != nil {
@@ -71,6 +72,8 @@
 		writeAnswer(w, h.election.holder)
 	})
 	mux.HandleFunc("GET /jobs/{id}", h.serveExplanation)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	return mux, nil
 }
 
--- a/pkg/poolowner/loading.go
+++ b/pkg/poolowner/loading.go
@@ -260,7 +260,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, w := range o.pool.Workers() {
-		o.openSession(ctx, w.ID)
+		o.openSession(ctx, w)
 	}
 }
 
--- a/pkg/poolowner/members.go
+++ b/pkg/poolowner/members.go
@@ -17,7 +17,7 @@
 // Handlers are what the owner does with what other hosts say.
 func (o *Owner) Handlers() poolrpc.OwnerHandlers {
 	return poolrpc.OwnerHandlers{
-		Joined: o.joined, Left: o.left, Answer: o.Answer, Advice: o.adviceAnswered, Status: o.status, Done: o.done,
+		Joined: o.joined, Left: o.left, Results: o.results, Answer: o.Answer, Advice: o.adviceAnswered, Status: o.status, Done: o.done,
 		Accepted:  func(a *poolpb.Accepted) { o.Accepted(job.ID(a.Id), a.Record) },
 		Cancelled: func(c *poolpb.Cancelled) { o.Cancelled(job.ID(c.Id)) },
 		Write:     o.write,
@@ -27,7 +27,11 @@
 func (o *Owner) joined(s *poolrpc.Session) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.members[s.Name] = s
+	if former := o.members[s.Name]; former != nil {
+		former.cancel() // its stream has not been found broken yet
+	}
+	o.members[s.Name] = o.newMember(s)
+	o.relays.PutHost(s.Name, s.Status().Hall, int(s.Status().Strength))
 	o.pool.PutAdviser(s.Name)
 	o.deps.Log.WithField("member", s.Name).Info("member_joined")
 }
@@ -35,9 +39,12 @@
 func (o *Owner) left(s *poolrpc.Session) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.members[s.Name] != s {
+	m := o.members[s.Name]
+	if m == nil || m.Session != s {
 		return
 	}
+	m.cancel()
+	o.relays.RemoveHost(s.Name)
 	delete(o.members, s.Name)
 	o.pool.RemoveAdviser(s.Name, o.deps.Clock.Now())
 	o.deps.Log.WithField("member", s.Name).Info("member_left")
@@ -122,14 +129,20 @@
 	case Stopping:
 		return true
 	case Unreached:
-		return storeAge(s) < o.deps.StoreAge()-yieldGain
+		return s.reachesStoreBetter(o.deps.StoreAge())
 	}
 	return storeAge(s) < freshStore && s.Status().Strength >= enough
 }
 
+// reachesStoreBetter says that the store answered the member clearly later than another host, which it answered
+// a time ago.
+func (m *member) reachesStoreBetter(age time.Duration) bool {
+	return storeAge(m) < age-yieldGain
+}
+
 // storeAge is how long ago the store had answered a member when it said so last.
-func storeAge(s *poolrpc.Session) time.Duration {
-	return time.Duration(s.Status().StoreAgeMs) * time.Millisecond
+func storeAge(m *member) time.Duration {
+	return time.Duration(m.Status().StoreAgeMs) * time.Millisecond
 }
 
 // Strong says whether this host is large enough to own the pool.
@@ -177,7 +190,7 @@
 }
 
 // ask has a call for advice made, by this host or by a member.
-func (o *Owner) ask(ctx context.Context, member *poolrpc.Session, a dispatch.Ask) {
+func (o *Owner) ask(ctx context.Context, m *member, a dispatch.Ask) {
 	call := &poolpb.AdviceCall{
 		Number: a.Number, Job: string(a.Step.Job), Time: int64(a.Step.Time), Step: int64(a.Step.Step),
 		LimitMs: a.Limit.Milliseconds(),
@@ -189,7 +202,7 @@
 		go func() { o.adviceAnswered(o.deps.Advise(ctx, call)) }()
 		return
 	}
-	if member == nil || !member.Send(&poolpb.OwnerMessage{Content: &poolpb.OwnerMessage_Advice{Advice: call}}) {
+	if m == nil || !m.Send(&poolpb.OwnerMessage{Content: &poolpb.OwnerMessage_Advice{Advice: call}}) {
 		go o.adviceAnswered(&poolpb.AdviceResult{Number: a.Number})
 	}
 }
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -10,9 +10,9 @@
 	"foldarch.dev/foldarch/pkg/dispatch"
 	"foldarch.dev/foldarch/pkg/job"
 	"foldarch.dev/foldarch/pkg/jobstore"
-	"foldarch.dev/foldarch/pkg/poolrpc"
 	"foldarch.dev/foldarch/pkg/poolrpc/poolpb"
 	"foldarch.dev/foldarch/pkg/queue"
+	"foldarch.dev/foldarch/pkg/relay"
 	"foldarch.dev/foldarch/pkg/upkeep"
 	"foldarch.dev/foldarch/platform"
 	"github.com/cockroachdb/errors"
@@ -62,6 +62,8 @@
 	Clock   clock.Clock
 	Store   *platform.Store
 	Workers *platform.Workers
+	// WorkerTimeout is the limit of a call to a worker, beyond its waiting.
+	WorkerTimeout time.Duration
 	// Machines is nil when there is no service of machines.
 	Machines *platform.Machines
 	Bounds   platform.Bounds
@@ -100,7 +102,8 @@
 	pool      *dispatch.Pool
 	upkeep    *upkeep.Planner
 	sessions  map[dispatch.WorkerID]*workerSession
-	members   map[string]*poolrpc.Session
+	members   map[string]*member
+	relays    *relay.Assignments
 	cancelled map[job.ID]bool // told before the job itself
 	committed chan struct{}   // closed and renewed with each commit
 	fenced    bool            // most workers were fenced
@@ -124,7 +127,7 @@
 		deps: deps, claim: claim, done: make(chan struct{}), kick: make(chan struct{}, 1), jobsKnown: make(chan struct{}),
 		unconfirmed: make(chan struct{}, 1),
 		calls:       newCallGate(callsAtOnceOf(deps)),
-		sessions:    map[dispatch.WorkerID]*workerSession{}, members: map[string]*poolrpc.Session{},
+		sessions:    map[dispatch.WorkerID]*workerSession{}, members: map[string]*member{},
 		cancelled: map[job.ID]bool{}, committed: make(chan struct{}), lanes: newLanes(claim),
 		beats: newBeats(deps.Heartbeat), upkeep: upkeep.New(),
 	}
@@ -135,6 +138,7 @@
 		Token:   claim.Revision * tokenStep, Term: claim.Term, FirstRun: int(claim.Term) * runsOfTerm, Takeover: !claim.First,
 		AuthorityTerm: formerTerm(claim), Wall: deps.Clock.Wall, Log: o.logEvent, Without: deps.Without,
 	}, now)
+	o.relays = relay.NewAssignments(o.stopping)
 	o.pool.PutAdviser(deps.Name)
 	return o
 }
@@ -301,7 +305,7 @@
 		return
 	}
 	sessions := o.sessionsFor(actions)
-	members := make([]*poolrpc.Session, len(actions.Asks))
+	members := make([]*member, len(actions.Asks))
 	for i, a := range actions.Asks {
 		members[i] = o.members[a.Adviser]
 	}
--- a/pkg/poolowner/sessions.go
+++ b/pkg/poolowner/sessions.go
@@ -6,6 +6,7 @@
 
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/dispatch"
+	"foldarch.dev/foldarch/pkg/relay"
 	"foldarch.dev/foldarch/platform"
 )
 
@@ -36,7 +37,8 @@
 }
 
 // openSession begins to talk with a worker. The caller holds o.mu.
-func (o *Owner) openSession(ctx context.Context, id dispatch.WorkerID) {
+func (o *Owner) openSession(ctx context.Context, w dispatch.WorkerInfo) {
+	id := w.ID
 	if o.sessions[id] != nil {
 		return
 	}
@@ -44,6 +46,7 @@
 	s := &workerSession{
 		owner: o, id: id, orders: newOrderQueue(ctx, &o.duties), cancel: cancel, settling: make(chan struct{}, 1),
 	}
+	o.relays.PutWorker(id, w.Zone)
 	o.sessions[id] = s
 	o.duties.Go(func() {
 		s.runHolds(ctx)
@@ -56,6 +59,7 @@
 	s.owner.mu.Lock()
 	defer s.owner.mu.Unlock()
 	if s.owner.sessions[s.id] == s {
+		s.owner.relays.RemoveWorker(s.id)
 		delete(s.owner.sessions, s.id)
 	}
 }
@@ -102,12 +106,22 @@
 // hold sends one hold and takes in its answer; with waits, the worker lets it wait for an end.
 // known is false when there is nothing to be asked of the worker any more.
 func (s *workerSession) hold(ctx context.Context, class callClass, raise, waits bool) (answered, known bool) {
-	o := s.owner
-	leave, ok := o.calls.enter(ctx, class, holdCounts(waits))
+	if m := s.holdPath(&raise); m != nil {
+		answered, known = s.sendHold(ctx, m, raise, waits)
+		s.relayAnswered(m, answered)
+		return answered, known
+	}
+	leave, ok := s.owner.calls.enter(ctx, class, holdCounts(waits))
 	if !ok {
 		return false, false
 	}
 	defer leave()
+	return s.sendHold(ctx, nil, raise, waits)
+}
+
+// sendHold makes the call of a hold, by a member or, without one, by this host.
+func (s *workerSession) sendHold(ctx context.Context, m *member, raise, waits bool) (answered, known bool) {
+	o := s.owner
 	o.mu.Lock()
 	now := o.deps.Clock.Now()
 	h, ok := o.pool.HoldFor(s.id, raise, o.authority(now), now)
@@ -119,7 +133,7 @@
 	if !ok {
 		return false, false
 	}
-	a, report, err := o.deps.Workers.Hold(ctx, platform.HoldOrder{
+	a, report, err := o.callsBy(m).Hold(ctx, platform.HoldOrder{
 		Order:    platform.Order{Worker: h.Worker, Address: h.Address, Token: h.Token},
 		LastSeen: h.LastSeen, Deadline: h.Deadline, Wait: wait, Patience: s.patience(raise),
 	})
@@ -208,27 +222,31 @@
 
 // put queues an order; it says whether there was room. An order whose
 // session ends before its turn is dropped, as one that waits in the queue is.
-func (s *workerSession) put(order func(context.Context)) bool {
+func (s *workerSession) put(order func(context.Context, relay.Calls)) bool {
 	if s == nil {
 		return false
 	}
 	return s.orders.put(func(ctx context.Context) {
+		if m := s.orderPath(); m != nil {
+			order(ctx, s.owner.callsBy(m))
+			return
+		}
 		leave, ok := s.owner.calls.enter(ctx, callOrder, callCounts)
 		if !ok {
 			return
 		}
 		defer leave()
-		order(ctx)
+		order(ctx, s.owner.callsBy(nil))
 	})
 }
 
 func (o *Owner) sendStart(s *workerSession, a dispatch.Start) {
-	sent := s.put(func(ctx context.Context) {
+	sent := s.put(func(ctx context.Context, calls relay.Calls) {
 		if !o.mayOrder() {
 			o.startAnswered(a, dispatch.Answer{}, dispatch.ErrNotSent)
 			return
 		}
-		answer, err := o.deps.Workers.Start(ctx, platform.StartOrder{
+		answer, err := calls.Start(ctx, platform.StartOrder{
 			Order: platform.Order{Worker: a.Worker, Address: a.Address, Token: a.Token},
 			Task:  a.Task, Run: a.Run, Spec: a.Spec, Checkpoint: a.Checkpoint, Ticket: a.Ticket, Deadline: a.Deadline,
 		})
@@ -254,8 +272,8 @@
 }
 
 func (o *Owner) sendStop(s *workerSession, a dispatch.Stop) {
-	s.put(func(ctx context.Context) {
-		answer, err := o.deps.Workers.Stop(ctx, platform.Order{Worker: a.Worker, Address: a.Address, Token: a.Token}, a.Task, a.Run)
+	s.put(func(ctx context.Context, calls relay.Calls) {
+		answer, err := calls.Stop(ctx, platform.Order{Worker: a.Worker, Address: a.Address, Token: a.Token}, a.Task, a.Run)
 		if err != nil {
 			return // sent again when the end does not come
 		}
@@ -266,8 +284,8 @@
 }
 
 func (o *Owner) sendPace(s *workerSession, a dispatch.Pace) {
-	sent := s.put(func(ctx context.Context) {
-		answer, err := o.deps.Workers.Pace(ctx, platform.Order{Worker: a.Worker, Address: a.Address, Token: a.Token}, a.Task, a.Run, a.Percent)
+	sent := s.put(func(ctx context.Context, calls relay.Calls) {
+		answer, err := calls.Pace(ctx, platform.Order{Worker: a.Worker, Address: a.Address, Token: a.Token}, a.Task, a.Run, a.Percent)
 		if err == nil && answer.Verdict == dispatch.VerdictDone {
 			return
 		}
--- a/pkg/poolrpc/member.go
+++ b/pkg/poolrpc/member.go
@@ -36,6 +36,8 @@
 	OwnerStatus func(*poolpb.OwnerStatus)
 	// Advise makes a call for advice; it is called in a goroutine of its own.
 	Advise func(context.Context, *poolpb.AdviceCall) *poolpb.AdviceResult
+	// Orders makes calls to workers for the owner; it must not block.
+	Orders func(context.Context, *poolpb.Orders)
 }
 
 // Member is a host's side of its stream to the owner.
@@ -85,7 +87,7 @@
 		sendAll(ctx, m.outbox, stream.Send)
 	})
 	duties.Go(func() { m.beat(ctx, cancel) })
-	m.send(&poolpb.MemberMessage{Content: &poolpb.MemberMessage_Status{Status: m.handlers.Status()}})
+	m.Send(&poolpb.MemberMessage{Content: &poolpb.MemberMessage_Status{Status: m.handlers.Status()}})
 	for {
 		msg, err := stream.Recv()
 		if err != nil {
@@ -116,7 +118,7 @@
 			cancel()
 			return
 		}
-		m.send(&poolpb.MemberMessage{Content: &poolpb.MemberMessage_Status{Status: m.handlers.Status()}})
+		m.Send(&poolpb.MemberMessage{Content: &poolpb.MemberMessage_Status{Status: m.handlers.Status()}})
 	})
 }
 
@@ -132,16 +134,18 @@
 		if ch != nil {
 			ch <- c.Answer
 		}
+	case *poolpb.OwnerMessage_Orders:
+		m.handlers.Orders(ctx, c.Orders)
 	case *poolpb.OwnerMessage_Advice:
 		go func() {
 			result := m.handlers.Advise(ctx, c.Advice)
-			m.send(&poolpb.MemberMessage{Content: &poolpb.MemberMessage_Advice{Advice: result}})
+			m.Send(&poolpb.MemberMessage{Content: &poolpb.MemberMessage_Advice{Advice: result}})
 		}()
 	}
 }
 
-// send puts a message into the outbox; it says whether there was room.
-func (m *Member) send(msg *poolpb.MemberMessage) bool {
+// Send puts a message into the outbox; it says whether there was room.
+func (m *Member) Send(msg *poolpb.MemberMessage) bool {
 	select {
 	case m.outbox <- msg:
 		return true
@@ -152,12 +156,12 @@
 
 // Accepted tells the owner of an accepted job. It may get lost.
 func (m *Member) Accepted(id string, record []byte) {
-	m.send(&poolpb.MemberMessage{Content: &poolpb.MemberMessage_Accepted{Accepted: &poolpb.Accepted{Id: id, Record: record}}})
+	m.Send(&poolpb.MemberMessage{Content: &poolpb.MemberMessage_Accepted{Accepted: &poolpb.Accepted{Id: id, Record: record}}})
 }
 
 // Cancelled tells the owner of a cancelled job. It may get lost.
 func (m *Member) Cancelled(id string) {
-	m.send(&poolpb.MemberMessage{Content: &poolpb.MemberMessage_Cancelled{Cancelled: &poolpb.Cancelled{Id: id}}})
+	m.Send(&poolpb.MemberMessage{Content: &poolpb.MemberMessage_Cancelled{Cancelled: &poolpb.Cancelled{Id: id}}})
 }
 
 // Ask asks the owner and waits for its answer.
@@ -194,7 +198,7 @@
 		delete(m.waiting, number)
 		m.mu.Unlock()
 	}()
-	if !m.send(message(number)) {
+	if !m.Send(message(number)) {
 		return nil, ErrNotSent
 	}
 	select {
--- a/pkg/poolrpc/owner.go
+++ b/pkg/poolrpc/owner.go
@@ -22,6 +22,8 @@
 	Cancelled func(*poolpb.Cancelled)
 	Answer    func(*poolpb.Question) *poolpb.Answer
 	Advice    func(*poolpb.AdviceResult)
+	// Results takes in how workers answered orders that the member made calls for.
+	Results func(*Session, *poolpb.Results)
 	// Write puts a key into the store; it is called in a goroutine of its own.
 	Write func(*poolpb.Write) *poolpb.Answer
 	// Status returns the owner's heartbeat.
@@ -137,6 +139,8 @@
 		s.Send(&poolpb.OwnerMessage{Content: &poolpb.OwnerMessage_Answer{Answer: h.Answer(c.Question)}})
 	case *poolpb.MemberMessage_Advice:
 		h.Advice(c.Advice)
+	case *poolpb.MemberMessage_Results:
+		h.Results(s, c.Results)
 	case *poolpb.MemberMessage_Write:
 		go func() {
 			s.Send(&poolpb.OwnerMessage{Content: &poolpb.OwnerMessage_Answer{Answer: h.Write(c.Write)}})
--- /dev/null
+++ b/pkg/relay/assignments.go
@@ -0,0 +1,193 @@
+package relay
+
+import (
+	"cmp"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/dispatch"
+)
+
+const (
+	// WorkersPerHost is how many workers one relay serves at most. A worker has 2 to 4 calls a second, a call
+	// costs a relay about 0.2 ms of processor: 96 workers take 4 to 8% of a core, which the smallest hosts have.
+	WorkersPerHost = 96
+	// leastWorkers is the number of workers from which other hosts make the calls to them. Below, relays cost
+	// the hosts more than they spare the owner (docs/CAPACITY.md).
+	leastWorkers = 400
+	// mostDoubts is how many orders in a row may have no result before a relay is left for suspectFor. The
+	// stream of a host is given up after 0.9 s of silence; this is for one that lives but does not reach workers.
+	mostDoubts = 12
+	suspectFor = 5 * time.Second
+	// directFor is how long the owner makes the calls to a worker itself after an order without a result.
+	directFor = 2 * time.Second
+	// chooseAgain is the pause after no host had room for one more worker: looking takes as long as there are hosts.
+	chooseAgain = 250 * time.Millisecond
+)
+
+// Assignments decide which host makes the calls to which worker. They are pure, and not safe for
+// concurrent use.
+type Assignments struct {
+	// Stopping says that a host is about to end.
+	Stopping func(host string) bool
+
+	hosts        map[string]*host
+	workers      map[dispatch.WorkerID]*assignment
+	missingUntil clock.Time // no host had room
+}
+
+// host is an entry host that may be a relay.
+type host struct {
+	name         string
+	hall         string
+	strength     int // in percent of what an owner needs
+	workers      int // that it serves
+	doubts       int // orders in a row without a result
+	suspectUntil clock.Time
+}
+
+// assignment is the host of a worker; nil when the owner makes the calls itself.
+type assignment struct {
+	hall        string // of the worker
+	host        *host
+	directUntil clock.Time
+}
+
+// NewAssignments returns assignments without hosts and workers.
+func NewAssignments(stopping func(host string) bool) *Assignments {
+	return &Assignments{Stopping: stopping, hosts: map[string]*host{}, workers: map[dispatch.WorkerID]*assignment{}}
+}
+
+// PutHost takes in a host of a data hall that can make calls. One of the same name is replaced.
+func (a *Assignments) PutHost(name, hall string, strength int) {
+	a.hosts[name] = &host{name: name, hall: hall, strength: strength}
+	a.missingUntil = 0
+}
+
+// RemoveHost takes in that a host can't be reached any more.
+func (a *Assignments) RemoveHost(name string) {
+	delete(a.hosts, name)
+}
+
+// PutWorker takes in a worker of a data hall.
+func (a *Assignments) PutWorker(id dispatch.WorkerID, hall string) {
+	a.workers[id] = &assignment{hall: hall}
+}
+
+// RemoveWorker takes in that no calls are made to a worker any more.
+func (a *Assignments) RemoveWorker(id dispatch.WorkerID) {
+	if w, ok := a.workers[id]; ok {
+		w.leave()
+		delete(a.workers, id)
+	}
+}
+
+// Assign returns the host that makes the calls to a worker from now on; "" when the owner does. changed
+// says that others made the calls before, so that those still on their way have to be fenced.
+func (a *Assignments) Assign(id dispatch.WorkerID, now clock.Time) (name string, changed bool) {
+	w, ok := a.workers[id]
+	if !ok {
+		return "", false
+	}
+	former := w.host
+	switch {
+	case now < w.directUntil:
+		w.leave()
+	case w.host == nil || !a.usable(w.host, now):
+		w.leave()
+		w.join(a.choose(w.hall, now))
+	}
+	return w.name(), w.host != former
+}
+
+// Assigned returns the host that makes the calls to a worker at present; "" when the owner does.
+func (a *Assignments) Assigned(id dispatch.WorkerID, now clock.Time) string {
+	w, ok := a.workers[id]
+	if !ok || w.host == nil || !a.usable(w.host, now) {
+		return ""
+	}
+	return w.name()
+}
+
+// Count is how many workers other hosts serve.
+func (a *Assignments) Count() int {
+	n := 0
+	for _, h := range a.hosts {
+		n += h.workers
+	}
+	return n
+}
+
+// Answered takes in whether an order for a worker that a host made the call of had a result. Without
+// one the owner makes the next calls itself; suspected says that the host is left for a time.
+func (a *Assignments) Answered(id dispatch.WorkerID, name string, result bool, now clock.Time) (suspected bool) {
+	h, ok := a.hosts[name]
+	if !ok {
+		return false
+	}
+	if result {
+		h.doubts = 0
+		return false
+	}
+	if w, ok := a.workers[id]; ok {
+		w.directUntil = now.Add(directFor)
+	}
+	if h.doubts++; h.doubts < mostDoubts || now < h.suspectUntil {
+		return false
+	}
+	h.doubts, h.suspectUntil = 0, now.Add(suspectFor)
+	return true
+}
+
+// usable says whether a host can make calls.
+func (a *Assignments) usable(h *host, now clock.Time) bool {
+	return a.hosts[h.name] == h && now >= h.suspectUntil && !a.Stopping(h.name)
+}
+
+// choose returns the host that is to serve one more worker of a data hall; nil when none has room.
+// Hosts of the worker's hall come first, since traffic between halls costs and a hall that is cut off keeps
+// both; then strong hosts, and among these hosts that serve others already, so that messages hold many orders.
+func (a *Assignments) choose(hall string, now clock.Time) *host {
+	if len(a.workers) < leastWorkers || now < a.missingUntil {
+		return nil
+	}
+	var best *host
+	for _, h := range a.hosts {
+		if h.workers < WorkersPerHost && (best == nil || h.before(best, hall)) && a.usable(h, now) {
+			best = h
+		}
+	}
+	if best == nil {
+		a.missingUntil = now.Add(chooseAgain)
+	}
+	return best
+}
+
+// before says that a host is to be chosen before another one for a worker of a data hall.
+func (h *host) before(other *host, hall string) bool {
+	if near := h.hall == hall; near != (other.hall == hall) {
+		return near
+	}
+	return cmp.Or(cmp.Compare(h.strength, other.strength), cmp.Compare(h.workers, other.workers), cmp.Compare(other.name, h.name)) > 0
+}
+
+func (w *assignment) leave() {
+	if w.host != nil {
+		w.host.workers--
+		w.host = nil
+	}
+}
+
+func (w *assignment) join(h *host) {
+	if h != nil {
+		h.workers++
+		w.host = h
+	}
+}
+
+func (w *assignment) name() string {
+	if w.host == nil {
+		return ""
+	}
+	return w.host.name
+}
--- /dev/null
+++ b/pkg/relay/assignments_test.go
@@ -0,0 +1,170 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/dispatch"
+	. "github.com/onsi/gomega"
+)
+
+const start = clock.Time(100_000)
+
+func workerID(n int) dispatch.WorkerID {
+	return dispatch.WorkerID(fmt.Sprintf("w%d", n))
+}
+
+// assigned returns assignments of some workers in hall "h", to hosts of a strength of 100 in that hall.
+func assigned(workers int, hosts ...string) *Assignments {
+	a := NewAssignments(func(string) bool { return false })
+	for n := range workers {
+		a.PutWorker(workerID(n), "h")
+	}
+	for _, name := range hosts {
+		a.PutHost(name, "h", 100)
+	}
+	return a
+}
+
+func TestAFewWorkersAreLeftToTheOwner(t *testing.T) {
+	g := NewWithT(t)
+	a := assigned(leastWorkers-1, "a")
+	name, changed := a.Assign("w0", start)
+	g.Expect(name).To(BeEmpty())
+	g.Expect(changed).To(BeFalse())
+	a.PutWorker("last", "h")
+	name, changed = a.Assign("w0", start)
+	g.Expect(name).To(Equal("a"))
+	g.Expect(changed).To(BeTrue())
+	_, changed = a.Assign("w0", start)
+	g.Expect(changed).To(BeFalse())
+	g.Expect(a.Count()).To(Equal(1))
+}
+
+func TestChosenHost(t *testing.T) {
+	for name, c := range map[string]struct {
+		put  func(*Assignments)
+		want string
+	}{
+		"none": {func(*Assignments) {}, ""},
+		"the worker's hall": {func(a *Assignments) {
+			a.PutHost("a", "g", 100)
+			a.PutHost("b", "h", 20)
+		}, "b"},
+		"a strong one": {func(a *Assignments) {
+			a.PutHost("a", "h", 20)
+			a.PutHost("b", "h", 100)
+		}, "b"},
+		"one that serves others": {func(a *Assignments) {
+			a.PutHost("a", "h", 100)
+			a.PutHost("b", "h", 100)
+			a.hosts["b"].workers = 5
+		}, "b"},
+		"another hall's, if full": {func(a *Assignments) {
+			a.PutHost("a", "g", 20)
+			a.PutHost("b", "h", 100)
+			a.hosts["b"].workers = WorkersPerHost
+		}, "a"},
+		"the first by name": {func(a *Assignments) {
+			a.PutHost("b", "h", 100)
+			a.PutHost("a", "h", 100)
+		}, "a"},
+		"none that stops": {func(a *Assignments) {
+			a.Stopping = func(name string) bool { return name == "a" }
+			a.PutHost("a", "h", 100)
+		}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := assigned(leastWorkers)
+			c.put(a)
+			got, _ := a.Assign("w0", start)
+			NewWithT(t).Expect(got).To(Equal(c.want))
+		})
+	}
+}
+
+func TestNoHostServesMoreThanItsShare(t *testing.T) {
+	g := NewWithT(t)
+	a := assigned(leastWorkers, "a", "b")
+	for n := range leastWorkers {
+		a.Assign(workerID(n), start)
+	}
+	g.Expect(a.hosts["a"].workers).To(Equal(WorkersPerHost))
+	g.Expect(a.Count()).To(Equal(2 * WorkersPerHost))
+}
+
+func TestWorkerOfALostHostMovesOn(t *testing.T) {
+	g := NewWithT(t)
+	a := assigned(leastWorkers, "a")
+	a.Assign("w0", start)
+	a.RemoveHost("a")
+	g.Expect(a.Assigned("w0", start)).To(BeEmpty())
+	a.PutHost("b", "h", 100)
+	name, changed := a.Assign("w0", start)
+	g.Expect(name).To(Equal("b"))
+	g.Expect(changed).To(BeTrue())
+}
+
+func TestHostThatCameAgainIsAnotherOne(t *testing.T) {
+	g := NewWithT(t)
+	a := assigned(leastWorkers, "a")
+	a.Assign("w0", start)
+	a.PutHost("a", "h", 100)
+	g.Expect(a.Assigned("w0", start)).To(BeEmpty())
+	_, changed := a.Assign("w0", start)
+	g.Expect(changed).To(BeTrue(), "orders that the former process has must be fenced")
+}
+
+func TestOrderWithoutAResultLeavesTheNextCallsToTheOwner(t *testing.T) {
+	g := NewWithT(t)
+	a := assigned(leastWorkers, "a")
+	a.Assign("w0", start)
+	a.Assign("w1", start)
+	g.Expect(a.Answered("w0", "a", false, start)).To(BeFalse())
+	name, changed := a.Assign("w0", start)
+	g.Expect(name).To(BeEmpty())
+	g.Expect(changed).To(BeTrue())
+	g.Expect(a.Assigned("w1", start)).To(Equal("a"), "another worker's calls may have results")
+	name, _ = a.Assign("w0", start.Add(directFor))
+	g.Expect(name).To(Equal("a"))
+}
+
+func TestHostWithoutResultsIsLeftForATime(t *testing.T) {
+	g := NewWithT(t)
+	a := assigned(leastWorkers, "a")
+	for n := range mostDoubts {
+		a.Assign(workerID(n), start)
+	}
+	a.Answered("w0", "a", false, start)
+	a.Answered("w1", "a", true, start)
+	for n := range mostDoubts - 1 {
+		g.Expect(a.Answered(workerID(n), "a", false, start)).To(BeFalse())
+	}
+	g.Expect(a.Answered("w0", "a", false, start)).To(BeTrue())
+	g.Expect(a.Assigned("w1", start)).To(BeEmpty())
+	g.Expect(a.Assigned("w1", start.Add(suspectFor))).To(Equal("a"))
+}
+
+func TestRemovedWorkerGivesItsRoomBack(t *testing.T) {
+	g := NewWithT(t)
+	a := assigned(leastWorkers, "a")
+	a.Assign("w0", start)
+	a.RemoveWorker("w0")
+	g.Expect(a.Count()).To(Equal(0))
+	name, changed := a.Assign("w0", start)
+	g.Expect(name).To(BeEmpty())
+	g.Expect(changed).To(BeFalse())
+}
+
+func TestNoHostIsLookedForAgainAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	a := assigned(leastWorkers)
+	a.Assign("w0", start)
+	a.hosts["a"] = &host{name: "a", hall: "h"}
+	name, _ := a.Assign("w1", start.Add(time.Millisecond))
+	g.Expect(name).To(BeEmpty())
+	name, _ = a.Assign("w1", start.Add(chooseAgain))
+	g.Expect(name).To(Equal("a"))
+}
--- /dev/null
+++ b/pkg/relay/client.go
@@ -0,0 +1,171 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/dispatch"
+	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/poolrpc/poolpb"
+	"foldarch.dev/foldarch/platform"
+	"github.com/cockroachdb/errors"
+)
+
+// transit is how much longer an order may take over a relay than the call itself: twice a batch, and the
+// queues of two processes that are busy. A host that is silent for longer is given up by its stream.
+const transit = 200 * time.Millisecond
+
+// ErrNoResult says that an order has no result: its outcome is unknown.
+var ErrNoResult = errors.New("no result from the relay")
+
+// Client is the owner's side of one relay. It is safe for concurrent use.
+type Client struct {
+	timeout time.Duration // of a call without waiting
+	orders  *batch[*poolpb.Order]
+
+	mu      sync.Mutex
+	last    int64
+	waiting map[int64]chan *poolpb.Result
+	closed  bool
+}
+
+// NewClient returns a client whose calls take up to timeout at the relay, beyond their waiting.
+func NewClient(timeout time.Duration) *Client {
+	return &Client{timeout: timeout, orders: newBatch[*poolpb.Order](), waiting: map[int64]chan *poolpb.Result{}}
+}
+
+// Run sends orders until ctx ends; those without a result then have none. send says whether the
+// message was put on its way.
+func (c *Client) Run(ctx context.Context, send func(*poolpb.OwnerMessage) bool) {
+	c.orders.run(ctx, func(orders []*poolpb.Order) {
+		msg := &poolpb.OwnerMessage{Content: &poolpb.OwnerMessage_Orders{Orders: &poolpb.Orders{Orders: orders}}}
+		if !send(msg) {
+			c.failAll(orders)
+		}
+	})
+	c.close()
+}
+
+// failAll ends orders that were not put on their way.
+func (c *Client) failAll(orders []*poolpb.Order) {
+	for _, o := range orders {
+		c.deliver(&poolpb.Result{Number: o.Number, Failed: true, NotSent: true})
+	}
+}
+
+// Take takes in results of the relay.
+func (c *Client) Take(r *poolpb.Results) {
+	for _, result := range r.Results {
+		c.deliver(result)
+	}
+}
+
+func (c *Client) deliver(r *poolpb.Result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ch, ok := c.waiting[r.Number]; ok {
+		delete(c.waiting, r.Number)
+		ch <- r
+	}
+}
+
+func (c *Client) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for n, ch := range c.waiting {
+		delete(c.waiting, n)
+		close(ch)
+	}
+}
+
+// Start has the relay have a worker start a task. Errors are those of platform.Workers, or ErrNoResult.
+func (c *Client) Start(ctx context.Context, o platform.StartOrder) (dispatch.Answer, error) {
+	order := orderOf(poolpb.Order_START, o.Order, o.Task, o.Run)
+	order.Spec, order.Checkpoint, order.Ticket, order.Deadline = o.Spec, o.Checkpoint, o.Ticket, o.Deadline
+	return c.answer(ctx, order, c.timeout)
+}
+
+// Stop has the relay have a worker stop a run.
+func (c *Client) Stop(ctx context.Context, o platform.Order, task job.TaskID, run int) (dispatch.Answer, error) {
+	return c.answer(ctx, orderOf(poolpb.Order_STOP, o, task, run), c.timeout)
+}
+
+// Pace has the relay have a worker set a task to work at a share of its speed, in percent.
+func (c *Client) Pace(ctx context.Context, o platform.Order, task job.TaskID, run, percent int) (dispatch.Answer, error) {
+	order := orderOf(poolpb.Order_PACE, o, task, run)
+	order.Percent = int64(percent)
+	return c.answer(ctx, order, c.timeout)
+}
+
+// Hold has the relay extend what runs on a worker and returns what runs there and what has ended.
+func (c *Client) Hold(ctx context.Context, o platform.HoldOrder) (dispatch.Answer, dispatch.Report, error) {
+	order := &poolpb.Order{
+		Kind: poolpb.Order_HOLD, Worker: string(o.Worker), Address: o.Address.String(), Token: o.Token, Deadline: o.Deadline,
+		LastSeen: o.LastSeen, WaitMs: o.Wait.Milliseconds(), PatienceMs: o.Patience.Milliseconds(),
+	}
+	r, err := c.exchange(ctx, order, c.timeout+o.Wait+o.Patience)
+	if err != nil {
+		return dispatch.Answer{}, dispatch.Report{}, err
+	}
+	report, err := reportOf(r)
+	return answerOf(r), report, err
+}
+
+func (c *Client) answer(ctx context.Context, o *poolpb.Order, limit time.Duration) (dispatch.Answer, error) {
+	r, err := c.exchange(ctx, o, limit)
+	if err != nil {
+		return dispatch.Answer{}, err
+	}
+	return answerOf(r), nil
+}
+
+// exchange hands an order over and waits for its result, up to transit beyond the limit of the call.
+func (c *Client) exchange(ctx context.Context, o *poolpb.Order, limit time.Duration) (*poolpb.Result, error) {
+	ch, ok := c.enter(o)
+	if !ok {
+		return nil, dispatch.ErrNotSent
+	}
+	t := time.NewTimer(limit + transit)
+	defer t.Stop()
+	select {
+	case r, ok := <-ch:
+		switch {
+		case !ok:
+			return nil, ErrNoResult
+		case r.NotSent:
+			return nil, dispatch.ErrNotSent
+		case r.Failed:
+			return nil, ErrNoResult
+		}
+		return r, nil
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	c.mu.Lock()
+	delete(c.waiting, o.Number)
+	c.mu.Unlock()
+	return nil, ErrNoResult
+}
+
+// enter numbers an order and queues it; ok is false when it will not be sent.
+func (c *Client) enter(o *poolpb.Order) (ch chan *poolpb.Result, ok bool) {
+	ch = make(chan *poolpb.Result, 1)
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return nil, false
+	}
+	c.last++
+	o.Number = c.last
+	c.waiting[o.Number] = ch
+	c.mu.Unlock()
+	if c.orders.put(o) {
+		return ch, true
+	}
+	c.mu.Lock()
+	delete(c.waiting, o.Number)
+	c.mu.Unlock()
+	return nil, false
+}
--- /dev/null
+++ b/pkg/relay/messages.go
@@ -0,0 +1,61 @@
+package relay
+
+import (
+	"net/netip"
+
+	"foldarch.dev/foldarch/pkg/dispatch"
+	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/poolrpc/poolpb"
+	"foldarch.dev/foldarch/platform"
+	"github.com/cockroachdb/errors"
+)
+
+func orderOf(kind poolpb.Order_Kind, o platform.Order, task job.TaskID, run int) *poolpb.Order {
+	return &poolpb.Order{
+		Kind: kind, Worker: string(o.Worker), Address: o.Address.String(), Token: o.Token, Task: task.String(), Run: int64(run),
+	}
+}
+
+// addresseeOf tells to which worker an order goes, with the authority of the owner.
+func addresseeOf(o *poolpb.Order) (platform.Order, error) {
+	address, err := netip.ParseAddrPort(o.Address)
+	if err != nil {
+		return platform.Order{}, errors.Wrap(err, "order")
+	}
+	return platform.Order{Worker: dispatch.WorkerID(o.Worker), Address: address, Token: o.Token}, nil
+}
+
+func answerOf(r *poolpb.Result) dispatch.Answer {
+	return dispatch.Answer{Verdict: dispatch.Verdict(r.Verdict), Clock: r.Clock}
+}
+
+func putReport(r *poolpb.Result, report dispatch.Report) {
+	for _, a := range report.Active {
+		r.Active = append(r.Active, &poolpb.Active{
+			Task: a.Task.String(), Run: int64(a.Run), Checkpoint: a.Checkpoint, Percent: int64(a.Percent), Load: int64(a.Load),
+		})
+	}
+	for _, f := range report.Finished {
+		r.Finished = append(r.Finished, &poolpb.Finished{
+			Number: f.Number, Task: f.Task.String(), Run: int64(f.Run), How: int64(f.How), Checkpoint: f.Checkpoint,
+		})
+	}
+}
+
+func reportOf(r *poolpb.Result) (report dispatch.Report, err error) {
+	for _, a := range r.Active {
+		row := dispatch.Active{Run: int(a.Run), Checkpoint: a.Checkpoint, Percent: int(a.Percent), Load: int(a.Load)}
+		if row.Task, err = job.ParseTaskID(a.Task); err != nil {
+			return dispatch.Report{}, errors.Wrap(err, "active run")
+		}
+		report.Active = append(report.Active, row)
+	}
+	for _, f := range r.Finished {
+		row := dispatch.Finished{Number: f.Number, Run: int(f.Run), How: dispatch.End(f.How), Checkpoint: f.Checkpoint}
+		if row.Task, err = job.ParseTaskID(f.Task); err != nil {
+			return dispatch.Report{}, errors.Wrap(err, "ended run")
+		}
+		report.Finished = append(report.Finished, row)
+	}
+	return report, nil
+}
--- /dev/null
+++ b/test/platform/many_workers_test.go
@@ -0,0 +1,48 @@
+package platform_test
+
+import (
+	"context"
+	"flag"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/platform/emulator"
+	. "github.com/onsi/gomega"
+)
+
+var (
+	manyWorkers    = flag.Int("many.workers", 420, "how many workers the pool of many workers has")
+	manySeconds    = flag.Int("many.seconds", 4, "how long jobs are handed in to the pool of many workers")
+	manyPerSecond  = flag.Int("many.jobs", 40, "how many jobs a second are handed in to the pool of many workers")
+	profileOfOwner = flag.String("many.profile", "", "file for a CPU profile of the pool's owner")
+)
+
+func TestManyWorkers(t *testing.T) {
+	c := newCell(t, 4, emulator.Options{Workers: *manyWorkers, Advice: true})
+	span := time.Duration(*manySeconds) * time.Second
+	ctx, cancel := context.WithTimeout(t.Context(), span)
+	defer cancel()
+	load := c.load(ctx, *manyPerSecond, quickJob, chainJob, gangJob)
+	if *profileOfOwner != "" {
+		c.profile(c.owner(), *profileOfOwner, *manySeconds-1)
+	}
+	load.Wait()
+	c.finish(30 * time.Second)
+}
+
+// profile writes a CPU profile of a host's process over some seconds.
+func (c *cell) profile(host int, path string, seconds int) {
+	url := "http://" + c.hosts[host].host.Figures + "/debug/pprof/profile?seconds=" + strconv.Itoa(seconds)
+	res, err := http.Get(url)
+	c.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = res.Body.Close() }()
+	f, err := os.Create(path)
+	c.Expect(err).NotTo(HaveOccurred())
+	_, err = io.Copy(f, res.Body)
+	c.Expect(err).NotTo(HaveOccurred())
+	c.Expect(f.Close()).To(Succeed())
+}
