Plan anew only after answers that bring news

Cause: each answer to a hold or start had the pool planned anew within 3 ms, also those that only show that everything goes on. At 1,100 workers that is some 3,000 answers a second; 1,000 of them bring an end. Change: HoldAnswered says whether a plan may find more to do; a start that was carried out calls for none. The plan each 50 ms stays. Test: answers that call for a plan and those that do not. Also: pool_status and the metrics tell how many workers are relayed.

--- a/pkg/dispatch/ends.go
+++ b/pkg/dispatch/ends.go
@@ -29,6 +29,7 @@
 	if w.runs[key] != r {
 		return
 	}
+	p.news = true
 	delete(w.runs, key)
 	w.used = w.used.Sub(r.task.step.spec.Need())
 	if s := r.task.step; s.perOf != nil {
@@ -207,6 +208,7 @@
 func (p *Pool) stopRun(r *run) {
 	if r != nil && r.state == runActive && r.stopSentAt == 0 {
 		r.stopAsked = true
+		p.news = true
 		p.stops = append(p.stops, r)
 	}
 }
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -64,6 +64,7 @@
 	// unconfirmed says that it has to be asked again.
 	confirmedAt clock.Time
 	unconfirmed bool
+	news        bool       // there is more to plan than before the present event
 	loaded      bool       // the jobs of the store are known
 	fenced      bool       // a worker has seen a token of a later owner
 	now         clock.Time // of the present event
@@ -181,6 +182,7 @@
 			if _, waits := p.ready[s]; !waits {
 				s.readySince = p.now
 			}
+			p.news = true
 			p.ready[s] = struct{}{}
 		} else {
 			delete(p.ready, s)
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -9,13 +9,20 @@
 	"foldarch.dev/foldarch/pkg/job"
 )
 
-// HoldAnswered takes in a worker's answer to a hold.
-func (p *Pool) HoldAnswered(h Hold, a Answer, report Report, now clock.Time) {
+// HoldAnswered takes in a worker's answer to a hold. It says whether a plan may find more to do than
+// before: most answers only show that everything goes on.
+func (p *Pool) HoldAnswered(h Hold, a Answer, report Report, now clock.Time) (news bool) {
 	p.now = now
 	w, ok := p.workers[h.Worker]
 	if !ok || w.gone {
-		return
+		return false
 	}
+	p.news = !w.usable(now)
+	p.takeHoldAnswer(w, h, a, report, now)
+	return p.news
+}
+
+func (p *Pool) takeHoldAnswer(w *worker, h Hold, a Answer, report Report, now clock.Time) {
 	switch a.Verdict {
 	case VerdictDone:
 	case VerdictFenced:
@@ -168,6 +175,7 @@
 	if t == nil {
 		w.foreign++
 		if p.knows(row.Task.Job) || !p.mayBeTold(w, now) {
+			p.news = true
 			p.stops = append(p.stops, &run{task: unknownTask(row.Task), number: row.Run, worker: w, state: runActive})
 		}
 		return nil
--- a/pkg/dispatch/worker_test.go
+++ b/pkg/dispatch/worker_test.go
@@ -247,3 +247,20 @@
 	f.add(testJob("a", testStep(1)))
 	f.Expect(f.plan().Starts).To(BeEmpty())
 }
+
+func TestOnlyAnswersThatBringNewsCallForAPlan(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	answer := func(r Report) bool {
+		h, _ := f.pool.HoldFor("w0", false, true, f.now)
+		f.pass(time.Millisecond)
+		return f.pool.HoldAnswered(h, Answer{Verdict: VerdictDone, Clock: f.workerClock}, r, f.now)
+	}
+	f.Expect(answer(Report{})).To(BeTrue(), "the worker may be given tasks from now on")
+	f.Expect(answer(Report{})).To(BeFalse())
+	f.add(testJob("a", testStep(1)))
+	start := f.plan().Starts[0]
+	f.accept(start)
+	f.Expect(answer(Report{Active: []Active{{Task: start.Task, Run: start.Run, Percent: 3}}})).To(BeFalse())
+	f.Expect(answer(f.end(start, 1, EndDone))).To(BeTrue(), "there is room")
+	f.Expect(answer(Report{Active: []Active{{Task: start.Task, Run: 99}}})).To(BeTrue(), "a run that must not go on")
+}
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -282,6 +282,13 @@
 	return o.pool.Status(o.deps.Clock.Now())
 }
 
+// Relayed is how many workers other hosts make the calls to.
+func (o *Owner) Relayed() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.relays.Count()
+}
+
 // CallsWaiting is how many calls to workers wait for their turn. More than a few for more than a
 // moment say that this host is too small for the pool.
 func (o *Owner) CallsWaiting() int {
@@ -292,7 +299,7 @@
 	s := o.Status()
 	o.deps.Log.WithFields(logrus.Fields{
 		"workers": s.Workers, "silent": s.Silent, "jobs": s.Jobs, "steps": s.Steps, "waiting": s.Waiting, "runs": s.Runs,
-		"calls": s.Calls, "advisers": s.Advisers, "takeover": s.Takeover, "calls_waiting": o.CallsWaiting(), "used": s.Used, "capacity": s.Capacity,
+		"calls": s.Calls, "advisers": s.Advisers, "takeover": s.Takeover, "calls_waiting": o.CallsWaiting(), "relayed": o.Relayed(), "used": s.Used, "capacity": s.Capacity,
 	}).Info("pool_status")
 }
 
--- a/pkg/poolowner/sessions.go
+++ b/pkg/poolowner/sessions.go
@@ -141,9 +141,11 @@
 		return false, true
 	}
 	o.mu.Lock()
-	o.pool.HoldAnswered(h, a, report, o.deps.Clock.Now())
+	news := o.pool.HoldAnswered(h, a, report, o.deps.Clock.Now())
 	o.mu.Unlock()
-	o.wake()
+	if news {
+		o.wake()
+	}
 	return a.Verdict == dispatch.VerdictDone, true
 }
 
@@ -268,7 +270,9 @@
 	o.mu.Lock()
 	o.pool.StartAnswered(a, answer, err, o.deps.Clock.Now())
 	o.mu.Unlock()
-	o.wake()
+	if err != nil || answer.Verdict != dispatch.VerdictDone {
+		o.wake()
+	}
 }
 
 func (o *Owner) sendStop(s *workerSession, a dispatch.Stop) {
