--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TOOLS   := $(CURDIR)/.tools
 PROGRAMS := foldarch foldarch-entry foldarch-standin foldarch-load
 
-.PHONY: build run test check bench model gen tools chaos soak
+.PHONY: build run test check bench model gen tools chaos soak profile
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -43,5 +43,11 @@
 soak:
 	$(GO) test ./test/platform -run TestSoak -count=1 -v -timeout 90m -soak.seed=$(or $(SEED),1) -soak.seeds=$(or $(SEEDS),1) -soak.seconds=$(or $(SECONDS),12)
 
+# Draws where the processor of an owner goes: WORKERS workers, JOBS jobs a second, on the emulated platform.
+profile:
+	$(GO) test ./test/platform -run TestManyWorkers -count=1 -many.hosts=$(or $(HOSTS),10) -many.workers=$(or $(WORKERS),600) \
+		-many.jobs=$(or $(JOBS),120) -many.seconds=12 -many.profile=$(CURDIR)/owner.pprof
+	$(GO) tool pprof -top -cum owner.pprof | head -60
+
 model:
 	./spec/run
--- a/test/platform/link_test.go
+++ b/test/platform/link_test.go
@@ -23,6 +23,7 @@
 	fault   linkFault
 	changed chan struct{} // closed and renewed with each change of the fault
 	conns   map[net.Conn]struct{}
+	silent  map[net.Conn]struct{} // nothing passes any more
 }
 
 // newLink starts a relay to a target.
@@ -31,7 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &link{target: target, listener: l, changed: make(chan struct{}), conns: map[net.Conn]struct{}{}}
+	k := &link{target: target, listener: l, changed: make(chan struct{}), conns: map[net.Conn]struct{}{}, silent: map[net.Conn]struct{}{}}
 	go k.accept()
 	return k, nil
 }
@@ -61,6 +62,22 @@
 	}
 }
 
+// silence has nothing pass any more over the connections that are open now, without a reset. New ones work.
+func (k *link) silence() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for c := range k.conns {
+		k.silent[c] = struct{}{}
+	}
+}
+
+func (k *link) silenced(c net.Conn) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	_, ok := k.silent[c]
+	return ok
+}
+
 func (k *link) close() {
 	_ = k.listener.Close()
 	k.set(linkFault{})
@@ -100,12 +117,17 @@
 		defer k.mu.Unlock()
 		delete(k.conns, to)
 		delete(k.conns, from)
+		delete(k.silent, to)
+		delete(k.silent, from)
 	}()
 	data := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(data)
 		if n > 0 {
 			k.pass(held)
+			if k.silenced(from) {
+				continue
+			}
 			if _, err := to.Write(data[:n]); err != nil {
 				return
 			}
--- a/test/platform/many_workers_test.go
+++ b/test/platform/many_workers_test.go
@@ -15,6 +15,7 @@
 )
 
 var (
+	manyHosts      = flag.Int("many.hosts", 4, "how many hosts the pool of many workers has")
 	manyWorkers    = flag.Int("many.workers", 420, "how many workers the pool of many workers has")
 	manySeconds    = flag.Int("many.seconds", 4, "how long jobs are handed in to the pool of many workers")
 	manyPerSecond  = flag.Int("many.jobs", 40, "how many jobs a second are handed in to the pool of many workers")
@@ -22,7 +23,7 @@
 )
 
 func TestManyWorkers(t *testing.T) {
-	c := newCell(t, 4, emulator.Options{Workers: *manyWorkers, Advice: true})
+	c := newCell(t, *manyHosts, emulator.Options{Workers: *manyWorkers, Advice: true})
 	span := time.Duration(*manySeconds) * time.Second
 	ctx, cancel := context.WithTimeout(t.Context(), span)
 	defer cancel()
--- /dev/null
+++ b/test/platform/silence_test.go
@@ -0,0 +1,33 @@
+package platform_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/platform/emulator"
+	. "github.com/onsi/gomega"
+)
+
+// silenceBound is how long connections that went silent may hold jobs up: the bound of the platform's pages for
+// hosts to be in touch again, on the smallest deployments.
+const silenceBound = 3 * time.Second
+
+func TestOpenConnectionsThatGoSilentAreFoundOut(t *testing.T) {
+	c := newCell(t, 3, emulator.Options{Workers: 12, Advice: true})
+	ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+	defer cancel()
+	load := c.load(ctx, 20, quickJob, gangJob)
+	for range 3 {
+		time.Sleep(time.Second)
+		for _, k := range append(c.storeLinks, c.workerLinks...) {
+			k.silence()
+		}
+	}
+	began := time.Now()
+	_, accepted := c.callers.Submit(t.Context(), quickJob.spec, quickJob.steps)
+	c.Expect(accepted).To(BeTrue())
+	c.Expect(time.Since(began)).To(BeNumerically("<", silenceBound))
+	load.Wait()
+	c.finish(silenceBound + 2*time.Second)
+}
