Spare the owner messages, records read twice, and threads beyond its cores

Cause: profile of an owner of 600 workers with 10 hosts (make profile, 560 starts/s): 25% of a core, of which 20% go to messages with relays, 17% to waking threads, 5% to reading records of jobs that a host has told of, 4% to numbers of workers to be named. Change: messages with relays collect for 10 ms (4 ms before); a record of a job that is known is read only if it has an outcome; numbers of workers are tried at a distance of a sixteenth; as many threads as the host has cores.

--- a/pkg/dispatch/naming.go
+++ b/pkg/dispatch/naming.go
@@ -234,6 +234,9 @@
 	room := 0
 	for n := 1; n <= most; n++ {
 		room += workers[n-1].room
+		if n%coarse(n) != 0 && n != most {
+			continue
+		}
 		enough := int(math.Ceil(need * float64(n) / float64(room)))
 		suffices := atLeast(enough, n, rate)
 		if suffices < minSuffices {
@@ -247,6 +250,12 @@
 	return best, bestSuffices
 }
 
+// coarse is the distance of the numbers that are tried about a number: the probability changes little between
+// them, and each try takes as long as there are members.
+func coarse(n int) int {
+	return 1 + n/16
+}
+
 // minSuffices is the probability below which a call is not expected to suffice.
 const minSuffices = 0.01
 
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -198,6 +198,12 @@
 	return r
 }
 
+// Running says that a job is known and has not ended.
+func (p *Pool) Running(id job.ID) bool {
+	j, ok := p.jobs[id]
+	return ok && j.outcome == ""
+}
+
 // knows says that a job is known, be it as ended.
 func (p *Pool) knows(id job.ID) bool {
 	return p.jobs[id] != nil || p.outcomes.knows(id)
--- a/pkg/job/record.go
+++ b/pkg/job/record.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"bytes"
 	"encoding/json"
 	"time"
 
@@ -37,6 +38,11 @@
 	return r, nil
 }
 
+// HasOutcome says whether the text of a record may have an outcome, without reading the record.
+func HasOutcome(text []byte) bool {
+	return bytes.Contains(text, []byte(`"outcome":`))
+}
+
 // Progress is what the store keeps of a job that has not ended: the ends that the owner
 // has taken note of. Tasks that are neither done nor failed nor stopped have no entry.
 type Progress struct {
--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -97,6 +99,9 @@
 	cfg := h.cfg.Load()
 	debug.SetMemoryLimit(memoryLimit(*cfg))
 	debug.SetGCPercent(gcPercent)
+	if cfg.Cores > 0 {
+		runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores))) // more threads than cores wake each other for nothing
+	}
 	callers, err := net.Listen("tcp", cfg.Callers.String())
 	if err != nil {
 		return errors.Wrap(err, "callers' address")
--- a/pkg/poolowner/loading.go
+++ b/pkg/poolowner/loading.go
@@ -127,6 +127,8 @@
 		id, cancel := jobstore.ParseJobKey(i.Key)
 		switch {
 		case i.Gone:
+		case o.pool.Running(id) && !cancel && !job.HasOutcome(i.Value):
+			// A host has told of it; reading all records once more took 5% of an owner's time.
 		case cancel:
 			if !o.pool.Cancel(id) {
 				o.cancelled[id] = true
--- a/pkg/relay/batch.go
+++ b/pkg/relay/batch.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// batchPause is how long items are collected before they are sent together. Each message costs both
-	// sides a system call and a wake-up; a start takes 10 to 20 ms with the worker's answer, so that the pause
-	// is a small part of it.
-	batchPause = 4 * time.Millisecond
+	// batchPause is how long items are collected before they are sent together. Each message costs both sides
+	// system calls and wake-ups: of 12 relays for 1,100 workers each has about 250 orders a second, so that a
+	// message holds two or three. A start waits 5 ms more in the mean, and its answer as long again.
+	batchPause = 10 * time.Millisecond
 	// batchSize bounds the items that wait.
 	batchSize = 4096
 )
--- a/pkg/relay/doc.go
+++ b/pkg/relay/doc.go
@@ -2,7 +2,7 @@
 //
 // An owner of hundreds of workers spends most of its processor on HTTP with them: a connection or two for
 // each, a waiting call that renews leases, and a call for each start. Other entry hosts can make these calls
-// for it. A Client at the owner puts orders of some milliseconds together into one message for one host; the
+// for it. A Client at the owner puts orders of some milliseconds (batchPause) together into one message for one host; the
 // Server there makes each call once and sends the results back in the same way.
 //
 // A relay decides nothing. Fencing tokens, deadlines by the worker's clock and what is noted come
