Fewer heartbeats on streams of which silence may be found out later

Heartbeats each 0.25 s of 146 members both ways are 1,170 messages a second, more than starts. Change: with more than 48 members, only relays and eight strong members (of whom one takes over soon) have a heartbeat each 0.25 s, the others each second; the owner tells each, the silence limits follow. How long ago the store answered a member counts the time since it said so.

--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -29,8 +29,9 @@
 	leaseEvery = 400 * time.Millisecond
 	// campaignEvery is the time between two looks at whether to take over.
 	campaignEvery = 50 * time.Millisecond
-	// silentFor is how long the owner must not have been heard before a takeover.
-	silentFor = 700 * time.Millisecond
+	// silentBeats is for how many heartbeats the owner must not have been heard before a takeover, 0.7 s with
+	// the usual ones.
+	silentBeats = 2.8
 	// campaignSpread spreads the campaigns of several hosts.
 	campaignSpread = 60 * time.Millisecond
 	// yieldAfter is how long an owner goes on whose store does not answer.
@@ -46,7 +47,9 @@
 	alive   bool  // the holder's lease stands
 	yielded bool  // the holder has asked this host to take over
 	heardAt clock.Time
-	changed chan struct{} // of size 1: the holder has changed
+	// heartbeat is the time between two of the owner's heartbeats, as it told last.
+	heartbeat time.Duration
+	changed   chan struct{} // of size 1: the holder has changed
 }
 
 // watchOwner is the duty that follows the owner's record.
@@ -114,6 +117,7 @@
 		return
 	}
 	e.holder, e.record, e.yielded, e.heardAt = holder, i.Revision, false, h.clk.Now()
+	e.heartbeat = poolrpc.HeartbeatEvery
 	h.log.WithFields(logrus.Fields{"owner": holder.Name, "term": holder.Term, "revision": i.Revision}).Info("owner_known")
 	if o := h.owner.Load(); o != nil && holder.Life != h.life {
 		o.Depose()
@@ -142,7 +146,7 @@
 	case e.holder.Life == h.life:
 		return !e.alive, false, record, term // deposed without a successor
 	}
-	silent := h.clk.Now().Sub(e.heardAt) > silentFor
+	silent := h.clk.Now().Sub(e.heardAt) > time.Duration(silentBeats*float64(e.heartbeat))
 	return silent && !e.alive, false, record, term
 }
 
@@ -335,5 +339,6 @@
 		return
 	}
 	e.heardAt = h.clk.Now()
+	e.heartbeat = time.Duration(s.HeartbeatMs) * time.Millisecond
 	e.yielded = s.Yield == h.cfg.Load().Name
 }
--- a/pkg/poolowner/members.go
+++ b/pkg/poolowner/members.go
@@ -45,13 +45,46 @@
 	}
 	m.cancel()
 	o.relays.RemoveHost(s.Name)
+	delete(o.near, s.Name)
 	delete(o.members, s.Name)
 	o.pool.RemoveAdviser(s.Name, o.deps.Clock.Now())
 	o.deps.Log.WithField("member", s.Name).Info("member_left")
 }
 
-func (o *Owner) status() *poolpb.OwnerStatus {
-	st := &poolpb.OwnerStatus{Term: o.claim.Term}
+// fewMembers is up to how many members all have the usual heartbeat. Of 146, with four heartbeats a second both
+// ways each, they were the most frequent messages of an owner.
+const fewMembers = 48
+
+// nearMembers is how many strong members have the usual heartbeat however many there are: those of whom one
+// takes over soon when the owner is silent.
+const nearMembers = 8
+
+// heartbeat is the time between two heartbeats of a member. The caller holds o.mu.
+func (o *Owner) heartbeat(m *member) time.Duration {
+	if len(o.members) <= fewMembers || o.near[m.Name] || o.relays.Serves(m.Name) {
+		return poolrpc.HeartbeatEvery
+	}
+	if len(o.near) < nearMembers && m.Status().Strength >= enough && !m.Status().Stopping {
+		o.near[m.Name] = true
+		return poolrpc.HeartbeatEvery
+	}
+	return poolrpc.SlowHeartbeat
+}
+
+// status is the owner's heartbeat for a member.
+func (o *Owner) status(s *poolrpc.Session) *poolpb.OwnerStatus {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	m, joined := o.members[s.Name]
+	if !joined || m.Session != s {
+		return o.statusEach(poolrpc.HeartbeatEvery)
+	}
+	return o.statusEach(o.heartbeat(m))
+}
+
+// statusEach is the owner's heartbeat on a stream on which they follow each other in a time.
+func (o *Owner) statusEach(heartbeat time.Duration) *poolpb.OwnerStatus {
+	st := &poolpb.OwnerStatus{Term: o.claim.Term, HeartbeatMs: heartbeat.Milliseconds()}
 	if name := o.yield.Load(); name != nil {
 		st.Yield = *name
 	}
@@ -96,8 +129,8 @@
 	if old := o.yield.Swap(&best); old == nil || *old != best {
 		o.deps.Log.WithFields(logrus.Fields{"to": best, "why": why}).Info("owner_yields")
 	}
-	for _, s := range o.members {
-		s.Send(&poolpb.OwnerMessage{Content: &poolpb.OwnerMessage_Status{Status: o.status()}})
+	for _, m := range o.members {
+		m.Send(&poolpb.OwnerMessage{Content: &poolpb.OwnerMessage_Status{Status: o.statusEach(o.heartbeat(m))}})
 	}
 	return true
 }
@@ -110,7 +143,7 @@
 		if !o.willDo(name, why) {
 			continue
 		}
-		strength, age := s.Status().Strength, storeAge(s)
+		strength, age := s.Status().Strength, o.storeAge(s)
 		better := strength > bestStrength || strength == bestStrength && (age < bestAge || age == bestAge && name < best)
 		if better {
 			best, bestStrength, bestAge = name, strength, age
@@ -129,20 +162,19 @@
 	case Stopping:
 		return true
 	case Unreached:
-		return s.reachesStoreBetter(o.deps.StoreAge())
+		return o.reachesStoreBetter(s)
 	}
-	return storeAge(s) < freshStore && s.Status().Strength >= enough
+	return o.storeAge(s) < freshStore && s.Status().Strength >= enough
 }
 
-// reachesStoreBetter says that the store answered the member clearly later than another host, which it answered
-// a time ago.
-func (m *member) reachesStoreBetter(age time.Duration) bool {
-	return storeAge(m) < age-yieldGain
+// reachesStoreBetter says that the store answered the member clearly later than this host.
+func (o *Owner) reachesStoreBetter(m *member) bool {
+	return o.storeAge(m) < o.deps.StoreAge()-yieldGain
 }
 
-// storeAge is how long ago the store had answered a member when it said so last.
-func storeAge(m *member) time.Duration {
-	return time.Duration(m.Status().StoreAgeMs) * time.Millisecond
+// storeAge is how long ago the store has answered a member, at most.
+func (o *Owner) storeAge(m *member) time.Duration {
+	return time.Duration(m.Status().StoreAgeMs)*time.Millisecond + m.StatusAge(o.deps.Clock.Now())
 }
 
 // Strong says whether this host is large enough to own the pool.
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -103,6 +103,7 @@
 	upkeep    *upkeep.Planner
 	sessions  map[dispatch.WorkerID]*workerSession
 	members   map[string]*member
+	near      map[string]bool // members with the usual heartbeat (heartbeat)
 	relays    *relay.Assignments
 	cancelled map[job.ID]bool // told before the job itself
 	committed chan struct{}   // closed and renewed with each commit
@@ -127,7 +128,7 @@
 		deps: deps, claim: claim, done: make(chan struct{}), kick: make(chan struct{}, 1), jobsKnown: make(chan struct{}),
 		unconfirmed: make(chan struct{}, 1),
 		calls:       newCallGate(callsAtOnceOf(deps)),
-		sessions:    map[dispatch.WorkerID]*workerSession{}, members: map[string]*member{},
+		sessions:    map[dispatch.WorkerID]*workerSession{}, members: map[string]*member{}, near: map[string]bool{},
 		cancelled: map[job.ID]bool{}, committed: make(chan struct{}), lanes: newLanes(claim),
 		beats: newBeats(deps.Heartbeat), upkeep: upkeep.New(),
 	}
--- a/pkg/poolowner/relays.go
+++ b/pkg/poolowner/relays.go
@@ -65,7 +65,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	m := o.members[o.relays.Assigned(s.id, o.deps.Clock.Now())]
-	if m == nil || m.reachesStoreBetter(o.deps.StoreAge()) {
+	if m == nil || o.reachesStoreBetter(m) {
 		return nil
 	}
 	return m
--- a/pkg/poolrpc/member.go
+++ b/pkg/poolrpc/member.go
@@ -14,10 +14,13 @@
 )
 
 const (
-	// HeartbeatEvery is the time between two heartbeats of either side.
+	// HeartbeatEvery is the usual time between two heartbeats of either side.
 	HeartbeatEvery = 250 * time.Millisecond
-	// SilenceLimit is how long a side waits for a heartbeat.
-	SilenceLimit = 900 * time.Millisecond
+	// SlowHeartbeat is the time between two on streams on which silence may be found out later.
+	SlowHeartbeat = time.Second
+	// A side gives a stream up that has been silent for silenceBeats heartbeats and silenceSlack.
+	silenceBeats = 3
+	silenceSlack = 150 * time.Millisecond
 	// outboxSize bounds the messages that wait to be sent.
 	outboxSize = 1024
 )
@@ -46,6 +49,7 @@
 	clk      clock.Clock
 	outbox   chan *poolpb.MemberMessage
 	heardAt  atomic.Int64
+	beatMs   atomic.Int64 // between two heartbeats, as the owner told
 	number   atomic.Int64
 
 	mu      sync.Mutex
@@ -63,6 +67,24 @@
 	return m
 }
 
+// Heartbeat is the time between two heartbeats on the stream, as the owner told.
+func (m *Member) Heartbeat() time.Duration {
+	return heartbeatOf(m.beatMs.Load())
+}
+
+// heartbeatOf reads the time between two heartbeats from a message, in milliseconds.
+func heartbeatOf(ms int64) time.Duration {
+	if ms <= 0 {
+		return HeartbeatEvery
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// silenceLimit is how long a side waits for a heartbeat that should come each so often.
+func silenceLimit(heartbeat time.Duration) time.Duration {
+	return silenceBeats*heartbeat + silenceSlack
+}
+
 // HeardAt is when the owner was heard last.
 func (m *Member) HeardAt() clock.Time {
 	return clock.Time(m.heardAt.Load())
@@ -87,7 +109,7 @@
 		sendAll(ctx, m.outbox, stream.Send)
 	})
 	duties.Go(func() { m.beat(ctx, cancel) })
-	m.Send(&poolpb.MemberMessage{Content: &poolpb.MemberMessage_Status{Status: m.handlers.Status()}})
+	m.sendStatus()
 	for {
 		msg, err := stream.Recv()
 		if err != nil {
@@ -112,19 +134,28 @@
 	}
 }
 
+// beat is the duty that sends heartbeats and gives up a silent stream.
 func (m *Member) beat(ctx context.Context, cancel context.CancelFunc) {
-	clock.Every(ctx, HeartbeatEvery, func() {
-		if m.clk.Now().Sub(m.HeardAt()) > SilenceLimit {
+	for ctx.Err() == nil {
+		clock.Sleep(ctx, m.Heartbeat())
+		if m.clk.Now().Sub(m.HeardAt()) > silenceLimit(m.Heartbeat()) {
 			cancel()
 			return
 		}
-		m.Send(&poolpb.MemberMessage{Content: &poolpb.MemberMessage_Status{Status: m.handlers.Status()}})
-	})
+		m.sendStatus()
+	}
+}
+
+func (m *Member) sendStatus() {
+	status := m.handlers.Status()
+	status.HeartbeatMs = m.Heartbeat().Milliseconds()
+	m.Send(&poolpb.MemberMessage{Content: &poolpb.MemberMessage_Status{Status: status}})
 }
 
 func (m *Member) take(ctx context.Context, msg *poolpb.OwnerMessage) {
 	switch c := msg.Content.(type) {
 	case *poolpb.OwnerMessage_Status:
+		m.beatMs.Store(c.Status.HeartbeatMs)
 		m.handlers.OwnerStatus(c.Status)
 	case *poolpb.OwnerMessage_Answer:
 		m.mu.Lock()
--- a/pkg/poolrpc/owner.go
+++ b/pkg/poolrpc/owner.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/poolrpc/poolpb"
@@ -26,8 +27,8 @@
 	Results func(*Session, *poolpb.Results)
 	// Write puts a key into the store; it is called in a goroutine of its own.
 	Write func(*poolpb.Write) *poolpb.Answer
-	// Status returns the owner's heartbeat.
-	Status func() *poolpb.OwnerStatus
+	// Status returns the owner's heartbeat for a member.
+	Status func(*Session) *poolpb.OwnerStatus
 	// Done ends with the ownership.
 	Done <-chan struct{}
 }
@@ -38,6 +39,17 @@
 	status  atomic.Pointer[poolpb.MemberStatus]
 	outbox  chan *poolpb.OwnerMessage
 	heardAt atomic.Int64
+	toldAt  atomic.Int64 // when the member told its status last
+}
+
+// StatusAge is how long ago the member told its status.
+func (s *Session) StatusAge(now clock.Time) time.Duration {
+	return now.Sub(clock.Time(s.toldAt.Load()))
+}
+
+// heartbeat is the time between two heartbeats of the member, as it said last.
+func (s *Session) heartbeat() time.Duration {
+	return heartbeatOf(s.Status().GetHeartbeatMs())
 }
 
 // Status is what the member said of itself last.
@@ -98,35 +110,37 @@
 		if err != nil {
 			return errors.Wrap(err, "member's stream")
 		}
-		session.heardAt.Store(int64(s.clk.Now()))
-		session.take(msg, h)
+		now := s.clk.Now()
+		session.heardAt.Store(int64(now))
+		session.take(msg, now, h)
 	}
 }
 
+// beat is the duty that sends heartbeats and gives up a silent stream, or all when the ownership ends.
 func (s *server) beat(ctx context.Context, cancel context.CancelFunc, session *Session, h OwnerHandlers) {
-	send := func() {
-		session.Send(&poolpb.OwnerMessage{Content: &poolpb.OwnerMessage_Status{Status: h.Status()}})
-	}
-	send()
-	clock.Every(ctx, HeartbeatEvery, func() {
-		silent := s.clk.Now().Sub(clock.Time(session.heardAt.Load())) > SilenceLimit
+	for ctx.Err() == nil {
+		status := h.Status(session)
+		session.Send(&poolpb.OwnerMessage{Content: &poolpb.OwnerMessage_Status{Status: status}})
+		limit := time.NewTimer(heartbeatOf(status.HeartbeatMs))
 		select {
+		case <-limit.C:
 		case <-h.Done:
-			silent = true
-		default:
+			cancel()
+		case <-ctx.Done():
 		}
-		if silent {
+		limit.Stop()
+		if s.clk.Now().Sub(clock.Time(session.heardAt.Load())) > silenceLimit(session.heartbeat()) {
 			cancel()
 			return
 		}
-		send()
-	})
+	}
 }
 
-func (s *Session) take(msg *poolpb.MemberMessage, h OwnerHandlers) {
+func (s *Session) take(msg *poolpb.MemberMessage, now clock.Time, h OwnerHandlers) {
 	switch c := msg.Content.(type) {
 	case *poolpb.MemberMessage_Status:
 		s.status.Store(c.Status)
+		s.toldAt.Store(int64(now))
 		if s.Name == "" {
 			s.Name = c.Status.Name
 			h.Joined(s)
--- a/pkg/relay/assignments.go
+++ b/pkg/relay/assignments.go
@@ -109,6 +109,12 @@
 	return w.name()
 }
 
+// Serves says that a host makes the calls to some workers.
+func (a *Assignments) Serves(name string) bool {
+	h, ok := a.hosts[name]
+	return ok && h.workers > 0
+}
+
 // Count is how many workers other hosts serve.
 func (a *Assignments) Count() int {
 	n := 0
