Look for expected room only when it is needed; let gangs keep the order of the workers that they hold

In the busy pool half of a plan was the look over all runs for room that is expected. Not done: cheaper log lines, progress of jobs written in parts.

--- a/pkg/dispatch/jobs.go
+++ b/pkg/dispatch/jobs.go
@@ -79,6 +79,8 @@
 	// preemptNotBefore is when runs may be stopped again to make room for it.
 	preemptNotBefore clock.Time
 	holds            stepHolds
+	// gangSoonest are the workers of which a gang holds the first ones, with those that other steps hold.
+	gangSoonest stepHolds
 }
 
 // task is one task of a step.
--- a/pkg/dispatch/naming.go
+++ b/pkg/dispatch/naming.go
@@ -35,7 +35,8 @@
 	if need <= 0 {
 		return nil, 0
 	}
-	others, full := p.otherWorkers(s, reserved, s.spec.Gang || waiting > fewTasks, now)
+	enough := roomEnough * need / p.rate(s.time.job.queue.Name)
+	others, full := p.otherWorkers(s, reserved, enough, s.spec.Gang || waiting > fewTasks, now)
 	if s.spec.Gang && totalRoom(known)+totalRoom(others) < need {
 		known, others = nil, nil // there is no room for all members, whoever is allowed
 	}
@@ -121,6 +122,18 @@
 // the step to find room among others soon: in a pool that is used to three quarters, one in four has room.
 const enoughKnown = 4
 
+// roomEnough is how many times the room that a step needs, at the queue's rate, has to be there for room that
+// is only expected to be of no use.
+const roomEnough = 2
+
+// roomNow is how many tasks of a step a worker has room for; 0 also when it is held for other steps.
+func (p *Pool) roomNow(s *step, w *worker, reserved *reservations) int {
+	if reserved.holds(w.info.ID, s.time.job.queue.Priority) {
+		return 0
+	}
+	return fits(s, w)
+}
+
 // roomFor is how many tasks of a step a worker may be given by the time that a call for advice is
 // answered; 0 also when it is held for other steps. For wide gangs only room counts that is there: what
 // is expected on many workers does not come on all of them at the same time.
@@ -167,8 +180,9 @@
 
 // otherWorkers lists workers of which is not known whether they are allowed: those with room, and
 // up to maxNamed full ones. Both begin at another place each time, so that steps that ask at the same moment
-// name different ones; with byRoom, those with most room come first.
-func (p *Pool) otherWorkers(s *step, reserved *reservations, byRoom bool, now clock.Time) (others []roomy, full []*worker) {
+// name different ones; with byRoom, those with most room come first. Room that is expected by the time of the answer
+// counts when the room that is there is less than a number of tasks: looking for it goes over all runs.
+func (p *Pool) otherWorkers(s *step, reserved *reservations, enough float64, byRoom bool, now clock.Time) (others []roomy, full []*worker) {
 	p.advice.offset += offsetStep
 	workers := p.workersByID()
 	for i := range workers {
@@ -176,19 +190,35 @@
 		if s.advice.denied[w.info.ID] || s.advice.good[w.info.ID] || !p.eligible(s, w, now) {
 			continue
 		}
-		if room := p.roomFor(s, w, reserved, now); room > 0 {
+		if room := p.roomNow(s, w, reserved); room > 0 {
 			others = append(others, roomy{w, room})
-		} else if len(full) < maxNamed {
+		} else {
 			full = append(full, w)
 		}
 		if !byRoom && len(others) == maxNamed {
 			break
 		}
 	}
+	if totalRoom(others) < enough {
+		others, full = p.addExpectedRoom(s, others, full, reserved, now)
+	}
 	if byRoom {
 		slices.SortStableFunc(others, func(a, b roomy) int { return cmp.Compare(b.room, a.room) })
 	}
-	return others, full
+	return others, full[:min(len(full), maxNamed)]
+}
+
+// addExpectedRoom moves workers that are expected to have room from the full ones to the others.
+func (p *Pool) addExpectedRoom(s *step, others []roomy, full []*worker, reserved *reservations, now clock.Time) ([]roomy, []*worker) {
+	still := full[:0]
+	for _, w := range full {
+		if room := p.roomFor(s, w, reserved, now); room > 0 {
+			others = append(others, roomy{w, room})
+		} else {
+			still = append(still, w)
+		}
+	}
+	return others, still
 }
 
 // ticketsUsedBy is until when a ticket must hold to be of use beside those of the calls that are
--- a/pkg/dispatch/reserve.go
+++ b/pkg/dispatch/reserve.go
@@ -144,11 +144,17 @@
 	if p.without(GangReservations) || load.overloaded() && !p.without(OverloadCheck) {
 		return
 	}
+	if now >= s.gangSoonest.until {
+		s.gangSoonest = stepHolds{until: now.Add(holdsLast), workers: p.soonest(s, r, priority, now)}
+	}
 	need := gangMargin * float64(len(s.tasks))
-	for _, w := range p.soonest(s, r, priority, now) {
+	for _, w := range s.gangSoonest.workers {
 		if need <= 0 || float64(gangs.workers) >= heldShare*float64(load.workers) {
 			return
 		}
+		if !p.eligible(s, w, now) || r.holds(w.info.ID, priority+1) {
+			continue
+		}
 		r.put(w.info.ID, priority)
 		gangs.workers++
 		need -= float64(roomWhenEmpty(s, w))
