--- /dev/null
+++ b/pkg/poolowner/members_test.go
@@ -0,0 +1,125 @@
+package poolowner
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/dispatch"
+	"foldarch.dev/foldarch/pkg/poolrpc"
+	"foldarch.dev/foldarch/pkg/poolrpc/poolpb"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+)
+
+// ownerOf returns an owner with members of a strength, at a time that stands still.
+func ownerOf(t *testing.T, members int, strength int64) (*Owner, *clock.Time) {
+	now := clock.Time(100_000)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	o := New(Deps{
+		Name: "self", Clock: clock.Clock{Now: func() clock.Time { return now }, Wall: time.Now}, Log: logrus.NewEntry(log),
+		StoreAge: func() time.Duration { return 0 }, Figures: metrics.NewRegistry(),
+	}, Claim{Term: 1, First: true})
+	for n := range members {
+		join(o, fmt.Sprintf("m%03d", n), &poolpb.MemberStatus{Strength: strength, Hall: "h"}, now)
+	}
+	return o, &now
+}
+
+func join(o *Owner, name string, status *poolpb.MemberStatus, now clock.Time) *poolrpc.Session {
+	s := poolrpc.NewSession(now)
+	s.Name = name
+	status.Name = name
+	s.PutStatus(status, now)
+	o.joined(s)
+	return s
+}
+
+// manyWorkers are as many as relays are used for.
+const manyWorkers = 400
+
+func workerName(n int) dispatch.WorkerID {
+	return dispatch.WorkerID(fmt.Sprintf("w%d", n))
+}
+
+func putWorkers(o *Owner) {
+	for n := range manyWorkers {
+		o.relays.PutWorker(workerName(n), "h")
+	}
+}
+
+// usual counts the members with the usual heartbeat.
+func usual(o *Owner) int {
+	n := 0
+	for _, m := range o.members {
+		if o.status(m.Session).HeartbeatMs == poolrpc.HeartbeatEvery.Milliseconds() {
+			n++
+		}
+	}
+	return n
+}
+
+func TestFewMembersHaveTheUsualHeartbeat(t *testing.T) {
+	g := NewWithT(t)
+	o, _ := ownerOf(t, fewMembers, 20)
+	g.Expect(usual(o)).To(Equal(fewMembers))
+}
+
+func TestOfManyMembersSomeStrongOnesHaveTheUsualHeartbeat(t *testing.T) {
+	g := NewWithT(t)
+	weak, _ := ownerOf(t, fewMembers+1, 20)
+	g.Expect(usual(weak)).To(Equal(0))
+	strong, now := ownerOf(t, fewMembers+10, enough)
+	g.Expect(usual(strong)).To(Equal(nearMembers))
+	for name := range strong.near {
+		strong.left(strong.members[name].Session)
+		break
+	}
+	g.Expect(usual(strong)).To(Equal(nearMembers), "another one takes its place")
+	join(strong, "stops", &poolpb.MemberStatus{Strength: enough, Stopping: true}, *now)
+	g.Expect(strong.near).NotTo(HaveKey("stops"))
+}
+
+func TestRelaysHaveTheUsualHeartbeat(t *testing.T) {
+	g := NewWithT(t)
+	o, now := ownerOf(t, fewMembers+1, 20)
+	putWorkers(o)
+	for n := range manyWorkers {
+		o.relays.Assign(workerName(n), *now)
+	}
+	g.Expect(o.Relayed()).To(Equal(manyWorkers))
+	g.Expect(usual(o)).To(Equal(5), "96 workers each")
+}
+
+func TestStoreAgeOfAMemberCountsTheTimeSinceItSaidSo(t *testing.T) {
+	g := NewWithT(t)
+	o, now := ownerOf(t, 0, enough)
+	s := join(o, "a", &poolpb.MemberStatus{StoreAgeMs: 100, Strength: enough}, *now)
+	o.deps.StoreAge = func() time.Duration { return time.Second }
+	g.Expect(o.reachesStoreBetter(o.members["a"])).To(BeTrue())
+	*now = now.Add(500 * time.Millisecond)
+	g.Expect(o.reachesStoreBetter(o.members["a"])).To(BeFalse())
+	s.PutStatus(&poolpb.MemberStatus{Name: "a", StoreAgeMs: 100}, *now)
+	g.Expect(o.reachesStoreBetter(o.members["a"])).To(BeTrue())
+}
+
+func TestOrdersDoNotGoOverAMemberThatReachesTheStoreBetter(t *testing.T) {
+	g := NewWithT(t)
+	o, now := ownerOf(t, 1, enough)
+	putWorkers(o)
+	s := &workerSession{owner: o, id: "w0"}
+	raise := false
+	g.Expect(s.holdPath(&raise)).To(Equal(o.members["m000"]))
+	g.Expect(raise).To(BeTrue())
+	g.Expect(s.orderPath()).To(Equal(o.members["m000"]))
+	o.deps.StoreAge = func() time.Duration { return yieldGain + time.Millisecond }
+	g.Expect(s.orderPath()).To(BeNil())
+	*now = now.Add(2 * time.Millisecond)
+	g.Expect(s.orderPath()).To(Equal(o.members["m000"]), "the member may have reached the store as long ago")
+	raise = true
+	g.Expect(s.holdPath(&raise)).To(BeNil(), "this host settles lost answers")
+}
--- a/pkg/poolrpc/owner.go
+++ b/pkg/poolrpc/owner.go
@@ -42,6 +42,19 @@
 	toldAt  atomic.Int64 // when the member told its status last
 }
 
+// NewSession returns the owner's side of a stream that begins.
+func NewSession(now clock.Time) *Session {
+	s := &Session{outbox: make(chan *poolpb.OwnerMessage, outboxSize)}
+	s.heardAt.Store(int64(now))
+	return s
+}
+
+// PutStatus takes in what the member says of itself.
+func (s *Session) PutStatus(status *poolpb.MemberStatus, now clock.Time) {
+	s.status.Store(status)
+	s.toldAt.Store(int64(now))
+}
+
 // StatusAge is how long ago the member told its status.
 func (s *Session) StatusAge(now clock.Time) time.Duration {
 	return now.Sub(clock.Time(s.toldAt.Load()))
@@ -90,8 +103,7 @@
 	}
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
-	session := &Session{outbox: make(chan *poolpb.OwnerMessage, outboxSize)}
-	session.heardAt.Store(int64(s.clk.Now()))
+	session := NewSession(s.clk.Now())
 	var duties sync.WaitGroup
 	defer duties.Wait()
 	defer cancel()
@@ -139,8 +151,7 @@
 func (s *Session) take(msg *poolpb.MemberMessage, now clock.Time, h OwnerHandlers) {
 	switch c := msg.Content.(type) {
 	case *poolpb.MemberMessage_Status:
-		s.status.Store(c.Status)
-		s.toldAt.Store(int64(now))
+		s.PutStatus(c.Status, now)
 		if s.Name == "" {
 			s.Name = c.Status.Name
 			h.Joined(s)
