--- a/pkg/dispatch/history_test.go
+++ b/pkg/dispatch/history_test.go
@@ -74,6 +74,8 @@
 	bad    bool
 	// without leaves mechanisms out of all owners.
 	without Without
+	// relayed says that some answers are held up on their way by relays that are slow or frozen for a while.
+	relayed bool
 }
 
 // storedJob is what the store has of a job.
@@ -250,9 +252,20 @@
 
 // ---------------------------------------------------------------- calls
 
-// send has a call carried out by a worker and its answer taken in, unless one of them is lost.
-// A call without an answer may be carried out seconds later.
-func (w *world) send(m *modelWorker, carryOut func() (answer func()), unanswered func()) {
+// relayLimit is how long an answer to a hold that waits may be on its way over a relay.
+const relayLimit = 1400 * time.Millisecond
+
+// answerTime is how long an answer is on its way.
+func (w *world) answerTime() time.Duration {
+	if w.relayed && w.chance(0.1) {
+		return w.between(30*time.Millisecond, relayLimit)
+	}
+	return w.between(time.Millisecond, 30*time.Millisecond)
+}
+
+// send has a call carried out by a worker and its answer taken in, unless one of them is lost or the
+// answer comes after the limit. A call without an answer may be carried out seconds later.
+func (w *world) send(m *modelWorker, limit time.Duration, carryOut func() (answer func()), unanswered func()) {
 	lost := m.cut || m.dead || w.chance(0.03)
 	if lost {
 		if !m.dead && w.chance(0.3) {
@@ -275,7 +288,12 @@
 			w.later(callLimit, unanswered)
 			return
 		}
-		w.later(w.between(time.Millisecond, 30*time.Millisecond), answer)
+		took := w.answerTime()
+		if took > limit {
+			w.later(limit, unanswered)
+			return
+		}
+		w.later(took, answer)
 	})
 }
 
@@ -291,7 +309,7 @@
 		return
 	}
 	sentAt := w.now
-	w.send(m, func() func() {
+	w.send(m, callLimit, func() func() {
 		a := w.start(m, s)
 		if a.Verdict == VerdictDone && w.now.Sub(sentAt) < callLimit {
 			w.checkNotShown(m, s)
@@ -302,7 +320,7 @@
 
 func (w *world) sendStop(o *modelOwner, s Stop) {
 	m := w.worker[numberOf(s.Worker)]
-	w.send(m, func() func() {
+	w.send(m, callLimit, func() func() {
 		a := w.stop(m, s)
 		return func() { o.pool.StopAnswered(s, a, w.now) }
 	}, func() {})
@@ -324,7 +342,7 @@
 		pause = w.between(time.Second, 3*time.Second) // the owner has too much to do
 	}
 	o.holding[id] = w.now.Add(callLimit + pause)
-	w.send(m, func() func() {
+	w.send(m, relayLimit, func() func() {
 		a, report := w.hold(m, h)
 		return func() { o.pool.HoldAnswered(h, a, report, w.now) }
 	}, func() {
@@ -441,12 +459,22 @@
 }
 
 func TestPromisesHoldInRandomHistories(t *testing.T) {
-	seeds := keptSeeds
+	playHistories(t, func(*world) {})
+}
+
+func TestPromisesHoldWhenRelaysHoldAnswersUp(t *testing.T) {
+	playHistories(t, func(w *world) { w.relayed = true })
+}
+
+// playHistories plays the kept seeds and as many others as the flags say.
+func playHistories(t *testing.T, change func(*world)) {
+	seeds := slices.Clone(keptSeeds)
 	for n := range *historySeeds {
 		seeds = append(seeds, *historySeed+uint64(n))
 	}
 	for _, seed := range seeds {
 		w := newWorld(t, seed)
+		change(w)
 		w.play()
 		if w.bad {
 			lines := 60
