--- a/pkg/relay/assignments.go
+++ b/pkg/relay/assignments.go
@@ -19,8 +19,10 @@
 	// stream of a host is given up after 0.9 s of silence; this is for one that lives but does not reach workers.
 	mostDoubts = 12
 	suspectFor = 5 * time.Second
-	// directFor is how long the owner makes the calls to a worker itself after an order without a result.
-	directFor = 2 * time.Second
+	// directFor is how long the owner makes the calls to a worker itself after missesToLeave orders in a row
+	// without a result. One may be lost on its way; two tell that the relay does not reach the worker.
+	directFor     = 2 * time.Second
+	missesToLeave = 2
 	// chooseAgain is the pause after no host had room for one more worker: looking takes as long as there are hosts.
 	chooseAgain = 250 * time.Millisecond
 )
@@ -50,6 +52,7 @@
 type assignment struct {
 	hall        string // of the worker
 	host        *host
+	misses      int   // orders in a row without a result
 	directUntil clock.Time
 }
 
@@ -124,20 +127,20 @@
 	return n
 }
 
-// Answered takes in whether an order for a worker that a host made the call of had a result. Without
-// one the owner makes the next calls itself; suspected says that the host is left for a time.
+// Answered takes in whether an order for a worker that a host made the call of had a result. After
+// missesToLeave without one the owner makes the next calls itself; suspected says that the host is left for a time.
 func (a *Assignments) Answered(id dispatch.WorkerID, name string, result bool, now clock.Time) (suspected bool) {
 	h, ok := a.hosts[name]
 	if !ok {
 		return false
 	}
+	if w, ok := a.workers[id]; ok {
+		w.answered(result, now)
+	}
 	if result {
 		h.doubts = 0
 		return false
 	}
-	if w, ok := a.workers[id]; ok {
-		w.directUntil = now.Add(directFor)
-	}
 	if h.doubts++; h.doubts < mostDoubts || now < h.suspectUntil {
 		return false
 	}
@@ -177,6 +180,17 @@
 	return cmp.Or(cmp.Compare(h.strength, other.strength), cmp.Compare(h.workers, other.workers), cmp.Compare(other.name, h.name)) > 0
 }
 
+// answered counts the orders in a row that had no result.
+func (w *assignment) answered(result bool, now clock.Time) {
+	if result {
+		w.misses = 0
+		return
+	}
+	if w.misses++; w.misses >= missesToLeave {
+		w.misses, w.directUntil = 0, now.Add(directFor)
+	}
+}
+
 func (w *assignment) leave() {
 	if w.host != nil {
 		w.host.workers--
--- a/pkg/relay/client.go
+++ b/pkg/relay/client.go
@@ -13,8 +13,10 @@
 )
 
 // transit is how much longer an order may take over a relay than the call itself: twice a batch, and the
-// queues of two processes that are busy. A host that is silent for longer is given up by its stream.
-const transit = 200 * time.Millisecond
+// queues of two processes that are busy. An owner that is behind must not take results for lost that wait for
+// its own attention: it would make the calls itself and be further behind. A relay that is cut or frozen is
+// found out by its stream, after 0.9 s.
+const transit = 500 * time.Millisecond
 
 // ErrNoResult says that an order has no result: its outcome is unknown.
 var ErrNoResult = errors.New("no result from the relay")
