--- a/pkg/relay/assignments.go
+++ b/pkg/relay/assignments.go
@@ -52,7 +52,7 @@
 type assignment struct {
 	hall        string // of the worker
 	host        *host
-	misses      int   // orders in a row without a result
+	misses      int // orders in a row without a result
 	directUntil clock.Time
 }
 
