--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -24,10 +24,11 @@
 	choicesPerPlan = 16
 	// askLate is how much longer than it should a call may take before others are made for its step.
 	askLate = 150 * time.Millisecond
-	// A process whose calls fail makes none for firstRest, and twice as long with each more in a row, up to
-	// longestRest: hosts of a data hall that is cut off don't reach the service.
-	firstRest   = 250 * time.Millisecond
-	longestRest = 4 * time.Second
+	// A process whose calls fail makes none for firstRest, and twice as long with each more in a row, mostDoublings
+	// times at most, to 2 s: hosts of a data hall that is cut off don't reach the service. A job may wait for no
+	// more than 3 s when the service is back.
+	firstRest     = 250 * time.Millisecond
+	mostDoublings = 3
 	// askAgain is the least time between two calls for a step.
 	askAgain = 60 * time.Millisecond
 	// nameAgain is the pause after there was nobody to be named in a call, in parts of the fixed time of a
@@ -107,7 +108,7 @@
 		r = &adviserRest{}
 		a.resting[name] = r
 	}
-	r.until = now.Add(min(firstRest<<r.failures, longestRest))
+	r.until = now.Add(firstRest << min(r.failures, mostDoublings))
 	r.failures++
 }
 
--- a/pkg/poolowner/sessions.go
+++ b/pkg/poolowner/sessions.go
@@ -107,9 +107,7 @@
 // known is false when there is nothing to be asked of the worker any more.
 func (s *workerSession) hold(ctx context.Context, class callClass, raise, waits bool) (answered, known bool) {
 	if m := s.holdPath(&raise); m != nil {
-		answered, known = s.sendHold(ctx, m, raise, waits)
-		s.relayAnswered(m, answered)
-		return answered, known
+		return s.sendHold(ctx, m, raise, waits)
 	}
 	leave, ok := s.owner.calls.enter(ctx, class, holdCounts(waits))
 	if !ok {
@@ -137,6 +135,9 @@
 		Order:    platform.Order{Worker: h.Worker, Address: h.Address, Token: h.Token},
 		LastSeen: h.LastSeen, Deadline: h.Deadline, Wait: wait, Patience: s.patience(raise),
 	})
+	if m != nil {
+		s.relayAnswered(m, err == nil)
+	}
 	if err != nil {
 		return false, true
 	}
