--- a/pkg/dispatch/preempt.go
+++ b/pkg/dispatch/preempt.go
@@ -20,8 +20,8 @@
 	// decisions in a busy pool of 1,100 workers (BenchmarkBusyPool).
 	preemptRetry = 100 * time.Millisecond
 	// preemptLoss is how much work a preemption may throw away, in parts of the work of the
-	// tasks that it is made for. With 0.25 too little is stopped (0.006 less of what jobs earn in a pool of 48 workers),
-	// with 1.0 up to 3,200 core-seconds a minute are thrown away.
+	// tasks that it is made for. With 0.25 jobs earn 0.003 less in a pool of 48 workers,
+	// with 1.0 up to 3,200 core-seconds are thrown away in a minute.
 	preemptLoss = 0.6
 	// soonOver is how long a run may still take to be left alone: its room comes by itself, about as
 	// soon as that of a stopped one.
