Keep the token of a worker that is forgotten and comes back

Cause: a worker that is cut off for longer than its lease, and whose entry has gone, is taken for one that left and forgotten. When the cut ends it comes back as the same incarnation, and its first hold had the owner's first token, lower than the one it had seen from the same owner (tokens are raised to settle lost answers). It refused, and the owner took that for a later owner and gave the pool up: 1.5 s without an owner, then a takeover in which old jobs wait for up to 8 s.

--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -44,22 +44,24 @@
 
 // Pool is the owner's view of a pool of workers and of the jobs for it.
 type Pool struct {
-	cfg        Config
-	takeover   takeover
-	config     *queue.Config
-	jobs       map[job.ID]*jobState
-	outcomes   outcomes // of jobs that have ended and been committed
-	workers    map[WorkerID]*worker
-	sorted     []*worker          // all workers by id; nil when one came or went (workersByID)
-	ready      map[*step]struct{} // steps whose turn has come and that have waiting tasks
-	timed      map[*jobState]struct{}
-	dirty      map[*jobState]struct{}
-	advice     advisers
-	stops      []*run
-	settles    []*worker
-	paces      []*run
-	surveyedAt clock.Time // all workers were looked at (surveyWorkers)
-	loads      map[string]*poolLoad
+	cfg      Config
+	takeover takeover
+	config   *queue.Config
+	jobs     map[job.ID]*jobState
+	outcomes outcomes // of jobs that have ended and been committed
+	workers  map[WorkerID]*worker
+	// formerTokens are the tokens of workers that were forgotten (forgetWorker).
+	formerTokens map[WorkerID]int64
+	sorted       []*worker          // all workers by id; nil when one came or went (workersByID)
+	ready        map[*step]struct{} // steps whose turn has come and that have waiting tasks
+	timed        map[*jobState]struct{}
+	dirty        map[*jobState]struct{}
+	advice       advisers
+	stops        []*run
+	settles      []*worker
+	paces        []*run
+	surveyedAt   clock.Time // all workers were looked at (surveyWorkers)
+	loads        map[string]*poolLoad
 	// confirmedAt is when the store is known to have named this owner last (Confirmed), and
 	// unconfirmed says that it has to be asked again.
 	confirmedAt clock.Time
@@ -75,7 +77,7 @@
 func New(cfg Config, now clock.Time) *Pool {
 	return &Pool{
 		cfg: cfg, takeover: newTakeover(cfg, now),
-		jobs: map[job.ID]*jobState{}, outcomes: newOutcomes(), workers: map[WorkerID]*worker{},
+		jobs: map[job.ID]*jobState{}, outcomes: newOutcomes(), workers: map[WorkerID]*worker{}, formerTokens: map[WorkerID]int64{},
 		ready: map[*step]struct{}{}, timed: map[*jobState]struct{}{}, dirty: map[*jobState]struct{}{},
 		advice: newAdvisers(), loads: map[string]*poolLoad{},
 	}
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -110,7 +110,8 @@
 func (p *Pool) PutWorker(info WorkerInfo, listed bool, now clock.Time) bool {
 	w, known := p.workers[info.ID]
 	if !known {
-		w = &worker{token: p.cfg.Token, runs: map[runKey]*run{}}
+		w = &worker{token: max(p.cfg.Token, p.formerTokens[info.ID]), runs: map[runKey]*run{}}
+		delete(p.formerTokens, info.ID)
 		p.workers[info.ID] = w
 		p.sorted = nil
 	}
@@ -257,8 +258,7 @@
 func (p *Pool) expireWorker(w *worker, now clock.Time) {
 	if w.gone {
 		if !w.listed {
-			delete(p.workers, w.info.ID)
-			p.sorted = nil
+			p.forgetWorker(w)
 		}
 		return
 	}
@@ -281,6 +281,14 @@
 	}
 }
 
+// forgetWorker drops a worker that has gone, but for its token: one that was only cut off for long comes back as
+// the same incarnation, and would take the first token of this owner for one of a former owner.
+func (p *Pool) forgetWorker(w *worker) {
+	delete(p.workers, w.info.ID)
+	p.formerTokens[w.info.ID] = w.token
+	p.sorted = nil
+}
+
 // judge counts the ends on a worker to leave out one that fails whatever it is given.
 func (p *Pool) judge(w *worker, r *run, how End, now clock.Time) {
 	switch how {
--- a/pkg/dispatch/worker_test.go
+++ b/pkg/dispatch/worker_test.go
@@ -264,3 +264,21 @@
 	f.Expect(answer(f.end(start, 1, EndDone))).To(BeTrue(), "there is room")
 	f.Expect(answer(Report{Active: []Active{{Task: start.Task, Run: 99}}})).To(BeTrue(), "a run that must not go on")
 }
+
+func TestWorkerThatComesBackAfterALongCutKnowsTheSameOwner(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	raised, _ := f.pool.HoldFor("w0", true, true, f.now)
+	f.pool.HoldAnswered(raised, Answer{Verdict: VerdictDone, Clock: f.workerClock}, Report{}, f.now)
+	f.pool.UnlistWorker("w0", false, f.now)
+	for range 50 {
+		f.pass(200 * time.Millisecond)
+		f.report(1, Report{})
+		f.plan()
+	}
+	f.Expect(f.pool.workers).NotTo(HaveKey(WorkerID("w0")), "it is taken for one that left")
+	f.addWorker(0)
+	h, ok := f.pool.HoldFor("w0", false, true, f.now)
+	f.Expect(ok).To(BeTrue())
+	f.Expect(h.Token).To(BeNumerically(">=", raised.Token), "the worker does nothing for a lower one")
+}
