Tell in the log when the configuration is not followed, how old it is, and which queues were not found

Cause looked for: the record can't tell a read that hangs from connections that carry nothing or from an older version put in force. The two loops that followed the configuration and the owner's record, which swallowed the errors of their reads, are one type (follower). Decisions are as before.

--- a/pkg/jobapi/doc.go
+++ b/pkg/jobapi/doc.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	handler, err := jobapi.New(platform.Jobs{Config: …, Submit: …, State: …, Cancel: …, Pending: …})
+//	handler, err := jobapi.New(platform.Jobs{Config: …, NoQueue: …, Submit: …, State: …, Cancel: …, Pending: …})
 //	mux.Handle("/v1/", handler)
 //
 //	PUT /v1/queues/fits/jobs/5c0e7a21d94b36f8
--- a/pkg/jobapi/server.go
+++ b/pkg/jobapi/server.go
@@ -33,7 +33,7 @@
 	}
 	q, ok := cfg.Queue(name)
 	if !ok {
-		return queue.Queue{}, result.New(result.UnknownQueue, "configuration %d has no queue %q", cfg.Version, name)
+		return queue.Queue{}, resultOf(h.NoQueue(cfg, name))
 	}
 	return q, nil
 }
@@ -41,6 +41,8 @@
 // resultOf gives a failure its result code.
 func resultOf(err error) error {
 	switch {
+	case errors.Is(err, platform.ErrNoQueue):
+		return result.New(result.UnknownQueue, "%v", err)
 	case errors.Is(err, platform.ErrNoJob):
 		return result.New(result.UnknownJob, "%v", err)
 	case errors.Is(err, platform.ErrRefused):
--- a/pkg/jobhost/config.go
+++ b/pkg/jobhost/config.go
@@ -1,60 +1,26 @@
 package jobhost
 
 import (
-	"context"
 	"time"
 
-	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/poolowner"
 	"foldarch.dev/foldarch/pkg/queue"
 	"foldarch.dev/foldarch/platform"
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 )
 
-const (
-	// configWait is how long a watch waits. A watch may have gone silent without a sign, so
-	// that none is trusted for longer.
-	configWait  = time.Second
-	configRetry = 100 * time.Millisecond
-)
+// configWait is how long a watch on the configuration waits.
+const configWait = time.Second
 
-// watchConfig is the duty that follows the operator's configuration.
-func (h *Host) watchConfig(ctx context.Context) {
-	after := int64(-1)
-	for ctx.Err() == nil {
-		if after < 0 {
-			after = h.readConfig(ctx)
-			continue
-		}
-		items, at, err := h.store.Watch(ctx, platform.OperatorPrefix, after, configWait)
-		if errors.Is(err, platform.ErrHistoryIsGone) {
-			after = -1
-			continue
-		}
-		if err != nil {
-			after = h.readConfig(ctx)
-			continue
-		}
-		for _, i := range items {
-			h.takeOperatorItem(i)
-		}
-		after = at
-	}
+// newConfigFollower follows what the operator writes.
+func (h *Host) newConfigFollower() *follower {
+	return h.newFollower(platform.OperatorPrefix, configWait, h.takeOperatorItems, h.takeOperatorItems)
 }
 
-// readConfig reads what the operator has written and returns the revision from which to watch on, or
-// -1 when it could not be read.
-func (h *Host) readConfig(ctx context.Context) int64 {
-	items, at, err := h.store.List(ctx, platform.OperatorPrefix)
-	if err != nil {
-		clock.Sleep(ctx, configRetry)
-		return -1
-	}
+func (h *Host) takeOperatorItems(items []platform.Item) {
 	for _, i := range items {
 		h.takeOperatorItem(i)
 	}
-	return at
 }
 
 // takeOperatorItem takes in a key that the operator has written.
--- a/pkg/jobhost/door.go
+++ b/pkg/jobhost/door.go
@@ -33,10 +33,19 @@
 // jobs are what callers and operators can do with jobs.
 func (h *Host) jobs() platform.Jobs {
 	return platform.Jobs{
-		Config: h.config.Load, Submit: h.submit, State: h.state, Cancel: h.cancelJob, Pending: h.pending,
+		Config: h.config.Load, NoQueue: h.noQueue,
+		Submit: h.submit, State: h.state, Cancel: h.cancelJob, Pending: h.pending,
 	}
 }
 
+// noQueue answers a request for a queue that the configuration in force does not have.
+func (h *Host) noQueue(cfg *queue.Config, asked string) error {
+	h.log.WithFields(logrus.Fields{
+		"asked": asked, "config": cfg.Version, "config_age_ms": h.operator.age().Milliseconds(),
+	}).Info("queue_unknown")
+	return errors.Wrapf(platform.ErrNoQueue, "configuration %d has no queue %q", cfg.Version, asked)
+}
+
 // submit keeps a job in the store and tells the owner.
 func (h *Host) submit(ctx context.Context, q queue.Queue, j job.Job) error {
 	text, err := job.Record{Job: j, Queue: q, AcceptedAt: h.clk.Wall(), Term: h.knownTerm()}.Encode()
@@ -113,7 +122,7 @@
 func (h *Host) logOutcome(event string, id job.ID, queueName, steps string, started clock.Time, err error) {
 	fields := logrus.Fields{
 		"job": id, "queue": queueName, "took_ms": h.clk.Now().Sub(started).Milliseconds(),
-		"config": h.config.Load().Version, "term": h.knownTerm(), "store_age_ms": h.storeAge().Milliseconds(),
+		"config": h.config.Load().Version, "config_age_ms": h.operator.age().Milliseconds(), "term": h.knownTerm(), "store_age_ms": h.storeAge().Milliseconds(),
 	}
 	if steps != "" {
 		fields["steps"] = steps
--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -20,8 +20,8 @@
 )
 
 const (
+	// ownerWait is how long a watch on the owner's record waits.
 	ownerWait   = time.Second
-	ownerRetry  = 100 * time.Millisecond
 	linkRetry   = 60 * time.Millisecond
 	linkTimeout = 400 * time.Millisecond
 	// leaseTerm is how long the owner's lease in the store lasts without a renewal.
@@ -52,28 +52,9 @@
 	changed   chan struct{} // of size 1: the holder has changed
 }
 
-// watchOwner is the duty that follows the owner's record.
-func (h *Host) watchOwner(ctx context.Context) {
-	after := int64(-1)
-	for ctx.Err() == nil {
-		if after < 0 {
-			items, at, err := h.store.List(ctx, jobstore.OwnerPrefix)
-			if err != nil {
-				clock.Sleep(ctx, ownerRetry)
-				continue
-			}
-			h.takeOwnerList(items)
-			after = at
-			continue
-		}
-		items, at, err := h.store.Watch(ctx, jobstore.OwnerPrefix, after, ownerWait)
-		if err != nil {
-			after = -1
-			continue
-		}
-		h.takeOwnerItems(items)
-		after = at
-	}
+// newOwnerFollower follows the owner's record.
+func (h *Host) newOwnerFollower() *follower {
+	return h.newFollower(jobstore.OwnerPrefix, ownerWait, h.takeOwnerList, h.takeOwnerItems)
 }
 
 // takeOwnerList takes in all keys; one that is not among them is gone.
--- /dev/null
+++ b/pkg/jobhost/follower_test.go
@@ -0,0 +1,92 @@
+package jobhost
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/platform"
+	"foldarch.dev/foldarch/platform/emulator"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+)
+
+// newTestHost returns a host that reaches an emulated store and does nothing yet, with its log.
+func newTestHost(t *testing.T, p *emulator.Platform) (*Host, *logtest.Hook) {
+	t.Helper()
+	log, hook := logtest.NewNullLogger()
+	cfg := platform.Settings{
+		Name: "host-1", Heartbeat: time.Second,
+		Store: platform.StoreSettings{
+			Address: netip.MustParseAddrPort(p.StoreAddress()), WritesPerSecond: 400, ReadsPerSecond: 2000,
+		},
+	}
+	return New(cfg, logrus.NewEntry(log)), hook
+}
+
+func startPlatform(t *testing.T) *emulator.Platform {
+	t.Helper()
+	p, err := emulator.Start(emulator.Options{})
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(p.Close)
+	return p
+}
+
+// follow runs a follower until the test ends.
+func follow(t *testing.T, f *follower) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+// lines are the log lines of a message.
+func lines(hook *logtest.Hook, message string) []*logrus.Entry {
+	var found []*logrus.Entry
+	for _, e := range hook.AllEntries() {
+		if e.Message == message {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+func TestLogTellsWhenTheConfigurationIsNotFollowed(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := startPlatform(t)
+	p.PutConfig(1)
+	h, hook := newTestHost(t, p)
+	follow(t, h.operator)
+	g.Eventually(h.config.Load, "2s", "5ms").ShouldNot(BeNil())
+	g.Expect(h.operator.age()).To(BeNumerically("<", time.Second))
+
+	p.Store.SetMode(emulator.StoreBusy)
+	g.Eventually(h.operator.age, "4s", "10ms").Should(BeNumerically(">", 1500*time.Millisecond))
+	g.Expect(lines(hook, "keys_lost")).To(HaveLen(1), "one line, however many tries fail")
+	g.Expect(lines(hook, "keys_regained")).To(BeEmpty())
+
+	p.Store.SetMode(emulator.StoreUp)
+	g.Eventually(func() int { return len(lines(hook, "keys_regained")) }, "2s", "5ms").Should(Equal(1))
+	g.Expect(h.operator.age()).To(BeNumerically("<", time.Second))
+}
+
+func TestConfigurationThatWasNeverReadHasTheAgeOfItsFollower(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := startPlatform(t)
+	p.Store.SetMode(emulator.StoreBusy)
+	h, _ := newTestHost(t, p)
+	follow(t, h.operator)
+	g.Consistently(h.operator.age, "400ms", "20ms").Should(BeNumerically("<", time.Second))
+	g.Expect(h.config.Load()).To(BeNil())
+}
--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -52,6 +52,7 @@
 	advice atomic.Pointer[platform.Adviser] // nil when there is no advice service
 
 	config   atomic.Pointer[queue.Config]
+	operator *follower // of the operator's keys
 	intake   *intake
 	figures  *figures
 	election election
@@ -78,6 +79,7 @@
 		worker: platform.NewWorkers(workerTimeout), intake: newIntake(store, clk), figures: newFigures(), waves: map[int64]upkeep.Wave{},
 		election: election{changed: make(chan struct{}, 1)},
 	}
+	h.operator = h.newConfigFollower()
 	h.cfg.Store(&cfg)
 	h.setAdvice(cfg.Advice)
 	return h
@@ -153,9 +155,9 @@
 }
 
 func (h *Host) startDuties(ctx context.Context, peers net.Listener) {
-	h.duties.Go(func() { h.watchConfig(ctx) })
+	h.duties.Go(func() { h.operator.run(ctx) })
 	h.duties.Go(func() { h.intake.run(ctx) })
-	h.duties.Go(func() { h.watchOwner(ctx) })
+	h.duties.Go(func() { h.newOwnerFollower().run(ctx) })
 	h.duties.Go(func() { h.campaign(ctx) })
 	h.duties.Go(func() { h.keepLink(ctx) })
 	h.duties.Go(func() { _ = poolrpc.Serve(ctx, peers, h.ownerHandlers, h.clk) })
