--- a/pkg/jobhost/follower.go
+++ b/pkg/jobhost/follower.go
@@ -47,7 +47,6 @@
 			clock.Sleep(ctx, listRetry)
 			continue
 		}
-		f.regain()
 		f.watch(ctx, after)
 	}
 }
@@ -60,6 +59,7 @@
 		return 0, err
 	}
 	f.takeList(items)
+	f.regain()
 	f.known(asked)
 	return after, nil
 }
@@ -97,7 +97,7 @@
 	f.log.WithFields(logrus.Fields{"keys": f.prefix, "age_ms": f.age().Milliseconds(), "error": err}).Warn("keys_lost")
 }
 
-// regain logs that the keys are followed again.
+// regain logs that the keys are followed again, and for how long they were not known.
 func (f *follower) regain() {
 	if !f.lost {
 		return
--- a/pkg/jobhost/follower_test.go
+++ b/pkg/jobhost/follower_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"time"
@@ -77,6 +79,7 @@
 
 	p.Store.SetMode(emulator.StoreUp)
 	g.Eventually(func() int { return len(lines(hook, "keys_regained")) }, "2s", "5ms").Should(Equal(1))
+	g.Expect(lines(hook, "keys_regained")[0].Data["age_ms"]).To(BeNumerically(">", 1500))
 	g.Expect(h.operator.age()).To(BeNumerically("<", time.Second))
 }
 
@@ -90,3 +93,30 @@
 	g.Consistently(h.operator.age, "400ms", "20ms").Should(BeNumerically("<", time.Second))
 	g.Expect(h.config.Load()).To(BeNil())
 }
+
+// Symptom: a caller is told that a queue does not exist, which the operator has added. Sequence: the host loses the store, the operator
+// adds the queue, the caller asks this host. Cause: the host took its configuration for the newest, however long ago it was read.
+func TestHostThatMayMissChangesDeniesNoQueue(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := startPlatform(t)
+	p.PutConfig(1)
+	h, hook := newTestHost(t, p)
+	follow(t, h.operator)
+	g.Eventually(h.config.Load, "2s", "5ms").ShouldNot(BeNil())
+	ask := func() int {
+		r := httptest.NewRequest(http.MethodGet, "http://jobs.example/added-later/", nil)
+		w := httptest.NewRecorder()
+		h.door().ServeHTTP(w, r)
+		return w.Code
+	}
+	g.Expect(ask()).To(Equal(http.StatusNotFound))
+
+	p.Store.SetMode(emulator.StoreSilent)
+	g.Eventually(ask, "4s", "20ms").Should(Equal(http.StatusServiceUnavailable))
+	found := lines(hook, "queue_unknown")
+	g.Expect(found[len(found)-1].Data["config_age_ms"]).To(BeNumerically(">=", 2000))
+
+	p.Store.SetMode(emulator.StoreUp)
+	g.Eventually(ask, "2s", "20ms").Should(Equal(http.StatusNotFound))
+}
