Give up an answer of the store that does not go on, within half of the time that a configuration has

Cause: the limit for the first byte (1 s) left the rest of a page its 4 s, and stood in the transport, apart from the bound that it serves. The watch on the configuration waits no longer than that either. Ruled out: a shorter limit for a whole page (a megabyte takes 0.8 s at 10 Mbit/s, and a read that always ends early never succeeds).

--- a/pkg/jobhost/config.go
+++ b/pkg/jobhost/config.go
@@ -9,12 +9,13 @@
 	"github.com/sirupsen/logrus"
 )
 
-// configWait is how long a watch on the configuration waits.
+// configWait is the longest that a watch on the configuration waits. Together with the 0.4 s after which it is given up
+// and a read, it keeps to the shortest known bound for putting a configuration in force, 2 s.
 const configWait = time.Second
 
 // newConfigFollower follows what the operator writes.
 func (h *Host) newConfigFollower() *follower {
-	return h.newFollower(platform.OperatorPrefix, configWait, h.takeOperatorItems, h.takeOperatorItems)
+	return h.newFollower(platform.OperatorPrefix, min(configWait, h.cfg.Load().Bounds.ConfigApply/2), h.takeOperatorItems, h.takeOperatorItems)
 }
 
 func (h *Host) takeOperatorItems(items []platform.Item) {
--- a/pkg/jobhost/follower_test.go
+++ b/pkg/jobhost/follower_test.go
@@ -20,7 +20,7 @@
 	t.Helper()
 	log, hook := logtest.NewNullLogger()
 	cfg := platform.Settings{
-		Name: "host-1", Heartbeat: time.Second,
+		Name: "host-1", Heartbeat: time.Second, Bounds: platform.Bounds{ConfigApply: 2 * time.Second},
 		Store: platform.StoreSettings{
 			Address: netip.MustParseAddrPort(p.StoreAddress()), WritesPerSecond: 400, ReadsPerSecond: 2000,
 		},
--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -26,6 +26,9 @@
 const (
 	storeTimeout  = 400 * time.Millisecond
 	workerTimeout = 160 * time.Millisecond
+	// stallShare is the part of the time to put a configuration in force that a read of it may stall: one that an
+	// outage has swallowed is tried again with half of the time left.
+	stallShare = 0.5
 	// storeShare is the part of the store's rate that one host may use.
 	storeShare = 0.25
 	// storeFresh is how long ago the store may have answered to count as up.
@@ -71,6 +74,7 @@
 	clk := clock.System()
 	store := platform.NewStore(cfg.Store, platform.StoreOptions{
 		CallTimeout:     storeTimeout,
+		Stall:           time.Duration(stallShare * float64(cfg.Bounds.ConfigApply)),
 		WritesPerSecond: cfg.Store.WritesPerSecond * storeShare,
 		ReadsPerSecond:  cfg.Store.ReadsPerSecond * storeShare,
 	}, clk)
@@ -79,8 +83,8 @@
 		worker: platform.NewWorkers(workerTimeout), intake: newIntake(store, clk), figures: newFigures(), waves: map[int64]upkeep.Wave{},
 		election: election{changed: make(chan struct{}, 1)},
 	}
-	h.operator = h.newConfigFollower()
 	h.cfg.Store(&cfg)
+	h.operator = h.newConfigFollower()
 	h.setAdvice(cfg.Advice)
 	return h
 }
