Ask callers to come back when a host that may have missed a newer configuration does not know their queue

Cause: a host answered 404 from its configuration however long ago that was read, so callers were told that an added queue does not exist, and do not come back. Now it is 503 with Retry-After once the configuration has not been known to be the newest for longer than it may take to be in force; nothing was done, so the refusal is true. Hosts that are cut off go on serving the queues that they know. Ruled out: refusing jobs for known queues as well; a hall that is cut off has to serve what it can.

--- a/pkg/jobhost/door.go
+++ b/pkg/jobhost/door.go
@@ -38,12 +38,18 @@
 	}
 }
 
-// noQueue answers a request for a queue that the configuration in force does not have.
+// noQueue answers a request for a queue that the configuration in force does not have. A host that may have missed a
+// newer one can't deny that the queue exists: a caller that believes a 404 does not come back.
 func (h *Host) noQueue(cfg *queue.Config, asked string) error {
+	age := h.operator.age()
+	err := errors.Wrapf(platform.ErrNoQueue, "configuration %d has no queue %q", cfg.Version, asked)
+	if age > h.cfg.Load().Bounds.ConfigApply {
+		err = errors.Wrapf(platform.ErrRefused, "there may be a newer configuration than %d", cfg.Version)
+	}
 	h.log.WithFields(logrus.Fields{
-		"asked": asked, "config": cfg.Version, "config_age_ms": h.operator.age().Milliseconds(),
+		"asked": asked, "config": cfg.Version, "config_age_ms": age.Milliseconds(), "error": err,
 	}).Info("queue_unknown")
-	return errors.Wrapf(platform.ErrNoQueue, "configuration %d has no queue %q", cfg.Version, asked)
+	return err
 }
 
 // submit keeps a job in the store and tells the owner.
