Never put an older configuration in force in an owner's pool

The pool now keeps the newer version, whatever the order in which it is told. Before and after: the test fails in each run / passes; packages dispatch, poolowner, jobhost with the race detector pass.

--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -89,8 +89,12 @@
 	p.loaded = true
 }
 
-// SetConfig puts a configuration in force for the queues of all jobs.
+// SetConfig puts a configuration in force for the queues of all jobs, unless it is older than the one in force: a new
+// owner is told what it read by one duty and what is newer by another, in either order.
 func (p *Pool) SetConfig(cfg *queue.Config) {
+	if p.config != nil && cfg.Version < p.config.Version {
+		return
+	}
 	p.config = cfg
 	for _, j := range p.jobs {
 		if q, ok := cfg.Queue(j.queue.Name); ok {
--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -234,7 +234,7 @@
 	}, claim)
 	o.SetConfig(h.config.Load())
 	h.owner.Store(o)
-	o.SetConfig(h.config.Load()) // one that came in between
+	o.SetConfig(h.config.Load()) // one that came in between, and that takeConfig told nobody
 	h.tellWaves(o)
 	ctx, cancel := context.WithCancel(ctx)
 	h.duties.Go(func() { k.run(ctx, o) })
