Tell in the log when an owner does not follow the workers' entries or the jobs

The duties that watch these dropped the errors of the store without a line, as those of the configuration did: they share one type now (jobstore.Following). Decisions are as before.

--- a/pkg/jobhost/follower_test.go
+++ b/pkg/jobhost/follower_test.go
@@ -70,17 +70,17 @@
 	h, hook := newTestHost(t, p)
 	follow(t, h.operator)
 	g.Eventually(h.config.Load, "2s", "5ms").ShouldNot(BeNil())
-	g.Expect(h.operator.age()).To(BeNumerically("<", time.Second))
+	g.Expect(h.operator.Age()).To(BeNumerically("<", time.Second))
 
 	p.Store.SetMode(emulator.StoreBusy)
-	g.Eventually(h.operator.age, "4s", "10ms").Should(BeNumerically(">", 1500*time.Millisecond))
+	g.Eventually(h.operator.Age, "4s", "10ms").Should(BeNumerically(">", 1500*time.Millisecond))
 	g.Expect(lines(hook, "keys_lost")).To(HaveLen(1), "one line, however many tries fail")
 	g.Expect(lines(hook, "keys_regained")).To(BeEmpty())
 
 	p.Store.SetMode(emulator.StoreUp)
 	g.Eventually(func() int { return len(lines(hook, "keys_regained")) }, "2s", "5ms").Should(Equal(1))
 	g.Expect(lines(hook, "keys_regained")[0].Data["age_ms"]).To(BeNumerically(">", 1500))
-	g.Expect(h.operator.age()).To(BeNumerically("<", time.Second))
+	g.Expect(h.operator.Age()).To(BeNumerically("<", time.Second))
 }
 
 func TestConfigurationThatWasNeverReadHasTheAgeOfItsFollower(t *testing.T) {
@@ -90,7 +90,7 @@
 	p.Store.SetMode(emulator.StoreBusy)
 	h, _ := newTestHost(t, p)
 	follow(t, h.operator)
-	g.Consistently(h.operator.age, "400ms", "20ms").Should(BeNumerically("<", time.Second))
+	g.Consistently(h.operator.Age, "400ms", "20ms").Should(BeNumerically("<", time.Second))
 	g.Expect(h.config.Load()).To(BeNil())
 }
 
--- a/pkg/jobstore/doc.go
+++ b/pkg/jobstore/doc.go
@@ -1,4 +1,5 @@
-// Package jobstore has the keys under which foldarch keeps jobs in the platform's store.
+// Package jobstore has the keys under which foldarch keeps jobs in the platform's store, and tells how well a process
+// follows keys of the store (Following).
 //
 //	foldarch/jobs/ID          a job.Record, written by the host that accepts the job
 //	foldarch/jobs/ID/cancel   the job's caller has cancelled it
@@ -10,5 +11,10 @@
 //
 // # Usage
 //
-//	entry := jobstore.ParseJobKey(item.Key)
+//	id, isCancel := jobstore.ParseJobKey(item.Key)
+//
+//	f := jobstore.NewFollowing(jobstore.JobsPrefix, clk, log)
+//	f.Lost(err)      // a watch failed: logs keys_lost, once
+//	f.Known(askedAt) // a list was read: logs keys_regained
+//	f.Age()          // how old what is known is
 package jobstore
--- a/pkg/poolowner/loading.go
+++ b/pkg/poolowner/loading.go
@@ -149,24 +149,34 @@
 func (o *Owner) watchJobs(ctx context.Context) {
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, jobsEvery)
-		items, at, err := o.deps.Store.Watch(ctx, jobstore.JobsPrefix, o.position.jobs, 0)
-		if errors.Is(err, platform.ErrHistoryIsGone) {
-			_ = o.listJobs(ctx)
-			o.wake()
-			continue
-		}
-		if err != nil || len(items) == 0 {
-			if err == nil {
-				o.position.jobs = at
-			}
-			continue
+		if err := o.lookForJobs(ctx); err != nil && ctx.Err() == nil {
+			o.followsJobs.Lost(err)
 		}
-		o.mu.Lock()
-		o.takeJobs(items, nil)
-		o.mu.Unlock()
-		o.position.jobs = at
+	}
+}
+
+// lookForJobs takes in the jobs that were written since the last look.
+func (o *Owner) lookForJobs(ctx context.Context) error {
+	asked := o.deps.Clock.Now()
+	items, at, err := o.deps.Store.Watch(ctx, jobstore.JobsPrefix, o.position.jobs, 0)
+	if errors.Is(err, platform.ErrHistoryIsGone) {
+		err = o.listJobs(ctx)
+		at = o.position.jobs
 		o.wake()
 	}
+	if err != nil {
+		return err
+	}
+	o.followsJobs.Known(asked)
+	o.position.jobs = at
+	if len(items) == 0 {
+		return nil
+	}
+	o.mu.Lock()
+	o.takeJobs(items, nil)
+	o.mu.Unlock()
+	o.wake()
+	return nil
 }
 
 // listWorkers reads all entries of workers.
@@ -202,10 +212,10 @@
 			at = o.position.workers
 		}
 		if err != nil {
-			o.beats.interrupted()
-			clock.Sleep(ctx, storeRetry)
+			o.loseWorkers(ctx, err)
 			continue
 		}
+		o.followsWorkers.Known(o.deps.Clock.Now())
 		o.takeWorkers(items)
 		o.openSessions(ctx)
 		o.writeRoster(ctx)
@@ -214,6 +224,15 @@
 	}
 }
 
+// loseWorkers takes in that the workers' entries could not be read, and waits a little.
+func (o *Owner) loseWorkers(ctx context.Context, err error) {
+	o.beats.interrupted()
+	if ctx.Err() == nil {
+		o.followsWorkers.Lost(err)
+	}
+	clock.Sleep(ctx, storeRetry)
+}
+
 // pauseAfter is how long the next watch on the workers' entries is put off after an answer with
 // a number of changes. There is no pause until the owner has caught up.
 func pauseAfter(changes int) time.Duration {
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -112,6 +112,8 @@
 	roster    []dispatch.WorkerID // as written last; of the duty that watches workers
 	beats     beats               // of the duty that watches workers
 	position  position            // each field belongs to one duty
+	// followsJobs and followsWorkers are of the duties that watch these.
+	followsJobs, followsWorkers *jobstore.Following
 
 	lanes   [jobstore.CommitLanes]commitLane // of the duty that commits
 	yield   atomic.Pointer[string]
@@ -131,6 +133,8 @@
 		sessions:    map[dispatch.WorkerID]*workerSession{}, members: map[string]*member{}, near: map[string]bool{},
 		cancelled: map[job.ID]bool{}, committed: make(chan struct{}), lanes: newLanes(claim),
 		beats: newBeats(deps.Heartbeat), upkeep: upkeep.New(),
+		followsJobs:    jobstore.NewFollowing(jobstore.JobsPrefix, deps.Clock, deps.Log),
+		followsWorkers: jobstore.NewFollowing(platform.WorkersPrefix, deps.Clock, deps.Log),
 	}
 	lease := min(maxLease, deps.Bounds.MaxHold-leaseMargin)
 	o.pool = dispatch.New(dispatch.Config{
