--- a/pkg/jobhost/door.go
+++ b/pkg/jobhost/door.go
@@ -41,7 +41,7 @@
 // noQueue answers a request for a queue that the configuration in force does not have. A host that may have missed a
 // newer one can't deny that the queue exists: a caller that believes a 404 does not come back.
 func (h *Host) noQueue(cfg *queue.Config, asked string) error {
-	age := h.operator.Age()
+	age := h.operatorKeys.Age()
 	err := errors.Wrapf(platform.ErrNoQueue, "configuration %d has no queue %q", cfg.Version, asked)
 	if age > h.cfg.Load().Bounds.ConfigApply {
 		err = errors.Wrapf(platform.ErrRefused, "there may be a newer configuration than %d", cfg.Version)
@@ -128,7 +128,7 @@
 func (h *Host) logOutcome(event string, id job.ID, queueName, steps string, started clock.Time, err error) {
 	fields := logrus.Fields{
 		"job": id, "queue": queueName, "took_ms": h.clk.Now().Sub(started).Milliseconds(),
-		"config": h.config.Load().Version, "config_age_ms": h.operator.Age().Milliseconds(), "term": h.knownTerm(), "store_age_ms": h.storeAge().Milliseconds(),
+		"config": h.config.Load().Version, "config_age_ms": h.operatorKeys.Age().Milliseconds(), "term": h.knownTerm(), "store_age_ms": h.storeAge().Milliseconds(),
 	}
 	if steps != "" {
 		fields["steps"] = steps
--- a/pkg/jobhost/figures.go
+++ b/pkg/jobhost/figures.go
@@ -47,7 +47,7 @@
 	if cfg := h.config.Load(); cfg != nil {
 		writeFigure(w, "config.version", float64(cfg.Version))
 	}
-	writeFigure(w, "config.age_ms", float64(h.operator.Age().Milliseconds()))
+	writeFigure(w, "config.age_ms", float64(h.operatorKeys.Age().Milliseconds()))
 	writeFigure(w, "owner.term", float64(h.knownTerm()))
 	o := h.owner.Load()
 	writeFigure(w, "owner.self", boolFigure(o != nil))
--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -54,14 +54,14 @@
 	worker *platform.Workers
 	advice atomic.Pointer[platform.Adviser] // nil when there is no advice service
 
-	config   atomic.Pointer[queue.Config]
-	operator *follower // of the operator's keys
-	intake   *intake
-	figures  *figures
-	election election
-	member   atomic.Pointer[poolrpc.Member]
-	owner    atomic.Pointer[poolowner.Owner]
-	stopping atomic.Bool
+	config       atomic.Pointer[queue.Config]
+	operatorKeys *follower // the configuration and waves
+	intake       *intake
+	figures      *figures
+	election     election
+	member       atomic.Pointer[poolrpc.Member]
+	owner        atomic.Pointer[poolowner.Owner]
+	stopping     atomic.Bool
 
 	mu    sync.Mutex
 	waves map[int64]upkeep.Wave // that the operator asks for
@@ -84,7 +84,7 @@
 		election: election{changed: make(chan struct{}, 1)},
 	}
 	h.cfg.Store(&cfg)
-	h.operator = h.newConfigFollower()
+	h.operatorKeys = h.newConfigFollower()
 	h.setAdvice(cfg.Advice)
 	return h
 }
@@ -159,7 +159,7 @@
 }
 
 func (h *Host) startDuties(ctx context.Context, peers net.Listener) {
-	h.duties.Go(func() { h.operator.run(ctx) })
+	h.duties.Go(func() { h.operatorKeys.run(ctx) })
 	h.duties.Go(func() { h.intake.run(ctx) })
 	h.duties.Go(func() { h.newOwnerFollower().run(ctx) })
 	h.duties.Go(func() { h.campaign(ctx) })
