--- /dev/null
+++ b/pkg/dispatch/cancel_test.go
@@ -0,0 +1,45 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/job"
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+)
+
+// A worker that leaves a start unanswered may carry it out seconds later, after the job was cancelled.
+func TestRunThatBeginsLongAfterItsJobWasCancelledIsStopped(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	f.reportAll(1)
+	f.add(testJob("a", testStep(1)))
+	s := f.plan().Starts[0]
+	f.pool.StartAnswered(s, Answer{}, errors.New("no answer"), f.now)
+	f.pool.Cancel("a")
+	for range 3 { // nothing runs yet
+		f.pass(time.Second)
+		f.report(0, Report{})
+		f.plan()
+	}
+	f.report(0, Report{Active: []Active{{Task: s.Task, Run: s.Run}}})
+	f.Expect(stoppedRuns(f.plan())).To(ConsistOf(s.Run))
+}
+
+// The owner that started a task is gone, and its job is cancelled before the next owner hears of the run.
+func TestRunOfAFormerOwnerIsStoppedWhenItsJobIsCancelled(t *testing.T) {
+	f := newFixture(t, 1, afterFormerOwner)
+	f.add(testJob("a", testStep(1)))
+	f.pool.Cancel("a")
+	task := job.TaskID{StepID: job.StepID{Job: "a"}}
+	f.report(0, Report{Active: []Active{{Task: task, Run: 1}}})
+	f.Expect(stoppedRuns(f.plan())).To(ConsistOf(1))
+}
+
+func stoppedRuns(a Actions) []int {
+	var runs []int
+	for _, s := range a.Stops {
+		runs = append(runs, s.Run)
+	}
+	return runs
+}
