Tell in the log which life of a worker a report is from, and when reports count as overtaken

The log could not tell whether a run was lost because its end was passed over, or because orders of a former life reached the next one: no line said which life had answered. New lines life_reported and reports_overtaken, born in worker_listed. No decision is changed.

--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -28,6 +28,8 @@
 	Draining bool
 	// Remaining is the least time that a draining worker has left; 0 when not told.
 	Remaining time.Duration
+	// Born is when its process started, by its own time of day in Unix ms; 0 when not told.
+	Born int64 `json:",omitempty"`
 	// Crashed says that the worker has gone, and that a later owner may not know under which starts.
 	Crashed bool `json:",omitempty"`
 }
@@ -108,6 +110,8 @@
 
 // Report is what a worker lists in answer to a hold.
 type Report struct {
+	// Born is when the process that reports started (WorkerInfo.Born); 0 when not told.
+	Born     int64
 	Active   []Active
 	Finished []Finished
 }
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -35,6 +36,7 @@
 		return
 	}
 	overtaken := a.Clock < w.clock
+	p.logLife(w, h, a, report)
 	w.heard(a.Clock, now)
 	w.lastAnswer = now
 	w.provenAt = max(w.provenAt, h.SentAt)
@@ -53,6 +55,22 @@
 	}
 }
 
+// logLife tells in the log that a report is of another life of the worker than the one before, and since when reports
+// count as overtaken.
+func (p *Pool) logLife(w *worker, h Hold, a Answer, report Report) {
+	if report.Born != 0 && report.Born != w.reportedBorn {
+		p.cfg.Log(Event{Name: "life_reported", Worker: w.info.ID, Detail: fmt.Sprintf(
+			"born=%d before=%d entry=%d clock=%d clock_before=%d last_seen=%d seen=%d ends=%d runs=%d counted=%d", report.Born, w.reportedBorn, w.info.Born,
+			a.Clock, w.clock, h.LastSeen, w.seen, len(report.Finished), len(report.Active), len(w.runs))})
+		w.reportedBorn = report.Born
+	}
+	if overtaken := a.Clock < w.clock; overtaken != w.overtaken {
+		w.overtaken = overtaken
+		p.cfg.Log(Event{Name: "reports_overtaken", Worker: w.info.ID, Detail: fmt.Sprintf(
+			"%t clock=%d clock_before=%d", overtaken, a.Clock, w.clock)})
+	}
+}
+
 // checkFence tells a token that we raised ourselves from one of a later owner.
 func (p *Pool) checkFence(w *worker, sent int64) {
 	if sent >= w.token {
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -43,7 +43,10 @@
 	gone     bool       // the incarnation has ended, or can't run anything any more
 	fenced   bool       // it has answered this owner
 	reported bool       // its lists were taken in
-	token    int64
+	// reportedBorn is the life of the last report, and overtaken says that it did not count for what runs.
+	reportedBorn int64
+	overtaken    bool
+	token        int64
 
 	clock      int64 // its clock when it answered last …
 	clockAt    clock.Time
--- a/pkg/poolowner/loading.go
+++ b/pkg/poolowner/loading.go
@@ -287,7 +287,7 @@
 
 func (o *Owner) logWorker(w dispatch.WorkerInfo) {
 	o.deps.Log.WithFields(logrus.Fields{
-		"worker": w.ID, "address": w.Address, "zone": w.Zone, "rack": w.Rack, "labels": strings.Join(w.Labels, ","), "draining": w.Draining, "capacity": w.Capacity,
+		"worker": w.ID, "address": w.Address, "zone": w.Zone, "rack": w.Rack, "labels": strings.Join(w.Labels, ","), "draining": w.Draining, "capacity": w.Capacity, "born": w.Born,
 	}).Info("worker_listed")
 }
 
