--- a/pkg/dispatch/history_call_test.go
+++ b/pkg/dispatch/history_call_test.go
@@ -21,11 +21,16 @@
 // send has a call carried out by a worker and its answer taken in, unless one of them is lost or the
 // answer comes after the limit. A call without an answer may be carried out seconds later.
 func (w *world) send(m *modelWorker, limit time.Duration, carryOut func() (answer func()), unanswered func()) {
+	w.sendUnless(m, limit, carryOut, unanswered, func() bool { return false })
+}
+
+// sendUnless is send for a call that is not carried out late when dropped says so.
+func (w *world) sendUnless(m *modelWorker, limit time.Duration, carryOut func() (answer func()), unanswered func(), dropped func() bool) {
 	lost := m.cut || m.dead || w.chance(0.03)
 	if lost {
 		if !m.dead && w.chance(0.3) {
 			w.later(w.between(time.Second, 6*time.Second), func() {
-				if !m.dead {
+				if !m.dead && !dropped() {
 					w.late = true
 					carryOut()
 					w.late = false
@@ -65,14 +70,14 @@
 		w.later(callLimit/2, func() { o.pool.StartAnswered(s, a, nil, w.now) })
 		return
 	}
-	sentAt := w.now
-	w.send(m, callLimit, func() func() {
+	sentAt, born := w.now, m.born
+	w.sendUnless(m, callLimit, func() func() {
 		a := w.start(m, s)
 		if a.Verdict == VerdictDone && w.now.Sub(sentAt) < callLimit {
 			w.checkNotShown(m, s)
 		}
 		return func() { o.pool.StartAnswered(s, a, nil, w.now) }
-	}, func() { o.pool.StartAnswered(s, Answer{}, fmt.Errorf("no answer"), w.now) })
+	}, func() { o.pool.StartAnswered(s, Answer{}, fmt.Errorf("no answer"), w.now) }, func() bool { return m.born != born && !w.awaited(m, s) })
 }
 
 func (w *world) sendStop(o *modelOwner, s Stop) {
--- /dev/null
+++ b/pkg/dispatch/history_lives_test.go
@@ -0,0 +1,149 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/clock"
+)
+
+// Workers of the random histories that start again under the id that they had, and the entries that they write.
+
+const (
+	// leastDowntime is how long a worker takes to start again at least.
+	leastDowntime = 550 * time.Millisecond
+	// entryBeat is how often a worker writes its entry.
+	entryBeat = 1500 * time.Millisecond
+	// entryLife is after how long an entry goes that is not written.
+	entryLife = 3 * entryBeat
+)
+
+// modelEntry is the entry of a worker in the store.
+type modelEntry struct {
+	info    WorkerInfo
+	gone    bool
+	version int
+	written clock.Time
+}
+
+// bear begins the next life of a worker. It may end again before it has written its entry.
+func (w *world) bear(m *modelWorker) {
+	m.born = 1_700_000_000_000 + w.rand.Int64N(1_000_000) // by its own time of day, which may have been stepped
+	m.rate, m.origin = 0.98+0.02*w.rand.Float64(), float64(w.rand.IntN(500_000))
+	m.token, m.lease, m.lapsedAt, m.lastEnd, m.ended = 0, 0, 0, 0, nil
+	clear(m.endedAt)
+	clear(m.highest)
+	m.capacity = cell.Resources{CPUMillis: 3000 + 1000*w.rand.Int64N(2), MemoryMB: 8000}
+	m.dead = false
+	w.note("%s begins life %d", m.id, m.born)
+	if w.chance(0.15) {
+		w.later(w.between(100*time.Millisecond, time.Second), func() {
+			if !m.dead {
+				w.crash(m)
+			}
+		})
+	}
+	w.beat(m, w.between(0, 300*time.Millisecond))
+}
+
+// beat has a life write its entry after a time, and again and again until it ends. The last write may be carried out late.
+func (w *world) beat(m *modelWorker, after time.Duration) {
+	born := m.born
+	w.later(after, func() {
+		late := m.dead && w.chance(0.1) || m.born != born && w.chance(0.05)
+		if (m.dead || m.born != born) && !late {
+			return
+		}
+		info := w.infoOf(m)
+		info.ID, info.Born = lifeID(numberOf(m.id), born), born
+		if m.entry.gone || m.entry.info.Born != born {
+			m.entry.info, m.entry.gone = info, false
+			m.entry.version++
+			w.note("%s: the entry of life %d is written", m.id, born)
+		}
+		m.entry.written = w.now
+		if !late {
+			w.beat(m, entryBeat)
+		}
+	})
+}
+
+func (w *world) infoOf(m *modelWorker) WorkerInfo {
+	return WorkerInfo{ID: lifeID(numberOf(m.id), m.born), Born: m.born, Pool: "pool", Address: m.address, Capacity: m.capacity}
+}
+
+// expireEntries has entries go that are not written any more.
+func (w *world) expireEntries() {
+	for _, m := range w.worker {
+		if !m.entry.gone && m.entry.version > 0 && w.now.Sub(m.entry.written) > entryLife {
+			m.entry.gone = true
+			m.entry.version++
+		}
+	}
+}
+
+// readEntries has an owner read the entries that have changed, unless it does not reach the store.
+func (w *world) readEntries(o *modelOwner) {
+	if w.now < o.storeAwayUntil {
+		return
+	}
+	if w.now < w.troubleUntil && w.chance(0.002) {
+		o.storeAwayUntil = w.now.Add(w.between(200*time.Millisecond, 7*time.Second))
+		w.note("owner %d does not reach the store until %d", o.term, o.storeAwayUntil)
+		return
+	}
+	for n, m := range w.worker {
+		if o.entries[n] == m.entry.version {
+			continue
+		}
+		o.entries[n] = m.entry.version
+		if m.entry.gone {
+			o.entryGone(n, w.now)
+		} else {
+			o.pool.PutWorker(m.entry.info, true, w.now)
+		}
+	}
+}
+
+func (o *modelOwner) entryGone(n int, now clock.Time) {
+	o.pool.UnlistWorker(workerID(n), false, now)
+}
+
+// readRoster has a new owner read which workers the former one used.
+func (w *world) readRoster(o *modelOwner) {
+	known := o.pool.Workers()
+	for _, info := range w.roster {
+		switch {
+		case info.Crashed:
+			o.pool.MissCrash(info)
+		case !slices.ContainsFunc(known, func(k WorkerInfo) bool { return k.ID == info.ID }):
+			o.pool.PutWorker(info, false, w.now)
+		}
+	}
+}
+
+// writeRoster has the present owner write the roster, which it has to before it uses a worker.
+func (w *world) writeRoster(o *modelOwner) {
+	if o != w.present() || o.ended || w.now < o.storeAwayUntil {
+		return
+	}
+	w.roster = o.pool.Roster()
+	var ids []WorkerID
+	for _, info := range w.roster {
+		ids = append(ids, info.ID)
+	}
+	o.pool.Rostered(ids)
+}
+
+// awaited says that the present owner still counts with a start on a worker. An order that is carried out by the next life of its worker after
+// its task was started elsewhere can't be prevented: that life has seen no token.
+func (w *world) awaited(m *modelWorker, s Start) bool {
+	p := w.present().pool
+	for _, k := range p.workers {
+		if _, there := k.runs[runKey{s.Task, s.Run}]; there && numberOf(k.info.ID) == numberOf(m.id) {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/dispatch/history_owner_test.go
+++ b/pkg/dispatch/history_owner_test.go
@@ -20,7 +20,7 @@
 		}
 	}
 	term := w.term
-	o := &modelOwner{term: term, holding: map[WorkerID]clock.Time{}}
+	o := &modelOwner{term: term, holding: map[WorkerID]clock.Time{}, entries: map[int]int{}}
 	o.pool = New(Config{
 		Hold: 5700 * time.Millisecond, MaxHold: 5700 * time.Millisecond, Drain: time.Second, StopGrace: 400 * time.Millisecond,
 		Token: w.term << 20, Term: w.term, FirstRun: int(w.term) * 1000, Takeover: w.term > 1, AuthorityTerm: ownerTerm + 200*time.Millisecond,
@@ -31,6 +31,28 @@
 	}, w.now)
 	o.pool.SetConfig(queue.NewConfig(1, []queue.Queue{testQueue}, nil))
 	w.owners = append(w.owners, o)
+	w.listWorkers(o)
+	for _, id := range w.jobs() {
+		if s := w.store[id]; s.outcome == "" {
+			o.pool.AddJob(s.record, s.progress, s.stored, 0, w.now)
+			if s.cancelled {
+				o.pool.Cancel(id)
+			}
+		} else {
+			o.pool.AddOutcome(id, s.outcome, w.now)
+		}
+	}
+	o.pool.SetLoaded()
+	w.note("owner %d elected", w.term)
+}
+
+// listWorkers has a new owner read the entries and the roster.
+func (w *world) listWorkers(o *modelOwner) {
+	if w.reborn {
+		w.readEntries(o)
+		w.readRoster(o)
+		return
+	}
 	for _, m := range w.worker {
 		if !m.dead {
 			w.meet(o, m)
@@ -44,18 +66,6 @@
 			o.pool.PutWorker(info, false, w.now)
 		}
 	}
-	for _, id := range w.jobs() {
-		if s := w.store[id]; s.outcome == "" {
-			o.pool.AddJob(s.record, s.progress, s.stored, 0, w.now)
-			if s.cancelled {
-				o.pool.Cancel(id)
-			}
-		} else {
-			o.pool.AddOutcome(id, s.outcome, w.now)
-		}
-	}
-	o.pool.SetLoaded()
-	w.note("owner %d elected", w.term)
 }
 
 // meet takes in a worker's entry. Only the present owner can put a worker into the roster, since
@@ -67,6 +77,21 @@
 	}
 }
 
+// sessions lists the workers that an owner asks.
+func (w *world) sessions(o *modelOwner) []WorkerID {
+	var out []WorkerID
+	if w.reborn {
+		for _, info := range o.pool.Workers() {
+			out = append(out, info.ID)
+		}
+		return out
+	}
+	for _, m := range w.worker {
+		out = append(out, m.id)
+	}
+	return out
+}
+
 // jobs lists the jobs of the store, in order.
 func (w *world) jobs() []job.ID {
 	var ids []job.ID
@@ -87,6 +112,9 @@
 		o.ended = true
 		return
 	}
+	if w.reborn {
+		w.readEntries(o)
+	}
 	actions := o.pool.Plan(w.now, true)
 	for _, s := range actions.Starts {
 		w.sendStart(o, s)
@@ -97,9 +125,9 @@
 	for _, id := range actions.Settles {
 		w.sendHold(o, id, true)
 	}
-	for _, m := range w.worker {
-		if w.now >= o.holding[m.id] {
-			w.sendHold(o, m.id, false)
+	for _, id := range w.sessions(o) {
+		if w.now >= o.holding[id] {
+			w.sendHold(o, id, false)
 		}
 	}
 	if actions.Confirm {
@@ -107,7 +135,9 @@
 	}
 	o.pool.Inspect(w.now)
 	w.commit(o)
-	if w.crashing && o == w.present() && !o.ended {
+	if w.reborn {
+		w.writeRoster(o)
+	} else if w.crashing && o == w.present() && !o.ended {
 		w.roster = o.pool.Roster()
 	}
 }
@@ -115,7 +145,7 @@
 // confirm asks the store, which may be away, who the owner is.
 func (w *world) confirm(o *modelOwner) {
 	sentAt := w.now
-	if o.confirming || w.chance(0.1) {
+	if o.confirming || w.chance(0.1) || w.now < o.storeAwayUntil {
 		return
 	}
 	o.confirming = true
@@ -134,6 +164,9 @@
 
 // commit writes what an owner has decided; a former owner's commit fails and ends it.
 func (w *world) commit(o *modelOwner) {
+	if w.now < o.storeAwayUntil {
+		return
+	}
 	c := o.pool.TakeCommit()
 	if c.Empty() {
 		return
--- a/pkg/dispatch/history_test.go
+++ b/pkg/dispatch/history_test.go
@@ -45,6 +45,9 @@
 	until   clock.Time // end of its authority; 0 while it is the present owner
 	holding map[WorkerID]clock.Time
 	ended   bool
+	// storeAwayUntil is until when it does not reach the store, and entries the versions of the workers' entries that it has read.
+	storeAwayUntil clock.Time
+	entries        map[int]int
 	// confirming says that the store is being asked who the owner is.
 	confirming bool
 }
@@ -83,10 +86,14 @@
 	// does so, under counts the workers that crashed under a task, and after its starts since the third of them.
 	crashing bool
 	// roster is what the store has of the workers that are in use; it is kept in histories with such tasks.
-	roster   []WorkerInfo
-	crashers map[job.ID]int
-	under    map[job.TaskID]int
-	after    map[job.TaskID]int
+	roster []WorkerInfo
+	// reborn says that workers start again under the id that they had.
+	reborn bool
+	// troubleUntil is when the last trouble begins.
+	troubleUntil clock.Time
+	crashers     map[job.ID]int
+	under        map[job.TaskID]int
+	after        map[job.TaskID]int
 }
 
 // storedJob is what the store has of a job.
@@ -139,7 +146,7 @@
 		w.cancel(ids[w.rand.IntN(len(ids))])
 	}
 	for _, m := range w.worker {
-		if !m.dead && w.chance(0.0005) {
+		if !m.dead && w.chance(w.crashChance()) {
 			w.crash(m)
 		}
 		if w.chance(0.002) {
@@ -150,6 +157,14 @@
 	}
 }
 
+// crashChance is the probability that a worker crashes at a tick. Histories with lives under one id are about that.
+func (w *world) crashChance() float64 {
+	if w.reborn {
+		return 0.002
+	}
+	return 0.0005
+}
+
 // handIn accepts a job.
 func (w *world) handIn(n int) {
 	id := job.ID(fmt.Sprintf("%016d", n))
@@ -189,12 +204,19 @@
 
 // play plays a history; calm says that nothing goes wrong any more.
 func (w *world) play() {
+	if w.reborn {
+		for _, m := range w.worker {
+			w.bear(m)
+			m.entry = modelEntry{info: w.infoOf(m), version: 1, written: w.now}
+		}
+	}
 	w.elect()
 	end := w.now.Add(historyLength)
 	if w.crashing {
 		end = end.Add(crashingLength)
 	}
 	calm := w.now.Add(historyLength - historyCalm)
+	w.troubleUntil = calm
 	handedIn := 0
 	for ; w.now < end && !w.bad; w.now = w.now.Add(historyTick) {
 		w.wall = w.wall.Add(historyTick)
@@ -208,6 +230,7 @@
 		for _, m := range w.worker {
 			w.advance(m)
 		}
+		w.expireEntries()
 		w.deliver()
 		for _, o := range w.owners {
 			w.act(o)
@@ -260,6 +283,23 @@
 	playCrashes(t, func(w *world) { w.relayed = true })
 }
 
+func TestPromisesHoldWhenWorkersStartAgainUnderTheirIDs(t *testing.T) {
+	t.Run("on their own", func(t *testing.T) {
+		playHistories(t, func(w *world) { w.reborn = true })
+	})
+	t.Run("behind relays", func(t *testing.T) {
+		playHistories(t, func(w *world) { w.reborn, w.relayed = true, true })
+	})
+	t.Run("under tasks that crash them", func(t *testing.T) {
+		playCrashes(t, func(w *world) {
+			w.reborn = true
+			for range historyWorkers {
+				w.addWorker()
+			}
+		})
+	})
+}
+
 // crashSeeds are seeds of histories with crashes that once broke a promise, with the cause.
 var crashSeeds = []uint64{
 	13,   // the next owner did not ask workers that had crashed unseen, and so did not count their crashes
--- a/pkg/dispatch/history_worker_test.go
+++ b/pkg/dispatch/history_worker_test.go
@@ -56,6 +56,8 @@
 	cut      bool
 	dead     bool
 	replaced bool // another incarnation answers at its address
+	born     int64
+	entry    modelEntry // in the store; kept in histories with lives under one id
 }
 
 func (m *modelWorker) clock(now clock.Time) int64 {
@@ -276,7 +278,7 @@
 		}
 	}
 	m.ended = slices.DeleteFunc(m.ended, func(f Finished) bool { return f.Number <= h.LastSeen })
-	report := Report{Finished: slices.Clone(m.ended)}
+	report := Report{Born: m.born, Finished: slices.Clone(m.ended)}
 	for _, r := range m.runs {
 		report.Active = append(report.Active, Active{Task: r.task, Run: r.run, Percent: 1 + w.rand.IntN(90)})
 	}
@@ -352,6 +354,10 @@
 		}
 	}
 	clear(m.runs)
+	if w.reborn {
+		w.later(w.between(leastDowntime, 4*time.Second), func() { w.bear(m) })
+		return
+	}
 	w.later(w.between(time.Second, 4*time.Second), func() {
 		m.replaced = true
 		next := w.addWorker()
