Take each life of a worker for another worker

Cause: what was kept of a worker was kept by its id, which it keeps when it starts again. Its ends were passed over and noted unread by the numbers of the life before, and its reports taken for overtaken by that life's clock. Now a worker's ID is made of its name and the start of its life, once, in the adapter. A life ends when another one answers a hold that was sent after its last sign; entries and late answers end none. Starts that no list has shown go over to the next life until a hold with a higher token has been answered there; tokens rise over all lives; what was noted is told only to a worker that was heard of just before or has nothing on its way. Ruled out: resetting what is kept by id (leases, tokens, tickets, attempts in the store and relays would each have to be thought of).

--- a/pkg/dispatch/closing.go
+++ b/pkg/dispatch/closing.go
@@ -1,20 +1,36 @@
 package dispatch
 
-// Close keeps exactly the named workers from getting new tasks.
-func (p *Pool) Close(ids map[WorkerID]bool) {
-	for id, w := range p.workers {
-		w.closed = ids[id]
+import "slices"
+
+// Close keeps exactly the named workers from getting new tasks, in all their lives.
+func (p *Pool) Close(names map[string]bool) {
+	for name := range names {
+		p.lineageOf(name)
+	}
+	for name, l := range p.lineages {
+		l.closed = names[name]
 	}
 }
 
 // Empty says whether a worker may be taken away: nothing runs there any more. With force,
 // what runs there is moved first; a step that lasts loses no more tasks than it allows.
-func (p *Pool) Empty(id WorkerID, force bool) bool {
-	w, ok := p.workers[id]
-	if !ok || w.gone {
+func (p *Pool) Empty(name string, force bool) bool {
+	l, ok := p.lineages[name]
+	if !ok {
+		return true
+	}
+	empty := true
+	for _, w := range slices.Clone(l.lives) {
+		empty = p.empty(w, force) && empty
+	}
+	return empty
+}
+
+func (p *Pool) empty(w *worker, force bool) bool {
+	if w.gone {
 		return true
 	}
-	if !w.reported || !w.closed {
+	if !w.reported || !w.line.closed {
 		return false
 	}
 	for _, r := range sortedRuns(w) {
--- a/pkg/dispatch/history_lives_test.go
+++ b/pkg/dispatch/history_lives_test.go
@@ -56,8 +56,8 @@
 			return
 		}
 		info := w.infoOf(m)
-		info.ID, info.Born = lifeID(numberOf(m.id), born), born
-		if m.entry.gone || m.entry.info.Born != born {
+		info.ID = lifeID(numberOf(m.id), born)
+		if m.entry.gone || m.entry.info.ID.Born() != born {
 			m.entry.info, m.entry.gone = info, false
 			m.entry.version++
 			w.note("%s: the entry of life %d is written", m.id, born)
@@ -70,7 +70,7 @@
 }
 
 func (w *world) infoOf(m *modelWorker) WorkerInfo {
-	return WorkerInfo{ID: lifeID(numberOf(m.id), m.born), Born: m.born, Pool: "pool", Address: m.address, Capacity: m.capacity}
+	return WorkerInfo{ID: lifeID(numberOf(m.id), m.born), Pool: "pool", Address: m.address, Capacity: m.capacity}
 }
 
 // expireEntries has entries go that are not written any more.
@@ -107,7 +107,7 @@
 }
 
 func (o *modelOwner) entryGone(n int, now clock.Time) {
-	o.pool.UnlistWorker(workerID(n), false, now)
+	o.pool.EntryGone(string(workerID(n)), false, now)
 }
 
 // readRoster has a new owner read which workers the former one used.
--- a/pkg/dispatch/history_owner_test.go
+++ b/pkg/dispatch/history_owner_test.go
@@ -22,11 +22,14 @@
 	term := w.term
 	o := &modelOwner{term: term, holding: map[WorkerID]clock.Time{}, entries: map[int]int{}}
 	o.pool = New(Config{
-		Hold: 5700 * time.Millisecond, MaxHold: 5700 * time.Millisecond, Drain: time.Second, StopGrace: 400 * time.Millisecond,
+		Hold: 5700 * time.Millisecond, MaxHold: 5700 * time.Millisecond, LongestLease: platformHold, Drain: time.Second, StopGrace: 400 * time.Millisecond,
 		Token: w.term << 20, Term: w.term, FirstRun: int(w.term) * 1000, Takeover: w.term > 1, AuthorityTerm: ownerTerm + 200*time.Millisecond,
 		Wall: func() time.Time { return w.wall }, Without: w.without,
 		Log: func(e Event) {
 			w.note("owner %d %s %s run %d %s %s", term, e.Name, e.Task, e.Run, e.Worker, e.Detail)
+			if m := w.worker[numberOf(e.Worker)]; e.Name == "crash_counted" && (m.dead || m.born != e.Worker.Born()) {
+				w.lost[e.Task]++
+			}
 		},
 	}, w.now)
 	o.pool.SetConfig(queue.NewConfig(1, []queue.Queue{testQueue}, nil))
@@ -34,7 +37,7 @@
 	w.listWorkers(o)
 	for _, id := range w.jobs() {
 		if s := w.store[id]; s.outcome == "" {
-			o.pool.AddJob(s.record, s.progress, s.stored, 0, w.now)
+			o.pool.AddJob(s.record, copied(s.progress), s.stored, 0, w.now)
 			if s.cancelled {
 				o.pool.Cancel(id)
 			}
@@ -92,6 +95,16 @@
 	return out
 }
 
+// copied is progress as an owner reads it from the store, which no other owner changes.
+func copied(p job.Progress) job.Progress {
+	out := job.Progress{Tasks: slices.Clone(p.Tasks)}
+	for i := range out.Tasks {
+		row := &out.Tasks[i]
+		row.Failures, row.Attempts, row.Crashes = slices.Clone(row.Failures), slices.Clone(row.Attempts), slices.Clone(row.Crashes)
+	}
+	return out
+}
+
 // jobs lists the jobs of the store, in order.
 func (w *world) jobs() []job.ID {
 	var ids []job.ID
--- a/pkg/dispatch/history_test.go
+++ b/pkg/dispatch/history_test.go
@@ -89,6 +89,8 @@
 	roster []WorkerInfo
 	// reborn says that workers start again under the id that they had.
 	reborn bool
+	// lost counts the workers that had crashed when an owner counted that against a task.
+	lost map[job.TaskID]int
 	// troubleUntil is when the last trouble begins.
 	troubleUntil clock.Time
 	crashers     map[job.ID]int
@@ -112,7 +114,7 @@
 		t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, 0)), now: 100_000, wall: time.Unix(1_700_000_000, 0),
 		store: map[job.ID]*storedJob{}, gangs: map[gangKey]*modelGang{},
 		done: map[job.TaskID]bool{}, ended: map[job.TaskID]bool{}, failed: map[job.TaskID]int{},
-		ends: map[job.TaskID]int{}, crashers: map[job.ID]int{}, under: map[job.TaskID]int{}, after: map[job.TaskID]int{},
+		ends: map[job.TaskID]int{}, crashers: map[job.ID]int{}, under: map[job.TaskID]int{}, after: map[job.TaskID]int{}, lost: map[job.TaskID]int{},
 	}
 	for range historyWorkers {
 		w.addWorker()
--- a/pkg/dispatch/history_worker_test.go
+++ b/pkg/dispatch/history_worker_test.go
@@ -247,6 +247,11 @@
 			return
 		}
 	}
+	for id, n := range w.lost {
+		if id.Job == c.Job && n >= mostCrashes {
+			return // whatever these workers crashed for
+		}
+	}
 	w.broken("%s is given up without a cause", c.Job)
 }
 
--- a/pkg/dispatch/lasting_test.go
+++ b/pkg/dispatch/lasting_test.go
@@ -107,7 +107,7 @@
 	}
 	f.report(0, reports[0])
 	f.report(1, reports[1])
-	f.pool.Close(map[WorkerID]bool{"w0": true, "w1": true})
+	f.pool.Close(map[string]bool{"w0": true, "w1": true})
 	f.Expect(f.pool.Empty("w0", false)).To(BeFalse())
 	f.Expect(f.pool.Empty("w1", false)).To(BeFalse())
 	f.Expect(f.plan().Stops).To(HaveLen(1), "one of its tasks may be away")
--- /dev/null
+++ b/pkg/dispatch/lives.go
@@ -0,0 +1,205 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+)
+
+// A worker may start again under its name. What is kept of the life before is void then, since the two have
+// different IDs (WorkerID). What follows is what that does not settle:
+//
+//   - Which life is there now? A list tells, if it answers a hold that was sent after the last sign of every other
+//     life: lives don't overlap. Entries may be old, and answers late, so neither ends a life alone.
+//   - An order names the worker only, so the next life may have taken one that was meant for the life before. A
+//     start that no list of the life before has shown goes over to the next one, where it counts until a hold with a higher
+//     token has been answered.
+//   - Numbers of ends mean nothing to the next life, which would forget ends that nobody has read (mayNote).
+
+const (
+	// noteWithin is how long ago a worker may have answered to be told which ends are noted while starts are on their way to it. A
+	// process takes longer to end, to start again, to take a start and to end it.
+	noteWithin = 500 * time.Millisecond
+	// endedKept is how many lives that have ended are remembered of a worker: one a second for as long as an
+	// entry may be late (30 s, the longest wait of a watch).
+	endedKept = 30
+)
+
+// lineage is what is kept of a worker over all its lives.
+type lineage struct {
+	// token is the highest fencing token that any of them was given. They share it, since an order for one may reach the next.
+	token int64
+	// lives are those that are known, also ended ones until they are forgotten.
+	lives []*worker
+	// listed is the life whose entry stands in the store; empty for none.
+	listed WorkerID
+	// ended are lives after which another one was heard of, the latest last, and forgotten those that were taken for
+	// gone without that: one that was only cut off for long comes back.
+	ended, forgotten []WorkerID
+	closed           bool // the machine is being emptied
+}
+
+// lineageOf returns what is kept of a worker by name.
+func (p *Pool) lineageOf(name string) *lineage {
+	l, ok := p.lineages[name]
+	if !ok {
+		l = &lineage{token: p.cfg.Token}
+		p.lineages[name] = l
+	}
+	return l
+}
+
+// newWorker takes in a life of a worker that was not known.
+func (p *Pool) newWorker(info WorkerInfo, now clock.Time) *worker {
+	l := p.lineageOf(info.ID.Name())
+	if len(l.lives)+len(l.ended)+len(l.forgotten) > 0 {
+		l.raise(p.cfg.Token) // orders for another life may still be on their way
+	}
+	if slices.Contains(l.forgotten, info.ID) {
+		l.forgotten = slices.DeleteFunc(l.forgotten, func(id WorkerID) bool { return id == info.ID })
+		p.withdrawCrashes(info.ID)
+	}
+	w := &worker{info: info, line: l, runs: map[runKey]*run{}, knownAt: now, evidentAt: now}
+	l.lives = append(l.lives, w)
+	p.workers[info.ID] = w
+	p.sorted = nil
+	return w
+}
+
+// raise makes the token higher than that of all orders that were given. An owner's own tokens begin at first.
+func (l *lineage) raise(first int64) {
+	if l.token < first+MaxBumps {
+		l.token++
+	}
+}
+
+// list takes in that the entry of a life stands in the store. The others have none then. They may have ended, so they get no tasks until
+// they have answered a hold that was sent later.
+func (l *lineage) list(id WorkerID, now clock.Time) {
+	l.listed = id
+	for _, w := range l.lives {
+		if w.info.ID == id {
+			continue
+		}
+		w.unlist(now)
+		if !l.hasEnded(id) {
+			w.doubtedAt = now
+		}
+	}
+}
+
+func (l *lineage) hasEnded(id WorkerID) bool {
+	return slices.Contains(l.ended, id)
+}
+
+func (l *lineage) end(w *worker) {
+	l.ended = append(l.ended, w.info.ID)
+	if len(l.ended) > endedKept {
+		l.ended = l.ended[1:]
+	}
+}
+
+// forget drops a life that has gone. One that comes back would take the first token of this owner for that of a former one,
+// so the token stays.
+func (l *lineage) forget(w *worker) {
+	l.lives = slices.DeleteFunc(l.lives, func(o *worker) bool { return o == w })
+	if !l.hasEnded(w.info.ID) {
+		l.forgotten = append(l.forgotten, w.info.ID)
+	}
+}
+
+// alone says that no other life may be there.
+func (l *lineage) alone(w *worker) bool {
+	return !slices.ContainsFunc(l.lives, func(o *worker) bool { return o != w && !o.gone })
+}
+
+// doubted says that the entry of another life was read, and that this one has not answered a hold that was sent after that.
+func (w *worker) doubted() bool {
+	return w.doubtedAt != 0 && w.provenAt <= w.doubtedAt
+}
+
+// heardOf takes in which life has answered a hold with its lists, and ends those that were there before it. It says whether the
+// answer is of the life that was asked, and tells what runs on the worker.
+func (p *Pool) heardOf(w *worker, h Hold, born int64, now clock.Time) bool {
+	x := w
+	if born != 0 && born != w.info.ID.Born() {
+		x = p.otherLife(w, h, born, now)
+	}
+	if x == nil {
+		return false
+	}
+	for _, o := range slices.Clone(w.line.lives) {
+		if o != x && !o.gone && o.evidentAt <= h.SentAt {
+			p.succeed(o, x, now)
+		}
+	}
+	x.evidentAt = now
+	return x == w && w.line.alone(w)
+}
+
+// otherLife returns the life that has answered a hold in place of the one that was asked. It returns nil when that one may have been there before,
+// and its answer be late.
+func (p *Pool) otherLife(w *worker, h Hold, born int64, now clock.Time) *worker {
+	id := NewWorkerID(w.info.ID.Name(), born)
+	if w.line.hasEnded(id) || w.evidentAt > h.SentAt {
+		return nil
+	}
+	x, known := p.workers[id]
+	if known && x.gone {
+		return nil // it is forgotten before it is taken in again
+	}
+	if known {
+		return x
+	}
+	// Nobody has read its entry, so it gets no tasks: it may hold less than the life before.
+	x = p.newWorker(WorkerInfo{ID: id, Pool: w.info.Pool, Address: w.info.Address, Zone: w.info.Zone, Rack: w.info.Rack}, now)
+	p.meets = append(p.meets, x)
+	p.news = true
+	return x
+}
+
+// succeed takes in that a life has ended and the next one is there.
+func (p *Pool) succeed(former, next *worker, now clock.Time) {
+	former.gone = true
+	former.line.end(former)
+	former.unlist(now)
+	carried := former.notListedYet()
+	p.cfg.Log(Event{Name: "worker_started_again", Worker: next.info.ID, Detail: fmt.Sprintf(
+		"before=%s runs=%d may_have_gone_over=%d", former.info.ID, len(former.runs), len(carried))})
+	p.crashed(former, now)
+	for _, r := range carried {
+		p.carryOver(r, next)
+	}
+	p.loseRuns(former, now)
+	next.line.raise(p.cfg.Token)
+	next.follows = true
+	next.inherited = max(next.inherited, now.Add(lapseTime(p.cfg.LongestLease)))
+}
+
+// notListedYet lists the runs whose starts may have been taken by the next life: no list has shown them. An answer to a start
+// does not tell whose it is.
+func (w *worker) notListedYet() []*run {
+	var out []*run
+	for _, r := range sortedRuns(w) {
+		if !r.observed && !r.adopted && r.state != runStoring {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// carryOver counts a run on the next life of its worker, until that has told whether it is there.
+func (p *Pool) carryOver(r *run, next *worker) {
+	p.release(r)
+	r.worker, r.state = next, runUnsettled
+	r.startClock, r.proven, r.missing, r.stopSentAt = 0, false, 0, 0
+	p.count(r)
+}
+
+// mayNote says whether a worker may be told which of its ends are noted. The next life, if it is there by now, would forget as many of its own:
+// ends of starts that were meant for this one.
+func (w *worker) mayNote(now clock.Time) bool {
+	return now.Sub(w.lastAnswer) < noteWithin || len(w.notListedYet()) == 0
+}
--- a/pkg/dispatch/lives_test.go
+++ b/pkg/dispatch/lives_test.go
@@ -67,13 +67,13 @@
 }
 
 // lifeID names a life of worker n.
-func lifeID(n int, _ int64) WorkerID {
-	return workerID(n)
+func lifeID(n int, born int64) WorkerID {
+	return NewWorkerID(string(workerID(n)), born)
 }
 
 func (l life) info() WorkerInfo {
 	return WorkerInfo{
-		ID: l.id, Born: l.born, Pool: "pool", Address: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:80", l.number+1)), Rack: "r1-1",
+		ID: l.id, Pool: "pool", Address: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:80", l.number+1)), Rack: "r1-1",
 		Capacity: cell.Resources{CPUMillis: 4000, MemoryMB: 8000},
 	}
 }
@@ -97,7 +97,7 @@
 
 // entryGoes has the entry of a worker go.
 func (f *fixture) entryGoes(l life) {
-	f.pool.UnlistWorker(l.id, false, f.now)
+	f.pool.EntryGone(l.id.Name(), false, f.now)
 }
 
 // hold is the next hold that is sent to a life.
@@ -162,6 +162,33 @@
 	return starts[0]
 }
 
+// survives has a life list runs until their starts are known not to be what ends it.
+func (f *fixture) survives(l life, starts ...Start) {
+	f.reports(l, listed(starts...))
+	f.pass(provenAfter + 50*time.Millisecond)
+	f.reports(l, listed(starts...))
+}
+
+// startsAgain is what is started within a second in which a life goes on to list the same. What may have crashed a worker is stored
+// before it is started.
+func (f *fixture) startsAgain(by life, r Report) []Start {
+	var starts []Start
+	for range 10 {
+		f.pass(100 * time.Millisecond)
+		f.reports(by, r)
+		starts = append(starts, f.plan().Starts...)
+		f.pool.Committed(f.pool.TakeCommit())
+	}
+	return starts
+}
+
+// onlyStartAgain is the one start of startsAgain.
+func (f *fixture) onlyStartAgain(by life, r Report) Start {
+	starts := f.startsAgain(by, r)
+	f.Expect(starts).To(HaveLen(1))
+	return starts[0]
+}
+
 // doneOnFirst has a task done on the first life of worker 0, as end 7, which is noted.
 func (f *fixture) doneOnFirst(id string) {
 	f.add(testJob(id, testStep(1)))
@@ -196,7 +223,7 @@
 	for _, s := range starts {
 		f.acceptBy(s, firstLife(0))
 	}
-	f.reports(firstLife(0), listed(starts...))
+	f.survives(firstLife(0), starts...)
 	f.pass(time.Second)
 	f.begins(secondLife(0), Report{})
 	f.reports(secondLife(0), Report{})
@@ -220,8 +247,8 @@
 		}
 	}
 	f.Expect(first).To(HaveLen(4))
-	f.reports(firstLife(0), listed(first...))
-	f.reports(firstLife(1), listed(other...))
+	f.survives(firstLife(1), other...)
+	f.survives(firstLife(0), first...)
 	f.pass(500 * time.Millisecond)
 	f.begins(secondLife(0), Report{})
 	f.reports(secondLife(0), Report{})
@@ -238,7 +265,7 @@
 	f.add(testJob("a", servingStep(1)))
 	s := f.onlyStart()
 	f.acceptBy(s, firstLife(0))
-	f.reports(firstLife(0), listed(s))
+	f.survives(firstLife(0), s)
 	f.pass(500 * time.Millisecond)
 	f.begins(secondLife(0), Report{})
 	f.reports(secondLife(0), Report{})
@@ -297,7 +324,7 @@
 	h = f.hold(secondLife(0), false)
 	f.Expect(h.Token).To(BeNumerically(">", s.Token))
 	f.answers(h, secondLife(0), Report{})
-	again := f.onlyStart()
+	again := f.onlyStartAgain(secondLife(0), Report{})
 	f.Expect(again.Run).To(BeNumerically(">", s.Run))
 }
 
@@ -370,7 +397,7 @@
 	f.add(testJob("a", testStep(1)))
 	s := f.onlyStart()
 	f.acceptBy(s, firstLife(0))
-	f.reports(firstLife(0), listed(s))
+	f.survives(firstLife(0), s)
 	f.pass(500 * time.Millisecond)
 	f.answers(f.hold(firstLife(0), false), secondLife(0), Report{})
 	f.reports(secondLife(0), Report{})
@@ -387,7 +414,7 @@
 	f.Expect(starts).To(HaveLen(2))
 	f.acceptBy(starts[0], firstLife(0))
 	f.acceptBy(starts[1], firstLife(0))
-	f.reports(firstLife(0), listed(starts...))
+	f.survives(firstLife(0), starts...)
 	f.lists(secondLife(0))
 	f.add(testJob("b", testStep(1)))
 	f.Expect(f.plan().Starts).To(BeEmpty(), "the former life may have ended, and the next one has not answered")
@@ -401,6 +428,7 @@
 	f.add(testJob("a", testStep(1)))
 	s := f.onlyStart()
 	f.acceptBy(s, firstLife(0))
+	f.survives(firstLife(0), s)
 	late := f.hold(firstLife(0), false)
 	f.pass(500 * time.Millisecond)
 	f.begins(secondLife(0), Report{})
@@ -437,7 +465,7 @@
 	f.add(testJob("a", testStep(1)))
 	s := f.onlyStart()
 	f.acceptBy(s, firstLife(0))
-	f.reports(firstLife(0), listed(s))
+	f.survives(firstLife(0), s)
 	f.pass(time.Second)
 	f.answers(f.hold(firstLife(0), false), thirdLife(0), Report{})
 	f.lists(secondLife(0))
@@ -576,10 +604,7 @@
 		f.Expect(f.plan().Starts).To(BeEmpty(), "the run may have a lease of 6 s")
 	}
 	f.pass(1500 * time.Millisecond)
-	f.reports(firstLife(1), Report{})
-	f.plan()
-	f.reports(firstLife(1), Report{})
-	f.Expect(f.plan().Starts).To(HaveLen(1))
+	f.onlyStartAgain(firstLife(1), Report{})
 }
 
 func spreadOverLives(t *testing.T) {
@@ -589,7 +614,7 @@
 	f.add(testJob("a", spread))
 	s := f.onlyStart()
 	f.acceptBy(s, firstLife(0))
-	f.reports(firstLife(0), listed(s))
+	f.survives(firstLife(0), s)
 	f.pass(500 * time.Millisecond)
 	f.begins(secondLife(0), Report{})
 	f.reports(secondLife(0), Report{})
@@ -673,5 +698,5 @@
 
 // closeMachineOf has the machine of a worker be emptied.
 func (f *fixture) closeMachineOf(n int) {
-	f.pool.Close(map[WorkerID]bool{workerID(n): true})
+	f.pool.Close(map[string]bool{workerID(n).Name(): true})
 }
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -13,9 +13,6 @@
 // ErrNotSent marks the failure of an order that certainly did not reach the worker.
 var ErrNotSent = errors.New("the order was not sent")
 
-// WorkerID names one incarnation of a worker.
-type WorkerID string
-
 // WorkerInfo is what a worker says of itself.
 type WorkerInfo struct {
 	ID       WorkerID
@@ -28,8 +25,6 @@
 	Draining bool
 	// Remaining is the least time that a draining worker has left; 0 when not told.
 	Remaining time.Duration
-	// Born is when its process started, by its own time of day in Unix ms; 0 when not told.
-	Born int64 `json:",omitempty"`
 	// Crashed says that the worker has gone, and that a later owner may not know under which starts.
 	Crashed bool `json:",omitempty"`
 }
@@ -110,7 +105,7 @@
 
 // Report is what a worker lists in answer to a hold.
 type Report struct {
-	// Born is when the process that reports started (WorkerInfo.Born); 0 when not told.
+	// Born is when the life began that reports (WorkerID.Born); 0 when that is not told.
 	Born     int64
 	Active   []Active
 	Finished []Finished
@@ -175,6 +170,8 @@
 	Stops  []Stop
 	Paces  []Pace
 	Asks   []Ask
+	// Meets are workers that have to be asked from now on.
+	Meets []WorkerInfo
 	// Settles name workers that need a hold with a higher token at once.
 	Settles []WorkerID
 	// Confirm asks for a new confirmation of the ownership (Pool.Confirmed).
@@ -183,7 +180,7 @@
 
 // Empty says that there is nothing to do.
 func (a Actions) Empty() bool {
-	return len(a.Starts)+len(a.Stops)+len(a.Paces)+len(a.Asks)+len(a.Settles) == 0 && !a.Confirm
+	return len(a.Starts)+len(a.Stops)+len(a.Paces)+len(a.Asks)+len(a.Meets)+len(a.Settles) == 0 && !a.Confirm
 }
 
 // Event is a line for the log: something that was decided or learned.
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -37,6 +37,10 @@
 	}
 	p.takeStops(now, &out)
 	p.takePaces(&out)
+	for _, w := range p.meets {
+		out.Meets = append(out.Meets, w.info)
+	}
+	p.meets = p.meets[:0]
 	for _, w := range p.settles {
 		if !w.gone {
 			out.Settles = append(out.Settles, w.info.ID)
@@ -115,7 +119,7 @@
 // stop is the order that stops a run.
 func (r *run) stop() Stop {
 	w := r.worker
-	return Stop{Task: r.task.id(), Run: r.number, Worker: w.info.ID, Address: w.info.Address, Token: w.token}
+	return Stop{Task: r.task.id(), Run: r.number, Worker: w.info.ID, Address: w.info.Address, Token: w.line.token}
 }
 
 func (p *Pool) takeStops(now clock.Time, out *Actions) {
@@ -172,11 +176,11 @@
 // startOrder returns the order that starts a run.
 func (p *Pool) startOrder(r *run, checkpoint string, now clock.Time) Start {
 	t, w := r.task, r.worker
-	r.token = w.token
+	r.token = w.line.token
 	deadline := w.deadline(now, p.cfg.Hold)
 	w.bound = max(w.bound, deadline)
 	o := Start{
-		Task: t.id(), Run: r.number, Worker: w.info.ID, Address: w.info.Address, Token: w.token,
+		Task: t.id(), Run: r.number, Worker: w.info.ID, Address: w.info.Address, Token: w.line.token,
 		Spec: t.step.time.job.job.Spec, Checkpoint: checkpoint, Deadline: deadline,
 	}
 	ticket := t.step.advice.tickets[w.info.ID]
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -15,6 +15,8 @@
 	Hold time.Duration
 	// MaxHold is the longest lease that a former owner may have given.
 	MaxHold time.Duration
+	// LongestLease is the longest lease that a worker gives, whatever it is told.
+	LongestLease time.Duration
 	// Drain is the least time that a draining worker stays.
 	Drain time.Duration
 	// StopGrace is how long a stopped run may take to end.
@@ -51,16 +53,17 @@
 	jobs     map[job.ID]*jobState
 	outcomes outcomes // of jobs that have ended and been committed
 	workers  map[WorkerID]*worker
-	// formerTokens are the tokens of workers that were forgotten (forgetWorker).
-	formerTokens map[WorkerID]int64
-	sorted       []*worker          // all workers by id; nil when one came or went (workersByID)
-	ready        map[*step]struct{} // steps whose turn has come and that have waiting tasks
-	timed        map[*jobState]struct{}
-	dirty        map[*jobState]struct{}
-	advice       advisers
-	stops        []*run
-	settles      []*worker
-	paces        []*run
+	// lineages is what is kept of workers over all their lives, by name.
+	lineages map[string]*lineage
+	meets    []*worker          // that have to be asked from now on
+	sorted   []*worker          // all workers by id; nil when one came or went (workersByID)
+	ready    map[*step]struct{} // steps whose turn has come and that have waiting tasks
+	timed    map[*jobState]struct{}
+	dirty    map[*jobState]struct{}
+	advice   advisers
+	stops    []*run
+	settles  []*worker
+	paces    []*run
 	// toStore are starts that wait for a commit, and stored those that the store has and that are not ordered yet.
 	toStore, stored []*run
 	crashes         []*crash                      // of the last crashMemory
@@ -87,7 +90,7 @@
 func New(cfg Config, now clock.Time) *Pool {
 	return &Pool{
 		cfg: cfg, takeover: newTakeover(cfg, now),
-		jobs: map[job.ID]*jobState{}, outcomes: newOutcomes(), workers: map[WorkerID]*worker{}, formerTokens: map[WorkerID]int64{},
+		jobs: map[job.ID]*jobState{}, outcomes: newOutcomes(), workers: map[WorkerID]*worker{}, lineages: map[string]*lineage{},
 		ready: map[*step]struct{}{}, timed: map[*jobState]struct{}{}, dirty: map[*jobState]struct{}{},
 		advice: newAdvisers(), loads: map[string]*poolLoad{}, parting: map[WorkerID]WorkerInfo{}, lastCrashAt: map[netip.AddrPort]clock.Time{}, createdAt: now,
 	}
--- a/pkg/dispatch/pool_test.go
+++ b/pkg/dispatch/pool_test.go
@@ -36,7 +36,7 @@
 func newFixture(t *testing.T, workers int, change func(*Config)) *fixture {
 	f := &fixture{WithT: NewWithT(t), now: 100_000, wall: time.Unix(1_700_000_000, 0), workerClock: 50_000}
 	cfg := Config{
-		Hold: 5 * time.Second, MaxHold: 6 * time.Second, Token: epoch, AuthorityTerm: 2 * time.Second,
+		Hold: 5 * time.Second, MaxHold: 6 * time.Second, LongestLease: 6 * time.Second, Token: epoch, AuthorityTerm: 2 * time.Second,
 		Wall: func() time.Time { return f.wall }, Log: func(e Event) { f.events = append(f.events, e) },
 	}
 	if change != nil {
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"time"
 
@@ -35,8 +34,10 @@
 	default:
 		return
 	}
+	if !p.heardOf(w, h, report.Born, now) {
+		return
+	}
 	overtaken := a.Clock < w.clock
-	p.logLife(w, h, a, report)
 	w.heard(a.Clock, now)
 	w.lastAnswer = now
 	w.provenAt = max(w.provenAt, h.SentAt)
@@ -44,8 +45,8 @@
 	if !p.loaded {
 		return
 	}
-	if !w.reported && p.cfg.Takeover && len(report.Active) > 0 {
-		w.inherited = now.Add(lapseTime(p.cfg.MaxHold)) // it has seen our token, so no lease is longer
+	if !w.reported && (p.cfg.Takeover || w.follows) && len(report.Active) > 0 {
+		w.inherited = now.Add(lapseTime(p.longestLease(w))) // it has seen our token, so no lease is longer
 	}
 	w.reported = true
 	p.takeFinished(w, report.Finished, now)
@@ -55,25 +56,9 @@
 	}
 }
 
-// logLife tells in the log that a report is of another life of the worker than the one before, and since when reports
-// count as overtaken.
-func (p *Pool) logLife(w *worker, h Hold, a Answer, report Report) {
-	if report.Born != 0 && report.Born != w.reportedBorn {
-		p.cfg.Log(Event{Name: "life_reported", Worker: w.info.ID, Detail: fmt.Sprintf(
-			"born=%d before=%d entry=%d clock=%d clock_before=%d last_seen=%d seen=%d ends=%d runs=%d counted=%d", report.Born, w.reportedBorn, w.info.Born,
-			a.Clock, w.clock, h.LastSeen, w.seen, len(report.Finished), len(report.Active), len(w.runs))})
-		w.reportedBorn = report.Born
-	}
-	if overtaken := a.Clock < w.clock; overtaken != w.overtaken {
-		w.overtaken = overtaken
-		p.cfg.Log(Event{Name: "reports_overtaken", Worker: w.info.ID, Detail: fmt.Sprintf(
-			"%t clock=%d clock_before=%d", overtaken, a.Clock, w.clock)})
-	}
-}
-
 // checkFence tells a token that we raised ourselves from one of a later owner.
 func (p *Pool) checkFence(w *worker, sent int64) {
-	if sent >= w.token {
+	if sent >= w.line.token {
 		p.fenced = true
 	}
 }
@@ -201,7 +186,7 @@
 		}
 		return nil
 	}
-	r := &run{task: t, number: row.Run, worker: w, token: w.token, state: runActive, confirmedAt: now, percentAt: now, adopted: true}
+	r := &run{task: t, number: row.Run, worker: w, token: w.line.token, state: runActive, confirmedAt: now, percentAt: now, adopted: true}
 	p.count(r)
 	t.lastRun = max(t.lastRun, row.Run)
 	j := t.step.time.job
--- a/pkg/dispatch/takeover.go
+++ b/pkg/dispatch/takeover.go
@@ -36,6 +36,15 @@
 	return time.Duration(float64(hold)*(1+2*slowClock)) + slack
 }
 
+// longestLease is the longest lease that orders of others, or for another life, may have given on a worker. A deadline by
+// the clock of another life may be far ahead.
+func (p *Pool) longestLease(w *worker) time.Duration {
+	if w.info.ID.Born() != 0 {
+		return max(p.cfg.LongestLease, p.cfg.MaxHold)
+	}
+	return p.cfg.MaxHold
+}
+
 // Fencing begins anew to count the terms of a takeover: most workers are fenced only now.
 func (p *Pool) Fencing(now clock.Time) {
 	if p.takeover.pending {
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -30,9 +30,10 @@
 	run  int
 }
 
-// worker is one incarnation of a worker.
+// worker is one life of a worker.
 type worker struct {
 	info   WorkerInfo
+	line   *lineage
 	listed bool // its entry stands in the store
 	// unlistedAt is when its entry was found gone; 0 when that is not known.
 	unlistedAt clock.Time
@@ -40,13 +41,13 @@
 	rostered bool
 	knownAt  clock.Time // since when this owner knows of it
 	leavesAt clock.Time // when a draining worker may end; 0 when it stays
-	gone     bool       // the incarnation has ended, or can't run anything any more
+	gone     bool       // the life has ended, or can't run anything any more
 	fenced   bool       // it has answered this owner
 	reported bool       // its lists were taken in
-	// reportedBorn is the life of the last report, and overtaken says that it did not count for what runs.
-	reportedBorn int64
-	overtaken    bool
-	token        int64
+	follows  bool       // on a life that has ended while this owner knew of it
+	// evidentAt is when the last sign of it came, and doubtedAt when the entry of another life was read that may be a later
+	// one; 0 for never.
+	evidentAt, doubtedAt clock.Time
 
 	clock      int64 // its clock when it answered last …
 	clockAt    clock.Time
@@ -74,7 +75,6 @@
 	noted int64 // highest number whose job changes are committed
 
 	pacing    pacing
-	closed    bool       // it is being emptied
 	suspended clock.Time // not to be given tasks before
 	failures  int        // in a row
 	failedJob job.ID     // of the last failure
@@ -87,7 +87,7 @@
 
 // usable says whether the worker may be given a task now.
 func (w *worker) usable(now clock.Time) bool {
-	return w.present(now) && w.rostered && w.reported && !w.gone && !w.info.Draining && !w.closed && w.foreign == 0 &&
+	return w.present(now) && w.rostered && w.reported && !w.gone && !w.info.Draining && !w.line.closed && !w.doubted() && w.foreign == 0 &&
 		now.Sub(w.lastAnswer) < usableWithin && now >= w.suspended
 }
 
@@ -116,21 +116,21 @@
 	}
 }
 
-// PutWorker takes in a worker's entry. It says whether the worker is new, so that the
+// PutWorker takes in a worker's entry, or that the roster names it. It says whether the worker is new, so that the
 // roster has to be written before it is used (Rostered).
 func (p *Pool) PutWorker(info WorkerInfo, listed bool, now clock.Time) bool {
+	l := p.lineageOf(info.ID.Name())
+	if listed {
+		l.list(info.ID, now)
+	}
+	if l.hasEnded(info.ID) {
+		return false
+	}
 	w, known := p.workers[info.ID]
 	if !known {
-		formerToken, returns := p.formerTokens[info.ID]
-		if returns {
-			p.withdrawCrashes(info.ID)
-		}
-		w = &worker{token: max(p.cfg.Token, formerToken), runs: map[runKey]*run{}, knownAt: now}
-		delete(p.formerTokens, info.ID)
-		p.workers[info.ID] = w
-		p.sorted = nil
+		w = p.newWorker(info, now)
 	}
-	w.info, w.listed = info, listed
+	w.info, w.listed, w.evidentAt = info, listed, now
 	if listed {
 		w.unlistedAt = 0
 	}
@@ -158,14 +158,32 @@
 	if !ok {
 		return
 	}
-	if w.listed {
-		w.listed, w.unlistedAt = false, now
+	w.unlist(now)
+	if w.line.listed == id {
+		w.line.listed = ""
 	}
 	if fresh && w.leavesAt != 0 && now >= w.leavesAt.Add(-leaveSlack) {
 		p.workerGone(w, "left as it said", now)
 	}
 }
 
+// EntryGone takes in that the entry of a worker is gone, whichever life had written it; fresh is as in UnlistWorker.
+func (p *Pool) EntryGone(name string, fresh bool, now clock.Time) {
+	l, ok := p.lineages[name]
+	if !ok {
+		return
+	}
+	id := l.listed
+	l.listed = ""
+	p.UnlistWorker(id, fresh, now)
+}
+
+func (w *worker) unlist(now clock.Time) {
+	if w.listed {
+		w.listed, w.unlistedAt = false, now
+	}
+}
+
 // workersByID lists all workers, by id.
 func (p *Pool) workersByID() []*worker {
 	if p.sorted == nil {
@@ -271,10 +289,13 @@
 	if !known || w.gone {
 		return Hold{}, false
 	}
-	if raise && w.token < p.cfg.Token+MaxBumps {
-		w.token++
+	if raise {
+		w.line.raise(p.cfg.Token)
+	}
+	h = Hold{Worker: id, Address: w.info.Address, Token: w.line.token, SentAt: now}
+	if w.mayNote(now) {
+		h.LastSeen = w.noted
 	}
-	h = Hold{Worker: id, Address: w.info.Address, Token: w.token, LastSeen: w.noted, SentAt: now}
 	if w.fenced && extend && now.Sub(w.lastAnswer) < extendWithin {
 		h.Deadline = w.deadline(now, p.cfg.Hold)
 		w.bound = max(w.bound, h.Deadline)
@@ -327,7 +348,7 @@
 	if now.Sub(w.lastAnswer) < usableWithin || now < lapsed {
 		return
 	}
-	if len(w.runs) > 0 && w.reported && p.confirmedSince(lapsed) {
+	if len(w.runs) > 0 && (w.reported || w.follows) && p.confirmedSince(lapsed) {
 		p.cfg.Log(Event{Name: "worker_lapsed", Worker: w.info.ID, Detail: now.Sub(w.lastAnswer).String()})
 		for _, r := range w.runs {
 			r.task.presumedLost = true
@@ -343,11 +364,10 @@
 	}
 }
 
-// forgetWorker drops a worker that has gone, but for its token: one that was only cut off for long comes back as
-// the same incarnation, and would take the first token of this owner for one of a former owner.
+// forgetWorker drops a worker that has gone.
 func (p *Pool) forgetWorker(w *worker) {
 	delete(p.workers, w.info.ID)
-	p.formerTokens[w.info.ID] = w.token
+	w.line.forget(w)
 	p.sorted = nil
 }
 
--- a/pkg/poolowner/beats.go
+++ b/pkg/poolowner/beats.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"foldarch.dev/foldarch/pkg/clock"
-	"foldarch.dev/foldarch/pkg/dispatch"
 )
 
 // freshBeats is how many heartbeats an entry that went may have missed at most for it to
@@ -15,13 +14,13 @@
 // unbroken series of watches only.
 type beats struct {
 	heartbeat time.Duration
-	previous  clock.Time // when the watch before the last answered; 0 when the series broke
-	last      clock.Time // when the last watch answered
-	writtenBy map[dispatch.WorkerID]clock.Time
+	previous  clock.Time            // when the watch before the last answered; 0 when the series broke
+	last      clock.Time            // when the last watch answered
+	writtenBy map[string]clock.Time // by the worker's name
 }
 
 func newBeats(heartbeat time.Duration) beats {
-	return beats{heartbeat: heartbeat, writtenBy: map[dispatch.WorkerID]clock.Time{}}
+	return beats{heartbeat: heartbeat, writtenBy: map[string]clock.Time{}}
 }
 
 // answered takes in that a watch has answered.
@@ -37,16 +36,16 @@
 
 // seen takes in that the last watch showed a write of a worker's entry. It was written
 // after the watch before.
-func (b *beats) seen(id dispatch.WorkerID) {
+func (b *beats) seen(name string) {
 	if b.previous != 0 {
-		b.writtenBy[id] = b.previous
+		b.writtenBy[name] = b.previous
 	}
 }
 
 // fresh says that the entry of a worker, gone by the last watch, was written so lately that
 // it has not gone for want of heartbeats.
-func (b *beats) fresh(id dispatch.WorkerID, now clock.Time) bool {
-	after, ok := b.writtenBy[id]
-	delete(b.writtenBy, id)
+func (b *beats) fresh(name string, now clock.Time) bool {
+	after, ok := b.writtenBy[name]
+	delete(b.writtenBy, name)
 	return ok && now.Sub(after) < time.Duration(freshBeats*float64(b.heartbeat))
 }
--- a/pkg/poolowner/loading.go
+++ b/pkg/poolowner/loading.go
@@ -253,12 +253,12 @@
 	}
 	for _, i := range items {
 		if i.Gone {
-			id := platform.WorkerOf(i)
-			o.pool.UnlistWorker(id, o.beats.fresh(id, now), now)
+			name := platform.WorkerName(i)
+			o.pool.EntryGone(name, o.beats.fresh(name, now), now)
 			continue
 		}
 		if id, ok := o.putEntry(i); ok {
-			o.beats.seen(id)
+			o.beats.seen(id.Name())
 		}
 	}
 }
@@ -287,7 +287,7 @@
 
 func (o *Owner) logWorker(w dispatch.WorkerInfo) {
 	o.deps.Log.WithFields(logrus.Fields{
-		"worker": w.ID, "address": w.Address, "zone": w.Zone, "rack": w.Rack, "labels": strings.Join(w.Labels, ","), "draining": w.Draining, "capacity": w.Capacity, "born": w.Born,
+		"worker": w.ID, "address": w.Address, "zone": w.Zone, "rack": w.Rack, "labels": strings.Join(w.Labels, ","), "draining": w.Draining, "capacity": w.Capacity,
 	}).Info("worker_listed")
 }
 
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -138,7 +138,7 @@
 	}
 	lease := min(maxLease, deps.Bounds.MaxHold-leaseMargin)
 	o.pool = dispatch.New(dispatch.Config{
-		Hold: lease, MaxHold: lease, Drain: deps.Bounds.Drain, StopGrace: deps.Bounds.StopGrace,
+		Hold: lease, MaxHold: lease, LongestLease: deps.Bounds.MaxHold, Drain: deps.Bounds.Drain, StopGrace: deps.Bounds.StopGrace,
 		Restore: deps.Bounds.Restore,
 		Token:   claim.Revision * tokenStep, Term: claim.Term, FirstRun: int(claim.Term) * runsOfTerm, Takeover: !claim.First,
 		AuthorityTerm: formerTerm(claim), Wall: deps.Clock.Wall, Log: o.logEvent, Without: deps.Without,
@@ -316,6 +316,9 @@
 		o.mu.Unlock()
 		return
 	}
+	for _, w := range actions.Meets {
+		o.openSession(ctx, w)
+	}
 	sessions := o.sessionsFor(actions)
 	members := make([]*member, len(actions.Asks))
 	for i, a := range actions.Asks {
--- a/pkg/poolowner/upkeep.go
+++ b/pkg/poolowner/upkeep.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"foldarch.dev/foldarch/pkg/clock"
-	"foldarch.dev/foldarch/pkg/dispatch"
 	"foldarch.dev/foldarch/pkg/jobstore"
 	"foldarch.dev/foldarch/pkg/upkeep"
 	"foldarch.dev/foldarch/platform"
@@ -51,9 +50,9 @@
 	o.mu.Lock()
 	o.upkeep.SetMachines(machines)
 	plan := o.upkeep.Plan(o.deps.Clock.Now())
-	closed := make(map[dispatch.WorkerID]bool, len(plan.Close))
-	for _, w := range plan.Close {
-		closed[dispatch.WorkerID(w)] = true
+	closed := make(map[string]bool, len(plan.Close))
+	for _, name := range plan.Close {
+		closed[name] = true
 	}
 	o.pool.Close(closed)
 	o.mu.Unlock()
@@ -68,7 +67,7 @@
 // sendUpkeep sends a machine into upkeep once nothing runs there that has to be spared.
 func (o *Owner) sendUpkeep(ctx context.Context, order upkeep.Order) {
 	o.mu.Lock()
-	ready := o.pool.Empty(dispatch.WorkerID(order.Machine.Worker), order.Force)
+	ready := o.pool.Empty(order.Machine.Worker, order.Force)
 	authority := o.authority(o.deps.Clock.Now())
 	o.mu.Unlock()
 	o.wake()
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -75,6 +75,7 @@
 func TestHoldBringsTheReportBack(t *testing.T) {
 	var got platform.HoldOrder
 	report := dispatch.Report{
+		Born:     1_767_225_600_000,
 		Active:   []dispatch.Active{{Task: testTask(), Run: 2, Checkpoint: "c", Percent: 41, Load: 900}},
 		Finished: []dispatch.Finished{{Number: 58, Task: testTask(), Run: 1, How: dispatch.EndFailed, Checkpoint: "d"}},
 	}
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -161,7 +161,8 @@
 func soak(t *testing.T, seed uint64) {
 	t.Helper()
 	r := rand.New(rand.NewPCG(seed, 0))
-	c := newCell(t, 3+r.IntN(3), emulator.Options{Workers: 4 + r.IntN(6), Advice: r.IntN(2) == 0})
+	keepIDs := rand.New(rand.NewPCG(seed, 2)).IntN(2) == 0
+	c := newCell(t, 3+r.IntN(3), emulator.Options{Workers: 4 + r.IntN(6), Advice: r.IntN(2) == 0, KeepIDs: keepIDs})
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(*soakSeconds)*time.Second)
 	defer cancel()
 	load := c.load(ctx, 20, quickJob, chainJob, quickJob, gangJob)
