--- a/pkg/dispatch/history_test.go
+++ b/pkg/dispatch/history_test.go
@@ -285,12 +285,21 @@
 	playCrashes(t, func(w *world) { w.relayed = true })
 }
 
+// lifeSeeds are seeds of histories with workers that start again that once broke a promise, with the cause.
+var lifeSeeds = []uint64{
+	3,   // a report of the next life counted as overtaken by the clock of the one before
+	5,   // an end was noted by the numbers of the life before
+	386, // a hold that was sent when the next life was known noted its ends, seconds later
+	833, // a worker that had not answered was given what the next life did not hold
+	997, // the same
+}
+
 func TestPromisesHoldWhenWorkersStartAgainUnderTheirIDs(t *testing.T) {
 	t.Run("on their own", func(t *testing.T) {
-		playHistories(t, func(w *world) { w.reborn = true })
+		playLives(t, func(*world) {})
 	})
 	t.Run("behind relays", func(t *testing.T) {
-		playHistories(t, func(w *world) { w.reborn, w.relayed = true, true })
+		playLives(t, func(w *world) { w.relayed = true })
 	})
 	t.Run("under tasks that crash them", func(t *testing.T) {
 		playCrashes(t, func(w *world) {
@@ -319,6 +328,14 @@
 	playSeeds(t, append(slices.Clone(keptSeeds), drawnSeeds(*historySeeds)...), change)
 }
 
+// playLives plays histories in which workers start again under the ids that they had.
+func playLives(t *testing.T, change func(*world)) {
+	playSeeds(t, append(slices.Clone(lifeSeeds), drawnSeeds(*historySeeds)...), func(w *world) {
+		w.reborn = true
+		change(w)
+	})
+}
+
 // crashShare is how many histories without crashing tasks are played for one with them: those take twice as long, and
 // the race detector ten times that.
 const crashShare = 5
--- a/pkg/dispatch/lives_test.go
+++ b/pkg/dispatch/lives_test.go
@@ -25,6 +25,7 @@
 		"a gang with a member on the former life goes again": gangGoesAgain,
 		"a lasting task goes again":                          lastingTaskGoesAgain,
 		"no end is noted unseen":                             noEndIsNotedUnseen,
+		"a hold for a life that may have ended":              holdForDoubtedLife,
 		"a start without an answer may run there":            unansweredStartRunsOnNextLife,
 		"a start without an answer is void once fenced":      unansweredStartIsVoidOnNextLife,
 		"a start that it answered may run there":             answeredStartRunsOnNextLife,
@@ -37,6 +38,7 @@
 		"several lives within a heartbeat":                   severalLives,
 		"the list of a life that has ended comes late":       lateListOfEndedLife,
 		"it may hold less":                                   nextLifeHoldsLess,
+		"it may hold less and take an order at once":         nextLifeTakesNoOrder,
 		"it is not drained or suspended":                     nextLifeIsNotSuspended,
 		"tokens rise from life to life":                      tokensRise,
 		"tickets are of one life":                            ticketsAreOfOneLife,
@@ -290,6 +292,21 @@
 	f.Expect(f.pool.jobs["b"].outcome).To(Equal(job.Completed))
 }
 
+// Seed 386 of the histories behind relays: a hold for the former life, sent when the entry of the next one was known, was carried out on
+// that one seconds later, with its numbers of ends.
+func holdForDoubtedLife(t *testing.T) {
+	f := newLives(t, 1, nil)
+	f.doneOnFirst("a")
+	f.lists(secondLife(0))
+	f.pass(time.Millisecond)
+	h := f.hold(firstLife(0), false)
+	f.Expect(h.LastSeen).To(BeZero())
+	f.Expect(h.Deadline).To(BeZero())
+	f.answers(h, firstLife(0), Report{}) // it is there after all
+	f.pass(time.Millisecond)
+	f.Expect(f.hold(firstLife(0), false).LastSeen).To(Equal(int64(7)))
+}
+
 // unanswered is a start that got no answer from the first life of worker 0, which has ended since, with another worker to go to.
 func unanswered(t *testing.T) (*fixture, Start) {
 	f := newLives(t, 1, nil)
@@ -515,6 +532,17 @@
 	f.Expect(f.plan().Starts).To(HaveLen(2))
 }
 
+// Seed 997 of the histories: a worker that had not answered for a second was given two tasks. The next life, which was there by then, held one.
+func nextLifeTakesNoOrder(t *testing.T) {
+	f := newLives(t, 1, nil)
+	f.pass(200 * time.Millisecond)
+	f.pool.HoldFailed(firstLife(0).id, f.now)
+	f.add(testJob("a", testStep(1)))
+	f.Expect(f.plan().Starts).To(BeEmpty(), "it may have ended")
+	f.reports(firstLife(0), Report{})
+	f.Expect(f.plan().Starts).To(HaveLen(1))
+}
+
 func nextLifeIsNotSuspended(t *testing.T) {
 	f := newLives(t, 1, nil)
 	leaving := firstLife(0).info()
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -85,9 +85,10 @@
 	return w.info.Capacity.Sub(w.used)
 }
 
-// usable says whether the worker may be given a task now.
+// usable says whether the worker may be given a task now. One that has not answered the last call may have ended, and what is there next may
+// hold less.
 func (w *worker) usable(now clock.Time) bool {
-	return w.present(now) && w.rostered && w.reported && !w.gone && !w.info.Draining && !w.line.closed && !w.doubted() && w.foreign == 0 &&
+	return w.present(now) && w.unansweredAt == 0 && w.rostered && w.reported && !w.gone && !w.info.Draining && !w.line.closed && !w.doubted() && w.foreign == 0 &&
 		now.Sub(w.lastAnswer) < usableWithin && now >= w.suspended
 }
 
@@ -293,6 +294,9 @@
 		w.line.raise(p.cfg.Token)
 	}
 	h = Hold{Worker: id, Address: w.info.Address, Token: w.line.token, SentAt: now}
+	if !w.line.alone(w) || w.doubted() {
+		return h, true // the life that takes it may be another one, also seconds later: it is only asked
+	}
 	if w.mayNote(now) {
 		h.LastSeen = w.noted
 	}
