--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -179,6 +179,17 @@
 	p.UnlistWorker(id, fresh, now)
 }
 
+// EntryUnusable takes in that the entry of a worker does not name one any more, whoever wrote it. What runs there goes on.
+func (p *Pool) EntryUnusable(name string, now clock.Time) {
+	p.EntryGone(name, false, now)
+}
+
+// Listed says that the entry of a worker stands in the store.
+func (p *Pool) Listed(id WorkerID) bool {
+	w, ok := p.workers[id]
+	return ok && w.listed
+}
+
 func (w *worker) unlist(now clock.Time) {
 	if w.listed {
 		w.listed, w.unlistedAt = false, now
--- a/pkg/dispatch/worker_test.go
+++ b/pkg/dispatch/worker_test.go
@@ -224,6 +224,25 @@
 	f.Expect(f.plan().Starts).To(BeEmpty(), "worker 1 is silent, and on worker 0 the first runs count")
 }
 
+// Another writer has replaced its entry.
+func TestWorkerWithAnUnusableEntryGetsNothingAndRunsOn(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	f.reportAll(1)
+	f.add(testJob("a", testStep(1)))
+	s := f.plan().Starts[0]
+	f.accept(s)
+	f.pool.EntryUnusable("w0", f.now)
+	f.report(0, Report{Active: []Active{{Task: s.Task, Run: s.Run, Percent: 10}}})
+	f.add(testJob("b", testStep(1)))
+	actions := f.plan()
+	f.Expect(actions.Starts).To(BeEmpty())
+	f.Expect(actions.Stops).To(BeEmpty())
+	f.report(0, f.end(s, 1, EndDone))
+	f.Expect(f.pool.jobs["a"].outcome).To(Equal(job.Completed))
+	f.addWorker(0)
+	f.Expect(f.plan().Starts).To(HaveLen(1))
+}
+
 func TestWorkerWhoseEntryStaysAwayGetsNothing(t *testing.T) {
 	f := newFixture(t, 1, nil)
 	f.reportAll(1)
