--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -50,9 +50,11 @@
 	cfg      Config
 	takeover takeover
 	config   *queue.Config
-	jobs     map[job.ID]*jobState
-	outcomes outcomes // of jobs that have ended and been committed
-	workers  map[WorkerID]*worker
+	// configured are the pools of workers that were named so far.
+	configured map[string]bool
+	jobs       map[job.ID]*jobState
+	outcomes   outcomes // of jobs that have ended and been committed
+	workers    map[WorkerID]*worker
 	// lineages is what is kept of workers over all their lives, by name.
 	lineages map[string]*lineage
 	meets    []*worker          // that have to be asked from now on
@@ -90,7 +92,7 @@
 func New(cfg Config, now clock.Time) *Pool {
 	return &Pool{
 		cfg: cfg, takeover: newTakeover(cfg, now),
-		jobs: map[job.ID]*jobState{}, outcomes: newOutcomes(), workers: map[WorkerID]*worker{}, lineages: map[string]*lineage{},
+		jobs: map[job.ID]*jobState{}, outcomes: newOutcomes(), workers: map[WorkerID]*worker{}, lineages: map[string]*lineage{}, configured: map[string]bool{},
 		ready: map[*step]struct{}{}, timed: map[*jobState]struct{}{}, dirty: map[*jobState]struct{}{},
 		advice: newAdvisers(), loads: map[string]*poolLoad{}, parting: map[WorkerID]WorkerInfo{}, lastCrashAt: map[netip.AddrPort]clock.Time{}, createdAt: now,
 	}
@@ -112,6 +114,9 @@
 		return
 	}
 	p.config = cfg
+	for _, x := range cfg.Pools {
+		p.configured[x.Name] = true
+	}
 	for _, j := range p.jobs {
 		if q, ok := cfg.Queue(j.queue.Name); ok {
 			j.queue = q
@@ -119,6 +124,12 @@
 	}
 }
 
+// Configured says that a configuration or the queue of a job has named a pool of workers, or that none is known yet. One that
+// a later configuration does not name still has the jobs that were accepted for it.
+func (p *Pool) Configured(pool string) bool {
+	return len(p.configured) == 0 || p.configured[pool]
+}
+
 // AddJob takes in an accepted job; it is known only once. age is how long ago it was
 // accepted, as far as the clocks of two hosts tell.
 func (p *Pool) AddJob(r job.Record, progress job.Progress, stored bool, age time.Duration, now clock.Time) {
@@ -136,6 +147,7 @@
 	j.times = make([]*timeState, r.Job.Schedule.Times())
 	j.accepted, j.chains = now.Add(-age), chains(j)
 	p.jobs[id] = j
+	p.configured[j.queue.Pool] = true
 	p.takeProgress(j, progress)
 	if r.Job.Schedule.Repeat > 0 {
 		p.timed[j] = struct{}{}
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -180,8 +180,16 @@
 }
 
 // EntryUnusable takes in that the entry of a worker does not name one any more, whoever wrote it. What runs there goes on.
-func (p *Pool) EntryUnusable(name string, now clock.Time) {
-	p.EntryGone(name, false, now)
+// Unlike one whose entry has gone, it gets no task even if it answers: its own next heartbeat makes the entry good again.
+func (p *Pool) EntryUnusable(name string) {
+	l, ok := p.lineages[name]
+	if !ok {
+		return
+	}
+	l.listed = ""
+	for _, w := range l.lives {
+		w.listed, w.unlistedAt = false, 0
+	}
 }
 
 // Listed says that the entry of a worker stands in the store.
--- a/pkg/dispatch/worker_test.go
+++ b/pkg/dispatch/worker_test.go
@@ -231,7 +231,7 @@
 	f.add(testJob("a", testStep(1)))
 	s := f.plan().Starts[0]
 	f.accept(s)
-	f.pool.EntryUnusable("w0", f.now)
+	f.pool.EntryUnusable("w0")
 	f.report(0, Report{Active: []Active{{Task: s.Task, Run: s.Run, Percent: 10}}})
 	f.add(testJob("b", testStep(1)))
 	actions := f.plan()
--- a/pkg/poolowner/loading.go
+++ b/pkg/poolowner/loading.go
@@ -72,6 +72,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.pool.SetLoaded()
+	o.putConfigured()
 	o.loaded.Store(true)
 	close(o.jobsKnown)
 	return nil
@@ -112,11 +113,17 @@
 	}
 	progress := make(map[job.ID]job.Progress, len(items))
 	for _, i := range items {
+		id := job.ID(strings.TrimPrefix(i.Key, jobstore.ProgressPrefix))
 		p, err := job.DecodeProgress(i.Value)
 		if err != nil {
-			return nil, errors.Wrap(err, i.Key)
+			// What the job has done is not known, so it must not run on; the others do.
+			o.deps.Log.WithFields(logrus.Fields{"job": id, "error": err}).Error("progress_unreadable")
+			o.mu.Lock()
+			o.unreadable[id] = true
+			o.mu.Unlock()
+			continue
 		}
-		progress[job.ID(strings.TrimPrefix(i.Key, jobstore.ProgressPrefix))] = p
+		progress[id] = p
 	}
 	return progress, nil
 }
@@ -126,7 +133,7 @@
 	for _, i := range items {
 		id, cancel := jobstore.ParseJobKey(i.Key)
 		switch {
-		case i.Gone:
+		case i.Gone, o.unreadable[id]:
 		case o.pool.Running(id) && !cancel && !job.HasOutcome(i.Value):
 			// A host has told of it; reading all records once more took 5% of an owner's time.
 		case cancel:
@@ -254,6 +261,7 @@
 	for _, i := range items {
 		if i.Gone {
 			name := platform.WorkerName(i)
+			delete(o.unusable, name)
 			o.pool.EntryGone(name, o.beats.fresh(name, now), now)
 			continue
 		}
@@ -263,19 +271,6 @@
 	}
 }
 
-// putEntry takes in an entry that stands in the store. The caller holds o.mu.
-func (o *Owner) putEntry(i platform.Item) (id dispatch.WorkerID, ok bool) {
-	info, err := platform.ParseWorker(i)
-	if err != nil {
-		o.deps.Log.WithField("error", err).Error("worker_unreadable")
-		return "", false
-	}
-	if o.pool.PutWorker(info, true, o.deps.Clock.Now()) {
-		o.logWorker(info)
-	}
-	return info.ID, true
-}
-
 // openSessions begins to talk with the workers that are new.
 func (o *Owner) openSessions(ctx context.Context) {
 	o.mu.Lock()
--- a/pkg/poolowner/members.go
+++ b/pkg/poolowner/members.go
@@ -270,6 +270,9 @@
 // addJob takes in a job's record, whatever it tells. The caller holds o.mu.
 func (o *Owner) addJob(id job.ID, record job.Record, progress job.Progress, stored bool) {
 	now := o.deps.Clock.Now()
+	if o.unreadable[id] {
+		return
+	}
 	if record.Outcome != "" {
 		o.pool.AddOutcome(id, record.Outcome, now)
 		return
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -98,20 +98,23 @@
 	// jobsKnown is closed when the jobs of the store are known.
 	jobsKnown chan struct{}
 
-	mu        sync.Mutex
-	pool      *dispatch.Pool
-	upkeep    *upkeep.Planner
-	sessions  map[dispatch.WorkerID]*workerSession
-	members   map[string]*member
-	near      map[string]bool // members with the usual heartbeat (heartbeat)
-	relays    *relay.Assignments
-	cancelled map[job.ID]bool // told before the job itself
-	committed chan struct{}   // closed and renewed with each commit
-	fenced    bool            // most workers were fenced
-	counted   answerCount
-	roster    []dispatch.WorkerInfo // as written last; of the duty that watches workers
-	beats     beats                 // of the duty that watches workers
-	position  position              // each field belongs to one duty
+	mu       sync.Mutex
+	pool     *dispatch.Pool
+	upkeep   *upkeep.Planner
+	sessions map[dispatch.WorkerID]*workerSession
+	members  map[string]*member
+	near     map[string]bool // members with the usual heartbeat (heartbeat)
+	relays   *relay.Assignments
+	unusable map[string]unusableEntry // by the worker's name
+	// unreadable are jobs whose progress can't be read.
+	unreadable map[job.ID]bool
+	cancelled  map[job.ID]bool // told before the job itself
+	committed  chan struct{}   // closed and renewed with each commit
+	fenced     bool            // most workers were fenced
+	counted    answerCount
+	roster     []dispatch.WorkerInfo // as written last; of the duty that watches workers
+	beats      beats                 // of the duty that watches workers
+	position   position              // each field belongs to one duty
 	// followsJobs and followsWorkers are of the duties that watch these.
 	followsJobs, followsWorkers *jobstore.Following
 
@@ -131,7 +134,7 @@
 		unconfirmed: make(chan struct{}, 1),
 		calls:       newCallGate(callsAtOnceOf(deps)),
 		sessions:    map[dispatch.WorkerID]*workerSession{}, members: map[string]*member{}, near: map[string]bool{},
-		cancelled: map[job.ID]bool{}, committed: make(chan struct{}), lanes: newLanes(claim),
+		unusable: map[string]unusableEntry{}, unreadable: map[job.ID]bool{}, cancelled: map[job.ID]bool{}, committed: make(chan struct{}), lanes: newLanes(claim),
 		beats: newBeats(deps.Heartbeat), upkeep: upkeep.New(),
 		followsJobs:    jobstore.NewFollowing(jobstore.JobsPrefix, deps.Clock, deps.Log),
 		followsWorkers: jobstore.NewFollowing(platform.WorkersPrefix, deps.Clock, deps.Log),
@@ -198,6 +201,7 @@
 func (o *Owner) SetConfig(cfg *queue.Config) {
 	o.mu.Lock()
 	o.pool.SetConfig(cfg)
+	o.putConfigured()
 	o.mu.Unlock()
 	o.wake()
 }
