Tell which life of a worker is there by what was known when its hold was sent

Lives don't overlap, so the life that answers a hold came after all that were known when it was sent.

--- a/pkg/dispatch/lives.go
+++ b/pkg/dispatch/lives.go
@@ -11,8 +11,8 @@
 // A worker may start again under its name. What is kept of the life before is void then, since the two have
 // different IDs (WorkerID). What follows is what that does not settle:
 //
-//   - Which life is there now? A list tells, if it answers a hold that was sent after the last sign of every other
-//     life: lives don't overlap. Entries may be old, and answers late, so neither ends a life alone.
+//   - Which life is there now? A list tells: lives don't overlap, so all that were known when its hold was sent, and of which
+//     there was a sign before, have ended. Entries may be old, so they end none.
 //   - An order names the worker only, so the next life may have taken one that was meant for the life before. A
 //     start that no list of the life before has shown goes over to the next one, where it counts until a hold with a higher
 //     token has been answered.
@@ -33,8 +33,9 @@
 	token int64
 	// lives are those that are known, also ended ones until they are forgotten.
 	lives []*worker
-	// listed is the life whose entry stands in the store; empty for none.
-	listed WorkerID
+	// listed is the life whose entry stands in the store, and listedAt when that was read last; empty for none.
+	listed   WorkerID
+	listedAt clock.Time
 	// ended are lives after which another one was heard of, the latest last, and forgotten those that were taken for
 	// gone without that: one that was only cut off for long comes back.
 	ended, forgotten []WorkerID
@@ -61,7 +62,7 @@
 		l.forgotten = slices.DeleteFunc(l.forgotten, func(id WorkerID) bool { return id == info.ID })
 		p.withdrawCrashes(info.ID)
 	}
-	w := &worker{info: info, line: l, runs: map[runKey]*run{}, knownAt: now, evidentAt: now}
+	w := &worker{info: info, line: l, runs: map[runKey]*run{}, knownAt: now}
 	l.lives = append(l.lives, w)
 	p.workers[info.ID] = w
 	p.sorted = nil
@@ -75,17 +76,11 @@
 	}
 }
 
-// list takes in that the entry of a life stands in the store. The others have none then. They may have ended, so they get no tasks until
-// they have answered a hold that was sent later.
-func (l *lineage) list(id WorkerID, now clock.Time) {
-	l.listed = id
+// unlistOthers takes in that only one life has an entry.
+func (l *lineage) unlistOthers(now clock.Time) {
 	for _, w := range l.lives {
-		if w.info.ID == id {
-			continue
-		}
-		w.unlist(now)
-		if !l.hasEnded(id) {
-			w.doubtedAt = now
+		if w.info.ID != l.listed {
+			w.unlist(now)
 		}
 	}
 }
@@ -110,51 +105,45 @@
 	}
 }
 
-// alone says that no other life may be there.
-func (l *lineage) alone(w *worker) bool {
-	return !slices.ContainsFunc(l.lives, func(o *worker) bool { return o != w && !o.gone })
-}
-
-// doubted says that the entry of another life was read, and that this one has not answered a hold that was sent after that.
+// doubted says that the entry of another life was read, and that this one has not answered a hold that was sent after that. It may
+// have ended.
 func (w *worker) doubted() bool {
-	return w.doubtedAt != 0 && w.provenAt <= w.doubtedAt
+	l := w.line
+	return l.listed != "" && l.listed != w.info.ID && !l.hasEnded(l.listed) && w.provenAt <= l.listedAt
 }
 
-// heardOf takes in which life has answered a hold with its lists, and ends those that were there before it. It says whether the
-// answer is of the life that was asked, and tells what runs on the worker.
+// heardOf takes in which life has answered a hold with its lists, and ends those that were there before it: all that were known
+// when the hold was sent. It says whether the answer is of the life that was asked.
 func (p *Pool) heardOf(w *worker, h Hold, born int64, now clock.Time) bool {
 	x := w
 	if born != 0 && born != w.info.ID.Born() {
-		x = p.otherLife(w, h, born, now)
+		x = p.otherLife(w, born, now)
 	}
 	if x == nil {
 		return false
 	}
 	for _, o := range slices.Clone(w.line.lives) {
-		if o != x && !o.gone && o.evidentAt <= h.SentAt {
+		if o != x && !o.gone && o.knownAt <= h.SentAt {
 			p.succeed(o, x, now)
 		}
 	}
-	x.evidentAt = now
-	return x == w && w.line.alone(w)
+	return x == w
 }
 
-// otherLife returns the life that has answered a hold in place of the one that was asked. It returns nil when that one may have been there before,
-// and its answer be late.
-func (p *Pool) otherLife(w *worker, h Hold, born int64, now clock.Time) *worker {
+// otherLife returns the life that has answered in place of the one that was asked; nil when it has ended since.
+func (p *Pool) otherLife(w *worker, born int64, now clock.Time) *worker {
 	id := NewWorkerID(w.info.ID.Name(), born)
-	if w.line.hasEnded(id) || w.evidentAt > h.SentAt {
+	if w.line.hasEnded(id) {
 		return nil
 	}
-	x, known := p.workers[id]
-	if known && x.gone {
-		return nil // it is forgotten before it is taken in again
-	}
-	if known {
+	if x, known := p.workers[id]; known {
+		if x.gone {
+			return nil // it is forgotten before it is taken in again
+		}
 		return x
 	}
 	// Nobody has read its entry, so it gets no tasks: it may hold less than the life before.
-	x = p.newWorker(WorkerInfo{ID: id, Pool: w.info.Pool, Address: w.info.Address, Zone: w.info.Zone, Rack: w.info.Rack}, now)
+	x := p.newWorker(WorkerInfo{ID: id, Pool: w.info.Pool, Address: w.info.Address, Zone: w.info.Zone, Rack: w.info.Rack}, now)
 	p.meets = append(p.meets, x)
 	p.news = true
 	return x
@@ -173,7 +162,6 @@
 		p.carryOver(r, next)
 	}
 	p.loseRuns(former, now)
-	next.line.raise(p.cfg.Token)
 	next.follows = true
 	next.inherited = max(next.inherited, now.Add(lapseTime(p.cfg.LongestLease)))
 }
--- a/pkg/dispatch/lives_test.go
+++ b/pkg/dispatch/lives_test.go
@@ -37,6 +37,8 @@
 		"late entries of the former life":                    lateEntriesOfFormerLife,
 		"several lives within a heartbeat":                   severalLives,
 		"the list of a life that has ended comes late":       lateListOfEndedLife,
+		"a list that was held up":                            listHeldUp,
+		"a start on a life that falls silent at once":        silentNextLife,
 		"it may hold less":                                   nextLifeHoldsLess,
 		"it may hold less and take an order at once":         nextLifeTakesNoOrder,
 		"it is not drained or suspended":                     nextLifeIsNotSuspended,
@@ -417,6 +419,9 @@
 	f.survives(firstLife(0), s)
 	f.pass(500 * time.Millisecond)
 	f.answers(f.hold(firstLife(0), false), secondLife(0), Report{})
+	meets := f.plan().Meets
+	f.Expect(meets).To(HaveLen(1), "it is asked from now on")
+	f.Expect(meets[0].ID).To(Equal(secondLife(0).id))
 	f.reports(secondLife(0), Report{})
 	f.reports(secondLife(0), Report{})
 	f.Expect(f.plan().Starts).To(BeEmpty(), "nobody has read what it holds")
@@ -494,9 +499,31 @@
 	again := f.onlyStart()
 	f.acceptBy(again, thirdLife(0))
 	f.lists(secondLife(0)) // once more, late
+	f.pass(time.Millisecond)
+	f.Expect(f.hold(thirdLife(0), false).Deadline).NotTo(BeZero(), "no doubt about it")
+	f.Expect(f.pool.Workers()).To(HaveLen(1), "the second life does not come back")
+	f.lists(thirdLife(0))
+	f.reports(thirdLife(0), f.end(again, 1, EndDone))
+	f.Expect(f.pool.jobs["a"].outcome).To(Equal(job.Completed))
+}
+
+// A hold was sent while the first life was there, answered by the second one, and held up until the entry of the third was read: that one is there.
+func listHeldUp(t *testing.T) {
+	f := newLives(t, 1, nil)
+	f.add(testJob("a", testStep(1)))
+	s := f.onlyStart()
+	f.noAnswer(s)
+	early := f.hold(firstLife(0), false)
+	f.pass(700 * time.Millisecond)
 	f.lists(thirdLife(0))
+	f.answers(early, secondLife(0), Report{})
+	f.reports(thirdLife(0), Report{})
+	f.reports(thirdLife(0), Report{})
+	again := f.onlyStartAgain(thirdLife(0), Report{})
+	f.acceptBy(again, thirdLife(0))
 	f.reports(thirdLife(0), f.end(again, 1, EndDone))
 	f.Expect(f.pool.jobs["a"].outcome).To(Equal(job.Completed))
+	f.Expect(f.pool.Workers()).To(HaveLen(1))
 }
 
 // A hold was sent while the first life was there, answered by the second one, and held up on its way until the third has begun.
@@ -635,6 +662,25 @@
 	f.onlyStartAgain(firstLife(1), Report{})
 }
 
+// The next life has answered once, in place of the former one, and may have taken a start by then.
+func silentNextLife(t *testing.T) {
+	f := newLives(t, 1, func(c *Config) { c.Hold, c.MaxHold = 3*time.Second, 3*time.Second })
+	f.add(testJob("a", testStep(1)))
+	s := f.onlyStart()
+	f.begins(firstLife(1), Report{})
+	f.noAnswer(s)
+	f.pass(500 * time.Millisecond)
+	f.answers(f.hold(firstLife(0), false), secondLife(0), Report{})
+	for range 11 {
+		f.pass(500 * time.Millisecond)
+		f.reports(firstLife(1), Report{})
+		f.Expect(f.plan().Starts).To(BeEmpty(), "the run may have a lease of 6 s")
+		f.pool.Committed(f.pool.TakeCommit())
+	}
+	f.pass(time.Second)
+	f.onlyStartAgain(firstLife(1), Report{})
+}
+
 func spreadOverLives(t *testing.T) {
 	f := newLives(t, 1, nil)
 	spread := testStep(2)
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -45,9 +45,6 @@
 	fenced   bool       // it has answered this owner
 	reported bool       // its lists were taken in
 	follows  bool       // on a life that has ended while this owner knew of it
-	// evidentAt is when the last sign of it came, and doubtedAt when the entry of another life was read that may be a later
-	// one; 0 for never.
-	evidentAt, doubtedAt clock.Time
 
 	clock      int64 // its clock when it answered last …
 	clockAt    clock.Time
@@ -122,7 +119,8 @@
 func (p *Pool) PutWorker(info WorkerInfo, listed bool, now clock.Time) bool {
 	l := p.lineageOf(info.ID.Name())
 	if listed {
-		l.list(info.ID, now)
+		l.listed, l.listedAt = info.ID, now
+		l.unlistOthers(now)
 	}
 	if l.hasEnded(info.ID) {
 		return false
@@ -131,7 +129,7 @@
 	if !known {
 		w = p.newWorker(info, now)
 	}
-	w.info, w.listed, w.evidentAt = info, listed, now
+	w.info, w.listed = info, listed
 	if listed {
 		w.unlistedAt = 0
 	}
@@ -313,7 +311,7 @@
 		w.line.raise(p.cfg.Token)
 	}
 	h = Hold{Worker: id, Address: w.info.Address, Token: w.line.token, SentAt: now}
-	if !w.line.alone(w) || w.doubted() {
+	if w.doubted() {
 		return h, true // the life that takes it may be another one, also seconds later: it is only asked
 	}
 	if w.mayNote(now) {
--- /dev/null
+++ b/pkg/dispatch/worker_id_test.go
@@ -0,0 +1,25 @@
+package dispatch
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestWorkerIDIsMadeOfANameAndTheBeginningOfALife(t *testing.T) {
+	for _, c := range []struct {
+		id   WorkerID
+		name string
+		born int64
+	}{
+		{NewWorkerID("i-058fd8d354", 1767225600000), "i-058fd8d354", 1767225600000},
+		{NewWorkerID("i-058fd8d354", 0), "i-058fd8d354", 0},
+		{"i-058fd8d354", "i-058fd8d354", 0}, // as former releases stored it
+		{"mail@host", "mail@host", 0},
+		{"", "", 0},
+	} {
+		g := NewWithT(t)
+		g.Expect(c.id.Name()).To(Equal(c.name))
+		g.Expect(c.id.Born()).To(Equal(c.born))
+	}
+}
