--- a/pkg/dispatch/lives.go
+++ b/pkg/dispatch/lives.go
@@ -130,12 +130,9 @@
 	return x == w
 }
 
-// otherLife returns the life that has answered in place of the one that was asked; nil when it has ended since.
+// otherLife returns the life that has answered in place of the one that was asked; nil when it was taken for gone.
 func (p *Pool) otherLife(w *worker, born int64, now clock.Time) *worker {
 	id := NewWorkerID(w.info.ID.Name(), born)
-	if w.line.hasEnded(id) {
-		return nil
-	}
 	if x, known := p.workers[id]; known {
 		if x.gone {
 			return nil // it is forgotten before it is taken in again
@@ -181,8 +178,7 @@
 // carryOver counts a run on the next life of its worker, until that has told whether it is there.
 func (p *Pool) carryOver(r *run, next *worker) {
 	p.release(r)
-	r.worker, r.state = next, runUnsettled
-	r.startClock, r.proven, r.missing, r.stopSentAt = 0, false, 0, 0
+	r.worker, r.state, r.stopSentAt = next, runUnsettled, 0
 	p.count(r)
 }
 
--- a/pkg/dispatch/lives_test.go
+++ b/pkg/dispatch/lives_test.go
@@ -30,6 +30,7 @@
 		"a start without an answer is void once fenced":      unansweredStartIsVoidOnNextLife,
 		"a start that it answered may run there":             answeredStartRunsOnNextLife,
 		"a cancelled start that it took is stopped":          cancelledStartOnNextLifeIsStopped,
+		"a stop that the former life did not get":            stopOnNextLife,
 		"the members of a gang that it took go on":           gangOnNextLifeGoesOn,
 		"it is told by its own list before its entry":        listBeforeEntry,
 		"its entry comes before its list":                    entryBeforeList,
@@ -39,6 +40,8 @@
 		"the list of a life that has ended comes late":       lateListOfEndedLife,
 		"a list that was held up":                            listHeldUp,
 		"a start on a life that falls silent at once":        silentNextLife,
+		"the same with an entry":                             silentNextLifeWithEntry,
+		"none of two lives answers":                          noLifeAnswers,
 		"it may hold less":                                   nextLifeHoldsLess,
 		"it may hold less and take an order at once":         nextLifeTakesNoOrder,
 		"it is not drained or suspended":                     nextLifeIsNotSuspended,
@@ -378,6 +381,21 @@
 	f.Expect(stops[0].Worker).To(Equal(secondLife(0).id))
 }
 
+func stopOnNextLife(t *testing.T) {
+	f := newLives(t, 1, nil)
+	f.add(testJob("a", testStep(1)))
+	s := f.onlyStart()
+	f.acceptBy(s, secondLife(0))
+	f.pool.Cancel("a")
+	f.Expect(f.plan().Stops).To(HaveLen(1))
+	f.answers(f.hold(firstLife(0), false), secondLife(0), listed(s))
+	f.lists(secondLife(0))
+	f.reports(secondLife(0), listed(s))
+	stops := f.plan().Stops
+	f.Expect(stops).To(HaveLen(1))
+	f.Expect(stops[0].Worker).To(Equal(secondLife(0).id))
+}
+
 func gangOnNextLifeGoesOn(t *testing.T) {
 	f := newLives(t, 2, nil)
 	gang := testStep(8)
@@ -664,6 +682,14 @@
 
 // The next life has answered once, in place of the former one, and may have taken a start by then.
 func silentNextLife(t *testing.T) {
+	silentAtOnce(t, func(*fixture) {})
+}
+
+func silentNextLifeWithEntry(t *testing.T) {
+	silentAtOnce(t, func(f *fixture) { f.lists(secondLife(0)) })
+}
+
+func silentAtOnce(t *testing.T, then func(*fixture)) {
 	f := newLives(t, 1, func(c *Config) { c.Hold, c.MaxHold = 3*time.Second, 3*time.Second })
 	f.add(testJob("a", testStep(1)))
 	s := f.onlyStart()
@@ -671,6 +697,7 @@
 	f.noAnswer(s)
 	f.pass(500 * time.Millisecond)
 	f.answers(f.hold(firstLife(0), false), secondLife(0), Report{})
+	then(f)
 	for range 11 {
 		f.pass(500 * time.Millisecond)
 		f.reports(firstLife(1), Report{})
@@ -681,6 +708,21 @@
 	f.onlyStartAgain(firstLife(1), Report{})
 }
 
+// Both have gone for good.
+func noLifeAnswers(t *testing.T) {
+	f := newLives(t, 1, nil)
+	f.begins(firstLife(1), Report{})
+	f.lists(secondLife(0))
+	f.pass(2 * time.Second)
+	f.entryGoes(secondLife(0))
+	for range 20 {
+		f.pass(500 * time.Millisecond)
+		f.reports(firstLife(1), Report{})
+		f.plan()
+	}
+	f.Expect(f.pool.Workers()).To(HaveLen(1), "they are not asked for ever")
+}
+
 func spreadOverLives(t *testing.T) {
 	f := newLives(t, 1, nil)
 	spread := testStep(2)
