--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -109,6 +109,8 @@
 	Born     int64
 	Active   []Active
 	Finished []Finished
+	// Strange counts the runs that are listed under names that can't be read.
+	Strange int
 }
 
 // Ticket allows a worker to run the tasks of a step.
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"foldarch.dev/foldarch/pkg/clock"
@@ -105,7 +106,11 @@
 }
 
 func (p *Pool) takeActive(w *worker, h Hold, workerClock int64, report Report, now clock.Time) {
-	w.foreign = 0
+	if report.Strange != w.strange {
+		w.strange = report.Strange
+		p.cfg.Log(Event{Name: "strange_runs", Worker: w.info.ID, Detail: strconv.Itoa(w.strange)})
+	}
+	w.foreign = w.strange
 	listed := make(map[runKey]bool, len(report.Active))
 	for _, row := range report.Active {
 		key := runKey{row.Task, row.Run}
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -59,6 +59,7 @@
 	used    cell.Resources
 	runs    map[runKey]*run
 	foreign int // runs there of which nothing is known
+	strange int // of these, runs whose names can't be read
 	// strangerAt is when a job was first listed of which nothing was known; 0 for never.
 	strangerAt clock.Time
 
--- a/pkg/dispatch/worker_test.go
+++ b/pkg/dispatch/worker_test.go
@@ -224,6 +224,15 @@
 	f.Expect(f.plan().Starts).To(BeEmpty(), "worker 1 is silent, and on worker 0 the first runs count")
 }
 
+func TestWorkerThatRunsWhatIsNotOursGetsNothing(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	f.report(0, Report{Strange: 1})
+	f.add(testJob("a", testStep(1)))
+	f.Expect(f.plan().Starts).To(BeEmpty(), "nobody knows what room that takes")
+	f.report(0, Report{})
+	f.Expect(f.plan().Starts).To(HaveLen(1))
+}
+
 // Another writer has replaced its entry.
 func TestWorkerWithAnUnusableEntryGetsNothingAndRunsOn(t *testing.T) {
 	f := newFixture(t, 1, nil)
