--- a/pkg/dispatch/doc.go
+++ b/pkg/dispatch/doc.go
@@ -12,7 +12,7 @@
 //   - the start was rejected, or was never sent;
 //   - a hold with a higher fencing token was answered after the start, and lists the run
 //     neither as active nor as finished (a call with a lower token does nothing any more);
-//   - the worker's incarnation is gone;
+//   - the life of the worker has ended, and it had listed the run (lives.go);
 //   - the latest deadline that was ever sent to the worker has passed on its clock, and the store
 //     has named this owner after that (confirmation.go).
 //
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -41,7 +41,7 @@
 	VerdictLate                            // the deadline has passed
 	VerdictNoRoom                          // the worker has no room
 	VerdictNoTicket                        // the ticket does not hold
-	VerdictOtherIncarnation                // another incarnation answers at the address
+	VerdictOtherIncarnation                // a worker of another name answers at the address
 	VerdictUnhealthy                       // the worker does nothing at present
 	VerdictOther                           // rejected for another reason
 )
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -83,11 +83,16 @@
 	return w.info.Capacity.Sub(w.used)
 }
 
-// usable says whether the worker may be given a task now. One that has not answered the last call may have ended, and what is there next may
-// hold less.
+// usable says whether the worker may be given a task now.
 func (w *worker) usable(now clock.Time) bool {
-	return w.present(now) && w.unansweredAt == 0 && w.rostered && w.reported && !w.gone && !w.info.Draining && !w.line.closed && !w.doubted() && w.foreign == 0 &&
-		now.Sub(w.lastAnswer) < usableWithin && now >= w.suspended
+	return w.present(now) && w.answers(now) && w.rostered && !w.gone && !w.doubted() &&
+		!w.info.Draining && !w.line.closed && w.foreign == 0 && now >= w.suspended
+}
+
+// answers says that the worker has answered lately, and the last call, too. One that has not may have ended, and
+// the life that is there next may hold less.
+func (w *worker) answers(now clock.Time) bool {
+	return w.reported && w.unansweredAt == 0 && now.Sub(w.lastAnswer) < usableWithin
 }
 
 // present says that the worker's entry stands, or went so lately that the worker may still
--- a/pkg/poolowner/entries.go
+++ b/pkg/poolowner/entries.go
@@ -4,11 +4,12 @@
 	"foldarch.dev/foldarch/pkg/dispatch"
 	"foldarch.dev/foldarch/platform"
 	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 )
 
-// mostUnusable bounds the entries that are remembered for naming no worker, with their texts: a MB at most of usual ones. Of
-// others each heartbeat is told.
+// mostUnusable bounds the entries that are remembered for naming no worker, with their texts: half a MB of usual ones. Others
+// are counted only (pool.entries_unusable).
 const mostUnusable = 1000
 
 // errNotConfigured says that an entry is of a pool that the configuration does not name.
@@ -41,10 +42,12 @@
 func (o *Owner) leaveOut(i platform.Item, why error) {
 	name := platform.WorkerName(i)
 	o.pool.EntryUnusable(name)
+	metrics.GetOrRegisterCounter("pool.entries_unusable", o.deps.Figures).Inc(1)
 	former, known := o.unusable[name]
-	if known || len(o.unusable) < mostUnusable {
-		o.unusable[name] = unusableEntry{i, why.Error()}
+	if !known && len(o.unusable) >= mostUnusable {
+		return
 	}
+	o.unusable[name] = unusableEntry{i, why.Error()}
 	if former.reason != why.Error() {
 		o.deps.Log.WithFields(logrus.Fields{"worker": name, "error": why}).Warn("entry_unusable")
 	}
