--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -81,7 +81,7 @@
 	return slices.ContainsFunc(s, func(x suspectStart) bool { return x.task == r.task && x.run == r.number })
 }
 
-// crashed takes in that a worker's incarnation has ended: what had begun just before may be the cause,
+// crashed takes in that a life of a worker has ended: what had begun just before may be the cause,
 // unless it was to leave.
 func (p *Pool) crashed(w *worker, now clock.Time) {
 	starts := w.suspectStarts()
--- /dev/null
+++ b/pkg/dispatch/lives_ends_test.go
@@ -0,0 +1,118 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/job"
+	. "github.com/onsi/gomega"
+)
+
+// What the next life lists: ends, runs, numbers and clocks.
+
+func endsOfNextLifeCount(t *testing.T) {
+	f := newLives(t, 1, nil)
+	f.doneOnFirst("a")
+	f.pass(time.Second)
+	f.begins(secondLife(0), Report{})
+	f.reports(secondLife(0), Report{})
+	f.add(testJob("b", testStep(1)))
+	s := f.onlyStart()
+	f.acceptBy(s, secondLife(0))
+	f.Expect(f.hold(secondLife(0), false).LastSeen).To(BeZero())
+	f.reports(secondLife(0), f.end(s, 1, EndDone))
+	f.Expect(f.pool.jobs["b"].outcome).To(Equal(job.Completed))
+	f.pool.Committed(f.pool.TakeCommit())
+	f.Expect(f.hold(secondLife(0), false).LastSeen).To(Equal(int64(1)))
+	f.Expect(f.plan().Starts).To(BeEmpty())
+}
+
+func clockOfNextLifeIsBelow(t *testing.T) {
+	f := newLives(t, 1, nil)
+	f.add(testJob("a", testStep(4)))
+	starts := f.plan().Starts
+	f.Expect(starts).To(HaveLen(4))
+	for _, s := range starts {
+		f.acceptBy(s, firstLife(0))
+	}
+	f.survives(firstLife(0), starts...)
+	f.pass(time.Second)
+	f.begins(secondLife(0), Report{})
+	f.reports(secondLife(0), Report{})
+	f.Expect(f.plan().Starts).To(HaveLen(4), "nothing of the former life runs")
+	h := f.hold(secondLife(0), false)
+	f.Expect(h.Deadline).To(BeNumerically("~", f.workerClock-secondLife(0).behind+5000, 50), "by its own clock")
+}
+
+func gangGoesAgain(t *testing.T) {
+	f := newLives(t, 2, nil)
+	gang := testStep(8)
+	gang.Gang = true
+	f.add(testJob("a", gang))
+	var first, other []Start
+	for _, s := range f.plan().Starts {
+		f.acceptBy(s, firstLife(numberOf(s.Worker)))
+		if numberOf(s.Worker) == 0 {
+			first = append(first, s)
+		} else {
+			other = append(other, s)
+		}
+	}
+	f.Expect(first).To(HaveLen(4))
+	f.survives(firstLife(1), other...)
+	f.survives(firstLife(0), first...)
+	f.pass(500 * time.Millisecond)
+	f.begins(secondLife(0), Report{})
+	f.reports(secondLife(0), Report{})
+	var broken Report
+	for n, s := range other {
+		broken.Finished = append(broken.Finished, Finished{Number: int64(n + 1), Task: s.Task, Run: s.Run, How: EndBroken})
+	}
+	f.reports(firstLife(1), broken)
+	f.Expect(f.plan().Starts).To(HaveLen(8))
+}
+
+func lastingTaskGoesAgain(t *testing.T) {
+	f := newLives(t, 1, nil)
+	f.add(testJob("a", servingStep(1)))
+	s := f.onlyStart()
+	f.acceptBy(s, firstLife(0))
+	f.survives(firstLife(0), s)
+	f.pass(500 * time.Millisecond)
+	f.begins(secondLife(0), Report{})
+	f.reports(secondLife(0), Report{})
+	again := f.onlyStart()
+	f.Expect(again.Run).To(BeNumerically(">", s.Run))
+}
+
+// A hold may reach the next life, to which the numbers of the former one mean nothing. So what was noted is told
+// only to a worker that was heard of just before: one that starts again can't have run and ended a task since.
+func noEndIsNotedUnseen(t *testing.T) {
+	f := newLives(t, 1, nil)
+	f.doneOnFirst("a")
+	f.Expect(f.hold(firstLife(0), false).LastSeen).To(Equal(int64(7)), "heard of just now")
+	f.add(testJob("b", testStep(1)))
+	s := f.onlyStart()
+	f.acceptBy(s, secondLife(0)) // it started again, and took the order
+	f.pass(700 * time.Millisecond)
+	h := f.hold(firstLife(0), false)
+	f.Expect(h.LastSeen).To(BeZero(), "the next life would forget an end that nobody has read")
+	f.answers(h, secondLife(0), f.end(s, 1, EndDone))
+	f.reports(secondLife(0), f.end(s, 1, EndDone))
+	f.Expect(f.pool.jobs["b"].outcome).To(Equal(job.Completed))
+}
+
+// Seed 386 of the histories behind relays: a hold for the former life, sent when the entry of the next one was known, was carried out on
+// that one seconds later, with its numbers of ends.
+func holdForDoubtedLife(t *testing.T) {
+	f := newLives(t, 1, nil)
+	f.doneOnFirst("a")
+	f.lists(secondLife(0))
+	f.pass(time.Millisecond)
+	h := f.hold(firstLife(0), false)
+	f.Expect(h.LastSeen).To(BeZero())
+	f.Expect(h.Deadline).To(BeZero())
+	f.answers(h, firstLife(0), Report{}) // it is there after all
+	f.pass(time.Millisecond)
+	f.Expect(f.hold(firstLife(0), false).LastSeen).To(Equal(int64(7)))
+}
--- /dev/null
+++ b/pkg/dispatch/lives_kept_test.go
@@ -0,0 +1,267 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/job"
+	. "github.com/onsi/gomega"
+)
+
+// What is kept of one life, and what later owners read of it.
+
+func nextLifeHoldsLess(t *testing.T) {
+	f := newLives(t, 1, nil)
+	f.pass(500 * time.Millisecond)
+	f.answers(f.hold(firstLife(0), false), secondLife(0), Report{})
+	f.reports(secondLife(0), Report{})
+	f.add(testJob("a", testStep(4)))
+	f.Expect(f.plan().Starts).To(BeEmpty(), "what the former life held is no sign of what this one does")
+	small := secondLife(0).info()
+	small.Capacity = cell.Resources{CPUMillis: 2000, MemoryMB: 8000}
+	f.pool.PutWorker(small, true, f.now)
+	f.pool.Rostered([]WorkerID{small.ID})
+	f.reports(secondLife(0), Report{})
+	f.Expect(f.plan().Starts).To(HaveLen(2))
+}
+
+// Seed 997 of the histories: a worker that had not answered for a second was given two tasks. The next life, which was there by then, held one.
+func nextLifeTakesNoOrder(t *testing.T) {
+	f := newLives(t, 1, nil)
+	f.pass(200 * time.Millisecond)
+	f.pool.HoldFailed(firstLife(0).id, f.now)
+	f.add(testJob("a", testStep(1)))
+	f.Expect(f.plan().Starts).To(BeEmpty(), "it may have ended")
+	f.reports(firstLife(0), Report{})
+	f.Expect(f.plan().Starts).To(HaveLen(1))
+}
+
+func nextLifeIsNotSuspended(t *testing.T) {
+	f := newLives(t, 1, nil)
+	leaving := firstLife(0).info()
+	leaving.Draining, leaving.Remaining = true, time.Second
+	f.pool.PutWorker(leaving, true, f.now)
+	f.pool.suspend(f.pool.workers[firstLife(0).id], time.Minute, "failures", f.now)
+	f.pass(700 * time.Millisecond)
+	f.begins(secondLife(0), Report{})
+	f.reports(secondLife(0), Report{})
+	f.add(testJob("a", testStep(1)))
+	s := f.onlyStart()
+	f.acceptBy(s, secondLife(0))
+	f.reports(secondLife(0), listed(s))
+	f.pool.Inspect(f.now)
+	f.Expect(f.plan().Stops).To(BeEmpty(), "it does not leave")
+}
+
+// The next life has seen no token, so an order of a former owner counts there until it has seen a higher one.
+func tokensRise(t *testing.T) {
+	f := newLives(t, 1, nil)
+	raised := f.hold(firstLife(0), true)
+	f.answers(raised, firstLife(0), Report{})
+	f.pass(500 * time.Millisecond)
+	f.lists(secondLife(0))
+	next := f.hold(secondLife(0), false)
+	f.Expect(next.Token).To(BeNumerically(">", raised.Token))
+	// A hold for the former life reaches the next one, with a higher token; that is no other owner's.
+	_, _ = f.pool.HoldFor(firstLife(0).id, true, true, f.now)
+	f.pool.HoldAnswered(next, Answer{Verdict: VerdictFenced, Clock: f.workerClock - secondLife(0).behind}, Report{}, f.now)
+	f.Expect(f.pool.Fenced()).To(BeFalse())
+	f.reports(secondLife(0), Report{})
+	f.Expect(f.pool.Fenced()).To(BeFalse())
+}
+
+func ticketsAreOfOneLife(t *testing.T) {
+	f := newLives(t, 1, nil)
+	f.pool.PutAdviser("host")
+	f.add(advisedJob("a", testStep(5)))
+	asks := f.plan().Asks
+	f.Expect(asks).To(HaveLen(1))
+	f.pool.AdviceAnswered(asks[0].Number, []Ticket{{asks[0].Workers[0], "t1"}}, true, f.now)
+	starts := f.plan().Starts
+	f.Expect(starts).To(HaveLen(4))
+	for _, s := range starts {
+		f.acceptBy(s, firstLife(0))
+	}
+	f.reports(firstLife(0), listed(starts...))
+	f.pass(500 * time.Millisecond)
+	f.begins(secondLife(0), Report{})
+	f.reports(secondLife(0), Report{})
+	actions := f.plan()
+	f.Expect(actions.Starts).To(BeEmpty(), "the ticket was for the former life")
+	f.Expect(actions.Asks).To(HaveLen(1))
+	f.Expect(actions.Asks[0].Workers).To(Equal([]WorkerID{secondLife(0).id}))
+}
+
+func crashIsCounted(t *testing.T) {
+	f := newLives(t, 1, nil)
+	f.add(testJob("a", testStep(1)))
+	s := f.onlyStart()
+	f.acceptBy(s, firstLife(0))
+	f.pass(500 * time.Millisecond)
+	f.begins(secondLife(0), Report{})
+	f.reports(secondLife(0), Report{})
+	j := f.pool.jobs["a"]
+	f.Expect(j.times[0].steps[0].tasks[0].crashes).To(HaveLen(1))
+	f.Expect(f.plan().Starts).To(BeEmpty(), "it is stored first")
+	stored := f.pool.TakeCommit()
+	f.pool.Committed(stored)
+	f.reports(secondLife(0), Report{})
+	f.Expect(f.plan().Starts).To(HaveLen(1))
+}
+
+// A deadline by the clock of the former life may be far ahead on the next one's, which cuts it to the longest lease that it gives.
+func leasesOnNextLife(t *testing.T) {
+	f := newLives(t, 1, func(c *Config) { c.Hold, c.MaxHold = 3*time.Second, 3*time.Second })
+	f.add(testJob("a", testStep(1)))
+	s := f.onlyStart()
+	f.begins(firstLife(1), Report{})
+	f.noAnswer(s)
+	f.pass(500 * time.Millisecond)
+	f.lists(secondLife(0))
+	f.reports(secondLife(0), listed(s)) // and is silent from now on
+	for range 10 {
+		f.pass(500 * time.Millisecond)
+		f.reports(firstLife(1), Report{})
+		f.Expect(f.plan().Starts).To(BeEmpty(), "the run may have a lease of 6 s")
+	}
+	f.pass(1500 * time.Millisecond)
+	f.onlyStartAgain(firstLife(1), Report{})
+}
+
+// The next life has answered once, in place of the former one, and may have taken a start by then.
+func silentNextLife(t *testing.T) {
+	silentAtOnce(t, func(*fixture) {})
+}
+
+func silentNextLifeWithEntry(t *testing.T) {
+	silentAtOnce(t, func(f *fixture) { f.lists(secondLife(0)) })
+}
+
+func silentAtOnce(t *testing.T, then func(*fixture)) {
+	f := newLives(t, 1, func(c *Config) { c.Hold, c.MaxHold = 3*time.Second, 3*time.Second })
+	f.add(testJob("a", testStep(1)))
+	s := f.onlyStart()
+	f.begins(firstLife(1), Report{})
+	f.noAnswer(s)
+	f.pass(500 * time.Millisecond)
+	f.answers(f.hold(firstLife(0), false), secondLife(0), Report{})
+	then(f)
+	for range 11 {
+		f.pass(500 * time.Millisecond)
+		f.reports(firstLife(1), Report{})
+		f.Expect(f.plan().Starts).To(BeEmpty(), "the run may have a lease of 6 s")
+		f.pool.Committed(f.pool.TakeCommit())
+	}
+	f.pass(time.Second)
+	f.onlyStartAgain(firstLife(1), Report{})
+}
+
+// Both have gone for good.
+func noLifeAnswers(t *testing.T) {
+	f := newLives(t, 1, nil)
+	f.begins(firstLife(1), Report{})
+	f.lists(secondLife(0))
+	f.pass(2 * time.Second)
+	f.entryGoes(secondLife(0))
+	for range 20 {
+		f.pass(500 * time.Millisecond)
+		f.reports(firstLife(1), Report{})
+		f.plan()
+	}
+	f.Expect(f.pool.Workers()).To(HaveLen(1), "they are not asked for ever")
+}
+
+func spreadOverLives(t *testing.T) {
+	f := newLives(t, 1, nil)
+	spread := testStep(2)
+	spread.MaxPerWorker = 1
+	f.add(testJob("a", spread))
+	s := f.onlyStart()
+	f.acceptBy(s, firstLife(0))
+	f.survives(firstLife(0), s)
+	f.pass(500 * time.Millisecond)
+	f.begins(secondLife(0), Report{})
+	f.reports(secondLife(0), Report{})
+	again := f.onlyStart()
+	f.acceptBy(again, secondLife(0))
+	f.reports(secondLife(0), listed(again))
+	f.Expect(f.plan().Starts).To(BeEmpty(), "one task there at most")
+}
+
+func entryOfNextLifeGoes(t *testing.T) {
+	f := newLives(t, 1, nil)
+	f.pass(500 * time.Millisecond)
+	f.begins(secondLife(0), Report{})
+	f.reports(secondLife(0), Report{})
+	f.entryGoes(secondLife(0))
+	f.pass(3 * time.Second)
+	f.reports(secondLife(0), Report{})
+	f.add(testJob("a", testStep(1)))
+	f.Expect(f.plan().Starts).To(BeEmpty())
+	f.lists(secondLife(0))
+	f.reports(secondLife(0), Report{})
+	f.Expect(f.plan().Starts).To(HaveLen(1))
+}
+
+// The roster names the former life and the store the next one.
+func takeoverMeetsNextLife(t *testing.T) {
+	f := newFixture(t, 0, afterFormerOwner)
+	f.add(testJob("a", testStep(1)))
+	f.pool.PutWorker(firstLife(0).info(), false, f.now)
+	f.lists(secondLife(0))
+	id := job.TaskID{StepID: job.StepID{Job: "a"}}
+	f.reports(secondLife(0), Report{Active: []Active{{Task: id, Run: 4, Percent: 50}}}) // of an order of the former owner
+	f.reports(secondLife(0), Report{Active: []Active{{Task: id, Run: 4, Percent: 50}}})
+	actions := f.plan()
+	f.Expect(actions.Starts).To(BeEmpty())
+	f.Expect(actions.Stops).To(BeEmpty())
+	f.reports(secondLife(0), Report{Finished: []Finished{{Number: 1, Task: id, Run: 4, How: EndDone}}})
+	f.Expect(f.pool.jobs["a"].outcome).To(Equal(job.Completed))
+	f.Expect(f.pool.takeover.pending).To(BeFalse(), "the former life has ended")
+}
+
+func takeoverWithoutEntry(t *testing.T) {
+	f := newFixture(t, 0, afterFormerOwner)
+	f.add(testJob("a", testStep(1)))
+	f.pool.PutWorker(firstLife(0).info(), false, f.now)
+	f.answers(f.hold(firstLife(0), false), secondLife(0), Report{})
+	f.reports(secondLife(0), Report{})
+	f.reports(secondLife(0), Report{})
+	f.plan()
+	f.Expect(f.pool.takeover.pending).To(BeFalse(), "the former life has ended, and the next one has told what it runs")
+	var names []WorkerID
+	for _, w := range f.pool.Workers() {
+		names = append(names, w.ID)
+	}
+	f.Expect(names).To(Equal([]WorkerID{secondLife(0).id}))
+}
+
+// A former owner has stored a start, and the worker has crashed under it and is back under its id.
+func takeoverReadsAttempts(t *testing.T) {
+	f := newFixture(t, 0, afterFormerOwner)
+	crash := job.Crash{Run: 1, Worker: "w9", Alone: true}
+	f.lists(secondLife(0))
+	f.pool.AddJob(testJob("a", testStep(1)), job.Progress{Tasks: []job.TaskProgress{{
+		LastRun: 1, Crashes: []job.Crash{crash}, Attempts: []job.Attempt{{Run: 2, Worker: string(firstLife(0).id)}},
+	}}}, true, 0, f.now)
+	f.reports(secondLife(0), Report{})
+	f.reports(secondLife(0), Report{})
+	f.plan()
+	f.Expect(f.pool.jobs["a"].times[0].steps[0].tasks[0].crashes).To(HaveLen(2))
+}
+
+func closedByName(t *testing.T) {
+	f := newLives(t, 1, nil)
+	f.closeMachineOf(0)
+	f.pass(500 * time.Millisecond)
+	f.begins(secondLife(0), Report{})
+	f.reports(secondLife(0), Report{})
+	f.add(testJob("a", testStep(1)))
+	f.Expect(f.plan().Starts).To(BeEmpty(), "its machine is to go into upkeep")
+}
+
+// closeMachineOf has the machine of a worker be emptied.
+func (f *fixture) closeMachineOf(n int) {
+	f.pool.Close(map[string]bool{workerID(n).Name(): true})
+}
--- /dev/null
+++ b/pkg/dispatch/lives_starts_test.go
@@ -0,0 +1,127 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/job"
+	. "github.com/onsi/gomega"
+)
+
+// Starts that the next life may have taken.
+
+// unanswered is a start that got no answer from the first life of worker 0, which has ended since, with another worker to go to.
+func unanswered(t *testing.T) (*fixture, Start) {
+	f := newLives(t, 1, nil)
+	f.add(testJob("a", testStep(1)))
+	s := f.onlyStart()
+	f.begins(firstLife(1), Report{})
+	f.noAnswer(s)
+	f.pass(500 * time.Millisecond)
+	return f, s
+}
+
+func unansweredStartRunsOnNextLife(t *testing.T) {
+	f, s := unanswered(t)
+	f.lists(secondLife(0))
+	f.Expect(f.plan().Starts).To(BeEmpty())
+	f.reports(secondLife(0), listed(s))
+	f.reports(firstLife(1), Report{})
+	actions := f.plan()
+	f.Expect(actions.Starts).To(BeEmpty(), "the next life has taken the order")
+	f.Expect(actions.Stops).To(BeEmpty())
+	f.reports(secondLife(0), f.end(s, 1, EndDone))
+	f.Expect(f.pool.jobs["a"].outcome).To(Equal(job.Completed))
+}
+
+func unansweredStartIsVoidOnNextLife(t *testing.T) {
+	f, s := unanswered(t)
+	h := f.hold(firstLife(0), false) // with the token of the start: that may still be on its way
+	f.answers(h, secondLife(0), Report{})
+	f.reports(firstLife(1), Report{})
+	f.Expect(f.plan().Starts).To(BeEmpty(), "the next life has not seen a higher token")
+	f.lists(secondLife(0))
+	h = f.hold(secondLife(0), false)
+	f.Expect(h.Token).To(BeNumerically(">", s.Token))
+	f.answers(h, secondLife(0), Report{})
+	again := f.onlyStartAgain(secondLife(0), Report{})
+	f.Expect(again.Run).To(BeNumerically(">", s.Run))
+}
+
+// An answer to a start does not say whose it is.
+func answeredStartRunsOnNextLife(t *testing.T) {
+	f := newLives(t, 1, nil)
+	f.add(testJob("a", testStep(1)))
+	s := f.onlyStart()
+	f.begins(firstLife(1), Report{})
+	f.acceptBy(s, secondLife(0))
+	f.answers(f.hold(firstLife(0), false), secondLife(0), listed(s))
+	f.lists(secondLife(0))
+	f.reports(firstLife(1), Report{})
+	f.Expect(f.plan().Starts).To(BeEmpty())
+	f.reports(secondLife(0), listed(s))
+	f.reports(firstLife(1), Report{})
+	actions := f.plan()
+	f.Expect(actions.Starts).To(BeEmpty())
+	f.Expect(actions.Stops).To(BeEmpty())
+	f.reports(secondLife(0), f.end(s, 1, EndDone))
+	f.Expect(f.pool.jobs["a"].outcome).To(Equal(job.Completed))
+}
+
+func cancelledStartOnNextLifeIsStopped(t *testing.T) {
+	f, s := unanswered(t)
+	f.lists(secondLife(0))
+	f.pool.Cancel("a")
+	f.reports(secondLife(0), listed(s))
+	f.reports(secondLife(0), listed(s))
+	stops := f.plan().Stops
+	f.Expect(stops).NotTo(BeEmpty())
+	f.Expect(stops[0].Worker).To(Equal(secondLife(0).id))
+}
+
+func stopOnNextLife(t *testing.T) {
+	f := newLives(t, 1, nil)
+	f.add(testJob("a", testStep(1)))
+	s := f.onlyStart()
+	f.acceptBy(s, secondLife(0))
+	f.pool.Cancel("a")
+	f.Expect(f.plan().Stops).To(HaveLen(1))
+	f.answers(f.hold(firstLife(0), false), secondLife(0), listed(s))
+	f.lists(secondLife(0))
+	f.reports(secondLife(0), listed(s))
+	stops := f.plan().Stops
+	f.Expect(stops).To(HaveLen(1))
+	f.Expect(stops[0].Worker).To(Equal(secondLife(0).id))
+}
+
+func gangOnNextLifeGoesOn(t *testing.T) {
+	f := newLives(t, 2, nil)
+	gang := testStep(8)
+	gang.Gang = true
+	f.add(testJob("a", gang))
+	of := map[int][]Start{}
+	for _, s := range f.plan().Starts {
+		of[numberOf(s.Worker)] = append(of[numberOf(s.Worker)], s)
+	}
+	for _, s := range of[0] {
+		f.acceptBy(s, secondLife(0))
+	}
+	for _, s := range of[1] {
+		f.acceptBy(s, firstLife(1))
+	}
+	f.reports(firstLife(1), listed(of[1]...))
+	f.lists(secondLife(0))
+	f.reports(secondLife(0), listed(of[0]...))
+	f.reports(secondLife(0), listed(of[0]...))
+	actions := f.plan()
+	f.Expect(actions.Stops).To(BeEmpty())
+	f.Expect(actions.Starts).To(BeEmpty())
+	for n, l := range []life{secondLife(0), firstLife(1)} {
+		var done Report
+		for i, s := range of[n] {
+			done.Finished = append(done.Finished, Finished{Number: int64(i + 1), Task: s.Task, Run: s.Run, How: EndDone})
+		}
+		f.reports(l, done)
+	}
+	f.Expect(f.pool.jobs["a"].outcome).To(Equal(job.Completed))
+}
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -73,7 +73,7 @@
 	EndLapsed
 	EndBroken // another member of the gang ended
 	EndAlone  // the other members of the gang did not come
-	EndLost   // the worker's incarnation is gone, or its leases have lapsed unseen
+	EndLost   // the life of the worker has ended, or its leases have lapsed unseen
 )
 
 var endNames = [...]string{"unknown", "done", "failed", "stopped", "lapsed", "broken", "alone", "lost"}
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -120,94 +120,6 @@
 	}
 }
 
-// PutWorker takes in a worker's entry, or that the roster names it. It says whether the worker is new, so that the
-// roster has to be written before it is used (Rostered).
-func (p *Pool) PutWorker(info WorkerInfo, listed bool, now clock.Time) bool {
-	l := p.lineageOf(info.ID.Name())
-	if listed {
-		l.listed, l.listedAt = info.ID, now
-		l.unlistOthers(now)
-	}
-	if l.hasEnded(info.ID) {
-		return false
-	}
-	w, known := p.workers[info.ID]
-	if !known {
-		w = p.newWorker(info, now)
-	}
-	w.info, w.listed = info, listed
-	if listed {
-		w.unlistedAt = 0
-	}
-	if info.Draining && w.leavesAt == 0 {
-		w.leavesAt = now.Add(max(info.Remaining, p.cfg.Drain))
-		p.cfg.Log(Event{Name: "worker_draining", Worker: info.ID, Detail: w.leavesAt.Sub(now).String()})
-	}
-	return !known
-}
-
-// Rostered takes in that the roster of the store names workers.
-func (p *Pool) Rostered(ids []WorkerID) {
-	for _, id := range ids {
-		if w, ok := p.workers[id]; ok {
-			w.rostered = true
-		}
-	}
-}
-
-// UnlistWorker takes in that a worker's entry is gone. What runs there may go on, unless the
-// entry was fresh, that is, written too lately to have gone for want of heartbeats, and the
-// worker was to leave by now.
-func (p *Pool) UnlistWorker(id WorkerID, fresh bool, now clock.Time) {
-	w, ok := p.workers[id]
-	if !ok {
-		return
-	}
-	w.unlist(now)
-	if w.line.listed == id {
-		w.line.listed = ""
-	}
-	if fresh && w.leavesAt != 0 && now >= w.leavesAt.Add(-leaveSlack) {
-		p.workerGone(w, "left as it said", now)
-	}
-}
-
-// EntryGone takes in that the entry of a worker is gone, whichever life had written it; fresh is as in UnlistWorker.
-func (p *Pool) EntryGone(name string, fresh bool, now clock.Time) {
-	l, ok := p.lineages[name]
-	if !ok {
-		return
-	}
-	id := l.listed
-	l.listed = ""
-	p.UnlistWorker(id, fresh, now)
-}
-
-// EntryUnusable takes in that the entry of a worker does not name one any more, whoever wrote it. What runs there goes on.
-// Unlike one whose entry has gone, it gets no task even if it answers: its own next heartbeat makes the entry good again.
-func (p *Pool) EntryUnusable(name string) {
-	l, ok := p.lineages[name]
-	if !ok {
-		return
-	}
-	l.listed = ""
-	for _, w := range l.lives {
-		w.listed, w.unlistedAt = false, 0
-	}
-}
-
-// Listed says that the entry of a worker stands in the store.
-func (p *Pool) Listed(id WorkerID) bool {
-	w, ok := p.workers[id]
-	return ok && w.listed
-}
-
-func (w *worker) unlist(now clock.Time) {
-	if w.listed {
-		w.listed, w.unlistedAt = false, now
-	}
-}
-
 // workersByID lists all workers, by id.
 func (p *Pool) workersByID() []*worker {
 	if p.sorted == nil {
@@ -219,37 +131,6 @@
 	return p.sorted
 }
 
-// Workers lists the workers that have not gone, by id.
-func (p *Pool) Workers() []WorkerInfo {
-	var out []WorkerInfo
-	for _, w := range p.workersByID() {
-		if !w.gone {
-			out = append(out, w.info)
-		}
-	}
-	return out
-}
-
-// Roster lists the workers that a later owner has to know of, by id: those that have not gone, and those that
-// crashed under starts that the store may not tell.
-func (p *Pool) Roster() []WorkerInfo {
-	out := p.Workers()
-	for _, info := range p.parting {
-		out = append(out, info.crashed())
-	}
-	if p.takeover.missed && p.anyKnownToFormer() {
-		out = append(out, p.missedWorker.crashed())
-	}
-	slices.SortFunc(out, func(a, b WorkerInfo) int { return cmp.Compare(a.ID, b.ID) })
-	return out
-}
-
-// crashed returns what the roster tells of a worker that has crashed.
-func (i WorkerInfo) crashed() WorkerInfo {
-	i.Crashed = true
-	return i
-}
-
 // HoldFailed takes in that a hold got no answer.
 func (p *Pool) HoldFailed(id WorkerID, now clock.Time) {
 	if w, ok := p.workers[id]; ok {
@@ -279,57 +160,6 @@
 	return answering, all
 }
 
-// The waits of holds: how long a worker lets a hold wait for an end. They grow with the pool,
-// so that the calls to workers don't grow as it does, and stay below usableWithin and the
-// term of an owner's authority.
-const (
-	holdWait     = 600 * time.Millisecond  // in pools of up to usualPool workers
-	longHoldWait = time.Second             // at most, while something runs there
-	idleHoldWait = 1500 * time.Millisecond // at most, while nothing does
-	usualPool    = 400
-	// probeWait is the wait while a task that was started alone is not proven: other tasks wait for the worker. With it and a
-	// provenAfter of 0.3 s in place of 0.5 s jobs earn 0.024 more in a pool of 48 workers of which two crash each second (12 plays each).
-	probeWait = 100 * time.Millisecond
-)
-
-// HoldWait is how long a worker is to let its next hold wait for an end.
-func (p *Pool) HoldWait(id WorkerID) time.Duration {
-	most := idleHoldWait
-	w, known := p.workers[id]
-	if known && len(w.runs) > 0 {
-		most = longHoldWait
-	}
-	if known && w.claim.step != nil {
-		return probeWait
-	}
-	scaled := holdWait * time.Duration(len(p.workers)) / usualPool
-	return min(max(scaled, holdWait), most)
-}
-
-// HoldFor returns the next hold for a worker; ok is false when there is none to be sent any
-// more. raise asks for a higher token, which settles lost answers.
-func (p *Pool) HoldFor(id WorkerID, raise, extend bool, now clock.Time) (h Hold, ok bool) {
-	w, known := p.workers[id]
-	if !known || w.gone {
-		return Hold{}, false
-	}
-	if raise {
-		w.line.raise(p.cfg.Token)
-	}
-	h = Hold{Worker: id, Address: w.info.Address, Token: w.line.token, SentAt: now}
-	if w.doubted() {
-		return h, true // the life that takes it may be another one, also seconds later: it is only asked
-	}
-	if w.mayNote(now) {
-		h.LastSeen = w.noted
-	}
-	if w.fenced && extend && now.Sub(w.lastAnswer) < extendWithin {
-		h.Deadline = w.deadline(now, p.cfg.Hold)
-		w.bound = max(w.bound, h.Deadline)
-	}
-	return h, true
-}
-
 // workerGone takes in that nothing of a worker runs any more.
 func (p *Pool) workerGone(w *worker, why string, now clock.Time) {
 	if w.gone {
--- a/pkg/job/record.go
+++ b/pkg/job/record.go
@@ -64,7 +64,7 @@
 	Crashes []Crash `json:"x,omitempty"`
 }
 
-// Attempt is a start of a task on one incarnation of a worker.
+// Attempt is a start of a task on one life of a worker.
 type Attempt struct {
 	Run    int    `json:"r"`
 	Worker string `json:"w"`
--- a/pkg/poolowner/sessions.go
+++ b/pkg/poolowner/sessions.go
@@ -24,7 +24,7 @@
 	settleTries = 60
 )
 
-// workerSession talks with one incarnation of a worker.
+// workerSession talks with one life of a worker.
 type workerSession struct {
 	owner  *Owner
 	id     dispatch.WorkerID
--- a/pkg/upkeep/plan.go
+++ b/pkg/upkeep/plan.go
@@ -27,7 +27,7 @@
 	ID     MachineID
 	Pool   string
 	State  MachineState
-	Worker string // the incarnation that runs on it
+	Worker string // name of the one that runs on it
 }
 
 // Wave is a request for the upkeep of machines.
