--- a/pkg/dispatch/doc.go
+++ b/pkg/dispatch/doc.go
@@ -18,6 +18,11 @@
 //
 // Only then may the task start elsewhere, so no task runs twice.
 //
+// # Lives of a worker
+//
+// A worker that starts again under its name is another worker: its WorkerID has the beginning of its life. What its lists, its
+// entry and late answers mean for the life before is decided in lives.go.
+//
 // # Taking over
 //
 // A new owner first raises the fence on every worker and adopts what their reports list.
