--- /dev/null
+++ b/pkg/dispatch/history_open_test.go
@@ -0,0 +1,31 @@
+package dispatch
+
+import "testing"
+
+// Histories with workers that start again that break a promise, and are not mended. They are listed in KNOWN-RED.txt.
+
+// The entry of a next life was known, and that life was cut off from the owner. It took a start 3.7 s late that the former life had left
+// without an answer. The former life was held for lapsed by its own clock, and the task was started elsewhere:
+//
+//	108540 w3: the entry of life 1700000780456 is written
+//	110200 w3 begins 0000000000000008.0.0.1 run 1
+//	112840 owner 1 worker_lapsed w3@1700000267423 6.78s
+//	112860 w2 begins 0000000000000008.0.0.1 run 2
+func TestNextLifeBehindACutThatTakesALateStart(t *testing.T) {
+	playSeeds(t, []uint64{20280}, func(w *world) {
+		w.crashing, w.reborn = true, true
+		for range historyWorkers {
+			w.addWorker()
+		}
+	})
+}
+
+// A busy owner had made no call to a worker for 1.1 s, in which that had crashed and was back, holding less:
+//
+//	117160 w2 crashes
+//	118060 w2 begins life 1700000021391
+//	118300 owner 4 run_ordered 0000000000000010.0.1.1 run 4001 w2@1700000658866 worker_age_ms=1140 free=cpu=500m
+//	118340 w2 is given more than it holds by 0000000000000001.0.0.2 run 4001
+func TestNextLifeThatHoldsLessUnderABusyOwner(t *testing.T) {
+	playSeeds(t, []uint64{22163}, func(w *world) { w.reborn = true })
+}
