--- a/pkg/dispatch/history_lives_test.go
+++ b/pkg/dispatch/history_lives_test.go
@@ -99,17 +99,13 @@
 		}
 		o.entries[n] = m.entry.version
 		if m.entry.gone {
-			o.entryGone(n, w.now)
+			o.pool.EntryGone(string(workerID(n)), false, w.now)
 		} else {
 			o.pool.PutWorker(m.entry.info, true, w.now)
 		}
 	}
 }
 
-func (o *modelOwner) entryGone(n int, now clock.Time) {
-	o.pool.EntryGone(string(workerID(n)), false, now)
-}
-
 // readRoster has a new owner read which workers the former one used.
 func (w *world) readRoster(o *modelOwner) {
 	known := o.pool.Workers()
--- a/pkg/dispatch/lives_kept_test.go
+++ b/pkg/dispatch/lives_kept_test.go
@@ -110,14 +110,14 @@
 	f.Expect(f.plan().Starts).To(HaveLen(1))
 }
 
+// shortLeases has an owner give shorter leases than a worker does at most.
+func shortLeases(c *Config) {
+	c.Hold, c.MaxHold = 3*time.Second, 3*time.Second
+}
+
 // A deadline by the clock of the former life may be far ahead on the next one's, which cuts it to the longest lease that it gives.
 func leasesOnNextLife(t *testing.T) {
-	f := newLives(t, 1, func(c *Config) { c.Hold, c.MaxHold = 3*time.Second, 3*time.Second })
-	f.add(testJob("a", testStep(1)))
-	s := f.onlyStart()
-	f.begins(firstLife(1), Report{})
-	f.noAnswer(s)
-	f.pass(500 * time.Millisecond)
+	f, s := unanswered(t, shortLeases)
 	f.lists(secondLife(0))
 	f.reports(secondLife(0), listed(s)) // and is silent from now on
 	for range 10 {
@@ -139,12 +139,7 @@
 }
 
 func silentAtOnce(t *testing.T, then func(*fixture)) {
-	f := newLives(t, 1, func(c *Config) { c.Hold, c.MaxHold = 3*time.Second, 3*time.Second })
-	f.add(testJob("a", testStep(1)))
-	s := f.onlyStart()
-	f.begins(firstLife(1), Report{})
-	f.noAnswer(s)
-	f.pass(500 * time.Millisecond)
+	f, _ := unanswered(t, shortLeases)
 	f.answers(f.hold(firstLife(0), false), secondLife(0), Report{})
 	then(f)
 	for range 11 {
--- a/pkg/dispatch/lives_starts_test.go
+++ b/pkg/dispatch/lives_starts_test.go
@@ -11,8 +11,8 @@
 // Starts that the next life may have taken.
 
 // unanswered is a start that got no answer from the first life of worker 0, which has ended since, with another worker to go to.
-func unanswered(t *testing.T) (*fixture, Start) {
-	f := newLives(t, 1, nil)
+func unanswered(t *testing.T, change func(*Config)) (*fixture, Start) {
+	f := newLives(t, 1, change)
 	f.add(testJob("a", testStep(1)))
 	s := f.onlyStart()
 	f.begins(firstLife(1), Report{})
@@ -22,7 +22,7 @@
 }
 
 func unansweredStartRunsOnNextLife(t *testing.T) {
-	f, s := unanswered(t)
+	f, s := unanswered(t, nil)
 	f.lists(secondLife(0))
 	f.Expect(f.plan().Starts).To(BeEmpty())
 	f.reports(secondLife(0), listed(s))
@@ -35,7 +35,7 @@
 }
 
 func unansweredStartIsVoidOnNextLife(t *testing.T) {
-	f, s := unanswered(t)
+	f, s := unanswered(t, nil)
 	h := f.hold(firstLife(0), false) // with the token of the start: that may still be on its way
 	f.answers(h, secondLife(0), Report{})
 	f.reports(firstLife(1), Report{})
@@ -69,7 +69,7 @@
 }
 
 func cancelledStartOnNextLifeIsStopped(t *testing.T) {
-	f, s := unanswered(t)
+	f, s := unanswered(t, nil)
 	f.lists(secondLife(0))
 	f.pool.Cancel("a")
 	f.reports(secondLife(0), listed(s))
--- a/pkg/poolowner/loading.go
+++ b/pkg/poolowner/loading.go
@@ -133,7 +133,7 @@
 	for _, i := range items {
 		id, cancel := jobstore.ParseJobKey(i.Key)
 		switch {
-		case i.Gone, o.unreadable[id]:
+		case i.Gone:
 		case o.pool.Running(id) && !cancel && !job.HasOutcome(i.Value):
 			// A host has told of it; reading all records once more took 5% of an owner's time.
 		case cancel:
