Count what a next life may have taken for as long as an order may be carried out late

The former life was held for lapsed by its own clock and the task started elsewhere: TWICE. Ruled out: to wait so for all silent workers (18 s in place of 6 s without need: a clock that goes on bounds the order by its deadline); to wait only while the entry stands (it lapses behind the cut while the life goes on: lastListed stays). After: runs that no list has shown wait for the latest that an order is carried out (12 s) and a whole lease, where another life's entry was read or the order was for a life before; all others lapse as before.

--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -144,7 +144,7 @@
 func (w *worker) suspectStarts() suspectStarts {
 	out := slices.Clone(w.doubts)
 	for _, r := range sortedRuns(w) {
-		if r.proven || r.state == runStoring || w.mayHaveEndedBefore(r) {
+		if r.proven || r.state == runStoring || w.doubts.has(r) || w.mayHaveEndedBefore(r) {
 			continue
 		}
 		out = append(out, suspectStart{task: r.task, run: r.number, soon: r.begunSoonBefore(w.clock)})
--- a/pkg/dispatch/entries.go
+++ b/pkg/dispatch/entries.go
@@ -9,7 +9,7 @@
 func (p *Pool) PutWorker(info WorkerInfo, listed bool, now clock.Time) bool {
 	l := p.lineageOf(info.ID.Name())
 	if listed {
-		l.listed, l.listedAt = info.ID, now
+		l.listed, l.lastListed, l.listedAt = info.ID, info.ID, now
 		l.unlistOthers(now)
 	}
 	if l.hasEnded(info.ID) {
--- a/pkg/dispatch/lives.go
+++ b/pkg/dispatch/lives.go
@@ -25,6 +25,9 @@
 	// endedKept is how many lives that have ended are remembered of a worker: one a second for as long as an
 	// entry may be late (30 s, the longest wait of a watch).
 	endedKept = 30
+	// latestOrder is how long after it was sent an order without an answer may be carried out at the latest: workers were seen to do
+	// so 2 to 12 s later.
+	latestOrder = 12 * time.Second
 )
 
 // lineage is what is kept of a worker over all its lives.
@@ -33,9 +36,11 @@
 	token int64
 	// lives are those that are known, also ended ones until they are forgotten.
 	lives []*worker
-	// listed is the life whose entry stands in the store, and listedAt when that was read last; empty for none.
-	listed   WorkerID
-	listedAt clock.Time
+	// listed is the life whose entry stands in the store; empty for none.
+	listed WorkerID
+	// lastListed is the life whose entry was read last, at listedAt, whether it still stands or not.
+	lastListed WorkerID
+	listedAt   clock.Time
 	// ended are lives after which another one was heard of, the latest last, and forgotten those that were taken for
 	// gone without that: one that was only cut off for long comes back.
 	ended, forgotten []WorkerID
@@ -109,7 +114,7 @@
 // have ended.
 func (w *worker) doubted() bool {
 	l := w.line
-	return l.listed != "" && l.listed != w.info.ID && !l.hasEnded(l.listed) && w.provenAt <= l.listedAt
+	return l.lastListed != "" && l.lastListed != w.info.ID && !l.hasEnded(l.lastListed) && w.provenAt <= l.listedAt
 }
 
 // heardOf takes in which life has answered a hold with its lists, and ends those that were there before it: all that were known
@@ -163,18 +168,32 @@
 	next.inherited = max(next.inherited, now.Add(lapseTime(p.cfg.LongestLease)))
 }
 
-// notListedYet lists the runs whose starts may have been taken by the next life: no list has shown them. An answer to a start
-// does not tell whose it is.
+// notListedYet lists the runs whose starts may have been taken by the next life.
 func (w *worker) notListedYet() []*run {
 	var out []*run
 	for _, r := range sortedRuns(w) {
-		if !r.observed && !r.adopted && r.state != runStoring {
+		if r.mayGoOver() {
 			out = append(out, r)
 		}
 	}
 	return out
 }
 
+// mayGoOver says that the next life of its worker may have taken a run's start: no list has shown the run. An answer to a start does not
+// tell whose it is.
+func (r *run) mayGoOver() bool {
+	return !r.observed && !r.adopted && r.state != runStoring
+}
+
+// goneOverUntil is until when the next life of a worker may run what was meant for the one before: it may take the order late, and the
+// deadline in it is by another clock. It is 0 for a run that can't have gone over, or whose worker has no other life that we know of.
+func (p *Pool) goneOverUntil(w *worker, r *run) clock.Time {
+	if !r.mayGoOver() || !w.doubted() && r.orderedAt >= w.knownAt {
+		return 0
+	}
+	return r.orderedAt.Add(latestOrder + lapseTime(p.cfg.LongestLease))
+}
+
 // carryOver counts a run on the next life of its worker, until that has told whether it is there.
 func (p *Pool) carryOver(r *run, next *worker) {
 	p.release(r)
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -171,14 +172,38 @@
 	p.loseRuns(w, now)
 }
 
+// loseLapsed ends the runs of a silent worker whose leases have lapsed at a time. What its next life may have taken goes on to count.
+func (p *Pool) loseLapsed(w *worker, lapsed, now clock.Time) {
+	var lost []*run
+	for _, r := range sortedRuns(w) {
+		if until := max(lapsed, p.goneOverUntil(w, r)); now >= until && p.confirmedSince(until) {
+			lost = append(lost, r)
+		}
+	}
+	if len(lost) == 0 {
+		return
+	}
+	p.cfg.Log(Event{Name: "worker_lapsed", Worker: w.info.ID, Detail: fmt.Sprintf(
+		"unheard_ms=%d runs=%d may_have_gone_over=%d", now.Sub(w.lastAnswer).Milliseconds(), len(lost), len(w.runs)-len(lost))})
+	w.doubtRuns()
+	for _, r := range lost {
+		r.task.presumedLost = true
+		p.loseRun(w, r, now)
+	}
+}
+
 // loseRuns ends all runs of a worker without a word of it. What is kept in the store of their starts stays only for those in doubt.
 func (p *Pool) loseRuns(w *worker, now clock.Time) {
 	for _, r := range sortedRuns(w) {
-		if !w.doubts.has(r) {
-			p.dropAttempt(r.task, r.number)
-		}
-		p.runEnded(r, EndLost, "", now)
+		p.loseRun(w, r, now)
+	}
+}
+
+func (p *Pool) loseRun(w *worker, r *run, now clock.Time) {
+	if !w.doubts.has(r) {
+		p.dropAttempt(r.task, r.number)
 	}
+	p.runEnded(r, EndLost, "", now)
 }
 
 func sortedRuns(w *worker) []*run {
@@ -205,17 +230,15 @@
 	if now.Sub(w.lastAnswer) < usableWithin || now < lapsed {
 		return
 	}
-	if len(w.runs) > 0 && (w.reported || w.follows) && p.confirmedSince(lapsed) {
-		p.cfg.Log(Event{Name: "worker_lapsed", Worker: w.info.ID, Detail: now.Sub(w.lastAnswer).String()})
-		for _, r := range w.runs {
-			r.task.presumedLost = true
-		}
-		w.doubtRuns()
-		p.loseRuns(w, now)
+	if w.reported || w.follows {
+		p.loseLapsed(w, lapsed, now)
 	}
 	if !w.reported {
 		lapsed = max(lapsed, p.takeover.lapsed)
 	}
+	for _, r := range w.runs {
+		lapsed = max(lapsed, p.goneOverUntil(w, r))
+	}
 	if !w.listed && now >= lapsed && p.confirmedSince(lapsed) {
 		p.workerGone(w, "left", now)
 	}
