--- a/pkg/dispatch/history_open_test.go
+++ b/pkg/dispatch/history_kept_test.go
@@ -2,7 +2,7 @@
 
 import "testing"
 
-// Histories with workers that start again that break a promise, and are not mended. They are listed in KNOWN-RED.txt.
+// Histories with workers that start again that once broke a promise, with the log lines that showed how.
 
 // The entry of a next life was known, and that life was cut off from the owner. It took a start 3.7 s late that the former life had left
 // without an answer. The former life was held for lapsed by its own clock, and the task was started elsewhere:
--- a/pkg/dispatch/holds.go
+++ b/pkg/dispatch/holds.go
@@ -43,6 +43,7 @@
 	if raise {
 		w.line.raise(p.cfg.Token)
 	}
+	w.asked(now)
 	h = Hold{Worker: id, Address: w.info.Address, Token: w.line.token, SentAt: now}
 	if w.doubted() {
 		return h, true // the life that takes it may be another one, also seconds later: it is only asked
--- a/pkg/dispatch/lives.go
+++ b/pkg/dispatch/lives.go
@@ -186,9 +186,9 @@
 }
 
 // goneOverUntil is until when the next life of a worker may run what was meant for the one before: it may take the order late, and the
-// deadline in it is by another clock. It is 0 for a run that can't have gone over, or whose worker has no other life that we know of.
+// deadline in it is by another clock. It is 0 for a run that can't have gone over, or whose worker is not thought to have ended.
 func (p *Pool) goneOverUntil(w *worker, r *run) clock.Time {
-	if !r.mayGoOver() || !w.doubted() && r.orderedAt >= w.knownAt {
+	if !r.mayGoOver() || !w.doubted() {
 		return 0
 	}
 	return r.orderedAt.Add(latestOrder + lapseTime(p.cfg.LongestLease))
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -18,6 +18,7 @@
 	if !ok || w.gone {
 		return false
 	}
+	w.askOver(now)
 	p.news = !w.usable(now)
 	p.takeHoldAnswer(w, h, a, report, now)
 	return p.news
@@ -41,6 +42,7 @@
 	overtaken := a.Clock < w.clock
 	w.heard(a.Clock, now)
 	w.lastAnswer = now
+	w.unwatched = false
 	w.provenAt = max(w.provenAt, h.SentAt)
 	w.fenced = true
 	if !p.loaded {
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -53,7 +53,12 @@
 	// provenAt is when the last hold was sent that was answered: the worker knew of no later owner at some time
 	// after that. lastAnswer may be later than that time, since answers are held up on their way.
 	provenAt clock.Time
-	bound    int64 // latest deadline sent, on its clock
+	// asking counts the holds on their way, and restedAt is when the last of them was over; unwatched says that none was on its way for so
+	// long that the worker may have started again unseen (noteWithin).
+	asking    int
+	restedAt  clock.Time
+	unwatched bool
+	bound     int64 // latest deadline sent, on its clock
 	// inherited is when the leases that a former owner gave have ended; 0 without any.
 	inherited clock.Time
 
@@ -90,10 +95,28 @@
 		!w.info.Draining && !w.line.closed && w.foreign == 0 && now >= w.suspended
 }
 
-// answers says that the worker has answered lately, and the last call, too. One that has not may have ended, and
-// the life that is there next may hold less.
+// answers says that the worker has answered lately, and the last call, too, and that it was asked again soon after. One that has not may
+// have ended, and the life that is there next may hold less.
 func (w *worker) answers(now clock.Time) bool {
-	return w.reported && w.unansweredAt == 0 && now.Sub(w.lastAnswer) < usableWithin
+	return w.reported && w.unansweredAt == 0 && now.Sub(w.lastAnswer) < usableWithin && !w.unwatched && !w.restedTooLong(now)
+}
+
+// restedTooLong says that no hold is on its way to the worker and none was for so long that it may have started again
+// under its ID.
+func (w *worker) restedTooLong(now clock.Time) bool {
+	return w.info.ID.Born() != 0 && w.asking == 0 && now.Sub(w.restedAt) >= noteWithin
+}
+
+// asked takes in that a hold is sent.
+func (w *worker) asked(now clock.Time) {
+	w.unwatched = w.unwatched || w.restedTooLong(now)
+	w.asking++
+}
+
+// askOver takes in that a hold was answered, or that it failed.
+func (w *worker) askOver(now clock.Time) {
+	w.asking = max(w.asking-1, 0)
+	w.restedAt = now
 }
 
 // present says that the worker's entry stands, or went so lately that the worker may still
@@ -135,6 +158,7 @@
 // HoldFailed takes in that a hold got no answer.
 func (p *Pool) HoldFailed(id WorkerID, now clock.Time) {
 	if w, ok := p.workers[id]; ok {
+		w.askOver(now)
 		w.unanswered(now)
 	}
 }
