--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -124,7 +124,7 @@
 
 // leftAsPlanned says that a worker was to leave, or went on serving after it had taken its entry away.
 func (w *worker) leftAsPlanned() bool {
-	return w.leavesAt != 0 || w.unlistedAt != 0 && w.unlistedAt <= w.provenAt
+	return w.leavesAt != 0 || w.unlistedAt != 0 && !w.entryReplaced && w.unlistedAt <= w.provenAt
 }
 
 // lastSign is when a worker was heard of last, or when this owner learned of it.
--- a/pkg/dispatch/entries.go
+++ b/pkg/dispatch/entries.go
@@ -21,7 +21,7 @@
 	}
 	w.info, w.listed = info, listed
 	if listed {
-		w.unlistedAt = 0
+		w.unlistedAt, w.entryReplaced = 0, false
 	}
 	if info.Draining && w.leavesAt == 0 {
 		w.leavesAt = now.Add(max(info.Remaining, p.cfg.Drain))
--- a/pkg/dispatch/history_kept_test.go
+++ b/pkg/dispatch/history_kept_test.go
@@ -29,3 +29,20 @@
 func TestNextLifeThatHoldsLessUnderABusyOwner(t *testing.T) {
 	playSeeds(t, []uint64{22163}, func(w *world) { w.reborn = true })
 }
+
+// An entry of a life that had ended came late, and took the place of that of the life that was there. That one answered on, so that its crash
+// looked like a leave that was planned, and was not counted against the task that was its cause:
+//
+//	113880 w0: the entry of life 1700000189483 is written
+//	113900 owner 4 run_ordered 0000000000000011.0.0.0 run 1 w0@1700000448835
+//	113960 w0 crashes
+//	116260 owner 4 worker_started_again w0@1700000996388 before=w0@1700000448835 (and no worker_crashed)
+//	132380 0000000000000011.0.0.0 begins run 5004 on w1, the third after three workers have crashed under it
+func TestCrashAfterAnOldEntryIsCounted(t *testing.T) {
+	playSeeds(t, []uint64{44135}, func(w *world) {
+		w.crashing, w.reborn = true, true
+		for range historyWorkers {
+			w.addWorker()
+		}
+	})
+}
--- a/pkg/dispatch/lives.go
+++ b/pkg/dispatch/lives.go
@@ -85,6 +85,7 @@
 func (l *lineage) unlistOthers(now clock.Time) {
 	for _, w := range l.lives {
 		if w.info.ID != l.listed {
+			w.entryReplaced = w.entryReplaced || w.listed
 			w.unlist(now)
 		}
 	}
--- a/pkg/dispatch/lives_kept_test.go
+++ b/pkg/dispatch/lives_kept_test.go
@@ -110,6 +110,23 @@
 	f.Expect(f.plan().Starts).To(HaveLen(1))
 }
 
+// An entry that the first life wrote comes after that of the second, which answers on and then crashes: its entry was not taken away by
+// itself, as by one that leaves.
+func crashIsCountedAfterOldEntry(t *testing.T) {
+	f := newLives(t, 1, nil)
+	f.pass(500 * time.Millisecond)
+	f.begins(secondLife(0), Report{})
+	f.lists(firstLife(0))
+	f.reports(secondLife(0), Report{})
+	f.add(testJob("a", testStep(1)))
+	s := f.onlyStart()
+	f.acceptBy(s, secondLife(0))
+	f.pass(500 * time.Millisecond)
+	f.begins(thirdLife(0), Report{})
+	f.reports(thirdLife(0), Report{})
+	f.Expect(f.pool.jobs["a"].times[0].steps[0].tasks[0].crashes).To(HaveLen(1))
+}
+
 // shortLeases has an owner give shorter leases than a worker does at most.
 func shortLeases(c *Config) {
 	c.Hold, c.MaxHold = 3*time.Second, 3*time.Second
--- a/pkg/dispatch/lives_test.go
+++ b/pkg/dispatch/lives_test.go
@@ -41,6 +41,7 @@
 		"tokens rise from life to life":                      tokensRise,
 		"tickets are of one life":                            ticketsAreOfOneLife,
 		"a crash under a task is counted":                    crashIsCounted,
+		"a crash is counted after an old entry":              crashIsCountedAfterOldEntry,
 		"leases of the former owner there":                   leasesOnNextLife,
 		"tasks that one worker holds at most":                spreadOverLives,
 		"its entry goes":                                     entryOfNextLifeGoes,
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -38,6 +38,8 @@
 	listed bool // its entry stands in the store
 	// unlistedAt is when its entry was found gone; 0 when that is not known.
 	unlistedAt clock.Time
+	// entryReplaced says that it went since another life's, which may be of one before, was written in its place.
+	entryReplaced bool
 	// rostered says that the roster has it, so that a later owner will ask it.
 	rostered bool
 	knownAt  clock.Time // since when this owner knows of it
