--- a/pkg/dispatch/history_call_test.go
+++ b/pkg/dispatch/history_call_test.go
@@ -29,7 +29,7 @@
 	lost := m.cut || m.dead || w.chance(0.03)
 	if lost {
 		if !m.dead && w.chance(0.3) {
-			w.later(w.between(time.Second, 6*time.Second), func() {
+			w.later(w.between(time.Second, latestCall), func() {
 				if !m.dead && !dropped() {
 					w.late = true
 					carryOut()
--- a/pkg/dispatch/history_owner_test.go
+++ b/pkg/dispatch/history_owner_test.go
@@ -6,7 +6,6 @@
 
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/job"
-	"foldarch.dev/foldarch/pkg/queue"
 )
 
 // The owners of the random histories, and the store that they share.
@@ -32,7 +31,7 @@
 			}
 		},
 	}, w.now)
-	o.pool.SetConfig(queue.NewConfig(1, []queue.Queue{testQueue}, nil))
+	o.pool.SetConfig(w.quotas.config())
 	w.owners = append(w.owners, o)
 	w.listWorkers(o)
 	for _, id := range w.jobs() {
--- /dev/null
+++ b/pkg/dispatch/history_quota_test.go
@@ -0,0 +1,133 @@
+package dispatch
+
+import (
+	"time"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/customer"
+	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/queue"
+)
+
+// The customers of the random histories: their quotas bind, and change.
+
+const (
+	// fullQuota and lowQuota are what a customer may have running, in thousandths of a core: 3/8 and 1/8 of the workers' room.
+	fullQuota = 6000
+	lowQuota  = 2000
+	// configTakes is how long a configuration may be on its way to an owner.
+	configTakes = time.Second
+	// latestCall is how long after it was sent a call without an answer is carried out at the latest.
+	latestCall = 6 * time.Second
+	// quotaOver is the part by which a customer may be over its quota, beside one task.
+	quotaOver = 0.1
+)
+
+// modelQuotas are the quotas as the operator writes them.
+type modelQuotas struct {
+	version int64
+	quota   map[string]int64
+	// former is a quota that was lowered, which counts until formerUntil.
+	former      map[string]int64
+	formerUntil map[string]clock.Time
+}
+
+var historyCustomers = []string{"north", "south"}
+
+func newModelQuotas() *modelQuotas {
+	q := &modelQuotas{version: 1, quota: map[string]int64{}, former: map[string]int64{}, formerUntil: map[string]clock.Time{}}
+	for _, name := range historyCustomers {
+		q.quota[name] = fullQuota
+	}
+	return q
+}
+
+// config is the configuration in force; without quotas it names no customers.
+func (q *modelQuotas) config() *queue.Config {
+	cfg := queue.NewConfig(1, []queue.Queue{testQueue}, nil)
+	if q == nil {
+		return cfg
+	}
+	cfg.Version = q.version
+	var entries []customer.Entry
+	for _, name := range historyCustomers {
+		if q.quota[name] != 0 { // otherwise the configuration does not name it
+			entries = append(entries, customer.Entry{Customer: q.customer(name)})
+		}
+	}
+	cfg.Customers, _ = customer.NewDirectory(entries)
+	return cfg
+}
+
+func (q *modelQuotas) customer(name string) customer.Customer {
+	return customer.Customer{Name: name, Weight: 1, Quota: cell.Resources{CPUMillis: q.quota[name]}}
+}
+
+// draw gives a job a customer. A gang that never fits the quota would be refused by the host.
+func (q *modelQuotas) draw(w *world, steps []job.Step) customer.Customer {
+	for i := range steps {
+		s := &steps[i]
+		s.Gang = s.Gang && s.Resources.CPUMillis*int64(s.Count) <= fullQuota
+	}
+	c := q.customer(historyCustomers[w.rand.IntN(len(historyCustomers))])
+	c.Quota.CPUMillis = max(c.Quota.CPUMillis, lowQuota)
+	return c
+}
+
+// change lowers or raises a quota.
+func (q *modelQuotas) change(w *world) {
+	name := historyCustomers[w.rand.IntN(len(historyCustomers))]
+	was := q.quota[name]
+	now := []int64{lowQuota, fullQuota}[w.rand.IntN(2)]
+	if now < was {
+		q.former[name], q.formerUntil[name] = was, w.now.Add(configTakes+callLimit)
+	}
+	q.put(w, name, now)
+}
+
+func (q *modelQuotas) put(w *world, name string, quota int64) {
+	q.quota[name] = quota
+	q.version++
+	w.note("quota of %s is %d", name, quota)
+	cfg := q.config()
+	for _, o := range w.owners {
+		w.later(w.between(historyTick, configTakes), func() { o.pool.SetConfig(cfg) })
+	}
+}
+
+// raise gives all customers their full quotas, so that all jobs can end.
+func (q *modelQuotas) raise(w *world) {
+	for _, name := range historyCustomers {
+		if q.quota[name] != fullQuota {
+			q.put(w, name, fullQuota)
+		}
+	}
+}
+
+// check checks that a run that begins does not bring its customer above its quota.
+func (q *modelQuotas) check(w *world, m *modelWorker, r modelRun) {
+	if q == nil {
+		return
+	}
+	name := w.store[r.task.Job].record.Customer.Name
+	running := r.need.CPUMillis
+	for _, other := range w.worker {
+		for _, x := range other.runs {
+			if w.store[x.task.Job].record.Customer.Name == name {
+				running += x.need.CPUMillis
+			}
+		}
+	}
+	limit := q.quota[name]
+	until := q.formerUntil[name]
+	if w.late {
+		until = until.Add(latestCall) // it was ordered before that, and can't be called back
+	}
+	if w.now < until {
+		limit = max(limit, q.former[name])
+	}
+	if running > limit+int64(quotaOver*float64(limit))+r.need.CPUMillis {
+		w.broken("%s begins run %d on %s: customer %s has %d running of %d", r.task, r.run, m.id, name, running, limit)
+	}
+}
--- a/pkg/dispatch/history_test.go
+++ b/pkg/dispatch/history_test.go
@@ -89,6 +89,8 @@
 	roster []WorkerInfo
 	// reborn says that workers start again under the id that they had.
 	reborn bool
+	// quotas are what customers may have running, nil in histories in which all jobs are nobody's.
+	quotas *modelQuotas
 	// lost counts the workers that had crashed when an owner counted that against a task.
 	lost map[job.TaskID]int
 	// troubleUntil is when the last trouble begins.
@@ -147,6 +149,9 @@
 	if ids := w.jobs(); len(ids) > 0 && w.chance(0.001) {
 		w.cancel(ids[w.rand.IntN(len(ids))])
 	}
+	if w.quotas != nil && w.chance(0.01) {
+		w.quotas.change(w)
+	}
 	for _, m := range w.worker {
 		if !m.dead && w.chance(w.crashChance()) {
 			w.crash(m)
@@ -177,6 +182,9 @@
 	}
 	o := w.present()
 	r := job.Record{Job: job.Job{ID: id, Spec: "spec", Steps: steps}, Queue: testQueue, Term: o.term}
+	if w.quotas != nil {
+		r.Customer = w.quotas.draw(w, steps)
+	}
 	w.store[id] = &storedJob{record: r}
 	if w.crashing && w.chance(0.25) {
 		w.crashers[id] = w.rand.IntN(steps[0].Count)
@@ -224,6 +232,8 @@
 		w.wall = w.wall.Add(historyTick)
 		if w.now < calm {
 			w.trouble()
+		} else if w.quotas != nil {
+			w.quotas.raise(w)
 		}
 		if handedIn < historyJobs && w.chance(0.02) {
 			w.handIn(handedIn)
@@ -311,6 +321,18 @@
 	})
 }
 
+func TestPromisesHoldWhenQuotasBind(t *testing.T) {
+	withQuotas := func(w *world) { w.quotas = newModelQuotas() }
+	t.Run("on their own", func(t *testing.T) { playHistories(t, withQuotas) })
+	t.Run("behind relays", func(t *testing.T) {
+		playHistories(t, func(w *world) {
+			withQuotas(w)
+			w.relayed = true
+		})
+	})
+	t.Run("of workers that start again", func(t *testing.T) { playLives(t, withQuotas) })
+}
+
 // crashSeeds are seeds of histories with crashes that once broke a promise, with the cause.
 var crashSeeds = []uint64{
 	13,   // the next owner did not ask workers that had crashed unseen, and so did not count their crashes
--- a/pkg/dispatch/history_worker_test.go
+++ b/pkg/dispatch/history_worker_test.go
@@ -193,6 +193,7 @@
 		w.broken("%s is given more than it holds by %s run %d", m.id, r.task, r.run)
 	}
 	w.checkOrder(m, r)
+	w.quotas.check(w, m, r)
 	if w.failed[w.counted(r.task)] >= testQueue.MaxAttempts && r.gang == nil {
 		w.broken("%s begins as run %d on %s after all its attempts", r.task, r.run, m.id)
 	}
--- /dev/null
+++ b/pkg/dispatch/quota_test.go
@@ -0,0 +1,188 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/customer"
+	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/queue"
+	. "github.com/onsi/gomega"
+)
+
+// north is a customer with a quota, in thousandths of a core.
+func north(quota int64) customer.Customer {
+	return customer.Customer{Name: "north", Weight: 2, Quota: cell.Resources{CPUMillis: quota}}
+}
+
+// of gives a job to a customer.
+func of(c customer.Customer, r job.Record) job.Record {
+	r.Customer = c
+	return r
+}
+
+// configure puts a configuration in force that names customers.
+func (f *fixture) configure(version int64, customers ...customer.Customer) {
+	cfg := queue.NewConfig(version, []queue.Queue{testQueue}, nil)
+	var entries []customer.Entry
+	for _, c := range customers {
+		entries = append(entries, customer.Entry{Customer: c})
+	}
+	cfg.Customers, _ = customer.NewDirectory(entries)
+	f.pool.SetConfig(cfg)
+}
+
+// quotaFixture is a pool with room for 8 tasks of one core, and a customer that may have 3 of them.
+func quotaFixture(t *testing.T) *fixture {
+	f := newFixture(t, 2, nil)
+	f.configure(2, north(3000))
+	f.reportAll(2)
+	return f
+}
+
+func gangOf(count int) job.Step {
+	s := testStep(count)
+	s.Gang = true
+	return s
+}
+
+func TestCustomerHasNoMoreRunningThanItsQuota(t *testing.T) {
+	f := quotaFixture(t)
+	f.add(of(north(9000), testJob("a", testStep(5))))
+	starts := f.plan().Starts
+	f.Expect(starts).To(HaveLen(3), "the configuration goes before the record")
+	f.Expect(f.plan().Starts).To(BeEmpty())
+	f.accept(starts[0])
+	f.pool.StartAnswered(starts[1], Answer{}, ErrNotSent, f.now) // certainly not running
+	f.pass(rejectedPause)
+	f.Expect(f.plan().Starts).To(HaveLen(1))
+	f.report(numberOf(starts[0].Worker), f.end(starts[0], 1, EndDone))
+	f.Expect(f.plan().Starts).To(HaveLen(1))
+}
+
+func TestNobodysJobHasNoQuota(t *testing.T) {
+	f := quotaFixture(t)
+	f.add(testJob("a", testStep(8)))
+	f.Expect(f.plan().Starts).To(HaveLen(8))
+}
+
+func TestStartWithoutAnAnswerCountsAgainstTheQuota(t *testing.T) {
+	f := quotaFixture(t)
+	f.add(of(north(0), testJob("a", testStep(3))))
+	f.add(of(north(0), testJob("b", testStep(1))))
+	for _, s := range f.plan().Starts {
+		f.noAnswer(s)
+	}
+	f.Expect(f.plan().Starts).To(BeEmpty(), "any of them may be carried out late")
+}
+
+func TestRunThatIsBeingStoppedCountsAgainstTheQuota(t *testing.T) {
+	f := quotaFixture(t)
+	f.add(of(north(0), testJob("a", testStep(3))))
+	starts := f.plan().Starts
+	for _, s := range starts {
+		f.accept(s)
+	}
+	f.pool.Cancel("a")
+	f.add(of(north(0), testJob("b", testStep(3))))
+	f.Expect(f.plan().Starts).To(BeEmpty())
+	for n, s := range starts {
+		f.report(numberOf(s.Worker), f.end(s, int64(n+1), EndStopped))
+	}
+	f.Expect(f.plan().Starts).To(HaveLen(3))
+}
+
+func TestLoweredQuotaStopsNothing(t *testing.T) {
+	f := quotaFixture(t)
+	f.add(of(north(0), testJob("a", testStep(5))))
+	starts := f.plan().Starts
+	for _, s := range starts {
+		f.accept(s)
+	}
+	f.configure(3, north(1000))
+	actions := f.plan()
+	f.Expect(actions.Stops).To(BeEmpty())
+	f.Expect(actions.Starts).To(BeEmpty())
+	f.report(numberOf(starts[0].Worker), f.end(starts[0], 1, EndDone))
+	f.Expect(f.plan().Starts).To(BeEmpty(), "2 of 1 still run")
+	f.configure(4, north(4000))
+	f.Expect(f.plan().Starts).To(HaveLen(2))
+}
+
+func TestCustomerThatIsNotNamedAnyMoreKeepsItsQuota(t *testing.T) {
+	f := quotaFixture(t)
+	f.add(of(north(0), testJob("a", testStep(2))))
+	f.Expect(f.plan().Starts).To(HaveLen(2))
+	f.configure(3)
+	f.add(of(north(9000), testJob("b", testStep(4))))
+	f.Expect(f.plan().Starts).To(HaveLen(1))
+}
+
+func TestCustomerThatNoConfigurationNamedHasTheQuotaOfItsJob(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	f.configure(2)
+	f.reportAll(2)
+	f.add(of(north(2000), testJob("a", testStep(4))))
+	f.Expect(f.plan().Starts).To(HaveLen(2))
+}
+
+func TestGangFitsTheQuotaWholeOrDoesNotStart(t *testing.T) {
+	f := quotaFixture(t)
+	f.add(of(north(0), testJob("a", testStep(1))))
+	first := f.onlyStart()
+	f.accept(first)
+	f.add(of(north(0), testJob("b", gangOf(3))))
+	f.Expect(f.plan().Starts).To(BeEmpty())
+	f.report(numberOf(first.Worker), f.end(first, 1, EndDone))
+	f.Expect(f.plan().Starts).To(HaveLen(3))
+}
+
+// Smaller steps that come later would take the room of each end, so that the gang never finds enough at once.
+func TestGangHoldsTheQuotaThatComes(t *testing.T) {
+	f := quotaFixture(t)
+	f.add(of(north(0), testJob("a", testStep(2))))
+	for _, s := range f.plan().Starts {
+		f.accept(s)
+	}
+	f.add(of(north(0), testJob("b", gangOf(3))))
+	f.pass(time.Millisecond)
+	f.add(of(north(0), testJob("c", testStep(1))))
+	f.Expect(f.plan().Starts).To(BeEmpty())
+	f.add(of(customer.Customer{Name: "south"}, testJob("d", testStep(1))))
+	f.Expect(f.plan().Starts).To(HaveLen(1), "others are not held up")
+}
+
+// A gang that a lowered quota keeps from ever starting holds nothing.
+func TestGangWiderThanTheQuotaHoldsNothing(t *testing.T) {
+	f := quotaFixture(t)
+	f.add(of(north(0), testJob("b", gangOf(4))))
+	f.add(of(north(0), testJob("c", testStep(1))))
+	f.Expect(f.plan().Starts).To(HaveLen(1))
+}
+
+// A new owner has not heard of a worker that may run tasks of the customer for a former one.
+func TestNewOwnerCountsWhatMayRunUnheard(t *testing.T) {
+	f := newFixture(t, 2, func(c *Config) {
+		c.Takeover, c.Term, c.Token = true, 2, nextEpoch
+	})
+	f.configure(2, north(3000))
+	former := of(north(0), testJob("a", testStep(2)))
+	former.Term = 1
+	f.add(former)
+	later := of(north(0), testJob("b", testStep(3)))
+	later.Term = 2
+	f.add(later)
+	f.report(0, Report{})
+	f.Expect(f.plan().Starts).To(HaveLen(1), "two of the former owner's may run on the other worker")
+	f.report(1, Report{})
+	f.Expect(f.plan().Starts).To(HaveLen(2))
+}
+
+func TestFillerCountsInFullAgainstTheQuota(t *testing.T) {
+	f := quotaFixture(t)
+	filler := testStep(5)
+	filler.Filler = true
+	f.add(of(north(0), testJob("a", filler)))
+	f.Expect(f.plan().Starts).To(HaveLen(3))
+}
