--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -162,10 +162,13 @@
 	t.Helper()
 	r := rand.New(rand.NewPCG(seed, 0))
 	keepIDs := rand.New(rand.NewPCG(seed, 2)).IntN(2) == 0
-	c := newCell(t, 3+r.IntN(3), emulator.Options{Workers: 4 + r.IntN(6), Advice: r.IntN(2) == 0, KeepIDs: keepIDs})
+	customers := drawCustomers(rand.New(rand.NewPCG(seed, 3)))
+	c := newCell(t, 3+r.IntN(3), emulator.Options{Workers: 4 + r.IntN(6), Advice: r.IntN(2) == 0, KeepIDs: keepIDs, Customers: customers.list})
+	customers.join(c)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(*soakSeconds)*time.Second)
 	defer cancel()
 	load := c.load(ctx, 20, quickJob, chainJob, quickJob, gangJob)
+	customers.play(ctx, c, load)
 	var all sync.WaitGroup
 	for ctx.Err() == nil {
 		x := troubles[r.IntN(len(troubles))]
@@ -176,5 +179,6 @@
 	}
 	all.Wait()
 	load.Wait()
+	customers.finish(c)
 	c.finish(60 * time.Second)
 }
