--- a/pkg/cell/resources.go
+++ b/pkg/cell/resources.go
@@ -2,6 +2,9 @@
 
 import "fmt"
 
+// MillisPerCPU is how many thousandths a processor has.
+const MillisPerCPU = 1000
+
 // Resources is an amount of what a worker provides and a task needs.
 type Resources struct {
 	CPUMillis    int64 // thousandths of a processor
--- /dev/null
+++ b/pkg/cli/ask_owner.go
@@ -0,0 +1,52 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+
+	"foldarch.dev/foldarch/pkg/jobstore"
+	"github.com/cockroachdb/errors"
+)
+
+// askOwner reads what only the owner of the pool tells, from the host or, if that is another one, from the owner.
+func (f hostFlag) askOwner(path string) ([]byte, error) {
+	status, body, err := readOperators(f.Host, path)
+	if err != nil {
+		return nil, err
+	}
+	if status == http.StatusMisdirectedRequest {
+		holder, err := jobstore.DecodeHolder(body)
+		if err != nil || !holder.Address.IsValid() {
+			return nil, errors.Newf("%s knows of no owner at present", f.Host)
+		}
+		owner := netip.AddrPortFrom(holder.Address.Addr(), f.Host.Port())
+		if status, body, err = readOperators(owner, path); err != nil {
+			return nil, err
+		}
+	}
+	if status != http.StatusOK {
+		return nil, errors.Newf("%s", strings.TrimSpace(string(body)))
+	}
+	return body, nil
+}
+
+// readOperators reads a path at the operators' address of a host.
+func readOperators(host netip.AddrPort, path string) (status int, body []byte, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s", host, path), nil)
+	if err != nil {
+		return 0, nil, err
+	}
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, nil, errors.Wrapf(err, "ask %s", host)
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err = io.ReadAll(res.Body)
+	return res.StatusCode, body, err
+}
--- a/pkg/cli/job.go
+++ b/pkg/cli/job.go
@@ -6,11 +6,12 @@
 
 // JobCommand is the table of what can be done with jobs on the platform.
 type JobCommand struct {
-	Show   JobShowCommand   `cmd:"" default:"withargs" help:"Show what the owner of the pool knows of a job, and what it waits for."`
-	Submit JobSubmitCommand `cmd:"" help:"Hand in a job of steps."`
-	State  JobStateCommand  `cmd:"" help:"Show how far a job is, also one that has ended."`
-	Cancel JobCancelCommand `cmd:"" help:"End a job."`
-	Queue  JobQueueCommand  `cmd:"" help:"Count the jobs of a queue that have not begun."`
+	Show      JobShowCommand      `cmd:"" default:"withargs" help:"Show what the owner of the pool knows of a job, and what it waits for."`
+	Submit    JobSubmitCommand    `cmd:"" help:"Hand in a job of steps."`
+	State     JobStateCommand     `cmd:"" help:"Show how far a job is, also one that has ended."`
+	Cancel    JobCancelCommand    `cmd:"" help:"End a job."`
+	Customers JobCustomersCommand `cmd:"" help:"List the customers with what they have running and waiting."`
+	Queue     JobQueueCommand     `cmd:"" help:"Count the jobs of a queue that have not begun."`
 }
 
 // hostFlag names an entry host on the platform.
--- /dev/null
+++ b/pkg/cli/job_customers.go
@@ -0,0 +1,58 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/dispatch"
+	"github.com/cockroachdb/errors"
+)
+
+// JobCustomersCommand lists the customers with what they have running and waiting.
+type JobCustomersCommand struct {
+	hostFlag
+	JSON bool `help:"Print JSON."`
+}
+
+// Help gives an example.
+func (JobCustomersCommand) Help() string {
+	return "Those that have most running come first. A quota of - is no limit.\n\nExample:\n\n  foldarch job customers --host 10.1.0.13:9100"
+}
+
+// Run asks the host, and the owner if that is another one.
+func (c JobCustomersCommand) Run(e *env) error {
+	body, err := c.askOwner("/customers")
+	if err != nil {
+		return err
+	}
+	var rows []dispatch.CustomerStatus
+	if err := json.Unmarshal(body, &rows); err != nil {
+		return errors.Wrap(err, "answer")
+	}
+	if c.JSON {
+		encoder := json.NewEncoder(e.out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(rows)
+	}
+	printCustomers(e.out, rows)
+	return nil
+}
+
+func printCustomers(w io.Writer, rows []dispatch.CustomerStatus) {
+	fmt.Fprintf(w, "%-20s %8s %7s %18s %20s %6s %8s %10s\n", "CUSTOMER", "WEIGHT", "SHARE", "CORES OF QUOTA", "MEMORY MB OF QUOTA", "JOBS", "WAITING", "FOR QUOTA")
+	for _, r := range rows {
+		fmt.Fprintf(w, "%-20.20s %8g %6.1f%% %18s %20s %6d %8d %10d\n", r.Name, r.Weight, 100*r.Share,
+			ofQuota(r.Used.CPUMillis/cell.MillisPerCPU, r.Quota.CPUMillis/cell.MillisPerCPU), ofQuota(r.Used.MemoryMB, r.Quota.MemoryMB),
+			r.Jobs, r.Waiting, r.AwaitQuota)
+	}
+}
+
+// ofQuota is such as "812/4344", or "812/-" without a limit.
+func ofQuota(used, quota int64) string {
+	if quota == 0 {
+		return fmt.Sprintf("%d/-", used)
+	}
+	return fmt.Sprintf("%d/%d", used, quota)
+}
--- a/pkg/cli/job_show.go
+++ b/pkg/cli/job_show.go
@@ -1,17 +1,12 @@
 package cli
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
-	"net/netip"
-	"strings"
 
 	"foldarch.dev/foldarch/pkg/dispatch"
 	"foldarch.dev/foldarch/pkg/job"
-	"foldarch.dev/foldarch/pkg/jobstore"
 	"github.com/cockroachdb/errors"
 )
 
@@ -33,22 +28,9 @@
 	if err != nil {
 		return err
 	}
-	status, body, err := getJob(c.Host, id)
+	body, err := c.askOwner("/jobs/" + string(id))
 	if err != nil {
-		return err
-	}
-	if status == http.StatusMisdirectedRequest {
-		holder, err := jobstore.DecodeHolder(body)
-		if err != nil || !holder.Address.IsValid() {
-			return errors.Newf("%s knows of no owner at present", c.Host)
-		}
-		owner := netip.AddrPortFrom(holder.Address.Addr(), c.Host.Port())
-		if status, body, err = getJob(owner, id); err != nil {
-			return err
-		}
-	}
-	if status != http.StatusOK {
-		return errors.Newf("job %s: %s", id, strings.TrimSpace(string(body)))
+		return errors.Wrapf(err, "job %s", id)
 	}
 	var x dispatch.Explanation
 	if err := json.Unmarshal(body, &x); err != nil {
@@ -63,22 +45,6 @@
 	return nil
 }
 
-func getJob(host netip.AddrPort, id job.ID) (status int, body []byte, err error) {
-	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/jobs/%s", host, id), nil)
-	if err != nil {
-		return 0, nil, err
-	}
-	res, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return 0, nil, errors.Wrapf(err, "ask %s", host)
-	}
-	defer func() { _ = res.Body.Close() }()
-	body, err = io.ReadAll(res.Body)
-	return res.StatusCode, body, err
-}
-
 func printExplanation(out io.Writer, x dispatch.Explanation) {
 	fmt.Fprintf(out, "job %s in queue %s: %s\n", x.Job, x.Queue, x.State)
 	if x.Customer != "" {
--- /dev/null
+++ b/pkg/dispatch/customer_status.go
@@ -0,0 +1,59 @@
+package dispatch
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"foldarch.dev/foldarch/pkg/cell"
+)
+
+// CustomerStatus is what one customer has in the owner's pools.
+type CustomerStatus struct {
+	Name   string         `json:"name"`
+	Weight float64        `json:"weight"`
+	Quota  cell.Resources `json:"quota"` // 0 of a kind is no limit
+	Used   cell.Resources `json:"used"`
+	// Share is what it has running in parts of all workers, of the resource of which that is most.
+	Share float64 `json:"share"`
+	Jobs  int     `json:"jobs"` // not ended
+	// Waiting are its tasks that may be started as far as their steps are concerned, and AwaitQuota those of them that wait for its quota.
+	Waiting    int `json:"waiting"`
+	AwaitQuota int `json:"await_quota"`
+}
+
+// Customers lists the customers, those first that have most running.
+func (p *Pool) Customers() []CustomerStatus {
+	var capacity cell.Resources
+	for _, w := range p.workers {
+		if !w.gone {
+			capacity = capacity.Add(w.info.Capacity)
+		}
+	}
+	rows := make(map[string]*CustomerStatus, len(p.accounts))
+	for name, a := range p.accounts {
+		rows[name] = &CustomerStatus{
+			Name: name, Weight: a.customer.Weight, Quota: a.customer.Quota, Used: a.used, Share: a.used.DominantShare(capacity),
+		}
+	}
+	for _, j := range p.jobs {
+		if row := rows[j.customer.Name]; row != nil && j.outcome == "" {
+			row.Jobs++
+		}
+	}
+	for s := range p.ready {
+		row := rows[s.time.job.customer.Name]
+		if row == nil {
+			continue
+		}
+		waiting := s.waiting()
+		row.Waiting += waiting
+		row.AwaitQuota += waiting - p.startable(s)
+	}
+	out := make([]CustomerStatus, 0, len(rows))
+	for _, name := range slices.Sorted(maps.Keys(rows)) {
+		out = append(out, *rows[name])
+	}
+	slices.SortStableFunc(out, func(a, b CustomerStatus) int { return cmp.Compare(b.Share, a.Share) })
+	return out
+}
--- a/pkg/dispatch/explain.go
+++ b/pkg/dispatch/explain.go
@@ -85,6 +85,9 @@
 		return fmt.Sprintf("steps %v", s.spec.After)
 	case s.waiting() == 0:
 		return ""
+	case p.awaitsQuota(s):
+		a := p.account(s.time.job)
+		return fmt.Sprintf("its customer's quota: %s runs, and %s may", a.used, a.customer.Quota)
 	case s.held(now):
 		return "a start to be proven, since a worker crashed under one of its tasks"
 	case len(s.advice.pending) > 0:
--- a/pkg/dispatch/quota_test.go
+++ b/pkg/dispatch/quota_test.go
@@ -186,3 +186,20 @@
 	f.add(of(north(0), testJob("a", filler)))
 	f.Expect(f.plan().Starts).To(HaveLen(3))
 }
+
+func TestCustomersAreListedAndWaitsExplained(t *testing.T) {
+	f := quotaFixture(t)
+	f.add(of(north(0), testJob("a", testStep(5))))
+	f.add(of(customer.Customer{Name: "south"}, testJob("b", testStep(1))))
+	f.plan()
+	rows := f.pool.Customers()
+	f.Expect(rows).To(HaveLen(2))
+	f.Expect(rows[0].Name).To(Equal("north"))
+	f.Expect(rows[0].Used.CPUMillis).To(BeEquivalentTo(3000))
+	f.Expect([]int{rows[0].Jobs, rows[0].Waiting, rows[0].AwaitQuota}).To(Equal([]int{1, 2, 2}))
+	f.Expect(rows[0].Share).To(BeNumerically("~", 3.0/8))
+	f.Expect([]int{rows[1].Jobs, rows[1].Waiting, rows[1].AwaitQuota}).To(Equal([]int{1, 0, 0}))
+	x, _ := f.pool.Explain("a", f.now)
+	f.Expect(x.Customer).To(Equal("north"))
+	f.Expect(x.Steps[0].Waits).To(HavePrefix("its customer's quota: cpu=3000m"))
+}
--- /dev/null
+++ b/pkg/jobhost/customers.go
@@ -0,0 +1,56 @@
+package jobhost
+
+import (
+	"io"
+	"net/http"
+
+	"foldarch.dev/foldarch/pkg/dispatch"
+)
+
+// mostCustomers is how many customers have figures of their own: the rest are summed up, so that the number of figures is bounded.
+const mostCustomers = 16
+
+// serveCustomers lists the customers with what they have running and waiting. A host that is not the owner answers 421 with the owner's record.
+func (h *Host) serveCustomers(w http.ResponseWriter, _ *http.Request) {
+	o := h.owner.Load()
+	if o == nil {
+		h.redirectToOwner(w)
+		return
+	}
+	writeAnswer(w, o.Customers())
+}
+
+// redirectToOwner answers a question that only the owner can answer with the owner's record.
+func (h *Host) redirectToOwner(w http.ResponseWriter) {
+	h.election.mu.Lock()
+	defer h.election.mu.Unlock()
+	w.WriteHeader(http.StatusMisdirectedRequest)
+	writeAnswer(w, h.election.holder)
+}
+
+// writeCustomers writes the figures of the customers that have most running, and of all others together.
+func writeCustomers(w io.Writer, rows []dispatch.CustomerStatus) {
+	others := dispatch.CustomerStatus{Name: "others"}
+	for n, r := range rows {
+		if n < mostCustomers {
+			writeCustomer(w, r)
+			continue
+		}
+		others.Used = others.Used.Add(r.Used)
+		others.Jobs += r.Jobs
+		others.Waiting += r.Waiting
+		others.AwaitQuota += r.AwaitQuota
+	}
+	if len(rows) > mostCustomers {
+		writeCustomer(w, others)
+	}
+}
+
+func writeCustomer(w io.Writer, r dispatch.CustomerStatus) {
+	prefix := "customer." + r.Name
+	writeFigure(w, prefix+".used_cpu_millis", float64(r.Used.CPUMillis))
+	writeFigure(w, prefix+".used_memory_mb", float64(r.Used.MemoryMB))
+	writeFigure(w, prefix+".jobs", float64(r.Jobs))
+	writeFigure(w, prefix+".tasks_waiting", float64(r.Waiting))
+	writeFigure(w, prefix+".tasks_awaiting_quota", float64(r.AwaitQuota))
+}
--- a/pkg/jobhost/figures.go
+++ b/pkg/jobhost/figures.go
@@ -70,6 +70,7 @@
 	writeFigure(w, "owner.linked", boolFigure(h.reachesOwner()))
 	if o != nil {
 		writePool(w, o)
+		writeCustomers(w, o.Customers())
 	}
 }
 
@@ -89,6 +90,7 @@
 		writeAnswer(w, h.election.holder)
 	})
 	mux.HandleFunc("GET /jobs/{id}", h.serveExplanation)
+	mux.HandleFunc("GET /customers", h.serveCustomers)
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	return mux, nil
@@ -104,10 +106,7 @@
 	}
 	o := h.owner.Load()
 	if o == nil {
-		h.election.mu.Lock()
-		defer h.election.mu.Unlock()
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		writeAnswer(w, h.election.holder)
+		h.redirectToOwner(w)
 		return
 	}
 	e, ok := o.Explain(id)
--- a/pkg/poolowner/members.go
+++ b/pkg/poolowner/members.go
@@ -221,6 +221,13 @@
 	return o.pool.Explain(id, o.deps.Clock.Now())
 }
 
+// Customers lists the customers with what they have in the pool.
+func (o *Owner) Customers() []dispatch.CustomerStatus {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.pool.Customers()
+}
+
 // ask has a call for advice made, by this host or by a member.
 func (o *Owner) ask(ctx context.Context, m *member, a dispatch.Ask) {
 	call := &poolpb.AdviceCall{
