--- a/pkg/cli/job_show.go
+++ b/pkg/cli/job_show.go
@@ -45,6 +45,17 @@
 	return nil
 }
 
+// timeLeft is such as ", 812 ms left" or ", 90 ms late"; empty for what has no objective.
+func timeLeft(ms int64) string {
+	switch {
+	case ms > 0:
+		return fmt.Sprintf(", %d ms left", ms)
+	case ms < 0:
+		return fmt.Sprintf(", %d ms late", -ms)
+	}
+	return ""
+}
+
 func printExplanation(out io.Writer, x dispatch.Explanation) {
 	fmt.Fprintf(out, "job %s in queue %s: %s\n", x.Job, x.Queue, x.State)
 	if x.Customer != "" {
@@ -54,7 +65,7 @@
 		fmt.Fprintf(out, "held back: %s\n", x.Blocked)
 	}
 	for _, s := range x.Steps {
-		fmt.Fprintf(out, "\nstep %s: %d of %d done, %d failures, %d ms left\n", s.Step, s.Done, s.Count, s.Failures, s.LeftMs)
+		fmt.Fprintf(out, "\nstep %s: %d of %d done, %d failures%s\n", s.Step, s.Done, s.Count, s.Failures, timeLeft(s.LeftMs))
 		if s.Waits != "" {
 			fmt.Fprintf(out, "    waits for %s\n", s.Waits)
 		}
--- a/pkg/dispatch/explain.go
+++ b/pkg/dispatch/explain.go
@@ -20,10 +20,11 @@
 
 // StepView is one step of one time of a job.
 type StepView struct {
-	Step     string    `json:"step"`
-	Done     int       `json:"done"`
-	Count    int       `json:"count"`
-	LeftMs   int64     `json:"left_ms"` // of the objective
+	Step  string `json:"step"`
+	Done  int    `json:"done"`
+	Count int    `json:"count"`
+	// LeftMs is what is left of the objective, below 0 once that has passed; 0 for tasks that last, which have none.
+	LeftMs   int64     `json:"left_ms"`
 	Waits    string    `json:"waits,omitempty"`
 	Runs     []RunView `json:"runs,omitempty"`
 	Failures int       `json:"failures,omitempty"`
@@ -61,9 +62,9 @@
 }
 
 func (p *Pool) explainStep(s *step, now clock.Time) StepView {
-	v := StepView{
-		Step: s.id().String(), Done: s.done, Count: len(s.tasks), LeftMs: s.time.objective.Sub(now).Milliseconds(),
-		Waits: p.waitsFor(s, now),
+	v := StepView{Step: s.id().String(), Done: s.done, Count: len(s.tasks), Waits: p.waitsFor(s, now)}
+	if !s.spec.LongRunning {
+		v.LeftMs = s.time.objective.Sub(now).Milliseconds()
 	}
 	for i := range s.tasks {
 		t := &s.tasks[i]
--- a/test/platform/example_test.go
+++ b/test/platform/example_test.go
@@ -24,4 +24,6 @@
 	g.Expect(string(out)).To(MatchRegexp(`gang .* completed\n`))
 	g.Expect(string(out)).To(MatchRegexp(`lasting .* running\n`))
 	g.Expect(string(out)).To(ContainSubstring("no task ran twice"))
+	g.Expect(string(out)).To(ContainSubstring("unauthenticated (412)"))
+	g.Expect(string(out)).To(MatchRegexp(`north .* 4/4 `))
 }
