--- a/pkg/dispatch/ends.go
+++ b/pkg/dispatch/ends.go
@@ -238,8 +238,8 @@
 
 // forgetIfIdle drops a job whose outcome is committed and of which nothing runs.
 func (p *Pool) forgetIfIdle(j *jobState) {
-	if !j.committed || j.running() {
-		return
+	if !j.committed || j.running() || p.blocked(j) {
+		return // a run of a former owner that is still to be found counts, and needs what is known of the job
 	}
 	if p.jobs[j.job.ID] == j {
 		p.outcomes.put(j.job.ID, j.outcome, j.customer.Name, p.now)
--- a/pkg/dispatch/history_owner_test.go
+++ b/pkg/dispatch/history_owner_test.go
@@ -41,7 +41,7 @@
 				o.pool.Cancel(id)
 			}
 		} else {
-			o.pool.AddOutcome(id, s.outcome, "", w.now)
+			o.pool.AddOutcome(id, s.outcome, s.record.Customer.Name, w.now)
 		}
 	}
 	o.pool.SetLoaded()
--- a/pkg/dispatch/history_quota_test.go
+++ b/pkg/dispatch/history_quota_test.go
@@ -128,6 +128,6 @@
 		limit = max(limit, q.former[name])
 	}
 	if running > limit+int64(quotaOver*float64(limit))+r.need.CPUMillis {
-		w.broken("%s begins run %d on %s: customer %s has %d running of %d", r.task, r.run, m.id, name, running, limit)
+		w.broken("%s begins run %d on %s: customer %s has %d running of %d; the owner counts %+v", r.task, r.run, m.id, name, running, limit, w.present().pool.Customers())
 	}
 }
--- a/pkg/dispatch/history_test.go
+++ b/pkg/dispatch/history_test.go
@@ -29,6 +29,9 @@
 	historyCalm   = 40 * time.Second
 	// crashingLength is for how long a history goes on in which tasks crash their workers: each crash takes seconds to be found.
 	crashingLength = 60 * time.Second
+	// quotaLength is for how much longer a history goes on in which a customer's tasks run two at a time: twelve jobs of up to eight tasks of
+	// 4 s each take up to 190 s of them.
+	quotaLength    = 120 * time.Second
 	historyWorkers = 4
 	historyJobs    = 12
 	// platformHold is the longest lease that a worker gives, by its own clock.
@@ -225,6 +228,9 @@
 	if w.crashing {
 		end = end.Add(crashingLength)
 	}
+	if w.quotas != nil {
+		end = end.Add(quotaLength)
+	}
 	calm := w.now.Add(historyLength - historyCalm)
 	w.troubleUntil = calm
 	handedIn := 0
--- a/pkg/dispatch/lives.go
+++ b/pkg/dispatch/lives.go
@@ -155,6 +155,7 @@
 // succeed takes in that a life has ended and the next one is there.
 func (p *Pool) succeed(former, next *worker, now clock.Time) {
 	former.gone = true
+	former.clearForeign()
 	former.line.end(former)
 	former.unlist(now)
 	carried := former.notListedYet()
--- a/pkg/dispatch/quota.go
+++ b/pkg/dispatch/quota.go
@@ -4,6 +4,7 @@
 	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/customer"
+	"foldarch.dev/foldarch/pkg/job"
 )
 
 // A customer has no more running, on all workers together, than its quota. What counts is what counts against the room of workers, from the
@@ -24,7 +25,9 @@
 	unheard cell.Resources
 	// promised is what steps that come first in the order of this plan wait for, and can't have yet.
 	promised cell.Resources
-	rate     rate
+	// foreign counts the runs that workers list of its jobs that have ended, of which nothing else is known any more.
+	foreign int
+	rate    rate
 }
 
 // account returns that of a job's customer; nil for nobody's job.
@@ -77,6 +80,9 @@
 	if a == nil {
 		return most
 	}
+	if a.foreign > 0 {
+		return 0 // what they take is not known; they are being stopped
+	}
 	return min(most, a.roomFor(s.accountNeed(), most))
 }
 
@@ -121,6 +127,26 @@
 	}
 }
 
+// countForeign takes in that a worker lists a run of a job of which nothing is known but that it has ended.
+func (p *Pool) countForeign(w *worker, id job.ID) {
+	name := p.outcomes.of[id].customer
+	if name == "" {
+		return
+	}
+	p.openAccount(customer.Customer{Name: name})
+	a := p.accounts[name]
+	a.foreign++
+	w.foreignOf = append(w.foreignOf, a)
+}
+
+// clearForeign takes back what countForeign has counted of a worker.
+func (w *worker) clearForeign() {
+	for _, a := range w.foreignOf {
+		a.foreign--
+	}
+	w.foreignOf = w.foreignOf[:0]
+}
+
 // clearPromises begins a plan.
 func (p *Pool) clearPromises() {
 	for _, a := range p.accounts {
--- a/pkg/dispatch/quota_test.go
+++ b/pkg/dispatch/quota_test.go
@@ -203,3 +203,42 @@
 	f.Expect(x.Customer).To(Equal("north"))
 	f.Expect(x.Steps[0].Waits).To(HavePrefix("its customer's quota: cpu=3000m"))
 }
+
+// A job is cancelled just as a new owner takes over, and its runs are found after that. They were not counted, since the job was forgotten when
+// its cancelling was in the store: customer south has 10000 running of 6000, seed 606.
+func TestRunsOfACancelledJobThatAreFoundLateCount(t *testing.T) {
+	f := newFixture(t, 2, func(c *Config) { c.Takeover, c.Term, c.Token = true, 2, nextEpoch })
+	f.configure(2, north(3000))
+	former := of(north(0), testJob("a", testStep(3)))
+	former.Term = 1
+	f.add(former)
+	f.pool.Cancel("a")
+	f.pool.Committed(f.pool.TakeCommit())
+	f.report(0, Report{})
+	var rows Report
+	for i := range 3 {
+		rows.Active = append(rows.Active, Active{Task: job.TaskID{StepID: job.StepID{Job: "a"}, Index: i}, Run: 1, Percent: 10})
+	}
+	f.report(1, rows)
+	later := of(north(0), testJob("b", testStep(3)))
+	later.Term = 2
+	f.add(later)
+	actions := f.plan()
+	f.Expect(actions.Starts).To(BeEmpty())
+	f.Expect(actions.Stops).To(HaveLen(3))
+}
+
+// Nothing is known of what a run takes whose job had ended before a new owner read the store.
+func TestRunOfAJobThatHadEndedHoldsItsCustomer(t *testing.T) {
+	f := newFixture(t, 2, func(c *Config) { c.Takeover, c.Term, c.Token = true, 2, nextEpoch })
+	f.configure(2, north(3000))
+	f.pool.AddOutcome("a", job.Cancelled, "north", f.now)
+	f.report(0, Report{})
+	f.report(1, Report{Active: []Active{{Task: job.TaskID{StepID: job.StepID{Job: "a"}}, Run: 1, Percent: 10}}})
+	later := of(north(0), testJob("b", testStep(3)))
+	later.Term = 2
+	f.add(later)
+	f.Expect(f.plan().Starts).To(BeEmpty())
+	f.report(1, Report{Finished: []Finished{{Number: 1, Task: job.TaskID{StepID: job.StepID{Job: "a"}}, Run: 1, How: EndStopped}}})
+	f.Expect(f.plan().Starts).To(HaveLen(3))
+}
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -113,6 +113,7 @@
 		p.cfg.Log(Event{Name: "strange_runs", Worker: w.info.ID, Detail: strconv.Itoa(w.strange)})
 	}
 	w.foreign = w.strange
+	w.clearForeign()
 	listed := make(map[runKey]bool, len(report.Active))
 	for _, row := range report.Active {
 		key := runKey{row.Task, row.Run}
@@ -187,6 +188,7 @@
 	t := p.task(row.Task)
 	if t == nil {
 		w.foreign++
+		p.countForeign(w, row.Task.Job)
 		if p.knows(row.Task.Job) || !p.mayBeTold(w, now) {
 			p.news = true
 			p.stops = append(p.stops, &run{task: unknownTask(row.Task), number: row.Run, worker: w, state: runActive})
--- a/pkg/dispatch/takeover.go
+++ b/pkg/dispatch/takeover.go
@@ -67,6 +67,9 @@
 	p.cfg.Log(Event{Name: "takeover_settled"})
 	p.stopPartialGangs()
 	p.sumUnheard()
+	for _, j := range p.jobs {
+		p.forgetIfIdle(j)
+	}
 }
 
 // allReported says that all workers have told what they run.
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -68,6 +68,8 @@
 	runs    map[runKey]*run
 	foreign int // runs there of which nothing is known
 	strange int // of these, runs whose names can't be read
+	// foreignOf are the customers of foreign runs, one for each run.
+	foreignOf []*account
 	// strangerAt is when a job was first listed of which nothing was known; 0 for never.
 	strangerAt clock.Time
 
@@ -193,6 +195,7 @@
 		return
 	}
 	w.gone = true
+	w.clearForeign()
 	p.cfg.Log(Event{Name: "worker_gone", Worker: w.info.ID, Detail: why})
 	p.crashed(w, now)
 	p.loseRuns(w, now)
