A customer is held by runs of its ended jobs no longer than their leases

Found while reading the diff: a silent worker that had listed such a run would have held the customer until it answered. The test fails without it.

--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -262,6 +262,9 @@
 	if w.reported || w.follows {
 		p.loseLapsed(w, lapsed, now)
 	}
+	if len(w.foreignOf) > 0 && p.confirmedSince(lapsed) {
+		w.clearForeign()
+	}
 	if !w.reported {
 		lapsed = max(lapsed, p.takeover.lapsed)
 	}
