--- a/pkg/cli/ask_owner.go
+++ b/pkg/cli/ask_owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -34,6 +35,21 @@
 	return body, nil
 }
 
+// printAnswer prints an answer of the owner as it is, indented, or in words.
+func printAnswer[T any](e *env, body []byte, asJSON bool, inWords func(io.Writer, T)) error {
+	var x T
+	if err := json.Unmarshal(body, &x); err != nil {
+		return errors.Wrap(err, "answer")
+	}
+	if asJSON {
+		encoder := json.NewEncoder(e.out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(x)
+	}
+	inWords(e.out, x)
+	return nil
+}
+
 // readOperators reads a path at the operators' address of a host.
 func readOperators(host netip.AddrPort, path string) (status int, body []byte, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
--- a/pkg/cli/job_customers.go
+++ b/pkg/cli/job_customers.go
@@ -1,13 +1,11 @@
 package cli
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 
 	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/dispatch"
-	"github.com/cockroachdb/errors"
 )
 
 // JobCustomersCommand lists the customers with what they have running and waiting.
@@ -27,17 +25,7 @@
 	if err != nil {
 		return err
 	}
-	var rows []dispatch.CustomerStatus
-	if err := json.Unmarshal(body, &rows); err != nil {
-		return errors.Wrap(err, "answer")
-	}
-	if c.JSON {
-		encoder := json.NewEncoder(e.out)
-		encoder.SetIndent("", "  ")
-		return encoder.Encode(rows)
-	}
-	printCustomers(e.out, rows)
-	return nil
+	return printAnswer(e, body, c.JSON, printCustomers)
 }
 
 func printCustomers(w io.Writer, rows []dispatch.CustomerStatus) {
--- a/pkg/cli/job_show.go
+++ b/pkg/cli/job_show.go
@@ -1,7 +1,6 @@
 package cli
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 
@@ -32,17 +31,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "job %s", id)
 	}
-	var x dispatch.Explanation
-	if err := json.Unmarshal(body, &x); err != nil {
-		return errors.Wrap(err, "answer")
-	}
-	if c.JSON {
-		encoder := json.NewEncoder(e.out)
-		encoder.SetIndent("", "  ")
-		return encoder.Encode(x)
-	}
-	printExplanation(e.out, x)
-	return nil
+	return printAnswer(e, body, c.JSON, printExplanation)
 }
 
 // timeLeft is such as ", 812 ms left" or ", 90 ms late"; empty for what has no objective.
--- a/pkg/dispatch/quota_test.go
+++ b/pkg/dispatch/quota_test.go
@@ -228,8 +228,8 @@
 	f.Expect(actions.Stops).To(HaveLen(3))
 }
 
-// Its worker falls silent, and the run has lapsed with what else may run there.
-func TestRunOfAJobThatHadEndedHoldsItsCustomerNoLongerThanItsLease(t *testing.T) {
+// runOfEndedJob has a new owner find a run of a job that had ended before it read the store, on worker 1, and take in another job of the customer.
+func runOfEndedJob(t *testing.T) *fixture {
 	f := newFixture(t, 2, func(c *Config) { c.Takeover, c.Term, c.Token = true, 2, nextEpoch })
 	f.configure(2, north(3000))
 	f.pool.AddOutcome("a", job.Cancelled, "north", f.now)
@@ -238,6 +238,12 @@
 	later := of(north(0), testJob("b", testStep(3)))
 	later.Term = 2
 	f.add(later)
+	return f
+}
+
+// Its worker falls silent, and the run has lapsed with what else may run there.
+func TestRunOfAJobThatHadEndedHoldsItsCustomerNoLongerThanItsLease(t *testing.T) {
+	f := runOfEndedJob(t)
 	for range 5 {
 		f.pass(time.Second)
 		f.report(0, Report{})
@@ -250,14 +256,7 @@
 
 // Nothing is known of what a run takes whose job had ended before a new owner read the store.
 func TestRunOfAJobThatHadEndedHoldsItsCustomer(t *testing.T) {
-	f := newFixture(t, 2, func(c *Config) { c.Takeover, c.Term, c.Token = true, 2, nextEpoch })
-	f.configure(2, north(3000))
-	f.pool.AddOutcome("a", job.Cancelled, "north", f.now)
-	f.report(0, Report{})
-	f.report(1, Report{Active: []Active{{Task: job.TaskID{StepID: job.StepID{Job: "a"}}, Run: 1, Percent: 10}}})
-	later := of(north(0), testJob("b", testStep(3)))
-	later.Term = 2
-	f.add(later)
+	f := runOfEndedJob(t)
 	f.Expect(f.plan().Starts).To(BeEmpty())
 	f.report(1, Report{Finished: []Finished{{Number: 1, Task: job.TaskID{StepID: job.StepID{Job: "a"}}, Run: 1, How: EndStopped}}})
 	f.Expect(f.plan().Starts).To(HaveLen(3))
