--- a/pkg/customer/doc.go
+++ b/pkg/customer/doc.go
@@ -2,7 +2,8 @@
 // may have running.
 //
 // A Directory is one version of the customers, read only once it is made. It keeps no key, only digests. Decide
-// is the table of who may do what; it depends on nothing but its argument.
+// is the table of who may do what; it depends on nothing but its argument. A Rate tells which jobs of a customer
+// are beyond its weight.
 //
 // # Usage
 //
--- /dev/null
+++ b/pkg/customer/rate_test.go
@@ -0,0 +1,32 @@
+package customer
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	. "github.com/onsi/gomega"
+)
+
+// beyondOf is the part of a customer's jobs that are beyond its weight, with random arrivals at a rate for a minute.
+func beyondOf(weight, perSecond float64) float64 {
+	r := rand.New(rand.NewPCG(1, 1))
+	var x Rate
+	beyond, all := 0, 0
+	for at := 0.0; at < 60; at += r.ExpFloat64() / perSecond {
+		all++
+		if x.Beyond(weight, clock.Time(1000+at*1000)) {
+			beyond++
+		}
+	}
+	return float64(beyond) / float64(all)
+}
+
+func TestJobsBeyondTheWeight(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(beyondOf(0, 100)).To(BeZero(), "no weight is no limit")
+	for _, weight := range []float64{2, 50} {
+		g.Expect(beyondOf(weight, weight/1.9)).To(BeNumerically("<", 0.02), "the usual rate")
+		g.Expect(beyondOf(weight, 4*weight)).To(BeNumerically("~", 0.75, 0.05), "four times the weight")
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/beyond.go
@@ -0,0 +1,27 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+)
+
+// markBeyond takes in how many jobs a second a job's customer sends.
+func (p *Pool) markBeyond(j *jobState) {
+	if a := p.account(j); a != nil {
+		j.beyond = a.rate.Beyond(a.customer.Weight, j.accepted)
+	}
+}
+
+// markLoaded does so for the jobs that were read from the store, in the order in which they were accepted.
+func (p *Pool) markLoaded() {
+	loaded := make([]*jobState, 0, len(p.jobs))
+	for _, j := range p.jobs {
+		loaded = append(loaded, j)
+	}
+	slices.SortFunc(loaded, func(a, b *jobState) int {
+		return cmp.Or(cmp.Compare(a.accepted, b.accepted), cmp.Compare(a.job.ID, b.job.ID))
+	})
+	for _, j := range loaded {
+		p.markBeyond(j)
+	}
+}
--- a/pkg/dispatch/rate_test.go
+++ b/pkg/dispatch/beyond_test.go
@@ -1,40 +1,15 @@
 package dispatch
 
 import (
-	"math/rand/v2"
 	"testing"
 	"time"
 
 	"foldarch.dev/foldarch/pkg/cell"
-	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/customer"
 	"foldarch.dev/foldarch/pkg/job"
 	. "github.com/onsi/gomega"
 )
 
-// beyondOf is the part of a customer's jobs that are beyond its weight, with random arrivals at a rate for a minute.
-func beyondOf(weight, perSecond float64) float64 {
-	r := rand.New(rand.NewPCG(1, 1))
-	var x rate
-	beyond, all := 0, 0
-	for at := 0.0; at < 60; at += r.ExpFloat64() / perSecond {
-		all++
-		if x.beyond(weight, clock.Time(1000+at*1000)) {
-			beyond++
-		}
-	}
-	return float64(beyond) / float64(all)
-}
-
-func TestJobsBeyondTheWeight(t *testing.T) {
-	g := NewWithT(t)
-	g.Expect(beyondOf(0, 100)).To(BeZero(), "no weight is no limit")
-	for _, weight := range []float64{2, 50} {
-		g.Expect(beyondOf(weight, weight/1.9)).To(BeNumerically("<", 0.02), "the usual rate")
-		g.Expect(beyondOf(weight, 4*weight)).To(BeNumerically("~", 0.75, 0.05), "four times the weight")
-	}
-}
-
 // sheet is a job of some tasks of a second, in the queue of the tests.
 func sheet(id string, c customer.Customer, tasks int) job.Record {
 	s := testStep(tasks)
--- a/pkg/dispatch/quota.go
+++ b/pkg/dispatch/quota.go
@@ -27,7 +27,7 @@
 	promised cell.Resources
 	// foreign counts the runs that workers list of its jobs that have ended, of which nothing else is known any more.
 	foreign int
-	rate    rate
+	rate    customer.Rate
 }
 
 // account returns that of a job's customer; nil for nobody's job.
