Test an unsettled swap by what callers ask: the library's errors.Is

Callers see both (errors.Is of the library true); gomega's MatchError asks the standard library, which does not see marks (false, shown by a test of two lines).

--- a/pkg/store/store_test.go
+++ b/pkg/store/store_test.go
@@ -73,7 +73,9 @@
 	}()
 	g.Eventually(func() int64 { return fake.Counts().Writes }, "30s").Should(BeNumerically(">", 0))
 	cancel()
-	g.Eventually(done, "10s").Should(Receive(MatchError(store.ErrUnsettled)))
+	var err error
+	g.Eventually(done, "10s").Should(Receive(&err))
+	g.Expect(errors.Is(err, store.ErrUnsettled)).To(BeTrue(), "%v", err)
 }
 
 func TestSwapIsDownWhenNothingListens(t *testing.T) {
