--- a/pkg/dispatch/history_kept_test.go
+++ b/pkg/dispatch/history_kept_test.go
@@ -2,7 +2,7 @@
 
 import "testing"
 
-// Histories with workers that start again that once broke a promise, with the log lines that showed how.
+// Histories that once broke a promise, with the log lines that showed how.
 
 // The entry of a next life was known, and that life was cut off from the owner. It took a start 3.7 s late that the former life had left
 // without an answer. The former life was held for lapsed by its own clock, and the task was started elsewhere:
@@ -46,3 +46,25 @@
 		}
 	})
 }
+
+// A customer has more running than its quota after its job was cancelled and the owner changed:
+//
+//	101880 owner 1 run_ordered 0000000000000000.0.0.1 run 1 w1
+//	103120 owner 1 job_ended 0000000000000000 cancelled
+//	103160 owner 2 elected
+//	103200 owner 2 run_ordered 0000000000000001.0.0.0 run 1 w0
+//	103220 w0 begins 0000000000000001.0.0.0 run 1: customer south has 4500 running of 2000
+func TestQuotaHoldsWhileACancelledJobStops(t *testing.T) {
+	playSeeds(t, []uint64{7000270}, func(w *world) { w.quotas, w.relayed = newModelQuotas(), true })
+}
+
+// A start that was held for void is carried out after its task is done:
+//
+//	114920 owner 4 start_void 0000000000000007.0.0.2 run 4001 w3
+//	117560 w3 ends 0000000000000007.0.0.2 run 4001 done
+//	118040 w3 crashes
+//	119700 w3 begins life 1700000911321
+//	119760 w3 begins 0000000000000007.0.0.2 run 4001
+func TestNextLifeDoesNotTakeAVoidedStart(t *testing.T) {
+	playSeeds(t, []uint64{7001926}, func(w *world) { w.reborn = true })
+}
--- a/pkg/dispatch/quota_test.go
+++ b/pkg/dispatch/quota_test.go
@@ -179,6 +179,25 @@
 	f.Expect(f.plan().Starts).To(HaveLen(2))
 }
 
+// A worker that a new owner has not heard of may have ended a step, and the former owner may have begun the next one before that end was
+// committed. Only the step that the store shows as begun was counted.
+func TestNewOwnerCountsTheNextStepThatMayHaveBegun(t *testing.T) {
+	f := newFixture(t, 2, func(c *Config) { c.Takeover, c.Term, c.Token = true, 2, nextEpoch })
+	f.configure(2, north(3000))
+	next := testStep(3)
+	next.After = []int{0}
+	former := of(north(0), testJob("a", testStep(1), next))
+	former.Term = 1
+	f.add(former)
+	later := of(north(0), testJob("b", testStep(3)))
+	later.Term = 2
+	f.add(later)
+	f.report(0, Report{})
+	f.Expect(f.plan().Starts).To(BeEmpty(), "three of the next step may run on the other worker")
+	f.report(1, Report{})
+	f.Expect(f.plan().Starts).To(HaveLen(3))
+}
+
 func TestFillerCountsInFullAgainstTheQuota(t *testing.T) {
 	f := quotaFixture(t)
 	filler := testStep(5)
