Count what may still run of a job that had ended when the owner changed

Cause: a new owner worked out what may run on workers that it has not heard of from the tasks that wait. Runs of ended jobs, and for tasks that are done, wait for nothing, and the store had no word of them. The log shows the plan at which the run on w1 is missing from the count, with w1 unheard.

The end's record now tells what its owner counted, with the time; progress does so for done tasks. It holds since an owner starts nothing of a job after it has written its end, and what it counted then is all that can run: the sum is of the same bookings that keep the room of workers.

Ruled out: a stale sum (it is made with each plan), a stop taken for an end.

--- a/pkg/dispatch/commit.go
+++ b/pkg/dispatch/commit.go
@@ -16,6 +16,8 @@
 	Progress job.Progress
 	// Customer names whose job it is; empty for nobody's.
 	Customer string
+	// Unended is what may still run of a job that has ended.
+	Unended job.Unended
 	// Stored says that the store has progress of the job, to be removed with its end.
 	Stored bool
 }
@@ -88,8 +90,11 @@
 	c := Change{Job: j.job.ID, Outcome: j.outcome, Customer: j.customer.Name, Stored: j.stored}
 	if j.outcome == "" {
 		c.Progress = progressOf(j)
+		c.Progress.Unended = p.unended(j)
 		j.stored = true
+		return c
 	}
+	c.Unended = p.unended(j)
 	return c
 }
 
@@ -115,6 +120,7 @@
 
 // takeProgress takes in what a former owner kept of a job.
 func (p *Pool) takeProgress(j *jobState, progress job.Progress) {
+	j.unended = p.mayGoOn(progress.Unended)
 	for _, row := range progress.Tasks {
 		id := job.TaskID{StepID: job.StepID{Job: j.job.ID, Time: row.Time, Step: row.Step}, Index: row.Index}
 		t := p.task(id)
--- a/pkg/dispatch/crash_test.go
+++ b/pkg/dispatch/crash_test.go
@@ -342,7 +342,7 @@
 	}
 	for id, r := range m.records {
 		if outcome, ended := m.outcomes[id]; ended {
-			m.pool.AddOutcome(id, outcome, "", m.now)
+			m.pool.AddOutcome(id, job.Record{Outcome: outcome}, m.now)
 			continue
 		}
 		p, stored := m.progress[id]
--- a/pkg/dispatch/history_kept_test.go
+++ b/pkg/dispatch/history_kept_test.go
@@ -47,7 +47,9 @@
 	})
 }
 
-// A customer has more running than its quota after its job was cancelled and the owner changed:
+// A customer's job is cancelled, and 40 ms later the owner changes. The store had the job's end and nothing of what still ran of it, so
+// the new owner took the customer's quota for free while w1, which it had not heard of, was not done with the cancelled job. What may still run
+// stands with the end now (job.Unended), and counts until all workers have told. The lines that showed it:
 //
 //	101880 owner 1 run_ordered 0000000000000000.0.0.1 run 1 w1
 //	103120 owner 1 job_ended 0000000000000000 cancelled
--- a/pkg/dispatch/history_owner_test.go
+++ b/pkg/dispatch/history_owner_test.go
@@ -41,7 +41,7 @@
 				o.pool.Cancel(id)
 			}
 		} else {
-			o.pool.AddOutcome(id, s.outcome, s.record.Customer.Name, w.now)
+			o.pool.AddOutcome(id, job.Record{Outcome: s.outcome, Customer: s.record.Customer, Unended: s.unended}, w.now)
 		}
 	}
 	o.pool.SetLoaded()
@@ -96,7 +96,7 @@
 
 // copied is progress as an owner reads it from the store, which no other owner changes.
 func copied(p job.Progress) job.Progress {
-	out := job.Progress{Tasks: slices.Clone(p.Tasks)}
+	out := job.Progress{Tasks: slices.Clone(p.Tasks), Unended: p.Unended}
 	for i := range out.Tasks {
 		row := &out.Tasks[i]
 		row.Failures, row.Attempts, row.Crashes = slices.Clone(row.Failures), slices.Clone(row.Attempts), slices.Clone(row.Crashes)
@@ -190,7 +190,7 @@
 	for _, change := range c.Changes {
 		w.checkOutcome(change)
 		s := w.store[change.Job]
-		s.outcome, s.progress, s.stored = change.Outcome, change.Progress, true
+		s.outcome, s.progress, s.unended, s.stored = change.Outcome, change.Progress, change.Unended, true
 		if s.outcome == job.Completed {
 			s.shownAt = w.now
 		}
--- a/pkg/dispatch/history_test.go
+++ b/pkg/dispatch/history_test.go
@@ -109,7 +109,8 @@
 	progress job.Progress
 	stored   bool
 	outcome  job.State
-	shownAt  clock.Time // when it was shown as completed; 0 before
+	unended  job.Unended // with the outcome
+	shownAt  clock.Time  // when it was shown as completed; 0 before
 	// cancelled says that the store holds the cancelling of the job.
 	cancelled bool
 }
--- a/pkg/dispatch/jobs.go
+++ b/pkg/dispatch/jobs.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/customer"
 	"foldarch.dev/foldarch/pkg/job"
@@ -26,8 +27,10 @@
 	stored    bool      // the store has progress of the job
 	beyond    bool      // its customer sends more than its weight (markBeyond)
 	suspected bool      // there was a crash against one of its tasks
-	accepted  clock.Time
-	chains    []time.Duration // for each step, the estimated time from its start to the end
+	// unended is what may run for its done tasks on workers that a new owner has not heard of, as the store tells.
+	unended  cell.Resources
+	accepted clock.Time
+	chains   []time.Duration // for each step, the estimated time from its start to the end
 }
 
 // timeState is one time of a job's steps.
@@ -74,10 +77,12 @@
 	spec   *job.Step
 	tasks  []task
 	done   int
-	advice stepAdvice
-	gang   gang
-	perOf  map[WorkerID]int // runs of the step on a worker; only with MaxPerWorker
-	chain  time.Duration    // estimate of the work from this step to the end of the job
+	// counted is how many runs of its tasks count against workers and quotas.
+	counted int
+	advice  stepAdvice
+	gang    gang
+	perOf   map[WorkerID]int // runs of the step on a worker; only with MaxPerWorker
+	chain   time.Duration    // estimate of the work from this step to the end of the job
 	// readySince is when tasks of it began to wait for a worker.
 	readySince clock.Time
 	// survived says that a worker has survived a start of one of its tasks, and claimed is the worker that was claimed last
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -187,15 +187,18 @@
 	}
 }
 
-// AddOutcome takes in a job that has ended, as the store tells.
-func (p *Pool) AddOutcome(id job.ID, outcome job.State, customer string, now clock.Time) {
-	p.outcomes.put(id, outcome, customer, now)
+// AddOutcome takes in the record of a job that has ended, as the store tells.
+func (p *Pool) AddOutcome(id job.ID, ended job.Record, now clock.Time) {
+	if !p.loaded {
+		p.countUnended(ended)
+	}
+	p.outcomes.put(id, ended.Outcome, ended.Customer.Name, now)
 	j, known := p.jobs[id]
 	if !known {
 		return
 	}
 	if j.outcome == "" {
-		p.finish(j, outcome)
+		p.finish(j, ended.Outcome)
 	}
 	delete(p.dirty, j)
 	j.committed = true
--- a/pkg/dispatch/pool_test.go
+++ b/pkg/dispatch/pool_test.go
@@ -268,9 +268,9 @@
 
 func TestOutcomesAreKeptForTheirTime(t *testing.T) {
 	f := newFixture(t, 1, nil)
-	f.pool.AddOutcome("a", job.Completed, "", f.now)
+	f.pool.AddOutcome("a", job.Record{Outcome: job.Completed}, f.now)
 	f.pass(time.Minute)
-	f.pool.AddOutcome("b", job.Failed, "", f.now)
+	f.pool.AddOutcome("b", job.Record{Outcome: job.Failed}, f.now)
 	f.Expect(f.pool.ExpiredOutcomes(2*time.Minute, 10, f.now)).To(BeEmpty())
 	f.pass(time.Minute)
 	expired := f.pool.ExpiredOutcomes(2*time.Minute, 10, f.now)
--- a/pkg/dispatch/quota.go
+++ b/pkg/dispatch/quota.go
@@ -14,15 +14,15 @@
 // A lowered quota stops nothing; what runs counts, and nothing starts until there is room. A customer that the configuration does not name any
 // more keeps the quota that was known last.
 //
-// A new owner does not know what former ones have started on workers that it has not heard of. Up to what these hold, and up to what the tasks
-// need that a former owner may have started, counts as running until they have told or everything there has lapsed.
+// What former owners may have running on workers that a new one has not heard of counts, too (unheard.go).
 
 // account is what one customer has in the pools of this owner.
 type account struct {
 	customer customer.Customer
 	used     cell.Resources
-	// unheard is what it may have running besides, on workers that a new owner has not heard of.
-	unheard cell.Resources
+	// unheard is what it may have running besides, on workers that a new owner has not heard of, and ended the part of it that is
+	// of jobs that had ended.
+	unheard, ended cell.Resources
 	// promised is what steps that come first in the order of this plan wait for, and can't have yet.
 	promised cell.Resources
 	// foreign counts the runs that workers list of its jobs that have ended, of which nothing else is known any more.
@@ -63,12 +63,14 @@
 
 // bookUse and giveBackUse keep what a customer has running.
 func (p *Pool) bookUse(s *step) {
+	s.counted++
 	if a := p.account(s.time.job); a != nil {
 		a.used = a.used.Add(s.accountNeed())
 	}
 }
 
 func (p *Pool) giveBackUse(s *step) {
+	s.counted--
 	if a := p.account(s.time.job); a != nil {
 		a.used = a.used.Sub(s.accountNeed())
 	}
@@ -153,56 +155,3 @@
 		a.promised = cell.Resources{}
 	}
 }
-
-// sumUnheard works out what customers may have running on workers that a new owner has not heard of.
-func (p *Pool) sumUnheard() {
-	for _, a := range p.accounts {
-		a.unheard = cell.Resources{}
-	}
-	if !p.takeover.pending {
-		return
-	}
-	var room cell.Resources
-	for _, w := range p.workers {
-		if !w.reported && !w.gone {
-			room = room.Add(w.info.Capacity)
-		}
-	}
-	if room == (cell.Resources{}) {
-		return
-	}
-	for _, j := range p.jobs {
-		if a := p.account(j); a != nil && !p.unknownToFormer(j) {
-			a.unheard = a.unheard.Add(j.mayRunUnheard())
-		}
-	}
-	for _, a := range p.accounts {
-		a.unheard = cell.Resources{
-			CPUMillis: min(a.unheard.CPUMillis, room.CPUMillis), MemoryMB: min(a.unheard.MemoryMB, room.MemoryMB),
-			Accelerators: min(a.unheard.Accelerators, room.Accelerators),
-		}
-	}
-}
-
-// mayRunUnheard is what the tasks of a job need of which a former owner may have started a run that is not known here.
-func (j *jobState) mayRunUnheard() cell.Resources {
-	var sum cell.Resources
-	for s := range j.steps() {
-		if !s.turnHasCome() {
-			continue
-		}
-		sum = sum.Add(s.accountNeed().Times(int64(s.waitingTasks())))
-	}
-	return sum
-}
-
-// waitingTasks counts the tasks of which no run is known.
-func (s *step) waitingTasks() int {
-	n := 0
-	for i := range s.tasks {
-		if s.tasks[i].waiting() {
-			n++
-		}
-	}
-	return n
-}
--- a/pkg/dispatch/quota_test.go
+++ b/pkg/dispatch/quota_test.go
@@ -251,7 +251,7 @@
 func runOfEndedJob(t *testing.T) *fixture {
 	f := newFixture(t, 2, func(c *Config) { c.Takeover, c.Term, c.Token = true, 2, nextEpoch })
 	f.configure(2, north(3000))
-	f.pool.AddOutcome("a", job.Cancelled, "north", f.now)
+	f.pool.AddOutcome("a", job.Record{Outcome: job.Cancelled, Customer: customer.Customer{Name: "north"}}, f.now)
 	f.report(0, Report{})
 	f.report(1, Report{Active: []Active{{Task: job.TaskID{StepID: job.StepID{Job: "a"}}, Run: 1, Percent: 10}}})
 	later := of(north(0), testJob("b", testStep(3)))
@@ -273,6 +273,66 @@
 	f.Expect(f.plan().Starts).To(HaveLen(3))
 }
 
+// What may run of a job that had ended counts while a worker is unheard that may run it, but not as long after as it has lapsed.
+func TestNewOwnerCountsWhatRunsOfAJobThatHadEnded(t *testing.T) {
+	for ago, starts := range map[time.Duration]int{time.Second: 1, time.Minute: 3} {
+		f := newFixture(t, 2, func(c *Config) { c.Takeover, c.Term, c.Token = true, 2, nextEpoch })
+		f.pool.loaded = false
+		f.configure(2, north(3000))
+		unended := job.Unended{Need: cell.Resources{CPUMillis: 2000, MemoryMB: 2000}, At: f.wall.Add(-ago)}
+		f.pool.AddOutcome("a", job.Record{Outcome: job.Cancelled, Customer: customer.Customer{Name: "north"}, Unended: unended}, f.now)
+		f.pool.SetLoaded()
+		later := of(north(0), testJob("b", testStep(3)))
+		later.Term = 2
+		f.add(later)
+		f.report(0, Report{})
+		f.Expect(f.plan().Starts).To(HaveLen(starts), "ended %s ago", ago)
+		f.report(1, Report{})
+		f.Expect(f.plan().Starts).To(HaveLen(3 - starts))
+	}
+}
+
+// The store is told what still counts of a job that ends: what is being stopped, also at a worker that can't be heard.
+func TestStoreIsToldWhatRunsOfAJobThatEnds(t *testing.T) {
+	f := quotaFixture(t)
+	f.add(of(north(0), testJob("a", testStep(2))))
+	for _, s := range f.plan().Starts {
+		f.accept(s)
+	}
+	f.pool.Cancel("a")
+	changes := f.pool.TakeCommit().Changes
+	f.Expect(changes).To(HaveLen(1))
+	f.Expect(changes[0].Unended).To(Equal(job.Unended{Need: cell.Resources{CPUMillis: 2000, MemoryMB: 2000}, At: f.wall}))
+}
+
+// The members of a gang end together: nothing runs of one that is done, though some have not told yet.
+func TestNothingRunsOfAGangThatIsDone(t *testing.T) {
+	f := quotaFixture(t)
+	f.add(of(north(0), testJob("a", gangOf(3))))
+	starts := f.plan().Starts
+	f.Expect(starts).To(HaveLen(3))
+	for _, s := range starts {
+		f.accept(s)
+	}
+	f.report(numberOf(starts[0].Worker), f.end(starts[0], 1, EndDone))
+	changes := f.pool.TakeCommit().Changes
+	f.Expect(changes).To(HaveLen(1))
+	f.Expect(changes[0].Outcome).To(Equal(job.Completed))
+	f.Expect(changes[0].Unended).To(Equal(job.Unended{}))
+}
+
+// A task was found done while it ran elsewhere: that run is being stopped, and counts for later owners, too.
+func TestStoreIsToldWhatRunsForADoneTask(t *testing.T) {
+	f := quotaFixture(t)
+	f.add(of(north(0), testJob("a", testStep(2))))
+	s := f.plan().Starts[0]
+	f.accept(s)
+	f.report(1-numberOf(s.Worker), Report{Finished: []Finished{{Number: 1, Task: s.Task, Run: 0, How: EndDone}}})
+	changes := f.pool.TakeCommit().Changes
+	f.Expect(changes).To(HaveLen(1))
+	f.Expect(changes[0].Progress.Unended.Need.CPUMillis).To(BeEquivalentTo(1000))
+}
+
 // Nothing is known of what a run takes whose job had ended before a new owner read the store.
 func TestRunOfAJobThatHadEndedHoldsItsCustomer(t *testing.T) {
 	f := runOfEndedJob(t)
--- a/pkg/dispatch/takeover_test.go
+++ b/pkg/dispatch/takeover_test.go
@@ -29,7 +29,7 @@
 func TestOutcomeOfTheStoreEndsAJobThatWasToldAgain(t *testing.T) {
 	f := newFixture(t, 1, afterFormerOwner)
 	f.add(testJob("a", testStep(1)))
-	f.pool.AddOutcome("a", job.Completed, "", f.now)
+	f.pool.AddOutcome("a", job.Record{Outcome: job.Completed}, f.now)
 	f.reportAll(1)
 	f.Expect(f.plan().Starts).To(BeEmpty())
 	state, _, _ := f.pool.State("a")
--- a/pkg/job/record.go
+++ b/pkg/job/record.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/customer"
 	"foldarch.dev/foldarch/pkg/queue"
 	"github.com/cockroachdb/errors"
@@ -25,6 +26,16 @@
 	Term int64 `json:"term,omitempty"`
 	// Outcome is set once the job has ended; Job and Queue are left out then.
 	Outcome State `json:"outcome,omitempty"`
+	// Unended is what may have run of the job when it ended.
+	Unended Unended `json:"unended,omitzero"`
+}
+
+// Unended is what may still run of a job that has ended, or for tasks that are done: runs that are being stopped, and starts without an
+// answer. A later owner that can't hear the workers has no other word of them.
+type Unended struct {
+	Need cell.Resources `json:"need,omitzero"`
+	// At is the time of day at the owner that wrote it.
+	At time.Time `json:"at,omitzero"`
 }
 
 // Encode returns the record as the store keeps it.
@@ -51,6 +62,8 @@
 // has taken note of. Tasks that are neither done nor failed nor stopped have no entry.
 type Progress struct {
 	Tasks []TaskProgress `json:"tasks"`
+	// Unended is what may run for tasks that are done.
+	Unended Unended `json:"unended,omitzero"`
 }
 
 // TaskProgress is what was noted of one task, or of a gang under its task 0.
--- a/pkg/poolowner/members.go
+++ b/pkg/poolowner/members.go
@@ -281,7 +281,7 @@
 		return
 	}
 	if record.Outcome != "" {
-		o.pool.AddOutcome(id, record.Outcome, record.Customer.Name, now)
+		o.pool.AddOutcome(id, record, now)
 		return
 	}
 	if record.Term > o.claim.Term {
