Count the next step that a former owner may have begun

Callers would see a customer with up to a whole step more running than its quota, six tasks of three in the test, after the owner changed while a worker could not be heard.

Cause: only steps whose turn has come for the new owner counted. A former owner begins the next one when it hears the end, up to a commit before the store does.

Of a step without a word and those that may follow it the larger need counts now. It holds since a step never runs beside one that it follows, and none can have begun of which an earlier task is known to run. Where several steps follow one, or one follows several, the sum is an upper bound.

--- a/pkg/cell/resources.go
+++ b/pkg/cell/resources.go
@@ -27,6 +27,16 @@
 	return Resources{r.CPUMillis * n, r.MemoryMB * n, r.Accelerators * n}
 }
 
+// Max returns the larger amount of each kind.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.CPUMillis, o.CPUMillis), max(r.MemoryMB, o.MemoryMB), max(r.Accelerators, o.Accelerators)}
+}
+
+// Min returns the smaller amount of each kind.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{min(r.CPUMillis, o.CPUMillis), min(r.MemoryMB, o.MemoryMB), min(r.Accelerators, o.Accelerators)}
+}
+
 // Fits says whether an amount fits into what is free.
 func (r Resources) Fits(free Resources) bool {
 	return r.CPUMillis <= free.CPUMillis && r.MemoryMB <= free.MemoryMB && r.Accelerators <= free.Accelerators
--- a/pkg/dispatch/quota_test.go
+++ b/pkg/dispatch/quota_test.go
@@ -180,7 +180,7 @@
 }
 
 // A worker that a new owner has not heard of may have ended a step, and the former owner may have begun the next one before that end was
-// committed. Only the step that the store shows as begun was counted.
+// committed. Only the step that the store shows as begun was counted, so that a customer could have both running: six tasks of three.
 func TestNewOwnerCountsTheNextStepThatMayHaveBegun(t *testing.T) {
 	f := newFixture(t, 2, func(c *Config) { c.Takeover, c.Term, c.Token = true, 2, nextEpoch })
 	f.configure(2, north(3000))
--- a/pkg/dispatch/unheard.go
+++ b/pkg/dispatch/unheard.go
@@ -11,7 +11,7 @@
 // A new owner does not know what former ones have started on workers that it has not heard of. What a customer may have running there counts
 // against its quota until they have told, or everything there has lapsed. It is the sum over all jobs that a former owner can have started:
 //
-//   - of a job that goes on, the tasks that wait here;
+//   - of a job that goes on, the tasks that wait here, or those of the next step, which the former owner may have begun;
 //   - of a job that had ended, and of done tasks, what its former owner counted when it told the store so (job.Unended). Otherwise a
 //     customer had 4500 running of 2000 when its job was cancelled 40 ms before a new owner came (random history).
 //
@@ -104,10 +104,7 @@
 		}
 	}
 	for _, a := range p.accounts {
-		a.unheard = cell.Resources{
-			CPUMillis: min(a.unheard.CPUMillis, room.CPUMillis), MemoryMB: min(a.unheard.MemoryMB, room.MemoryMB),
-			Accelerators: min(a.unheard.Accelerators, room.Accelerators),
-		}
+		a.unheard = a.unheard.Min(room)
 	}
 }
 
@@ -115,15 +112,61 @@
 // tasks that are done.
 func (j *jobState) mayRunUnheard() cell.Resources {
 	sum := j.unended
-	for s := range j.steps() {
-		if !s.turnHasCome() {
-			continue
+	for _, t := range j.times {
+		if t != nil {
+			sum = sum.Add(t.mayRunUnheard())
+		}
+	}
+	return sum
+}
+
+// mayRunUnheard is the same of one time. A former owner may have begun the next step before the end of the one before was in the store. Since
+// the two don't run at the same time, the larger of them counts.
+func (t *timeState) mayRunUnheard() cell.Resources {
+	var sum cell.Resources
+	most := t.mostUnheard(t.mayHaveBegun())
+	for i, s := range t.steps {
+		if s.turnHasCome() {
+			sum = sum.Add(most[i])
 		}
-		sum = sum.Add(s.accountNeed().Times(int64(s.waitingTasks())))
 	}
 	return sum
 }
 
+// mayHaveBegun says of each step whether a former owner may have begun it: all steps before it are finished, or may be without a word of it.
+func (t *timeState) mayHaveBegun() []bool {
+	begun := make([]bool, len(t.steps))
+	for i, s := range t.steps { // steps name only earlier ones
+		begun[i] = true
+		for _, a := range s.spec.After {
+			begun[i] = begun[i] && begun[a] && t.steps[a].mayHaveEnded()
+		}
+	}
+	return begun
+}
+
+// mayHaveEnded says that a step that has begun is finished, or that all its tasks that are not done may have ended unheard.
+func (s *step) mayHaveEnded() bool {
+	return s.finished() || !s.spec.LongRunning && s.running() == 0
+}
+
+// mostUnheard is for each step what it and those after it may have running unheard, at the same time.
+func (t *timeState) mostUnheard(begun []bool) []cell.Resources {
+	later := make([]cell.Resources, len(t.steps))
+	most := make([]cell.Resources, len(t.steps))
+	for i := len(t.steps) - 1; i >= 0; i-- {
+		s := t.steps[i]
+		if !begun[i] || s.finished() {
+			continue
+		}
+		most[i] = s.accountNeed().Times(int64(s.waitingTasks())).Max(later[i])
+		for _, a := range s.spec.After {
+			later[a] = later[a].Add(most[i])
+		}
+	}
+	return most
+}
+
 // waitingTasks counts the tasks of which no run is known.
 func (s *step) waitingTasks() int {
 	n := 0
