Queues refuse jobs whose advice would come too late

Cause: everything was taken in.

An owner adds up what the calls take that accepted jobs still need, from the cost of a call, the share of allowed workers and what finished steps took of calls. A queue takes in no jobs while what goes before its own is more than 9 s of each process's time. Hosts hear it with the heartbeat and answer 503 with the time until there is less; a job that is in the store already stays accepted. It holds since what is accepted is got through before the platform asks for it (14 s).

Ruled out: waits for room (30% used).

--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -50,6 +50,8 @@
 	tickets   map[WorkerID]ticket
 	pending   []*pendingAsk
 	notBefore clock.Time
+	// spent is what the calls for the step have taken.
+	spent time.Duration
 	// answeredAt is when a call for the step was answered last, or failed; 0 for never.
 	answeredAt clock.Time
 }
@@ -77,6 +79,8 @@
 	last    int64
 	long    int
 	rates   map[string]float64
+	// spent is how much more than one round the calls for a step have taken, by queue (spentRatio).
+	spent   map[string]float64
 	offset  int // shifts which of like workers are named
 	choices int // of workers to be named, in this plan
 }
@@ -90,6 +94,7 @@
 func newAdvisers() advisers {
 	return advisers{
 		idle: map[string]bool{}, resting: map[string]*adviserRest{}, asks: map[int64]*pendingAsk{}, rates: map[string]float64{},
+		spent: map[string]float64{},
 	}
 }
 
@@ -241,6 +246,7 @@
 	p.cfg.Log(Event{Name: "advice_answered", Task: job.TaskID{StepID: s.id()}, Detail: fmt.Sprintf(
 		"allowed=%d of=%d ok=%t took_ms=%d", len(tickets), len(a.ask.Workers), ok, now.Sub(a.sentAt).Milliseconds())})
 	s.advice.answeredAt = now
+	s.advice.spent += now.Sub(a.sentAt)
 	s.advice.notBefore = now.Add(askAgain)
 	if ok {
 		s.advice.learn(a, tickets, s.time.job.queue.Advice.Validity)
--- a/pkg/dispatch/ends.go
+++ b/pkg/dispatch/ends.go
@@ -98,6 +98,7 @@
 	if !s.finished() {
 		return
 	}
+	p.learnSpent(s)
 	p.dropAsk(s)
 	p.finishIfDone(s.time.job)
 }
--- /dev/null
+++ b/pkg/dispatch/refusals_test.go
@@ -0,0 +1,250 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/queue"
+	. "github.com/onsi/gomega"
+)
+
+// adviceLoad hands in more work than two processes can ask for advice on, to workers that have room for all of it.
+type adviceLoad struct {
+	*fixture
+	rand    *rand.Rand
+	queues  []adviceQueue
+	running map[WorkerID][]runningTask
+	ended   map[WorkerID][]Finished
+	number  map[WorkerID]int64
+	answers []adviceAnswer
+	handed  map[job.ID]clock.Time
+	refused int
+	last    clock.Time // when jobs were handed in before
+}
+
+// adviceQueue is a queue with its load: jobs a second, tasks of a job and how long they run.
+type adviceQueue struct {
+	queue  queue.Queue
+	perS   float64
+	tasks  int
+	length time.Duration
+}
+
+type runningTask struct {
+	start  Start
+	endsAt clock.Time
+}
+
+type adviceAnswer struct {
+	at      clock.Time
+	number  int64
+	tickets []Ticket
+}
+
+const (
+	loadTick    = 20 * time.Millisecond
+	loadWorkers = 24
+	// loadTime is for how long jobs are handed in, and askedAfter when the last of them has to have begun.
+	loadTime   = 40 * time.Second
+	askedAfter = 14 * time.Second
+)
+
+func newAdviceLoad(t *testing.T) *adviceLoad {
+	advice := func(name string, priority int, base, each time.Duration) queue.Queue {
+		q := testQueue
+		q.Name, q.Priority, q.Extension = name, priority, 4
+		q.Advice = &queue.AdviceCost{Base: base, PerWorker: each, Validity: 2 * time.Second}
+		return q
+	}
+	l := &adviceLoad{
+		fixture: newFixture(t, 0, nil), rand: rand.New(rand.NewPCG(1, 0)),
+		queues: []adviceQueue{
+			{advice("short", 0, 13*time.Millisecond, 190*time.Microsecond), 18, 3, 500 * time.Millisecond},
+			{advice("long", 1, 490*time.Millisecond, 7*time.Millisecond), 1.84, 2, 3600 * time.Millisecond},
+			{advice("wide", 2, 155*time.Millisecond, 2200*time.Microsecond), 2.7, 8, 3600 * time.Millisecond},
+		},
+		running: map[WorkerID][]runningTask{}, ended: map[WorkerID][]Finished{}, number: map[WorkerID]int64{}, handed: map[job.ID]clock.Time{},
+	}
+	var queues []queue.Queue
+	for _, q := range l.queues {
+		queues = append(queues, q.queue)
+	}
+	l.pool.SetConfig(queue.NewConfig(2, queues, nil))
+	for n := range loadWorkers {
+		l.addWorker(n)
+		big := l.pool.workers[workerID(n)].info
+		big.Capacity = cell.Resources{CPUMillis: 64_000, MemoryMB: 256_000}
+		l.pool.PutWorker(big, true, l.now)
+	}
+	l.pool.PutAdviser("a")
+	l.pool.PutAdviser("b")
+	return l
+}
+
+// play hands jobs in for loadTime, and goes on for askedAfter; heeded says that doors refuse what the owner tells them to.
+func (l *adviceLoad) play(heeded bool) {
+	stop := l.now.Add(loadTime)
+	l.last = l.now
+	for end := stop.Add(askedAfter); l.now < end; l.pass(loadTick) {
+		if l.now < stop {
+			l.handIn(heeded)
+		}
+		l.carryOut()
+	}
+}
+
+func (l *adviceLoad) handIn(heeded bool) {
+	refusals := l.pool.Refusals(l.now)
+	defer func() { l.last = l.now }()
+	for i, q := range l.queues {
+		if l.rand.Float64() >= q.perS*l.now.Sub(l.last).Seconds() {
+			continue
+		}
+		if heeded && slices.ContainsFunc(refusals, func(r Refusal) bool { return r.Queue == q.queue.Name }) {
+			l.refused++
+			continue
+		}
+		id := job.ID(fmt.Sprintf("%d-%d", i, len(l.handed)))
+		step := testStep(q.tasks)
+		step.Estimate = q.length
+		l.handed[id] = l.now
+		l.pool.AddJob(job.Record{Job: job.Job{ID: id, Steps: []job.Step{step}}, Queue: q.queue}, job.Progress{}, false, 0, l.now)
+	}
+}
+
+func (l *adviceLoad) carryOut() {
+	due := func(a adviceAnswer) bool { return l.now >= a.at }
+	for _, a := range l.answers {
+		if due(a) {
+			l.pool.AdviceAnswered(a.number, a.tickets, true, l.now)
+		}
+	}
+	l.answers = slices.DeleteFunc(l.answers, due)
+	for n := range loadWorkers {
+		l.report(n, l.reportOf(workerID(n)))
+	}
+	l.pool.Committed(l.pool.TakeCommit())
+	actions := l.plan()
+	for _, s := range actions.Starts {
+		l.accept(s)
+		q := l.queues[s.Task.Job[0]-'0']
+		l.running[s.Worker] = append(l.running[s.Worker], runningTask{s, l.now.Add(q.length)})
+	}
+	for _, a := range actions.Asks {
+		l.answer(a)
+	}
+}
+
+// answer has a call for advice answered after its time: 45 of 100 workers may run a step.
+func (l *adviceLoad) answer(a Ask) {
+	q := l.queues[a.Step.Job[0]-'0'].queue
+	var tickets []Ticket
+	for _, id := range a.Workers {
+		if l.rand.Float64() < 0.45 {
+			tickets = append(tickets, Ticket{id, "ticket"})
+		}
+	}
+	l.answers = append(l.answers, adviceAnswer{l.now.Add(q.Advice.Of(len(a.Workers))), a.Number, tickets})
+}
+
+func (l *adviceLoad) reportOf(id WorkerID) Report {
+	var r Report
+	over := func(x runningTask) bool { return l.now >= x.endsAt }
+	for _, x := range l.running[id] {
+		if over(x) {
+			l.number[id]++
+			l.ended[id] = append(l.ended[id], Finished{Number: l.number[id], Task: x.start.Task, Run: x.start.Run, How: EndDone})
+		} else {
+			r.Active = append(r.Active, activeRow(x.start))
+		}
+	}
+	l.running[id] = slices.DeleteFunc(l.running[id], over)
+	r.Finished = l.ended[id]
+	l.ended[id] = nil
+	return r
+}
+
+// notBegun counts the accepted jobs of which no task has begun.
+func (l *adviceLoad) notBegun() int {
+	n := 0
+	for _, j := range l.pool.jobs {
+		if !j.began {
+			n++
+		}
+	}
+	return n
+}
+
+// More advice is needed than two processes ask for, while the workers have room. Without refusals some jobs have not begun 14 s after the last was
+// handed in.
+func TestAcceptedJobsBeginThoughAdviceIsShort(t *testing.T) {
+	l := newAdviceLoad(t)
+	l.play(true)
+	l.Expect(l.notBegun()).To(BeZero())
+	l.Expect(l.refused).To(BeNumerically("<", len(l.handed)/2))
+	ignored := newAdviceLoad(t)
+	ignored.play(false)
+	ignored.Expect(ignored.notBegun()).NotTo(BeZero(), "the load is not more than what is got through")
+}
+
+// An owner that knows what it needs to: 20 calls of 0.7 s wait for one process.
+func owesAdvice(t *testing.T) *fixture {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	f.pool.PutAdviser("a")
+	long, short := adviceJob("0", 1, 700*time.Millisecond).Queue, adviceJob("0", 0, time.Millisecond).Queue
+	long.Name, short.Name = "long", "short"
+	f.pool.SetConfig(queue.NewConfig(2, []queue.Queue{long, short, testQueue}, nil))
+	for n := range 20 {
+		r := testJob(fmt.Sprint(n), testStep(1))
+		r.Queue = long
+		f.add(r)
+	}
+	return f
+}
+
+func TestQueueRefusesWhatAdviceComesTooLateFor(t *testing.T) {
+	f := owesAdvice(t)
+	refusals := f.pool.Refusals(f.now)
+	f.Expect(refusals).To(HaveLen(1), "calls of higher priority go before, and a queue without advice needs none")
+	f.Expect(refusals[0].Queue).To(Equal("long"))
+	f.Expect(refusals[0].Wait).To(Equal(20 * 700 * time.Millisecond))
+	f.Expect(refusals[0].RetryAfter).To(Equal(refusals[0].Wait - mostAdviceWait))
+	f.pool.PutAdviser("b")
+	f.Expect(f.pool.Refusals(f.now)).To(BeEmpty(), "two processes get through it")
+}
+
+func TestQueueRefusesNothingWhileRoomIsShortOrNobodyKnows(t *testing.T) {
+	f := owesAdvice(t)
+	f.pool.RemoveAdviser("a", f.now)
+	f.Expect(f.pool.Refusals(f.now)).To(BeEmpty(), "no process has joined yet")
+	f.pool.PutAdviser("a")
+	r := testJob("fills", testStep(6))
+	f.add(r)
+	for _, s := range f.plan().Starts {
+		f.accept(s)
+	}
+	f.reportAll(2)
+	f.pass(surveyEvery)
+	f.plan()
+	f.Expect(f.pool.load("pool").isWellUsed()).To(BeTrue())
+	f.Expect(f.pool.Refusals(f.now)).To(BeEmpty(), "the workers are busy")
+	f.pool.takeover.pending = true
+	f.Expect(f.pool.Refusals(f.now)).To(BeEmpty())
+}
+
+// A queue whose steps need several rounds of calls owes more for each that waits.
+func TestAdviceOwedIsLearnedFromWhatStepsTook(t *testing.T) {
+	f := owesAdvice(t)
+	before := f.pool.adviceOwed()[1]
+	s := f.pool.jobs["0"].times[0].steps[0]
+	s.advice.spent = 3 * 700 * time.Millisecond
+	f.pool.learnSpent(s)
+	f.Expect(f.pool.adviceOwed()[1].Seconds()).To(BeNumerically("~", 1.2*before.Seconds(), 0.01))
+}
--- a/pkg/jobapi/server.go
+++ b/pkg/jobapi/server.go
@@ -52,6 +52,7 @@
 
 // resultOf gives a failure its result code.
 func resultOf(err error) error {
+	var refused *platform.RefusedError
 	switch {
 	case errors.Is(err, platform.ErrNoQueue):
 		return result.New(result.UnknownQueue, "%v", err)
@@ -61,6 +62,8 @@
 		return result.New(result.NotYours, "%v", err)
 	case errors.Is(err, platform.ErrNoJob):
 		return result.New(result.UnknownJob, "%v", err)
+	case errors.As(err, &refused):
+		return result.New(result.Overloaded, "%v", err).WithRetryAfter(refused.RetryAfter)
 	case errors.Is(err, platform.ErrRefused):
 		return result.New(result.StoreDown, "%v", err).WithRetryAfter(retryAfter)
 	}
--- a/pkg/jobhost/door.go
+++ b/pkg/jobhost/door.go
@@ -46,7 +46,7 @@
 	if c.Customer != nil {
 		record.Customer = *c.Customer
 	}
-	text, err := h.mayAccept(c, record)
+	text, err := h.mayAccept(ctx, c, record)
 	if err != nil {
 		h.countAccept(started, err)
 		h.logOutcome("job_accepted", j.ID, record, j.Summary(), started, err)
@@ -71,13 +71,16 @@
 
 // mayAccept returns the text of a job's record, unless the job can't be taken in. Errors: platform.ErrUnauthenticated,
 // platform.ErrRefused.
-func (h *Host) mayAccept(c customer.Caller, r job.Record) ([]byte, error) {
+func (h *Host) mayAccept(ctx context.Context, c customer.Caller, r job.Record) ([]byte, error) {
 	if err := mayHandIn(c, h.config.Load(), r.Queue); err != nil {
 		return nil, err
 	}
 	if err := tooWide(c, r.Job); err != nil {
 		return nil, err
 	}
+	if err := h.refuseUnserved(ctx, r.Queue.Name, r.Job.ID); err != nil {
+		return nil, err
+	}
 	text, err := r.Encode()
 	if err != nil {
 		return nil, errors.Mark(err, platform.ErrRefused)
--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -320,6 +320,7 @@
 		return
 	}
 	e.heardAt = h.clk.Now()
+	h.refusals.put(s.Refusals, e.heardAt)
 	e.heartbeat = time.Duration(s.HeartbeatMs) * time.Millisecond
 	e.yielded = s.Yield == h.cfg.Load().Name
 }
--- a/pkg/jobhost/figures.go
+++ b/pkg/jobhost/figures.go
@@ -24,6 +24,7 @@
 	accepted metrics.Counter
 	refused  metrics.Counter
 	unknown  metrics.Counter
+	unserved metrics.Counter // refused since their queue takes in no jobs
 	state    metrics.Timer
 	// denials count the calls that were turned away before anything was done, by verdict.
 	denials map[customer.Verdict]metrics.Counter
@@ -36,6 +37,7 @@
 		accept:   metrics.NewRegisteredTimer("jobs.accept", r),
 		accepted: metrics.NewRegisteredCounter("jobs.accepted", r),
 		refused:  metrics.NewRegisteredCounter("jobs.refused", r),
+		unserved: metrics.NewRegisteredCounter("jobs.refused_unserved", r),
 		unknown:  metrics.NewRegisteredCounter("jobs.outcome_unknown", r),
 		state:    metrics.NewRegisteredTimer("jobs.state", r),
 		denials: map[customer.Verdict]metrics.Counter{
--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -61,6 +61,7 @@
 	election     election
 	member       atomic.Pointer[poolrpc.Member]
 	owner        atomic.Pointer[poolowner.Owner]
+	refusals     queueRefusals
 	stopping     atomic.Bool
 
 	mu    sync.Mutex
--- /dev/null
+++ b/pkg/jobhost/refusals.go
@@ -0,0 +1,74 @@
+package jobhost
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/poolrpc/poolpb"
+	"foldarch.dev/foldarch/platform"
+	"github.com/cockroachdb/errors"
+)
+
+// refusalsHold is for how long what the owner told of queues holds: two of its slow heartbeats. An owner that is not heard refuses nothing.
+const refusalsHold = 2 * time.Second
+
+// queueRefusals are the queues that take in no jobs, as the owner told last. It is safe for concurrent use.
+type queueRefusals struct {
+	told atomic.Pointer[toldRefusals]
+}
+
+type toldRefusals struct {
+	at   clock.Time
+	list []*poolpb.Refusal
+}
+
+// put takes in what the owner tells.
+func (q *queueRefusals) put(list []*poolpb.Refusal, now clock.Time) {
+	q.told.Store(&toldRefusals{now, list})
+}
+
+// of returns the refusal of a queue; nil when it takes in jobs, or nobody knows.
+func (q *queueRefusals) of(queueName string, now clock.Time) *poolpb.Refusal {
+	told := q.told.Load()
+	if told == nil || now.Sub(told.at) > refusalsHold {
+		return nil
+	}
+	for _, r := range told.list {
+		if r.Queue == queueName {
+			return r
+		}
+	}
+	return nil
+}
+
+// refusal returns the refusal of a queue by the owner; nil when it takes in jobs.
+func (h *Host) refusal(queueName string) *poolpb.Refusal {
+	if o := h.owner.Load(); o != nil {
+		r, refused := o.Refusal(queueName)
+		if !refused {
+			return nil
+		}
+		return &poolpb.Refusal{Queue: r.Queue, WaitMs: r.Wait.Milliseconds(), RetryAfterMs: r.RetryAfter.Milliseconds()}
+	}
+	return h.refusals.of(queueName, h.clk.Now())
+}
+
+// refuseUnserved refuses a job that would wait too long, unless it was handed in before: that one stays accepted. Errors: *platform.RefusedError.
+func (h *Host) refuseUnserved(ctx context.Context, queueName string, id job.ID) error {
+	r := h.refusal(queueName)
+	if r == nil {
+		return nil
+	}
+	if _, err := h.readRecord(ctx, id); !errors.Is(err, platform.ErrNoJob) {
+		return nil // it is there, or the store can't tell
+	}
+	h.figures.unserved.Inc(1)
+	return &platform.RefusedError{
+		Reason:     fmt.Sprintf("queue %s takes in no jobs: the calls for advice before a new one take %d ms", queueName, r.WaitMs),
+		RetryAfter: time.Duration(r.RetryAfterMs) * time.Millisecond,
+	}
+}
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -112,6 +112,7 @@
 	committed  chan struct{}   // closed and renewed with each commit
 	fenced     bool            // most workers were fenced
 	counted    answerCount
+	refusals   refusals
 	roster     []dispatch.WorkerInfo // as written last; of the duty that watches workers
 	beats      beats                 // of the duty that watches workers
 	position   position              // each field belongs to one duty
