Handing a job in is a row of the table of access; a step says itself what it takes at once

No change for callers but one: at the operators' address, a host that may have missed a newer configuration answers "later" (503) to a job without a key, in place of 401, as the door does. The rule stood outside of the table, with its own idea of which queues need a key, and what a gang takes at once stood twice.

--- a/pkg/customer/access.go
+++ b/pkg/customer/access.go
@@ -7,11 +7,12 @@
 
 // The kinds of keys.
 const (
-	KeyAbsent    Key = iota
-	KeyUnclear       // there are several, or an empty one
-	KeyUnknown       // the configuration in force has none like it
-	KeyKnown         // it is one of a customer's
-	KeyNotNeeded     // the configuration names no customers at all
+	KeyAbsent     Key = iota
+	KeyUnclear        // there are several, or an empty one
+	KeyUnknown        // the configuration in force has none like it
+	KeyKnown          // it is one of a customer's
+	KeyNotNeeded      // the configuration names no customers at all
+	KeyOfOperator     // there is none, and the call came by the operators' address, where one is needed only to hand a job in
 )
 
 // Holder says whose job a call is about.
@@ -40,6 +41,7 @@
 	QueuePublic bool // it needs no key
 	Key         Key
 	Job         Holder
+	HandsIn     bool // it hands a job in
 	// Age is how long ago the configuration in force was known to be the newest.
 	Age   time.Duration
 	Terms Terms
@@ -85,6 +87,10 @@
 		return Ruling{Later, "there may be a newer configuration in which the queue needs no key"}
 	case c.Key == KeyAbsent && !c.QueuePublic:
 		return Ruling{Unauthenticated, "the queue needs a key"}
+	case c.Key == KeyOfOperator && c.HandsIn && !c.QueuePublic && stale:
+		return Ruling{Later, "there may be a newer configuration in which the queue needs no key"}
+	case c.Key == KeyOfOperator && c.HandsIn && !c.QueuePublic:
+		return Ruling{Unauthenticated, "a job in this queue is handed in with its customer's key"}
 	case c.Key == KeyKnown && c.Terms.Strict && c.Age > c.Terms.Revoke:
 		return Ruling{Later, "the key may have been taken away"}
 	case c.Job == Others:
--- a/pkg/customer/caller.go
+++ b/pkg/customer/caller.go
@@ -22,6 +22,13 @@
 	return c.Customer.Name
 }
 
+// HandIn decides whether the call may hand a job in.
+func (c Caller) HandIn() Ruling {
+	call := c.call
+	call.HandsIn = true
+	return Decide(call)
+}
+
 // About decides whether the call may be about a job of the customer of a name; empty for nobody's job.
 func (c Caller) About(owner string) Ruling {
 	call := c.call
--- a/pkg/dispatch/quota.go
+++ b/pkg/dispatch/quota.go
@@ -123,7 +123,7 @@
 // enough at once while each end makes room for a smaller step.
 func (p *Pool) holdQuota(s *step, now clock.Time) {
 	a := p.account(s.time.job)
-	need := s.accountNeed().Times(int64(len(s.tasks)))
+	need := s.spec.AtOnce()
 	if s.spec.Gang && s.standing(now) <= inTime && a.customer.Allows(need) {
 		a.promised = a.promised.Add(need)
 	}
--- a/pkg/job/job.go
+++ b/pkg/job/job.go
@@ -92,6 +92,14 @@
 	return s.Resources
 }
 
+// AtOnce is what the step takes at the same time at least: all of a gang, otherwise one task.
+func (s Step) AtOnce() cell.Resources {
+	if s.Gang {
+		return s.Resources.Times(int64(s.Count))
+	}
+	return s.Resources
+}
+
 // Schedule repeats the steps of a job. Repeat 0 is a job that runs once, at once.
 type Schedule struct {
 	Repeat   int
--- a/pkg/jobhost/access.go
+++ b/pkg/jobhost/access.go
@@ -19,13 +19,8 @@
 	if c.Queue != nil {
 		call.QueuePublic = c.Queue.Public
 	}
-	if c.Operator && len(c.Keys) == 0 {
-		call.Key = customer.KeyNotNeeded
-	}
 	var holder *customer.Customer
-	if call.Key != customer.KeyNotNeeded {
-		holder, call.Key = keyOf(cfg.Customers, c.Keys)
-	}
+	holder, call.Key = keyOf(cfg.Customers, c)
 	ruling := customer.Decide(call)
 	if ruling.Verdict != customer.Admitted {
 		h.figures.denied(ruling.Verdict)
@@ -41,16 +36,18 @@
 }
 
 // keyOf says what the keys of a call are, and whose.
-func keyOf(d *customer.Directory, keys []string) (*customer.Customer, customer.Key) {
-	switch {
+func keyOf(d *customer.Directory, call platform.Call) (*customer.Customer, customer.Key) {
+	switch keys := call.Keys; {
 	case d == nil:
 		return nil, customer.KeyNotNeeded
+	case len(keys) == 0 && call.Operator:
+		return nil, customer.KeyOfOperator
 	case len(keys) == 0:
 		return nil, customer.KeyAbsent
 	case len(keys) > 1 || keys[0] == "":
 		return nil, customer.KeyUnclear
 	}
-	c, known := d.ByKey(keys[0])
+	c, known := d.ByKey(call.Keys[0])
 	if !known {
 		return nil, customer.KeyUnknown
 	}
@@ -89,24 +86,13 @@
 	return errorOf(ruling)
 }
 
-// mayHandIn says whether a job may be handed in by a caller: a queue that needs keys takes in jobs of customers only.
-func mayHandIn(c customer.Caller, cfg *queue.Config, q queue.Queue) error {
-	if c.Customer == nil && cfg.Customers != nil && !q.Public {
-		return errors.Wrap(platform.ErrUnauthenticated, "a job in this queue is handed in with its customer's key")
-	}
-	return nil
-}
-
 // tooWide tells of a step that can't run within the customer's quota, whatever else runs; nil when there is none.
 func tooWide(c customer.Caller, j job.Job) error {
 	if c.Customer == nil {
 		return nil
 	}
 	for n, s := range j.Steps {
-		need := s.Resources
-		if s.Gang {
-			need = need.Times(int64(s.Count))
-		}
+		need := s.AtOnce()
 		if !c.Customer.Allows(need) {
 			return errors.Wrapf(platform.ErrRefused, "steps[%d] needs %s at once, more than customer %s may have running: %s",
 				n, need, c.Customer.Name, c.Customer.Quota)
--- a/pkg/jobhost/door.go
+++ b/pkg/jobhost/door.go
@@ -72,7 +72,7 @@
 // mayAccept returns the text of a job's record, unless the job can't be taken in. Errors: platform.ErrUnauthenticated,
 // platform.ErrRefused.
 func (h *Host) mayAccept(ctx context.Context, c customer.Caller, r job.Record) ([]byte, error) {
-	if err := mayHandIn(c, h.config.Load(), r.Queue); err != nil {
+	if err := errorOf(c.HandIn()); err != nil {
 		return nil, err
 	}
 	if err := tooWide(c, r.Job); err != nil {
