Short restarts: a kind of history, and three seeds that it breaks, listed

Callers would see a task run twice, or a worker with more than it holds, when workers are back within half a second. Suspected in the postmortem on lives; now shown: 813 (LIMIT), 10298 and 20477 (TWICE, a late hold has the next life forget an end unread).

--- a/pkg/dispatch/busy_pool_test.go
+++ b/pkg/dispatch/busy_pool_test.go
@@ -11,6 +11,7 @@
 
 	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/customer"
 	"foldarch.dev/foldarch/pkg/job"
 	"foldarch.dev/foldarch/pkg/queue"
 	. "github.com/onsi/gomega"
@@ -81,6 +82,8 @@
 	jobs    int
 	started int
 	allowed map[string]float64
+	// customers share the jobs; without any, they are nobody's.
+	customers []customer.Customer
 }
 
 // newBusyPool returns a pool into which jobs of some kinds arrive.
@@ -120,7 +123,11 @@
 		b.jobs++
 		s := k.step
 		s.Count = 1 + b.rand.IntN(2*s.Count-1)
-		b.add(job.Record{Job: job.Job{ID: job.ID(fmt.Sprintf("%016x", b.jobs)), Spec: "spec", Steps: []job.Step{s}}, Queue: k.queue})
+		r := job.Record{Job: job.Job{ID: job.ID(fmt.Sprintf("%016x", b.jobs)), Spec: "spec", Steps: []job.Step{s}}, Queue: k.queue}
+		if len(b.customers) > 0 {
+			r.Customer = b.customers[b.jobs%len(b.customers)]
+		}
+		b.add(r)
 		b.arrive(k)
 	})
 }
@@ -223,6 +230,20 @@
 	b.Logf("%+v", p.pool.Status(p.now))
 }
 
+// BenchmarkBusyPoolOfCustomers plays it with 20 customers that share the jobs. With a quota each, a plan goes over what waits more often.
+func BenchmarkBusyPoolOfCustomers(b *testing.B) {
+	p := newBusyPool(busyKinds, nil)
+	for n := range 20 {
+		c := customer.Customer{Name: fmt.Sprintf("c%d", n), Weight: 10, Quota: cell.Resources{CPUMillis: busyWorkers * 16000 / 4}}
+		p.customers = append(p.customers, c)
+	}
+	p.play(5 * time.Second)
+	b.ResetTimer()
+	for b.Loop() {
+		p.play(time.Second)
+	}
+}
+
 func TestBusyPoolKeepsUp(t *testing.T) {
 	g := NewWithT(t)
 	p := newBusyPool(busyKinds, nil)
--- a/pkg/dispatch/history_kept_test.go
+++ b/pkg/dispatch/history_kept_test.go
@@ -72,3 +72,30 @@
 func TestNextLifeDoesNotTakeAVoidedStart(t *testing.T) {
 	playSeeds(t, []uint64{7001926}, func(w *world) { w.reborn = true })
 }
+
+// A worker starts again within 0.3 s. A hold for the former life, which told it up to which number ends were noted, is carried out seconds later by the next
+// one, and that forgets its own end of that number before the owner has read it. The task seems lost and begins again. Known and open: an order that
+// is carried out late reaches whichever life is there. The lines that show it, with no run_ended before the note:
+//
+//	105060 w3 crashes
+//	105360 w3 begins life 1700000437933
+//	111500 w3 ends 0000000000000003.0.1.0 run 1 done
+//	111660 w3: the end of 0000000000000003.0.1.0 run 1 is noted
+//	112560 owner 3 run_ended 0000000000000003.0.1.0 run 1 w3@1700000437933 lost
+//	112580 w3 begins 0000000000000003.0.1.0 run 2
+func TestNextLifeDoesNotForgetAnEndByALateHold(t *testing.T) {
+	for _, seed := range []uint64{10298, 20477} {
+		playSeeds(t, []uint64{seed}, func(w *world) { w.reborn, w.brief = true, true })
+	}
+}
+
+// A worker crashes and is back 0.08 s later, holding less. The owner heard it 0.26 s before it orders two starts, and can't know. Known and open: a
+// restart within the time for which an answer counts (noteWithin) is seen with the next answer. The lines that show it:
+//
+//	106300 w2 crashes
+//	106380 w2 begins life 1700000121988
+//	106560 owner 3 run_ordered 0000000000000002.0.0.1 run 1 w2@1700000831932 worker_age_ms=260 free=cpu=0m
+//	106600 w2 is given more than it holds by 0000000000000002.0.0.1 run 1
+func TestWorkerThatIsBackAtOnceIsGivenNoMoreThanItHolds(t *testing.T) {
+	playSeeds(t, []uint64{813}, func(w *world) { w.reborn, w.brief = true, true })
+}
--- a/pkg/dispatch/history_lives_test.go
+++ b/pkg/dispatch/history_lives_test.go
@@ -13,6 +13,8 @@
 const (
 	// leastDowntime is how long a worker takes to start again at least.
 	leastDowntime = 550 * time.Millisecond
+	// briefDowntime is how long it takes at least in histories with short restarts.
+	briefDowntime = 50 * time.Millisecond
 	// entryBeat is how often a worker writes its entry.
 	entryBeat = 1500 * time.Millisecond
 	// entryLife is after how long an entry goes that is not written.
@@ -27,6 +29,14 @@
 	written clock.Time
 }
 
+// downtime is how long a worker takes to start again.
+func (w *world) downtime() time.Duration {
+	if w.brief {
+		return w.between(briefDowntime, leastDowntime)
+	}
+	return w.between(leastDowntime, 4*time.Second)
+}
+
 // bear begins the next life of a worker. It may end again before it has written its entry.
 func (w *world) bear(m *modelWorker) {
 	m.born = 1_700_000_000_000 + w.rand.Int64N(1_000_000) // by its own time of day, which may have been stepped
--- a/pkg/dispatch/history_test.go
+++ b/pkg/dispatch/history_test.go
@@ -93,6 +93,8 @@
 	roster []WorkerInfo
 	// reborn says that workers start again under the id that they had.
 	reborn bool
+	// brief says that they do within half a second.
+	brief bool
 	// quotas are what customers may have running, nil in histories in which all jobs are nobody's.
 	quotas *modelQuotas
 	// lost counts the workers that had crashed when an owner counted that against a task.
@@ -335,6 +337,9 @@
 	t.Run("behind relays", func(t *testing.T) {
 		playLives(t, func(w *world) { w.relayed = true })
 	})
+	t.Run("within half a second", func(t *testing.T) {
+		playLives(t, func(w *world) { w.brief = true })
+	})
 	t.Run("under tasks that crash them", func(t *testing.T) {
 		playCrashes(t, func(w *world) {
 			w.reborn = true
--- a/pkg/dispatch/history_worker_test.go
+++ b/pkg/dispatch/history_worker_test.go
@@ -363,7 +363,7 @@
 	}
 	clear(m.runs)
 	if w.reborn {
-		w.later(w.between(leastDowntime, 4*time.Second), func() { w.bear(m) })
+		w.later(w.downtime(), func() { w.bear(m) })
 		return
 	}
 	w.later(w.between(time.Second, 4*time.Second), func() {
