Log which steps wait for long though there is room, and for what

What would have told the cause is what each waited for, which only `foldarch job show` tells, while asked. The owner logs up to five such steps with each pool_status now, the oldest first. No decision changes.

--- a/pkg/dispatch/explain.go
+++ b/pkg/dispatch/explain.go
@@ -41,6 +41,9 @@
 	State   string `json:"state"`
 }
 
+// blockedText is what a job waits for that a former owner may have started.
+const blockedText = "runs of a former owner are still looked for"
+
 var runStateNames = [...]string{"starting", "unsettled", "running", "being stored"}
 
 // Explain tells what is known of a job; ok is false when nothing is.
@@ -53,7 +56,7 @@
 	}
 	e.Queue = j.queue.Name
 	if p.blocked(j) {
-		e.Blocked = "runs of a former owner are still looked for"
+		e.Blocked = blockedText
 	}
 	for s := range j.steps() {
 		e.Steps = append(e.Steps, p.explainStep(s, now))
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -311,6 +311,26 @@
 		"workers": s.Workers, "silent": s.Silent, "jobs": s.Jobs, "steps": s.Steps, "waiting": s.Waiting, "runs": s.Runs,
 		"calls": s.Calls, "advisers": s.Advisers, "takeover": s.Takeover, "calls_waiting": o.CallsWaiting(), "relayed": o.Relayed(), "used": s.Used, "capacity": s.Capacity,
 	}).Info("pool_status")
+	o.logLongWaits()
+}
+
+const (
+	// longWait is from when on a step that waits in a pool with room is told of: the platform counts a job lost that waits for 3 s there.
+	longWait = 3 * time.Second
+	// mostLongWaits is how many steps each pool_status tells of.
+	mostLongWaits = 5
+)
+
+// logLongWaits tells which steps wait for long though there is room, and for what.
+func (o *Owner) logLongWaits() {
+	o.mu.Lock()
+	waits := o.pool.LongWaits(longWait, mostLongWaits, o.deps.Clock.Now())
+	o.mu.Unlock()
+	for _, w := range waits {
+		o.deps.Log.WithFields(logrus.Fields{
+			"step": w.Step, "customer": w.Customer, "waited_ms": w.Waited.Milliseconds(), "waits": w.Waits,
+		}).Info("step_waits")
+	}
 }
 
 func (o *Owner) carryOut(ctx context.Context) {
