Forget what a former owner counted once all is known

It is forgotten when the takeover is settled; the new test fails without. Nothing is told of jobs that are nobody's, of which no quota asks.

--- a/pkg/dispatch/quota_test.go
+++ b/pkg/dispatch/quota_test.go
@@ -333,6 +333,19 @@
 	f.Expect(changes[0].Progress.Unended.Need.CPUMillis).To(BeEquivalentTo(1000))
 }
 
+// What a former owner counted for a done task is not told to a later owner as if it were this one's, once all workers have told.
+func TestWhatAFormerOwnerCountedIsForgottenWhenAllIsKnown(t *testing.T) {
+	f := newFixture(t, 1, func(c *Config) { c.Takeover, c.Term, c.Token = true, 2, nextEpoch })
+	f.configure(2, north(3000))
+	unended := job.Unended{Need: cell.Resources{CPUMillis: 1000, MemoryMB: 1000}, At: f.wall}
+	f.pool.AddJob(of(north(0), testJob("a", testStep(2))), job.Progress{Tasks: []job.TaskProgress{{Done: true}}, Unended: unended}, true, 0, f.now)
+	j := f.pool.jobs["a"]
+	f.Expect(f.pool.unended(j).Need).To(Equal(unended.Need))
+	f.report(0, Report{})
+	f.plan()
+	f.Expect(f.pool.unended(j)).To(Equal(job.Unended{}))
+}
+
 // Nothing is known of what a run takes whose job had ended before a new owner read the store.
 func TestRunOfAJobThatHadEndedHoldsItsCustomer(t *testing.T) {
 	f := runOfEndedJob(t)
--- a/pkg/dispatch/takeover.go
+++ b/pkg/dispatch/takeover.go
@@ -66,6 +66,7 @@
 	p.takeover.pending = false
 	p.cfg.Log(Event{Name: "takeover_settled"})
 	p.stopPartialGangs()
+	p.forgetUnended()
 	p.sumUnheard()
 	for _, j := range p.jobs {
 		p.forgetIfIdle(j)
--- a/pkg/dispatch/unheard.go
+++ b/pkg/dispatch/unheard.go
@@ -27,6 +27,9 @@
 // unended is what the store is told of a job that may still run though nobody waits for it: for tasks that are done, and of a job that has
 // ended all. The members of a gang end together, so what is counted of one that is done has ended.
 func (p *Pool) unended(j *jobState) job.Unended {
+	if j.customer.Name == "" {
+		return job.Unended{} // only quotas ask for it
+	}
 	need := j.unended
 	for s := range j.steps() {
 		if s.spec.Gang && s.finished() {
@@ -34,7 +37,7 @@
 		}
 		n := s.counted
 		if j.outcome == "" {
-			n -= s.running()
+			n -= s.tasksThatRun()
 		}
 		need = need.Add(s.accountNeed().Times(int64(n)))
 	}
@@ -47,8 +50,8 @@
 	return job.Unended{Need: need, At: p.cfg.Wall()}
 }
 
-// running counts the runs of tasks that are not done.
-func (s *step) running() int {
+// tasksThatRun counts the tasks that are not done and of which a run is known.
+func (s *step) tasksThatRun() int {
 	n := 0
 	for i := range s.tasks {
 		if t := &s.tasks[i]; !t.done && t.current != nil {
@@ -78,6 +81,16 @@
 	a.ended = a.ended.Add(need)
 }
 
+// forgetUnended takes in that nothing of former owners runs that is not known.
+func (p *Pool) forgetUnended() {
+	for _, j := range p.jobs {
+		j.unended = cell.Resources{}
+	}
+	for _, a := range p.accounts {
+		a.ended = cell.Resources{}
+	}
+}
+
 // sumUnheard works out what customers may have running on workers that a new owner has not heard of.
 func (p *Pool) sumUnheard() {
 	for _, a := range p.accounts {
@@ -147,7 +160,7 @@
 
 // mayHaveEnded says that a step that has begun is finished, or that all its tasks that are not done may have ended unheard.
 func (s *step) mayHaveEnded() bool {
-	return s.finished() || !s.spec.LongRunning && s.running() == 0
+	return s.finished() || !s.spec.LongRunning && s.tasksThatRun() == 0
 }
 
 // mostUnheard is for each step what it and those after it may have running unheard, at the same time.
