A new owner refuses nothing before the hosts have joined it

Callers would be refused, and sent away for 49 s, by an owner that had just been elected: it knew of one host or two that make calls for advice, of 147 about to join. An owner refuses nothing in its first 5 s now, and tells no longer time than a job may wait. The new test fails without.

--- a/pkg/dispatch/refusals.go
+++ b/pkg/dispatch/refusals.go
@@ -19,6 +19,9 @@
 	// in: a call and a run of 4 s come after the wait. With 3 s, work that can wait was refused that would have ended in its objective, and a pool
 	// with two hosts earned 0.02 to 0.16 less (four days, one play each).
 	mostAdviceWait = 9 * time.Second
+	// joinTime is how long the hosts may take to join a new owner. Before that it knows of few that make calls: one refused a job for 49 s, with 147
+	// hosts about to join.
+	joinTime = 5 * time.Second
 	// spentWeight is the weight of a new step in what a queue's steps take of calls.
 	spentWeight = 0.1
 )
@@ -26,15 +29,15 @@
 // Refusal says that a queue takes in no jobs for now.
 type Refusal struct {
 	Queue string
-	// Wait is how long the calls for advice take that go before those of a new job, and RetryAfter when they will be fewer.
+	// Wait is how long the calls for advice take that go before those of a new job, and RetryAfter when they will be fewer, or may be.
 	Wait, RetryAfter time.Duration
 }
 
 // Refusals lists the queues that should take in no jobs now, in the order of the configuration. While former owners' runs are looked for,
-// nobody knows what is owed.
+// nobody knows what is owed, and shortly before that nobody knows who makes calls.
 func (p *Pool) Refusals(now clock.Time) []Refusal {
 	advisers := p.advice.working(now)
-	if p.config == nil || !p.loaded || p.takeover.pending || advisers == 0 {
+	if p.config == nil || !p.loaded || p.takeover.pending || advisers == 0 || now.Sub(p.createdAt) < joinTime {
 		return nil
 	}
 	owed := p.adviceOwed()
@@ -50,7 +53,7 @@
 			}
 		}
 		if wait := ahead / time.Duration(advisers); wait > mostAdviceWait {
-			out = append(out, Refusal{Queue: q.Name, Wait: wait, RetryAfter: wait - mostAdviceWait})
+			out = append(out, Refusal{Queue: q.Name, Wait: wait, RetryAfter: min(wait-mostAdviceWait, mostAdviceWait)})
 		}
 	}
 	return out
--- a/pkg/dispatch/refusals_test.go
+++ b/pkg/dispatch/refusals_test.go
@@ -196,6 +196,7 @@
 // An owner that knows what it needs to: 20 calls of 0.7 s wait for one process.
 func owesAdvice(t *testing.T) *fixture {
 	f := newFixture(t, 2, nil)
+	f.pass(joinTime)
 	f.reportAll(2)
 	f.pool.PutAdviser("a")
 	long, short := adviceJob("0", 1, 700*time.Millisecond).Queue, adviceJob("0", 0, time.Millisecond).Queue
@@ -248,3 +249,16 @@
 	f.pool.learnSpent(s)
 	f.Expect(f.pool.adviceOwed()[1].Seconds()).To(BeNumerically("~", 1.2*before.Seconds(), 0.01))
 }
+
+// A new owner knows of itself alone before the others have joined: it refuses nothing by that, and sends nobody away for longer than a job may wait.
+func TestNewOwnerRefusesNothingBeforeHostsHaveJoined(t *testing.T) {
+	f := owesAdvice(t)
+	for n := range 40 {
+		r := testJob(fmt.Sprint("more", n), testStep(1))
+		r.Queue = f.pool.jobs["0"].queue
+		f.add(r)
+	}
+	f.Expect(f.pool.Refusals(f.now)[0].RetryAfter).To(Equal(mostAdviceWait))
+	f.pool.createdAt = f.now.Add(-joinTime + time.Millisecond)
+	f.Expect(f.pool.Refusals(f.now)).To(BeEmpty())
+}
