Work out once a heartbeat what hosts are told of refusals, and look it up in one place

No change of behaviour. The owner's list was turned into messages for each heartbeat of each member and once more at its own door, and two functions looked a queue up in it. Messages are made with the list now and only read after that.

--- a/pkg/jobhost/refusals.go
+++ b/pkg/jobhost/refusals.go
@@ -37,7 +37,12 @@
 	if told == nil || now.Sub(told.at) > refusalsHold {
 		return nil
 	}
-	for _, r := range told.list {
+	return refusalOf(told.list, queueName)
+}
+
+// refusalOf returns the refusal of a queue; nil when there is none.
+func refusalOf(list []*poolpb.Refusal, queueName string) *poolpb.Refusal {
+	for _, r := range list {
 		if r.Queue == queueName {
 			return r
 		}
@@ -48,11 +53,7 @@
 // refusal returns the refusal of a queue by the owner; nil when it takes in jobs.
 func (h *Host) refusal(queueName string) *poolpb.Refusal {
 	if o := h.owner.Load(); o != nil {
-		r, refused := o.Refusal(queueName)
-		if !refused {
-			return nil
-		}
-		return &poolpb.Refusal{Queue: r.Queue, WaitMs: r.Wait.Milliseconds(), RetryAfterMs: r.RetryAfter.Milliseconds()}
+		return refusalOf(o.Refusals(), queueName)
 	}
 	return h.refusals.of(queueName, h.clk.Now())
 }
--- a/pkg/poolowner/refusals.go
+++ b/pkg/poolowner/refusals.go
@@ -4,39 +4,39 @@
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/dispatch"
 	"foldarch.dev/foldarch/pkg/poolrpc"
+	"foldarch.dev/foldarch/pkg/poolrpc/poolpb"
 	"github.com/sirupsen/logrus"
 )
 
-// refusals are the queues that take in no jobs, as worked out at a time.
+// refusals are the queues that take in no jobs, as worked out at a time and as told to the hosts.
 type refusals struct {
 	at   clock.Time
 	list []dispatch.Refusal
+	told []*poolpb.Refusal
 }
 
-// Refusal says whether a queue takes in no jobs for now, as this host's door asks it.
-func (o *Owner) Refusal(queueName string) (r dispatch.Refusal, refused bool) {
+// Refusals lists the queues that take in no jobs for now, as this host's door asks it.
+func (o *Owner) Refusals() []*poolpb.Refusal {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, r := range o.refusalsNow() {
-		if r.Queue == queueName {
-			return r, true
-		}
-	}
-	return dispatch.Refusal{}, false
+	return o.refusalsNow()
 }
 
 // refusalsNow lists the queues that take in no jobs. It is worked out once a heartbeat, since it goes over all jobs. The caller holds o.mu.
-func (o *Owner) refusalsNow() []dispatch.Refusal {
+func (o *Owner) refusalsNow() []*poolpb.Refusal {
 	now := o.deps.Clock.Now()
 	if o.refusals.at != 0 && now.Sub(o.refusals.at) < poolrpc.HeartbeatEvery {
-		return o.refusals.list
+		return o.refusals.told
 	}
 	list := o.pool.Refusals(now)
 	if !dispatch.SameQueues(list, o.refusals.list) {
 		o.logRefusals(list)
 	}
 	o.refusals = refusals{at: now, list: list}
-	return list
+	for _, r := range list {
+		o.refusals.told = append(o.refusals.told, &poolpb.Refusal{Queue: r.Queue, WaitMs: r.Wait.Milliseconds(), RetryAfterMs: r.RetryAfter.Milliseconds()})
+	}
+	return o.refusals.told
 }
 
 // logRefusals tells which queues take in no jobs from now on, and why.
