Accounts, callers' names and crowded histories: call what is there

No change of behaviour. openAccount returns the account, which two callers looked up again; a caller's name and the larger amounts of two needs have functions; four histories with crashing tasks share crashingWorld; the usage of package customer names the field as it is called.

--- a/pkg/customer/customer.go
+++ b/pkg/customer/customer.go
@@ -64,9 +64,7 @@
 		}
 		if least := min(c.Quota.CPUMillis, c.Quota.MemoryMB, c.Quota.Accelerators); least < 0 {
 			fault("customer %s has a negative quota: %s", c.Name, c.Quota)
-			c.Quota = cell.Resources{
-				CPUMillis: max(c.Quota.CPUMillis, 0), MemoryMB: max(c.Quota.MemoryMB, 0), Accelerators: max(c.Quota.Accelerators, 0),
-			}
+			c.Quota = c.Quota.Max(cell.Resources{})
 		}
 		d.byName[c.Name] = &c
 		d.names = append(d.names, c.Name)
--- a/pkg/customer/doc.go
+++ b/pkg/customer/doc.go
@@ -9,7 +9,7 @@
 //
 //	d, faults := customer.NewDirectory([]customer.Entry{{Customer: customer.Customer{Name: "north"}, Keys: []string{key}}})
 //	c, ok := d.ByKey(key)
-//	ruling := customer.Decide(customer.Call{QueueKnown: true, Key: customer.KeyKnown, Configuration: age, Terms: terms})
+//	ruling := customer.Decide(customer.Call{QueueKnown: true, Key: customer.KeyKnown, Age: age, Terms: terms})
 //	if ruling.Verdict != customer.Admitted {
 //		// answer with ruling.Verdict, log ruling.Reason
 //	}
--- a/pkg/dispatch/history_kept_test.go
+++ b/pkg/dispatch/history_kept_test.go
@@ -13,10 +13,8 @@
 //	112860 w2 begins 0000000000000008.0.0.1 run 2
 func TestNextLifeBehindACutThatTakesALateStart(t *testing.T) {
 	playSeeds(t, []uint64{20280}, func(w *world) {
-		w.crashing, w.reborn = true, true
-		for range historyWorkers {
-			w.addWorker()
-		}
+		w.reborn = true
+		crashingWorld(w)
 	})
 }
 
@@ -40,10 +38,8 @@
 //	132380 0000000000000011.0.0.0 begins run 5004 on w1, the third after three workers have crashed under it
 func TestCrashAfterAnOldEntryIsCounted(t *testing.T) {
 	playSeeds(t, []uint64{44135}, func(w *world) {
-		w.crashing, w.reborn = true, true
-		for range historyWorkers {
-			w.addWorker()
-		}
+		w.reborn = true
+		crashingWorld(w)
 	})
 }
 
--- a/pkg/dispatch/history_test.go
+++ b/pkg/dispatch/history_test.go
@@ -310,11 +310,7 @@
 }
 
 func TestPromisesHoldWhenTasksCrashTheirWorkers(t *testing.T) {
-	playCrashes(t, func(w *world) {
-		for range historyWorkers {
-			w.addWorker()
-		}
-	})
+	playCrashes(t, crashingWorld)
 }
 
 func TestPromisesHoldWhenTasksCrashTheirWorkersBehindRelays(t *testing.T) {
@@ -343,9 +339,7 @@
 	t.Run("under tasks that crash them", func(t *testing.T) {
 		playCrashes(t, func(w *world) {
 			w.reborn = true
-			for range historyWorkers {
-				w.addWorker()
-			}
+			crashingWorld(w)
 		})
 	})
 }
--- a/pkg/dispatch/quota.go
+++ b/pkg/dispatch/quota.go
@@ -35,15 +35,16 @@
 	return p.accounts[j.customer.Name]
 }
 
-// openAccount makes the account of a job's customer, unless there is one.
-func (p *Pool) openAccount(c customer.Customer) {
+// openAccount returns the account of a job's customer, which it makes unless there is one; nil for nobody's job.
+func (p *Pool) openAccount(c customer.Customer) *account {
 	if c.Name == "" {
-		return
+		return nil
 	}
 	if _, known := p.accounts[c.Name]; !known {
 		p.accounts[c.Name] = &account{customer: c}
 	}
 	p.updateAccount(c.Name)
+	return p.accounts[c.Name]
 }
 
 // updateAccount gives an account the weight and the quota of the configuration in force.
@@ -131,14 +132,10 @@
 
 // countForeign takes in that a worker lists a run of a job of which nothing is known but that it has ended.
 func (p *Pool) countForeign(w *worker, id job.ID) {
-	name := p.outcomes.of[id].customer
-	if name == "" {
-		return
+	if a := p.openAccount(customer.Customer{Name: p.outcomes.of[id].customer}); a != nil {
+		a.foreign++
+		w.foreignOf = append(w.foreignOf, a)
 	}
-	p.openAccount(customer.Customer{Name: name})
-	a := p.accounts[name]
-	a.foreign++
-	w.foreignOf = append(w.foreignOf, a)
 }
 
 // clearForeign takes back what countForeign has counted of a worker.
--- a/pkg/dispatch/unheard.go
+++ b/pkg/dispatch/unheard.go
@@ -73,12 +73,12 @@
 // countUnended takes in what may still run of a job that had ended.
 func (p *Pool) countUnended(ended job.Record) {
 	need := p.mayGoOn(ended.Unended)
-	if ended.Customer.Name == "" || need == (cell.Resources{}) {
+	if need == (cell.Resources{}) {
 		return
 	}
-	p.openAccount(customer.Customer{Name: ended.Customer.Name})
-	a := p.accounts[ended.Customer.Name]
-	a.ended = a.ended.Add(need)
+	if a := p.openAccount(customer.Customer{Name: ended.Customer.Name}); a != nil {
+		a.ended = a.ended.Add(need)
+	}
 }
 
 // forgetUnended takes in that nothing of former owners runs that is not known.
--- a/pkg/jobhost/access.go
+++ b/pkg/jobhost/access.go
@@ -21,6 +21,7 @@
 	}
 	var holder *customer.Customer
 	holder, call.Key = keyOf(cfg.Customers, c)
+	caller := customer.NewCaller(holder, call, c.Operator || cfg.Customers == nil)
 	ruling := customer.Decide(call)
 	if ruling.Verdict != customer.Admitted {
 		h.figures.denied(ruling.Verdict)
@@ -29,10 +30,10 @@
 			event = "queue_unknown"
 		}
 		h.log.WithFields(logrus.Fields{
-			"asked": c.Asked, "reason": ruling.Reason, "customer": nameOf(holder), "config": cfg.Version, "config_age_ms": call.Age.Milliseconds(),
+			"asked": c.Asked, "reason": ruling.Reason, "customer": caller.Name(), "config": cfg.Version, "config_age_ms": call.Age.Milliseconds(),
 		}).Info(event)
 	}
-	return customer.NewCaller(holder, call, c.Operator || cfg.Customers == nil), errorOf(ruling)
+	return caller, errorOf(ruling)
 }
 
 // keyOf says what the keys of a call are, and whose.
@@ -54,13 +55,6 @@
 	return c, customer.KeyKnown
 }
 
-func nameOf(c *customer.Customer) string {
-	if c == nil {
-		return ""
-	}
-	return c.Name
-}
-
 // errorOf returns what a ruling means for a call; nil when it is admitted.
 func errorOf(r customer.Ruling) error {
 	switch r.Verdict {
