Log ends that are left unread, and runs of jobs that are not known

An owner leaves a worker's ends unread from the first one of a job that it does not know; no line said so, so that a run held for lost behind it could not be told from one whose end was gone. ends_unread and run_unknown are logged once each. No change of logic.

--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"strconv"
 	"time"
@@ -73,6 +74,7 @@
 			continue
 		}
 		if !p.knows(f.Task.Job) && p.mayBeTold(w, now) {
+			p.leaveUnread(w, f, finished)
 			return // the end comes again with the next report
 		}
 		w.seen = f.Number
@@ -84,6 +86,16 @@
 	}
 }
 
+// leaveUnread tells once that ends are left unread, from one of a job that is not known.
+func (p *Pool) leaveUnread(w *worker, first Finished, listed []Finished) {
+	if w.unreadFrom == first.Number {
+		return
+	}
+	w.unreadFrom = first.Number
+	p.cfg.Log(Event{Name: "ends_unread", Task: first.Task, Run: first.Run, Worker: w.info.ID, Detail: fmt.Sprintf(
+		"number=%d listed=%d read_up_to=%d", first.Number, len(listed), w.seen)})
+}
+
 // unknownRunEnded takes in the end of a run of a former owner. Ends of several workers come
 // in any order, so a failure counts whatever else is known of the task.
 func (p *Pool) unknownRunEnded(w *worker, f Finished) {
@@ -187,6 +199,7 @@
 func (p *Pool) adopt(w *worker, row Active, now clock.Time) *run {
 	t := p.task(row.Task)
 	if t == nil {
+		p.logForeign(w, row)
 		w.foreign++
 		p.countForeign(w, row.Task.Job)
 		if p.knows(row.Task.Job) || !p.mayBeTold(w, now) {
@@ -213,6 +226,15 @@
 	return r
 }
 
+// logForeign tells of a run of a job that is not known, once for runs of one job that are listed after each other.
+func (p *Pool) logForeign(w *worker, row Active) {
+	if p.knows(row.Task.Job) || w.foreignLogged == row.Task.Job {
+		return
+	}
+	w.foreignLogged = row.Task.Job
+	p.cfg.Log(Event{Name: "run_unknown", Task: row.Task, Run: row.Run, Worker: w.info.ID})
+}
+
 // Running says that a job is known and has not ended.
 func (p *Pool) Running(id job.ID) bool {
 	j, ok := p.jobs[id]
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -70,6 +70,10 @@
 	strange int // of these, runs whose names can't be read
 	// foreignOf are the customers of foreign runs, one for each run.
 	foreignOf []*account
+	// unreadFrom is the number of the first end that was left unread last, and foreignLogged the last job that was not known when a run of it
+	// was listed: each is logged once.
+	unreadFrom    int64
+	foreignLogged job.ID
 	// strangerAt is when a job was first listed of which nothing was known; 0 for never.
 	strangerAt clock.Time
 
