Tests of reports that are read in part, failing, and listed

Callers saw tasks run again after their ends were done, when the owner had been stopped as planned. Six tests on the pure decisions fail on the code as it is; a worker lists an end of a job that the owner does not know yet before the others.

--- /dev/null
+++ b/pkg/dispatch/unread_test.go
@@ -0,0 +1,139 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/job"
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+)
+
+// Tasks ran again after their ends as done. A planned stop had moved the pool to a new owner while the store was slow. The new owner had adopted the
+// runs, and their worker listed their ends; but before these it listed the end of a job that a host had accepted for the former owner after the new one
+// had listed the jobs of the store. The new owner read the ends up to that one only, found the runs behind it no longer among the active ones, and after two
+// such reports, a few ms apart, held them for lost.
+
+// stranger is a job that a host has accepted for the former owner, and that the new one has not been told of.
+func stranger() job.Record {
+	r := testJob("x", testStep(1))
+	r.Term = 1
+	return r
+}
+
+func taskOf(id job.ID, n int) job.TaskID {
+	return job.TaskID{StepID: job.StepID{Job: id}, Index: n}
+}
+
+// endOf is an end as done of the first run of a task.
+func endOf(number int64, id job.ID, n int) Finished {
+	return Finished{Number: number, Task: taskOf(id, n), Run: 1, How: EndDone}
+}
+
+// running lists the first runs of tasks of job a.
+func running(tasks ...int) []Active {
+	var rows []Active
+	for _, n := range tasks {
+		rows = append(rows, Active{Task: taskOf("a", n), Run: 1, Percent: 50})
+	}
+	return rows
+}
+
+// reportsAgain has worker 0 report the same twice, and a plan follow each; nothing may start.
+func (f *fixture) reportsAgain(r Report, why string) {
+	for range 2 {
+		f.report(0, r)
+		f.Expect(f.plan().Starts).To(BeEmpty(), why)
+	}
+}
+
+// commits has the store take what the pool wants written.
+func (f *fixture) commits() {
+	f.pool.Committed(f.pool.TakeCommit())
+}
+
+// noted is up to which number a worker is told that its ends are noted.
+func (f *fixture) noted(n int) int64 {
+	f.commits()
+	h, ok := f.pool.HoldFor(workerID(n), false, true, f.now)
+	f.Expect(ok).To(BeTrue())
+	f.pool.HoldFailed(workerID(n), f.now)
+	return h.LastSeen
+}
+
+// newOwnerOf returns an owner that is done with its takeover from another one: the first of its two workers runs all tasks of a job.
+func newOwnerOf(t *testing.T, r job.Record, runs []Active) *fixture {
+	f := newFixture(t, 2, afterFormerOwner)
+	f.add(r)
+	f.report(0, Report{Active: runs})
+	f.report(1, Report{})
+	f.Expect(f.plan().Starts).To(BeEmpty(), "all tasks run")
+	f.Expect(f.pool.takeover.pending).To(BeFalse())
+	return f
+}
+
+func TestEndsBehindThatOfAnUnknownJobCount(t *testing.T) {
+	f := newOwnerOf(t, testJob("a", testStep(2)), running(0, 1))
+	f.reportsAgain(Report{Active: running(1), Finished: []Finished{endOf(1, "x", 0), endOf(2, "a", 0)}}, "a.0 is done")
+	f.reportsAgain(Report{Finished: []Finished{endOf(1, "x", 0), endOf(2, "a", 0), endOf(3, "a", 1)}}, "a.1 is done, too")
+	state, _, _ := f.pool.State("a")
+	f.Expect(state).To(Equal(job.Running), "its end is not committed")
+	f.Expect(f.noted(0)).To(BeZero(), "the first end is of a job that may become known")
+	state, _, _ = f.pool.State("a")
+	f.Expect(state).To(Equal(job.Completed))
+}
+
+func TestFirstReportTellsNothingOfRunsWhoseEndsAreUnread(t *testing.T) {
+	f := newFixture(t, 2, afterFormerOwner)
+	f.add(testJob("a", testStep(2)))
+	f.report(1, Report{})
+	f.reportsAgain(Report{Active: running(1), Finished: []Finished{endOf(1, "x", 0), endOf(2, "a", 0)}}, "a.0 is done")
+}
+
+func TestStartWhoseEndIsUnreadIsNotVoid(t *testing.T) {
+	f := newFixture(t, 1, afterFormerOwner)
+	f.add(testJob("a", testStep(1)))
+	f.report(0, Report{})
+	starts := f.plan().Starts
+	f.Expect(starts).To(HaveLen(1))
+	s := starts[0]
+	f.pool.StartAnswered(s, Answer{}, errors.New("no answer"), f.now)
+	h, _ := f.pool.HoldFor(s.Worker, true, true, f.now)
+	f.pass(time.Millisecond)
+	unread := Report{Finished: []Finished{endOf(1, "x", 0), {Number: 2, Task: s.Task, Run: s.Run, How: EndDone}}}
+	f.pool.HoldAnswered(h, Answer{Verdict: VerdictDone, Clock: f.workerClock}, unread, f.now)
+	f.Expect(f.plan().Starts).To(BeEmpty(), "it was carried out, and its task is done")
+}
+
+// A job becomes known half a second after a worker has listed a run of it. A plan that comes between that and the next report would start it again.
+func TestJobThatBecomesKnownHasTheRunsThatWorkersListed(t *testing.T) {
+	f := newOwnerOf(t, testJob("a", testStep(1)), running(0))
+	f.report(0, Report{Active: append(running(0), Active{Task: taskOf("x", 0), Run: 1})})
+	f.add(stranger())
+	f.Expect(f.plan().Starts).To(BeEmpty(), "x.0 runs on w0")
+}
+
+// The same of a run that has ended by then.
+func TestJobThatBecomesKnownHasTheEndsThatWorkersListed(t *testing.T) {
+	f := newOwnerOf(t, testJob("a", testStep(1)), running(0))
+	f.report(0, Report{Active: running(0), Finished: []Finished{endOf(1, "x", 0)}})
+	f.add(stranger())
+	f.Expect(f.plan().Starts).To(BeEmpty(), "x.0 is done")
+	f.commits()
+	state, _, _ := f.pool.State("x")
+	f.Expect(state).To(Equal(job.Completed))
+}
+
+// The store is away for longer than it usually takes to be told of a job. Its end must not be noted before the jobs were looked through once more, and
+// what runs of it must not be stopped.
+func TestEndOfAnUnknownJobWaitsUntilTheJobsWereLookedThrough(t *testing.T) {
+	f := newOwnerOf(t, testJob("a", testStep(1)), running(0))
+	r := Report{Active: append(running(0), Active{Task: taskOf("y", 0), Run: 1}), Finished: []Finished{endOf(1, "x", 0)}}
+	f.report(0, r)
+	f.pass(5 * time.Second)
+	f.report(0, r)
+	f.Expect(f.plan().Stops).To(BeEmpty(), "job y may become known")
+	f.Expect(f.noted(0)).To(BeZero(), "job x may become known")
+	f.add(stranger())
+	f.Expect(f.plan().Starts).To(BeEmpty(), "x.0 is done")
+}
