Read a worker's ends to the last one, also behind those of a job that is not known

Callers saw tasks run again after their ends as done, when the owner had been stopped as planned (it looks as if the store was slow). Cause: a new owner read the ends that a worker lists up to the first one of a job that it did not know (a host had accepted it for the former owner after the new one had listed the jobs), and took the report for whole all the same.

All ends are read now.

Ruled out: an end that the former owner had noted (its commits fail from the election on, and the repeated run began 7 ms after the end); a run that the new owner had given up (nothing was moved or stopped before).

--- a/pkg/dispatch/closing.go
+++ b/pkg/dispatch/closing.go
@@ -39,7 +39,7 @@
 			p.move(r, "its machine goes into upkeep")
 		}
 	}
-	return len(w.runs) == 0 && w.foreign == 0
+	return len(w.runs) == 0 && w.foreign == 0 && len(w.unread) == 0
 }
 
 // atWork is the progress of a lasting task that serves.
--- a/pkg/dispatch/commit.go
+++ b/pkg/dispatch/commit.go
@@ -25,14 +25,14 @@
 // Commit is what has to be written before ends may be forgotten by the workers.
 type Commit struct {
 	Changes []Change
-	seen    map[*worker]int64
-	starts  []*run     // that are ordered when the changes are written
-	parting []WorkerID // workers whose crashes are among the changes
+	taken   map[*worker]int64 // up to which number all ends are in the changes, or in earlier ones
+	starts  []*run            // that are ordered when the changes are written
+	parting []WorkerID        // workers whose crashes are among the changes
 }
 
 // TakeCommit returns what changed since the last one; it is empty when nothing did.
 func (p *Pool) TakeCommit() Commit {
-	c := Commit{seen: map[*worker]int64{}, starts: p.toStore, parting: slices.Collect(maps.Keys(p.parting))}
+	c := Commit{taken: map[*worker]int64{}, starts: p.toStore, parting: slices.Collect(maps.Keys(p.parting))}
 	p.toStore = nil
 	for j := range p.dirty {
 		c.Changes = append(c.Changes, p.changeOf(j))
@@ -40,8 +40,8 @@
 	clear(p.dirty)
 	slices.SortFunc(c.Changes, func(a, b Change) int { return cmp.Compare(a.Job, b.Job) })
 	for _, w := range p.workers {
-		if w.seen > w.noted {
-			c.seen[w] = w.seen
+		if n := w.takenUpTo(); n > w.noted {
+			c.taken[w] = n
 		}
 	}
 	return c
@@ -49,7 +49,7 @@
 
 // Empty says that there is nothing to write and nothing to note.
 func (c Commit) Empty() bool {
-	return len(c.Changes) == 0 && len(c.seen) == 0 && len(c.parting) == 0
+	return len(c.Changes) == 0 && len(c.taken) == 0 && len(c.parting) == 0
 }
 
 // Committed takes in that the store has all changes of a commit.
@@ -58,7 +58,7 @@
 	for _, id := range c.parting {
 		delete(p.parting, id)
 	}
-	for w, number := range c.seen {
+	for w, number := range c.taken {
 		w.noted = max(w.noted, number)
 	}
 	for _, change := range c.Changes {
@@ -80,10 +80,10 @@
 	return len(c.starts) > 0
 }
 
-// Noted says whether all ends that a worker has reported are committed.
+// Noted says whether all ends that a worker has reported are committed. Those of jobs that may become known are not.
 func (p *Pool) Noted(id WorkerID) bool {
 	w, ok := p.workers[id]
-	return !ok || w.noted == w.seen
+	return !ok || w.noted == w.read
 }
 
 func (p *Pool) changeOf(j *jobState) Change {
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -181,6 +181,7 @@
 	} else {
 		p.openTime(j, 0)
 	}
+	p.becameKnown(id, now)
 	p.finishIfDone(j)
 	if p.loaded {
 		p.takeAttempts(j, now)
@@ -193,6 +194,7 @@
 		p.countUnended(ended)
 	}
 	p.outcomes.put(id, ended.Outcome, ended.Customer.Name, now)
+	p.becameKnown(id, now)
 	j, known := p.jobs[id]
 	if !known {
 		return
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"strconv"
 	"time"
@@ -68,32 +67,31 @@
 }
 
 func (p *Pool) takeFinished(w *worker, finished []Finished, now clock.Time) {
+	if len(w.unread) > 0 && !p.mayBeTold(w, now) {
+		w.unread = nil
+	}
 	slices.SortFunc(finished, func(a, b Finished) int { return cmp.Compare(a.Number, b.Number) })
 	for _, f := range finished {
-		if f.Number <= w.seen {
+		if f.Number <= w.read {
 			continue
 		}
+		w.read = f.Number
 		if !p.knows(f.Task.Job) && p.mayBeTold(w, now) {
-			p.leaveUnread(w, f, finished)
-			return // the end comes again with the next report
-		}
-		w.seen = f.Number
-		if r, ok := w.runs[runKey{f.Task, f.Run}]; ok {
-			p.runEnded(r, f.How, f.Checkpoint, now)
+			// Those behind it are read: what a report no longer lists as active would be held for lost without its end.
+			p.leaveUnread(w, f)
 			continue
 		}
-		p.unknownRunEnded(w, f)
+		p.takeEnd(w, f, now)
 	}
 }
 
-// leaveUnread tells once that ends are left unread, from one of a job that is not known.
-func (p *Pool) leaveUnread(w *worker, first Finished, listed []Finished) {
-	if w.unreadFrom == first.Number {
+// takeEnd takes in one end.
+func (p *Pool) takeEnd(w *worker, f Finished, now clock.Time) {
+	if r, ok := w.runs[runKey{f.Task, f.Run}]; ok {
+		p.runEnded(r, f.How, f.Checkpoint, now)
 		return
 	}
-	w.unreadFrom = first.Number
-	p.cfg.Log(Event{Name: "ends_unread", Task: first.Task, Run: first.Run, Worker: w.info.ID, Detail: fmt.Sprintf(
-		"number=%d listed=%d read_up_to=%d", first.Number, len(listed), w.seen)})
+	p.unknownRunEnded(w, f)
 }
 
 // unknownRunEnded takes in the end of a run of a former owner. Ends of several workers come
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -70,9 +70,7 @@
 	strange int // of these, runs whose names can't be read
 	// foreignOf are the customers of foreign runs, one for each run.
 	foreignOf []*account
-	// unreadFrom is the number of the first end that was left unread last, and foreignLogged the last job that was not known when a run of it
-	// was listed: each is logged once.
-	unreadFrom    int64
+	// foreignLogged is the last job that was logged as not known when a run of it was listed.
 	foreignLogged job.ID
 	// strangerAt is when a job was first listed of which nothing was known; 0 for never.
 	strangerAt clock.Time
@@ -83,8 +81,9 @@
 	unansweredAt clock.Time
 	claim        claim
 
-	seen  int64 // highest number of an end taken in
-	noted int64 // highest number whose job changes are committed
+	read   int64      // highest number of an end that was read
+	unread []Finished // of these, ends of jobs that may become known, by number
+	noted  int64      // highest number up to which all ends are taken in and the job changes are committed
 
 	pacing    pacing
 	suspended clock.Time // not to be given tasks before
