A job that becomes known has what workers have listed of it

Callers would see a task run twice: a worker lists a run of a job that the new owner does not know, the owner is told of the job, and the plan that this wakes starts the task once more, up to 0.6 s before the worker's next report shows the run. Found by looking for the same cause elsewhere: what a report lists was used only in part. Runs of jobs that may become known are kept by the last report and adopted together with the job.

--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -123,6 +123,7 @@
 		p.cfg.Log(Event{Name: "strange_runs", Worker: w.info.ID, Detail: strconv.Itoa(w.strange)})
 	}
 	w.foreign = w.strange
+	w.unknownRuns = nil
 	w.clearForeign()
 	listed := make(map[runKey]bool, len(report.Active))
 	for _, row := range report.Active {
@@ -197,10 +198,11 @@
 func (p *Pool) adopt(w *worker, row Active, now clock.Time) *run {
 	t := p.task(row.Task)
 	if t == nil {
-		p.logForeign(w, row)
 		w.foreign++
 		p.countForeign(w, row.Task.Job)
-		if p.knows(row.Task.Job) || !p.mayBeTold(w, now) {
+		if !p.knows(row.Task.Job) && p.mayBeTold(w, now) {
+			p.keepUnknownRun(w, row)
+		} else {
 			p.news = true
 			p.stops = append(p.stops, &run{task: unknownTask(row.Task), number: row.Run, worker: w, state: runActive})
 		}
@@ -224,15 +226,6 @@
 	return r
 }
 
-// logForeign tells of a run of a job that is not known, once for runs of one job that are listed after each other.
-func (p *Pool) logForeign(w *worker, row Active) {
-	if p.knows(row.Task.Job) || w.foreignLogged == row.Task.Job {
-		return
-	}
-	w.foreignLogged = row.Task.Job
-	p.cfg.Log(Event{Name: "run_unknown", Task: row.Task, Run: row.Run, Worker: w.info.ID})
-}
-
 // Running says that a job is known and has not ended.
 func (p *Pool) Running(id job.ID) bool {
 	j, ok := p.jobs[id]
--- a/pkg/dispatch/unknown_jobs.go
+++ b/pkg/dispatch/unknown_jobs.go
@@ -7,18 +7,39 @@
 	"foldarch.dev/foldarch/pkg/job"
 )
 
-// Workers may list ends of a job that this owner does not know: a host has accepted it for the former owner after this one had listed the jobs of
-// the store. They are kept until it becomes known, and not noted.
+// Workers may list runs and ends of a job that this owner does not know: a host has accepted it for the former owner after this one had listed the
+// jobs of the store. They are kept until it becomes known; the ends are not noted, and the runs not stopped.
 
-// becameKnown takes in what workers have listed of a job before it was known.
+// becameKnown takes in what workers have listed of a job before it was known. Their next reports may come after the next plan, which would start again
+// what runs.
 func (p *Pool) becameKnown(id job.ID, now clock.Time) {
 	for _, w := range p.workersByID() {
+		p.takeUnknownRuns(w, id, now)
 		for _, f := range w.dropUnread(id) {
 			p.takeEnd(w, f, now)
 		}
 	}
 }
 
+// takeUnknownRuns takes in the runs of a job that a worker has listed in its last report.
+func (p *Pool) takeUnknownRuns(w *worker, id job.ID, now clock.Time) {
+	if w.gone {
+		return
+	}
+	rows := w.unknownRuns
+	w.unknownRuns = nil
+	for _, row := range rows {
+		if row.Task.Job != id {
+			w.unknownRuns = append(w.unknownRuns, row)
+			continue
+		}
+		w.foreign--
+		if r := p.adopt(w, row, now); r != nil {
+			p.observe(r, row, now)
+		}
+	}
+}
+
 // dropUnread returns the ends of a job that are not taken in, and drops them.
 func (w *worker) dropUnread(id job.ID) []Finished {
 	var rest, dropped []Finished
@@ -46,3 +67,12 @@
 	}
 	return w.read
 }
+
+// keepUnknownRun keeps a row of a job that may become known. The first one is logged.
+func (p *Pool) keepUnknownRun(w *worker, row Active) {
+	w.unknownRuns = append(w.unknownRuns, row)
+	if w.unknownLogged != row.Task.Job {
+		w.unknownLogged = row.Task.Job
+		p.cfg.Log(Event{Name: "run_unknown", Task: row.Task, Run: row.Run, Worker: w.info.ID})
+	}
+}
--- a/pkg/dispatch/unread_test.go
+++ b/pkg/dispatch/unread_test.go
@@ -9,11 +9,11 @@
 	. "github.com/onsi/gomega"
 )
 
-// Tasks ran again after their ends as done. A planned stop had moved the pool to a new owner while the store was slow. The new owner had adopted the
-// runs, and their worker listed their ends; but before these it listed the end of a job that a host had accepted for the former owner after the new one
-// had listed the jobs of the store. The new owner read the ends up to that one only, found the runs behind it no longer among the active ones, and after two
-// such reports, a few ms apart, held them for lost. Half a second later it
-// knew the job, read the ends, and stopped what it had started again. One of the tasks, of which both runs were on one worker (s):
+// Tasks ran again after their ends as done. A planned stop had moved the pool to a new owner, which had adopted the runs, and their worker listed their
+// ends; but before these it listed the end of a job that a host had accepted for the former owner after the new one had listed the jobs of the store. The
+// new owner read the ends up to that one only, found the runs behind it no longer among the active ones, and after two such reports, a few ms apart, held
+// them for lost. Half a second later it knew the job, read the ends, and stopped what it had started again. One of the tasks, of which both runs were on
+// one worker (s):
 //
 //	13.295 to 14.140 run 1: done
 //	14.147 to 14.719 run 2001: stopped
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -70,8 +70,10 @@
 	strange int // of these, runs whose names can't be read
 	// foreignOf are the customers of foreign runs, one for each run.
 	foreignOf []*account
-	// foreignLogged is the last job that was logged as not known when a run of it was listed.
-	foreignLogged job.ID
+	// unknownRuns are the runs of jobs that may become known, by the last report.
+	unknownRuns []Active
+	// unknownLogged is the last job that was logged as not known when a run of it was listed.
+	unknownLogged job.ID
 	// strangerAt is when a job was first listed of which nothing was known; 0 for never.
 	strangerAt clock.Time
 
