The store's record tells whether a job that a worker lists is known, not a time

Callers would see a task run again after its end was noted: what a worker listed of a job of which the owner had not been told for 3 s since the first such job on that worker (its first ever, not this one) was noted and stopped, though the store may not have answered the owner meanwhile, and watches may be silent for seconds. Found by looking for the same cause elsewhere: absence was concluded from a look that had not been made.

An owner reads the records of such jobs at once, and again until the store answers. The record was in the store before anything of the job started, so a job without one was forgotten long ago.

--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"slices"
 	"strconv"
-	"time"
 
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/job"
@@ -67,16 +66,13 @@
 }
 
 func (p *Pool) takeFinished(w *worker, finished []Finished, now clock.Time) {
-	if len(w.unread) > 0 && !p.mayBeTold(w, now) {
-		w.unread = nil
-	}
 	slices.SortFunc(finished, func(a, b Finished) int { return cmp.Compare(a.Number, b.Number) })
 	for _, f := range finished {
 		if f.Number <= w.read {
 			continue
 		}
 		w.read = f.Number
-		if !p.knows(f.Task.Job) && p.mayBeTold(w, now) {
+		if p.mayBecomeKnown(f.Task.Job) {
 			// Those behind it are read: what a report no longer lists as active would be held for lost without its end.
 			p.leaveUnread(w, f)
 			continue
@@ -200,7 +196,7 @@
 	if t == nil {
 		w.foreign++
 		p.countForeign(w, row.Task.Job)
-		if !p.knows(row.Task.Job) && p.mayBeTold(w, now) {
+		if p.mayBecomeKnown(row.Task.Job) {
 			p.keepUnknownRun(w, row)
 		} else {
 			p.news = true
@@ -237,18 +233,6 @@
 	return p.jobs[id] != nil || p.outcomes.knows(id)
 }
 
-// toldWithin is how long it takes at most until the owner is told of an accepted job.
-const toldWithin = 3 * time.Second
-
-// mayBeTold says that a job which a worker lists may become known yet: a former owner may
-// have been told of it before us.
-func (p *Pool) mayBeTold(w *worker, now clock.Time) bool {
-	if w.strangerAt == 0 {
-		w.strangerAt = now
-	}
-	return now.Sub(w.strangerAt) < toldWithin
-}
-
 // unknownTask stands for a task of which nothing but its name is known.
 func unknownTask(id job.TaskID) *task {
 	j := &jobState{job: job.Job{ID: id.Job, Steps: make([]job.Step, id.Step+1)}, outcome: job.Cancelled}
--- a/pkg/dispatch/unknown_jobs.go
+++ b/pkg/dispatch/unknown_jobs.go
@@ -2,17 +2,76 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/job"
 )
 
-// Workers may list runs and ends of a job that this owner does not know: a host has accepted it for the former owner after this one had listed the
-// jobs of the store. They are kept until it becomes known; the ends are not noted, and the runs not stopped.
+// Workers may list runs and ends of a job that this owner does not know: a host has accepted it for the former owner after this one had listed
+// the jobs of the store. Its record was in the store before anything of it started, so a read of that tells whether it is to become known or was
+// forgotten long ago (UnknownJobs, JobAbsent). Until then its ends are not noted, and its runs are not stopped.
+
+// mostAbsent bounds the jobs that are remembered as absent from the store. One that is forgotten is read once more if it is still listed.
+const mostAbsent = 1000
+
+// mayBecomeKnown says that a job which a worker lists may be in the store.
+func (p *Pool) mayBecomeKnown(id job.ID) bool {
+	if p.knows(id) {
+		return false
+	}
+	absent, listed := p.unknown[id]
+	if !listed {
+		p.unknown[id] = false
+	}
+	return !absent
+}
+
+// UnknownJobs lists the jobs that workers have listed and whose records have to be read from the store, in order.
+func (p *Pool) UnknownJobs() []job.ID {
+	var ids []job.ID
+	for id, absent := range p.unknown {
+		if !absent {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// ListsUnknown says that there are jobs that UnknownJobs lists.
+func (p *Pool) ListsUnknown() bool {
+	for _, absent := range p.unknown {
+		if !absent {
+			return true
+		}
+	}
+	return false
+}
+
+// JobAbsent takes in that the store has no record of a job that a worker has listed. What workers list of it is noted and stopped.
+func (p *Pool) JobAbsent(id job.ID) {
+	if absent, listed := p.unknown[id]; absent || !listed {
+		return
+	}
+	if len(p.unknown) > mostAbsent {
+		maps.DeleteFunc(p.unknown, func(_ job.ID, absent bool) bool { return absent })
+	}
+	p.unknown[id] = true
+	p.cfg.Log(Event{Name: "job_absent", Job: id})
+	for _, w := range p.workers {
+		w.dropUnread(id)
+	}
+}
 
 // becameKnown takes in what workers have listed of a job before it was known. Their next reports may come after the next plan, which would start again
-// what runs.
+// what runs or has ended.
 func (p *Pool) becameKnown(id job.ID, now clock.Time) {
+	if _, listed := p.unknown[id]; !listed {
+		return
+	}
+	delete(p.unknown, id)
 	for _, w := range p.workersByID() {
 		p.takeUnknownRuns(w, id, now)
 		for _, f := range w.dropUnread(id) {
--- a/pkg/dispatch/unread_test.go
+++ b/pkg/dispatch/unread_test.go
@@ -143,3 +143,17 @@
 	f.add(stranger())
 	f.Expect(f.plan().Starts).To(BeEmpty(), "x.0 is done")
 }
+
+// An end of a job of which the store has no record is noted, and what runs of one is stopped: its outcome was dropped long ago.
+func TestWhatIsListedOfAForgottenJobIsNotedAndStopped(t *testing.T) {
+	f := newOwnerOf(t, testJob("a", testStep(1)), running(0))
+	r := Report{Active: append(running(0), Active{Task: taskOf("y", 0), Run: 1}), Finished: []Finished{endOf(1, "x", 0)}}
+	f.report(0, r)
+	f.Expect(f.pool.UnknownJobs()).To(Equal([]job.ID{"x", "y"}))
+	f.pool.JobAbsent("x")
+	f.pool.JobAbsent("y")
+	f.Expect(f.pool.UnknownJobs()).To(BeEmpty())
+	f.report(0, r)
+	f.Expect(f.plan().Stops).To(HaveLen(1), "nobody knows job y")
+	f.Expect(f.noted(0)).To(Equal(int64(1)), "nobody knows job x")
+}
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -74,8 +74,6 @@
 	unknownRuns []Active
 	// unknownLogged is the last job that was logged as not known when a run of it was listed.
 	unknownLogged job.ID
-	// strangerAt is when a job was first listed of which nothing was known; 0 for never.
-	strangerAt clock.Time
 
 	// doubts are starts before it went silent, or of former owners, that it may not have survived.
 	doubts suspectStarts
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -94,6 +94,8 @@
 	kick  chan struct{} // of size 1: there may be something to plan
 	// unconfirmed is of size 1: the store has to be asked who the owner is.
 	unconfirmed chan struct{}
+	// unknownJobs is of size 1: workers list jobs that are not known.
+	unknownJobs chan struct{}
 	calls       *callGate // to workers
 	// jobsKnown is closed when the jobs of the store are known.
 	jobsKnown chan struct{}
@@ -132,9 +134,9 @@
 	now := deps.Clock.Now()
 	o := &Owner{
 		deps: deps, claim: claim, done: make(chan struct{}), kick: make(chan struct{}, 1), jobsKnown: make(chan struct{}),
-		unconfirmed: make(chan struct{}, 1),
-		calls:       newCallGate(callsAtOnceOf(deps)),
-		sessions:    map[dispatch.WorkerID]*workerSession{}, members: map[string]*member{}, near: map[string]bool{},
+		unconfirmed: make(chan struct{}, 1), unknownJobs: make(chan struct{}, 1),
+		calls:    newCallGate(callsAtOnceOf(deps)),
+		sessions: map[dispatch.WorkerID]*workerSession{}, members: map[string]*member{}, near: map[string]bool{},
 		unusable: map[string]unusableEntry{}, unreadable: map[job.ID]bool{}, cancelled: map[job.ID]bool{}, committed: make(chan struct{}), lanes: newLanes(claim),
 		beats: newBeats(deps.Heartbeat), upkeep: upkeep.New(),
 		followsJobs:    jobstore.NewFollowing(jobstore.JobsPrefix, deps.Clock, deps.Log),
@@ -173,6 +175,7 @@
 	o.duties.Go(func() { clock.Every(ctx, statusEvery, o.logStatus) })
 	o.duties.Go(func() { o.runCommits(ctx) })
 	o.duties.Go(func() { o.watchJobs(ctx) })
+	o.duties.Go(func() { o.readUnknownJobs(ctx) })
 	o.duties.Go(func() { o.watchWorkers(ctx) })
 	o.duties.Go(func() { o.runUpkeep(ctx) })
 	o.duties.Go(func() { o.runConfirmations(ctx) })
--- a/pkg/poolowner/sessions.go
+++ b/pkg/poolowner/sessions.go
@@ -144,6 +144,7 @@
 	}
 	o.mu.Lock()
 	news := o.pool.HoldAnswered(h, a, report, o.deps.Clock.Now())
+	o.tellUnknownJobs()
 	o.mu.Unlock()
 	if news {
 		o.wake()
