A report with as many ends as a worker lists at once tells nothing of what it does not list

Callers would see tasks run again after their ends: a worker lists 500 ends at once, and a run that is no longer active may have ended behind these. Two such reports held it for lost, and the first one of a worker settled a takeover. It takes a store that can't be written to for as long as a worker needs for 500 ends. Found by looking for the same cause elsewhere.

--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -109,6 +109,8 @@
 	Born     int64
 	Active   []Active
 	Finished []Finished
+	// More says that the worker may have more ends than it lists at once.
+	More bool
 	// Strange counts the runs that are listed under names that can't be read.
 	Strange int
 }
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -50,10 +50,15 @@
 	if !w.reported && (p.cfg.Takeover || w.follows) && len(report.Active) > 0 {
 		w.inherited = now.Add(lapseTime(p.longestLease(w))) // it has seen our token, so no lease is longer
 	}
-	w.reported = true
+	// Only lists that are whole tell what a worker does not run.
+	whole := !report.More
+	w.reported = w.reported || whole
 	p.takeFinished(w, report.Finished, now)
 	if !overtaken {
-		p.takeActive(w, h, a.Clock, report, now)
+		p.takeActive(w, a.Clock, report, now)
+	}
+	if whole && !overtaken {
+		p.takeAbsent(w, h, report, now)
 		p.settleDoubts(w)
 	}
 }
@@ -113,7 +118,7 @@
 	p.taskEnded(&run{task: t, number: f.Run, worker: w}, f.How, f.Checkpoint)
 }
 
-func (p *Pool) takeActive(w *worker, h Hold, workerClock int64, report Report, now clock.Time) {
+func (p *Pool) takeActive(w *worker, workerClock int64, report Report, now clock.Time) {
 	if report.Strange != w.strange {
 		w.strange = report.Strange
 		p.cfg.Log(Event{Name: "strange_runs", Worker: w.info.ID, Detail: strconv.Itoa(w.strange)})
@@ -121,11 +126,8 @@
 	w.foreign = w.strange
 	w.unknownRuns = nil
 	w.clearForeign()
-	listed := make(map[runKey]bool, len(report.Active))
 	for _, row := range report.Active {
-		key := runKey{row.Task, row.Run}
-		listed[key] = true
-		r, ok := w.runs[key]
+		r, ok := w.runs[runKey{row.Task, row.Run}]
 		if !ok {
 			r = p.adopt(w, row, now)
 		}
@@ -134,6 +136,14 @@
 			p.observe(r, row, now)
 		}
 	}
+}
+
+// takeAbsent takes in which of the runs that we count a report does not list.
+func (p *Pool) takeAbsent(w *worker, h Hold, report Report, now clock.Time) {
+	listed := make(map[runKey]bool, len(report.Active))
+	for _, row := range report.Active {
+		listed[runKey{row.Task, row.Run}] = true
+	}
 	for _, r := range sortedRuns(w) {
 		if !listed[runKey{r.task.id(), r.number}] {
 			p.notListed(r, h, now)
--- a/pkg/dispatch/unread_test.go
+++ b/pkg/dispatch/unread_test.go
@@ -157,3 +157,20 @@
 	f.Expect(f.plan().Stops).To(HaveLen(1), "nobody knows job y")
 	f.Expect(f.noted(0)).To(Equal(int64(1)), "nobody knows job x")
 }
+
+// A worker lists 500 ends at once; what stands behind them is listed when these are noted.
+func TestRunWhoseEndIsNotListedYetIsNotLost(t *testing.T) {
+	f := newOwnerOf(t, testJob("a", testStep(2)), running(0, 1))
+	more := Report{Finished: []Finished{endOf(1, "a", 0)}, More: true}
+	f.reportsAgain(more, "the end of a.1 may be among those that are to come")
+}
+
+// A takeover does not settle on it, either.
+func TestFirstReportWithoutAllEndsTellsNothing(t *testing.T) {
+	f := newFixture(t, 2, afterFormerOwner)
+	f.add(testJob("a", testStep(2)))
+	f.report(1, Report{})
+	f.reportsAgain(Report{Active: running(1), Finished: []Finished{endOf(1, "b", 0)}, More: true}, "the end of a.0 may be among those that are to come")
+	f.report(0, Report{Active: running(1), Finished: []Finished{endOf(501, "a", 0)}})
+	f.Expect(f.plan().Starts).To(BeEmpty(), "a.0 is done")
+}
--- a/pkg/relay/messages.go
+++ b/pkg/relay/messages.go
@@ -30,7 +30,7 @@
 }
 
 func putReport(r *poolpb.Result, report dispatch.Report) {
-	r.Born, r.Strange = report.Born, int64(report.Strange)
+	r.Born, r.More, r.Strange = report.Born, report.More, int64(report.Strange)
 	for _, a := range report.Active {
 		r.Active = append(r.Active, &poolpb.Active{
 			Task: a.Task.String(), Run: int64(a.Run), Checkpoint: a.Checkpoint, Percent: int64(a.Percent), Load: int64(a.Load),
@@ -44,7 +44,7 @@
 }
 
 func reportOf(r *poolpb.Result) (report dispatch.Report, err error) {
-	report.Born, report.Strange = r.Born, int(r.Strange)
+	report.Born, report.More, report.Strange = r.Born, r.More, int(r.Strange)
 	for _, a := range r.Active {
 		row := dispatch.Active{Run: int(a.Run), Checkpoint: a.Checkpoint, Percent: int(a.Percent), Load: int(a.Load)}
 		if row.Task, err = job.ParseTaskID(a.Task); err != nil {
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -77,6 +77,7 @@
 	report := dispatch.Report{
 		Born:     1_767_225_600_000,
 		Strange:  2,
+		More:     true,
 		Active:   []dispatch.Active{{Task: testTask(), Run: 2, Checkpoint: "c", Percent: 41, Load: 900}},
 		Finished: []dispatch.Finished{{Number: 58, Task: testTask(), Run: 1, How: dispatch.EndFailed, Checkpoint: "d"}},
 	}
