A worker's first lists count for it only if no later answer came before them

Callers would see a task run twice: lists that a later answer of the worker has overtaken are not read for what is active, since they may be old, but they counted as the worker's first report, so that a takeover settled without its runs. Found by looking for the same cause elsewhere. The next lists count, a call later.

TestFirstReportThatWasOvertakenTellsNothing failed before and passes.

--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -51,13 +51,13 @@
 		w.inherited = now.Add(lapseTime(p.longestLease(w))) // it has seen our token, so no lease is longer
 	}
 	// Only lists that are whole tell what a worker does not run.
-	whole := !report.More
+	whole := !overtaken && !report.More
 	w.reported = w.reported || whole
 	p.takeFinished(w, report.Finished, now)
 	if !overtaken {
 		p.takeActive(w, a.Clock, report, now)
 	}
-	if whole && !overtaken {
+	if whole {
 		p.takeAbsent(w, h, report, now)
 		p.settleDoubts(w)
 	}
--- a/pkg/dispatch/unread_test.go
+++ b/pkg/dispatch/unread_test.go
@@ -174,3 +174,14 @@
 	f.report(0, Report{Active: running(1), Finished: []Finished{endOf(501, "a", 0)}})
 	f.Expect(f.plan().Starts).To(BeEmpty(), "a.0 is done")
 }
+
+// A start of this owner was answered after the worker's lists were made, and that answer came first. The lists are old, but the first ones all the same.
+func TestFirstReportThatWasOvertakenTellsNothing(t *testing.T) {
+	f := newFixture(t, 2, afterFormerOwner)
+	f.add(testJob("a", testStep(1)))
+	f.report(1, Report{})
+	h, _ := f.pool.HoldFor("w0", false, true, f.now)
+	f.pool.StopAnswered(Stop{Worker: "w0"}, Answer{Verdict: VerdictDone, Clock: f.workerClock + 10}, f.now)
+	f.pool.HoldAnswered(h, Answer{Verdict: VerdictDone, Clock: f.workerClock}, Report{Active: running(0)}, f.now)
+	f.Expect(f.plan().Starts).To(BeEmpty(), "a.0 runs on w0")
+}
