A job is kept only under the owner on record, with that owner's term

Callers would see a task run twice, or a customer over its quota: a host that had not heard of the new owner yet kept a job after the new one had listed the jobs, and told the former one, which started it. That is where unknown jobs came from, whose ends kept others unread. The new owner learned of it by its look for jobs half a second later.

Each write of a job is on condition of the owner's record now. A new owner lists the jobs after it is on record, so the list has all that a former owner can start. A host whose write finds another record takes it in and writes anew with that owner's term; a former owner that is told of such a job ends. It costs an entry of each transaction, and a call more for the writes that meet a change of the owner. Weighed: telling the owner's term in the record alone (the former owner still starts what it is told); waiting before the list until the former owner has certainly ended (2.2 s without starts).

TestHostLearnsOfTheOwnerBeforeAJobIsKept and TestIntakeGoesOnWhenTheOwnerChanges failed before and pass.

--- a/pkg/jobhost/door.go
+++ b/pkg/jobhost/door.go
@@ -42,50 +42,43 @@
 // submit keeps a job in the store and tells the owner.
 func (h *Host) submit(ctx context.Context, c customer.Caller, q queue.Queue, j job.Job) error {
 	started := h.clk.Now()
-	record := job.Record{Job: j, Queue: q, AcceptedAt: h.clk.Wall(), Term: h.knownTerm()}
+	record := job.Record{Job: j, Queue: q, AcceptedAt: h.clk.Wall()}
 	if c.Customer != nil {
 		record.Customer = *c.Customer
 	}
-	text, err := h.mayAccept(ctx, c, record)
-	if err != nil {
-		h.countAccept(started, err)
-		h.logOutcome("job_accepted", j.ID, record, j.Summary(), started, err)
-		return err
+	var kept keptValue
+	err := h.mayAccept(ctx, c, record)
+	if err == nil {
+		kept, err = h.put(ctx, jobstore.JobKey(j.ID), func(term int64) ([]byte, error) {
+			record.Term = term
+			return record.Encode()
+		})
 	}
-	created, err := h.put(ctx, jobstore.JobKey(j.ID), text)
 	h.countAccept(started, err)
 	h.logOutcome("job_accepted", j.ID, record, j.Summary(), started, err)
 	if err != nil {
 		return err
 	}
-	if !created {
+	if !kept.created {
 		return h.handedInBefore(ctx, c, j.ID)
 	}
 	if o := h.owner.Load(); o != nil {
-		o.Accepted(j.ID, text)
+		o.Accepted(j.ID, kept.text)
 	} else if m := h.member.Load(); m != nil {
-		m.Accepted(string(j.ID), text)
+		m.Accepted(string(j.ID), kept.text)
 	}
 	return nil
 }
 
-// mayAccept returns the text of a job's record, unless the job can't be taken in. Errors: platform.ErrUnauthenticated,
-// platform.ErrRefused.
-func (h *Host) mayAccept(ctx context.Context, c customer.Caller, r job.Record) ([]byte, error) {
+// mayAccept says why a job can't be taken in, nil if it can. Errors: platform.ErrUnauthenticated, platform.ErrRefused.
+func (h *Host) mayAccept(ctx context.Context, c customer.Caller, r job.Record) error {
 	if err := errorOf(c.HandIn()); err != nil {
-		return nil, err
+		return err
 	}
 	if err := tooWide(c, r.Job); err != nil {
-		return nil, err
-	}
-	if err := h.refuseUnserved(ctx, r.Queue.Name, r.Job.ID); err != nil {
-		return nil, err
-	}
-	text, err := r.Encode()
-	if err != nil {
-		return nil, errors.Mark(err, platform.ErrRefused)
+		return err
 	}
-	return text, nil
+	return h.refuseUnserved(ctx, r.Queue.Name, r.Job.ID)
 }
 
 // handedInBefore answers for a job whose id is taken: the owner knows it, and maybe as ended.
@@ -112,12 +105,38 @@
 	}
 }
 
-// put writes a key that nobody changes. When the store does not answer this host it may
-// answer the owner. Errors as of intake.put.
-func (h *Host) put(ctx context.Context, key string, value []byte) (created bool, err error) {
-	created, err = h.intake.put(ctx, key, value)
+// keptValue is what put has written.
+type keptValue struct {
+	text []byte
+	// created says that the key holds the text; otherwise an earlier write was there.
+	created bool
+}
+
+// mostOwnerChanges bounds the tries of a write during which another owner comes on record each time.
+const mostOwnerChanges = 5
+
+// put writes a key that nobody changes, with the text of it under an owner's term. When the store does not answer this host it may
+// answer the owner. Errors: platform.ErrRefused, platform.ErrUnsettled.
+func (h *Host) put(ctx context.Context, key string, textUnder func(term int64) ([]byte, error)) (keptValue, error) {
+	for range mostOwnerChanges {
+		record, term := h.knownOwner()
+		text, err := textUnder(term)
+		if err != nil {
+			return keptValue{}, errors.Mark(err, platform.ErrRefused)
+		}
+		created, err := h.putUnder(ctx, key, text, record)
+		if !errors.Is(err, errOwnerChanged) {
+			return keptValue{text: text, created: created}, err
+		}
+	}
+	return keptValue{}, errors.Wrap(platform.ErrRefused, "the owner changes")
+}
+
+// putUnder writes a key under an owner's record. Errors: as of intake.put.
+func (h *Host) putUnder(ctx context.Context, key string, value []byte, record int64) (created bool, err error) {
+	created, err = h.intake.put(ctx, key, value, record)
 	m := h.member.Load()
-	if err == nil || m == nil {
+	if err == nil || m == nil || errors.Is(err, errOwnerChanged) {
 		return created, err
 	}
 	created, byOwner := writeByOwner(ctx, m, key, value)
@@ -145,11 +164,10 @@
 
 // writeFor puts a key into the store for a member, while this host is the owner.
 func (h *Host) writeFor(ctx context.Context, key string, value []byte) *poolpb.Answer {
-	created, err := h.intake.put(ctx, key, value)
-	return &poolpb.Answer{
-		Created: created, Refused: errors.Is(err, platform.ErrRefused),
-		Unknown: err != nil && !errors.Is(err, platform.ErrRefused),
-	}
+	record, _ := h.knownOwner()
+	created, err := h.intake.put(ctx, key, value, record)
+	refused := errors.IsAny(err, platform.ErrRefused, errOwnerChanged)
+	return &poolpb.Answer{Created: created, Refused: refused, Unknown: err != nil && !refused}
 }
 
 func (h *Host) logOutcome(event string, id job.ID, r job.Record, steps string, started clock.Time, err error) {
@@ -251,7 +269,7 @@
 		return errors.Wrap(platform.ErrNoJob, "the job has ended")
 	}
 	started := h.clk.Now()
-	_, err = h.put(ctx, jobstore.CancelKey(id), []byte{})
+	_, err = h.put(ctx, jobstore.CancelKey(id), func(int64) ([]byte, error) { return []byte{}, nil })
 	h.logOutcome("job_cancelled", id, record, "", started, err)
 	if err != nil {
 		return err
--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -293,6 +293,20 @@
 	_ = m.Run(ctx, conn)
 }
 
+// knownOwner is the revision of the latest record of an owner that this host knows of, and that owner's term; 0 for none.
+func (h *Host) knownOwner() (record, term int64) {
+	h.election.mu.Lock()
+	defer h.election.mu.Unlock()
+	return h.election.record, h.election.holder.Term
+}
+
+// sawHolder takes in the owner's record as a write has found it.
+func (h *Host) sawHolder(i platform.Item) {
+	h.election.mu.Lock()
+	defer h.election.mu.Unlock()
+	h.takeHolder(i)
+}
+
 // knownTerm is the highest term of an owner that this host knows of.
 func (h *Host) knownTerm() int64 {
 	h.election.mu.Lock()
--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -81,10 +81,11 @@
 	}, clk)
 	h := &Host{
 		life: uuid.NewString(), log: log.WithField("host", cfg.Name), clk: clk, store: store,
-		worker: platform.NewWorkers(workerTimeout), intake: newIntake(store, clk), figures: newFigures(), waves: map[int64]upkeep.Wave{},
+		worker: platform.NewWorkers(workerTimeout), figures: newFigures(), waves: map[int64]upkeep.Wave{},
 		election: election{changed: make(chan struct{}, 1)},
 	}
 	h.cfg.Store(&cfg)
+	h.intake = newIntake(store, clk, h.sawHolder)
 	h.operatorKeys = h.newConfigFollower()
 	h.setAdvice(cfg.Advice)
 	return h
--- a/pkg/jobhost/intake.go
+++ b/pkg/jobhost/intake.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/jobstore"
 	"foldarch.dev/foldarch/platform"
 	"github.com/cockroachdb/errors"
 )
@@ -18,6 +19,8 @@
 	intakeAtOnce = 4
 	// entriesPerWrite is how many entries of a transaction a write needs at most.
 	entriesPerWrite = 2
+	// holderEntries is how many a transaction needs for the owner's record.
+	holderEntries = 1
 	// intakeLinger is how long a write waits for others while a transaction is on its way.
 	intakeLinger = 8 * time.Millisecond
 	// settleFor bounds the tries to settle a write whose answer was lost.
@@ -28,11 +31,16 @@
 	distrustAfter = 500 * time.Millisecond
 )
 
+// errOwnerChanged says that a key was certainly not written, since another owner is on record than the one that the write is for.
+var errOwnerChanged = errors.New("another owner is on record")
+
 // write is one key to be written by a host, if it is not there yet.
 type write struct {
 	key   string
 	value []byte
-	done  chan putResult
+	// holder is the revision of the owner's record that must stand; 0 for none.
+	holder int64
+	done   chan putResult
 }
 
 // putResult is the outcome of a write. created says that the key holds the value of this
@@ -42,27 +50,30 @@
 	err     error
 }
 
-// intake writes keys into the store, many with one transaction.
+// intake writes keys into the store, many with one transaction. Each is on condition of the owner's record: a new owner lists the jobs after it is on
+// record, so that none is written for the former one that the new one does not list.
 type intake struct {
-	store   *platform.Store
-	clk     clock.Clock
-	ring    chan *write
-	slots   chan struct{}
-	failing atomic.Bool // the last transaction got no answer
+	store *platform.Store
+	clk   clock.Clock
+	// sawHolder takes in a record of the owner that a write has found.
+	sawHolder func(platform.Item)
+	ring      chan *write
+	slots     chan struct{}
+	failing   atomic.Bool // the last transaction got no answer
 }
 
-func newIntake(store *platform.Store, clk clock.Clock) *intake {
-	return &intake{store: store, clk: clk, ring: make(chan *write, intakeRing), slots: make(chan struct{}, intakeAtOnce)}
+func newIntake(store *platform.Store, clk clock.Clock, sawHolder func(platform.Item)) *intake {
+	return &intake{store: store, clk: clk, sawHolder: sawHolder, ring: make(chan *write, intakeRing), slots: make(chan struct{}, intakeAtOnce)}
 }
 
-// put writes a key that nobody changes; it is no error when it is there already, but
+// put writes a key that nobody changes, under an owner's record; it is no error when it is there already, but
 // created is false then. Errors: platform.ErrRefused when it was certainly not written and
-// never will be, platform.ErrUnsettled.
-func (t *intake) put(ctx context.Context, key string, value []byte) (created bool, err error) {
+// never will be, platform.ErrUnsettled, errOwnerChanged.
+func (t *intake) put(ctx context.Context, key string, value []byte, holder int64) (created bool, err error) {
 	if t.distrusts() {
 		return false, errors.Wrap(platform.ErrRefused, "the store does not answer")
 	}
-	w := &write{key: key, value: value, done: make(chan putResult, 1)}
+	w := &write{key: key, value: value, holder: holder, done: make(chan putResult, 1)}
 	select {
 	case t.ring <- w:
 	default:
@@ -105,7 +116,7 @@
 }
 
 func (t *intake) collect(group []*write) []*write {
-	for len(group) < platform.MaxTxnEntries/entriesPerWrite {
+	for len(group) < (platform.MaxTxnEntries-holderEntries)/entriesPerWrite {
 		select {
 		case w := <-t.ring:
 			group = append(group, w)
@@ -121,35 +132,72 @@
 func (t *intake) commit(ctx context.Context, group []*write) {
 	started := t.clk.Now()
 	unsettled := false
+	group, holder := underLatest(group)
 	for len(group) > 0 {
-		_, found, err := t.store.Commit(ctx, txnOf(group))
+		_, found, err := t.store.Commit(ctx, txnOf(group, holder))
 		switch {
 		case err == nil:
 			t.failing.Store(false)
-			answerAll(group, nil)
+			answerAll(group, putResult{created: true})
 			return
 		case errors.Is(err, platform.ErrConflict):
 			t.failing.Store(false)
-			group = answerPresent(group, found)
+			rest := answerPresent(group, found)
+			switch {
+			case t.ownerChanged(found, holder):
+				answerAll(rest, putResult{err: errOwnerChanged})
+				return
+			case len(rest) == len(group):
+				// Nothing was found although there is a conflict: a key came and went.
+				answerAll(rest, putResult{err: errors.Mark(errors.New("conflict without a key"), platform.ErrUnsettled)})
+				return
+			}
+			group = rest
 			continue
 		case errors.Is(err, platform.ErrUnsettled):
 			unsettled = true
 		}
 		t.failing.Store(true)
 		if !unsettled {
-			answerAll(group, errors.Mark(err, platform.ErrRefused))
+			answerAll(group, putResult{err: errors.Mark(err, platform.ErrRefused)})
 			return
 		}
 		if ctx.Err() != nil || t.clk.Now().Sub(started) > settleFor {
-			answerAll(group, errors.Mark(errors.Newf("%v", err), platform.ErrUnsettled))
+			answerAll(group, putResult{err: errors.Mark(errors.Newf("%v", err), platform.ErrUnsettled)})
 			return
 		}
 		clock.Sleep(ctx, settlePause)
 	}
 }
 
-func txnOf(group []*write) platform.Txn {
-	var t platform.Txn
+// underLatest returns the writes of a group that are under the latest record of an owner, and that record's revision. It answers the others.
+func underLatest(group []*write) (latest []*write, holder int64) {
+	for _, w := range group {
+		holder = max(holder, w.holder)
+	}
+	for _, w := range group {
+		if w.holder < holder {
+			w.done <- putResult{err: errOwnerChanged}
+		} else {
+			latest = append(latest, w)
+		}
+	}
+	return latest, holder
+}
+
+// ownerChanged says that a conflict has found another record of the owner, and takes it in.
+func (t *intake) ownerChanged(found []platform.Item, holder int64) bool {
+	for _, i := range found {
+		if i.Key == jobstore.HolderKey && i.Revision != holder {
+			t.sawHolder(i)
+			return true
+		}
+	}
+	return false
+}
+
+func txnOf(group []*write, holder int64) platform.Txn {
+	t := platform.Txn{Conditions: []platform.Condition{{Key: jobstore.HolderKey, Revision: holder}}}
 	for _, w := range group {
 		t.Conditions = append(t.Conditions, platform.Condition{Key: w.key})
 		t.Put = append(t.Put, platform.Put{Key: w.key, Value: w.value})
@@ -157,9 +205,9 @@
 	return t
 }
 
-func answerAll(group []*write, err error) {
+func answerAll(group []*write, r putResult) {
 	for _, w := range group {
-		w.done <- putResult{created: err == nil, err: err}
+		w.done <- r
 	}
 }
 
@@ -179,10 +227,5 @@
 			rest = append(rest, w)
 		}
 	}
-	if len(rest) == len(group) {
-		// Nothing was found although there is a conflict: a key came and went.
-		answerAll(group, errors.Mark(errors.New("conflict without a key"), platform.ErrUnsettled))
-		return nil
-	}
 	return rest
 }
--- /dev/null
+++ b/pkg/jobhost/intake_test.go
@@ -0,0 +1,76 @@
+package jobhost
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/jobstore"
+	"foldarch.dev/foldarch/platform"
+	"foldarch.dev/foldarch/platform/emulator"
+	. "github.com/onsi/gomega"
+)
+
+// putHolder puts an owner on record, which a host hears of only when it asks.
+func putHolder(t *testing.T, p *emulator.Platform, name string, term int64) {
+	text, err := jobstore.Holder{Name: name, Life: "life of " + name, Term: term}.Encode()
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	p.Store.Put(jobstore.HolderKey, text)
+}
+
+// newHostUnderOwner returns a host that has read who the owner is, and that follows its record no more.
+func newHostUnderOwner(t *testing.T, p *emulator.Platform) *Host {
+	putHolder(t, p, "first", 1)
+	h, _ := newTestHost(t, p)
+	p.PutConfig(1)
+	h.takeOperatorItems(listed(t, h, "op/"))
+	h.takeOwnerList(listed(t, h, jobstore.OwnerPrefix))
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go h.intake.run(ctx)
+	return h
+}
+
+func listed(t *testing.T, h *Host, prefix string) []platform.Item {
+	items, _, err := h.store.List(t.Context(), prefix)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return items
+}
+
+// A host whose watch on the owner's record is silent keeps a job. It had a new owner on record, which had listed the jobs before, so that only the former
+// owner was told of it: that one started it and the new one did not know. Who the owner is belongs to what the write is on condition of.
+func TestHostLearnsOfTheOwnerBeforeAJobIsKept(t *testing.T) {
+	g := NewWithT(t)
+	p := startPlatform(t)
+	h := newHostUnderOwner(t, p)
+	g.Expect(h.knownTerm()).To(Equal(int64(1)))
+	putHolder(t, p, "second", 2)
+	keep(t, h, "00000000000000a1")
+	g.Expect(h.knownTerm()).To(Equal(int64(2)))
+	record, err := job.DecodeRecord(p.Store.Value(jobstore.JobKey("00000000000000a1")))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(record.Term).To(Equal(int64(2)), "the former owner ends when it is told of it")
+}
+
+// Writes go on through a change of the owner, also several at once and for keys that are there already.
+func TestIntakeGoesOnWhenTheOwnerChanges(t *testing.T) {
+	g := NewWithT(t)
+	p := startPlatform(t)
+	h := newHostUnderOwner(t, p)
+	for term := int64(2); term < 6; term++ {
+		keep(t, h, "00000000000000b1")
+		putHolder(t, p, "other", term)
+		for _, id := range []string{"00000000000000b1", "00000000000000b2", fmt.Sprintf("%016x", term)} {
+			keep(t, h, id)
+		}
+		g.Expect(h.knownTerm()).To(Equal(term))
+	}
+}
+
+// keep hands a job in at a host, which takes it in.
+func keep(t *testing.T, h *Host, id string) {
+	t.Helper()
+	NewWithT(t).Expect(handIn(t, h, id).Code).To(Equal(http.StatusOK))
+}
