Test of adopted runs that never lapse, failing, and listed

Callers would see tasks hang: what is adopted from a worker's first lists that are not whole is not held for lost when the worker is cut off. It passes on the code before, where the first lists counted as the worker's report (trial on, without the field More).

--- a/pkg/dispatch/unread_takeover_test.go
+++ b/pkg/dispatch/unread_takeover_test.go
@@ -42,3 +42,12 @@
 	f.storeAway = false
 	f.Expect(f.plan().Starts).To(BeEmpty(), "the end of a.0 may be among those that w0 has not listed")
 }
+
+// A worker's first lists are not whole; what runs there is adopted from them. Then it is cut off, while its entry stands. Nothing of it is ever held
+// for lost, since that is left to workers whose whole lists were seen.
+func TestRunsOfAWorkerWhoseFirstListsWereNotWholeLapse(t *testing.T) {
+	f := newFixture(t, 2, afterFormerOwner)
+	f.add(testJob("a", testStep(1)))
+	f.report(0, Report{Active: running(0), Finished: []Finished{endOf(1, "b", 0)}, More: true})
+	f.Expect(f.startedAgain(1).Task).To(Equal(taskOf("a", 0)), "every lease on w0 has lapsed")
+}
