--- /dev/null
+++ b/pkg/poolowner/roster_test.go
@@ -0,0 +1,98 @@
+package poolowner
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/dispatch"
+	"foldarch.dev/foldarch/pkg/jobstore"
+	"foldarch.dev/foldarch/platform"
+	"foldarch.dev/foldarch/platform/emulator"
+	. "github.com/onsi/gomega"
+)
+
+// lateStore is a store in front of an emulated one that leaves the first transaction without an answer and can carry it out later.
+type lateStore struct {
+	*httptest.Server
+	store *emulator.Store
+
+	mu   sync.Mutex
+	late []byte // the body of the first transaction
+}
+
+func newLateStore(t *testing.T, s *emulator.Store) *lateStore {
+	l := &lateStore{store: s}
+	l.Server = httptest.NewServer(http.HandlerFunc(l.serve))
+	t.Cleanup(l.Close)
+	return l
+}
+
+func (l *lateStore) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/kv-txn" {
+		l.store.ServeHTTP(w, r)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	l.mu.Lock()
+	first := l.late == nil
+	if first {
+		l.late = body
+	}
+	l.mu.Unlock()
+	if first {
+		panic(http.ErrAbortHandler)
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	l.store.ServeHTTP(w, r)
+}
+
+// carryOut carries out the first transaction now, if its conditions hold.
+func (l *lateStore) carryOut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.store.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/kv-txn", bytes.NewReader(l.late)))
+}
+
+// A write of the roster got no answer and was tried again; a later one named one more worker, which got tasks from then on. Seconds later the store
+// carried out the first write, since the owner was still the same, and the roster named the new worker no more. A new owner that finds its entry gone,
+// as entries are while the store is away, does not ask that worker and starts again what it runs. Found by a review, without a play of it.
+func TestLateWriteOfTheRosterDoesNotTakeAWorkerOffIt(t *testing.T) {
+	g := NewWithT(t)
+	o, p, info := ownerOfEmulated(t)
+	l := newLateStore(t, p.Store)
+	o.deps.Store.SetAddress(netip.MustParseAddrPort(l.Listener.Addr().String()))
+	o.pool.PutWorker(info, true, o.deps.Clock.Now())
+	o.writeRoster(t.Context())
+	other := info
+	other.ID = "i-other"
+	o.pool.PutWorker(other, true, o.deps.Clock.Now())
+	o.writeRoster(t.Context())
+	g.Expect(rosterOf(t, o)).To(ConsistOf(info.ID, other.ID))
+	l.carryOut()
+	g.Expect(rosterOf(t, o)).To(ConsistOf(info.ID, other.ID), "both may run tasks")
+}
+
+// rosterOf lists the workers of which a new owner would learn from the roster.
+func rosterOf(t *testing.T, o *Owner) []dispatch.WorkerID {
+	g := NewWithT(t)
+	next := New(Deps{
+		Name: "next", Clock: clock.System(), Store: o.deps.Store, Workers: platform.NewWorkers(0), Bounds: o.deps.Bounds, Log: o.deps.Log, Figures: o.deps.Figures,
+	}, Claim{Term: 2, Revision: o.claim.Revision})
+	_, err := o.deps.Store.Read(t.Context(), jobstore.RosterKey)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(next.readRoster(t.Context())).To(Succeed())
+	var ids []dispatch.WorkerID
+	for _, w := range next.pool.Workers() {
+		ids = append(ids, w.ID)
+	}
+	return ids
+}
