Random histories in which hosts tell former owners of jobs, and ends are noted after their tasks began again

No history had a job that the owner does not know, and none would have shown a task that begins again before its end as done is noted, which counts as TWICE all the same: only starts after the note were looked at. All histories check both now.

--- a/pkg/dispatch/history_owner_test.go
+++ b/pkg/dispatch/history_owner_test.go
@@ -34,17 +34,11 @@
 	o.pool.SetConfig(w.quotas.config())
 	w.owners = append(w.owners, o)
 	w.listWorkers(o)
-	for _, id := range w.jobs() {
-		if s := w.store[id]; s.outcome == "" {
-			o.pool.AddJob(s.record, copied(s.progress), s.stored, 0, w.now)
-			if s.cancelled {
-				o.pool.Cancel(id)
-			}
-		} else {
-			o.pool.AddOutcome(id, job.Record{Outcome: s.outcome, Customer: s.record.Customer, Unended: s.unended}, w.now)
-		}
+	if w.slow && w.term > 1 {
+		w.loadLate(o)
+	} else {
+		o.load(w, w.stored())
 	}
-	o.pool.SetLoaded()
 	w.note("owner %d elected", w.term)
 }
 
@@ -127,6 +121,11 @@
 	if w.reborn {
 		w.readEntries(o)
 	}
+	w.readUnknownJobs(o)
+	if o.loading {
+		w.holdAll(o)
+		return
+	}
 	actions := o.pool.Plan(w.now, true)
 	for _, s := range actions.Starts {
 		w.sendStart(o, s)
@@ -137,11 +136,7 @@
 	for _, id := range actions.Settles {
 		w.sendHold(o, id, true)
 	}
-	for _, id := range w.sessions(o) {
-		if w.now >= o.holding[id] {
-			w.sendHold(o, id, false)
-		}
-	}
+	w.holdAll(o)
 	if actions.Confirm {
 		w.confirm(o)
 	}
@@ -154,6 +149,15 @@
 	}
 }
 
+// holdAll has an owner ask the workers whose turn has come.
+func (w *world) holdAll(o *modelOwner) {
+	for _, id := range w.sessions(o) {
+		if w.now >= o.holding[id] {
+			w.sendHold(o, id, false)
+		}
+	}
+}
+
 // confirm asks the store, which may be away, who the owner is.
 func (w *world) confirm(o *modelOwner) {
 	sentAt := w.now
--- a/pkg/dispatch/history_test.go
+++ b/pkg/dispatch/history_test.go
@@ -53,6 +53,9 @@
 	entries        map[int]int
 	// confirming says that the store is being asked who the owner is.
 	confirming bool
+	// loading says that it has not read the jobs yet, and reading are the jobs whose records it reads since a worker lists them.
+	loading bool
+	reading map[job.ID]bool
 }
 
 // call is a call on its way.
@@ -74,10 +77,11 @@
 	worker []*modelWorker
 	calls  []call
 	gangs  map[gangKey]*modelGang
-	done   map[job.TaskID]bool // ends that were noted, other than after the worker's lease lapsed
-	ended  map[job.TaskID]bool // tasks of which a run ended done
-	failed map[job.TaskID]int  // ends as failed that were noted, likewise; of a gang at its task 0
-	ends   map[job.TaskID]int  // all ends as failed; of a gang at its task 0
+	done   map[job.TaskID]bool       // ends that were noted, other than after the worker's lease lapsed
+	ended  map[job.TaskID]bool       // tasks of which a run ended done
+	begun  map[job.TaskID]clock.Time // the last start that was not carried out late
+	failed map[job.TaskID]int        // ends as failed that were noted, likewise; of a gang at its task 0
+	ends   map[job.TaskID]int        // all ends as failed; of a gang at its task 0
 	log    []string
 	bad    bool
 	handed int  // jobs that were handed in
@@ -99,6 +103,8 @@
 	quotas *modelQuotas
 	// lost counts the workers that had crashed when an owner counted that against a task.
 	lost map[job.TaskID]int
+	// told says that hosts tell former owners of jobs, and slow that a new owner needs long to read the jobs.
+	told, slow bool
 	// soon says that the owner changes soon after an end, and changing that it is about to.
 	soon, changing bool
 	// troubleUntil is when the last trouble begins.
@@ -124,7 +130,7 @@
 	w := &world{
 		t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, 0)), now: 100_000, wall: time.Unix(1_700_000_000, 0),
 		store: map[job.ID]*storedJob{}, gangs: map[gangKey]*modelGang{},
-		done: map[job.TaskID]bool{}, ended: map[job.TaskID]bool{}, failed: map[job.TaskID]int{},
+		done: map[job.TaskID]bool{}, begun: map[job.TaskID]clock.Time{}, ended: map[job.TaskID]bool{}, failed: map[job.TaskID]int{},
 		ends: map[job.TaskID]int{}, crashers: map[job.ID]int{}, under: map[job.TaskID]int{}, after: map[job.TaskID]int{}, lost: map[job.TaskID]int{},
 	}
 	for range historyWorkers {
@@ -205,7 +211,7 @@
 		steps = append(steps, w.someStep())
 		steps[1].After = []int{0}
 	}
-	o := w.present()
+	o := w.hearsOfJobs()
 	r := job.Record{Job: job.Job{ID: id, Spec: "spec", Steps: steps}, Queue: testQueue, Term: o.term}
 	if w.quotas != nil {
 		r.Customer = w.quotas.draw(w, steps)
@@ -214,7 +220,12 @@
 	if w.crashing && w.chance(0.25) {
 		w.crashers[id] = w.rand.IntN(steps[0].Count)
 	}
-	o.pool.AddJob(r, job.Progress{}, false, 0, w.now)
+	if w.told {
+		w.findLater(id)
+	}
+	if !o.loading {
+		o.pool.AddJob(r, job.Progress{}, false, 0, w.now)
+	}
 }
 
 func (w *world) someStep() job.Step {
@@ -263,6 +274,9 @@
 			w.quotas.raise(w)
 		}
 		if w.handed < w.jobsAtAnyTime() && w.chance(0.02) {
+			if w.told && w.now < calm && w.chance(0.3) {
+				w.elect()
+			}
 			w.handIn()
 		}
 		for _, m := range w.worker {
--- a/pkg/dispatch/history_worker_test.go
+++ b/pkg/dispatch/history_worker_test.go
@@ -157,6 +157,13 @@
 	}
 }
 
+// checkNotBegunAgain checks that a task whose end as done is noted did not begin again after that end.
+func (w *world) checkNotBegunAgain(m *modelWorker, f Finished) {
+	if at := w.begun[f.Task]; f.How == EndDone && at > m.endedAt[f.Number] {
+		w.broken("%s began again at %d, and the end as done of run %d on %s at %d is noted", f.Task, at, f.Run, m.id, m.endedAt[f.Number])
+	}
+}
+
 // checkNotShown checks that a task does not begin more than a second after its job was shown as
 // completed. Orders that are carried out late are not to be checked.
 func (w *world) checkNotShown(m *modelWorker, s Start) {
@@ -208,6 +215,9 @@
 		}
 	}
 	m.runs[runKey{r.task, r.run}] = r
+	if !w.late {
+		w.begun[r.task] = w.now
+	}
 	w.crashUnder(m, r)
 }
 
@@ -281,6 +291,7 @@
 		if f.Number <= h.LastSeen && m.lapsedAt < m.endedAt[f.Number] {
 			w.note("%s: the end of %s run %d is noted", m.id, f.Task, f.Run)
 			w.noted(f)
+			w.checkNotBegunAgain(m, f)
 		}
 	}
 	m.ended = slices.DeleteFunc(m.ended, func(f Finished) bool { return f.Number <= h.LastSeen })
