--- a/pkg/dispatch/history_told_test.go
+++ b/pkg/dispatch/history_told_test.go
@@ -131,3 +131,9 @@
 func TestPromisesHoldWhenFormerOwnersAreToldOfJobs(t *testing.T) {
 	playSeeds(t, append(slices.Clone(toldSeeds), drawnSeeds(t, all)...), func(w *world) { w.told = true })
 }
+
+// Seed 1, for one. A new owner that needs longer to read the jobs than what former owners have started may go on holds the takeover for over
+// before the workers, which it has held on all the time, have told it anything that it takes in. It starts again what has ended there as done.
+func TestPromisesHoldWhenReadingTheJobsTakesLong(t *testing.T) {
+	playDrawn(t, all, func(w *world) { w.told, w.slow = true, true })
+}
