--- a/pkg/dispatch/history_told_test.go
+++ b/pkg/dispatch/history_told_test.go
@@ -137,3 +137,9 @@
 func TestPromisesHoldWhenReadingTheJobsTakesLong(t *testing.T) {
 	playDrawn(t, all, func(w *world) { w.told, w.slow = true, true })
 }
+
+// An owner that does not know a job whose runs workers list does not know whose they are, and starts others of the same customer beyond its quota. (The
+// logs of all seeds but 412, which was not read, have run_unknown before the starts.)
+func TestQuotasHoldWhenFormerOwnersAreToldOfJobs(t *testing.T) {
+	playSeeds(t, []uint64{61, 85, 320, 331, 412, 588}, func(w *world) { w.told, w.quotas = true, newModelQuotas() })
+}
