A takeover is not over by time on workers that its owner holds on

Callers would see a task run again after its end: a new owner that needs longer to read the jobs (some 8 s, a slow store) than former owners' runs may go on held everything for lapsed, though its own holds had extended the leases meanwhile, and started what its workers had ended or still ran. The same of a worker whose lists are not whole for want of commits. Found by the review of the repeated tasks: absence concluded before the worker's lists were read.

What former owners have started is over when the leases of the workers that answered without lists that count have lapsed, too.

--- a/pkg/dispatch/takeover.go
+++ b/pkg/dispatch/takeover.go
@@ -58,7 +58,7 @@
 		return
 	}
 	if !p.allReported() {
-		if now < p.takeover.lapsed || !p.confirmedSince(p.takeover.lapsed) {
+		if at := p.formerRunsOver(); now < at || !p.confirmedSince(at) {
 			return
 		}
 		p.takeover.presumed = true
@@ -73,6 +73,18 @@
 	}
 }
 
+// formerRunsOver is when nothing of former owners runs any more that no worker has told of. A worker that answers without lists that count is
+// held on by this owner.
+func (p *Pool) formerRunsOver() clock.Time {
+	at := p.takeover.lapsed
+	for _, w := range p.workers {
+		if w.fenced && !w.reported && !w.gone {
+			at = max(at, w.lapsedAt())
+		}
+	}
+	return at
+}
+
 // allReported says that all workers have told what they run.
 func (p *Pool) allReported() bool {
 	for _, w := range p.workers {
