Runs from a worker's first lists lapse though these were not whole

A job would never go on: runs adopted from lists with as many ends as are listed at once were not held for lost when their worker was cut off after that, and stops for them were not sent again. TestRunsOfAWorkerWhoseFirstListsWereNotWholeLapse failed before and passes.

--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -55,7 +55,7 @@
 // be called a few times a second.
 func (p *Pool) Inspect(now clock.Time) {
 	for _, w := range p.workers {
-		if w.gone || !w.reported || now.Sub(w.lastAnswer) >= usableWithin {
+		if w.gone || now.Sub(w.lastAnswer) >= usableWithin {
 			continue
 		}
 		for _, r := range w.runs {
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -262,7 +262,7 @@
 	if now.Sub(w.lastAnswer) < usableWithin || now < lapsed {
 		return
 	}
-	if w.reported || w.follows {
+	if len(w.runs) > 0 {
 		p.loseLapsed(w, lapsed, now)
 	}
 	if len(w.foreignOf) > 0 && p.confirmedSince(lapsed) {
