Nothing of a customer with a quota starts while a worker lists a job whose record is not read

A customer would have more running than its quota: whose a run is that a worker lists of an unknown job is told by its record only, which the owner reads at once. It costs a call to the store when a worker lists such a job, and nothing otherwise. TestQuotasHoldWhenFormerOwnersAreToldOfJobs failed before and passes.

--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -55,8 +55,8 @@
 	jobs       map[job.ID]*jobState
 	accounts   map[string]*account // of customers, by name
 	outcomes   outcomes            // of jobs that have ended and been committed
-	// unknown are jobs that workers list and that are not known, and whether the store was found to have no record of them.
-	unknown map[job.ID]bool
+	// unknown are jobs that workers list and whose records have to be read, and absent those of which the store has none.
+	unknown, absent map[job.ID]struct{}
 	workers map[WorkerID]*worker
 	// lineages is what is kept of workers over all their lives, by name.
 	lineages map[string]*lineage
@@ -95,7 +95,7 @@
 func New(cfg Config, now clock.Time) *Pool {
 	p := &Pool{
 		cfg: cfg, takeover: newTakeover(cfg, now),
-		jobs: map[job.ID]*jobState{}, accounts: map[string]*account{}, outcomes: newOutcomes(), unknown: map[job.ID]bool{}, workers: map[WorkerID]*worker{}, lineages: map[string]*lineage{}, configured: map[string]bool{},
+		jobs: map[job.ID]*jobState{}, accounts: map[string]*account{}, outcomes: newOutcomes(), unknown: map[job.ID]struct{}{}, absent: map[job.ID]struct{}{}, workers: map[WorkerID]*worker{}, lineages: map[string]*lineage{}, configured: map[string]bool{},
 		ready: map[*step]struct{}{}, timed: map[*jobState]struct{}{}, dirty: map[*jobState]struct{}{},
 		advice: newAdvisers(), loads: map[string]*poolLoad{}, parting: map[WorkerID]WorkerInfo{}, lastCrashAt: map[netip.AddrPort]clock.Time{}, createdAt: now,
 	}
--- a/pkg/dispatch/quota.go
+++ b/pkg/dispatch/quota.go
@@ -83,8 +83,8 @@
 	if a == nil {
 		return most
 	}
-	if a.foreign > 0 {
-		return 0 // what they take is not known; they are being stopped
+	if a.foreign > 0 || p.ListsUnknown() {
+		return 0 // what they take, or whose they are, is not known; they are being stopped, or their records read
 	}
 	return min(most, a.roomFor(s.accountNeed(), most))
 }
--- a/pkg/dispatch/unknown_jobs.go
+++ b/pkg/dispatch/unknown_jobs.go
@@ -21,44 +21,33 @@
 	if p.knows(id) {
 		return false
 	}
-	absent, listed := p.unknown[id]
-	if !listed {
-		p.unknown[id] = false
+	if _, absent := p.absent[id]; absent {
+		return false
 	}
-	return !absent
+	p.unknown[id] = struct{}{}
+	return true
 }
 
 // UnknownJobs lists the jobs that workers have listed and whose records have to be read from the store, in order.
 func (p *Pool) UnknownJobs() []job.ID {
-	var ids []job.ID
-	for id, absent := range p.unknown {
-		if !absent {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	return ids
+	return slices.Sorted(maps.Keys(p.unknown))
 }
 
 // ListsUnknown says that there are jobs that UnknownJobs lists.
 func (p *Pool) ListsUnknown() bool {
-	for _, absent := range p.unknown {
-		if !absent {
-			return true
-		}
-	}
-	return false
+	return len(p.unknown) > 0
 }
 
 // JobAbsent takes in that the store has no record of a job that a worker has listed. What workers list of it is noted and stopped.
 func (p *Pool) JobAbsent(id job.ID) {
-	if absent, listed := p.unknown[id]; absent || !listed {
+	if _, listed := p.unknown[id]; !listed {
 		return
 	}
-	if len(p.unknown) > mostAbsent {
-		maps.DeleteFunc(p.unknown, func(_ job.ID, absent bool) bool { return absent })
+	delete(p.unknown, id)
+	if len(p.absent) >= mostAbsent {
+		clear(p.absent)
 	}
-	p.unknown[id] = true
+	p.absent[id] = struct{}{}
 	p.cfg.Log(Event{Name: "job_absent", Job: id})
 	for _, w := range p.workers {
 		w.dropUnread(id)
@@ -68,6 +57,7 @@
 // becameKnown takes in what workers have listed of a job before it was known. Their next reports may come after the next plan, which would start again
 // what runs or has ended.
 func (p *Pool) becameKnown(id job.ID, now clock.Time) {
+	delete(p.absent, id)
 	if _, listed := p.unknown[id]; !listed {
 		return
 	}
