A write of the roster that is carried out late takes no worker off it

Callers would see a task run twice: a write of the roster without an answer was tried again, and a later one named one more worker, which got tasks. The store may carry out the first one seconds later, since its only condition was the owner's record; a new owner that finds the entry of the worker gone then does not ask it. Each write is on condition of the last one now; a conflict with a try of the owner's own is told from another owner.

--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -57,7 +57,7 @@
 	outcomes   outcomes            // of jobs that have ended and been committed
 	// unknown are jobs that workers list and whose records have to be read, and absent those of which the store has none.
 	unknown, absent map[job.ID]struct{}
-	workers map[WorkerID]*worker
+	workers         map[WorkerID]*worker
 	// lineages is what is kept of workers over all their lives, by name.
 	lineages map[string]*lineage
 	meets    []*worker          // that have to be asked from now on
--- a/pkg/poolowner/loading.go
+++ b/pkg/poolowner/loading.go
@@ -296,6 +296,7 @@
 	if err != nil {
 		return errors.Wrap(err, "roster")
 	}
+	o.rosterRevision = item.Revision
 	var roster []dispatch.WorkerInfo
 	if err := json.Unmarshal(item.Value, &roster); err != nil {
 		return errors.Wrap(err, "roster")
@@ -339,23 +340,52 @@
 	if err != nil {
 		return
 	}
+	if !o.putRoster(ctx, text) {
+		return
+	}
+	o.mu.Lock()
+	o.pool.Rostered(ids)
+	o.roster = workers
+	o.mu.Unlock()
+	o.wake()
+}
+
+// putRoster writes the roster, whatever it takes; it says whether it is written, or this owner ends. A write without an answer may be carried out after
+// later ones. So each is on condition of the last one, too: otherwise workers that came since would be off the roster.
+func (o *Owner) putRoster(ctx context.Context, text []byte) bool {
 	for ctx.Err() == nil {
-		_, _, err := o.deps.Store.Commit(ctx, platform.Txn{
-			Conditions: []platform.Condition{{Key: jobstore.HolderKey, Revision: o.claim.Revision}},
-			Put:        []platform.Put{{Key: jobstore.RosterKey, Value: text}},
+		revision, found, err := o.deps.Store.Commit(ctx, platform.Txn{
+			Conditions: []platform.Condition{
+				{Key: jobstore.HolderKey, Revision: o.claim.Revision}, {Key: jobstore.RosterKey, Revision: o.rosterRevision},
+			},
+			Put: []platform.Put{{Key: jobstore.RosterKey, Value: text}},
 		})
-		if err == nil {
-			o.mu.Lock()
-			o.pool.Rostered(ids)
-			o.roster = workers
-			o.mu.Unlock()
-			o.wake()
-			return
-		}
-		if errors.Is(err, platform.ErrConflict) {
+		switch {
+		case err == nil:
+			o.rosterRevision = revision
+			return true
+		case errors.Is(err, platform.ErrConflict) && o.rosterReplaced(found):
+			continue // by a try of this owner that got no answer
+		case errors.Is(err, platform.ErrConflict):
 			o.depose("roster")
-			return
+			return false
 		}
 		clock.Sleep(ctx, storeRetry)
 	}
+	return false
+}
+
+// rosterReplaced says that a conflict is only about the roster's last write, and takes that in.
+func (o *Owner) rosterReplaced(found []platform.Item) bool {
+	ours, replaced := false, false
+	for _, i := range found {
+		switch i.Key {
+		case jobstore.HolderKey:
+			ours = i.Revision == o.claim.Revision
+		case jobstore.RosterKey:
+			replaced = i.Revision != o.rosterRevision
+			o.rosterRevision = i.Revision
+		}
+	}
+	return ours && replaced
 }
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -115,9 +115,11 @@
 	fenced     bool            // most workers were fenced
 	counted    answerCount
 	refusals   refusals
-	roster     []dispatch.WorkerInfo // as written last; of the duty that watches workers
-	beats      beats                 // of the duty that watches workers
-	position   position              // each field belongs to one duty
+	// roster is as written last, and rosterRevision that of its last write; of the duty that watches workers, and before that of the one that loads.
+	roster         []dispatch.WorkerInfo
+	rosterRevision int64
+	beats          beats    // of the duty that watches workers
+	position       position // each field belongs to one duty
 	// followsJobs and followsWorkers are of the duties that watch these.
 	followsJobs, followsWorkers *jobstore.Following
 
