An upkeep that was refused or lost is ordered again, not taken for done

The operator would see a wave shown as completed though machines of it had no upkeep: an order that the platform answered with 429, or not at all, counted as taken, and a machine that was still up 3 s later as one that had its upkeep. A refusal leaves the machine to the next plan now; an order without an answer is given again after 3 s.

--- a/pkg/poolowner/upkeep.go
+++ b/pkg/poolowner/upkeep.go
@@ -79,10 +79,9 @@
 	if errors.Is(err, platform.ErrBusy) {
 		return
 	}
-	// Without an answer the order may have been carried out, which the list will tell.
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.upkeep.Ordered(order, o.deps.Clock.Now())
+	o.upkeep.Ordered(order, err == nil, o.deps.Clock.Now())
 }
 
 // showWave writes a wave's state, unless a former owner has shown it as completed.
--- a/pkg/upkeep/doc.go
+++ b/pkg/upkeep/doc.go
@@ -11,6 +11,6 @@
 //	p := upkeep.New()
 //	p.PutWave(wave, now)
 //	p.SetMachines(machines)
-//	plan := p.Plan(now)       // plan.Close, plan.Order, plan.Show
-//	p.Ordered(machine, now)   // the platform has taken the order
+//	plan := p.Plan(now)         // plan.Close, plan.Order, plan.Show
+//	p.Ordered(order, true, now) // the platform has taken the order
 package upkeep
--- a/pkg/upkeep/plan.go
+++ b/pkg/upkeep/plan.go
@@ -64,6 +64,7 @@
 type progress struct {
 	closedAt  clock.Time // 0 before
 	orderedAt clock.Time // 0 before
+	answered  bool       // the platform has said that it takes the order, or has taken it
 	wasDown   bool
 	done      bool
 }
@@ -216,16 +217,24 @@
 	if m.State == Upkeep || m.State == Down {
 		x.wasDown = true
 	}
-	if m.State == Up && (x.wasDown || now.Sub(x.orderedAt) > settleFor) {
+	settled := now.Sub(x.orderedAt) > settleFor
+	switch {
+	case m.State != Up:
+	case x.wasDown, settled && x.answered:
 		x.done = true
+	case settled:
+		x.orderedAt = 0 // the order was lost, so that it is given again
 	}
 }
 
-// Ordered takes in that the platform has taken the order for a machine.
-func (p *Planner) Ordered(o Order, now clock.Time) {
-	if w, ok := p.waves[o.Wave]; ok {
-		w.of(o.Machine.ID).orderedAt = now
+// Ordered takes in that a machine was ordered into its upkeep. Without an answer the platform may have taken the order.
+func (p *Planner) Ordered(o Order, answered bool, now clock.Time) {
+	w, ok := p.waves[o.Wave]
+	if !ok {
+		return
 	}
+	x := w.of(o.Machine.ID)
+	x.orderedAt, x.answered = now, answered
 }
 
 // Shown takes in that a wave shows a state.
--- a/pkg/upkeep/plan_test.go
+++ b/pkg/upkeep/plan_test.go
@@ -36,7 +36,7 @@
 	g.Expect(plan.Orders).To(HaveLen(1))
 	g.Expect(plan.Shows).To(Equal([]Show{{1, Running}}))
 	p.Shown(plan.Shows[0])
-	p.Ordered(plan.Orders[0], 100)
+	p.Ordered(plan.Orders[0], true, 100)
 	g.Expect(p.Plan(200).Orders).To(BeEmpty(), "the list may be old")
 	p.SetMachines(machines(Upkeep, Up, Up))
 	g.Expect(p.Plan(300).Orders).To(BeEmpty())
@@ -65,7 +65,7 @@
 	p.SetMachines(machines(Up, Up))
 	now := clock.Time(100)
 	for _, o := range p.Plan(now).Orders {
-		p.Ordered(o, now)
+		p.Ordered(o, true, now)
 	}
 	p.SetMachines(machines(Upkeep, Upkeep))
 	g.Expect(p.Plan(200).Shows).To(Equal([]Show{{1, Running}}))
@@ -80,7 +80,22 @@
 	p := newPlanner(3)
 	p.SetMachines(machines(Up, Up, Up))
 	for _, o := range p.Plan(100).Orders {
-		p.Ordered(o, 100) // answered as done
+		p.Ordered(o, true, 100) // answered as done
 	}
 	g.Expect(p.Plan(100 + 3500).Shows).To(Equal([]Show{{1, Completed}}))
 }
+
+// An order without an answer may not have been carried out: it is given again, and its machine counts as down until then.
+func TestOrderWithoutAnAnswerIsGivenAgain(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlanner(1)
+	p.SetMachines(machines(Up, Up, Up))
+	first := p.Plan(100).Orders[0]
+	p.Ordered(first, false, 100)
+	g.Expect(p.Plan(200).Orders).To(BeEmpty(), "it may be carried out yet")
+	again := p.Plan(100 + 3500).Orders
+	g.Expect(again).To(HaveLen(1))
+	g.Expect(again[0].Machine.ID).To(Equal(first.Machine.ID))
+	p.Ordered(again[0], true, 3600)
+	g.Expect(p.Plan(3700).Orders).To(BeEmpty())
+}
