A machine that one list misses has not left for good

The operator would see a wave shown as completed while a machine that stays had no upkeep: the pages of a list are not of one moment, and a machine that a single list missed counted as gone from then on. It counts as gone while two lists in a row miss it. TestMachineThatOneListMissesIsNotDone failed before and passes.

--- a/pkg/upkeep/plan.go
+++ b/pkg/upkeep/plan.go
@@ -39,6 +39,9 @@
 	AtOnce int
 }
 
+// goneAfter is in how many lists in a row a machine is missing that has left for good. Its pages are not of one moment, so that one list may miss a machine.
+const goneAfter = 2
+
 // settleFor is how long a machine whose order was taken may go on being listed as up before
 // it counts as one that had its upkeep already.
 const settleFor = 3 * time.Second
@@ -66,6 +69,7 @@
 	orderedAt clock.Time // 0 before
 	answered  bool       // the platform has said that it takes the order, or has taken it
 	wasDown   bool
+	missing   int // plans in a row by whose lists it was not there
 	done      bool
 }
 
@@ -158,9 +162,12 @@
 		m, stays := p.machines[id]
 		x := w.of(id)
 		if !stays {
-			x.done = true
+			if x.missing++; x.missing < goneAfter {
+				left++
+			}
 			continue
 		}
+		x.missing = 0
 		x.observe(m, now)
 		if m.State != Up || x.orderedAt != 0 && !x.done {
 			down++
@@ -184,7 +191,7 @@
 	share := time.Duration(float64(w.Duration) * float64(max(w.AtOnce, 1)) / float64(len(w.Machines)))
 	for _, id := range w.Machines {
 		x, m := w.of(id), p.machines[id]
-		if x.done || x.orderedAt != 0 || m.State != Up {
+		if x.done || x.orderedAt != 0 || m.State != Up { // one that is missing has no state
 			continue
 		}
 		if down >= max(w.AtOnce, 1) {
