Read the records of unknown jobs a few at a time, and only of those that are still unknown

One slow or failing read held up all others, whose workers get no tasks meanwhile, and jobs that had become known by the look for jobs were read all the same.

--- a/pkg/poolowner/unknown_jobs.go
+++ b/pkg/poolowner/unknown_jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/job"
@@ -11,6 +12,9 @@
 	"github.com/sirupsen/logrus"
 )
 
+// readsAtOnce bounds the records that are read at the same time.
+const readsAtOnce = 8
+
 // readUnknownJobs is the duty that reads the records of jobs which workers list and of which no host has told. Until then their workers get no tasks and
 // keep their ends.
 func (o *Owner) readUnknownJobs(ctx context.Context) {
@@ -20,29 +24,36 @@
 			return
 		case <-o.unknownJobs:
 		}
-		for _, id := range o.jobsToRead() {
-			o.readUnknownJob(ctx, id)
+		for ids := o.jobsToRead(); len(ids) > 0 && ctx.Err() == nil; ids = o.jobsToRead() {
+			o.readSome(ctx, ids[:min(len(ids), readsAtOnce)])
 		}
 	}
 }
 
+// readSome reads the records of a few jobs at the same time, since the store may be slow.
+func (o *Owner) readSome(ctx context.Context, ids []job.ID) {
+	var reads sync.WaitGroup
+	for _, id := range ids {
+		reads.Go(func() { o.readUnknownJob(ctx, id) })
+	}
+	reads.Wait()
+}
+
 func (o *Owner) jobsToRead() []job.ID {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.pool.UnknownJobs()
 }
 
-// readUnknownJob reads the record of a job that a worker lists, trying again until the store answers.
+// readUnknownJob reads the record of a job that a worker lists. After a failure it stays among the jobs to be read.
 func (o *Owner) readUnknownJob(ctx context.Context, id job.ID) {
-	for ctx.Err() == nil {
-		item, err := o.deps.Store.Read(ctx, jobstore.JobKey(id))
-		if err == nil || errors.Is(err, platform.ErrAbsent) {
-			o.takeUnknownJob(id, item, err == nil)
-			return
-		}
-		o.deps.Log.WithFields(logrus.Fields{"job": id, "error": err}).Warn("unknown_job_unread")
-		clock.Sleep(ctx, storeRetry)
+	item, err := o.deps.Store.Read(ctx, jobstore.JobKey(id))
+	if err == nil || errors.Is(err, platform.ErrAbsent) {
+		o.takeUnknownJob(id, item, err == nil)
+		return
 	}
+	o.deps.Log.WithFields(logrus.Fields{"job": id, "error": err}).Warn("unknown_job_unread")
+	clock.Sleep(ctx, storeRetry)
 }
 
 // takeUnknownJob takes in the record of a job that a worker lists, or that there is none.
