--- /dev/null
+++ b/pkg/account/account.go
@@ -0,0 +1,107 @@
+package account
+
+import (
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/customer"
+)
+
+// Account is what one customer has in the pools of one owner. New makes one.
+type Account struct {
+	customer customer.Customer
+	used     cell.Resources
+	// unheard is what it may have running besides, on workers that a new owner has not heard of, and ended the part of it that is
+	// of jobs that had ended.
+	unheard, ended cell.Resources
+	// promised is what steps that come first in the order of this plan wait for, and can't have yet.
+	promised cell.Resources
+	// foreign counts the runs that workers list of its jobs that have ended, of which nothing else is known any more.
+	foreign int
+	rate    customer.Rate
+}
+
+// New returns the account of a customer that has nothing running.
+func New(c customer.Customer) *Account {
+	return &Account{customer: c}
+}
+
+// Update gives the account the weight and the quota of a newer configuration.
+func (a *Account) Update(c customer.Customer) {
+	a.customer = c
+}
+
+// Customer is whose account it is, with the weight and the quota in force.
+func (a *Account) Customer() customer.Customer {
+	return a.customer
+}
+
+// Used is what is booked.
+func (a *Account) Used() cell.Resources {
+	return a.used
+}
+
+// Book counts a task, from the moment its start is decided.
+func (a *Account) Book(need cell.Resources) {
+	a.used = a.used.Add(need)
+}
+
+// GiveBack takes back what Book counted, once the run has certainly ended.
+func (a *Account) GiveBack(need cell.Resources) {
+	a.used = a.used.Sub(need)
+}
+
+// OverQuota says that more is booked than the quota allows, which happens when it is lowered.
+func (a *Account) OverQuota() bool {
+	return !a.customer.Allows(a.used)
+}
+
+// Allowed is how many more tasks of a need the customer may start, at most most.
+func (a *Account) Allowed(need cell.Resources, most int) int {
+	if a.foreign > 0 {
+		return 0 // what they take is not known; they are being stopped
+	}
+	return min(most, a.roomFor(need, most))
+}
+
+// roomFor is how many tasks of a need the quota has room for, at most most.
+func (a *Account) roomFor(need cell.Resources, most int) int {
+	quota, running := a.customer.Quota, a.used.Add(a.unheard).Add(a.promised)
+	n := int64(most)
+	for _, kind := range []struct{ limit, running, need int64 }{
+		{quota.CPUMillis, running.CPUMillis, need.CPUMillis},
+		{quota.MemoryMB, running.MemoryMB, need.MemoryMB},
+		{quota.Accelerators, running.Accelerators, need.Accelerators},
+	} {
+		if kind.limit > 0 && kind.need > 0 {
+			n = min(n, max(kind.limit-kind.running, 0)/kind.need)
+		}
+	}
+	return int(n)
+}
+
+// Promise keeps room in the quota for what a step waits for as a whole, until ClearPromises. What the quota never allows is promised nothing.
+func (a *Account) Promise(need cell.Resources) {
+	if a.customer.Allows(need) {
+		a.promised = a.promised.Add(need)
+	}
+}
+
+// ClearPromises begins a plan.
+func (a *Account) ClearPromises() {
+	a.promised = cell.Resources{}
+}
+
+// CountForeign takes in that a worker lists a run of the customer of which nothing else is known.
+func (a *Account) CountForeign() {
+	a.foreign++
+}
+
+// ForgetForeign takes back what CountForeign has counted of one run.
+func (a *Account) ForgetForeign() {
+	a.foreign--
+}
+
+// Beyond takes in a job of the customer that was accepted at a time, and says whether it is beyond the customer's weight.
+func (a *Account) Beyond(accepted clock.Time) bool {
+	return a.rate.Beyond(a.customer.Weight, accepted)
+}
--- /dev/null
+++ b/pkg/account/account_test.go
@@ -0,0 +1,107 @@
+package account
+
+import (
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/customer"
+	. "github.com/onsi/gomega"
+)
+
+func cores(n int64) cell.Resources {
+	return cell.Resources{CPUMillis: n * 1000}
+}
+
+func withQuota(quota cell.Resources) *Account {
+	return New(customer.Customer{Name: "north", Weight: 2, Quota: quota})
+}
+
+func TestAllowed(t *testing.T) {
+	both := cell.Resources{CPUMillis: 1000, MemoryMB: 2000}
+	for name, test := range map[string]struct {
+		quota, used, need cell.Resources
+		most, want        int
+	}{
+		"nothing runs":                   {cores(3), cell.Resources{}, cores(1), 5, 3},
+		"no more than asked for":         {cores(3), cell.Resources{}, cores(1), 2, 2},
+		"some run":                       {cores(3), cores(2), cores(1), 5, 1},
+		"all is used":                    {cores(3), cores(3), cores(1), 5, 0},
+		"a lowered quota":                {cores(1), cores(3), cores(1), 5, 0},
+		"a part is not enough":           {cores(3), cores(2), cores(2), 5, 0},
+		"0 is no limit":                  {cell.Resources{}, cores(100), cores(1), 5, 5},
+		"the scarcest kind":              {cell.Resources{CPUMillis: 9000, MemoryMB: 5000}, cell.Resources{}, both, 9, 2},
+		"a kind that is not needed":      {cell.Resources{CPUMillis: 9000, Accelerators: 1}, cell.Resources{Accelerators: 1}, cores(3), 9, 3},
+		"accelerators":                   {cell.Resources{Accelerators: 4}, cell.Resources{Accelerators: 1}, cell.Resources{Accelerators: 2}, 9, 1},
+		"a kind with a limit and no use": {cell.Resources{MemoryMB: 100}, cell.Resources{}, cores(1), 7, 7},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := withQuota(test.quota)
+			a.Book(test.used)
+			NewWithT(t).Expect(a.Allowed(test.need, test.most)).To(Equal(test.want))
+		})
+	}
+}
+
+func TestWhatIsGivenBackMayBeUsedAgain(t *testing.T) {
+	g, a := NewWithT(t), withQuota(cores(2))
+	a.Book(cores(1))
+	a.Book(cores(1))
+	g.Expect(a.Allowed(cores(1), 5)).To(Equal(0))
+	a.GiveBack(cores(1))
+	g.Expect(a.Allowed(cores(1), 5)).To(Equal(1))
+	g.Expect(a.Used()).To(Equal(cores(1)))
+}
+
+func TestLoweredQuotaIsOverdrawn(t *testing.T) {
+	g, a := NewWithT(t), withQuota(cores(2))
+	a.Book(cores(2))
+	g.Expect(a.OverQuota()).To(BeFalse())
+	a.Update(customer.Customer{Name: "north", Quota: cores(1)})
+	g.Expect(a.OverQuota()).To(BeTrue())
+}
+
+func TestPromisesHoldForOnePlan(t *testing.T) {
+	g, a := NewWithT(t), withQuota(cores(4))
+	a.Promise(cores(3))
+	g.Expect(a.Allowed(cores(1), 5)).To(Equal(1))
+	a.ClearPromises()
+	g.Expect(a.Allowed(cores(1), 5)).To(Equal(4))
+	a.Promise(cores(5))
+	g.Expect(a.Allowed(cores(1), 5)).To(Equal(4), "more than the quota ever allows")
+}
+
+func TestNothingIsAllowedBesideForeignRuns(t *testing.T) {
+	g, a := NewWithT(t), withQuota(cell.Resources{})
+	a.CountForeign()
+	a.CountForeign()
+	a.ForgetForeign()
+	g.Expect(a.Allowed(cores(1), 5)).To(Equal(0))
+	a.ForgetForeign()
+	g.Expect(a.Allowed(cores(1), 5)).To(Equal(5))
+}
+
+func TestUnheardCounts(t *testing.T) {
+	g, a := NewWithT(t), withQuota(cores(9))
+	a.CountEnded(cores(2))
+	g.Expect(a.Allowed(cores(1), 9)).To(Equal(9), "the sum has not begun")
+	a.BeginUnheard()
+	a.AddUnheard(cores(3))
+	g.Expect(a.Allowed(cores(1), 9)).To(Equal(4))
+	a.CapUnheard(cores(4))
+	g.Expect(a.Allowed(cores(1), 9)).To(Equal(5), "the workers hold no more")
+	a.ClearUnheard()
+	g.Expect(a.Allowed(cores(1), 9)).To(Equal(9))
+	a.ForgetEnded()
+	a.BeginUnheard()
+	g.Expect(a.Allowed(cores(1), 9)).To(Equal(9))
+}
+
+func TestBeyondGoesByTheWeightInForce(t *testing.T) {
+	g, a := NewWithT(t), New(customer.Customer{Name: "north", Weight: 1})
+	at := clock.Time(1).Add(time.Second)
+	g.Expect([]bool{a.Beyond(at), a.Beyond(at), a.Beyond(at)}).To(Equal([]bool{false, false, true}), "a burst of two seconds")
+	a.Update(customer.Customer{Name: "north"})
+	g.Expect(a.Beyond(at)).To(BeFalse(), "no weight is no limit")
+}
--- a/pkg/dispatch/beyond.go
+++ b/pkg/dispatch/beyond.go
@@ -8,7 +8,7 @@
 // markBeyond takes in how many jobs a second a job's customer sends.
 func (p *Pool) markBeyond(j *jobState) {
 	if a := p.account(j); a != nil {
-		j.beyond = a.rate.Beyond(a.customer.Weight, j.accepted)
+		j.beyond = a.Beyond(j.accepted)
 	}
 }
 
--- a/pkg/dispatch/customer_status.go
+++ b/pkg/dispatch/customer_status.go
@@ -32,9 +32,8 @@
 	}
 	rows := make(map[string]*CustomerStatus, len(p.accounts))
 	for name, a := range p.accounts {
-		rows[name] = &CustomerStatus{
-			Name: name, Weight: a.customer.Weight, Quota: a.customer.Quota, Used: a.used, Share: a.used.DominantShare(capacity),
-		}
+		c, used := a.Customer(), a.Used()
+		rows[name] = &CustomerStatus{Name: name, Weight: c.Weight, Quota: c.Quota, Used: used, Share: used.DominantShare(capacity)}
 	}
 	for _, j := range p.jobs {
 		if row := rows[j.customer.Name]; row != nil && j.outcome == "" {
--- a/pkg/dispatch/doc.go
+++ b/pkg/dispatch/doc.go
@@ -37,6 +37,12 @@
 // advice (naming.go, advice.go), which steps that starve get first (starving.go). Sums are kept for
 // each pool (load.go), and ends are foreseen by progress (predict.go).
 //
+// # Packages below
+//
+// Rules that depend on figures, and not on jobs and workers, stand in packages that know nothing of this one:
+//
+//   - account: what a customer has running, and how much more its quota lets it start (quota.go, unheard.go, beyond.go book and ask)
+//
 // # Usage
 //
 //	p := dispatch.New(cfg)
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"foldarch.dev/foldarch/pkg/account"
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/job"
 	"foldarch.dev/foldarch/pkg/queue"
@@ -53,8 +54,8 @@
 	// configured are the pools of workers that were named so far.
 	configured map[string]bool
 	jobs       map[job.ID]*jobState
-	accounts   map[string]*account // of customers, by name
-	outcomes   outcomes            // of jobs that have ended and been committed
+	accounts   map[string]*account.Account // of customers, by name
+	outcomes   outcomes                    // of jobs that have ended and been committed
 	workers    map[WorkerID]*worker
 	// lineages is what is kept of workers over all their lives, by name.
 	lineages map[string]*lineage
@@ -93,7 +94,7 @@
 func New(cfg Config, now clock.Time) *Pool {
 	p := &Pool{
 		cfg: cfg, takeover: newTakeover(cfg, now),
-		jobs: map[job.ID]*jobState{}, accounts: map[string]*account{}, outcomes: newOutcomes(), workers: map[WorkerID]*worker{}, lineages: map[string]*lineage{}, configured: map[string]bool{},
+		jobs: map[job.ID]*jobState{}, accounts: map[string]*account.Account{}, outcomes: newOutcomes(), workers: map[WorkerID]*worker{}, lineages: map[string]*lineage{}, configured: map[string]bool{},
 		ready: map[*step]struct{}{}, timed: map[*jobState]struct{}{}, dirty: map[*jobState]struct{}{},
 		advice: newAdvisers(), loads: map[string]*poolLoad{}, parting: map[WorkerID]WorkerInfo{}, lastCrashAt: map[netip.AddrPort]clock.Time{}, createdAt: now,
 	}
--- a/pkg/dispatch/quota.go
+++ b/pkg/dispatch/quota.go
@@ -1,47 +1,31 @@
 package dispatch
 
 import (
+	"foldarch.dev/foldarch/pkg/account"
 	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/customer"
 	"foldarch.dev/foldarch/pkg/job"
 )
 
-// A customer has no more running, on all workers together, than its quota. What counts is what counts against the room of workers, from the
-// moment a start is decided until its run has certainly ended (count, release): also starts without an answer, runs that are being
-// stopped and those of a worker that can't be heard. So the quota and the workers' capacity can't disagree.
-//
-// A lowered quota stops nothing; what runs counts, and nothing starts until there is room. A customer that the configuration does not name any
-// more keeps the quota that was known last.
+// A customer has no more running, on all workers together, than its quota (package account). What counts is what counts against the room of
+// workers, from the moment a start is decided until its run has certainly ended (count, release), so the quota and the workers' capacity
+// can't disagree. A customer that the configuration does not name any more keeps the quota that was known last.
 //
 // What former owners may have running on workers that a new one has not heard of counts, too (unheard.go).
 
-// account is what one customer has in the pools of this owner.
-type account struct {
-	customer customer.Customer
-	used     cell.Resources
-	// unheard is what it may have running besides, on workers that a new owner has not heard of, and ended the part of it that is
-	// of jobs that had ended.
-	unheard, ended cell.Resources
-	// promised is what steps that come first in the order of this plan wait for, and can't have yet.
-	promised cell.Resources
-	// foreign counts the runs that workers list of its jobs that have ended, of which nothing else is known any more.
-	foreign int
-	rate    customer.Rate
-}
-
 // account returns that of a job's customer; nil for nobody's job.
-func (p *Pool) account(j *jobState) *account {
+func (p *Pool) account(j *jobState) *account.Account {
 	return p.accounts[j.customer.Name]
 }
 
 // openAccount returns the account of a job's customer, which it makes unless there is one; nil for nobody's job.
-func (p *Pool) openAccount(c customer.Customer) *account {
+func (p *Pool) openAccount(c customer.Customer) *account.Account {
 	if c.Name == "" {
 		return nil
 	}
 	if _, known := p.accounts[c.Name]; !known {
-		p.accounts[c.Name] = &account{customer: c}
+		p.accounts[c.Name] = account.New(c)
 	}
 	p.updateAccount(c.Name)
 	return p.accounts[c.Name]
@@ -53,7 +37,7 @@
 		return
 	}
 	if c, named := p.config.Customers.ByName(name); named {
-		p.accounts[name].customer = *c
+		p.accounts[name].Update(*c)
 	}
 }
 
@@ -66,14 +50,14 @@
 func (p *Pool) bookUse(s *step) {
 	s.counted++
 	if a := p.account(s.time.job); a != nil {
-		a.used = a.used.Add(s.accountNeed())
+		a.Book(s.accountNeed())
 	}
 }
 
 func (p *Pool) giveBackUse(s *step) {
 	s.counted--
 	if a := p.account(s.time.job); a != nil {
-		a.used = a.used.Sub(s.accountNeed())
+		a.GiveBack(s.accountNeed())
 	}
 }
 
@@ -83,26 +67,7 @@
 	if a == nil {
 		return most
 	}
-	if a.foreign > 0 {
-		return 0 // what they take is not known; they are being stopped
-	}
-	return min(most, a.roomFor(s.accountNeed(), most))
-}
-
-// roomFor is how many tasks of a need the customer may start, at most most.
-func (a *account) roomFor(need cell.Resources, most int) int {
-	quota, running := a.customer.Quota, a.used.Add(a.unheard).Add(a.promised)
-	n := int64(most)
-	for _, kind := range []struct{ limit, running, need int64 }{
-		{quota.CPUMillis, running.CPUMillis, need.CPUMillis},
-		{quota.MemoryMB, running.MemoryMB, need.MemoryMB},
-		{quota.Accelerators, running.Accelerators, need.Accelerators},
-	} {
-		if kind.limit > 0 && kind.need > 0 {
-			n = min(n, max(kind.limit-kind.running, 0)/kind.need)
-		}
-	}
-	return int(n)
+	return a.Allowed(s.accountNeed(), most)
 }
 
 // startable is how many of a step's waiting tasks its customer's quota lets start; of a gang that is to start as a whole, all or none.
@@ -123,17 +88,15 @@
 // holdQuota keeps the room in its customer's quota that comes for a gang that is in time, from later steps: a gang never finds
 // enough at once while each end makes room for a smaller step.
 func (p *Pool) holdQuota(s *step, now clock.Time) {
-	a := p.account(s.time.job)
-	need := s.spec.AtOnce()
-	if s.spec.Gang && s.standing(now) <= inTime && a.customer.Allows(need) {
-		a.promised = a.promised.Add(need)
+	if s.spec.Gang && s.standing(now) <= inTime {
+		p.account(s.time.job).Promise(s.spec.AtOnce())
 	}
 }
 
 // countForeign takes in that a worker lists a run of a job of which nothing is known but that it has ended.
 func (p *Pool) countForeign(w *worker, id job.ID) {
 	if a := p.openAccount(customer.Customer{Name: p.outcomes.of[id].customer}); a != nil {
-		a.foreign++
+		a.CountForeign()
 		w.foreignOf = append(w.foreignOf, a)
 	}
 }
@@ -141,7 +104,7 @@
 // clearForeign takes back what countForeign has counted of a worker.
 func (w *worker) clearForeign() {
 	for _, a := range w.foreignOf {
-		a.foreign--
+		a.ForgetForeign()
 	}
 	w.foreignOf = w.foreignOf[:0]
 }
@@ -149,6 +112,6 @@
 // clearPromises begins a plan.
 func (p *Pool) clearPromises() {
 	for _, a := range p.accounts {
-		a.promised = cell.Resources{}
+		a.ClearPromises()
 	}
 }
--- a/pkg/dispatch/unheard.go
+++ b/pkg/dispatch/unheard.go
@@ -77,7 +77,7 @@
 		return
 	}
 	if a := p.openAccount(customer.Customer{Name: ended.Customer.Name}); a != nil {
-		a.ended = a.ended.Add(need)
+		a.CountEnded(need)
 	}
 }
 
@@ -87,14 +87,14 @@
 		j.unended = cell.Resources{}
 	}
 	for _, a := range p.accounts {
-		a.ended = cell.Resources{}
+		a.ForgetEnded()
 	}
 }
 
 // sumUnheard works out what customers may have running on workers that a new owner has not heard of.
 func (p *Pool) sumUnheard() {
 	for _, a := range p.accounts {
-		a.unheard = cell.Resources{}
+		a.ClearUnheard()
 	}
 	if !p.takeover.pending {
 		return
@@ -109,15 +109,15 @@
 		return
 	}
 	for _, a := range p.accounts {
-		a.unheard = a.ended
+		a.BeginUnheard()
 	}
 	for _, j := range p.jobs {
 		if a := p.account(j); a != nil && !p.unknownToFormer(j) {
-			a.unheard = a.unheard.Add(j.mayRunUnheard())
+			a.AddUnheard(j.mayRunUnheard())
 		}
 	}
 	for _, a := range p.accounts {
-		a.unheard = a.unheard.Min(room)
+		a.CapUnheard(room)
 	}
 }
 
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"foldarch.dev/foldarch/pkg/account"
 	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/job"
@@ -69,7 +70,7 @@
 	foreign int // runs there of which nothing is known
 	strange int // of these, runs whose names can't be read
 	// foreignOf are the customers of foreign runs, one for each run.
-	foreignOf []*account
+	foreignOf []*account.Account
 	// unreadFrom is the number of the first end that was left unread last, and foreignLogged the last job that was not known when a run of it
 	// was listed: each is logged once.
 	unreadFrom    int64
