The price of calls for advice, and how many workers they name, are a package of their own

The arithmetic moves from pkg/dispatch (call_prices.go, the last part of naming.go) to pkg/advice: advice.Prices with the parts of a call, its wait and price, and for which number of workers calls cost least. It takes how many tasks each worker has room for in place of the workers. dispatch keeps which workers are named. No change of behaviour.

--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -7,8 +7,10 @@
 
 	"github.com/cockroachdb/errors"
 
+	"foldarch.dev/foldarch/pkg/advice"
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/queue"
 )
 
 const (
@@ -169,21 +171,34 @@
 		return
 	}
 	calls := p.callPrices(s.time.job.queue.Advice, longAtOnce)
-	if calls.most <= 0 {
+	if calls.Most <= 0 {
 		return
 	}
 	p.advice.choices++
 	named, known := p.name(s, reserved, calls, now)
 	if len(named) == 0 {
-		s.advice.notBefore = now.Add(time.Duration(nameAgain * float64(calls.cost.Of(1))))
+		s.advice.notBefore = now.Add(time.Duration(nameAgain * float64(calls.Cost.Of(1))))
 		return
 	}
-	for part := range slices.Chunk(named, calls.size(len(named))) {
+	for part := range slices.Chunk(named, calls.Size(len(named))) {
 		p.call(s, part, min(known, len(part)), longAtOnce, now, out)
 		known = max(known-len(part), 0)
 	}
 }
 
+// callPrices returns the prices for a queue at present, when no more than so many long calls are to be on
+// their way.
+func (p *Pool) callPrices(cost *queue.AdviceCost, longAtOnce int) advice.Prices {
+	most := p.advice.free
+	if cost.Of(1) >= longAsk {
+		most = min(most, longAtOnce-p.advice.long)
+	}
+	if p.without(AdviceInParts) {
+		most = min(most, 1)
+	}
+	return advice.Prices{Cost: *cost, Free: max(p.advice.free, 1), Most: most}
+}
+
 // mayAsk says whether calls for a step may be made in this plan.
 func (p *Pool) mayAsk(s *step, now clock.Time) bool {
 	return s.time.job.queue.Advice != nil && s.time.job.outcome == "" && p.advice.free > 0 && p.advice.choices < choicesPerPlan &&
--- a/pkg/dispatch/advice_test.go
+++ b/pkg/dispatch/advice_test.go
@@ -124,18 +124,6 @@
 	f.Expect(second.Workers).To(ContainElement(workerID(6)))
 }
 
-func TestAtLeast(t *testing.T) {
-	for _, c := range []struct {
-		k, n int
-		rate float64
-		want float64
-	}{
-		{0, 3, 0.5, 1}, {1, 1, 0.3, 0.3}, {2, 2, 0.5, 0.25}, {1, 2, 0.5, 0.75}, {3, 2, 0.9, 0}, {2, 3, 1, 1},
-	} {
-		NewWithT(t).Expect(atLeast(c.k, c.n, c.rate)).To(BeNumerically("~", c.want, 1e-9), "%+v", c)
-	}
-}
-
 func TestCallOfAHostThatLeftIsMadeAnew(t *testing.T) {
 	f := newFixture(t, 1, nil)
 	f.reportAll(1)
--- a/pkg/dispatch/bench_test.go
+++ b/pkg/dispatch/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"foldarch.dev/foldarch/pkg/advice"
 	"foldarch.dev/foldarch/pkg/cell"
 )
 
@@ -47,6 +48,6 @@
 	f.add(advisedJob("a", s))
 	waiting := f.pool.jobs["a"].times[0].steps[0]
 	for b.Loop() {
-		f.pool.name(waiting, newReservations(), callPrices{cost: *waiting.time.job.queue.Advice, free: 1, most: 1}, f.now)
+		f.pool.name(waiting, newReservations(), advice.Prices{Cost: *waiting.time.job.queue.Advice, Free: 1, Most: 1}, f.now)
 	}
 }
--- a/pkg/dispatch/mechanism_test.go
+++ b/pkg/dispatch/mechanism_test.go
@@ -39,10 +39,3 @@
 	f.pool.cfg.Without = only(Suspension)
 	f.Expect(f.plan().Stops).To(HaveLen(1))
 }
-
-func TestNamingWithoutCostsNamesTheRoomThatIsNeeded(t *testing.T) {
-	g := NewWithT(t)
-	g.Expect(roomForNeed([]roomy{{nil, 2}, {nil, 2}, {nil, 2}}, 3, 100)).To(Equal(2))
-	g.Expect(roomForNeed([]roomy{{nil, 2}, {nil, 2}, {nil, 2}}, 3, 1)).To(Equal(1))
-	g.Expect(roomForNeed(nil, 3, 100)).To(Equal(0))
-}
--- a/pkg/dispatch/naming.go
+++ b/pkg/dispatch/naming.go
@@ -2,22 +2,16 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
+	"foldarch.dev/foldarch/pkg/advice"
 	"foldarch.dev/foldarch/pkg/clock"
 )
 
-const (
-	// maxNamed is how many workers a call names at most.
-	maxNamed = 100
-	// roomMargin is by how much the room of named workers exceeds the need, since other steps
-	// take room while a call lasts.
-	roomMargin = 1.2
-	// callAgain is the time that is lost between a call which did not suffice and the next.
-	callAgain = 100 * time.Millisecond
-)
+// roomMargin is by how much the room of named workers exceeds the need, since other steps
+// take room while a call lasts.
+const roomMargin = 1.2
 
 // roomy is a worker and how many tasks of a step it has room for.
 type roomy struct {
@@ -26,9 +20,9 @@
 }
 
 // name lists the workers to name in calls that go out together: those known to be allowed whose tickets have
-// lapsed, as many others as make the calls for the step shortest (namedOthers), and some without
+// lapsed, as many others as make the calls for the step shortest (advice.Prices), and some without
 // room, so that no other call has to learn of them.
-func (p *Pool) name(s *step, reserved *reservations, calls callPrices, now clock.Time) (named []WorkerID, nKnown int) {
+func (p *Pool) name(s *step, reserved *reservations, calls advice.Prices, now clock.Time) (named []WorkerID, nKnown int) {
 	waiting := p.startable(s)
 	known, covered := p.knownWorkers(s, reserved, calls, now)
 	need := float64(waiting - covered)
@@ -40,33 +34,23 @@
 	if s.spec.Gang && totalRoom(known)+totalRoom(others) < need {
 		known, others = nil, nil // there is no room for all members, whoever is allowed
 	}
-	named, need = nameKnown(known, need*roomMargin, calls.mostNamed())
+	named, need = nameKnown(known, need*roomMargin, calls.MostNamed())
 	nKnown = len(named)
 	n, suffices := p.countOthers(s, others, need, calls, nKnown)
 	for _, o := range others[:n] {
 		named = append(named, o.worker.info.ID)
 	}
-	return append(named, p.nameToLearn(s, full, suffices, maxNamed-len(named), now)...), nKnown
+	return append(named, p.nameToLearn(s, full, suffices, advice.MaxNamed-len(named), now)...), nKnown
 }
 
 // countOthers is how many of the workers, in their order, calls name beside the known ones, and the
 // probability that they suffice.
-func (p *Pool) countOthers(s *step, others []roomy, need float64, calls callPrices, known int) (n int, suffices float64) {
+func (p *Pool) countOthers(s *step, others []roomy, need float64, calls advice.Prices, known int) (n int, suffices float64) {
 	rate := p.rate(s.time.job.queue.Name)
 	if p.without(NamingByCost) {
-		return roomForNeed(others, need/rate, calls.mostNamed()-known), 1
-	}
-	return namedOthers(others, need, rate, calls, known)
-}
-
-// roomForNeed is how many of the workers, in their order, have room for a number of tasks; at most most.
-func roomForNeed(workers []roomy, need float64, most int) int {
-	n := 0
-	for n < min(len(workers), most) && need > 0 {
-		need -= float64(workers[n].room)
-		n++
+		return advice.JustEnough(roomsOf(others), need/rate, calls.MostNamed()-known), 1
 	}
-	return n
+	return calls.Cheapest(roomsOf(others), need, rate, known)
 }
 
 // nameToLearn lists workers without room to be named in a call, those first that will have room
@@ -150,7 +134,7 @@
 
 // knownWorkers lists the workers that are known to be allowed and whose tickets have lapsed,
 // those with most room first, and counts the tasks for which the others have room.
-func (p *Pool) knownWorkers(s *step, reserved *reservations, calls callPrices, now clock.Time) (known []roomy, covered int) {
+func (p *Pool) knownWorkers(s *step, reserved *reservations, calls advice.Prices, now clock.Time) (known []roomy, covered int) {
 	usedBy := ticketsUsedBy(s, calls, now)
 	for id := range s.advice.good {
 		w, ok := p.workers[id]
@@ -179,7 +163,7 @@
 const fewTasks = 3
 
 // otherWorkers lists workers of which is not known whether they are allowed: those with room, and
-// up to maxNamed full ones. Both begin at another place each time, so that steps that ask at the same moment
+// up to advice.MaxNamed full ones. Both begin at another place each time, so that steps that ask at the same moment
 // name different ones; with byRoom, those with most room come first. Room that is expected by the time of the answer
 // counts when the room that is there is less than a number of tasks: looking for it goes over all runs.
 func (p *Pool) otherWorkers(s *step, reserved *reservations, enough float64, byRoom bool, now clock.Time) (others []roomy, full []*worker) {
@@ -195,7 +179,7 @@
 		} else {
 			full = append(full, w)
 		}
-		if !byRoom && len(others) == maxNamed {
+		if !byRoom && len(others) == advice.MaxNamed {
 			break
 		}
 	}
@@ -205,7 +189,7 @@
 	if byRoom {
 		slices.SortStableFunc(others, func(a, b roomy) int { return cmp.Compare(b.room, a.room) })
 	}
-	return others, full[:min(len(full), maxNamed)]
+	return others, full[:min(len(full), advice.MaxNamed)]
 }
 
 // addExpectedRoom moves workers that are expected to have room from the full ones to the others.
@@ -223,10 +207,10 @@
 
 // ticketsUsedBy is until when a ticket must hold to be of use beside those of the calls that are
 // made now. Tasks of a gang start together, so after the answers; others start at once.
-func ticketsUsedBy(s *step, calls callPrices, now clock.Time) clock.Time {
+func ticketsUsedBy(s *step, calls advice.Prices, now clock.Time) clock.Time {
 	by := now.Add(ticketMargin)
 	if s.spec.Gang {
-		by = by.Add(calls.wait(max(adviceWorkers, len(s.tasks))))
+		by = by.Add(calls.Wait(max(adviceWorkers, len(s.tasks))))
 	}
 	return by
 }
@@ -243,6 +227,15 @@
 	return named, need
 }
 
+// roomsOf lists the room of workers, in their order.
+func roomsOf(workers []roomy) []int {
+	rooms := make([]int, len(workers))
+	for i, w := range workers {
+		rooms[i] = w.room
+	}
+	return rooms
+}
+
 func totalRoom(workers []roomy) float64 {
 	room := 0
 	for _, w := range workers {
@@ -251,62 +244,6 @@
 	return float64(room)
 }
 
-// namedOthers is how many of the workers, in their order, calls should name beside the known
-// ones: the number for which calls cost least until the room suffices. Calls that name n workers
-// suffice with the probability that enough of the n are allowed, each with the probability rate.
-// Otherwise others follow. The result tells the probability too.
-func namedOthers(workers []roomy, need, rate float64, calls callPrices, known int) (best int, bestSuffices float64) {
-	if need <= 0 {
-		return 0, 1
-	}
-	most := min(len(workers), calls.mostNamed()-known)
-	best, bestTime := most, math.Inf(1)
-	room := 0
-	for n := 1; n <= most; n++ {
-		room += workers[n-1].room
-		if n%coarse(n) != 0 && n != most {
-			continue
-		}
-		enough := int(math.Ceil(need * float64(n) / float64(room)))
-		suffices := atLeast(enough, n, rate)
-		if suffices < minSuffices {
-			continue
-		}
-		expected := (calls.price(known+n) + (1-suffices)*callAgain.Seconds()) / suffices
-		if expected < bestTime {
-			best, bestSuffices, bestTime = n, suffices, expected
-		}
-	}
-	return best, bestSuffices
-}
-
-// coarse is the distance of the numbers that are tried about a number: the probability changes little between
-// them, and each try takes as long as there are members.
-func coarse(n int) int {
-	return 1 + n/16
-}
-
-// minSuffices is the probability below which a call is not expected to suffice.
-const minSuffices = 0.01
-
-// atLeast is the probability that at least k of n independent trials succeed, each with the
-// probability rate.
-func atLeast(k, n int, rate float64) float64 {
-	if k > n {
-		return 0
-	}
-	if rate >= 1 {
-		return 1
-	}
-	term := math.Pow(1-rate, float64(n)) // exactly i successes
-	fewer := 0.0
-	for i := range k {
-		fewer += term
-		term *= float64(n-i) / float64(i+1) * rate / (1 - rate)
-	}
-	return max(1-fewer, 0)
-}
-
 func (p *Pool) rate(queueName string) float64 {
 	if r, ok := p.advice.rates[queueName]; ok {
 		return max(r, 0.05)
--- a/pkg/dispatch/refusals.go
+++ b/pkg/dispatch/refusals.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"foldarch.dev/foldarch/pkg/advice"
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/queue"
 )
@@ -95,7 +96,7 @@
 func (p *Pool) oneRound(q *queue.Queue, tasks int) time.Duration {
 	workers := max(int(math.Ceil(float64(tasks)/p.rate(q.Name))), 1)
 	workers = min(workers, max(p.load(q.Pool).workers, 1))
-	calls := (workers + maxNamed - 1) / maxNamed
+	calls := (workers + advice.MaxNamed - 1) / advice.MaxNamed
 	return time.Duration(calls)*q.Advice.Base + time.Duration(workers)*q.Advice.PerWorker
 }
 
