Who makes calls for advice is kept in package advice

advice.Advisers has the processes that make calls, one at a time each, and the rests of those whose calls fail; it moves from pkg/dispatch/advice.go with its unit test. What dispatch keeps of the calls is named adviceCalls. No change of behaviour.

--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -26,11 +26,6 @@
 	choicesPerPlan = 16
 	// askLate is how much longer than it should a call may take before others are made for its step.
 	askLate = 150 * time.Millisecond
-	// A process whose calls fail makes none for firstRest, and twice as long with each more in a row, mostDoublings
-	// times at most, to 2 s: hosts of a data hall that is cut off don't reach the service. A job may wait for no
-	// more than 3 s when the service is back.
-	firstRest     = 250 * time.Millisecond
-	mostDoublings = 3
 	// askAgain is the least time between two calls for a step.
 	askAgain = 60 * time.Millisecond
 	// nameAgain is the pause after there was nobody to be named in a call, in parts of the fixed time of a
@@ -72,75 +67,26 @@
 	queue  string
 }
 
-// advisers are the processes that make calls for advice, one at a time each.
-type advisers struct {
-	idle    map[string]bool
-	free    int // how many are idle
-	resting map[string]*adviserRest
-	asks    map[int64]*pendingAsk
-	last    int64
-	long    int
-	rates   map[string]float64
+// adviceCalls are the calls for advice that are on their way, with those who make them and what earlier ones have told of queues.
+type adviceCalls struct {
+	advisers *advice.Advisers
+	asks     map[int64]*pendingAsk
+	last     int64 // number of a call
+	long     int   // how many of them are long (longAsk)
+	rates    map[string]float64
 	// spent is how much more than one round the calls for a step have taken, by queue (spentRatio).
 	spent   map[string]float64
 	offset  int // shifts which of like workers are named
 	choices int // of workers to be named, in this plan
 }
 
-// adviserRest is the pause of a process whose calls fail.
-type adviserRest struct {
-	failures int // in a row
-	until    clock.Time
-}
-
-func newAdvisers() advisers {
-	return advisers{
-		idle: map[string]bool{}, resting: map[string]*adviserRest{}, asks: map[int64]*pendingAsk{}, rates: map[string]float64{},
-		spent: map[string]float64{},
-	}
-}
-
-// answered takes in whether a process's call succeeded: it is idle, or rests.
-func (a *advisers) answered(name string, ok bool, now clock.Time) {
-	if _, there := a.idle[name]; !there {
-		return
-	}
-	if ok {
-		delete(a.resting, name)
-		a.setIdle(name, true)
-		return
-	}
-	r, rests := a.resting[name]
-	if !rests {
-		r = &adviserRest{}
-		a.resting[name] = r
-	}
-	r.until = now.Add(firstRest << min(r.failures, mostDoublings))
-	r.failures++
-}
-
-// endRests makes processes idle that have rested for long enough.
-func (a *advisers) endRests(now clock.Time) {
-	for name, r := range a.resting {
-		if r.until != 0 && now >= r.until {
-			r.until = 0
-			a.setIdle(name, true)
-		}
-	}
-}
-
-func (a *advisers) setIdle(name string, idle bool) {
-	if was := a.idle[name]; was && !idle {
-		a.free--
-	} else if !was && idle {
-		a.free++
-	}
-	a.idle[name] = idle
+func newAdviceCalls() adviceCalls {
+	return adviceCalls{advisers: advice.NewAdvisers(), asks: map[int64]*pendingAsk{}, rates: map[string]float64{}, spent: map[string]float64{}}
 }
 
 // longAtOnce is how many long calls may be on their way.
 func (p *Pool) longAtOnce() int {
-	n := len(p.advice.idle)
+	n := p.advice.advisers.Joined()
 	if p.without(SpareAdvisers) {
 		return n
 	}
@@ -149,7 +95,7 @@
 
 // PutAdviser takes in a process that can make calls for advice.
 func (p *Pool) PutAdviser(name string) {
-	p.advice.setIdle(name, true)
+	p.advice.advisers.Put(name)
 }
 
 // RemoveAdviser takes in that a process can't be reached any more.
@@ -159,9 +105,7 @@
 			p.AdviceAnswered(n, nil, false, now)
 		}
 	}
-	p.advice.setIdle(name, false)
-	delete(p.advice.idle, name)
-	delete(p.advice.resting, name)
+	p.advice.advisers.Remove(name)
 }
 
 // ask has advice called for, if a step needs it and processes are free for calls. No more than so
@@ -189,19 +133,19 @@
 // callPrices returns the prices for a queue at present, when no more than so many long calls are to be on
 // their way.
 func (p *Pool) callPrices(cost *queue.AdviceCost, longAtOnce int) advice.Prices {
-	most := p.advice.free
+	most := p.advice.advisers.Free()
 	if cost.Of(1) >= longAsk {
 		most = min(most, longAtOnce-p.advice.long)
 	}
 	if p.without(AdviceInParts) {
 		most = min(most, 1)
 	}
-	return advice.Prices{Cost: *cost, Free: max(p.advice.free, 1), Most: most}
+	return advice.Prices{Cost: *cost, Free: max(p.advice.advisers.Free(), 1), Most: most}
 }
 
 // mayAsk says whether calls for a step may be made in this plan.
 func (p *Pool) mayAsk(s *step, now clock.Time) bool {
-	return s.time.job.queue.Advice != nil && s.time.job.outcome == "" && p.advice.free > 0 && p.advice.choices < choicesPerPlan &&
+	return s.time.job.queue.Advice != nil && s.time.job.outcome == "" && p.advice.advisers.Free() > 0 && p.advice.choices < choicesPerPlan &&
 		!s.advice.awaits(now) && now >= s.advice.notBefore
 }
 
@@ -209,10 +153,10 @@
 func (p *Pool) call(s *step, named []WorkerID, known, longAtOnce int, now clock.Time, out *Actions) {
 	q := s.time.job.queue
 	cost := q.Advice.Of(len(named))
-	if p.advice.free == 0 || cost >= longAsk && p.advice.long >= longAtOnce {
+	if p.advice.advisers.Free() == 0 || cost >= longAsk && p.advice.long >= longAtOnce {
 		return
 	}
-	adviser := p.idleAdviser()
+	adviser := p.advice.advisers.Take()
 	p.advice.last++
 	a := &pendingAsk{step: s, known: known, sentAt: now, cost: cost, queue: q.Name, ask: Ask{
 		Number: p.advice.last, Step: s.id(), Workers: named, Adviser: adviser, Limit: cost + cost/2 + askSlack,
@@ -220,7 +164,6 @@
 	if cost >= longAsk {
 		p.advice.long++
 	}
-	p.advice.setIdle(adviser, false)
 	p.advice.asks[a.ask.Number] = a
 	s.advice.pending = append(s.advice.pending, a)
 	out.Asks = append(out.Asks, a.ask)
@@ -228,17 +171,6 @@
 		"workers=%d known=%d waiting=%d by=%s cost_ms=%d", len(named), known, s.waiting(), adviser, cost.Milliseconds())})
 }
 
-// idleAdviser is the first by name of those that are free; there is one.
-func (p *Pool) idleAdviser() string {
-	best := ""
-	for name, idle := range p.advice.idle {
-		if idle && (best == "" || name < best) {
-			best = name
-		}
-	}
-	return best
-}
-
 // AdviceAnswered takes in the answer of a call for advice, or that it failed.
 func (p *Pool) AdviceAnswered(number int64, tickets []Ticket, ok bool, now clock.Time) {
 	a, known := p.advice.asks[number]
@@ -246,7 +178,7 @@
 		return
 	}
 	delete(p.advice.asks, number)
-	p.advice.answered(a.ask.Adviser, ok, now)
+	p.advice.advisers.Answered(a.ask.Adviser, ok, now)
 	if a.cost >= longAsk {
 		p.advice.long--
 	}
@@ -319,7 +251,7 @@
 func (p *Pool) expireAsks(now clock.Time) {
 	const grace = 500 * time.Millisecond
 	p.advice.choices = 0
-	p.advice.endRests(now)
+	p.advice.advisers.EndRests(now)
 	for n, a := range p.advice.asks {
 		if now.Sub(a.sentAt) > a.ask.Limit+grace {
 			p.AdviceAnswered(n, nil, false, now)
--- a/pkg/dispatch/advice_test.go
+++ b/pkg/dispatch/advice_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/job"
 	"foldarch.dev/foldarch/pkg/queue"
 	. "github.com/onsi/gomega"
@@ -138,30 +137,3 @@
 	f.Expect(asks).To(HaveLen(1))
 	f.Expect(asks[0].Adviser).To(Equal("other"))
 }
-
-func TestProcessWhoseCallsFailRestsLongerEachTime(t *testing.T) {
-	g := NewWithT(t)
-	a := newAdvisers()
-	a.setIdle("host", true)
-	now := clock.Time(1000)
-	fail := func() time.Duration {
-		a.setIdle("host", false)
-		a.answered("host", false, now)
-		failedAt := now
-		for a.free == 0 {
-			now = now.Add(10 * time.Millisecond)
-			a.endRests(now)
-		}
-		return now.Sub(failedAt)
-	}
-	g.Expect(fail()).To(Equal(firstRest))
-	g.Expect(fail()).To(Equal(2 * firstRest))
-	for range 100 {
-		fail()
-	}
-	g.Expect(fail()).To(Equal(firstRest << mostDoublings))
-	a.setIdle("host", false)
-	a.answered("host", true, now)
-	g.Expect(a.free).To(Equal(1))
-	g.Expect(fail()).To(Equal(firstRest), "a success ends the series")
-}
--- a/pkg/dispatch/explain.go
+++ b/pkg/dispatch/explain.go
@@ -99,7 +99,7 @@
 	case len(p.candidates(s, newReservations(), now)) > 0:
 		return "its turn"
 	case s.time.job.queue.Advice != nil && len(s.advice.good) == 0:
-		return fmt.Sprintf("a call for advice (%d of %d hosts are free)", p.advice.free, len(p.advice.idle))
+		return fmt.Sprintf("a call for advice (%d of %d hosts are free)", p.advice.advisers.Free(), p.advice.advisers.Joined())
 	}
 	eligible := 0
 	for _, w := range p.workers {
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -64,7 +64,7 @@
 	ready    map[*step]struct{} // steps whose turn has come and that have waiting tasks
 	timed    map[*jobState]struct{}
 	dirty    map[*jobState]struct{}
-	advice   advisers
+	advice   adviceCalls
 	stops    []*run
 	settles  []*worker
 	paces    []*run
@@ -96,7 +96,7 @@
 		cfg: cfg, takeover: newTakeover(cfg, now),
 		jobs: map[job.ID]*jobState{}, accounts: map[string]*account.Account{}, outcomes: newOutcomes(), workers: map[WorkerID]*worker{}, lineages: map[string]*lineage{}, configured: map[string]bool{},
 		ready: map[*step]struct{}{}, timed: map[*jobState]struct{}{}, dirty: map[*jobState]struct{}{},
-		advice: newAdvisers(), loads: map[string]*poolLoad{}, parting: map[WorkerID]WorkerInfo{}, lastCrashAt: map[netip.AddrPort]clock.Time{}, createdAt: now,
+		advice: newAdviceCalls(), loads: map[string]*poolLoad{}, parting: map[WorkerID]WorkerInfo{}, lastCrashAt: map[netip.AddrPort]clock.Time{}, createdAt: now,
 	}
 	p.cfg.Log = func(e Event) {
 		e.Customer = p.customerOf(e)
--- a/pkg/dispatch/refusals.go
+++ b/pkg/dispatch/refusals.go
@@ -37,7 +37,7 @@
 // Refusals lists the queues that should take in no jobs now, in the order of the configuration. While former owners' runs are looked for,
 // nobody knows what is owed, and shortly before that nobody knows who makes calls.
 func (p *Pool) Refusals(now clock.Time) []Refusal {
-	advisers := p.advice.working(now)
+	advisers := p.advice.advisers.Working(now)
 	if p.config == nil || !p.loaded || p.takeover.pending || advisers == 0 || now.Sub(p.createdAt) < joinTime {
 		return nil
 	}
@@ -60,17 +60,6 @@
 	return out
 }
 
-// working counts the processes that make calls, or can.
-func (a *advisers) working(now clock.Time) int {
-	n := len(a.idle)
-	for _, r := range a.resting {
-		if r.until > now {
-			n--
-		}
-	}
-	return n
-}
-
 // adviceOwed sums up by priority the time of the calls for advice that accepted jobs still need.
 func (p *Pool) adviceOwed() map[int]time.Duration {
 	owed := map[int]time.Duration{}
@@ -101,7 +90,7 @@
 }
 
 // spentRatio is how much more than one round the calls for a step of a queue have taken.
-func (a *advisers) spentRatio(queueName string) float64 {
+func (a *adviceCalls) spentRatio(queueName string) float64 {
 	if r, known := a.spent[queueName]; known {
 		return r
 	}
--- a/pkg/dispatch/starving.go
+++ b/pkg/dispatch/starving.go
@@ -22,7 +22,7 @@
 // processes that make calls don't serve the first steps only. Those go first that have waited longest in
 // proportion to the time that a call takes (highest response ratio next, Brinch Hansen 1971).
 func (p *Pool) askForStarving(ordered []*step, reserved *reservations, now clock.Time, out *Actions) {
-	if p.advice.free == 0 || p.without(StarvingFirst) {
+	if p.advice.advisers.Free() == 0 || p.without(StarvingFirst) {
 		return
 	}
 	var starving []*step
@@ -33,7 +33,7 @@
 	}
 	slices.SortStableFunc(starving, func(a, b *step) int { return cmp.Compare(b.responseRatio(now), a.responseRatio(now)) })
 	for _, s := range starving {
-		if p.advice.free == 0 {
+		if p.advice.advisers.Free() == 0 {
 			return
 		}
 		p.ask(s, p.longAtOnce()+longForStarving, reserved, now, out)
--- a/pkg/dispatch/status.go
+++ b/pkg/dispatch/status.go
@@ -46,10 +46,6 @@
 	for step := range p.ready {
 		s.Waiting += step.waiting()
 	}
-	for _, idle := range p.advice.idle {
-		if idle {
-			s.Advisers++
-		}
-	}
+	s.Advisers = p.advice.advisers.Free()
 	return s
 }
