What the answers of calls for advice tell of queues is kept in package advice

advice.Rates has the shares of allowed workers, advice.Rounds how many rounds of calls steps take, and OneRound what one takes; they move from pkg/dispatch (advice.go, naming.go, refusals.go). The least rate, 0.05, gets a name. No change of behaviour.

--- /dev/null
+++ b/pkg/advice/rates_test.go
@@ -0,0 +1,21 @@
+package advice
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestRateFollowsTheAnswers(t *testing.T) {
+	g, r := NewWithT(t), Rates{}
+	g.Expect(r.Of("q")).To(Equal(firstRate))
+	r.Learn("q", 20, 20)
+	g.Expect(r.Of("q")).To(BeNumerically("~", 0.575, 1e-9))
+	r.Learn("q", 0, 2)
+	g.Expect(r.Of("q")).To(BeNumerically("~", 0.575*0.985, 1e-9), "a small part tells less")
+	for range 100 {
+		r.Learn("q", 0, 100)
+	}
+	g.Expect(r.Of("q")).To(Equal(leastRate))
+	g.Expect(r.Of("other")).To(Equal(firstRate))
+}
--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -31,12 +31,6 @@
 	// nameAgain is the pause after there was nobody to be named in a call, in parts of the fixed time of a
 	// call: choosing goes over all workers, and the pause delays the answer by that part at most.
 	nameAgain = 0.125
-	// firstRate is the share of allowed workers that is assumed of a queue at first.
-	firstRate = 0.5
-	// rateWeight is the weight of a new answer in a queue's rate, if it tells of rateSample workers or more. A
-	// small part of a call tells less: of 8 workers with a rate of 0.3, the share in an answer is off by 0.16.
-	rateWeight = 0.15
-	rateSample = 20
 )
 
 // stepAdvice is what is known of the workers that may run a step. Which ones may does not
@@ -73,15 +67,14 @@
 	asks     map[int64]*pendingAsk
 	last     int64 // number of a call
 	long     int   // how many of them are long (longAsk)
-	rates    map[string]float64
-	// spent is how much more than one round the calls for a step have taken, by queue (spentRatio).
-	spent   map[string]float64
-	offset  int // shifts which of like workers are named
-	choices int // of workers to be named, in this plan
+	rates    advice.Rates
+	rounds   advice.Rounds
+	offset   int // shifts which of like workers are named
+	choices  int // of workers to be named, in this plan
 }
 
 func newAdviceCalls() adviceCalls {
-	return adviceCalls{advisers: advice.NewAdvisers(), asks: map[int64]*pendingAsk{}, rates: map[string]float64{}, spent: map[string]float64{}}
+	return adviceCalls{advisers: advice.NewAdvisers(), asks: map[int64]*pendingAsk{}, rates: advice.Rates{}, rounds: advice.Rounds{}}
 }
 
 // longAtOnce is how many long calls may be on their way.
@@ -212,9 +205,7 @@
 			allowed++
 		}
 	}
-	share := float64(allowed) / float64(len(fresh))
-	weight := rateWeight * min(float64(len(fresh))/rateSample, 1)
-	p.advice.rates[a.queue] = p.rate(a.queue)*(1-weight) + share*weight
+	p.advice.rates.Learn(a.queue, allowed, len(fresh))
 }
 
 // learn keeps what a call told. The tickets hold from when the service gave them, which it
--- a/pkg/dispatch/naming.go
+++ b/pkg/dispatch/naming.go
@@ -29,7 +29,7 @@
 	if need <= 0 {
 		return nil, 0
 	}
-	enough := roomEnough * need / p.rate(s.time.job.queue.Name)
+	enough := roomEnough * need / p.advice.rates.Of(s.time.job.queue.Name)
 	others, full := p.otherWorkers(s, reserved, enough, s.spec.Gang || waiting > fewTasks, now)
 	if s.spec.Gang && totalRoom(known)+totalRoom(others) < need {
 		known, others = nil, nil // there is no room for all members, whoever is allowed
@@ -46,7 +46,7 @@
 // countOthers is how many of the workers, in their order, calls name beside the known ones, and the
 // probability that they suffice.
 func (p *Pool) countOthers(s *step, others []roomy, need float64, calls advice.Prices, known int) (n int, suffices float64) {
-	rate := p.rate(s.time.job.queue.Name)
+	rate := p.advice.rates.Of(s.time.job.queue.Name)
 	if p.without(NamingByCost) {
 		return advice.JustEnough(roomsOf(others), need/rate, calls.MostNamed()-known), 1
 	}
@@ -79,7 +79,7 @@
 		}
 		out = append(out, w.info.ID)
 		budget -= q.Advice.PerWorker
-		missing -= p.rate(q.Name) * float64(roomWhenEmpty(s, w))
+		missing -= p.advice.rates.Of(q.Name) * float64(roomWhenEmpty(s, w))
 	}
 	return out
 }
@@ -243,10 +243,3 @@
 	}
 	return float64(room)
 }
-
-func (p *Pool) rate(queueName string) float64 {
-	if r, ok := p.advice.rates[queueName]; ok {
-		return max(r, 0.05)
-	}
-	return firstRate
-}
--- a/pkg/dispatch/refusals.go
+++ b/pkg/dispatch/refusals.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -23,8 +22,6 @@
 	// joinTime is how long the hosts may take to join a new owner. Before that it knows of few that make calls: one refused a job for 49 s, with 147
 	// hosts about to join.
 	joinTime = 5 * time.Second
-	// spentWeight is the weight of a new step in what a queue's steps take of calls.
-	spentWeight = 0.1
 )
 
 // Refusal says that a queue takes in no jobs for now.
@@ -78,23 +75,12 @@
 
 // adviceNeed is what the calls are expected to take for a number of tasks.
 func (p *Pool) adviceNeed(q *queue.Queue, tasks int) time.Duration {
-	return time.Duration(p.advice.spentRatio(q.Name) * float64(p.oneRound(q, tasks)))
+	return time.Duration(p.advice.rounds.Of(q.Name) * float64(p.oneRound(q, tasks)))
 }
 
 // oneRound is what the calls take that name just as many workers as a number of tasks needs, with one task on each.
 func (p *Pool) oneRound(q *queue.Queue, tasks int) time.Duration {
-	workers := max(int(math.Ceil(float64(tasks)/p.rate(q.Name))), 1)
-	workers = min(workers, max(p.load(q.Pool).workers, 1))
-	calls := (workers + advice.MaxNamed - 1) / advice.MaxNamed
-	return time.Duration(calls)*q.Advice.Base + time.Duration(workers)*q.Advice.PerWorker
-}
-
-// spentRatio is how much more than one round the calls for a step of a queue have taken.
-func (a *adviceCalls) spentRatio(queueName string) float64 {
-	if r, known := a.spent[queueName]; known {
-		return r
-	}
-	return 1
+	return advice.OneRound(*q.Advice, tasks, p.advice.rates.Of(q.Name), p.load(q.Pool).workers)
 }
 
 // learnSpent takes in what the calls for a step took that has finished.
@@ -103,8 +89,7 @@
 	if q.Advice == nil || s.advice.spent == 0 {
 		return
 	}
-	ratio := float64(s.advice.spent) / float64(max(p.oneRound(q, len(s.tasks)), time.Millisecond))
-	p.advice.spent[q.Name] = p.advice.spentRatio(q.Name)*(1-spentWeight) + ratio*spentWeight
+	p.advice.rounds.Learn(q.Name, s.advice.spent, p.oneRound(q, len(s.tasks)))
 }
 
 // SameQueues says whether two lists refuse the jobs of the same queues.
