--- a/pkg/dispatch/doc.go
+++ b/pkg/dispatch/doc.go
@@ -41,6 +41,7 @@
 //
 // Rules that depend on figures, and not on jobs and workers, stand in packages that know nothing of this one:
 //
+//   - admission: which queues take in no jobs for now (refusals.go sums up what is owed)
 //   - advice: what calls for advice cost, how many workers they name, who makes them, and what their
 //     answers tell of queues (advice.go and naming.go find the workers and keep the tickets)
 //   - account: what a customer has running, and how much more its quota lets it start (quota.go, unheard.go, beyond.go book and ask)
--- a/pkg/dispatch/refusals_test.go
+++ b/pkg/dispatch/refusals_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"foldarch.dev/foldarch/pkg/admission"
 	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/job"
@@ -106,7 +107,7 @@
 		if l.rand.Float64() >= q.perS*l.now.Sub(l.last).Seconds() {
 			continue
 		}
-		if heeded && slices.ContainsFunc(refusals, func(r Refusal) bool { return r.Queue == q.queue.Name }) {
+		if heeded && slices.ContainsFunc(refusals, func(r admission.Refusal) bool { return r.Queue == q.queue.Name }) {
 			l.refused++
 			continue
 		}
@@ -196,7 +197,7 @@
 // An owner that knows what it needs to: 20 calls of 0.7 s wait for one process.
 func owesAdvice(t *testing.T) *fixture {
 	f := newFixture(t, 2, nil)
-	f.pass(joinTime)
+	f.pass(admission.JoinTime)
 	f.reportAll(2)
 	f.pool.PutAdviser("a")
 	long, short := adviceJob("0", 1, 700*time.Millisecond).Queue, adviceJob("0", 0, time.Millisecond).Queue
@@ -216,7 +217,7 @@
 	f.Expect(refusals).To(HaveLen(1), "calls of higher priority go before, and a queue without advice needs none")
 	f.Expect(refusals[0].Queue).To(Equal("long"))
 	f.Expect(refusals[0].Wait).To(Equal(20 * 700 * time.Millisecond))
-	f.Expect(refusals[0].RetryAfter).To(Equal(refusals[0].Wait - mostAdviceWait))
+	f.Expect(refusals[0].RetryAfter).To(Equal(refusals[0].Wait - admission.MostAdviceWait))
 	f.pool.PutAdviser("b")
 	f.Expect(f.pool.Refusals(f.now)).To(BeEmpty(), "two processes get through it")
 }
@@ -258,7 +259,7 @@
 		r.Queue = f.pool.jobs["0"].queue
 		f.add(r)
 	}
-	f.Expect(f.pool.Refusals(f.now)[0].RetryAfter).To(Equal(mostAdviceWait))
-	f.pool.createdAt = f.now.Add(-joinTime + time.Millisecond)
+	f.Expect(f.pool.Refusals(f.now)[0].RetryAfter).To(Equal(admission.MostAdviceWait))
+	f.pool.createdAt = f.now.Add(-admission.JoinTime + time.Millisecond)
 	f.Expect(f.pool.Refusals(f.now)).To(BeEmpty())
 }
--- a/pkg/poolowner/refusals.go
+++ b/pkg/poolowner/refusals.go
@@ -1,8 +1,8 @@
 package poolowner
 
 import (
+	"foldarch.dev/foldarch/pkg/admission"
 	"foldarch.dev/foldarch/pkg/clock"
-	"foldarch.dev/foldarch/pkg/dispatch"
 	"foldarch.dev/foldarch/pkg/poolrpc"
 	"foldarch.dev/foldarch/pkg/poolrpc/poolpb"
 	"github.com/sirupsen/logrus"
@@ -11,7 +11,7 @@
 // refusals are the queues that take in no jobs, as worked out at a time and as told to the hosts.
 type refusals struct {
 	at   clock.Time
-	list []dispatch.Refusal
+	list []admission.Refusal
 	told []*poolpb.Refusal
 }
 
@@ -29,7 +29,7 @@
 		return o.refusals.told
 	}
 	list := o.pool.Refusals(now)
-	if !dispatch.SameQueues(list, o.refusals.list) {
+	if !admission.SameQueues(list, o.refusals.list) {
 		o.logRefusals(list)
 	}
 	o.refusals = refusals{at: now, list: list}
@@ -40,7 +40,7 @@
 }
 
 // logRefusals tells which queues take in no jobs from now on, and why.
-func (o *Owner) logRefusals(list []dispatch.Refusal) {
+func (o *Owner) logRefusals(list []admission.Refusal) {
 	if len(list) == 0 {
 		o.deps.Log.Info("queues_take_in_again")
 		return
