What the end of a step is still worth, and the order by that, are a package of their own

The standings, the latest start and the comparison of steps move from pkg/dispatch/order.go to pkg/worth, which takes times and flags in place of a step. dispatch keeps which steps are ready and goes through them. No change of behaviour.

--- a/pkg/dispatch/lasting_test.go
+++ b/pkg/dispatch/lasting_test.go
@@ -6,6 +6,7 @@
 
 	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/worth"
 	. "github.com/onsi/gomega"
 )
 
@@ -143,7 +144,7 @@
 			}
 			f.add(testJob("a", servingStep(1)))
 			f.Expect(f.plan().Stops).To(BeEmpty())
-			f.pass(overdueAfter)
+			f.pass(worth.OverdueAfter)
 			f.report(0, Report{Active: activeRows(f)})
 			f.Expect(f.plan().Stops).NotTo(BeEmpty())
 		})
--- a/pkg/dispatch/pool_test.go
+++ b/pkg/dispatch/pool_test.go
@@ -10,6 +10,7 @@
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/job"
 	"foldarch.dev/foldarch/pkg/queue"
+	"foldarch.dev/foldarch/pkg/worth"
 	. "github.com/onsi/gomega"
 )
 
@@ -263,7 +264,7 @@
 	f.pass(time.Minute)
 	f.plan()
 	f.Expect(j.times[1].objective.Sub(first)).To(BeNumerically("~", time.Minute, 10*time.Millisecond))
-	f.Expect(j.times[1].steps[0].standing(f.now)).To(Equal(inTime))
+	f.Expect(j.times[1].steps[0].standing(f.now)).To(Equal(worth.InTime))
 }
 
 func TestOutcomesAreKeptForTheirTime(t *testing.T) {
--- a/pkg/dispatch/preempt.go
+++ b/pkg/dispatch/preempt.go
@@ -8,6 +8,7 @@
 
 	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/worth"
 )
 
 const (
@@ -77,7 +78,7 @@
 	var stops []*run
 	for ; need > 0; need-- {
 		best, found := cheapestOption(s, options, now)
-		if !found || s.standing(now) != overdue && best.lost > limit {
+		if !found || s.standing(now) != worth.Overdue && best.lost > limit {
 			break
 		}
 		stops = append(stops, best.take(s)...)
@@ -182,7 +183,7 @@
 	if r.state != runActive || r.stopAsked || r.task.current != r || s.spec.LongRunning {
 		return false
 	}
-	if waiting.standing(now) == overdue {
+	if waiting.standing(now) == worth.Overdue {
 		return true
 	}
 	if s.time.job.queue.Priority <= waiting.time.job.queue.Priority || s.spec.Gang {
--- a/pkg/dispatch/quota.go
+++ b/pkg/dispatch/quota.go
@@ -6,6 +6,7 @@
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/customer"
 	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/worth"
 )
 
 // A customer has no more running, on all workers together, than its quota (package account). What counts is what counts against the room of
@@ -88,7 +89,7 @@
 // holdQuota keeps the room in its customer's quota that comes for a gang that is in time, from later steps: a gang never finds
 // enough at once while each end makes room for a smaller step.
 func (p *Pool) holdQuota(s *step, now clock.Time) {
-	if s.spec.Gang && s.standing(now) <= inTime {
+	if s.spec.Gang && s.standing(now) <= worth.InTime {
 		p.account(s.time.job).Promise(s.spec.AtOnce())
 	}
 }
--- a/pkg/dispatch/reserve.go
+++ b/pkg/dispatch/reserve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/worth"
 )
 
 const (
@@ -67,12 +68,12 @@
 	standing, priority := s.standing(now), s.time.job.queue.Priority
 	gangs := r.ofGangs(s.time.job.queue.Pool)
 	switch {
-	case s.spec.Gang && standing == worthless:
+	case s.spec.Gang && standing == worth.Worthless:
 		if gangs.worthless < gangsAtOnce {
 			gangs.worthless++
 			p.reserveGang(s, r, beforeAll, now)
 		}
-	case standing <= inTime:
+	case standing <= worth.InTime:
 		if s.spec.Gang {
 			p.reserveGang(s, r, priority-1, now)
 		}
--- a/pkg/dispatch/starving.go
+++ b/pkg/dispatch/starving.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/worth"
 )
 
 // starvingAfter is how long a step of a job of which nothing runs may wait for a call for advice before
@@ -47,7 +48,7 @@
 	if s.time.job.queue.Advice == nil || now.Sub(s.unadvisedSince()) <= starvingAfter {
 		return false
 	}
-	if s.standing(now) == overdue {
+	if s.standing(now) == worth.Overdue {
 		return true
 	}
 	return !s.time.job.running() && (!p.load(s.time.job.queue.Pool).isWellUsed() || p.without(StarvingTakeTurns))
@@ -61,7 +62,7 @@
 // responseRatio is how long a step has waited for a call for advice, in parts of the time of a call. A
 // task that lasts and is overdue comes first.
 func (s *step) responseRatio(now clock.Time) float64 {
-	if s.standing(now) == overdue {
+	if s.standing(now) == worth.Overdue {
 		return math.Inf(1)
 	}
 	return float64(now.Sub(s.unadvisedSince())) / float64(max(s.time.job.queue.Advice.Of(1), time.Millisecond))
--- a/pkg/dispatch/starving_test.go
+++ b/pkg/dispatch/starving_test.go
@@ -6,6 +6,7 @@
 
 	"foldarch.dev/foldarch/pkg/job"
 	"foldarch.dev/foldarch/pkg/queue"
+	"foldarch.dev/foldarch/pkg/worth"
 	. "github.com/onsi/gomega"
 )
 
@@ -59,7 +60,7 @@
 	r := adviceJob("lasts", 3, 600*time.Millisecond)
 	r.Job.Steps = []job.Step{servingStep(1)}
 	f.add(r)
-	f.pass(overdueAfter + 50*time.Millisecond)
+	f.pass(worth.OverdueAfter + 50*time.Millisecond)
 	f.reportAll(4)
 	f.Expect(f.asked()).To(Equal([]job.ID{"lasts"}))
 }
--- /dev/null
+++ b/pkg/worth/worth_test.go
@@ -0,0 +1,57 @@
+package worth
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	. "github.com/onsi/gomega"
+)
+
+func TestStanding(t *testing.T) {
+	const objective, latest = clock.Time(10_000), clock.Time(30_000)
+	batch := Work{Objective: objective, Latest: latest, ReadySince: 1}
+	beyond, lasts, both := batch, batch, batch
+	beyond.Beyond, lasts.Lasts = true, true
+	both.Beyond, both.Lasts = true, true
+	for name, test := range map[string]struct {
+		work Work
+		now  clock.Time
+		want Standing
+	}{
+		"in time":                        {batch, objective, InTime},
+		"late":                           {batch, objective + 1, Late},
+		"late at the end":                {batch, latest, Late},
+		"too late":                       {batch, latest + 1, Worthless},
+		"beyond and in time":             {beyond, objective, Beyond},
+		"beyond and late":                {beyond, latest, Beyond},
+		"beyond and too late":            {beyond, latest + 1, Worthless},
+		"lasts":                          {lasts, lasts.ReadySince.Add(OverdueAfter), InTime},
+		"lasts and was away":             {lasts, lasts.ReadySince.Add(OverdueAfter + time.Millisecond), Overdue},
+		"lasts and was away, beyond":     {both, latest + 1, Overdue},
+		"lasts, and beyond is no matter": {both, both.ReadySince, InTime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			NewWithT(t).Expect(test.work.Standing(test.now)).To(Equal(test.want))
+		})
+	}
+}
+
+func TestLatestStart(t *testing.T) {
+	g := NewWithT(t)
+	w := Work{Objective: 1000, Chain: 300 * time.Millisecond, ReadySince: 5}
+	g.Expect(w.LatestStart()).To(Equal(clock.Time(1000).Add(-300 * time.Millisecond)))
+	w.Lasts = true
+	g.Expect(w.LatestStart()).To(Equal(clock.Time(5)))
+}
+
+func TestOrder(t *testing.T) {
+	want := []Place{
+		{Overdue, 3, 9, 9}, {InTime, 0, 5, 1}, {InTime, 0, 6, 2}, {InTime, 0, 6, 3}, {InTime, 1, 1, 0}, {Late, 0, 0, 4}, {Beyond, 0, 0, 5}, {Worthless, 0, 0, 6},
+	}
+	got := slices.Clone(want)
+	slices.Reverse(got)
+	slices.SortFunc(got, Place.Compare)
+	NewWithT(t).Expect(got).To(Equal(want))
+}
