How fast tasks go that fill what others leave is decided in a package of its own

The control law moves from pkg/dispatch/pace.go to pkg/pace: pace.Control takes the worst tail on a worker and gives a Change, which turns a present pace into the next one. dispatch keeps whose tails and paces, and the orders. No change of behaviour.

go test ./pkg/dispatch ./pkg/poolowner: the nine tests of KNOWN-RED.txt fail before and after, all others pass.

--- a/pkg/dispatch/doc.go
+++ b/pkg/dispatch/doc.go
@@ -44,6 +44,7 @@
 //   - admission: which queues take in no jobs for now (refusals.go sums up what is owed)
 //   - advice: what calls for advice cost, how many workers they name, who makes them, and what their
 //     answers tell of queues (advice.go and naming.go find the workers and keep the tickets)
+//   - pace: how fast tasks go that fill what others leave (pace.go has the runs)
 //   - worth: what the end of a step is still worth, and the order of steps by that (order.go)
 //   - account: what a customer has running, and how much more its quota lets it start (quota.go, unheard.go, beyond.go book and ask)
 //
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -10,6 +10,7 @@
 	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/pace"
 )
 
 const (
@@ -87,7 +88,7 @@
 	seen  int64 // highest number of an end taken in
 	noted int64 // highest number whose job changes are committed
 
-	pacing    pacing
+	pacing    pace.Control
 	suspended clock.Time // not to be given tasks before
 	failures  int        // in a row
 	failedJob job.ID     // of the last failure
