When a job should have ended is worked out in package worth

The sums over the chains of steps, the objective and the last moment at which a late end is worth something move from pkg/dispatch/jobs.go to pkg/worth (Chains, Deadlines). No change of behaviour.

--- a/pkg/dispatch/jobs.go
+++ b/pkg/dispatch/jobs.go
@@ -10,6 +10,7 @@
 	"foldarch.dev/foldarch/pkg/customer"
 	"foldarch.dev/foldarch/pkg/job"
 	"foldarch.dev/foldarch/pkg/queue"
+	"foldarch.dev/foldarch/pkg/worth"
 )
 
 // jobState is what the owner knows of a job that has not ended, or whose end is not
@@ -174,18 +175,13 @@
 	return s.done == len(s.tasks)
 }
 
-// lateFactor times the objective is the last moment at which a late end is worth something.
-const lateFactor = 3
-
 // adviceWorkers is how many workers a call for advice names in a job's objective.
 const adviceWorkers = 30
 
 // setObjective gives a time its objective, counted from when it began to wait.
 func (t *timeState) setObjective(from clock.Time) {
-	longest := slices.Max(t.job.chains)
-	span := time.Duration(float64(longest)*max(t.job.queue.Extension, 1)) + t.job.queue.TargetLatency
-	t.objective = from.Add(span)
-	t.latest = from.Add(lateFactor * span)
+	q := &t.job.queue
+	t.objective, t.latest = worth.Deadlines(from, slices.Max(t.job.chains), q.Extension, q.TargetLatency)
 }
 
 // dueAt is when a time begins to wait, by the steady clock.
@@ -198,17 +194,9 @@
 
 // chains returns for each step the estimated time from its start to the end of the job.
 func chains(j *jobState) []time.Duration {
-	out := make([]time.Duration, len(j.job.Steps))
-	for i := len(j.job.Steps) - 1; i >= 0; i-- {
-		s := &j.job.Steps[i]
-		own := s.Estimate
-		if j.queue.Advice != nil {
-			own += j.queue.Advice.Of(adviceWorkers)
-		}
-		out[i] += own
-		for _, a := range s.After {
-			out[a] = max(out[a], out[i])
-		}
+	var call time.Duration
+	if j.queue.Advice != nil {
+		call = j.queue.Advice.Of(adviceWorkers)
 	}
-	return out
+	return worth.Chains(j.job.Steps, call)
 }
--- a/pkg/worth/doc.go
+++ b/pkg/worth/doc.go
@@ -4,12 +4,16 @@
 // what is worth nothing any more; among equals priority decides, then the latest moment at which a step may begin for its job to end in time.
 // A step whose tasks last, and that has been away for too long, goes before all.
 //
-// The package knows neither jobs nor workers. Package dispatch has the steps and goes through them in this order; how a job is beyond its
-// customer's weight is decided by package customer.
+// When a job should have ended follows from its steps' estimates and its queue (Chains, Deadlines).
+//
+// The package knows nothing of what runs, and of workers. Package dispatch has the steps and goes through them in this order; whether a job is
+// beyond its customer's weight is decided by package customer.
 //
 // # Usage
 //
-//	w := worth.Work{Objective: at.Add(2 * time.Second), Latest: at.Add(6 * time.Second), Chain: time.Second}
+//	chains := worth.Chains([]job.Step{{Estimate: time.Second}}, 0)       // 1 s
+//	objective, latest := worth.Deadlines(at, slices.Max(chains), 2, 0) // at + 2 s and at + 6 s
+//	w := worth.Work{Objective: objective, Latest: latest, Chain: chains[0]}
 //	w.LatestStart()                  // at + 1 s
 //	w.Standing(at.Add(time.Second))  // InTime
 //	w.Standing(at.Add(3 * time.Second)) // Late
