--- a/pkg/dispatch/advice_test.go
+++ b/pkg/dispatch/advice_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/job"
 	"foldarch.dev/foldarch/pkg/queue"
 	. "github.com/onsi/gomega"
@@ -124,18 +123,6 @@
 	f.Expect(second.Workers).To(ContainElement(workerID(6)))
 }
 
-func TestAtLeast(t *testing.T) {
-	for _, c := range []struct {
-		k, n int
-		rate float64
-		want float64
-	}{
-		{0, 3, 0.5, 1}, {1, 1, 0.3, 0.3}, {2, 2, 0.5, 0.25}, {1, 2, 0.5, 0.75}, {3, 2, 0.9, 0}, {2, 3, 1, 1},
-	} {
-		NewWithT(t).Expect(atLeast(c.k, c.n, c.rate)).To(BeNumerically("~", c.want, 1e-9), "%+v", c)
-	}
-}
-
 func TestCallOfAHostThatLeftIsMadeAnew(t *testing.T) {
 	f := newFixture(t, 1, nil)
 	f.reportAll(1)
@@ -150,30 +137,3 @@
 	f.Expect(asks).To(HaveLen(1))
 	f.Expect(asks[0].Adviser).To(Equal("other"))
 }
-
-func TestProcessWhoseCallsFailRestsLongerEachTime(t *testing.T) {
-	g := NewWithT(t)
-	a := newAdvisers()
-	a.setIdle("host", true)
-	now := clock.Time(1000)
-	fail := func() time.Duration {
-		a.setIdle("host", false)
-		a.answered("host", false, now)
-		failedAt := now
-		for a.free == 0 {
-			now = now.Add(10 * time.Millisecond)
-			a.endRests(now)
-		}
-		return now.Sub(failedAt)
-	}
-	g.Expect(fail()).To(Equal(firstRest))
-	g.Expect(fail()).To(Equal(2 * firstRest))
-	for range 100 {
-		fail()
-	}
-	g.Expect(fail()).To(Equal(firstRest << mostDoublings))
-	a.setIdle("host", false)
-	a.answered("host", true, now)
-	g.Expect(a.free).To(Equal(1))
-	g.Expect(fail()).To(Equal(firstRest), "a success ends the series")
-}
--- a/pkg/dispatch/doc.go
+++ b/pkg/dispatch/doc.go
@@ -37,6 +37,17 @@
 // advice (naming.go, advice.go), which steps that starve get first (starving.go). Sums are kept for
 // each pool (load.go), and ends are foreseen by progress (predict.go).
 //
+// # Packages below
+//
+// Rules that depend on figures, and not on jobs and workers, stand in packages that know nothing of this one:
+//
+//   - admission: which queues take in no jobs for now (refusals.go sums up what is owed)
+//   - advice: what calls for advice cost, how many workers they name, who makes them, and what their
+//     answers tell of queues (advice.go and naming.go find the workers and keep the tickets)
+//   - pace: how fast tasks go that fill what others leave (pace.go has the runs)
+//   - worth: what the end of a step is still worth, and the order of steps by that (order.go)
+//   - account: what a customer has running, and how much more its quota lets it start (quota.go, unheard.go, beyond.go book and ask)
+//
 // # Usage
 //
 //	p := dispatch.New(cfg)
--- a/pkg/dispatch/explain.go
+++ b/pkg/dispatch/explain.go
@@ -91,7 +91,7 @@
 		return ""
 	case p.awaitsQuota(s):
 		a := p.account(s.time.job)
-		return fmt.Sprintf("its customer's quota: %s runs, and %s may", a.used, a.customer.Quota)
+		return fmt.Sprintf("its customer's quota: %s runs, and %s may", a.Used(), a.Customer().Quota)
 	case s.held(now):
 		return "a start to be proven, since a worker crashed under one of its tasks"
 	case len(s.advice.pending) > 0:
@@ -99,7 +99,7 @@
 	case len(p.candidates(s, newReservations(), now)) > 0:
 		return "its turn"
 	case s.time.job.queue.Advice != nil && len(s.advice.good) == 0:
-		return fmt.Sprintf("a call for advice (%d of %d hosts are free)", p.advice.free, len(p.advice.idle))
+		return fmt.Sprintf("a call for advice (%d of %d hosts are free)", p.advice.advisers.Free(), p.advice.advisers.Joined())
 	}
 	eligible := 0
 	for _, w := range p.workers {
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"foldarch.dev/foldarch/pkg/account"
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/job"
 	"foldarch.dev/foldarch/pkg/queue"
@@ -53,8 +54,8 @@
 	// configured are the pools of workers that were named so far.
 	configured map[string]bool
 	jobs       map[job.ID]*jobState
-	accounts   map[string]*account // of customers, by name
-	outcomes   outcomes            // of jobs that have ended and been committed
+	accounts   map[string]*account.Account // of customers, by name
+	outcomes   outcomes                    // of jobs that have ended and been committed
 	// unknown are jobs that workers list and whose records have to be read, and absent those of which the store has none.
 	unknown, absent map[job.ID]struct{}
 	workers         map[WorkerID]*worker
@@ -65,7 +66,7 @@
 	ready    map[*step]struct{} // steps whose turn has come and that have waiting tasks
 	timed    map[*jobState]struct{}
 	dirty    map[*jobState]struct{}
-	advice   advisers
+	advice   adviceCalls
 	stops    []*run
 	settles  []*worker
 	paces    []*run
@@ -95,9 +96,9 @@
 func New(cfg Config, now clock.Time) *Pool {
 	p := &Pool{
 		cfg: cfg, takeover: newTakeover(cfg, now),
-		jobs: map[job.ID]*jobState{}, accounts: map[string]*account{}, outcomes: newOutcomes(), unknown: map[job.ID]struct{}{}, absent: map[job.ID]struct{}{}, workers: map[WorkerID]*worker{}, lineages: map[string]*lineage{}, configured: map[string]bool{},
+		jobs: map[job.ID]*jobState{}, accounts: map[string]*account.Account{}, outcomes: newOutcomes(), unknown: map[job.ID]struct{}{}, absent: map[job.ID]struct{}{}, workers: map[WorkerID]*worker{}, lineages: map[string]*lineage{}, configured: map[string]bool{},
 		ready: map[*step]struct{}{}, timed: map[*jobState]struct{}{}, dirty: map[*jobState]struct{}{},
-		advice: newAdvisers(), loads: map[string]*poolLoad{}, parting: map[WorkerID]WorkerInfo{}, lastCrashAt: map[netip.AddrPort]clock.Time{}, createdAt: now,
+		advice: newAdviceCalls(), loads: map[string]*poolLoad{}, parting: map[WorkerID]WorkerInfo{}, lastCrashAt: map[netip.AddrPort]clock.Time{}, createdAt: now,
 	}
 	p.cfg.Log = func(e Event) {
 		e.Customer = p.customerOf(e)
--- a/pkg/dispatch/starving.go
+++ b/pkg/dispatch/starving.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/worth"
 )
 
 // starvingAfter is how long a step of a job of which nothing runs may wait for a call for advice before
@@ -22,7 +23,7 @@
 // processes that make calls don't serve the first steps only. Those go first that have waited longest in
 // proportion to the time that a call takes (highest response ratio next, Brinch Hansen 1971).
 func (p *Pool) askForStarving(ordered []*step, reserved *reservations, now clock.Time, out *Actions) {
-	if p.advice.free == 0 || p.without(StarvingFirst) {
+	if p.advice.advisers.Free() == 0 || p.without(StarvingFirst) {
 		return
 	}
 	var starving []*step
@@ -33,7 +34,7 @@
 	}
 	slices.SortStableFunc(starving, func(a, b *step) int { return cmp.Compare(b.responseRatio(now), a.responseRatio(now)) })
 	for _, s := range starving {
-		if p.advice.free == 0 {
+		if p.advice.advisers.Free() == 0 {
 			return
 		}
 		p.ask(s, p.longAtOnce()+longForStarving, reserved, now, out)
@@ -47,7 +48,7 @@
 	if s.time.job.queue.Advice == nil || now.Sub(s.unadvisedSince()) <= starvingAfter {
 		return false
 	}
-	if s.standing(now) == overdue {
+	if s.standing(now) == worth.Overdue {
 		return true
 	}
 	return !s.time.job.running() && (!p.load(s.time.job.queue.Pool).isWellUsed() || p.without(StarvingTakeTurns))
@@ -61,7 +62,7 @@
 // responseRatio is how long a step has waited for a call for advice, in parts of the time of a call. A
 // task that lasts and is overdue comes first.
 func (s *step) responseRatio(now clock.Time) float64 {
-	if s.standing(now) == overdue {
+	if s.standing(now) == worth.Overdue {
 		return math.Inf(1)
 	}
 	return float64(now.Sub(s.unadvisedSince())) / float64(max(s.time.job.queue.Advice.Of(1), time.Millisecond))
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -6,9 +6,11 @@
 	"slices"
 	"time"
 
+	"foldarch.dev/foldarch/pkg/account"
 	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/pace"
 )
 
 const (
@@ -69,7 +71,7 @@
 	foreign int // runs there of which nothing is known
 	strange int // of these, runs whose names can't be read
 	// foreignOf are the customers of foreign runs, one for each run.
-	foreignOf []*account
+	foreignOf []*account.Account
 	// unknownRuns are the runs of jobs that may become known, by the last report.
 	unknownRuns []Active
 	// unknownLogged is the last job that was logged as not known when a run of it was listed.
@@ -85,7 +87,7 @@
 	unread []Finished // of these, ends of jobs that may become known, by number
 	noted  int64      // highest number up to which all ends are taken in and the job changes are committed
 
-	pacing    pacing
+	pacing    pace.Control
 	suspended clock.Time // not to be given tasks before
 	failures  int        // in a row
 	failedJob job.ID     // of the last failure
