--- a/pkg/dispatch/history_told_test.go
+++ b/pkg/dispatch/history_former_test.go
@@ -77,7 +77,7 @@
 // hearsOfJobs is the owner that is told of a job: a former one that still gives orders, where hosts tell these, or the present one.
 func (w *world) hearsOfJobs() *modelOwner {
 	for _, o := range w.owners {
-		if w.told && !o.ended && !o.loading && o.until != 0 && w.now < o.until && !o.pool.Fenced() {
+		if w.tellsFormer && !o.ended && !o.loading && o.until != 0 && w.now < o.until && !o.pool.Fenced() {
 			return o
 		}
 	}
@@ -129,17 +129,17 @@
 var toldSeeds = []uint64{85, 98, 150, 358, 560}
 
 func TestPromisesHoldWhenFormerOwnersAreToldOfJobs(t *testing.T) {
-	playSeeds(t, append(slices.Clone(toldSeeds), drawnSeeds(t, all)...), func(w *world) { w.told = true })
+	playSeeds(t, append(slices.Clone(toldSeeds), drawnSeeds(t, all)...), func(w *world) { w.tellsFormer = true })
 }
 
 // Seed 1, for one. A new owner that needs longer to read the jobs than what former owners have started may go on holds the takeover for over
 // before the workers, which it has held on all the time, have told it anything that it takes in. It starts again what has ended there as done.
 func TestPromisesHoldWhenReadingTheJobsTakesLong(t *testing.T) {
-	playDrawn(t, all, func(w *world) { w.told, w.slow = true, true })
+	playDrawn(t, all, func(w *world) { w.tellsFormer, w.slow = true, true })
 }
 
 // An owner that does not know a job whose runs workers list does not know whose they are, and starts others of the same customer beyond its quota. (The
 // logs of all seeds but 412, which was not read, have run_unknown before the starts.)
 func TestQuotasHoldWhenFormerOwnersAreToldOfJobs(t *testing.T) {
-	playSeeds(t, []uint64{61, 85, 320, 331, 412, 588}, func(w *world) { w.told, w.quotas = true, newModelQuotas() })
+	playSeeds(t, []uint64{61, 85, 320, 331, 412, 588}, func(w *world) { w.tellsFormer, w.quotas = true, newModelQuotas() })
 }
--- a/pkg/dispatch/history_test.go
+++ b/pkg/dispatch/history_test.go
@@ -103,8 +103,8 @@
 	quotas *modelQuotas
 	// lost counts the workers that had crashed when an owner counted that against a task.
 	lost map[job.TaskID]int
-	// told says that hosts tell former owners of jobs, and slow that a new owner needs long to read the jobs.
-	told, slow bool
+	// tellsFormer says that hosts tell former owners of jobs, and slow that a new owner needs long to read the jobs.
+	tellsFormer, slow bool
 	// soon says that the owner changes soon after an end, and changing that it is about to.
 	soon, changing bool
 	// troubleUntil is when the last trouble begins.
@@ -220,7 +220,7 @@
 	if w.crashing && w.chance(0.25) {
 		w.crashers[id] = w.rand.IntN(steps[0].Count)
 	}
-	if w.told {
+	if w.tellsFormer {
 		w.findLater(id)
 	}
 	if !o.loading {
@@ -274,7 +274,7 @@
 			w.quotas.raise(w)
 		}
 		if w.handed < w.jobsAtAnyTime() && w.chance(0.02) {
-			if w.told && w.now < calm && w.chance(0.3) {
+			if w.tellsFormer && w.now < calm && w.chance(0.3) {
 				w.elect()
 			}
 			w.handIn()
