--- a/pkg/dispatch/history_call_test.go
+++ b/pkg/dispatch/history_call_test.go
@@ -106,7 +106,10 @@
 	o.holding[id] = w.now.Add(callLimit + pause)
 	w.send(m, relayLimit, func() func() {
 		a, report := w.hold(m, h)
-		return func() { o.pool.HoldAnswered(h, a, report, w.now) }
+		return func() {
+			o.pool.HoldAnswered(h, a, report, w.now)
+			w.holdAnswered(o, id, report)
+		}
 	}, func() {
 		o.pool.HoldFailed(id, w.now)
 		if raise {
--- a/pkg/dispatch/history_owner_test.go
+++ b/pkg/dispatch/history_owner_test.go
@@ -46,6 +46,7 @@
 	}
 	o.pool.SetLoaded()
 	w.note("owner %d elected", w.term)
+	w.elected(o)
 }
 
 // listWorkers has a new owner read the entries and the roster.
--- a/pkg/dispatch/history_soon_test.go
+++ b/pkg/dispatch/history_soon_test.go
@@ -54,7 +54,7 @@
 
 // jobsAtAnyTime is how many jobs are handed in whatever happens.
 func (w *world) jobsAtAnyTime() int {
-	if w.soon {
+	if w.soon || w.told {
 		return soonOthers
 	}
 	return historyJobs
--- a/pkg/dispatch/history_test.go
+++ b/pkg/dispatch/history_test.go
@@ -101,6 +101,8 @@
 	lost map[job.TaskID]int
 	// soon says that the owner changes soon after an end, and changing that it is about to.
 	soon, changing bool
+	// told says that hosts take the former owner for the owner for a while after it has changed (history_told_test.go).
+	told bool
 	// troubleUntil is when the last trouble begins.
 	troubleUntil clock.Time
 	crashers     map[job.ID]int
@@ -152,7 +154,7 @@
 
 // trouble draws what happens at a tick.
 func (w *world) trouble() {
-	if w.chance(0.003) {
+	if w.chance(w.electChance()) {
 		w.elect()
 	}
 	if ids := w.jobs(); len(ids) > 0 && w.chance(w.cancelChance()) {
@@ -196,8 +198,13 @@
 	return 0.0005
 }
 
-// handIn accepts a job.
+// handIn accepts a job for the present owner.
 func (w *world) handIn() {
+	w.handInFor(w.present())
+}
+
+// handInFor has a host accept a job that takes an owner for the present one.
+func (w *world) handInFor(o *modelOwner) {
 	id := job.ID(fmt.Sprintf("%016d", w.handed))
 	w.handed++
 	steps := []job.Step{w.someStep()}
@@ -205,7 +212,6 @@
 		steps = append(steps, w.someStep())
 		steps[1].After = []int{0}
 	}
-	o := w.present()
 	r := job.Record{Job: job.Job{ID: id, Spec: "spec", Steps: steps}, Queue: testQueue, Term: o.term}
 	if w.quotas != nil {
 		r.Customer = w.quotas.draw(w, steps)
@@ -214,7 +220,7 @@
 	if w.crashing && w.chance(0.25) {
 		w.crashers[id] = w.rand.IntN(steps[0].Count)
 	}
-	o.pool.AddJob(r, job.Progress{}, false, 0, w.now)
+	w.tell(o, r)
 }
 
 func (w *world) someStep() job.Step {
--- /dev/null
+++ b/pkg/dispatch/history_told_test.go
@@ -0,0 +1,245 @@
+package dispatch
+
+import (
+	"cmp"
+	"iter"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/job"
+)
+
+// Histories in which hosts take the former owner for the owner for a while after it has changed. The record of a job that such a host accepts has the
+// former owner's term, the former owner is told of it while it is still at work, and starts it on workers that the present one has not reached. The
+// present owner had listed the jobs of the store before; it finds this one with its next look at the store. Many tasks are short, and a hold
+// follows at once on a report with an end, so that ends of a job are often reported twice before the owner knows the job.
+
+const (
+	// toldElects is the probability that the owner changes at a tick.
+	toldElects = 0.005
+	// toldJobs is how many jobs are handed in soon after the owner has changed, up to toldMost in all.
+	toldJobs = 4
+	toldMost = 2 * historyJobs
+	// toldFormer is the probability that one of these is accepted by a host that takes the former owner for the owner.
+	toldFormer = 0.8
+	// toldShort is the probability that a run is short.
+	toldShort = 0.4
+	// lookEvery is the time between two looks for jobs of which no host has told, and lookTakes how long each way of the call takes at most.
+	lookEvery = 500 * time.Millisecond
+	lookTakes = 100 * time.Millisecond
+	// lookAway is the probability that the store does not answer the looks of a new owner for some seconds.
+	lookAway = 0.2
+	// toldSlow is the probability that the former owner does not learn from the store that it is none any more.
+	toldSlow = 0.7
+	// toldUnreached is the probability that a new owner reaches no worker in its first moments, and toldLate that it reaches one of them late.
+	toldUnreached = 0.6
+	toldLate      = 0.3
+)
+
+// electChance is the probability that the owner changes at a tick.
+func (w *world) electChance() float64 {
+	if w.told {
+		return toldElects
+	}
+	return 0.003
+}
+
+// runTime draws how long a run takes.
+func (w *world) runTime(most time.Duration) time.Duration {
+	if w.told && w.chance(toldShort) {
+		return w.between(20*time.Millisecond, 200*time.Millisecond)
+	}
+	return w.between(200*time.Millisecond, most)
+}
+
+// runsOf goes through the runs of a worker: in histories in which hosts take the former owner for the owner in a fixed order, so that a seed draws the same
+// history each time.
+func (w *world) runsOf(m *modelWorker) iter.Seq2[runKey, modelRun] {
+	if !w.told {
+		return maps.All(m.runs)
+	}
+	return func(yield func(runKey, modelRun) bool) {
+		for _, key := range slices.SortedFunc(maps.Keys(m.runs), compareRuns) {
+			if r, there := m.runs[key]; there && !yield(key, r) {
+				return
+			}
+		}
+	}
+}
+
+func compareRuns(a, b runKey) int {
+	x, y := a.task, b.task
+	return cmp.Or(cmp.Compare(x.Job, y.Job), cmp.Compare(x.Step, y.Step), cmp.Compare(x.Index, y.Index), cmp.Compare(a.run, b.run))
+}
+
+// atWork says that an owner still decides.
+func (o *modelOwner) atWork(now clock.Time) bool {
+	return !o.ended && (o.until == 0 || now < o.until)
+}
+
+// tell has a host tell an owner of a job that it has accepted. A former owner that has ended hears nothing.
+func (w *world) tell(o *modelOwner, r job.Record) {
+	if o == w.present() || o.atWork(w.now) {
+		o.pool.AddJob(r, job.Progress{}, false, 0, w.now)
+	}
+}
+
+// elected has hosts take the former owner for the owner, in histories about that.
+func (w *world) elected(o *modelOwner) {
+	if !w.told {
+		return
+	}
+	w.lookAfter(o, w.looksFrom(o))
+	if len(w.owners) == 1 {
+		return
+	}
+	former := w.owners[len(w.owners)-2]
+	w.linger(former)
+	w.reachLate(o)
+	for range toldJobs {
+		w.handInSoon(former)
+	}
+}
+
+// looksFrom draws from when on the store answers the looks of a new owner; it may answer other calls meanwhile.
+func (w *world) looksFrom(o *modelOwner) clock.Time {
+	if !w.chance(lookAway) {
+		return w.now
+	}
+	from := w.now.Add(w.between(time.Second, 6*time.Second))
+	if w.chance(0.5) {
+		o.storeAwayUntil = from
+	}
+	w.note("owner %d can't look for jobs until %d", o.term, from)
+	return from
+}
+
+// linger has a former owner go on for longer than most do.
+func (w *world) linger(former *modelOwner) {
+	if former.ended || !w.chance(toldSlow) {
+		return
+	}
+	former.until = w.now.Add(w.between(ownerTerm/2, ownerTerm))
+	former.storeAwayUntil = former.until
+}
+
+// reachLate has a new owner call workers some time after its election.
+func (w *world) reachLate(o *modelOwner) {
+	var first time.Duration
+	if w.chance(toldUnreached) {
+		first = w.between(100*time.Millisecond, 800*time.Millisecond)
+	}
+	for _, id := range w.sessions(o) {
+		from := w.now.Add(first)
+		if w.chance(toldLate) {
+			from = w.now.Add(w.between(first, ownerTerm))
+		}
+		o.holding[id] = from
+	}
+}
+
+// handInSoon hands a job in soon after the owner has changed.
+func (w *world) handInSoon(former *modelOwner) {
+	most := 2 * time.Second
+	if w.chance(0.5) {
+		most /= 4
+	}
+	w.later(w.between(100*time.Millisecond, most), func() {
+		if w.handed >= w.jobsInAll() {
+			return
+		}
+		if !w.chance(toldFormer) {
+			w.handIn()
+			return
+		}
+		w.note("%016d is accepted for owner %d, at work: %t", w.handed, former.term, former.atWork(w.now))
+		w.handInFor(former)
+	})
+}
+
+// jobsInAll is how many jobs are handed in at most. Those of customers, and those that crash workers, take longer.
+func (w *world) jobsInAll() int {
+	if w.quotas != nil || w.crashing {
+		return historyJobs
+	}
+	return toldMost
+}
+
+// lookAfter has an owner look for jobs of which no host has told it, again and again; the store answers from a moment on.
+func (w *world) lookAfter(o *modelOwner, from clock.Time) {
+	w.later(lookEvery, func() {
+		switch {
+		case !o.atWork(w.now):
+		case w.now < max(from, o.storeAwayUntil):
+			w.lookAfter(o, from)
+		default:
+			w.look(o, from)
+		}
+	})
+}
+
+// look finds the jobs that were in the store when the call arrived there.
+func (w *world) look(o *modelOwner, from clock.Time) {
+	asked := w.now
+	w.later(w.between(time.Millisecond, lookTakes), func() {
+		found := w.jobs()
+		w.later(w.between(time.Millisecond, lookTakes), func() {
+			if !o.atWork(w.now) {
+				return
+			}
+			w.find(o, found)
+			w.looked(o, asked)
+			w.lookAfter(o, from)
+		})
+	})
+}
+
+// find takes in those of the jobs of the store that an owner does not know.
+func (w *world) find(o *modelOwner, found []job.ID) {
+	for _, id := range found {
+		s := w.store[id]
+		switch {
+		case o.pool.knows(id):
+		case s.record.Term > o.term:
+			o.ended = true
+			return
+		case s.outcome != "":
+			o.pool.AddOutcome(id, job.Record{Outcome: s.outcome, Customer: s.record.Customer, Unended: s.unended}, w.now)
+		default:
+			w.note("owner %d finds %s", o.term, id)
+			o.pool.AddJob(s.record, job.Progress{}, false, 0, w.now)
+			if s.cancelled {
+				o.pool.Cancel(id)
+			}
+		}
+	}
+}
+
+// looked is called when an owner has taken in all jobs that were in the store when it asked.
+func (w *world) looked(_ *modelOwner, _ clock.Time) {}
+
+// holdAnswered has a hold follow at once on a report with an end, in histories about that: it tells how far the ends are noted, and
+// a worker answers it at once while it keeps others.
+func (w *world) holdAnswered(o *modelOwner, id WorkerID, report Report) {
+	if w.told && len(report.Finished) > 0 {
+		o.holding[id] = w.now
+	}
+}
+
+func TestPromisesHoldWhenTheFormerOwnerIsTold(t *testing.T) {
+	told := func(change func(*world)) func(*world) {
+		return func(w *world) {
+			w.told = true
+			change(w)
+		}
+	}
+	t.Run("on their own", func(t *testing.T) { playDrawn(t, fifth, told(func(*world) {})) })
+	t.Run("behind relays", func(t *testing.T) { playDrawn(t, fifth, told(func(w *world) { w.relayed = true })) })
+	t.Run("with workers that start again", func(t *testing.T) { playDrawn(t, fifth, told(func(w *world) { w.reborn = true })) })
+	t.Run("with quotas", func(t *testing.T) { playDrawn(t, fifth, told(func(w *world) { w.quotas = newModelQuotas() })) })
+	t.Run("with tasks that crash workers", func(t *testing.T) { playDrawn(t, fifth, told(crashingWorld)) })
+	t.Run("soon after an end", func(t *testing.T) { playDrawn(t, fifth, told(func(w *world) { w.soon = true })) })
+}
--- a/pkg/dispatch/history_worker_test.go
+++ b/pkg/dispatch/history_worker_test.go
@@ -118,7 +118,7 @@
 	step := w.store[s.Task.Job].record.Job.Steps[s.Task.Step]
 	r := modelRun{
 		task: s.Task, run: s.Run, need: step.Resources, fails: w.chance(0.05),
-		endsAt: w.now.Add(w.between(200*time.Millisecond, 4*time.Second)),
+		endsAt: w.now.Add(w.runTime(4 * time.Second)),
 	}
 	if !step.Gang {
 		return r
@@ -130,7 +130,7 @@
 	r.gang, r.endsAt = w.gangs[key], w.now.Add(gangTimeout)
 	r.gang.present++
 	if r.gang.present == r.gang.members {
-		r.gang.endsAt = w.now.Add(w.between(200*time.Millisecond, 3*time.Second))
+		r.gang.endsAt = w.now.Add(w.runTime(3 * time.Second))
 	}
 	return r
 }
@@ -285,7 +285,7 @@
 	}
 	m.ended = slices.DeleteFunc(m.ended, func(f Finished) bool { return f.Number <= h.LastSeen })
 	report := Report{Born: m.born, Finished: slices.Clone(m.ended)}
-	for _, r := range m.runs {
+	for _, r := range w.runsOf(m) {
 		report.Active = append(report.Active, Active{Task: r.task, Run: r.run, Percent: 1 + w.rand.IntN(90)})
 	}
 	return a, report
@@ -320,7 +320,7 @@
 	if lapsed {
 		m.lapsedAt = w.now
 	}
-	for _, r := range m.runs {
+	for _, r := range w.runsOf(m) {
 		switch {
 		case lapsed:
 			w.end(m, r, EndLapsed)
