--- a/pkg/dispatch/history_call_test.go
+++ b/pkg/dispatch/history_call_test.go
@@ -64,6 +64,7 @@
 }
 
 func (w *world) sendStart(o *modelOwner, s Start) {
+	w.checkOrdered(o, s)
 	m := w.worker[numberOf(s.Worker)]
 	if m.replaced {
 		a := Answer{Verdict: VerdictOtherIncarnation}
