--- a/pkg/dispatch/history_told_kept_test.go
+++ b/pkg/dispatch/history_told_kept_test.go
@@ -99,3 +99,26 @@
 func TestQuotaHoldsWhileAJobIsUnknown(t *testing.T) {
 	playTold(t, 9000171, func(w *world) { w.quotas = newModelQuotas() })
 }
+
+// The job is found, but what runs of it counts only with the next reports of w0 and w3, so another job of the same customer starts at once:
+//
+//	114360 owner 2 run_unknown 0000000000000005.0.0.2 run 1 w0
+//	115440 owner 2 finds 0000000000000005
+//	115440 owner 2 run_ordered 0000000000000006.0.0.0 run 2001 w1
+//	115460 w1 begins 0000000000000006.0.0.0 run 2001: customer north has 6500 running of 2000; the owner counts 2000
+func TestQuotaHoldsWhenAJobIsFound(t *testing.T) {
+	playTold(t, 9000574, func(w *world) { w.quotas = newModelQuotas() })
+}
+
+// Before its takeover is settled, the new owner starts a job of its own term, for which its customer's quota has room. The former
+// owner is still at work. It is told of another job of that customer 80 ms later, and starts it on w0, which the new one has not reached. So what a
+// worker that has not told may run can't be summed up from the jobs that are known:
+//
+//	105480 owner 2 elected
+//	105760 owner 2 run_ordered 0000000000000003.0.0.0 run 1 w2
+//	105840 0000000000000005 is accepted for owner 1, at work: true
+//	105840 owner 1 run_ordered 0000000000000005.0.0.0 run 1 w0
+//	105880 w0 begins 0000000000000005.0.0.1 run 1: customer south has 9500 running of 6000; the owner counts 4000
+func TestQuotaHoldsWhileTheFormerOwnerStartsAJob(t *testing.T) {
+	playTold(t, 9020536, func(w *world) { w.quotas, w.reborn = newModelQuotas(), true })
+}
