Let no late hold for a life that has ended have the next one forget its ends

Cause: the token rose when the next life of a worker became known. When an entry of the former life came after that, the former life was not doubted any more, and its holds told what was noted there, with the token that the next life's starts got as well. Left without an answer and carried out seconds later by the next life, such a hold had it forget its own end of that number unread.

The token rises with each end of a life now, also of one that was taken for gone.

Not closed: a start for the former life that the next one carries out late has no higher token. What was noted is told only within 0.5 s of an answer, or when all starts are listed, as before.

--- a/pkg/dispatch/history_kept_test.go
+++ b/pkg/dispatch/history_kept_test.go
@@ -69,12 +69,15 @@
 	playSeeds(t, []uint64{7001926}, func(w *world) { w.reborn = true })
 }
 
-// A worker starts again within 0.3 s. A hold for the former life, which told it up to which number ends were noted, is carried out seconds later by the next
-// one, and that forgets its own end of that number before the owner has read it. The task seems lost and begins again. Known and open: an order that
-// is carried out late reaches whichever life is there. The lines that show it, with no run_ended before the note:
+// A worker starts again within 0.3 s. An entry of the former life comes late, so that holds for that one tell again up to which number its ends were
+// noted. The next life, which has taken a start with the same token, carries such a hold out seconds later and forgets its own end of that number before
+// the owner has read it. The task seems lost and begins again. The lines that show it, with no run_ended before the note:
 //
 //	105060 w3 crashes
 //	105360 w3 begins life 1700000437933
+//	106220 w3: the entry of life 1700000140631 is written
+//	106640 a hold for that life is sent, with token 3145729 and the number 1
+//	110660 owner 3 run_ordered 0000000000000003.0.1.0 run 1 w3@1700000437933, with the same token
 //	111500 w3 ends 0000000000000003.0.1.0 run 1 done
 //	111660 w3: the end of 0000000000000003.0.1.0 run 1 is noted
 //	112560 owner 3 run_ended 0000000000000003.0.1.0 run 1 w3@1700000437933 lost
--- a/pkg/dispatch/lives.go
+++ b/pkg/dispatch/lives.go
@@ -74,7 +74,8 @@
 	return w
 }
 
-// raise makes the token higher than that of all orders that were given. An owner's own tokens begin at first.
+// raise makes the token higher than that of all orders that were given, so that those do nothing any more where the next one was taken.
+// An owner's own tokens begin at first.
 func (l *lineage) raise(first int64) {
 	if l.token < first+MaxBumps {
 		l.token++
@@ -156,6 +157,7 @@
 func (p *Pool) succeed(former, next *worker, now clock.Time) {
 	former.gone = true
 	former.clearForeign()
+	former.line.raise(p.cfg.Token) // a hold for the former life that comes late would have the next one forget its ends
 	former.line.end(former)
 	former.unlist(now)
 	carried := former.notListedYet()
--- a/pkg/dispatch/lives_test.go
+++ b/pkg/dispatch/lives_test.go
@@ -19,6 +19,8 @@
 		"a lasting task goes again":                          lastingTaskGoesAgain,
 		"no end is noted unseen":                             noEndIsNotedUnseen,
 		"a hold for a life that may have ended":              holdForDoubtedLife,
+		"a late hold for the former life":                    lateHoldOfFormerLife,
+		"a late hold for one that was taken for gone":        lateHoldOfLapsedLife,
 		"a start without an answer may run there":            unansweredStartRunsOnNextLife,
 		"a start without an answer is void once fenced":      unansweredStartIsVoidOnNextLife,
 		"a start that it answered may run there":             answeredStartRunsOnNextLife,
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -200,6 +200,7 @@
 	}
 	w.gone = true
 	w.clearForeign()
+	w.line.raise(p.cfg.Token) // as in succeed: another life may be known by now
 	p.cfg.Log(Event{Name: "worker_gone", Worker: w.info.ID, Detail: why})
 	p.crashed(w, now)
 	p.loseRuns(w, now)
