What the lives of one worker tell against a task counts once

A caller's job was given up though it was not the cause: a worker crashed by itself three times within a few seconds, each time shortly after the start of the same task and back under its id, and each of its lives counted as one more worker for which nothing but the task can be the cause. The lives of a worker count once for that; four crashes in a row give a job up as before.

--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -270,15 +270,16 @@
 	return sureCrashes
 }
 
-// sure counts the crashes for which nothing but the task can be the cause.
+// sure counts the workers that crashed so that nothing but the task can be the cause. The lives of one worker count once: one that crashes by itself
+// does so again and again, and gave jobs up.
 func sure(crashes []job.Crash) int {
-	n := 0
+	workers := map[string]bool{}
 	for _, c := range crashes {
 		if c.Alone {
-			n++
+			workers[WorkerID(c.Worker).Name()] = true
 		}
 	}
-	return n
+	return len(workers)
 }
 
 // withdrawCrashes takes back the crashes of a worker that had only been cut off for long.
--- a/pkg/dispatch/crash_test.go
+++ b/pkg/dispatch/crash_test.go
@@ -520,3 +520,17 @@
 	}
 	m.pool.Committed(c)
 }
+
+func TestLivesOfOneWorkerAreSureOnce(t *testing.T) {
+	alone := func(workers ...string) []job.Crash {
+		var out []job.Crash
+		for n, w := range workers {
+			out = append(out, job.Crash{Run: n + 1, Worker: w, Alone: true})
+		}
+		return out
+	}
+	g := NewWithT(t)
+	g.Expect(sure(alone("w1@1000", "w1@1900", "w1@2800"))).To(Equal(1))
+	g.Expect(sure(alone("w1@1000", "w2@1900", "w1@2800"))).To(Equal(2))
+	g.Expect(sure(alone("w1", "w2"))).To(Equal(2))
+}
--- a/pkg/dispatch/history_kept_test.go
+++ b/pkg/dispatch/history_kept_test.go
@@ -98,3 +98,11 @@
 func TestWorkerThatIsBackAtOnceIsGivenNoMoreThanItHolds(t *testing.T) {
 	playSeeds(t, []uint64{813}, func(w *world) { w.reborn, w.brief = true, true })
 }
+
+// A worker starts again three times within a few seconds, each time shortly after the start of the same task, by itself. Each of its lives counted as a
+// worker for which nothing but the task can be the cause, and its job was given up. What one worker tells counts once now. The lines that show it:
+//
+//	worker_crashed w1@… (three lives), crash_counted in_a_row=3 sure=3, job_given_up
+func TestLivesOfOneWorkerGiveNoJobUp(t *testing.T) {
+	playSeeds(t, []uint64{30002900, 40009208, 40009572, 50000087, 50000386}, func(w *world) { w.reborn, w.brief = true, true })
+}
