--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -70,6 +70,7 @@
 	}
 }
 
+// takeFinished takes in the ends that a report lists and that were not read before.
 func (p *Pool) takeFinished(w *worker, finished []Finished, now clock.Time) {
 	slices.SortFunc(finished, func(a, b Finished) int { return cmp.Compare(a.Number, b.Number) })
 	for _, f := range finished {
@@ -118,6 +119,7 @@
 	p.taskEnded(&run{task: t, number: f.Run, worker: w}, f.How, f.Checkpoint)
 }
 
+// takeActive takes in the runs that a report lists.
 func (p *Pool) takeActive(w *worker, workerClock int64, report Report, now clock.Time) {
 	if report.Strange != w.strange {
 		w.strange = report.Strange
--- a/pkg/dispatch/unknown_jobs.go
+++ b/pkg/dispatch/unknown_jobs.go
@@ -9,9 +9,9 @@
 	"foldarch.dev/foldarch/pkg/job"
 )
 
-// Workers may list runs and ends of a job that this owner does not know: a host has accepted it for the former owner after this one had listed
-// the jobs of the store. Its record was in the store before anything of it started, so a read of that tells whether it is to become known or was
-// forgotten long ago (UnknownJobs, JobAbsent). Until then its ends are not noted, and its runs are not stopped.
+// Workers may list runs and ends of a job that this owner does not know. The record of a job is in the store before anything of it starts, so a read of
+// that tells whether the job is to become known or was forgotten long ago (UnknownJobs, JobAbsent). Until then its ends are not noted, and
+// its runs are not stopped. All else that a worker lists counts meanwhile: what is left out of a report would look as if it were not there.
 
 // mostAbsent bounds the jobs that are remembered as absent from the store. One that is forgotten is read once more if it is still listed.
 const mostAbsent = 1000
