Wake a duty in one way, read the known owner in one way, put a job into the store in one way

No change of behaviour. Three duties of an owner were woken by three copies of the same select; the known term was read beside the known owner, under the lock once more; two tests encoded a job's record alike.

--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -309,9 +309,8 @@
 
 // knownTerm is the highest term of an owner that this host knows of.
 func (h *Host) knownTerm() int64 {
-	h.election.mu.Lock()
-	defer h.election.mu.Unlock()
-	return h.election.holder.Term
+	_, term := h.knownOwner()
+	return term
 }
 
 func (h *Host) holderLife() string {
--- a/pkg/poolowner/confirmations.go
+++ b/pkg/poolowner/confirmations.go
@@ -15,10 +15,7 @@
 
 // askConfirmation has the owner's record read.
 func (o *Owner) askConfirmation() {
-	select {
-	case o.unconfirmed <- struct{}{}:
-	default:
-	}
+	signal(o.unconfirmed)
 }
 
 // runConfirmations is the duty that reads the owner's record when the pool asks for it.
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -214,8 +214,13 @@
 
 // wake has the plan made anew soon.
 func (o *Owner) wake() {
+	signal(o.kick)
+}
+
+// signal wakes the duty that waits on a channel of size 1, or will wait on it next.
+func signal(c chan<- struct{}) {
 	select {
-	case o.kick <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
--- a/pkg/poolowner/progress_test.go
+++ b/pkg/poolowner/progress_test.go
@@ -13,9 +13,7 @@
 	g := NewWithT(t)
 	o, p, _ := ownerOfEmulated(t)
 	for _, id := range []job.ID{"00000000000000a1", "00000000000000a2"} {
-		text, err := job.Record{Job: job.Job{ID: id, Spec: "s", Steps: []job.Step{{Count: 1}}}}.Encode()
-		g.Expect(err).NotTo(HaveOccurred())
-		p.Store.Put(jobstore.JobKey(id), text)
+		putJob(t, p, id)
 	}
 	p.Store.Put(jobstore.ProgressKey("00000000000000a1"), []byte(`{"tasks":`))
 	g.Expect(o.listJobs(t.Context())).To(Succeed())
--- a/pkg/poolowner/unknown_jobs.go
+++ b/pkg/poolowner/unknown_jobs.go
@@ -69,11 +69,7 @@
 
 // tellUnknownJobs has the records of unknown jobs read, if there are any. The caller holds o.mu.
 func (o *Owner) tellUnknownJobs() {
-	if !o.pool.ListsUnknown() {
-		return
-	}
-	select {
-	case o.unknownJobs <- struct{}{}:
-	default:
+	if o.pool.ListsUnknown() {
+		signal(o.unknownJobs)
 	}
 }
--- a/pkg/poolowner/unknown_jobs_test.go
+++ b/pkg/poolowner/unknown_jobs_test.go
@@ -15,11 +15,12 @@
 // lateJob is a job that a host has accepted for the former owner.
 const lateJob = job.ID("00000000000000a1")
 
-// putJob puts the record of lateJob into the store.
-func putJob(t *testing.T, p *emulator.Platform) {
-	text, err := job.Record{Job: job.Job{ID: lateJob, Spec: "s", Steps: []job.Step{{Count: 1}}}}.Encode()
+// putJob puts the record of a job into the store.
+func putJob(t *testing.T, p *emulator.Platform, id job.ID) {
+	t.Helper()
+	text, err := job.Record{Job: job.Job{ID: id, Spec: "s", Steps: []job.Step{{Count: 1}}}}.Encode()
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	p.Store.Put(jobstore.JobKey(lateJob), text)
+	p.Store.Put(jobstore.JobKey(id), text)
 }
 
 // listsLateJob has the pool's worker list a run of a job of which nobody has told the owner, and the duty run that reads such jobs.
@@ -47,7 +48,7 @@
 // none while the watch is silent; the record itself tells at once.
 func TestJobThatAWorkerListsIsReadAtOnce(t *testing.T) {
 	o, p, info := ownerOfEmulated(t)
-	putJob(t, p)
+	putJob(t, p, lateJob)
 	listsLateJob(t, o, info)
 	known := func() bool {
 		_, ok := o.Explain(lateJob)
