--- a/pkg/dispatch/lives_ends_test.go
+++ b/pkg/dispatch/lives_ends_test.go
@@ -117,39 +117,41 @@
 	f.Expect(f.hold(firstLife(0), false).LastSeen).To(Equal(int64(7)))
 }
 
-// Seed 20477 of the histories with short restarts: the entry of the former life came after that of the next one, so that a hold for the former life
-// noted its ends again. The next one took it late, after a start with the same token.
-func lateHoldOfFormerLife(t *testing.T) {
-	f := newLives(t, 1, nil)
+// notedAgain has the entry of the former life come after that of the next one, and returns a hold for the former life that notes its ends again.
+func notedAgain(t *testing.T) (f *fixture, late Hold) {
+	f = newLives(t, 1, nil)
 	f.doneOnFirst("a")
 	f.lists(secondLife(0))
 	f.lists(firstLife(0))
 	f.pass(time.Millisecond)
-	late := f.hold(firstLife(0), false)
+	late = f.hold(firstLife(0), false)
 	f.Expect(late.LastSeen).To(Equal(int64(7)), "it is not doubted")
+	return f, late
+}
+
+// startHasHigherToken has the next life answer and checks that a start for it has a higher token than a hold for the former one.
+func (f *fixture) startHasHigherToken(late Hold) {
 	f.begins(secondLife(0), Report{})
 	f.reports(secondLife(0), Report{})
 	f.add(testJob("b", testStep(1)))
 	f.Expect(f.onlyStart().Token).To(BeNumerically(">", late.Token), "what the start ends can't be noted by the late hold")
 }
 
+// Seed 20477 of the histories with short restarts: the entry of the former life came after that of the next one, so that a hold for the former life
+// noted its ends again. The next one took it late, after a start with the same token.
+func lateHoldOfFormerLife(t *testing.T) {
+	f, late := notedAgain(t)
+	f.startHasHigherToken(late)
+}
+
 // Seed 10298: the same, when the former life had left without a word before the next one answered.
 func lateHoldOfLapsedLife(t *testing.T) {
-	f := newLives(t, 1, nil)
-	f.doneOnFirst("a")
-	f.lists(secondLife(0))
-	f.lists(firstLife(0))
-	f.pass(time.Millisecond)
-	late := f.hold(firstLife(0), false)
-	f.Expect(late.LastSeen).To(Equal(int64(7)), "it is not doubted")
+	f, late := notedAgain(t)
 	f.lists(secondLife(0))
 	for range 20 {
 		f.pass(500 * time.Millisecond)
 		f.plan()
 	}
 	f.Expect(f.pool.workers).NotTo(HaveKey(firstLife(0).id), "it was taken for gone")
-	f.begins(secondLife(0), Report{})
-	f.reports(secondLife(0), Report{})
-	f.add(testJob("b", testStep(1)))
-	f.Expect(f.onlyStart().Token).To(BeNumerically(">", late.Token), "what the start ends can't be noted by the late hold")
+	f.startHasHigherToken(late)
 }
