Evacuation of a data hall: its workers get nothing new until it is taken back

All hosts follow the operator's keys and keep the halls in the order of the store's revisions (package evacuation), so an old list or a late answer changes nothing. A new owner reads the keys anew before its first start. In the decisions one predicate stands beside that of draining workers (worker.leaving): placement, gangs, reservations, preemption, calls for advice, probes and stored starts ask it. A start that was decided before is asked for once more right before it is sent, and withheld without blame for its worker.

--- a/pkg/dispatch/entries.go
+++ b/pkg/dispatch/entries.go
@@ -20,6 +20,7 @@
 		w = p.newWorker(info, now)
 	}
 	w.info, w.listed = info, listed
+	w.evacuated = p.inEvacuatedHall(w)
 	if listed {
 		w.unlistedAt, w.entryReplaced = 0, false
 	}
--- a/pkg/dispatch/explain.go
+++ b/pkg/dispatch/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/job"
@@ -107,5 +108,9 @@
 			eligible++
 		}
 	}
-	return fmt.Sprintf("room for %s on one of %d workers that may run it", s.spec.Need(), eligible)
+	waits := fmt.Sprintf("room for %s on one of %d workers that may run it", s.spec.Need(), eligible)
+	if n := p.evacuatedWorkers(s.time.job.queue.Pool); n > 0 {
+		waits += fmt.Sprintf("; %d workers get nothing while halls are evacuated: %s", n, strings.Join(p.evacuated, ", "))
+	}
+	return waits
 }
--- a/pkg/dispatch/lives.go
+++ b/pkg/dispatch/lives.go
@@ -68,6 +68,7 @@
 		p.withdrawCrashes(info.ID)
 	}
 	w := &worker{info: info, line: l, runs: map[runKey]*run{}, knownAt: now}
+	w.evacuated = p.inEvacuatedHall(w)
 	l.lives = append(l.lives, w)
 	p.workers[info.ID] = w
 	p.sorted = nil
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -7,7 +7,7 @@
 	"foldarch.dev/foldarch/pkg/clock"
 )
 
-// poolLoad sums up the workers of one pool and what waits for them. Pools have nothing in common but
+// poolLoad sums up the workers of one pool, without those in halls that are being evacuated, and what waits for them. Pools have nothing in common but
 // the owner: what waits for one says nothing of the room in another.
 type poolLoad struct {
 	workers  int
@@ -60,7 +60,7 @@
 	p.sumUnheard()
 	for _, w := range p.workers {
 		p.expireWorker(w, now)
-		if !w.gone {
+		if !w.gone && !w.evacuated {
 			l := p.load(w.info.Pool)
 			l.workers++
 			l.capacity = l.capacity.Add(w.info.Capacity)
--- a/pkg/dispatch/naming.go
+++ b/pkg/dispatch/naming.go
@@ -64,7 +64,7 @@
 	q := s.time.job.queue
 	missing := enoughKnown * float64(len(s.tasks))
 	for id := range s.advice.good {
-		if w, ok := p.workers[id]; ok && !w.gone {
+		if w, ok := p.workers[id]; ok && !w.gone && !w.leaving() {
 			missing -= float64(roomWhenEmpty(s, w))
 		}
 	}
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -53,6 +53,7 @@
 	config   *queue.Config
 	// configured are the pools of workers that were named so far.
 	configured map[string]bool
+	evacuated  []string // data halls
 	jobs       map[job.ID]*jobState
 	accounts   map[string]*account.Account // of customers, by name
 	outcomes   outcomes                    // of jobs that have ended and been committed
--- a/pkg/dispatch/status.go
+++ b/pkg/dispatch/status.go
@@ -7,16 +7,17 @@
 
 // Status is a summary of a pool, for logs and metrics.
 type Status struct {
-	Workers  int // that may be given tasks now
-	Silent   int // that have not answered lately
-	Jobs     int // not ended
-	Steps    int // ready, with waiting tasks
-	Waiting  int // tasks of the ready steps
-	Runs     int // counted against workers
-	Calls    int // for advice, on their way
-	Advisers int // that are free
-	Used     cell.Resources
-	Capacity cell.Resources
+	Workers   int // that may be given tasks now
+	Silent    int // that have not answered lately
+	Evacuated int // that get no task while their data hall is evacuated
+	Jobs      int // not ended
+	Steps     int // ready, with waiting tasks
+	Waiting   int // tasks of the ready steps
+	Runs      int // counted against workers
+	Calls     int // for advice, on their way
+	Advisers  int // that are free
+	Used      cell.Resources
+	Capacity  cell.Resources
 	// Takeover says that runs of a former owner are still looked for.
 	Takeover bool
 }
@@ -31,6 +32,9 @@
 		if w.usable(now) {
 			s.Workers++
 		}
+		if w.evacuated {
+			s.Evacuated++
+		}
 		if now.Sub(w.lastAnswer) >= usableWithin {
 			s.Silent++
 		}
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -43,13 +43,14 @@
 	// entryReplaced says that it went since another life's, which may be of one before, was written in its place.
 	entryReplaced bool
 	// rostered says that the roster has it, so that a later owner will ask it.
-	rostered bool
-	knownAt  clock.Time // since when this owner knows of it
-	leavesAt clock.Time // when a draining worker may end; 0 when it stays
-	gone     bool       // the life has ended, or can't run anything any more
-	fenced   bool       // it has answered this owner
-	reported bool       // its lists were taken in
-	follows  bool       // on a life that has ended while this owner knew of it
+	rostered  bool
+	knownAt   clock.Time // since when this owner knows of it
+	leavesAt  clock.Time // when a draining worker may end; 0 when it stays
+	evacuated bool       // its data hall is being evacuated
+	gone      bool       // the life has ended, or can't run anything any more
+	fenced    bool       // it has answered this owner
+	reported  bool       // its lists were taken in
+	follows   bool       // on a life that has ended while this owner knew of it
 
 	clock      int64 // its clock when it answered last …
 	clockAt    clock.Time
@@ -101,7 +102,7 @@
 // usable says whether the worker may be given a task now.
 func (w *worker) usable(now clock.Time) bool {
 	return w.present(now) && w.answers(now) && w.rostered && !w.gone && !w.doubted() &&
-		!w.info.Draining && !w.line.closed && w.foreign == 0 && now >= w.suspended
+		!w.leaving() && !w.line.closed && w.foreign == 0 && now >= w.suspended
 }
 
 // answers says that the worker has answered lately, and the last call, too, and that it was asked again soon after. One that has not may
--- /dev/null
+++ b/pkg/evacuation/halls_test.go
@@ -0,0 +1,46 @@
+package evacuation
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestHallsFollowTheOperator(t *testing.T) {
+	g := NewWithT(t)
+	h := New()
+	g.Expect(h.Names()).To(BeEmpty())
+	g.Expect(h.Put("b", 3)).To(BeTrue())
+	g.Expect(h.Put("a", 4)).To(BeTrue())
+	g.Expect(h.Put("a", 5)).To(BeFalse(), "asked once more")
+	g.Expect(h.Names()).To(Equal([]string{"a", "b"}))
+	g.Expect(h.Remove("b", 6)).To(BeTrue())
+	g.Expect(h.Remove("c", 7)).To(BeFalse(), "never asked")
+	g.Expect(h.Names()).To(Equal([]string{"a"}))
+	g.Expect(h.Put("b", 8)).To(BeTrue(), "it comes again")
+	g.Expect(h.Names()).To(Equal([]string{"a", "b"}))
+}
+
+func TestOlderNewsOfAHallChangeNothing(t *testing.T) {
+	g := NewWithT(t)
+	h := New()
+	h.Put("a", 3)
+	h.Remove("a", 9)
+	g.Expect(h.Put("a", 3)).To(BeFalse())
+	g.Expect(h.List(map[string]int64{"a": 3}, 8)).To(BeFalse())
+	g.Expect(h.Names()).To(BeEmpty())
+	h.Put("b", 12)
+	g.Expect(h.List(nil, 11)).To(BeFalse(), "the list is older than the key")
+	g.Expect(h.Names()).To(Equal([]string{"b"}))
+}
+
+// The withdrawal was missed, since the store had forgotten its history or was away.
+func TestHallThatIsNotListedIsNotEvacuatedAnyMore(t *testing.T) {
+	g := NewWithT(t)
+	h := New()
+	h.Put("a", 3)
+	h.Put("b", 4)
+	g.Expect(h.List(map[string]int64{"b": 4}, 20)).To(BeTrue())
+	g.Expect(h.Names()).To(Equal([]string{"b"}))
+	g.Expect(h.Put("a", 21)).To(BeTrue())
+}
--- a/pkg/jobhost/config.go
+++ b/pkg/jobhost/config.go
@@ -15,7 +15,7 @@
 
 // newConfigFollower follows what the operator writes.
 func (h *Host) newConfigFollower() *follower {
-	return h.newFollower(platform.OperatorPrefix, min(configWait, h.cfg.Load().Bounds.ConfigApply/2), h.takeOperatorItems, h.takeOperatorItems)
+	return h.newFollower(platform.OperatorPrefix, min(configWait, h.cfg.Load().Bounds.ConfigApply/2), h.takeOperatorList, h.takeOperatorItems)
 }
 
 func (h *Host) takeOperatorItems(items []platform.Item) {
@@ -30,6 +30,10 @@
 		h.takeConfig(i)
 		return
 	}
+	if hall, ok := platform.EvacuatedHall(i); ok {
+		h.takeEvacuation(hall, i)
+		return
+	}
 	w, ok, err := platform.ParseWave(i)
 	if err != nil {
 		h.log.WithField("error", err).Error("wave_unreadable")
--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -58,7 +58,7 @@
 }
 
 // takeOwnerList takes in all keys; one that is not among them is gone.
-func (h *Host) takeOwnerList(items []platform.Item) {
+func (h *Host) takeOwnerList(items []platform.Item, _ int64) {
 	present := map[string]bool{}
 	for _, i := range items {
 		present[i.Key] = true
@@ -230,12 +230,13 @@
 	o := poolowner.New(poolowner.Deps{
 		Machines: machines,
 		Name:     h.cfg.Load().Name, Clock: h.clk, Store: h.store, Workers: h.worker, WorkerTimeout: workerTimeout, Bounds: h.cfg.Load().Bounds, Heartbeat: h.cfg.Load().Heartbeat,
-		Advise: h.advise, Write: h.writeFor, StoreAge: h.storeAge, Leased: k.holds, Log: h.log, Strength: strengthOf(*h.cfg.Load()), Figures: h.figures.registry,
+		Advise: h.advise, Write: h.writeFor, ReadOperator: h.readOperatorKeys, StoreAge: h.storeAge, Leased: k.holds, Log: h.log, Strength: strengthOf(*h.cfg.Load()), Figures: h.figures.registry,
 	}, claim)
 	o.SetConfig(h.config.Load())
 	h.owner.Store(o)
 	o.SetConfig(h.config.Load()) // one that came in between, and that takeConfig told nobody
 	h.tellWaves(o)
+	h.tellEvacuations()
 	ctx, cancel := context.WithCancel(ctx)
 	h.duties.Go(func() { k.run(ctx, o) })
 	err := o.Run(ctx)
--- a/pkg/jobhost/follower.go
+++ b/pkg/jobhost/follower.go
@@ -22,13 +22,13 @@
 	prefix string
 	// wait is how long a watch waits for a change. A watch may go silent without a sign, so none is trusted for longer.
 	wait time.Duration
-	// takeList takes in all keys, takeChanges those that have changed.
-	takeList    func([]platform.Item)
+	// takeList takes in all keys as they stood at a revision, takeChanges those that have changed.
+	takeList    func(items []platform.Item, at int64)
 	takeChanges func([]platform.Item)
 }
 
 // newFollower returns a follower of the keys under a prefix that this host takes in.
-func (h *Host) newFollower(prefix string, wait time.Duration, takeList, takeChanges func([]platform.Item)) *follower {
+func (h *Host) newFollower(prefix string, wait time.Duration, takeList func([]platform.Item, int64), takeChanges func([]platform.Item)) *follower {
 	return &follower{
 		Following: jobstore.NewFollowing(prefix, h.clk, h.log),
 		store:     h.store, clk: h.clk, prefix: prefix, wait: wait, takeList: takeList, takeChanges: takeChanges,
@@ -60,7 +60,7 @@
 	if err != nil {
 		return 0, err
 	}
-	f.takeList(items)
+	f.takeList(items, after)
 	f.Known(asked)
 	return after, nil
 }
--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/evacuation"
 	"foldarch.dev/foldarch/pkg/poolowner"
 	"foldarch.dev/foldarch/pkg/poolrpc"
 	"foldarch.dev/foldarch/pkg/queue"
@@ -64,8 +65,9 @@
 	refusals     queueRefusals
 	stopping     atomic.Bool
 
-	mu    sync.Mutex
-	waves map[int64]upkeep.Wave // that the operator asks for
+	mu        sync.Mutex
+	waves     map[int64]upkeep.Wave // that the operator asks for
+	evacuated *evacuation.Halls
 
 	duties sync.WaitGroup
 }
@@ -81,7 +83,7 @@
 	}, clk)
 	h := &Host{
 		life: uuid.NewString(), log: log.WithField("host", cfg.Name), clk: clk, store: store,
-		worker: platform.NewWorkers(workerTimeout), figures: newFigures(), waves: map[int64]upkeep.Wave{},
+		worker: platform.NewWorkers(workerTimeout), figures: newFigures(), waves: map[int64]upkeep.Wave{}, evacuated: evacuation.New(),
 		election: election{changed: make(chan struct{}, 1)},
 	}
 	h.cfg.Store(&cfg)
--- a/pkg/jobhost/intake_test.go
+++ b/pkg/jobhost/intake_test.go
@@ -26,7 +26,7 @@
 	h, _ := newTestHost(t, p)
 	p.PutConfig(1)
 	h.takeOperatorItems(listed(t, h, "op/"))
-	h.takeOwnerList(listed(t, h, jobstore.OwnerPrefix))
+	h.takeOwnerList(listed(t, h, jobstore.OwnerPrefix), 0)
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	go h.intake.run(ctx)
--- a/pkg/poolowner/loading.go
+++ b/pkg/poolowner/loading.go
@@ -66,6 +66,7 @@
 		return nil
 	})
 	group.Go(func() error { return o.listJobs(ctx) })
+	group.Go(func() error { return errors.Wrap(o.deps.ReadOperator(ctx), "operator's keys") })
 	if err := group.Wait(); err != nil {
 		return err
 	}
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -73,6 +73,8 @@
 	Advise func(ctx context.Context, call *poolpb.AdviceCall) *poolpb.AdviceResult
 	// Write puts a key into the store for a member.
 	Write func(ctx context.Context, key string, value []byte) *poolpb.Answer
+	// ReadOperator reads anew what the operator has written, and tells the owner (SetConfig, SetEvacuated).
+	ReadOperator func(ctx context.Context) error
 	// StoreAge is how long ago the store answered this host.
 	StoreAge func() time.Duration
 	// Strength is how well this host can own the pool, in percent of what is enough.
@@ -212,6 +214,14 @@
 	o.wake()
 }
 
+// SetEvacuated takes in which data halls are being evacuated.
+func (o *Owner) SetEvacuated(halls []string) {
+	o.mu.Lock()
+	o.pool.SetEvacuated(halls)
+	o.mu.Unlock()
+	o.wake()
+}
+
 // wake has the plan made anew soon.
 func (o *Owner) wake() {
 	signal(o.kick)
@@ -318,7 +328,7 @@
 func (o *Owner) logStatus() {
 	s := o.Status()
 	o.deps.Log.WithFields(logrus.Fields{
-		"workers": s.Workers, "silent": s.Silent, "jobs": s.Jobs, "steps": s.Steps, "waiting": s.Waiting, "runs": s.Runs,
+		"workers": s.Workers, "silent": s.Silent, "evacuated": s.Evacuated, "jobs": s.Jobs, "steps": s.Steps, "waiting": s.Waiting, "runs": s.Runs,
 		"calls": s.Calls, "advisers": s.Advisers, "takeover": s.Takeover, "calls_waiting": o.CallsWaiting(), "relayed": o.Relayed(), "used": s.Used, "capacity": s.Capacity,
 	}).Info("pool_status")
 	o.logLongWaits()
--- a/pkg/poolowner/sessions.go
+++ b/pkg/poolowner/sessions.go
@@ -257,6 +257,9 @@
 			o.startAnswered(a, dispatch.Answer{}, dispatch.ErrNotSent)
 			return
 		}
+		if o.withhold(a) {
+			return
+		}
 		answer, err := calls.Start(ctx, platform.StartOrder{
 			Order: platform.Order{Worker: a.Worker, Address: a.Address, Token: a.Token},
 			Task:  a.Task, Run: a.Run, Spec: a.Spec, Checkpoint: a.Checkpoint, Ticket: a.Ticket, Deadline: a.Deadline,
@@ -275,6 +278,18 @@
 	return o.authority(o.deps.Clock.Now())
 }
 
+// withhold keeps back a start whose worker gets nothing new since the start was decided. It says whether it did.
+func (o *Owner) withhold(a dispatch.Start) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.pool.StartIsVoid(a) {
+		return false
+	}
+	o.pool.StartWithheld(a, o.deps.Clock.Now())
+	o.wake()
+	return true
+}
+
 func (o *Owner) startAnswered(a dispatch.Start, answer dispatch.Answer, err error) {
 	o.mu.Lock()
 	o.pool.StartAnswered(a, answer, err, o.deps.Clock.Now())
--- /dev/null
+++ b/test/platform/evacuation_test.go
@@ -0,0 +1,35 @@
+package platform_test
+
+import (
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/platform/emulator"
+	. "github.com/onsi/gomega"
+)
+
+// A hall is evacuated; the owner is killed, and the next one too; a second hall follows and the first is taken back while the store is
+// away for the hosts. The ledger judges each start by its hall.
+func TestEvacuationAcrossTakeovers(t *testing.T) {
+	c := newCell(t, 3, emulator.Options{Workers: 6, Halls: 3})
+	c.during(14*time.Second, func() {
+		c.p.Evacuate(emulator.Hall(0))
+		time.Sleep(emulator.EvacuationBound)
+		for range 2 {
+			n := c.owner()
+			c.kill(n)
+			c.Eventually(c.owner, "10s", "20ms").ShouldNot(Equal(n))
+			c.start(n)
+			time.Sleep(500 * time.Millisecond)
+		}
+		c.p.Evacuate(emulator.Hall(1))
+		c.p.Store.SetMode(emulator.StoreBusy)
+		c.p.TakeBack(emulator.Hall(0))
+		time.Sleep(700 * time.Millisecond)
+		c.p.Store.SetMode(emulator.StoreUp)
+	})
+	before := c.p.Ledger.StartsIn(emulator.Hall(0))
+	c.during(3*time.Second, func() {})
+	c.Expect(c.p.Ledger.StartsIn(emulator.Hall(0))).To(BeNumerically(">", before), "it was taken back")
+	c.finish(40 * time.Second)
+}
