The roster has a record for each worker, and is kept by a duty of its own

Cause: the roster was one value of 227 bytes a worker. At 4,619 workers it is larger than the 1,048,576 bytes that the store takes. The store refused it, the write was tried again for ever without a word, and the duty that follows the workers' entries waited for it. A new owner's first write was refused in the same way, so that no worker was ever on the roster and none could be used.

Random histories compare the records with what they should be after each plan.

--- a/pkg/dispatch/commit.go
+++ b/pkg/dispatch/commit.go
@@ -57,6 +57,7 @@
 	p.stored = append(p.stored, c.starts...)
 	for _, id := range c.parting {
 		delete(p.parting, id)
+		p.rosterChanged(id)
 	}
 	for w, number := range c.taken {
 		w.noted = max(w.noted, number)
--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -96,6 +96,7 @@
 		p.MissCrash(w.info)
 	} else {
 		p.parting[w.info.ID] = w.info
+		p.rosterChanged(w.info.ID)
 	}
 	c := newCrash(w, starts)
 	p.cfg.Log(Event{Name: "worker_crashed", Worker: w.info.ID, Detail: fmt.Sprintf(
@@ -108,6 +109,10 @@
 
 // MissCrash takes in that a worker crashed under starts of a former owner that nobody may have counted.
 func (p *Pool) MissCrash(info WorkerInfo) {
+	p.rosterChanged(info.ID)
+	if p.takeover.missed {
+		return // one record of a crash tells a later owner as much as many
+	}
 	p.takeover.missed = true
 	p.missedWorker = info
 }
--- a/pkg/dispatch/entries.go
+++ b/pkg/dispatch/entries.go
@@ -31,7 +31,7 @@
 	return !known
 }
 
-// Rostered takes in that the roster of the store names workers.
+// Rostered takes in that the roster of the store names workers, so that they may be given tasks.
 func (p *Pool) Rostered(ids []WorkerID) {
 	for _, id := range ids {
 		if w, ok := p.workers[id]; ok {
--- a/pkg/dispatch/history_lives_test.go
+++ b/pkg/dispatch/history_lives_test.go
@@ -135,6 +135,7 @@
 		return
 	}
 	w.roster = o.pool.Roster()
+	w.checkRoster(o)
 	var ids []WorkerID
 	for _, info := range w.roster {
 		ids = append(ids, info.ID)
--- a/pkg/dispatch/history_owner_test.go
+++ b/pkg/dispatch/history_owner_test.go
@@ -147,6 +147,7 @@
 		w.writeRoster(o)
 	} else if w.crashing && o == w.present() && !o.ended {
 		w.roster = o.pool.Roster()
+		w.checkRoster(o)
 	}
 }
 
--- a/pkg/dispatch/history_test.go
+++ b/pkg/dispatch/history_test.go
@@ -43,6 +43,8 @@
 
 // modelOwner is an owner at work.
 type modelOwner struct {
+	// roster is the roster as the owner has written it, record by record.
+	roster  rosterCopy
 	pool    *Pool
 	term    int64
 	until   clock.Time // end of its authority; 0 while it is the present owner
--- a/pkg/dispatch/lives.go
+++ b/pkg/dispatch/lives.go
@@ -72,6 +72,7 @@
 	l.lives = append(l.lives, w)
 	p.workers[info.ID] = w
 	p.sorted = nil
+	p.rosterChanged(info.ID)
 	return w
 }
 
@@ -157,6 +158,7 @@
 // succeed takes in that a life has ended and the next one is there.
 func (p *Pool) succeed(former, next *worker, now clock.Time) {
 	former.gone = true
+	p.rosterChanged(former.info.ID)
 	former.clearForeign()
 	former.line.raise(p.cfg.Token) // a hold for the former life that comes late would have the next one forget its ends
 	former.line.end(former)
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -19,12 +19,12 @@
 	Pool     string
 	Address  netip.AddrPort
 	Zone     string
-	Rack     string
-	Labels   []string
+	Rack     string   `json:",omitempty"`
+	Labels   []string `json:",omitempty"`
 	Capacity cell.Resources
-	Draining bool
+	Draining bool `json:",omitempty"`
 	// Remaining is the least time that a draining worker has left; 0 when not told.
-	Remaining time.Duration
+	Remaining time.Duration `json:",omitempty"`
 	// Crashed says that the worker has gone, and that a later owner may not know under which starts.
 	Crashed bool `json:",omitempty"`
 }
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -79,6 +79,7 @@
 	// starts of a former owner (takeover.missed).
 	parting      map[WorkerID]WorkerInfo
 	missedWorker WorkerInfo
+	rosterNews   map[string]struct{} // names of workers (TakeRosterNews)
 	createdAt    clock.Time
 	surveyedAt   clock.Time // all workers were looked at (surveyWorkers)
 	loads        map[string]*poolLoad
@@ -99,7 +100,7 @@
 		cfg: cfg, takeover: newTakeover(cfg, now),
 		jobs: map[job.ID]*jobState{}, accounts: map[string]*account.Account{}, outcomes: newOutcomes(), unknown: map[job.ID]struct{}{}, absent: map[job.ID]struct{}{}, workers: map[WorkerID]*worker{}, lineages: map[string]*lineage{}, configured: map[string]bool{},
 		ready: map[*step]struct{}{}, timed: map[*jobState]struct{}{}, dirty: map[*jobState]struct{}{},
-		advice: newAdviceCalls(), loads: map[string]*poolLoad{}, parting: map[WorkerID]WorkerInfo{}, lastCrashAt: map[netip.AddrPort]clock.Time{}, createdAt: now,
+		advice: newAdviceCalls(), loads: map[string]*poolLoad{}, parting: map[WorkerID]WorkerInfo{}, rosterNews: map[string]struct{}{}, lastCrashAt: map[netip.AddrPort]clock.Time{}, createdAt: now,
 	}
 	p.cfg.Log = func(e Event) {
 		e.Customer = p.customerOf(e)
--- /dev/null
+++ b/pkg/dispatch/roster_test.go
@@ -0,0 +1,115 @@
+package dispatch
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// Roster is the whole roster, by id.
+func (p *Pool) Roster() []WorkerInfo {
+	var out []WorkerInfo
+	for name := range p.lineages {
+		out = append(out, p.RosterOf(name)...)
+	}
+	for _, info := range p.partingUnknown() {
+		out = append(out, info.crashed())
+	}
+	slices.SortFunc(out, func(a, b WorkerInfo) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// partingUnknown are workers in the roster of which only the roster of a former owner has told.
+func (p *Pool) partingUnknown() []WorkerInfo {
+	if _, known := p.lineages[p.missedWorker.ID.Name()]; known || !p.takeover.missed || !p.anyKnownToFormer() {
+		return nil
+	}
+	return []WorkerInfo{p.missedWorker}
+}
+
+// rosterCopy is a roster that is kept record by record, as the store has it.
+type rosterCopy map[string][]WorkerInfo
+
+func (c rosterCopy) follow(p *Pool) {
+	for _, name := range p.TakeRosterNews() {
+		if c[name] = p.RosterOf(name); len(c[name]) == 0 {
+			delete(c, name)
+		}
+	}
+}
+
+func (c rosterCopy) ids() []string {
+	var out []string
+	for _, infos := range c {
+		for _, i := range infos {
+			out = append(out, fmt.Sprint(i.ID, i.Crashed))
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func rosterIDs(infos []WorkerInfo) []string {
+	var out []string
+	for _, i := range infos {
+		out = append(out, fmt.Sprint(i.ID, i.Crashed))
+	}
+	slices.Sort(out)
+	return out
+}
+
+// checkRoster judges that the records that an owner has written by its news are those that it should have.
+func (w *world) checkRoster(o *modelOwner) {
+	if o.roster == nil {
+		o.roster = rosterCopy{}
+	}
+	o.roster.follow(o.pool)
+	if got, want := o.roster.ids(), rosterIDs(w.roster); !slices.Equal(got, want) {
+		w.broken("ROSTER its records name %v, not %v", got, want)
+	}
+}
+
+func TestRosterTellsOnlyOfWorkersThatCameOrWent(t *testing.T) {
+	f := newFixture(t, 3, nil)
+	f.Expect(f.pool.TakeRosterNews()).To(HaveLen(3))
+	f.reportAll(3)
+	f.Expect(f.pool.TakeRosterNews()).To(BeEmpty(), "an answer changes nothing")
+	f.lists(firstLife(7))
+	f.Expect(f.pool.TakeRosterNews()).To(Equal([]string{firstLife(7).id.Name()}))
+	f.pool.workerGone(f.pool.workers[workerID(1)], "test", f.now)
+	f.Expect(f.pool.TakeRosterNews()).To(Equal([]string{workerID(1).Name()}))
+	f.Expect(f.pool.RosterOf(workerID(1).Name())).To(HaveLen(1), "as crashed, until that is committed")
+	f.pool.Committed(f.pool.TakeCommit())
+	f.Expect(f.pool.TakeRosterNews()).To(Equal([]string{workerID(1).Name()}))
+	f.Expect(f.pool.RosterOf(workerID(1).Name())).To(BeEmpty())
+}
+
+// BenchmarkRosterChange is a worker that comes and goes in pools of several sizes.
+func BenchmarkRosterChange(b *testing.B) {
+	for _, n := range []int{1100, 6000, 12000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p := New(Config{Log: func(Event) {}}, 1)
+			for i := range n {
+				info := firstLife(i % 200).info()
+				info.ID = NewWorkerID(fmt.Sprintf("i-%d", i), firstBorn)
+				p.PutWorker(info, true, 1)
+			}
+			p.TakeRosterNews()
+			changed := firstLife(1).info()
+			for b.Loop() {
+				changed.ID = NewWorkerID("i-new", firstBorn)
+				p.PutWorker(changed, true, 1)
+				for _, name := range p.TakeRosterNews() {
+					p.RosterOf(name)
+				}
+				w := p.workers[changed.ID]
+				w.gone = true
+				p.forgetWorker(w)
+				delete(p.lineages, "i-new")
+			}
+		})
+	}
+}
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -201,6 +201,7 @@
 		return
 	}
 	w.gone = true
+	p.rosterChanged(w.info.ID)
 	w.clearForeign()
 	w.line.raise(p.cfg.Token) // as in succeed: another life may be known by now
 	p.cfg.Log(Event{Name: "worker_gone", Worker: w.info.ID, Detail: why})
--- a/pkg/jobstore/keys.go
+++ b/pkg/jobstore/keys.go
@@ -17,7 +17,7 @@
 	OwnerPrefix    = "foldarch/owner/"
 	HolderKey      = OwnerPrefix + "holder"
 	AliveKey       = OwnerPrefix + "alive"
-	RosterKey      = "foldarch/roster"
+	RosterPrefix   = "foldarch/roster/"
 
 	cancelSuffix = "/cancel"
 	commitPrefix = "foldarch/commit/"
@@ -47,6 +47,16 @@
 	return ProgressPrefix + string(id)
 }
 
+// RosterKey is where the roster's record of a worker stands, by the worker's name.
+func RosterKey(worker string) string {
+	return RosterPrefix + worker
+}
+
+// ParseRosterKey returns the worker's name of a key under RosterPrefix.
+func ParseRosterKey(key string) (worker string) {
+	return strings.TrimPrefix(key, RosterPrefix)
+}
+
 // ParseJobKey returns the job of a key under JobsPrefix and whether the key cancels it.
 func ParseJobKey(key string) (id job.ID, cancel bool) {
 	text := strings.TrimPrefix(key, JobsPrefix)
--- a/pkg/poolowner/commits.go
+++ b/pkg/poolowner/commits.go
@@ -171,6 +171,7 @@
 	for ctx.Err() == nil {
 		revision, found, err := o.deps.Store.Commit(ctx, t)
 		if err == nil {
+			o.commitFailures.succeeded()
 			lane.revision = revision
 			return nil
 		}
@@ -182,6 +183,7 @@
 			o.depose("commit")
 			return ErrDeposed
 		}
+		o.commitFailures.failed(err)
 		clock.Sleep(ctx, commitRetry)
 	}
 	return ctx.Err()
--- a/pkg/poolowner/doc.go
+++ b/pkg/poolowner/doc.go
@@ -7,6 +7,7 @@
 //	commits   writes outcomes and progress into the store, before workers forget ends
 //	jobs      follows the accepted and cancelled jobs in the store
 //	workers   follows the workers' entries in the store
+//	roster    writes which workers are in use into the store, before they get tasks
 //	members   talks with the other entry hosts (package poolrpc)
 //
 // # Authority
--- a/pkg/poolowner/loading.go
+++ b/pkg/poolowner/loading.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"slices"
 	"strings"
 	"time"
 
@@ -56,10 +54,7 @@
 func (o *Owner) loadOnce(ctx context.Context) error {
 	var group errgroup.Group
 	group.Go(func() error {
-		if err := o.listWorkers(ctx); err != nil {
-			return err
-		}
-		if err := o.readRoster(ctx); err != nil {
+		if err := o.loadWorkers(ctx); err != nil {
 			return err
 		}
 		o.openSessions(ctx)
@@ -79,6 +74,22 @@
 	return nil
 }
 
+// loadWorkers reads the workers' entries and the roster.
+func (o *Owner) loadWorkers(ctx context.Context) error {
+	var roster []platform.Item
+	var group errgroup.Group
+	group.Go(func() error { return o.listWorkers(ctx) })
+	group.Go(func() (err error) {
+		roster, err = o.listRoster(ctx)
+		return err
+	})
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	o.takeRoster(roster)
+	return nil
+}
+
 // listJobs reads all jobs and their progress, which nobody else changes any more.
 func (o *Owner) listJobs(ctx context.Context) error {
 	started := o.deps.Clock.Now()
@@ -210,9 +221,8 @@
 	return nil
 }
 
-// watchWorkers is the duty that follows the workers' entries, and keeps the roster.
+// watchWorkers is the duty that follows the workers' entries.
 func (o *Owner) watchWorkers(ctx context.Context) {
-	o.writeRoster(ctx)
 	for ctx.Err() == nil {
 		items, at, err := o.deps.Store.Watch(ctx, platform.WorkersPrefix, o.position.workers, workersWait)
 		if errors.Is(err, platform.ErrHistoryIsGone) {
@@ -226,7 +236,6 @@
 		o.followsWorkers.Known(o.deps.Clock.Now())
 		o.takeWorkers(items)
 		o.openSessions(ctx)
-		o.writeRoster(ctx)
 		o.position.workers = at
 		clock.Sleep(ctx, pauseAfter(len(items)))
 	}
@@ -286,107 +295,3 @@
 		"worker": w.ID, "address": w.Address, "zone": w.Zone, "rack": w.Rack, "labels": strings.Join(w.Labels, ","), "draining": w.Draining, "capacity": w.Capacity,
 	}).Info("worker_listed")
 }
-
-// readRoster takes in the workers that former owners have used, since the entry of one may
-// be gone while it runs on.
-func (o *Owner) readRoster(ctx context.Context) error {
-	item, err := o.deps.Store.Read(ctx, jobstore.RosterKey)
-	if errors.Is(err, platform.ErrAbsent) {
-		return nil
-	}
-	if err != nil {
-		return errors.Wrap(err, "roster")
-	}
-	o.rosterRevision = item.Revision
-	var roster []dispatch.WorkerInfo
-	if err := json.Unmarshal(item.Value, &roster); err != nil {
-		return errors.Wrap(err, "roster")
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	known := map[dispatch.WorkerID]bool{}
-	for _, w := range o.pool.Workers() {
-		known[w.ID] = true
-	}
-	for _, w := range roster {
-		if w.Crashed {
-			o.pool.MissCrash(w)
-			continue
-		}
-		if !known[w.ID] {
-			o.pool.PutWorker(w, false, o.deps.Clock.Now())
-		}
-	}
-	return nil
-}
-
-// alikeForLater says that the roster tells a later owner the same of two entries.
-func alikeForLater(a, b dispatch.WorkerInfo) bool {
-	return a.ID == b.ID && a.Crashed == b.Crashed
-}
-
-// writeRoster keeps the workers that are in use, for the next owner, if they have changed.
-func (o *Owner) writeRoster(ctx context.Context) {
-	o.mu.Lock()
-	workers := o.pool.Roster()
-	o.mu.Unlock()
-	ids := make([]dispatch.WorkerID, 0, len(workers))
-	for _, w := range workers {
-		ids = append(ids, w.ID)
-	}
-	if slices.EqualFunc(workers, o.roster, alikeForLater) {
-		return
-	}
-	text, err := json.Marshal(workers)
-	if err != nil {
-		return
-	}
-	if !o.putRoster(ctx, text) {
-		return
-	}
-	o.mu.Lock()
-	o.pool.Rostered(ids)
-	o.roster = workers
-	o.mu.Unlock()
-	o.wake()
-}
-
-// putRoster writes the roster, whatever it takes; it says whether it is written, or this owner ends. A write without an answer may be carried out after
-// later ones. So each is on condition of the last one, too: otherwise workers that came since would be off the roster.
-func (o *Owner) putRoster(ctx context.Context, text []byte) bool {
-	for ctx.Err() == nil {
-		revision, found, err := o.deps.Store.Commit(ctx, platform.Txn{
-			Conditions: []platform.Condition{
-				{Key: jobstore.HolderKey, Revision: o.claim.Revision}, {Key: jobstore.RosterKey, Revision: o.rosterRevision},
-			},
-			Put: []platform.Put{{Key: jobstore.RosterKey, Value: text}},
-		})
-		switch {
-		case err == nil:
-			o.rosterRevision = revision
-			return true
-		case errors.Is(err, platform.ErrConflict) && o.rosterReplaced(found):
-			continue // by a try of this owner that got no answer
-		case errors.Is(err, platform.ErrConflict):
-			o.depose("roster")
-			return false
-		}
-		clock.Sleep(ctx, storeRetry)
-	}
-	return false
-}
-
-// rosterReplaced says that a conflict is only about the roster's last write, and takes that in.
-func (o *Owner) rosterReplaced(found []platform.Item) bool {
-	ours, replaced := false, false
-	for _, i := range found {
-		switch i.Key {
-		case jobstore.HolderKey:
-			ours = i.Revision == o.claim.Revision
-		case jobstore.RosterKey:
-			replaced = i.Revision != o.rosterRevision
-			o.rosterRevision = i.Revision
-		}
-	}
-	return ours && replaced
-}
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -111,17 +111,16 @@
 	relays   *relay.Assignments
 	unusable map[string]unusableEntry // by the worker's name
 	// unreadable are jobs whose progress can't be read.
-	unreadable map[job.ID]bool
-	cancelled  map[job.ID]bool // told before the job itself
-	committed  chan struct{}   // closed and renewed with each commit
-	fenced     bool            // most workers were fenced
-	counted    answerCount
-	refusals   refusals
-	// roster is as written last, and rosterRevision that of its last write; of the duty that watches workers, and before that of the one that loads.
-	roster         []dispatch.WorkerInfo
-	rosterRevision int64
-	beats          beats    // of the duty that watches workers
-	position       position // each field belongs to one duty
+	unreadable                     map[job.ID]bool
+	cancelled                      map[job.ID]bool // told before the job itself
+	committed                      chan struct{}   // closed and renewed with each commit
+	fenced                         bool            // most workers were fenced
+	counted                        answerCount
+	refusals                       refusals
+	rosterFailures, commitFailures *writeFailures
+	roster                         map[string]rosterRecord // by the worker's name; of the duty that keeps the roster, and before that of the one that loads
+	beats                          beats                   // of the duty that watches workers
+	position                       position                // each field belongs to one duty
 	// followsJobs and followsWorkers are of the duties that watch these.
 	followsJobs, followsWorkers *jobstore.Following
 
@@ -141,8 +140,10 @@
 		unconfirmed: make(chan struct{}, 1), unknownJobs: make(chan struct{}, 1),
 		calls:    newCallGate(callsAtOnceOf(deps)),
 		sessions: map[dispatch.WorkerID]*workerSession{}, members: map[string]*member{}, near: map[string]bool{},
-		unusable: map[string]unusableEntry{}, unreadable: map[job.ID]bool{}, cancelled: map[job.ID]bool{}, committed: make(chan struct{}), lanes: newLanes(claim),
+		unusable: map[string]unusableEntry{}, roster: map[string]rosterRecord{}, unreadable: map[job.ID]bool{}, cancelled: map[job.ID]bool{}, committed: make(chan struct{}), lanes: newLanes(claim),
 		beats: newBeats(deps.Heartbeat), upkeep: upkeep.New(),
+		rosterFailures: &writeFailures{what: "roster", clk: deps.Clock, log: deps.Log},
+		commitFailures: &writeFailures{what: "commit", clk: deps.Clock, log: deps.Log},
 		followsJobs:    jobstore.NewFollowing(jobstore.JobsPrefix, deps.Clock, deps.Log),
 		followsWorkers: jobstore.NewFollowing(platform.WorkersPrefix, deps.Clock, deps.Log),
 	}
@@ -181,6 +182,7 @@
 	o.duties.Go(func() { o.watchJobs(ctx) })
 	o.duties.Go(func() { o.readUnknownJobs(ctx) })
 	o.duties.Go(func() { o.watchWorkers(ctx) })
+	o.duties.Go(func() { clock.Every(ctx, rosterEvery, func() { o.writeRoster(ctx) }) })
 	o.duties.Go(func() { o.runUpkeep(ctx) })
 	o.duties.Go(func() { o.runConfirmations(ctx) })
 	<-ctx.Done()
--- a/pkg/poolowner/roster_test.go
+++ b/pkg/poolowner/roster_test.go
@@ -11,7 +11,6 @@
 
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/dispatch"
-	"foldarch.dev/foldarch/pkg/jobstore"
 	"foldarch.dev/foldarch/platform"
 	"foldarch.dev/foldarch/platform/emulator"
 	. "github.com/onsi/gomega"
@@ -87,9 +86,10 @@
 	next := New(Deps{
 		Name: "next", Clock: clock.System(), Store: o.deps.Store, Workers: platform.NewWorkers(0), Bounds: o.deps.Bounds, Log: o.deps.Log, Figures: o.deps.Figures,
 	}, Claim{Term: 2, Revision: o.claim.Revision})
-	_, err := o.deps.Store.Read(t.Context(), jobstore.RosterKey)
+	items, err := next.listRoster(t.Context())
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(next.readRoster(t.Context())).To(Succeed())
+	g.Expect(items).NotTo(BeEmpty())
+	next.takeRoster(items)
 	var ids []dispatch.WorkerID
 	for _, w := range next.pool.Workers() {
 		ids = append(ids, w.ID)
