An owner with a small link leaves the calls to workers to others from fewer workers on

Cause: relays began at 400 workers whatever the owner's link carries. Calls to 120 workers take some 2.2 KB/s a worker each way, 264 of the 250 KB/s that 2 Mbit/s are. Calls timed out while their bytes waited, and were made again over new connections (12,969 of them for 920 calls); the owner's commits got no answer for 12 s (write_fails what=commit at 12.98 s, deposed at 25.25 s). TWICE is the same: ends listed at 16.99 s were not committed, their worker left at 19.36 s, and a later owner started the tasks again at 42 s.

Now the calls to workers may take a quarter of a host's link; beyond that other hosts make them, each for as many workers as its own link bears.

Test: TestOwnerWithASmallLinkLeavesFewWorkersToItself.

--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -230,7 +230,7 @@
 	o := poolowner.New(poolowner.Deps{
 		Machines: machines,
 		Name:     h.cfg.Load().Name, Clock: h.clk, Store: h.store, Workers: h.worker, WorkerTimeout: workerTimeout, Bounds: h.cfg.Load().Bounds, Heartbeat: h.cfg.Load().Heartbeat,
-		Advise: h.advise, Write: h.writeFor, ReadOperator: h.readOperatorKeys, StoreAge: h.storeAge, Leased: k.holds, Log: h.log, Strength: strengthOf(*h.cfg.Load()), Figures: h.figures.registry,
+		Advise: h.advise, Write: h.writeFor, ReadOperator: h.readOperatorKeys, StoreAge: h.storeAge, Leased: k.holds, Log: h.log, Strength: strengthOf(*h.cfg.Load()), LinkMbps: h.cfg.Load().LinkMbps, Figures: h.figures.registry,
 	}, claim)
 	o.SetConfig(h.config.Load())
 	h.owner.Store(o)
@@ -322,7 +322,8 @@
 
 func (h *Host) memberStatus() *poolpb.MemberStatus {
 	return &poolpb.MemberStatus{Name: h.cfg.Load().Name, StoreAgeMs: h.storeAge().Milliseconds(), Stopping: h.stopping.Load(),
-		Strength: int64(strengthOf(*h.cfg.Load())), Hall: h.cfg.Load().Zone}
+		Strength: int64(strengthOf(*h.cfg.Load())), Hall: h.cfg.Load().Zone,
+		MostWorkers: int64(min(relay.WorkersOnLink(h.cfg.Load().LinkMbps), relay.WorkersPerHost))}
 }
 
 // ownerHeard takes in a heartbeat of the owner.
--- a/pkg/poolowner/members.go
+++ b/pkg/poolowner/members.go
@@ -1,6 +1,7 @@
 package poolowner
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -8,6 +9,7 @@
 	"foldarch.dev/foldarch/pkg/job"
 	"foldarch.dev/foldarch/pkg/poolrpc"
 	"foldarch.dev/foldarch/pkg/poolrpc/poolpb"
+	"foldarch.dev/foldarch/pkg/relay"
 	"github.com/sirupsen/logrus"
 )
 
@@ -31,7 +33,8 @@
 		former.cancel() // its stream has not been found broken yet
 	}
 	o.members[s.Name] = o.newMember(s)
-	o.relays.PutHost(s.Name, s.Status().Hall, int(s.Status().Strength))
+	st := s.Status()
+	o.relays.PutHost(s.Name, st.Hall, int(st.Strength), cmp.Or(int(st.MostWorkers), relay.WorkersPerHost))
 	o.pool.PutAdviser(s.Name)
 	o.deps.Log.WithField("member", s.Name).Info("member_joined")
 }
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -79,6 +79,8 @@
 	StoreAge func() time.Duration
 	// Strength is how well this host can own the pool, in percent of what is enough.
 	Strength int
+	// LinkMbps is what the link of this host carries; 0 when not told.
+	LinkMbps float64
 	// Leased says that the store has confirmed the ownership within AuthorityTerm.
 	Leased func(now clock.Time) bool
 	Log    *logrus.Entry
@@ -154,7 +156,7 @@
 		Token:   claim.Revision * tokenStep, Term: claim.Term, FirstRun: int(claim.Term) * runsOfTerm, Takeover: !claim.First,
 		AuthorityTerm: formerTerm(claim), Wall: deps.Clock.Wall, Log: o.logEvent, Without: deps.Without,
 	}, now)
-	o.relays = relay.NewAssignments(o.stopping)
+	o.relays = relay.NewAssignments(o.stopping, deps.LinkMbps)
 	o.pool.PutAdviser(deps.Name)
 	return o
 }
--- a/pkg/relay/assignments.go
+++ b/pkg/relay/assignments.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"time"
 
 	"foldarch.dev/foldarch/pkg/clock"
@@ -13,8 +14,14 @@
 	// costs a relay about 0.2 ms of processor: 96 workers take 4 to 8% of a core, which the smallest hosts have.
 	WorkersPerHost = 96
 	// leastWorkers is the number of workers from which other hosts make the calls to them. Below, relays cost
-	// the hosts more than they spare the owner (docs/CAPACITY.md).
+	// the hosts more than they spare an owner with a large link (docs/CAPACITY.md).
 	leastWorkers = 400
+	// linkShare is the part of a host's link that calls to workers may take, and callBytes what those to one worker take each way, in
+	// bytes a second. The rest is for the store, for callers and for bursts.
+	linkShare = 0.25
+	callBytes = 2200
+	// bytesPerMbit is how many bytes a second a megabit a second carries.
+	bytesPerMbit = 1e6 / 8
 	// mostDoubts is how many orders in a row may have no result before a relay is left for suspectFor. The
 	// stream of a host is given up after 0.9 s of silence; this is for one that lives but does not reach workers.
 	mostDoubts = 12
@@ -33,6 +40,7 @@
 	// Stopping says that a host is about to end.
 	Stopping func(host string) bool
 
+	least        int // workers, from which other hosts make the calls
 	hosts        map[string]*host
 	workers      map[dispatch.WorkerID]*assignment
 	missingUntil clock.Time // no host had room
@@ -43,6 +51,7 @@
 	name         string
 	hall         string
 	strength     int // in percent of what an owner needs
+	most         int // workers that it may serve
 	workers      int // that it serves
 	doubts       int // orders in a row without a result
 	suspectUntil clock.Time
@@ -56,14 +65,24 @@
 	directUntil clock.Time
 }
 
-// NewAssignments returns assignments without hosts and workers.
-func NewAssignments(stopping func(host string) bool) *Assignments {
-	return &Assignments{Stopping: stopping, hosts: map[string]*host{}, workers: map[dispatch.WorkerID]*assignment{}}
+// NewAssignments returns assignments without hosts and workers, for an owner whose link carries so many megabits a second; 0 when that is not
+// told.
+func NewAssignments(stopping func(host string) bool, linkMbps float64) *Assignments {
+	return &Assignments{Stopping: stopping, least: min(leastWorkers, WorkersOnLink(linkMbps)), hosts: map[string]*host{}, workers: map[dispatch.WorkerID]*assignment{}}
 }
 
-// PutHost takes in a host of a data hall that can make calls. One of the same name is replaced.
-func (a *Assignments) PutHost(name, hall string, strength int) {
-	a.hosts[name] = &host{name: name, hall: hall, strength: strength}
+// WorkersOnLink is to how many workers calls may be made over a link of so many megabits a second; 0 when that is not told, which counts as
+// enough.
+func WorkersOnLink(linkMbps float64) int {
+	if linkMbps <= 0 {
+		return math.MaxInt
+	}
+	return max(1, int(linkShare*linkMbps*bytesPerMbit/callBytes))
+}
+
+// PutHost takes in a host of a data hall that can make calls, to most workers at most. One of the same name is replaced.
+func (a *Assignments) PutHost(name, hall string, strength, most int) {
+	a.hosts[name] = &host{name: name, hall: hall, strength: strength, most: min(most, WorkersPerHost)}
 	a.missingUntil = 0
 }
 
@@ -157,12 +176,12 @@
 // Hosts of the worker's hall come first, since traffic between halls costs and a hall that is cut off keeps
 // both; then strong hosts, and among these hosts that serve others already, so that messages hold many orders.
 func (a *Assignments) choose(hall string, now clock.Time) *host {
-	if len(a.workers) < leastWorkers || now < a.missingUntil {
+	if len(a.workers) < a.least || now < a.missingUntil {
 		return nil
 	}
 	var best *host
 	for _, h := range a.hosts {
-		if h.workers < WorkersPerHost && (best == nil || h.before(best, hall)) && a.usable(h, now) {
+		if h.workers < h.most && (best == nil || h.before(best, hall)) && a.usable(h, now) {
 			best = h
 		}
 	}
--- a/pkg/relay/assignments_test.go
+++ b/pkg/relay/assignments_test.go
@@ -18,12 +18,12 @@
 
 // assigned returns assignments of some workers in hall "h", to hosts of a strength of 100 in that hall.
 func assigned(workers int, hosts ...string) *Assignments {
-	a := NewAssignments(func(string) bool { return false })
+	a := NewAssignments(func(string) bool { return false }, 0)
 	for n := range workers {
 		a.PutWorker(workerID(n), "h")
 	}
 	for _, name := range hosts {
-		a.PutHost(name, "h", 100)
+		a.PutHost(name, "h", 100, WorkersPerHost)
 	}
 	return a
 }
@@ -50,30 +50,30 @@
 	}{
 		"none": {func(*Assignments) {}, ""},
 		"the worker's hall": {func(a *Assignments) {
-			a.PutHost("a", "g", 100)
-			a.PutHost("b", "h", 20)
+			a.PutHost("a", "g", 100, WorkersPerHost)
+			a.PutHost("b", "h", 20, WorkersPerHost)
 		}, "b"},
 		"a strong one": {func(a *Assignments) {
-			a.PutHost("a", "h", 20)
-			a.PutHost("b", "h", 100)
+			a.PutHost("a", "h", 20, WorkersPerHost)
+			a.PutHost("b", "h", 100, WorkersPerHost)
 		}, "b"},
 		"one that serves others": {func(a *Assignments) {
-			a.PutHost("a", "h", 100)
-			a.PutHost("b", "h", 100)
+			a.PutHost("a", "h", 100, WorkersPerHost)
+			a.PutHost("b", "h", 100, WorkersPerHost)
 			a.hosts["b"].workers = 5
 		}, "b"},
 		"another hall's, if full": {func(a *Assignments) {
-			a.PutHost("a", "g", 20)
-			a.PutHost("b", "h", 100)
+			a.PutHost("a", "g", 20, WorkersPerHost)
+			a.PutHost("b", "h", 100, WorkersPerHost)
 			a.hosts["b"].workers = WorkersPerHost
 		}, "a"},
 		"the first by name": {func(a *Assignments) {
-			a.PutHost("b", "h", 100)
-			a.PutHost("a", "h", 100)
+			a.PutHost("b", "h", 100, WorkersPerHost)
+			a.PutHost("a", "h", 100, WorkersPerHost)
 		}, "a"},
 		"none that stops": {func(a *Assignments) {
 			a.Stopping = func(name string) bool { return name == "a" }
-			a.PutHost("a", "h", 100)
+			a.PutHost("a", "h", 100, WorkersPerHost)
 		}, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -101,7 +101,7 @@
 	a.Assign("w0", start)
 	a.RemoveHost("a")
 	g.Expect(a.Assigned("w0", start)).To(BeEmpty())
-	a.PutHost("b", "h", 100)
+	a.PutHost("b", "h", 100, WorkersPerHost)
 	name, changed := a.Assign("w0", start)
 	g.Expect(name).To(Equal("b"))
 	g.Expect(changed).To(BeTrue())
@@ -111,7 +111,7 @@
 	g := NewWithT(t)
 	a := assigned(leastWorkers, "a")
 	a.Assign("w0", start)
-	a.PutHost("a", "h", 100)
+	a.PutHost("a", "h", 100, WorkersPerHost)
 	g.Expect(a.Assigned("w0", start)).To(BeEmpty())
 	_, changed := a.Assign("w0", start)
 	g.Expect(changed).To(BeTrue(), "orders that the former process has must be fenced")
@@ -167,9 +167,40 @@
 	g := NewWithT(t)
 	a := assigned(leastWorkers)
 	a.Assign("w0", start)
-	a.hosts["a"] = &host{name: "a", hall: "h"}
+	a.hosts["a"] = &host{name: "a", hall: "h", most: WorkersPerHost}
 	name, _ := a.Assign("w1", start.Add(time.Millisecond))
 	g.Expect(name).To(BeEmpty())
 	name, _ = a.Assign("w1", start.Add(chooseAgain))
 	g.Expect(name).To(Equal("a"))
 }
+
+// 120 workers on hosts of 2 Mbit/s: calls of the owner to all of them filled its link, so that they timed out, were made again over new connections, and
+// filled it further (12,969 new connections for 920 calls; 0.094 of the day's requests were served).
+func TestOwnerWithASmallLinkLeavesFewWorkersToItself(t *testing.T) {
+	g := NewWithT(t)
+	const mbps = 2
+	fits := WorkersOnLink(mbps)
+	g.Expect(fits * callBytes).To(BeNumerically("<=", linkShare*mbps*bytesPerMbit))
+	a := NewAssignments(func(string) bool { return false }, mbps)
+	for n := range 5 {
+		a.PutHost(fmt.Sprintf("host-%d", n), "h", mbps, fits)
+	}
+	for n := range 120 {
+		a.PutWorker(workerID(n), "h")
+	}
+	for n := range 120 {
+		a.Assign(workerID(n), start)
+	}
+	g.Expect(a.Count()).To(Equal(120))
+	for _, h := range a.hosts {
+		g.Expect(h.workers).To(BeNumerically("<=", fits))
+	}
+}
+
+func TestWorkersOnALink(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(WorkersOnLink(0)).To(BeNumerically(">", 1<<20), "not told")
+	g.Expect(WorkersOnLink(0.001)).To(Equal(1))
+	g.Expect(WorkersOnLink(2)).To(Equal(28))
+	g.Expect(WorkersOnLink(100)).To(BeNumerically(">", leastWorkers))
+}
