--- a/pkg/relay/client.go
+++ b/pkg/relay/client.go
@@ -41,7 +41,7 @@
 // message was put on its way.
 func (c *Client) Run(ctx context.Context, send func(*poolpb.OwnerMessage) bool) {
 	c.orders.run(ctx, func(orders []*poolpb.Order) {
-		msg := &poolpb.OwnerMessage{Content: &poolpb.OwnerMessage_Orders{Orders: &poolpb.Orders{Orders: orders}}}
+		msg := &poolpb.OwnerMessage{Content: &poolpb.OwnerMessage_Orders{Orders: pack(orders)}}
 		if !send(msg) {
 			c.failAll(orders)
 		}
--- a/pkg/relay/messages.go
+++ b/pkg/relay/messages.go
@@ -61,3 +61,32 @@
 	}
 	return report, nil
 }
+
+// pack puts orders into one message. The starts of a step carry the same spec, which may be most of their bytes, so each stands there once.
+func pack(orders []*poolpb.Order) *poolpb.Orders {
+	out := &poolpb.Orders{Orders: orders}
+	numbers := map[string]int64{}
+	for _, o := range orders {
+		if o.Spec == "" {
+			continue
+		}
+		if numbers[o.Spec] == 0 {
+			out.Specs = append(out.Specs, o.Spec)
+			numbers[o.Spec] = int64(len(out.Specs))
+		}
+		o.Spec, o.SpecNumber = "", numbers[o.Spec]
+	}
+	return out
+}
+
+// specOf is the spec of an order in a message; ok is false when the message lacks it.
+func specOf(m *poolpb.Orders, o *poolpb.Order) (spec string, ok bool) {
+	switch n := o.SpecNumber; {
+	case n == 0:
+		return o.Spec, true
+	case n < 0 || n > int64(len(m.Specs)):
+		return "", false
+	default:
+		return m.Specs[n-1], true
+	}
+}
--- a/pkg/relay/server.go
+++ b/pkg/relay/server.go
@@ -53,6 +53,12 @@
 // stay usable.
 func (s *Server) Take(ctx context.Context, orders *poolpb.Orders) {
 	for _, o := range orders.Orders {
+		spec, ok := specOf(orders, o)
+		if !ok {
+			s.results.put(&poolpb.Result{Number: o.Number, Failed: true, NotSent: true})
+			continue
+		}
+		o.Spec = spec
 		select {
 		case s.slots <- struct{}{}:
 		default:
