Limits of calls to the store leave the time that bytes take on the link, and writes without an answer get more of it with each try

A write that got no answer is given 0.4, 0.8, 1.6, 3.2 s more with the tries that follow. The answer that is lost costs no more than before.

The bytes of a process's connections are counted by what they are for (package traffic, bytes.NAME.sent and .received).

--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -291,7 +291,7 @@
 			}
 		}
 	}()
-	_ = m.Run(ctx, conn)
+	_ = m.Run(ctx, h.peerBytes.Conn(conn))
 }
 
 // knownOwner is the revision of the latest record of an owner that this host knows of, and that owner's term; 0 for none.
--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -17,6 +17,7 @@
 	"foldarch.dev/foldarch/pkg/poolowner"
 	"foldarch.dev/foldarch/pkg/poolrpc"
 	"foldarch.dev/foldarch/pkg/queue"
+	"foldarch.dev/foldarch/pkg/traffic"
 	"foldarch.dev/foldarch/pkg/upkeep"
 	"foldarch.dev/foldarch/platform"
 	"github.com/cockroachdb/errors"
@@ -55,15 +56,16 @@
 	worker *platform.Workers
 	advice atomic.Pointer[platform.Adviser] // nil when there is no advice service
 
-	config       atomic.Pointer[queue.Config]
-	operatorKeys *follower // the configuration and waves
-	intake       *intake
-	figures      *figures
-	election     election
-	member       atomic.Pointer[poolrpc.Member]
-	owner        atomic.Pointer[poolowner.Owner]
-	refusals     queueRefusals
-	stopping     atomic.Bool
+	config                              atomic.Pointer[queue.Config]
+	operatorKeys                        *follower // the configuration and waves
+	intake                              *intake
+	figures                             *figures
+	peerBytes, callerBytes, adviceBytes *traffic.Meter
+	election                            election
+	member                              atomic.Pointer[poolrpc.Member]
+	owner                               atomic.Pointer[poolowner.Owner]
+	refusals                            queueRefusals
+	stopping                            atomic.Bool
 
 	mu        sync.Mutex
 	waves     map[int64]upkeep.Wave // that the operator asks for
@@ -75,15 +77,21 @@
 // New returns a host that does nothing before Run.
 func New(cfg platform.Settings, log *logrus.Entry) *Host {
 	clk := clock.System()
+	figures := newFigures()
 	store := platform.NewStore(cfg.Store, platform.StoreOptions{
 		CallTimeout:     storeTimeout,
 		Stall:           time.Duration(stallShare * float64(cfg.Bounds.ConfigApply)),
 		WritesPerSecond: cfg.Store.WritesPerSecond * storeShare,
 		ReadsPerSecond:  cfg.Store.ReadsPerSecond * storeShare,
+		LinkMbps:        cfg.LinkMbps,
+		Calls:           traffic.New("store", figures.registry),
+		Watches:         traffic.New("store_watches", figures.registry),
 	}, clk)
 	h := &Host{
 		life: uuid.NewString(), log: log.WithField("host", cfg.Name), clk: clk, store: store,
-		worker: platform.NewWorkers(workerTimeout), figures: newFigures(), waves: map[int64]upkeep.Wave{}, evacuated: evacuation.New(),
+		worker: platform.NewWorkers(workerTimeout, traffic.New("workers", figures.registry)), figures: figures,
+		peerBytes: traffic.New("peers", figures.registry), callerBytes: traffic.New("callers", figures.registry), adviceBytes: traffic.New("advice", figures.registry),
+		waves: map[int64]upkeep.Wave{}, evacuated: evacuation.New(),
 		election: election{changed: make(chan struct{}, 1)},
 	}
 	h.cfg.Store(&cfg)
@@ -99,7 +107,7 @@
 		h.advice.Store(nil)
 		return
 	}
-	h.advice.Store(platform.NewAdviser(address))
+	h.advice.Store(platform.NewAdviser(address, h.adviceBytes))
 }
 
 // Run works until ctx ends and then stops as planned: the pool is handed over and requests
@@ -130,7 +138,7 @@
 	defer stop()
 	server := &http.Server{Handler: h.door(), ReadHeaderTimeout: headerTimeout}
 	probe := &http.Server{Handler: http.HandlerFunc(h.ready), ReadHeaderTimeout: headerTimeout}
-	go func() { _ = server.Serve(callers) }()
+	go func() { _ = server.Serve(h.callerBytes.Listener(callers)) }()
 	go func() { _ = probe.Serve(ready) }()
 	if metricsPort != 0 {
 		if err := h.serveOperators(netip.AddrPortFrom(cfg.Ready.Addr(), metricsPort)); err != nil {
@@ -168,7 +176,7 @@
 	h.duties.Go(func() { h.newOwnerFollower().run(ctx) })
 	h.duties.Go(func() { h.campaign(ctx) })
 	h.duties.Go(func() { h.keepLink(ctx) })
-	h.duties.Go(func() { _ = poolrpc.Serve(ctx, peers, h.ownerHandlers, h.clk) })
+	h.duties.Go(func() { _ = poolrpc.Serve(ctx, h.peerBytes.Listener(peers), h.ownerHandlers, h.clk) })
 }
 
 func (h *Host) ownerHandlers() (poolrpc.OwnerHandlers, bool) {
--- a/pkg/poolowner/commits.go
+++ b/pkg/poolowner/commits.go
@@ -22,6 +22,10 @@
 	dropEvery = 200 * time.Millisecond
 	// commitRetry is the pause before a commit that failed is tried again.
 	commitRetry = 50 * time.Millisecond
+	// A write without an answer is given more time with each try, from firstPatience to mostWritePatience: one whose bytes still wait on the link
+	// would be followed by its own copies.
+	firstPatience     = 400 * time.Millisecond
+	mostWritePatience = 3200 * time.Millisecond
 	// ownEntries is how many entries of a transaction each commit needs for itself.
 	ownEntries = 2
 )
@@ -160,6 +164,14 @@
 	return t, err
 }
 
+// morePatience is how much longer than usual the next try of a write may take, after one that failed.
+func morePatience(p time.Duration, err error) time.Duration {
+	if !errors.Is(err, platform.ErrUnsettled) {
+		return p // it was refused, or nothing was sent
+	}
+	return min(max(2*p, firstPatience), mostWritePatience)
+}
+
 // commit carries out one transaction exactly once. All commits of a lane replace one key under
 // the condition that nobody else has, so a lost answer is settled by trying again: whichever
 // try comes second finds the key replaced.
@@ -184,6 +196,7 @@
 			return ErrDeposed
 		}
 		o.commitFailures.failed(err)
+		t.Patience = morePatience(t.Patience, err)
 		clock.Sleep(ctx, commitRetry)
 	}
 	return ctx.Err()
--- a/pkg/poolowner/loading_test.go
+++ b/pkg/poolowner/loading_test.go
@@ -34,7 +34,7 @@
 	info, err := platform.ParseWorker(items[0])
 	g.Expect(err).NotTo(HaveOccurred())
 	o := New(Deps{
-		Name: "host", Clock: clk, Store: store, Workers: platform.NewWorkers(time.Second), Heartbeat: time.Second,
+		Name: "host", Clock: clk, Store: store, Workers: platform.NewWorkers(time.Second, nil), Heartbeat: time.Second,
 		Bounds: platform.Bounds{MaxHold: 6 * time.Second, Drain: 2 * time.Second},
 		Leased: func(clock.Time) bool { return true }, Log: logrus.NewEntry(logrus.New()), Figures: metrics.NewRegistry(),
 	}, Claim{Term: 1, Revision: revision, First: true})
--- a/pkg/poolowner/roster.go
+++ b/pkg/poolowner/roster.go
@@ -158,12 +158,14 @@
 // putRoster writes records, whatever it takes, and returns them; none when this owner ends. A write without an answer may be carried out after
 // later ones. So each record is on condition of what it replaces: otherwise lives that came since would be off it.
 func (o *Owner) putRoster(ctx context.Context, changes []rosterChange, before []rosterRecord) []rosterRecord {
+	patience := time.Duration(0)
 	for ctx.Err() == nil {
 		t, err := o.rosterTxn(changes, before)
 		if err != nil {
 			o.deps.Log.WithField("error", err).Error("roster_not_written")
 			return nil
 		}
+		t.Patience = patience
 		revision, found, err := o.deps.Store.Commit(ctx, t)
 		switch {
 		case err == nil:
@@ -176,6 +178,7 @@
 			return nil
 		}
 		o.rosterFailures.failed(err)
+		patience = morePatience(patience, err)
 		clock.Sleep(ctx, storeRetry)
 	}
 	return nil
--- a/pkg/poolowner/roster_test.go
+++ b/pkg/poolowner/roster_test.go
@@ -84,7 +84,7 @@
 func rosterOf(t *testing.T, o *Owner) []dispatch.WorkerID {
 	g := NewWithT(t)
 	next := New(Deps{
-		Name: "next", Clock: clock.System(), Store: o.deps.Store, Workers: platform.NewWorkers(0), Bounds: o.deps.Bounds, Log: o.deps.Log, Figures: o.deps.Figures,
+		Name: "next", Clock: clock.System(), Store: o.deps.Store, Workers: platform.NewWorkers(0, nil), Bounds: o.deps.Bounds, Log: o.deps.Log, Figures: o.deps.Figures,
 	}, Claim{Term: 2, Revision: o.claim.Revision})
 	items, err := next.listRoster(t.Context())
 	g.Expect(err).NotTo(HaveOccurred())
--- a/pkg/poolowner/suspended_test.go
+++ b/pkg/poolowner/suspended_test.go
@@ -31,7 +31,7 @@
 	o, now := ownerOf(t, 0, enough)
 	renewed := *now
 	o.deps.Leased = func(now clock.Time) bool { return now.Sub(renewed) < AuthorityTerm }
-	o.deps.Workers = platform.NewWorkers(time.Second)
+	o.deps.Workers = platform.NewWorkers(time.Second, nil)
 	address := netip.MustParseAddrPort(strings.TrimPrefix(worker.URL, "http://"))
 	info := dispatch.WorkerInfo{ID: "w", Pool: "p", Address: address, Capacity: cell.Resources{CPUMillis: 1000}}
 	o.pool.PutWorker(info, true, *now)
--- /dev/null
+++ b/pkg/traffic/meter.go
@@ -0,0 +1,69 @@
+package traffic
+
+import (
+	"net"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Meter counts the bytes of connections. It is safe for concurrent use.
+type Meter struct {
+	sent, received metrics.Counter
+}
+
+// New returns a Meter whose counters stand in a registry under a name.
+func New(name string, r metrics.Registry) *Meter {
+	return &Meter{
+		sent:     metrics.GetOrRegisterCounter("bytes."+name+".sent", r),
+		received: metrics.GetOrRegisterCounter("bytes."+name+".received", r),
+	}
+}
+
+// Conn returns a connection that is counted.
+func (m *Meter) Conn(c net.Conn) net.Conn {
+	if m == nil {
+		return c
+	}
+	return &conn{c, m}
+}
+
+// Listener returns a listener whose connections are counted.
+func (m *Meter) Listener(l net.Listener) net.Listener {
+	if m == nil {
+		return l
+	}
+	return &listener{l, m}
+}
+
+type conn struct {
+	net.Conn
+	meter *Meter
+}
+
+// Read reads and counts.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.meter.received.Inc(int64(n))
+	return n, err
+}
+
+// Write writes and counts.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.meter.sent.Inc(int64(n))
+	return n, err
+}
+
+type listener struct {
+	net.Listener
+	meter *Meter
+}
+
+// Accept accepts a connection that is counted.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.meter.Conn(c), nil
+}
--- /dev/null
+++ b/pkg/traffic/meter_test.go
@@ -0,0 +1,43 @@
+package traffic
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+)
+
+func TestMeterCountsBothWays(t *testing.T) {
+	g := NewWithT(t)
+	r := metrics.NewRegistry()
+	m := New("peers", r)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = l.Close() }()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		c, err := m.Listener(l).Accept()
+		if err == nil {
+			accepted <- c
+		}
+	}()
+	c, err := net.Dial("tcp", l.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = c.Write([]byte("hello"))
+	g.Expect(err).NotTo(HaveOccurred())
+	s := <-accepted
+	g.Expect(io.ReadFull(s, make([]byte, 5))).To(Equal(5))
+	_, err = s.Write([]byte("yes"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(r.Get("bytes.peers.received").(metrics.Counter).Count()).To(BeEquivalentTo(5))
+	g.Expect(r.Get("bytes.peers.sent").(metrics.Counter).Count()).To(BeEquivalentTo(3))
+}
+
+func TestNoMeterCountsNothing(t *testing.T) {
+	g := NewWithT(t)
+	var m *Meter
+	c, _ := net.Pipe()
+	g.Expect(m.Conn(c)).To(BeIdenticalTo(c))
+}
