Hosts ask the store less often whether anything has changed, where the bounds and their part in a takeover allow it

Cause: each host watched the operator's keys and the owner's record with waits of 1 s each.

A watch answers as soon as something changes; its wait is only for how long one that has gone silent is trusted. It is 2 s for the operator's keys where they have to be in force within 5 s (1 s where in 4 s and less, as before), and 3 s for the owner's record at hosts whom the owner gives the slow heartbeat: the eight strong ones that take over first, and all in pools of up to 48 hosts, keep 1 s. A host counts the store as up for as much longer.

--- a/pkg/jobhost/config.go
+++ b/pkg/jobhost/config.go
@@ -9,13 +9,28 @@
 	"github.com/sirupsen/logrus"
 )
 
-// configWait is the longest that a watch on the configuration waits. Together with the 0.4 s after which it is given up
-// and a read, it keeps to the shortest known bound for putting a configuration in force, 2 s.
-const configWait = time.Second
+const (
+	// configWait is how long a watch on the operator's keys waits where they have to be in force soon. Together with the 0.4 s after which it
+	// is given up and a read, it keeps to the shortest known bound, 2 s.
+	configWait = time.Second
+	// longConfigWait is the longest wait: each host of hundreds asks the store that often though nothing changes.
+	longConfigWait = 2 * time.Second
+	// configSlack is left of the bound for giving up a silent watch and for two reads.
+	configSlack = 3 * time.Second
+)
 
 // newConfigFollower follows what the operator writes.
 func (h *Host) newConfigFollower() *follower {
-	return h.newFollower(platform.OperatorPrefix, min(configWait, h.cfg.Load().Bounds.ConfigApply/2), h.takeOperatorList, h.takeOperatorItems)
+	return h.newFollower(platform.OperatorPrefix, func() time.Duration { return operatorWait(h.cfg.Load().Bounds) }, h.takeOperatorList, h.takeOperatorItems)
+}
+
+// operatorWait is how long a watch on the operator's keys waits.
+func operatorWait(b platform.Bounds) time.Duration {
+	bound := b.ConfigApply
+	if b.StrictKeys && b.Revoke > 0 {
+		bound = min(bound, b.Revoke)
+	}
+	return max(min(configWait, bound/2), min(bound-configSlack, longConfigWait))
 }
 
 func (h *Host) takeOperatorItems(items []platform.Item) {
--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -20,8 +20,11 @@
 )
 
 const (
-	// ownerWait is how long a watch on the owner's record waits.
-	ownerWait   = time.Second
+	// ownerWait is how long a watch on the owner's record waits, and longOwnerWait how long that of a host does whom the owner tells that it
+	// lives only now and then, since others take over before it.
+	ownerWait     = time.Second
+	longOwnerWait = 3 * time.Second
+
 	linkRetry   = 60 * time.Millisecond
 	linkTimeout = 400 * time.Millisecond
 	// leaseTerm is how long the owner's lease in the store lasts without a renewal.
@@ -54,7 +57,20 @@
 
 // newOwnerFollower follows the owner's record.
 func (h *Host) newOwnerFollower() *follower {
-	return h.newFollower(jobstore.OwnerPrefix, ownerWait, h.takeOwnerList, h.takeOwnerItems)
+	return h.newFollower(jobstore.OwnerPrefix, h.ownerWait, h.takeOwnerList, h.takeOwnerItems)
+}
+
+// ownerWait is how long the next watch on the owner's record waits.
+func (h *Host) ownerWait() time.Duration {
+	if h.member.Load() == nil {
+		return ownerWait
+	}
+	h.election.mu.Lock()
+	defer h.election.mu.Unlock()
+	if h.election.heartbeat > poolrpc.HeartbeatEvery {
+		return longOwnerWait
+	}
+	return ownerWait
 }
 
 // takeOwnerList takes in all keys; one that is not among them is gone.
--- a/pkg/jobhost/follower.go
+++ b/pkg/jobhost/follower.go
@@ -20,15 +20,15 @@
 	store  *platform.Store
 	clk    clock.Clock
 	prefix string
-	// wait is how long a watch waits for a change. A watch may go silent without a sign, so none is trusted for longer.
-	wait time.Duration
+	// wait is how long the next watch waits for a change. A watch may go silent without a sign, so none is trusted for longer.
+	wait func() time.Duration
 	// takeList takes in all keys as they stood at a revision, takeChanges those that have changed.
 	takeList    func(items []platform.Item, at int64)
 	takeChanges func([]platform.Item)
 }
 
 // newFollower returns a follower of the keys under a prefix that this host takes in.
-func (h *Host) newFollower(prefix string, wait time.Duration, takeList func([]platform.Item, int64), takeChanges func([]platform.Item)) *follower {
+func (h *Host) newFollower(prefix string, wait func() time.Duration, takeList func([]platform.Item, int64), takeChanges func([]platform.Item)) *follower {
 	return &follower{
 		Following: jobstore.NewFollowing(prefix, h.clk, h.log),
 		store:     h.store, clk: h.clk, prefix: prefix, wait: wait, takeList: takeList, takeChanges: takeChanges,
@@ -68,7 +68,7 @@
 // watch takes in what changes after a revision until a watch fails, and returns why.
 func (f *follower) watch(ctx context.Context, after int64) error {
 	for {
-		items, at, err := f.store.Watch(ctx, f.prefix, after, f.wait)
+		items, at, err := f.store.Watch(ctx, f.prefix, after, f.wait())
 		if err != nil {
 			return err
 		}
--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -222,7 +222,8 @@
 
 // storeAnswers says whether the store has answered lately.
 func (h *Host) storeAnswers() bool {
-	return h.storeAge() < storeFresh
+	longer := operatorWait(h.cfg.Load().Bounds) - configWait // a host that does nothing else hears of the store that seldom
+	return h.storeAge() < storeFresh+max(longer, 0)
 }
 
 // cutOff says that this host reaches neither the store nor the owner, so that it can take in nothing. A
