--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -113,16 +113,16 @@
 	relays   *relay.Assignments
 	unusable map[string]unusableEntry // by the worker's name
 	// unreadable are jobs whose progress can't be read.
-	unreadable                     map[job.ID]bool
-	cancelled                      map[job.ID]bool // told before the job itself
-	committed                      chan struct{}   // closed and renewed with each commit
-	fenced                         bool            // most workers were fenced
-	counted                        answerCount
-	refusals                       refusals
-	rosterFailures, commitFailures *writeFailures
-	roster                         map[string]rosterRecord // by the worker's name; of the duty that keeps the roster, and before that of the one that loads
-	beats                          beats                   // of the duty that watches workers
-	position                       position                // each field belongs to one duty
+	unreadable                                   map[job.ID]bool
+	cancelled                                    map[job.ID]bool // told before the job itself
+	committed                                    chan struct{}   // closed and renewed with each commit
+	fenced                                       bool            // most workers were fenced
+	counted                                      answerCount
+	refusals                                     refusals
+	rosterFailures, commitFailures, readFailures *storeFailures
+	roster                                       map[string]rosterRecord // by the worker's name; of the duty that keeps the roster, and before that of the one that loads
+	beats                                        beats                   // of the duty that watches workers
+	position                                     position                // each field belongs to one duty
 	// followsJobs and followsWorkers are of the duties that watch these.
 	followsJobs, followsWorkers *jobstore.Following
 
@@ -144,8 +144,9 @@
 		sessions: map[dispatch.WorkerID]*workerSession{}, members: map[string]*member{}, near: map[string]bool{},
 		unusable: map[string]unusableEntry{}, roster: map[string]rosterRecord{}, unreadable: map[job.ID]bool{}, cancelled: map[job.ID]bool{}, committed: make(chan struct{}), lanes: newLanes(claim),
 		beats: newBeats(deps.Heartbeat), upkeep: upkeep.New(),
-		rosterFailures: &writeFailures{what: "roster", clk: deps.Clock, log: deps.Log},
-		commitFailures: &writeFailures{what: "commit", clk: deps.Clock, log: deps.Log},
+		rosterFailures: &storeFailures{what: "roster", clk: deps.Clock, log: deps.Log},
+		commitFailures: &storeFailures{what: "commit", clk: deps.Clock, log: deps.Log},
+		readFailures:   &storeFailures{what: "unknown_job", clk: deps.Clock, log: deps.Log},
 		followsJobs:    jobstore.NewFollowing(jobstore.JobsPrefix, deps.Clock, deps.Log),
 		followsWorkers: jobstore.NewFollowing(platform.WorkersPrefix, deps.Clock, deps.Log),
 	}
--- /dev/null
+++ b/pkg/poolowner/store_failures.go
@@ -0,0 +1,43 @@
+package poolowner
+
+import (
+	"sync"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	"github.com/sirupsen/logrus"
+)
+
+// storeFailures logs one line when calls to the store for one purpose begin to fail and one when they succeed again, however many tries fail
+// in between. It is safe for concurrent use.
+type storeFailures struct {
+	what string // the calls are for, such as "roster"
+	clk  clock.Clock
+	log  *logrus.Entry
+
+	mu    sync.Mutex
+	since clock.Time // of the first failure; 0 when the last call succeeded
+}
+
+// failed takes in a call that has to be tried again.
+func (f *storeFailures) failed(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.since != 0 {
+		return
+	}
+	f.since = f.clk.Now()
+	f.log.WithFields(logrus.Fields{"what": f.what, "error": err}).Error("store_call_fails")
+}
+
+// succeeded takes in a call that was answered.
+func (f *storeFailures) succeeded() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.since == 0 {
+		return
+	}
+	took := f.clk.Now().Sub(f.since)
+	f.since = 0
+	f.log.WithFields(logrus.Fields{"what": f.what, "after_ms": int64(took / time.Millisecond)}).Info("store_call_succeeds_again")
+}
--- /dev/null
+++ b/pkg/poolowner/store_failures_test.go
@@ -0,0 +1,30 @@
+package poolowner
+
+import (
+	"errors"
+	"testing"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+)
+
+// While the store was away a line for each failed read of a job came to 80 lines a second.
+func TestFailuresOfTheStoreAreLoggedOnce(t *testing.T) {
+	g := NewWithT(t)
+	log, hook := logtest.NewNullLogger()
+	f := &storeFailures{what: "unknown_job", clk: clock.System(), log: logrus.NewEntry(log)}
+	f.succeeded()
+	g.Expect(hook.Entries).To(BeEmpty())
+	for range 100 {
+		f.failed(errors.New("refused"))
+	}
+	g.Expect(hook.Entries).To(HaveLen(1))
+	g.Expect(hook.LastEntry().Data).To(HaveKeyWithValue("what", "unknown_job"))
+	f.succeeded()
+	f.succeeded()
+	g.Expect(hook.Entries).To(HaveLen(2))
+	f.failed(errors.New("refused"))
+	g.Expect(hook.Entries).To(HaveLen(3))
+}
--- a/pkg/poolowner/unknown_jobs.go
+++ b/pkg/poolowner/unknown_jobs.go
@@ -9,7 +9,6 @@
 	"foldarch.dev/foldarch/pkg/jobstore"
 	"foldarch.dev/foldarch/platform"
 	"github.com/cockroachdb/errors"
-	"github.com/sirupsen/logrus"
 )
 
 // readsAtOnce bounds the records that are read at the same time.
@@ -49,10 +48,11 @@
 func (o *Owner) readUnknownJob(ctx context.Context, id job.ID) {
 	item, err := o.deps.Store.Read(ctx, jobstore.JobKey(id))
 	if err == nil || errors.Is(err, platform.ErrAbsent) {
+		o.readFailures.succeeded()
 		o.takeUnknownJob(id, item, err == nil)
 		return
 	}
-	o.deps.Log.WithFields(logrus.Fields{"job": id, "error": err}).Warn("unknown_job_unread")
+	o.readFailures.failed(errors.Wrapf(err, "job %s", id))
 	clock.Sleep(ctx, storeRetry)
 }
 
