--- a/pkg/poolowner/roster_test.go
+++ b/pkg/poolowner/roster_test.go
@@ -8,9 +8,11 @@
 	"net/netip"
 	"sync"
 	"testing"
+	"time"
 
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/dispatch"
+	"foldarch.dev/foldarch/pkg/jobstore"
 	"foldarch.dev/foldarch/platform"
 	"foldarch.dev/foldarch/platform/emulator"
 	. "github.com/onsi/gomega"
@@ -96,3 +98,36 @@
 	}
 	return ids
 }
+
+// A new owner of 6,000 workers would write for seconds before it could use any.
+func TestNewOwnerWritesNothingForWorkersThatAreOnTheRoster(t *testing.T) {
+	g := NewWithT(t)
+	o, _, info := ownerOfEmulated(t)
+	o.pool.PutWorker(info, true, o.deps.Clock.Now())
+	o.writeRoster(t.Context())
+	next := New(o.deps, Claim{Term: 2, Revision: o.claim.Revision})
+	g.Expect(next.loadWorkers(t.Context())).To(Succeed())
+	g.Expect(next.rosterChanges()).To(BeEmpty())
+	other := info
+	other.ID = "i-other"
+	next.pool.PutWorker(other, true, o.deps.Clock.Now())
+	g.Expect(next.rosterChanges()).To(ConsistOf(rosterChange{"i-other", []dispatch.WorkerInfo{other}}))
+}
+
+// A worker that has left is taken off, so that no later owner waits for it.
+func TestWorkerThatIsGoneIsTakenOffTheRoster(t *testing.T) {
+	g := NewWithT(t)
+	o, p, info := ownerOfEmulated(t)
+	o.pool.PutWorker(info, true, o.deps.Clock.Now())
+	o.writeRoster(t.Context())
+	g.Expect(p.Store.Values(jobstore.RosterPrefix)).To(HaveLen(1))
+	leaving := info
+	leaving.Draining = true
+	o.pool.PutWorker(leaving, true, o.deps.Clock.Now())
+	now := o.deps.Clock.Now().Add(time.Hour)
+	o.pool.UnlistWorker(info.ID, true, now)
+	o.pool.Plan(now, true)
+	o.pool.Committed(o.pool.TakeCommit())
+	o.writeRoster(t.Context())
+	g.Expect(p.Store.Values(jobstore.RosterPrefix)).To(BeEmpty())
+}
