Assigning a worker to a relay looks at all hosts only when hosts or their room have changed

The choice is the same: TestChosenHostIsTheBestOfAll compares it with a look at all hosts over 20,000 changes.

--- a/pkg/relay/assignments.go
+++ b/pkg/relay/assignments.go
@@ -44,6 +44,15 @@
 	hosts        map[string]*host
 	workers      map[dispatch.WorkerID]*assignment
 	missingUntil clock.Time // no host had room
+	// best are the hosts chosen last, by the hall of the worker. A takeover assigns all workers at once: looking at all hosts for each takes
+	// four times as long in a pool of twice the size.
+	best map[string]choice
+}
+
+// choice is a host that remains the best one until others change, or until a time: others may be usable again by then.
+type choice struct {
+	host  *host
+	until clock.Time
 }
 
 // host is an entry host that may be a relay.
@@ -68,7 +77,7 @@
 // NewAssignments returns assignments without hosts and workers, for an owner whose link carries so many megabits a second; 0 when that is not
 // told.
 func NewAssignments(stopping func(host string) bool, linkMbps float64) *Assignments {
-	return &Assignments{Stopping: stopping, least: min(leastWorkers, WorkersOnLink(linkMbps)), hosts: map[string]*host{}, workers: map[dispatch.WorkerID]*assignment{}}
+	return &Assignments{Stopping: stopping, least: min(leastWorkers, WorkersOnLink(linkMbps)), hosts: map[string]*host{}, workers: map[dispatch.WorkerID]*assignment{}, best: map[string]choice{}}
 }
 
 // WorkersOnLink is to how many workers calls may be made over a link of so many megabits a second; 0 when that is not told, which counts as
@@ -84,11 +93,13 @@
 func (a *Assignments) PutHost(name, hall string, strength, most int) {
 	a.hosts[name] = &host{name: name, hall: hall, strength: strength, most: min(most, WorkersPerHost)}
 	a.missingUntil = 0
+	clear(a.best)
 }
 
 // RemoveHost takes in that a host can't be reached any more.
 func (a *Assignments) RemoveHost(name string) {
 	delete(a.hosts, name)
+	clear(a.best)
 }
 
 // PutWorker takes in a worker of a data hall.
@@ -99,7 +110,7 @@
 // RemoveWorker takes in that no calls are made to a worker any more.
 func (a *Assignments) RemoveWorker(id dispatch.WorkerID) {
 	if w, ok := a.workers[id]; ok {
-		w.leave()
+		a.leave(w)
 		delete(a.workers, id)
 	}
 }
@@ -114,9 +125,9 @@
 	former := w.host
 	switch {
 	case now < w.directUntil:
-		w.leave()
+		a.leave(w)
 	case w.host == nil || !a.usable(w.host, now):
-		w.leave()
+		a.leave(w)
 		w.join(a.choose(w.hall, now))
 	}
 	return w.name(), w.host != former
@@ -179,15 +190,26 @@
 	if len(a.workers) < a.least || now < a.missingUntil {
 		return nil
 	}
+	if c, ok := a.best[hall]; ok && now < c.until && c.host.workers < c.host.most && a.usable(c.host, now) {
+		return c.host
+	}
+	best := a.bestHost(hall, now)
+	if best == nil {
+		a.missingUntil = now.Add(chooseAgain)
+		return nil
+	}
+	a.best[hall] = choice{best, now.Add(chooseAgain)}
+	return best
+}
+
+// bestHost looks at all hosts for the one that is to serve one more worker of a data hall; nil when none has room.
+func (a *Assignments) bestHost(hall string, now clock.Time) *host {
 	var best *host
 	for _, h := range a.hosts {
 		if h.workers < h.most && (best == nil || h.before(best, hall)) && a.usable(h, now) {
 			best = h
 		}
 	}
-	if best == nil {
-		a.missingUntil = now.Add(chooseAgain)
-	}
 	return best
 }
 
@@ -210,10 +232,12 @@
 	}
 }
 
-func (w *assignment) leave() {
+// leave takes a worker from its host, which has room for another one then.
+func (a *Assignments) leave(w *assignment) {
 	if w.host != nil {
 		w.host.workers--
 		w.host = nil
+		clear(a.best)
 	}
 }
 
--- a/pkg/relay/assignments_test.go
+++ b/pkg/relay/assignments_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -204,3 +205,58 @@
 	g.Expect(WorkersOnLink(2)).To(Equal(28))
 	g.Expect(WorkersOnLink(100)).To(BeNumerically(">", leastWorkers))
 }
+
+// However hosts and workers come and go, the host that is chosen is the one that a look at all hosts finds.
+func TestChosenHostIsTheBestOfAll(t *testing.T) {
+	g := NewWithT(t)
+	r := rand.New(rand.NewPCG(1, 0))
+	a := NewAssignments(func(string) bool { return false }, 0.001)
+	now := start
+	for range 20_000 {
+		name := fmt.Sprintf("host-%d", r.IntN(12))
+		id, hall := workerID(r.IntN(300)), fmt.Sprintf("hall-%d", r.IntN(3))
+		switch r.IntN(10) {
+		case 0:
+			if a.hosts[name] == nil {
+				a.PutHost(name, hall, 20*r.IntN(3), 1+r.IntN(30))
+			}
+		case 1:
+			if r.IntN(20) == 0 {
+				a.RemoveHost(name)
+			}
+		case 2:
+			a.RemoveWorker(id)
+		default:
+			if a.workers[id] == nil {
+				a.PutWorker(id, hall)
+			}
+			a.missingUntil = 0
+			if w := a.workers[id]; w.host == nil {
+				want := a.bestHost(w.hall, now)
+				g.Expect(a.choose(w.hall, now)).To(BeIdenticalTo(want))
+			}
+			a.Assign(id, now)
+		}
+		now = now.Add(time.Millisecond)
+	}
+}
+
+// BenchmarkAssignAll is a takeover: each worker is given a relay once.
+func BenchmarkAssignAll(b *testing.B) {
+	for _, size := range []struct{ workers, hosts int }{{1100, 147}, {6000, 588}, {12000, 1176}} {
+		b.Run(fmt.Sprintf("%d-%d", size.workers, size.hosts), func(b *testing.B) {
+			for b.Loop() {
+				a := NewAssignments(func(string) bool { return false }, 0)
+				for n := range size.hosts {
+					a.PutHost(fmt.Sprintf("host-%d", n), fmt.Sprintf("hall-%d", n%6), 20+80*(n%8/7), WorkersPerHost)
+				}
+				for n := range size.workers {
+					a.PutWorker(workerID(n), fmt.Sprintf("hall-%d", n%6))
+				}
+				for n := range size.workers {
+					a.Assign(workerID(n), start)
+				}
+			}
+		})
+	}
+}
