A host that is cut off says so after a missed heartbeat of the owner, and refuses jobs at once

Cause: in pools of more than 48 hosts most hear the owner once a second, so that a dead link is given up after 3.2 s. Until then a host that did not reach the store handed each write to the owner over that link and held its caller, and called itself ready. With up to 48 hosts the link is given up after 0.9 s.

Now the owner counts as silent after 1.3 of its heartbeats (0.9 s at least, as before in small pools); then the host asks the store, by a read that may be stale, and if that doesn't answer either, it is not ready and refuses jobs at once with Retry-After. A write by way of the owner takes 1.2 s at most. Answers of the platform's balancer follow from that.

Test: TestHostThatIsCutOffRefusesAtOnce, TestHostThatHearsTheOwnerIsNotCutOff.

--- a/pkg/jobhost/door.go
+++ b/pkg/jobhost/door.go
@@ -23,6 +23,8 @@
 	refusedPause = time.Second
 	// askTimeout bounds a question to the owner, which the store can answer as well.
 	askTimeout = 600 * time.Millisecond
+	// ownerWriteTimeout bounds a write by the owner, so that a caller whose host was cut off can try another one in time.
+	ownerWriteTimeout = 1200 * time.Millisecond
 )
 
 func (h *Host) door() http.Handler {
@@ -75,6 +77,9 @@
 	if err := errorOf(c.HandIn()); err != nil {
 		return err
 	}
+	if h.cutOff() {
+		return errors.Wrap(platform.ErrRefused, "this host reaches neither the store nor the owner")
+	}
 	if err := tooWide(c, r.Job); err != nil {
 		return err
 	}
@@ -135,7 +140,7 @@
 // putUnder writes a key under an owner's record. Errors: as of intake.put.
 func (h *Host) putUnder(ctx context.Context, key string, value []byte, record int64) (created bool, err error) {
 	created, err = h.intake.put(ctx, key, value, record)
-	m := h.member.Load()
+	m := h.ownerToWrite()
 	if err == nil || m == nil || errors.Is(err, errOwnerChanged) {
 		return created, err
 	}
@@ -148,6 +153,8 @@
 
 // writeByOwner has the owner write a key.
 func writeByOwner(ctx context.Context, m *poolrpc.Member, key string, value []byte) (created bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, ownerWriteTimeout)
+	defer cancel()
 	a, err := m.Write(ctx, key, value)
 	switch {
 	case errors.Is(err, poolrpc.ErrNotSent):
--- a/pkg/jobhost/figures.go
+++ b/pkg/jobhost/figures.go
@@ -69,7 +69,7 @@
 	writeFigure(w, "owner.term", float64(h.knownTerm()))
 	o := h.owner.Load()
 	writeFigure(w, "owner.self", boolFigure(o != nil))
-	writeFigure(w, "owner.linked", boolFigure(h.reachesOwner()))
+	writeFigure(w, "owner.linked", boolFigure(h.linked()))
 	if o != nil {
 		writePool(w, o)
 		writeCustomers(w, o.Customers())
--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -66,6 +66,7 @@
 	owner                               atomic.Pointer[poolowner.Owner]
 	refusals                            queueRefusals
 	stopping                            atomic.Bool
+	probeFailed                         atomic.Bool // the store has not answered the last probe (probeStore)
 
 	mu        sync.Mutex
 	waves     map[int64]upkeep.Wave // that the operator asks for
@@ -175,6 +176,7 @@
 	h.duties.Go(func() { h.intake.run(ctx) })
 	h.duties.Go(func() { h.newOwnerFollower().run(ctx) })
 	h.duties.Go(func() { h.campaign(ctx) })
+	h.duties.Go(func() { h.probeStore(ctx) })
 	h.duties.Go(func() { h.keepLink(ctx) })
 	h.duties.Go(func() { _ = poolrpc.Serve(ctx, h.peerBytes.Listener(peers), h.ownerHandlers, h.clk) })
 }
@@ -219,20 +221,3 @@
 func (h *Host) storeAge() time.Duration {
 	return h.clk.Now().Sub(h.store.LastAnswer())
 }
-
-// storeAnswers says whether the store has answered lately.
-func (h *Host) storeAnswers() bool {
-	longer := operatorWait(h.cfg.Load().Bounds) - configWait // a host that does nothing else hears of the store that seldom
-	return h.storeAge() < storeFresh+max(longer, 0)
-}
-
-// cutOff says that this host reaches neither the store nor the owner, so that it can take in nothing. A
-// write that failed tells sooner than the silence of the store.
-func (h *Host) cutOff() bool {
-	return (!h.storeAnswers() || h.intake.distrusts()) && !h.reachesOwner()
-}
-
-// reachesOwner says whether this host owns the pool or has a link to the owner.
-func (h *Host) reachesOwner() bool {
-	return h.owner.Load() != nil || h.member.Load() != nil
-}
