A record of the roster that can't be read has its worker waited for; tests of limits by link and of patience

The age of what is known of the operator's keys does not go back when a new owner reads them beside the watch.

--- a/pkg/dispatch/takeover.go
+++ b/pkg/dispatch/takeover.go
@@ -23,6 +23,8 @@
 	presumed bool
 	// missed says that a worker may have crashed under a start of a former owner that nobody has counted.
 	missed bool
+	// unknown says that a worker may run something that can't be asked, since the roster's record of it can't be read.
+	unknown bool
 }
 
 func newTakeover(cfg Config, now clock.Time) takeover {
@@ -73,6 +75,11 @@
 	}
 }
 
+// MissWorker takes in that a worker may run something of former owners and can't be asked, so that all of theirs has to lapse.
+func (p *Pool) MissWorker() {
+	p.takeover.unknown = true
+}
+
 // formerRunsOver is when nothing of former owners runs any more that no worker has told of. A worker that answers without lists that count is
 // held on by this owner.
 func (p *Pool) formerRunsOver() clock.Time {
@@ -87,6 +94,9 @@
 
 // allReported says that all workers have told what they run.
 func (p *Pool) allReported() bool {
+	if p.takeover.unknown {
+		return false
+	}
 	for _, w := range p.workers {
 		if !w.reported && !w.gone {
 			return false
--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -56,17 +56,19 @@
 	worker *platform.Workers
 	advice atomic.Pointer[platform.Adviser] // nil when there is no advice service
 
-	config                              atomic.Pointer[queue.Config]
-	operatorKeys                        *follower // the configuration and waves
-	intake                              *intake
-	figures                             *figures
+	config       atomic.Pointer[queue.Config]
+	operatorKeys *follower // the configuration and waves
+	intake       *intake
+	figures      *figures
+	election     election
+	member       atomic.Pointer[poolrpc.Member]
+	owner        atomic.Pointer[poolowner.Owner]
+	refusals     queueRefusals
+	stopping     atomic.Bool
+	probeFailed  atomic.Bool // the store has not answered the last probe (probeStore)
+
+	// bytes of the connections to other hosts, of callers and for advice
 	peerBytes, callerBytes, adviceBytes *traffic.Meter
-	election                            election
-	member                              atomic.Pointer[poolrpc.Member]
-	owner                               atomic.Pointer[poolowner.Owner]
-	refusals                            queueRefusals
-	stopping                            atomic.Bool
-	probeFailed                         atomic.Bool // the store has not answered the last probe (probeStore)
 
 	mu        sync.Mutex
 	waves     map[int64]upkeep.Wave // that the operator asks for
--- a/pkg/jobstore/following.go
+++ b/pkg/jobstore/following.go
@@ -30,12 +30,17 @@
 	return f.clk.Now().Sub(clock.Time(f.knownAt.Load()))
 }
 
-// Known takes in that the keys are known as they stood at a time.
+// Known takes in that the keys are known as they stood at a time. One that another reader has gone beyond changes nothing.
 func (f *Following) Known(at clock.Time) {
 	if f.lost.CompareAndSwap(true, false) {
 		f.log.WithFields(logrus.Fields{"keys": f.prefix, "age_ms": f.Age().Milliseconds()}).Info("keys_regained")
 	}
-	f.knownAt.Store(int64(at))
+	for {
+		before := f.knownAt.Load()
+		if int64(at) <= before || f.knownAt.CompareAndSwap(before, int64(at)) {
+			return
+		}
+	}
 }
 
 // Lost takes in that a list or a watch of the keys failed.
--- a/pkg/poolowner/commits_test.go
+++ b/pkg/poolowner/commits_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"foldarch.dev/foldarch/pkg/dispatch"
 	"foldarch.dev/foldarch/pkg/job"
@@ -47,3 +48,18 @@
 		g.Expect(jobs).To(Equal(c.changes))
 	}
 }
+
+// A write whose bytes wait on the link is not followed by its own copies at the usual rate.
+func TestWritesWithoutAnAnswerAreGivenMoreTime(t *testing.T) {
+	g := NewWithT(t)
+	var tries []time.Duration
+	p := time.Duration(0)
+	for range 6 {
+		p = morePatience(p, platform.ErrUnsettled)
+		tries = append(tries, p)
+	}
+	g.Expect(tries).To(Equal([]time.Duration{
+		firstPatience, 2 * firstPatience, 4 * firstPatience, mostWritePatience, mostWritePatience, mostWritePatience,
+	}))
+	g.Expect(morePatience(firstPatience, platform.ErrRefused)).To(Equal(firstPatience), "nothing was sent")
+}
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -113,16 +113,18 @@
 	relays   *relay.Assignments
 	unusable map[string]unusableEntry // by the worker's name
 	// unreadable are jobs whose progress can't be read.
-	unreadable                                   map[job.ID]bool
-	cancelled                                    map[job.ID]bool // told before the job itself
-	committed                                    chan struct{}   // closed and renewed with each commit
-	fenced                                       bool            // most workers were fenced
-	counted                                      answerCount
-	refusals                                     refusals
+	unreadable map[job.ID]bool
+	cancelled  map[job.ID]bool // told before the job itself
+	committed  chan struct{}   // closed and renewed with each commit
+	fenced     bool            // most workers were fenced
+	counted    answerCount
+	refusals   refusals
+	beats      beats    // of the duty that watches workers
+	position   position // each field belongs to one duty
+	// roster is what the store has, by the worker's name; of the duty that keeps it, and before that of the one that loads.
+	roster map[string]rosterRecord
+
 	rosterFailures, commitFailures, readFailures *storeFailures
-	roster                                       map[string]rosterRecord // by the worker's name; of the duty that keeps the roster, and before that of the one that loads
-	beats                                        beats                   // of the duty that watches workers
-	position                                     position                // each field belongs to one duty
 	// followsJobs and followsWorkers are of the duties that watch these.
 	followsJobs, followsWorkers *jobstore.Following
 
--- a/pkg/poolowner/roster.go
+++ b/pkg/poolowner/roster.go
@@ -53,7 +53,7 @@
 		name := jobstore.ParseRosterKey(i.Key)
 		r := rosterRecord{revision: i.Revision}
 		if err := json.Unmarshal(i.Value, &r.workers); err != nil {
-			// Which lives it named is not known; its entry tells of the present one. The record is written anew with the next change.
+			o.pool.MissWorker()
 			o.deps.Log.WithFields(logrus.Fields{"worker": name, "error": err}).Error("roster_unreadable")
 		}
 		o.roster[name] = r
--- a/pkg/poolowner/roster_test.go
+++ b/pkg/poolowner/roster_test.go
@@ -131,3 +131,17 @@
 	o.writeRoster(t.Context())
 	g.Expect(p.Store.Values(jobstore.RosterPrefix)).To(BeEmpty())
 }
+
+// What such a worker runs can't be asked, so it has to lapse before jobs of the former owner start again.
+func TestRecordOfTheRosterThatCannotBeRead(t *testing.T) {
+	g := NewWithT(t)
+	o, p, _ := ownerOfEmulated(t)
+	p.Store.Put(jobstore.RosterKey("i-unreadable"), []byte("?"))
+	next := New(o.deps, Claim{Term: 2, Revision: o.claim.Revision})
+	g.Expect(next.loadWorkers(t.Context())).To(Succeed())
+	next.pool.SetLoaded()
+	now := o.deps.Clock.Now()
+	next.pool.Plan(now, true)
+	g.Expect(next.pool.Status(now).Takeover).To(BeTrue())
+	g.Expect(next.roster).To(HaveKey("i-unreadable"))
+}
