Workers are used as soon as their part of the roster is written

The records of a pool go to the store in hundreds of transactions, four at once; workers of the first waited for the last. A link's rate is converted in one place.

--- a/pkg/poolowner/roster.go
+++ b/pkg/poolowner/roster.go
@@ -89,23 +89,33 @@
 	}
 	var group errgroup.Group
 	group.SetLimit(rosterWrites)
-	var written [][]rosterChange
-	for batch := range slices.Chunk(changes, rosterBatch) {
-		written = append(written, batch)
-	}
-	records := make([][]rosterRecord, len(written))
-	for n, batch := range written {
-		before := o.rosterBefore(batch)
+	for _, w := range o.rosterBatches(changes) {
 		group.Go(func() error {
-			records[n] = o.putRoster(ctx, batch, before)
+			o.takeWritten(w.changes, o.putRoster(ctx, w))
+			o.wake() // these workers may be used now
 			return nil
 		})
 	}
-	_ = group.Wait() // the duties return no errors
-	for n, batch := range written {
-		o.takeWritten(batch, records[n])
+	_ = group.Wait() // no write returns an error
+}
+
+// rosterWrite is a transaction of changes to records, with what the store has of them.
+type rosterWrite struct {
+	changes []rosterChange
+	before  []rosterRecord
+}
+
+// rosterBatches spreads changes over transactions.
+func (o *Owner) rosterBatches(changes []rosterChange) []rosterWrite {
+	var out []rosterWrite
+	for batch := range slices.Chunk(changes, rosterBatch) {
+		w := rosterWrite{changes: batch}
+		for _, c := range batch {
+			w.before = append(w.before, o.roster[c.name])
+		}
+		out = append(out, w)
 	}
-	o.wake()
+	return out
 }
 
 // rosterChanges lists the records that differ from what the store has. Lives on a record that is as it should be may be used at once.
@@ -132,16 +142,7 @@
 	return ids
 }
 
-// rosterBefore is what the store has of the records of changes.
-func (o *Owner) rosterBefore(changes []rosterChange) []rosterRecord {
-	before := make([]rosterRecord, len(changes))
-	for n, c := range changes {
-		before[n] = o.roster[c.name]
-	}
-	return before
-}
-
-// takeWritten takes in the records that are written; none when this owner ends.
+// takeWritten takes in the records that are written, so that their workers may be used; none when this owner ends.
 func (o *Owner) takeWritten(changes []rosterChange, records []rosterRecord) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -157,10 +158,10 @@
 
 // putRoster writes records, whatever it takes, and returns them; none when this owner ends. A write without an answer may be carried out after
 // later ones. So each record is on condition of what it replaces: otherwise lives that came since would be off it.
-func (o *Owner) putRoster(ctx context.Context, changes []rosterChange, before []rosterRecord) []rosterRecord {
+func (o *Owner) putRoster(ctx context.Context, w rosterWrite) []rosterRecord {
 	patience := time.Duration(0)
 	for ctx.Err() == nil {
-		t, err := o.rosterTxn(changes, before)
+		t, err := o.rosterTxn(w)
 		if err != nil {
 			o.deps.Log.WithField("error", err).Error("roster_not_written")
 			return nil
@@ -170,8 +171,8 @@
 		switch {
 		case err == nil:
 			o.rosterFailures.succeeded()
-			return writtenAt(changes, revision)
-		case errors.Is(err, platform.ErrConflict) && o.rosterReplaced(changes, before, found):
+			return writtenAt(w.changes, revision)
+		case errors.Is(err, platform.ErrConflict) && o.rosterReplaced(w, found):
 			continue // by a try of this owner that got no answer
 		case errors.Is(err, platform.ErrConflict):
 			o.depose("roster")
@@ -185,13 +186,13 @@
 }
 
 // rosterTxn is the transaction that makes changes to records.
-func (o *Owner) rosterTxn(changes []rosterChange, before []rosterRecord) (platform.Txn, error) {
+func (o *Owner) rosterTxn(w rosterWrite) (platform.Txn, error) {
 	t := platform.Txn{Conditions: []platform.Condition{{Key: jobstore.HolderKey, Revision: o.claim.Revision}}}
-	for n, c := range changes {
+	for n, c := range w.changes {
 		key := jobstore.RosterKey(c.name)
-		t.Conditions = append(t.Conditions, platform.Condition{Key: key, Revision: before[n].revision})
+		t.Conditions = append(t.Conditions, platform.Condition{Key: key, Revision: w.before[n].revision})
 		if len(c.workers) == 0 {
-			if before[n].revision != 0 {
+			if w.before[n].revision != 0 {
 				t.Remove = append(t.Remove, key)
 			}
 			continue
@@ -216,17 +217,17 @@
 	return out
 }
 
-// rosterReplaced says that a conflict is only about earlier writes of the records, and takes in before what they are by now.
-func (o *Owner) rosterReplaced(changes []rosterChange, before []rosterRecord, found []platform.Item) bool {
+// rosterReplaced says that a conflict is only about earlier writes of the records, and takes in what they are by now.
+func (o *Owner) rosterReplaced(w rosterWrite, found []platform.Item) bool {
 	revisions := map[string]int64{}
 	for _, i := range found {
 		revisions[i.Key] = i.Revision
 	}
 	replaced := false
-	for n, c := range changes {
+	for n, c := range w.changes {
 		now := revisions[jobstore.RosterKey(c.name)]
-		replaced = replaced || now != before[n].revision
-		before[n].revision = now
+		replaced = replaced || now != w.before[n].revision
+		w.before[n].revision = now
 	}
 	return replaced && revisions[jobstore.HolderKey] == o.claim.Revision
 }
--- a/pkg/relay/assignments.go
+++ b/pkg/relay/assignments.go
@@ -7,6 +7,7 @@
 
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/dispatch"
+	"foldarch.dev/foldarch/pkg/traffic"
 )
 
 const (
@@ -20,8 +21,6 @@
 	// bytes a second. The rest is for the store, for callers and for bursts.
 	linkShare = 0.25
 	callBytes = 2200
-	// bytesPerMbit is how many bytes a second a megabit a second carries.
-	bytesPerMbit = 1e6 / 8
 	// mostDoubts is how many orders in a row may have no result before a relay is left for suspectFor. The
 	// stream of a host is given up after 0.9 s of silence; this is for one that lives but does not reach workers.
 	mostDoubts = 12
@@ -86,7 +85,7 @@
 	if linkMbps <= 0 {
 		return math.MaxInt
 	}
-	return max(1, int(linkShare*linkMbps*bytesPerMbit/callBytes))
+	return max(1, int(linkShare*traffic.BytesPerSecond(linkMbps)/callBytes))
 }
 
 // PutHost takes in a host of a data hall that can make calls, to most workers at most. One of the same name is replaced.
--- a/pkg/relay/assignments_test.go
+++ b/pkg/relay/assignments_test.go
@@ -8,6 +8,7 @@
 
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/dispatch"
+	"foldarch.dev/foldarch/pkg/traffic"
 	. "github.com/onsi/gomega"
 )
 
@@ -181,7 +182,7 @@
 	g := NewWithT(t)
 	const mbps = 2
 	fits := WorkersOnLink(mbps)
-	g.Expect(fits * callBytes).To(BeNumerically("<=", linkShare*mbps*bytesPerMbit))
+	g.Expect(fits * callBytes).To(BeNumerically("<=", linkShare*traffic.BytesPerSecond(mbps)))
 	a := NewAssignments(func(string) bool { return false }, mbps)
 	for n := range 5 {
 		a.PutHost(fmt.Sprintf("host-%d", n), "h", mbps, fits)
