Histories of one seed are the same each time

Cause: the histories went through the runs of a worker in the order of a map in all kinds but those in which a former owner is told, and the pool itself went through workers, jobs and runs in the order of maps where that decides what is done first: leases that lapse at the same moment, stops, starts that are counted against a crash, partial gangs, scheduled jobs.

--- a/pkg/dispatch/gang.go
+++ b/pkg/dispatch/gang.go
@@ -29,7 +29,7 @@
 
 // stopPartialGangs stops gangs of former owners of which not all members were found.
 func (p *Pool) stopPartialGangs() {
-	for _, j := range p.jobs {
+	for _, j := range p.jobsByID() {
 		for s := range j.steps() {
 			if s.spec.Gang && s.partial() {
 				p.breakGang(s)
--- a/pkg/dispatch/history_soon_test.go
+++ b/pkg/dispatch/history_soon_test.go
@@ -60,13 +60,15 @@
 	return historyJobs
 }
 
-func TestPromisesHoldWhenTheOwnerChangesSoonAfterAnEnd(t *testing.T) {
-	soon := func(change func(*world)) func(*world) {
-		return func(w *world) {
-			w.soon = true
-			change(w)
-		}
+// soon has the owner change soon after an end, beside what else a kind of history is about.
+func soon(change func(*world)) func(*world) {
+	return func(w *world) {
+		w.soon = true
+		change(w)
 	}
+}
+
+func TestPromisesHoldWhenTheOwnerChangesSoonAfterAnEnd(t *testing.T) {
 	t.Run("on their own", func(t *testing.T) { playDrawn(t, fifth, soon(func(*world) {})) })
 	t.Run("behind relays", func(t *testing.T) { playDrawn(t, fifth, soon(func(w *world) { w.relayed = true })) })
 	t.Run("with workers that start again", func(t *testing.T) { playDrawn(t, fifth, soon(func(w *world) { w.reborn = true })) })
--- a/pkg/dispatch/history_test.go
+++ b/pkg/dispatch/history_test.go
@@ -370,7 +370,6 @@
 }
 
 func TestPromisesHoldWhenQuotasBind(t *testing.T) {
-	withQuotas := func(w *world) { w.quotas = newModelQuotas() }
 	t.Run("on their own", func(t *testing.T) { playQuotas(t, withQuotas) })
 	t.Run("behind relays", func(t *testing.T) {
 		playQuotas(t, func(w *world) {
--- a/pkg/dispatch/history_told_test.go
+++ b/pkg/dispatch/history_told_test.go
@@ -1,10 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
-	"iter"
-	"maps"
-	"slices"
 	"testing"
 	"time"
 
@@ -81,26 +77,6 @@
 	return w.between(200*time.Millisecond, most)
 }
 
-// runsOf goes through the runs of a worker: in histories in which hosts take the former owner for the owner in a fixed order, so that a seed draws the same
-// history each time.
-func (w *world) runsOf(m *modelWorker) iter.Seq2[runKey, modelRun] {
-	if !w.told {
-		return maps.All(m.runs)
-	}
-	return func(yield func(runKey, modelRun) bool) {
-		for _, key := range slices.SortedFunc(maps.Keys(m.runs), compareRuns) {
-			if r, there := m.runs[key]; there && !yield(key, r) {
-				return
-			}
-		}
-	}
-}
-
-func compareRuns(a, b runKey) int {
-	x, y := a.task, b.task
-	return cmp.Or(cmp.Compare(x.Job, y.Job), cmp.Compare(x.Step, y.Step), cmp.Compare(x.Index, y.Index), cmp.Compare(a.run, b.run))
-}
-
 // atWork says that an owner still decides.
 func (o *modelOwner) atWork(now clock.Time) bool {
 	return !o.ended && (o.until == 0 || now < o.until)
--- a/pkg/dispatch/history_worker_test.go
+++ b/pkg/dispatch/history_worker_test.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
+	"iter"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -135,6 +138,22 @@
 	return r
 }
 
+// runsOf goes through the runs of a worker in a fixed order, so that a seed draws the same history each time.
+func (w *world) runsOf(m *modelWorker) iter.Seq2[runKey, modelRun] {
+	return func(yield func(runKey, modelRun) bool) {
+		for _, key := range slices.SortedFunc(maps.Keys(m.runs), compareRuns) {
+			if r, there := m.runs[key]; there && !yield(key, r) {
+				return
+			}
+		}
+	}
+}
+
+func compareRuns(a, b runKey) int {
+	x, y := a.task, b.task
+	return cmp.Or(cmp.Compare(x.Job, y.Job), cmp.Compare(x.Step, y.Step), cmp.Compare(x.Index, y.Index), cmp.Compare(a.run, b.run))
+}
+
 // counted is the task at which the failures of a task are counted.
 func (w *world) counted(t job.TaskID) job.TaskID {
 	if w.store[t.Job].record.Job.Steps[t.Step].Gang {
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -58,7 +58,7 @@
 	p.surveyedAt = now
 	clear(p.loads)
 	p.sumUnheard()
-	for _, w := range p.workers {
+	for _, w := range p.workersByID() {
 		p.expireWorker(w, now)
 		if !w.gone && !w.evacuated {
 			l := p.load(w.info.Pool)
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"foldarch.dev/foldarch/pkg/clock"
@@ -27,7 +29,7 @@
 	p.surveyWorkers(now)
 	p.expireAsks(now)
 	p.settleTakeover(now)
-	for j := range p.timed {
+	for _, j := range slices.SortedFunc(maps.Keys(p.timed), compareJobs) {
 		p.openDueTimes(j)
 	}
 	var out Actions
@@ -54,11 +56,11 @@
 // Inspect looks at all runs: it stops those that stand still and sends stops again. It is to
 // be called a few times a second.
 func (p *Pool) Inspect(now clock.Time) {
-	for _, w := range p.workers {
+	for _, w := range p.workersByID() {
 		if w.gone || now.Sub(w.lastAnswer) >= usableWithin {
 			continue
 		}
-		for _, r := range w.runs {
+		for _, r := range sortedRuns(w) {
 			p.inspectRun(w, r, now)
 		}
 		p.paceFillers(w, now)
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -1,7 +1,10 @@
 package dispatch
 
 import (
+	"cmp"
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"foldarch.dev/foldarch/pkg/account"
@@ -126,7 +129,7 @@
 func (p *Pool) SetLoaded() {
 	p.loaded = true
 	p.markLoaded()
-	for _, j := range p.jobs {
+	for _, j := range p.jobsByID() {
 		p.takeAttempts(j, p.now)
 	}
 }
@@ -353,6 +356,15 @@
 	return n
 }
 
+// jobsByID lists all jobs, by id.
+func (p *Pool) jobsByID() []*jobState {
+	return slices.SortedFunc(maps.Values(p.jobs), compareJobs)
+}
+
+func compareJobs(a, b *jobState) int {
+	return cmp.Compare(a.job.ID, b.job.ID)
+}
+
 // Fenced says that a worker has seen a higher token: another owner has taken over.
 func (p *Pool) Fenced() bool {
 	return p.fenced
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -249,7 +249,7 @@
 		out = append(out, r)
 	}
 	slices.SortFunc(out, func(a, b *run) int {
-		return compareTasks(a.task, b.task)
+		return cmp.Or(compareTasks(a.task, b.task), cmp.Compare(a.number, b.number))
 	})
 	return out
 }
