--- a/pkg/dispatch/history_test.go
+++ b/pkg/dispatch/history_test.go
@@ -399,6 +399,7 @@
 
 // playHistories plays the kept seeds and as many others as the flags say.
 func playHistories(t *testing.T, change func(*world)) {
+	t.Parallel()
 	playSeeds(t, append(slices.Clone(keptSeeds), drawnSeeds(t, all)...), change)
 }
 
@@ -430,11 +431,13 @@
 
 // playQuotas plays histories in which quotas bind.
 func playQuotas(t *testing.T, change func(*world)) {
+	t.Parallel()
 	playSeeds(t, append(slices.Clone(quotaSeeds), drawnSeeds(t, fifth)...), change)
 }
 
 // playLives plays histories in which workers start again under the ids that they had.
 func playLives(t *testing.T, change func(*world)) {
+	t.Parallel()
 	playSeeds(t, append(slices.Clone(lifeSeeds), drawnSeeds(t, all)...), func(w *world) {
 		w.reborn = true
 		change(w)
@@ -443,6 +446,7 @@
 
 // playCrashes plays histories in which tasks crash their workers.
 func playCrashes(t *testing.T, change func(*world)) {
+	t.Parallel()
 	playSeeds(t, append(slices.Clone(crashSeeds), drawnSeeds(t, fifth)...), func(w *world) {
 		w.crashing = true
 		change(w)
@@ -451,6 +455,7 @@
 
 // playDrawn plays a share of the histories that the flag counts.
 func playDrawn(t *testing.T, s share, change func(*world)) {
+	t.Parallel()
 	playSeeds(t, drawnSeeds(t, s), change)
 }
 
--- a/pkg/dispatch/quota_test.go
+++ b/pkg/dispatch/quota_test.go
@@ -289,6 +289,9 @@
 		later.Term = 2
 		f.add(later)
 		f.report(0, Report{})
+		f.Expect(f.plan().Starts).To(BeEmpty(), "the former owner may still give orders to the other worker")
+		f.pass(f.pool.cfg.AuthorityTerm)
+		f.report(0, Report{})
 		f.Expect(f.plan().Starts).To(HaveLen(starts), "ended %s ago", ago)
 		f.report(1, Report{})
 		f.Expect(f.plan().Starts).To(HaveLen(3 - starts))
