Taking back the crashes of a worker that returns goes through the jobs in any order again

The order decides nothing there, and sorting all jobs for each of the workers of a hall that returns would cost the owner: some 1,500 of them in the largest deployment. TestHistoriesOfOneSeedAreTheSame passes as before.

--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -290,7 +290,7 @@
 // withdrawCrashes takes back the crashes of a worker that had only been cut off for long.
 func (p *Pool) withdrawCrashes(id WorkerID) {
 	p.crashes = slices.DeleteFunc(p.crashes, func(c *crash) bool { return c.worker == id })
-	for _, j := range p.jobsByID() {
+	for _, j := range p.jobs {
 		for s := range j.steps() {
 			for i := range s.tasks {
 				p.withdrawCrash(&s.tasks[i], id)
