--- a/pkg/dispatch/history_repeat_test.go
+++ b/pkg/dispatch/history_repeat_test.go
@@ -1,8 +1,6 @@
 package dispatch
 
-import (
-	"testing"
-)
+import "testing"
 
 // historyKinds are the kinds of random histories.
 var historyKinds = map[string]func(*world){
--- a/pkg/dispatch/history_told_kept_test.go
+++ b/pkg/dispatch/history_told_kept_test.go
@@ -14,7 +14,7 @@
 	playTold(t, 9000119, func(*world) {})
 }
 
-// Guards against the owner's own runs that are held for lost for the same reason.
+// Guards against runs that the owner has started itself and holds for lost since their ends stand behind one of an unknown job.
 func TestOwnRunsBehindAnUnknownEndAreNotLost(t *testing.T) {
 	playTold(t, 9000007, func(*world) {})
 }
