A plan costs what changed and what can start, not what waits

Cause: each plan sorted all waiting steps, summed up all their tasks and visited each of them. Plans of the owner took longer the more waited, so that fewer calls for advice and starts went out while more came in.

Now the steps are kept in their order (waitingSteps): a place changes with time only when the standing of a step does, and when that is, is known (worth.StandingChanges). Waiting tasks and runs are counted as they come and go. A step that can do nothing but ask for advice is passed over when it may not. The sum of what waits ends when it says that a pool is overloaded, which is all that it is asked. Steps that starve are a heap, and the usable workers of a pool are looked for once in a plan.

How long plans took is the timer pool.plan of the metrics address and stands in pool_status.

--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -36,11 +36,13 @@
 // stepAdvice is what is known of the workers that may run a step. Which ones may does not
 // change, but tickets lapse.
 type stepAdvice struct {
-	good      map[WorkerID]bool
-	denied    map[WorkerID]bool
-	tickets   map[WorkerID]ticket
-	pending   []*pendingAsk
-	notBefore clock.Time
+	good    map[WorkerID]bool
+	denied  map[WorkerID]bool
+	tickets map[WorkerID]ticket
+	// ticketsUntil is when the last of them lapses.
+	ticketsUntil clock.Time
+	pending      []*pendingAsk
+	notBefore    clock.Time
 	// spent is what the calls for the step have taken.
 	spent time.Duration
 	// answeredAt is when a call for the step was answered last, or failed; 0 for never.
@@ -138,8 +140,8 @@
 
 // mayAsk says whether calls for a step may be made in this plan.
 func (p *Pool) mayAsk(s *step, now clock.Time) bool {
-	return s.time.job.queue.Advice != nil && s.time.job.outcome == "" && p.advice.advisers.Free() > 0 && p.advice.choices < choicesPerPlan &&
-		!s.advice.awaits(now) && now >= s.advice.notBefore
+	return p.advice.advisers.Free() > 0 && p.advice.choices < choicesPerPlan && now >= s.advice.notBefore && !s.advice.awaits(now) &&
+		s.time.job.queue.Advice != nil && s.time.job.outcome == ""
 }
 
 // call has one call made that names workers, of which the first are known to be allowed.
@@ -222,6 +224,7 @@
 		delete(s.denied, t.Worker)
 		s.good[t.Worker] = true
 		s.tickets[t.Worker] = ticket{t.Text, until}
+		s.ticketsUntil = max(s.ticketsUntil, until)
 	}
 }
 
--- a/pkg/dispatch/busy_pool_test.go
+++ b/pkg/dispatch/busy_pool_test.go
@@ -84,35 +84,51 @@
 	allowed map[string]float64
 	// customers share the jobs; without any, they are nobody's.
 	customers []customer.Customer
+	// plan makes the plans, and planned is told of each; nil for none.
+	plan    func(now clock.Time, authority bool) Actions
+	planned func(Actions)
 }
 
 // newBusyPool returns a pool into which jobs of some kinds arrive.
 func newBusyPool(kinds []busyKind, without Without) *busyPool {
+	return newBusyPoolOf(kinds, busyWorkers, busyAdvisers, 1, without)
+}
+
+// newBusyPoolOf returns one with a number of workers and of hosts that make calls for advice.
+func newBusyPoolOf(kinds []busyKind, workers, advisers int, seed uint64, without Without) *busyPool {
 	b := &busyPool{
-		fixture: newFixture(&testing.T{}, 0, func(c *Config) { c.Log, c.Without = func(Event) {}, without }), rand: rand.New(rand.NewPCG(1, 2)),
+		fixture: newFixture(&testing.T{}, 0, func(c *Config) { c.Log, c.Without = func(Event) {}, without }), rand: rand.New(rand.NewPCG(seed, 2)),
 		numbers: map[WorkerID]int64{}, active: map[WorkerID]map[job.TaskID]Start{}, allowed: map[string]float64{},
 	}
-	var queues []queue.Queue
+	b.plan = b.pool.Plan
 	for _, k := range kinds {
-		queues = append(queues, k.queue)
 		b.allowed[k.queue.Name] = k.allowed
 		b.arrive(k)
 	}
-	b.pool.SetConfig(queue.NewConfig(2, queues, nil))
-	for n := range busyWorkers {
+	b.configure(2, kinds)
+	for n := range workers {
 		b.addWorker(n)
 		w := b.pool.workers[workerID(n)]
 		w.info.Capacity = cell.Resources{CPUMillis: 16000, MemoryMB: 65536}
 		b.active[workerID(n)] = map[job.TaskID]Start{}
-		b.at(time.Duration(n)*busyHold/busyWorkers, func() { b.holdAgain(workerID(n)) })
+		b.at(time.Duration(n)*busyHold/time.Duration(workers), func() { b.holdAgain(workerID(n)) })
 	}
-	b.reportAll(busyWorkers)
-	for n := range busyAdvisers {
+	b.reportAll(workers)
+	for n := range advisers {
 		b.pool.PutAdviser(fmt.Sprintf("host-%d", n))
 	}
 	return b
 }
 
+// configure puts the queues of some kinds in force.
+func (b *busyPool) configure(version int64, kinds []busyKind) {
+	var queues []queue.Queue
+	for _, k := range kinds {
+		queues = append(queues, k.queue)
+	}
+	b.pool.SetConfig(queue.NewConfig(version, queues, nil))
+}
+
 func (b *busyPool) at(in time.Duration, do func()) {
 	heap.Push(&b.events, busyEvent{b.now.Add(in), do})
 }
@@ -201,7 +217,10 @@
 			heap.Pop(&b.events).(busyEvent).do()
 		}
 		b.pool.Confirmed(b.now)
-		actions := b.pool.Plan(b.now, true)
+		actions := b.plan(b.now, true)
+		if b.planned != nil {
+			b.planned(actions)
+		}
 		for _, s := range actions.Starts {
 			b.at(busyStart, func() { b.start(s) })
 		}
--- a/pkg/dispatch/commit.go
+++ b/pkg/dispatch/commit.go
@@ -135,9 +135,8 @@
 		t.inDoubt = len(row.Attempts) > 0
 		t.lastRun = max(t.lastRun, row.HighestRun())
 		t.step.gang.number = max(t.step.gang.number, row.HighestRun())
-		if row.Done && !t.done {
-			t.done = true
-			t.step.done++
+		if row.Done {
+			t.setDone()
 		}
 	}
 	for _, t := range j.times {
--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -236,6 +236,7 @@
 		return
 	}
 	t.crashes, j.suspected = append(t.crashes, c), true
+	p.ready.reorder()
 	p.storeProgress(t)
 	p.cfg.Log(Event{Name: "crash_counted", Task: t.id(), Run: s.run, Worker: WorkerID(c.Worker), Detail: fmt.Sprintf(
 		"in_a_row=%d sure=%d alone=%t", len(t.crashes), sure(t.crashes), c.Alone)})
--- a/pkg/dispatch/customer_status.go
+++ b/pkg/dispatch/customer_status.go
@@ -40,7 +40,7 @@
 			row.Jobs++
 		}
 	}
-	for s := range p.ready {
+	for s := range p.ready.all() {
 		row := rows[s.time.job.customer.Name]
 		if row == nil {
 			continue
--- a/pkg/dispatch/ends.go
+++ b/pkg/dispatch/ends.go
@@ -48,7 +48,7 @@
 	}
 	p.cfg.Log(Event{Name: "run_ended", Task: r.task.id(), Run: r.number, Worker: r.worker.info.ID, Detail: how.String()})
 	if r.task.current == r {
-		r.task.current = nil
+		r.task.setCurrent(nil)
 		p.taskEnded(r, how, checkpoint)
 	}
 	p.forgetIfIdle(r.task.step.time.job)
@@ -84,12 +84,10 @@
 	p.dirty[s.time.job] = struct{}{}
 	if s.spec.Gang {
 		for i := range s.tasks {
-			s.tasks[i].done = true
+			s.tasks[i].setDone()
 		}
-		s.done = len(s.tasks)
-	} else if !t.done {
-		t.done = true
-		s.done++
+	} else {
+		t.setDone()
 	}
 	p.stepProgressed(s)
 }
@@ -207,7 +205,7 @@
 	if t.current != r {
 		return
 	}
-	t.current = nil
+	t.setCurrent(nil)
 	t.notBefore = now.Add(pause)
 	p.updateReady(t.step.time)
 	p.forgetIfIdle(t.step.time.job)
@@ -239,7 +237,7 @@
 
 // forgetIfIdle drops a job whose outcome is committed and of which nothing runs.
 func (p *Pool) forgetIfIdle(j *jobState) {
-	if !j.committed || j.running() || p.blocked(j) {
+	if !j.committed || j.runs() || p.blocked(j) {
 		return // a run of a former owner that is still to be found counts, and needs what is known of the job
 	}
 	if p.jobs[j.job.ID] == j {
@@ -248,13 +246,7 @@
 	}
 }
 
-func (j *jobState) running() bool {
-	for s := range j.steps() {
-		for i := range s.tasks {
-			if s.tasks[i].current != nil {
-				return true
-			}
-		}
-	}
-	return false
+// runs says that a task of the job has a run.
+func (j *jobState) runs() bool {
+	return j.running > 0
 }
--- a/pkg/dispatch/gang.go
+++ b/pkg/dispatch/gang.go
@@ -40,13 +40,7 @@
 
 // partial says that some members of a gang run and others do not.
 func (s *step) partial() bool {
-	n := 0
-	for i := range s.tasks {
-		if s.tasks[i].current != nil {
-			n++
-		}
-	}
-	return n > 0 && n < len(s.tasks) && !s.finished()
+	return s.runs > 0 && s.runs < len(s.tasks) && !s.finished()
 }
 
 // missing says that a run goes on of which some members have to be sent again.
--- a/pkg/dispatch/jobs.go
+++ b/pkg/dispatch/jobs.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"foldarch.dev/foldarch/pkg/account"
 	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/customer"
@@ -23,11 +24,13 @@
 	nextTime  int
 	free      bool // no former owner can have started it
 	began     bool
-	outcome   job.State // final, not necessarily committed; empty before
-	committed bool      // the outcome is in the store
-	stored    bool      // the store has progress of the job
-	beyond    bool      // its customer sends more than its weight (markBeyond)
-	suspected bool      // there was a crash against one of its tasks
+	outcome   job.State        // final, not necessarily committed; empty before
+	committed bool             // the outcome is in the store
+	stored    bool             // the store has progress of the job
+	beyond    bool             // its customer sends more than its weight (markBeyond)
+	suspected bool             // there was a crash against one of its tasks
+	running   int              // how many of its tasks have a run
+	account   *account.Account // of its customer; nil for nobody's job
 	// unended is what may run for its done tasks on workers that a new owner has not heard of, as the store tells.
 	unended  cell.Resources
 	accepted clock.Time
@@ -73,11 +76,14 @@
 // step is one step of one time.
 type step struct {
 	number int64 // in the order of creation
+	entry  int64 // among the waiting steps; 0 when it is not one of them
 	time   *timeState
 	index  int
 	spec   *job.Step
 	tasks  []task
-	done   int
+	done   int // how many of them are done
+	idle   int // how many are not done and have no run
+	runs   int // how many have a run
 	// counted is how many runs of its tasks count against workers and quotas.
 	counted int
 	advice  stepAdvice
@@ -167,6 +173,43 @@
 	return !t.done && t.current == nil
 }
 
+// setCurrent gives a task its run, or takes it away.
+func (t *task) setCurrent(r *run) {
+	t.uncount()
+	t.current = r
+	t.count()
+}
+
+// setDone takes in that a task is done.
+func (t *task) setDone() {
+	if t.done {
+		return
+	}
+	t.uncount()
+	t.done = true
+	t.step.done++
+	t.count()
+}
+
+// count counts a task in the sums of its step and its job as it stands; uncount takes that back before a change.
+func (t *task) count() {
+	t.addToSums(1)
+}
+
+func (t *task) uncount() {
+	t.addToSums(-1)
+}
+
+func (t *task) addToSums(n int) {
+	switch {
+	case t.current != nil:
+		t.step.runs += n
+		t.step.time.job.running += n
+	case !t.done:
+		t.step.idle += n
+	}
+}
+
 func (s *step) id() job.StepID {
 	return job.StepID{Job: s.time.job.job.ID, Time: s.time.index, Step: s.index}
 }
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -13,7 +13,7 @@
 	workers  int
 	capacity cell.Resources
 	used     cell.Resources
-	// waiting is what all tasks need that may be started.
+	// waiting is what tasks need that may be started: all of them, or so many that more waits than the pool gets through soon.
 	waiting cell.Resources
 }
 
@@ -69,13 +69,24 @@
 	}
 }
 
-// sumBacklog sums up what waits for each pool. What waits for its customer's quota does not.
+// sumBacklog sums up what waits for each pool, until it is more than the pool gets through soon. What waits for its customer's quota does not
+// count.
 func (p *Pool) sumBacklog() {
 	for _, l := range p.loads {
 		l.waiting = cell.Resources{}
 	}
-	for s := range p.ready {
-		l := p.load(s.time.job.queue.Pool)
+	left := len(p.loads)
+	for s := range p.ready.all() {
+		if left == 0 {
+			return
+		}
+		l, known := p.loads[s.time.job.queue.Pool]
+		if !known || l.overloaded() {
+			continue
+		}
 		l.waiting = l.waiting.Add(s.spec.Need().Times(int64(p.startable(s))))
+		if l.overloaded() {
+			left--
+		}
 	}
 }
--- a/pkg/dispatch/long_waits.go
+++ b/pkg/dispatch/long_waits.go
@@ -22,9 +22,9 @@
 // that have waited longest. A job that is lost in a pool with room is one of them until then, so that logs tell its cause.
 func (p *Pool) LongWaits(least time.Duration, most int, now clock.Time) []LongWait {
 	var waiting []*step
-	for s := range p.ready {
+	for s := range p.ready.all() {
 		j := s.time.job
-		if now.Sub(s.readySince) >= least && !j.running() && !p.load(j.queue.Pool).isWellUsed() {
+		if now.Sub(s.readySince) >= least && !j.runs() && !p.load(j.queue.Pool).isWellUsed() {
 			waiting = append(waiting, s)
 		}
 	}
--- a/pkg/dispatch/naming.go
+++ b/pkg/dispatch/naming.go
@@ -168,9 +168,9 @@
 // counts when the room that is there is less than a number of tasks: looking for it goes over all runs.
 func (p *Pool) otherWorkers(s *step, reserved *reservations, enough float64, byRoom bool, now clock.Time) (others []roomy, full []*worker) {
 	p.advice.offset += offsetStep
-	workers := p.workersByID()
+	workers, first := p.usableFrom(s.time.job.queue.Pool, p.advice.offset, now)
 	for i := range workers {
-		w := workers[(p.advice.offset+i)%len(workers)]
+		w := workers[(first+i)%len(workers)].worker
 		if s.advice.denied[w.info.ID] || s.advice.good[w.info.ID] || !p.eligible(s, w, now) {
 			continue
 		}
@@ -187,7 +187,7 @@
 		others, full = p.addExpectedRoom(s, others, full, reserved, now)
 	}
 	if byRoom {
-		slices.SortStableFunc(others, func(a, b roomy) int { return cmp.Compare(b.room, a.room) })
+		others = mostRoomFirst(others)
 	}
 	return others, full[:min(len(full), advice.MaxNamed)]
 }
@@ -236,6 +236,27 @@
 	return rooms
 }
 
+// mostRoomFirst sorts workers by their room; like ones keep their order. Rooms are few different numbers.
+func mostRoomFirst(workers []roomy) []roomy {
+	most := 0
+	for _, w := range workers {
+		most = max(most, w.room)
+	}
+	ends := make([]int, most+1) // of those with as much room
+	for _, w := range workers {
+		ends[w.room]++
+	}
+	for room := most - 1; room >= 0; room-- {
+		ends[room] += ends[room+1]
+	}
+	out := make([]roomy, len(workers))
+	for _, w := range slices.Backward(workers) {
+		ends[w.room]--
+		out[ends[w.room]] = w
+	}
+	return out
+}
+
 func totalRoom(workers []roomy) float64 {
 	room := 0
 	for _, w := range workers {
--- a/pkg/dispatch/naming_test.go
+++ b/pkg/dispatch/naming_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -93,3 +94,19 @@
 	}
 	f.Expect(f.plan().Asks).To(BeEmpty(), "the room is expected in 0.4 s, and not there")
 }
+
+func TestWorkersWithMostRoomComeFirst(t *testing.T) {
+	workers := make([]*worker, 7)
+	for i := range workers {
+		workers[i] = &worker{info: WorkerInfo{ID: workerID(i)}}
+	}
+	var in []roomy
+	for i, room := range []int{1, 3, 0, 3, 2, 1, 3} {
+		in = append(in, roomy{workers[i], room})
+	}
+	want := slices.Clone(in)
+	slices.SortStableFunc(want, func(a, b roomy) int { return b.room - a.room })
+	g := NewWithT(t)
+	g.Expect(mostRoomFirst(in)).To(Equal(want))
+	g.Expect(mostRoomFirst(nil)).To(BeEmpty())
+}
--- a/pkg/dispatch/order.go
+++ b/pkg/dispatch/order.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"slices"
-
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/worth"
 )
@@ -32,21 +30,3 @@
 	w := s.waitingWork()
 	return worth.Place{Standing: w.Standing(now), Priority: s.time.job.queue.Priority, Latest: w.LatestStart(), Number: s.number}
 }
-
-// order lists the ready steps as they have their turns.
-func (p *Pool) order(now clock.Time) []*step {
-	type entry struct {
-		step  *step
-		place worth.Place
-	}
-	entries := make([]entry, 0, len(p.ready))
-	for s := range p.ready {
-		entries = append(entries, entry{s, s.place(now)})
-	}
-	slices.SortFunc(entries, func(a, b entry) int { return a.place.Compare(b.place) })
-	out := make([]*step, len(entries))
-	for i, e := range entries {
-		out[i] = e.step
-	}
-	return out
-}
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -103,17 +103,17 @@
 		return p.eligible(s, w, now) && !reserved.holds(w.info.ID, priority) && fits(s, w) > 0
 	}
 	if s.time.job.queue.Advice == nil {
-		return p.allOf(may)
+		return p.allOf(s.time.job.queue.Pool, now, may)
 	}
 	return p.among(s.advice.ticketed(now), may)
 }
 
-// allOf lists all workers that satisfy a condition, by id.
-func (p *Pool) allOf(may func(*worker) bool) []*worker {
+// allOf lists all usable workers of a pool that satisfy a condition, by id.
+func (p *Pool) allOf(pool string, now clock.Time, may func(*worker) bool) []*worker {
 	var out []*worker
-	for _, w := range p.workersByID() {
-		if may(w) {
-			out = append(out, w)
+	for _, w := range p.usableIn(pool, now) {
+		if may(w.worker) {
+			out = append(out, w.worker)
 		}
 	}
 	return out
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -139,13 +139,20 @@
 // place starts tasks and asks for advice, in the order in which steps go.
 func (p *Pool) place(now clock.Time, out *Actions) {
 	p.clearPromises()
-	p.sumBacklog()
+	if p.ready.gangs > 0 {
+		p.sumBacklog() // which decides whether gangs hold workers
+	}
+	p.usable = usableWorkers{}
+	defer func() { p.usable = nil }()
 	reserved := newReservations()
-	ordered := p.order(now)
+	ordered := p.ready.sort(now)
 	p.askForStarving(ordered, reserved, now, out)
-	for _, s := range ordered {
-		j := s.time.job
-		if p.blocked(j) {
+	for i := range ordered {
+		s := ordered[i].step
+		if ordered[i].idles(now) && !p.mayAsk(s, now) {
+			continue
+		}
+		if p.blocked(s.time.job) {
 			continue
 		}
 		if p.awaitsQuota(s) {
@@ -162,7 +169,7 @@
 		}
 		p.preempt(s, now)
 		if s.waiting() == 0 {
-			delete(p.ready, s)
+			p.ready.remove(s)
 			continue
 		}
 		p.ask(s, p.longAtOnce(), reserved, now, out)
@@ -174,7 +181,7 @@
 func (p *Pool) book(t *task, w *worker, number int, state runState, now clock.Time) *run {
 	r := &run{task: t, number: number, worker: w, state: state, orderedAt: now}
 	t.lastRun = number
-	t.current = r
+	t.setCurrent(r)
 	t.presumedLost = false
 	p.count(r)
 	return r
--- /dev/null
+++ b/pkg/dispatch/plan_in_full_test.go
@@ -0,0 +1,162 @@
+package dispatch
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/customer"
+	. "github.com/onsi/gomega"
+)
+
+// planInFull is Plan without anything that is kept between plans: it sorts and sums up all that waits and chooses among all workers.
+func (p *Pool) planInFull(now clock.Time, authority bool) Actions {
+	p.now = now
+	p.surveyWorkers(now)
+	p.expireAsks(now)
+	p.settleTakeover(now)
+	for _, j := range slices.SortedFunc(maps.Keys(p.timed), compareJobs) {
+		p.openDueTimes(j)
+	}
+	var out Actions
+	if authority {
+		p.orderStored(now, &out)
+		p.placeInFull(now, &out)
+	}
+	p.takeStops(now, &out)
+	p.takePaces(&out)
+	p.meets, p.settles = p.meets[:0], p.settles[:0]
+	out.Confirm, p.unconfirmed = p.unconfirmed, false
+	return out
+}
+
+func (p *Pool) placeInFull(now clock.Time, out *Actions) {
+	p.clearPromises()
+	p.sumBacklogInFull()
+	reserved := newReservations()
+	ordered := p.orderInFull(now)
+	p.askForStarvingInFull(ordered, reserved, now, out)
+	for _, s := range ordered {
+		if p.blocked(s.time.job) {
+			continue
+		}
+		if p.awaitsQuota(s) {
+			p.holdQuota(s, now)
+			continue
+		}
+		if s.spec.Gang {
+			p.placeGang(s, reserved, now, out)
+		} else {
+			p.placeTasks(s, reserved, now, out)
+		}
+		if s.held(now) {
+			continue
+		}
+		p.preempt(s, now)
+		if s.waiting() == 0 {
+			p.ready.remove(s)
+			continue
+		}
+		p.ask(s, p.longAtOnce(), reserved, now, out)
+		p.reserve(s, reserved, now)
+	}
+}
+
+func (p *Pool) sumBacklogInFull() {
+	for _, l := range p.loads {
+		l.waiting = cell.Resources{}
+	}
+	for s := range p.ready.all() {
+		l := p.load(s.time.job.queue.Pool)
+		l.waiting = l.waiting.Add(s.spec.Need().Times(int64(p.startable(s))))
+	}
+}
+
+func (p *Pool) orderInFull(now clock.Time) []*step {
+	ordered := slices.Collect(p.ready.all())
+	slices.SortFunc(ordered, func(a, b *step) int { return a.place(now).Compare(b.place(now)) })
+	return ordered
+}
+
+func (p *Pool) askForStarvingInFull(ordered []*step, reserved *reservations, now clock.Time, out *Actions) {
+	if p.advice.advisers.Free() == 0 || p.without(StarvingFirst) {
+		return
+	}
+	var starving []*step
+	for _, s := range ordered {
+		if p.starves(s, now) && !p.blocked(s.time.job) {
+			starving = append(starving, s)
+		}
+	}
+	slices.SortStableFunc(starving, func(a, b *step) int { return cmp.Compare(b.responseRatio(now), a.responseRatio(now)) })
+	for _, s := range starving {
+		if p.advice.advisers.Free() == 0 {
+			return
+		}
+		p.ask(s, p.longAtOnce()+longForStarving, reserved, now, out)
+	}
+}
+
+// sameInFull plays two pools, of which one plans in full, and compares what each plan decides.
+func sameInFull(t *testing.T, newPool func() *busyPool, d time.Duration) {
+	g := NewWithT(t)
+	kept, full := newPool(), newPool()
+	full.plan = full.pool.planInFull
+	var wants []Actions
+	full.planned = func(a Actions) { wants = append(wants, a) }
+	full.play(d)
+	n := 0
+	kept.planned = func(a Actions) {
+		g.Expect(a.Starts).To(Equal(wants[n].Starts), "plan %d", n)
+		g.Expect(a.Asks).To(Equal(wants[n].Asks), "plan %d", n)
+		g.Expect(a.Stops).To(Equal(wants[n].Stops), "plan %d", n)
+		n++
+	}
+	kept.play(d)
+	g.Expect(n).To(Equal(len(wants)))
+	g.Expect(kept.started).To(BeNumerically(">", 0))
+}
+
+// Guards against a plan that decides otherwise than one that goes over all that waits.
+func TestPlansDecideAsIfAllWasGoneOver(t *testing.T) {
+	const (
+		workers = 60
+		length  = 12 * time.Second
+	)
+	for seed := range uint64(12) {
+		sameInFull(t, func() *busyPool { return drawnBusyPool(seed, workers) }, length)
+	}
+}
+
+// drawnBusyPool returns a small pool with more work than it holds: of queues with advice and without, of customers with quotas and without,
+// of gangs, of tasks that last, and with a change of the configuration on the way.
+func drawnBusyPool(seed uint64, workers int) *busyPool {
+	kinds := slices.Clone(busyKinds)
+	for i := range kinds {
+		kinds[i].perSecond *= float64(workers) / busyWorkers * (1 + float64(seed%4))
+		kinds[i].step.Count = max(kinds[i].step.Count/4, 2)
+	}
+	plain := kinds[1]
+	plain.queue.Name, plain.queue.Advice, plain.queue.Priority = "plain", nil, int(seed%3)
+	lasting := kinds[2]
+	lasting.queue.Name, lasting.step.LongRunning, lasting.perSecond = "lasting", true, 0.3
+	kinds = append(kinds, plain, lasting)
+	b := newBusyPoolOf(kinds, workers, busyAdvisers*workers/busyWorkers, seed, nil)
+	if seed%2 == 0 {
+		for n := range 4 {
+			quota := cell.Resources{CPUMillis: int64(workers) * 16000 / int64(2+n)}
+			b.customers = append(b.customers, customer.Customer{Name: string(rune('a' + n)), Weight: float64(n), Quota: quota})
+		}
+	}
+	b.at(5*time.Second, func() {
+		for i := range kinds {
+			kinds[i].queue.Priority = 2 - kinds[i].queue.Priority
+		}
+		b.configure(3, kinds)
+	})
+	return b
+}
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -65,9 +65,10 @@
 	workers         map[WorkerID]*worker
 	// lineages is what is kept of workers over all their lives, by name.
 	lineages map[string]*lineage
-	meets    []*worker          // that have to be asked from now on
-	sorted   []*worker          // all workers by id; nil when one came or went (workersByID)
-	ready    map[*step]struct{} // steps whose turn has come and that have waiting tasks
+	meets    []*worker     // that have to be asked from now on
+	sorted   []*worker     // all workers by id; nil when one came or went (workersByID)
+	usable   usableWorkers // of the plan that is being made; nil between plans
+	ready    waitingSteps
 	timed    map[*jobState]struct{}
 	dirty    map[*jobState]struct{}
 	advice   adviceCalls
@@ -102,7 +103,7 @@
 	p := &Pool{
 		cfg: cfg, takeover: newTakeover(cfg, now),
 		jobs: map[job.ID]*jobState{}, accounts: map[string]*account.Account{}, outcomes: newOutcomes(), unknown: map[job.ID]struct{}{}, absent: map[job.ID]struct{}{}, workers: map[WorkerID]*worker{}, lineages: map[string]*lineage{}, configured: map[string]bool{},
-		ready: map[*step]struct{}{}, timed: map[*jobState]struct{}{}, dirty: map[*jobState]struct{}{},
+		timed: map[*jobState]struct{}{}, dirty: map[*jobState]struct{}{},
 		advice: newAdviceCalls(), loads: map[string]*poolLoad{}, parting: map[WorkerID]WorkerInfo{}, rosterNews: map[string]struct{}{}, lastCrashAt: map[netip.AddrPort]clock.Time{}, createdAt: now,
 	}
 	p.cfg.Log = func(e Event) {
@@ -129,6 +130,7 @@
 func (p *Pool) SetLoaded() {
 	p.loaded = true
 	p.markLoaded()
+	p.ready.reorder()
 	for _, j := range p.jobsByID() {
 		p.takeAttempts(j, p.now)
 	}
@@ -152,6 +154,7 @@
 			j.queue = q
 		}
 	}
+	p.ready.reorder()
 }
 
 // Configured says that a configuration or the queue of a job has named a pool of workers, or that none is known yet. One that
@@ -177,7 +180,7 @@
 	j.times = make([]*timeState, r.Job.Schedule.Times())
 	j.accepted, j.chains = now.Add(-age), chains(j)
 	p.jobs[id] = j
-	p.openAccount(j.customer)
+	j.account = p.openAccount(j.customer)
 	if p.loaded {
 		p.markBeyond(j)
 	}
@@ -225,7 +228,7 @@
 	for i := range j.job.Steps {
 		spec := &j.job.Steps[i]
 		p.steps++
-		s := &step{number: p.steps, time: t, index: i, spec: spec, tasks: make([]task, spec.Count), chain: j.chains[i]}
+		s := &step{number: p.steps, time: t, index: i, spec: spec, tasks: make([]task, spec.Count), idle: spec.Count, chain: j.chains[i]}
 		for n := range s.tasks {
 			s.tasks[n] = task{step: s, index: n}
 		}
@@ -255,13 +258,13 @@
 func (p *Pool) updateReady(t *timeState) {
 	for _, s := range t.steps {
 		if t.job.outcome == "" && s.turnHasCome() && s.waiting() > 0 {
-			if _, waits := p.ready[s]; !waits {
+			if !s.waits() {
 				s.readySince = p.now
+				p.ready.put(s)
 			}
 			p.news = true
-			p.ready[s] = struct{}{}
 		} else {
-			delete(p.ready, s)
+			p.ready.remove(s)
 		}
 	}
 }
@@ -303,7 +306,7 @@
 	p.dirty[j] = struct{}{}
 	delete(p.timed, j)
 	for s := range j.steps() {
-		delete(p.ready, s)
+		p.ready.remove(s)
 		p.dropAsk(s)
 		if outcome == job.Completed {
 			continue // what is still counted of it has ended: members of gangs
--- a/pkg/dispatch/preempt.go
+++ b/pkg/dispatch/preempt.go
@@ -93,7 +93,7 @@
 func (p *Pool) allowedWorkers(s *step, now clock.Time) []*worker {
 	may := func(w *worker) bool { return p.eligible(s, w, now) }
 	if s.time.job.queue.Advice == nil {
-		return p.allOf(may)
+		return p.allOf(s.time.job.queue.Pool, now, may)
 	}
 	return p.among(slices.Collect(maps.Keys(s.advice.good)), may)
 }
--- a/pkg/dispatch/quota.go
+++ b/pkg/dispatch/quota.go
@@ -17,7 +17,7 @@
 
 // account returns that of a job's customer; nil for nobody's job.
 func (p *Pool) account(j *jobState) *account.Account {
-	return p.accounts[j.customer.Name]
+	return j.account
 }
 
 // openAccount returns the account of a job's customer, which it makes unless there is one; nil for nobody's job.
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -226,7 +226,7 @@
 		p.stopRun(r)
 		return r
 	}
-	t.current = r
+	t.setCurrent(r)
 	if t.step.spec.Gang {
 		t.step.gang.number = max(t.step.gang.number, row.Run)
 	}
--- a/pkg/dispatch/starving.go
+++ b/pkg/dispatch/starving.go
@@ -2,8 +2,8 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"math"
-	"slices"
 	"time"
 
 	"foldarch.dev/foldarch/pkg/clock"
@@ -22,25 +22,52 @@
 // askForStarving makes calls for advice for steps that have waited long, whatever their order, so that few
 // processes that make calls don't serve the first steps only. Those go first that have waited longest in
 // proportion to the time that a call takes (highest response ratio next, Brinch Hansen 1971).
-func (p *Pool) askForStarving(ordered []*step, reserved *reservations, now clock.Time, out *Actions) {
+func (p *Pool) askForStarving(ordered []waitingStep, reserved *reservations, now clock.Time, out *Actions) {
 	if p.advice.advisers.Free() == 0 || p.without(StarvingFirst) {
 		return
 	}
-	var starving []*step
-	for _, s := range ordered {
-		if p.starves(s, now) && !p.blocked(s.time.job) {
-			starving = append(starving, s)
+	var starving starvingSteps
+	for i, e := range ordered {
+		s := e.step
+		if now.Sub(s.unadvisedSince()) > starvingAfter && p.mayAsk(s, now) && p.starves(s, now) && !p.blocked(s.time.job) {
+			starving = append(starving, starvingStep{s, s.responseRatio(now), i})
 		}
 	}
-	slices.SortStableFunc(starving, func(a, b *step) int { return cmp.Compare(b.responseRatio(now), a.responseRatio(now)) })
-	for _, s := range starving {
-		if p.advice.advisers.Free() == 0 {
-			return
-		}
+	heap.Init(&starving)
+	for len(starving) > 0 && p.advice.advisers.Free() > 0 {
+		s := heap.Pop(&starving).(starvingStep).step
 		p.ask(s, p.longAtOnce()+longForStarving, reserved, now, out)
 	}
 }
 
+// starvingStep is a step that starves, with its response ratio and its place among the steps.
+type starvingStep struct {
+	step  *step
+	ratio float64
+	place int
+}
+
+// starvingSteps are a heap: those with the highest ratio first, like ones as they have their turns. Of thousands of them, few get calls in a plan.
+type starvingSteps []starvingStep
+
+func (h starvingSteps) Len() int { return len(h) }
+
+func (h starvingSteps) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(h[j].ratio, h[i].ratio), cmp.Compare(h[i].place, h[j].place)) < 0
+}
+
+func (h starvingSteps) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push adds a step.
+func (h *starvingSteps) Push(x any) { *h = append(*h, x.(starvingStep)) }
+
+// Pop takes the last step off.
+func (h *starvingSteps) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
 // starves says that a step has waited too long for a call for advice. In a pool that is well used none does: with the oldest first, each job of a
 // backlog gets its advice too late, and the backlog goes on when the burst is over. After 13 s in which one customer sent eight times its
 // usual, jobs in time were 3% for the next 30 s, and earned 0.26 of the day in place of 0.60 (one play each, processor time not charged).
@@ -51,7 +78,7 @@
 	if s.standing(now) == worth.Overdue {
 		return true
 	}
-	return !s.time.job.running() && (!p.load(s.time.job.queue.Pool).isWellUsed() || p.without(StarvingTakeTurns))
+	return !s.time.job.runs() && (!p.load(s.time.job.queue.Pool).isWellUsed() || p.without(StarvingTakeTurns))
 }
 
 // unadvisedSince is since when a step has waited without an answer to a call for advice.
--- a/pkg/dispatch/status.go
+++ b/pkg/dispatch/status.go
@@ -24,7 +24,7 @@
 
 // Status summarizes the pool.
 func (p *Pool) Status(now clock.Time) Status {
-	s := Status{Steps: len(p.ready), Calls: len(p.advice.asks), Takeover: p.takeover.pending}
+	s := Status{Steps: p.ready.count, Calls: len(p.advice.asks), Takeover: p.takeover.pending}
 	for _, w := range p.workers {
 		if w.gone {
 			continue
@@ -47,7 +47,7 @@
 			s.Jobs++
 		}
 	}
-	for step := range p.ready {
+	for step := range p.ready.all() {
 		s.Waiting += step.waiting()
 	}
 	s.Advisers = p.advice.advisers.Free()
--- a/pkg/dispatch/unheard.go
+++ b/pkg/dispatch/unheard.go
@@ -198,11 +198,5 @@
 
 // waitingTasks counts the tasks of which no run is known.
 func (s *step) waitingTasks() int {
-	n := 0
-	for i := range s.tasks {
-		if s.tasks[i].waiting() {
-			n++
-		}
-	}
-	return n
+	return s.idle
 }
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -119,8 +119,9 @@
 	fenced     bool            // most workers were fenced
 	counted    answerCount
 	refusals   refusals
-	beats      beats    // of the duty that watches workers
-	position   position // each field belongs to one duty
+	plans      metrics.Timer // how long plans took
+	beats      beats         // of the duty that watches workers
+	position   position      // each field belongs to one duty
 	// roster is what the store has, by the worker's name; of the duty that keeps it, and before that of the one that loads.
 	roster map[string]rosterRecord
 
@@ -146,6 +147,7 @@
 		sessions: map[dispatch.WorkerID]*workerSession{}, members: map[string]*member{}, near: map[string]bool{},
 		unusable: map[string]unusableEntry{}, roster: map[string]rosterRecord{}, unreadable: map[job.ID]bool{}, cancelled: map[job.ID]bool{}, committed: make(chan struct{}), lanes: newLanes(claim),
 		beats: newBeats(deps.Heartbeat), upkeep: upkeep.New(),
+		plans:          metrics.GetOrRegisterTimer("pool.plan", deps.Figures),
 		rosterFailures: &storeFailures{what: "roster", clk: deps.Clock, log: deps.Log},
 		commitFailures: &storeFailures{what: "commit", clk: deps.Clock, log: deps.Log},
 		readFailures:   &storeFailures{what: "unknown_job", clk: deps.Clock, log: deps.Log},
@@ -295,6 +297,7 @@
 		began := time.Now()
 		o.carryOut(ctx)
 		took = time.Since(began)
+		o.plans.Update(took)
 	}
 }
 
@@ -334,9 +337,11 @@
 
 func (o *Owner) logStatus() {
 	s := o.Status()
+	plans := o.plans.Snapshot()
 	o.deps.Log.WithFields(logrus.Fields{
 		"workers": s.Workers, "silent": s.Silent, "evacuated": s.Evacuated, "jobs": s.Jobs, "steps": s.Steps, "waiting": s.Waiting, "runs": s.Runs,
 		"calls": s.Calls, "advisers": s.Advisers, "takeover": s.Takeover, "calls_waiting": o.CallsWaiting(), "relayed": o.Relayed(), "used": s.Used, "capacity": s.Capacity,
+		"plan_p50_us": time.Duration(plans.Percentile(0.5)).Microseconds(), "plan_p99_us": time.Duration(plans.Percentile(0.99)).Microseconds(),
 	}).Info("pool_status")
 	o.logLongWaits()
 }
--- a/pkg/worth/standing.go
+++ b/pkg/worth/standing.go
@@ -1,6 +1,7 @@
 package worth
 
 import (
+	"math"
 	"time"
 
 	"foldarch.dev/foldarch/pkg/clock"
@@ -63,3 +64,17 @@
 	}
 	return w.Objective.Add(-w.Chain)
 }
+
+// StandingChanges is when the standing changes that a step has at a time; NeverChanges when it does not.
+func (w *Work) StandingChanges(now clock.Time) clock.Time {
+	first := NeverChanges
+	for _, last := range []clock.Time{w.ReadySince.Add(OverdueAfter), w.Objective, w.Latest} {
+		if next := last + 1; next > now && w.Standing(next) != w.Standing(now) {
+			first = min(first, next)
+		}
+	}
+	return first
+}
+
+// NeverChanges is the time of a change that does not come.
+const NeverChanges = clock.Time(math.MaxInt64)
--- a/pkg/worth/worth_test.go
+++ b/pkg/worth/worth_test.go
@@ -55,3 +55,26 @@
 	slices.SortFunc(got, Place.Compare)
 	NewWithT(t).Expect(got).To(Equal(want))
 }
+
+// The standing that is foretold to last is the one that each moment has, and the next one is another.
+func TestStandingChanges(t *testing.T) {
+	batch := Work{Objective: 500, Latest: 1500, ReadySince: 100}
+	beyond, lasts, over := batch, batch, batch
+	beyond.Beyond, lasts.Lasts = true, true
+	over.Objective, over.Latest = 10, 30
+	for name, w := range map[string]Work{"batch": batch, "beyond": beyond, "lasts": lasts, "objective before it was ready": over} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			for now := clock.Time(0); now < 2000; now += 7 {
+				changes := w.StandingChanges(now)
+				g.Expect(changes).To(BeNumerically(">", now))
+				for at := now; at < min(changes, 2000); at++ {
+					g.Expect(w.Standing(at)).To(Equal(w.Standing(now)))
+				}
+				if changes != NeverChanges {
+					g.Expect(w.Standing(changes)).NotTo(Equal(w.Standing(now)))
+				}
+			}
+		})
+	}
+}
