A task with a void start goes on on the same worker, and its ends are not noted while the start may come

Cause: a start without an answer that was fenced off is void on that life of its worker only. The next life has seen no token, and may carry it out up to 12 s after it was sent. After the void the owner kept nothing of the start: the task could start on any worker, its ends were noted at once, and what goes over from a life to the next was worked out without it.

Now a void start is kept with its task until it can't be carried out any more. Until then the task starts on the same worker only, where a life that has the task or a higher token refuses the late order, and no end of it or of its gang is noted, so the late run comes after none. Jobs are committed and shown as before. It costs waiting only where that worker is full or gone, and nothing where no beginnings of lives are told, with advice, and for speculative steps.

The histories left out all late orders that the owner did not count with any more; now those of former owners only.

--- a/pkg/dispatch/commit.go
+++ b/pkg/dispatch/commit.go
@@ -40,7 +40,7 @@
 	clear(p.dirty)
 	slices.SortFunc(c.Changes, func(a, b Change) int { return cmp.Compare(a.Job, b.Job) })
 	for _, w := range p.workers {
-		if n := w.takenUpTo(); n > w.noted {
+		if n := w.mayNoteUpTo(p.now); n > w.noted {
 			c.taken[w] = n
 		}
 	}
--- a/pkg/dispatch/history_lives_test.go
+++ b/pkg/dispatch/history_lives_test.go
@@ -143,8 +143,8 @@
 	o.pool.Rostered(ids)
 }
 
-// awaited says that the present owner still counts with a start on a worker. An order that is carried out by the next life of its worker after
-// its task was started elsewhere can't be prevented: that life has seen no token.
+// awaited says that the present owner still counts with a start on a worker. It knows nothing of other starts of former owners without an answer, so it
+// can't prevent that the next life of their worker, which has seen no token, carries them out beside or after what it has started.
 func (w *world) awaited(m *modelWorker, s Start) bool {
 	p := w.present().pool
 	for _, k := range p.workers {
--- a/pkg/dispatch/jobs.go
+++ b/pkg/dispatch/jobs.go
@@ -120,7 +120,8 @@
 	survivedRun int // highest number whose start a worker has survived
 	// inDoubt says that a worker has gone under a start that was not proven, whether a crash was counted for it or not.
 	inDoubt   bool
-	avoid     WorkerID // where it failed last
+	avoid     WorkerID    // where it failed last
+	voids     []voidStart // starts of it that may be carried out by the next lives of their workers
 	notBefore clock.Time
 	// presumedLost says that its last run is held for lost since its worker was silent.
 	presumedLost bool
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -12,6 +12,9 @@
 // gangWorkers chooses a worker for each member, on as few workers and if possible in one
 // rack; nil when there is no room for all.
 func (p *Pool) gangWorkers(s *step, candidates []*worker) []*worker {
+	if s.hasVoids() {
+		return fillBound(s, candidates)
+	}
 	if s.spec.SameRack {
 		for _, rack := range racks(candidates) {
 			if chosen := fill(s, rack); chosen != nil {
@@ -175,7 +178,7 @@
 	var bestScore float64
 	need := t.step.spec.Need()
 	for _, w := range candidates {
-		if fits(t.step, w) == 0 {
+		if fits(t.step, w) == 0 || !t.mayRunOn(w) {
 			continue
 		}
 		score := leftOver(w, need)
--- a/pkg/dispatch/probe.go
+++ b/pkg/dispatch/probe.go
@@ -135,6 +135,9 @@
 		if fits(s, w) == 0 {
 			return
 		}
+		if !t.mayRunOn(w) {
+			continue
+		}
 		p.start(t, w, p.nextRun(s.time.job, t.lastRun), t.checkpoint, now, out)
 	}
 }
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -84,9 +84,10 @@
 	unansweredAt clock.Time
 	claim        claim
 
-	read   int64      // highest number of an end that was read
-	unread []Finished // of these, ends of jobs that may become known, by number
-	noted  int64      // highest number up to which all ends are taken in and the job changes are committed
+	read      int64      // highest number of an end that was read
+	unread    []Finished // of these, ends of jobs that may become known, by number
+	heldNotes []heldNote // ends that are not to be noted yet (holdNote)
+	noted     int64      // highest number up to which all ends are taken in and the job changes are committed
 
 	pacing    pace.Control
 	suspended clock.Time // not to be given tasks before
@@ -240,6 +241,7 @@
 	if !w.doubts.has(r) {
 		p.dropAttempt(r.task, r.number)
 	}
+	p.becameVoid(r, nil)
 	p.runEnded(r, EndLost, "", now)
 }
 
