A task waits for the end of an earlier run that its worker lists

Cause: an owner that reads of a run below one that has ended has it stopped, but the task has no run then, and the plan of the same tick starts it again; an end as done of the earlier run counted for nothing. It now is the task's run until it has ended.

TestTaskWaitsForAnEarlierRunThatTheNextLifeCarriesOut failed before.

--- a/pkg/dispatch/lives_starts_test.go
+++ b/pkg/dispatch/lives_starts_test.go
@@ -125,3 +125,22 @@
 	}
 	f.Expect(f.pool.jobs["a"].outcome).To(Equal(job.Completed))
 }
+
+// Guards against a task that is started beside a run of an earlier start that the next life of its worker carries out.
+func TestTaskWaitsForAnEarlierRunThatTheNextLifeCarriesOut(t *testing.T) {
+	f, s := unanswered(t, nil)
+	f.answers(f.hold(firstLife(0), true), firstLife(0), Report{})
+	again := f.onlyStart()
+	f.Expect(again.Worker).To(Equal(firstLife(0).id))
+	f.acceptBy(again, firstLife(0))
+	f.survives(firstLife(0), again)
+	f.pass(500 * time.Millisecond)
+	f.begins(secondLife(0), listed(s))
+	f.reports(firstLife(1), Report{})
+	f.reports(secondLife(0), listed(s))
+	actions := f.plan()
+	f.Expect(actions.Starts).To(BeEmpty(), "the first run goes on")
+	f.Expect(actions.Stops).To(HaveLen(1))
+	f.reports(secondLife(0), f.end(s, 1, EndStopped))
+	f.Expect(f.onlyStart().Run).To(BeNumerically(">", again.Run))
+}
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -224,10 +224,15 @@
 	j := t.step.time.job
 	j.began = true
 	p.cfg.Log(Event{Name: "run_adopted", Task: row.Task, Run: row.Run, Worker: w.info.ID})
-	if t.done || t.current != nil || j.outcome != "" || row.Run <= t.lastEnded {
+	if t.done || t.current != nil || j.outcome != "" {
 		p.stopRun(r)
 		return r
 	}
+	if row.Run <= t.lastEnded {
+		t.setCurrent(r) // the task starts again when it has stopped
+		p.stopEarlier(r)
+		return r
+	}
 	t.setCurrent(r)
 	if t.step.spec.Gang {
 		t.step.gang.number = max(t.step.gang.number, row.Run)
@@ -236,6 +241,15 @@
 	return r
 }
 
+// stopEarlier stops a run of a task of which a later one has ended.
+func (p *Pool) stopEarlier(r *run) {
+	if s := r.task.step; s.spec.Gang {
+		p.breakGang(s)
+		return
+	}
+	p.stopRun(r)
+}
+
 // Running says that a job is known and has not ended.
 func (p *Pool) Running(id job.ID) bool {
 	j, ok := p.jobs[id]
