Take a batch request in with the segment that stores it

A removal between the two found a segment none of whose requests is in the book, took it for one of no use, and deleted the only trace of the submission. When it then also dropped the record, the request was gone without any change of owner; otherwise the next owner found nothing, or the end alone, whose record has no caller.

Nothing else deletes a segment younger than the window of an hour.

Why the fix works: the segment and its requests come in under one lock, so no removal can stand between; and Removable keeps a segment of a request that the book doesn't know, as its comment said. A request that was stored while its caller was told in_progress is now known when it is submitted again, and is not stored twice; before, the next removal deleted it.

Tests that fail before, without chaos: TestRemovalLeavesARequestThatWasStoredAMomentAgo (unknown_batch before its end, not_yours after it) and TestSegmentOfARequestThatIsNotInTheBookYetStays; TestRequestThatIsStoredWithoutAnAnswerIsKept fails with the rule of Removable alone.

--- a/pkg/batch/batch_test.go
+++ b/pkg/batch/batch_test.go
@@ -87,6 +87,22 @@
 	})
 }
 
+// Guards against the removal of the only trace of a request that was stored a moment ago.
+func TestSegmentOfARequestThatIsNotInTheBookYetStays(t *testing.T) {
+	g := NewWithT(t)
+	book, segments := NewBook(), NewSegments()
+	submitted := Entry{Submitted: &Request{ID: "a", Workload: "w"}}
+	segments.Add(Segment{Key: "0", Entries: []Entry{submitted}})
+	keep := func(Record) time.Duration { return time.Hour }
+	_, removable := segments.Removable(book, time.Unix(1e9, 0), keep)
+	g.Expect(removable).To(BeFalse())
+
+	book.Apply(submitted)
+	book.Apply(Entry{Ended: &End{ID: "a", State: Done, At: time.Unix(0, 0)}})
+	_, removable = segments.Removable(book, time.Unix(1e9, 0), keep)
+	g.Expect(removable).To(BeTrue())
+}
+
 func TestJournalWritesTogetherWhatWaits(t *testing.T) {
 	g := NewWithT(t)
 	written := make(chan []Entry, 10)
--- a/pkg/batch/segments.go
+++ b/pkg/batch/segments.go
@@ -74,7 +74,7 @@
 func (s *Segments) obsolete(h *held, book *Book, now time.Time, keep func(Record) time.Duration) bool {
 	for id, isEnd := range h.ids {
 		r, ok := book.Get(id)
-		if ok && (!r.State.Ended() || now.Before(r.EndedAt.Add(keep(r)))) {
+		if !ok || !r.State.Ended() || now.Before(r.EndedAt.Add(keep(r))) {
 			return false
 		}
 		if isEnd && s.holding[id] > 1 {
--- a/pkg/shard/batch.go
+++ b/pkg/shard/batch.go
@@ -44,7 +44,10 @@
 	if err := e.journal.Append(ctx, batch.Entry{Submitted: &request}); err != nil {
 		return batch.Record{}, submitError(err)
 	}
-	return e.acceptBatch(request), nil
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	record, _ := e.book.Get(request.ID)
+	return record, nil
 }
 
 func (e *Engine) admitBatch(s Submission) (batch.Request, batch.Record, error) {
@@ -87,12 +90,11 @@
 }
 
 // acceptBatch lets a request that is stored wait for a place. Two copies of one request
-// may have been stored at the same time; the second finds the first.
-func (e *Engine) acceptBatch(r batch.Request) batch.Record {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if known, ok := e.book.Get(r.ID); ok {
-		return known
+// may have been stored at the same time; the second changes nothing. The caller holds the
+// engine's lock.
+func (e *Engine) acceptBatch(r batch.Request) {
+	if _, ok := e.book.Get(r.ID); ok {
+		return
 	}
 	e.book.Apply(batch.Entry{Submitted: &r})
 	record, _ := e.book.Get(r.ID)
@@ -101,7 +103,6 @@
 		e.wake()
 	}
 	e.log("batch_kept", logrus.Fields{"batch": r.ID, "caller": r.Caller, "workload": r.Workload})
-	return record
 }
 
 // endBatch stores the end of a request, and then lets its worker forget it. Until it is
--- a/pkg/shard/removal.go
+++ b/pkg/shard/removal.go
@@ -15,10 +15,17 @@
 // removeEvery bounds the writes that removal costs: one a shard in this time.
 const removeEvery = 5 * time.Second
 
+// segmentStored takes in a segment and the requests in it at once: between the two, the
+// removal would find a segment of requests that nobody knows.
 func (e *Engine) segmentStored(s batch.Segment) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.segments.Add(s)
+	for _, entry := range s.Entries {
+		if entry.Submitted != nil {
+			e.acceptBatch(*entry.Submitted)
+		}
+	}
 }
 
 // removeSegments is the duty that removes batch segments of which every request ended
--- /dev/null
+++ b/pkg/shard/removal_test.go
@@ -0,0 +1,168 @@
+package shard
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/batch"
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/keys"
+	"foldarch.dev/foldarch/pkg/result"
+	"foldarch.dev/foldarch/pkg/settings"
+	"foldarch.dev/foldarch/pkg/store"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+)
+
+// segmentStore keeps batch segments as the platform's store does.
+type segmentStore struct {
+	mu       sync.Mutex
+	revision int64
+	segments map[string]batch.Segment
+}
+
+func newSegmentStore() *segmentStore {
+	return &segmentStore{segments: map[string]batch.Segment{}}
+}
+
+func (s *segmentStore) len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.segments)
+}
+
+func (s *segmentStore) put(_ context.Context, key, value string) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	segment := batch.Segment{Key: key, Revision: s.revision}
+	if err := json.Unmarshal([]byte(value), &segment.Entries); err != nil {
+		return 0, err
+	}
+	s.segments[key] = segment
+	return s.revision, nil
+}
+
+func (s *segmentStore) remove(_ context.Context, key string, revision int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.segments[key].Revision != revision {
+		return store.ErrConflict
+	}
+	delete(s.segments, key)
+	return nil
+}
+
+func (s *segmentStore) load(context.Context) ([]batch.Segment, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []batch.Segment
+	for _, segment := range s.segments {
+		all = append(all, segment)
+	}
+	return all, nil
+}
+
+// newRecoveredOwner returns an owner without workers that has read the store, and whose
+// journal writes. Its authority is asked of authorized.
+func newRecoveredOwner(t *testing.T, s *segmentStore, epoch cell.Epoch, authorized func() bool) *Engine {
+	g := NewWithT(t)
+	tree, faults := settings.Parse(map[string]string{
+		"cell.toml":    "[[hall]]\nname = \"north\"\nregion = \"r\"\n[team.t]\n[rules.resources]\ncpu_millis = 1000\nmemory_mb = 1000\n",
+		"publish.toml": "kind = \"batch\"\nteam = \"t\"\n[rules]\nrepeatable = false\n",
+	})
+	g.Expect(faults).To(BeEmpty())
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, cancel := context.WithCancel(context.Background())
+	e := New(ctx, Config{
+		Shard: cell.ShardID{Hall: "north"}, Epoch: epoch, TaskLease: time.Second, ReportEvery: time.Second,
+		JournalInterval: time.Microsecond, Keys: keys.DefaultConfig,
+	}, Deps{
+		Clock: clock.System(), Log: logrus.NewEntry(log), StoreUp: func() bool { return true },
+		Authority: func() (cell.Epoch, clock.Time, bool) {
+			return epoch, clock.System().Now().Add(time.Minute), authorized()
+		},
+		LoadBatches: s.load, PutSegment: s.put, RemoveSegment: s.remove,
+	})
+	e.SetTree(tree)
+	e.SetHosts(nil)
+	e.recoverBatches(ctx)
+	e.placeOnce(ctx)
+	g.Expect(e.Status().Recovered).To(BeTrue())
+	e.duties.Go(func() { e.journal.Run(ctx) })
+	t.Cleanup(func() { cancel(); e.duties.Wait() })
+	return e
+}
+
+func always() bool { return true }
+
+// Guards against the loss of a request whose segment the removal sees before the caller's
+// goroutine goes on: the next owner then knew nothing of it, or its end alone.
+func TestRemovalLeavesARequestThatWasStoredAMomentAgo(t *testing.T) {
+	t.Run("before its end", func(t *testing.T) {
+		g := NewWithT(t)
+		s, _, kept := storedWhileRemoving(t)
+		found, err := newRecoveredOwner(t, s, 2, always).ReadBatch("tester", kept.ID)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(found).To(Equal(kept))
+	})
+	t.Run("after its end", func(t *testing.T) {
+		g := NewWithT(t)
+		s, e, kept := storedWhileRemoving(t)
+		end := batch.Entry{Ended: &batch.End{ID: kept.ID, State: batch.Done}}
+		g.Expect(e.journal.Append(e.runCtx, end)).To(Succeed())
+		found, err := newRecoveredOwner(t, s, 2, always).ReadBatch("tester", kept.ID)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(found.State).To(Equal(batch.Done))
+	})
+}
+
+// storedWhileRemoving submits a request to an owner that looks for segments to remove when
+// the request is stored and its caller has no answer yet.
+func storedWhileRemoving(t *testing.T) (*segmentStore, *Engine, batch.Record) {
+	g := NewWithT(t)
+	s := newSegmentStore()
+	var e *Engine
+	removing := false
+	e = newRecoveredOwner(t, s, 1, func() bool {
+		if s.len() > 0 && !removing { // the journal asks between the write and its answer
+			removing = true
+			e.removeOne(e.runCtx)
+		}
+		return true
+	})
+	kept, err := e.SubmitBatch(e.runCtx, Submission{Caller: "tester", Key: "k", Workload: "publish", Payload: "p"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(removing).To(BeTrue())
+	return s, e, kept
+}
+
+// Guards against a segment of a request that its owner never takes in: nobody would run
+// it, and nobody could tell when it may be removed.
+func TestRequestThatIsStoredWithoutAnAnswerIsKept(t *testing.T) {
+	g := NewWithT(t)
+	s := newSegmentStore()
+	lapsed := false
+	e := newRecoveredOwner(t, s, 1, func() bool {
+		if s.len() > 0 && !lapsed {
+			lapsed = true
+			return false
+		}
+		return true
+	})
+	request := Submission{Caller: "tester", Key: "k", Workload: "publish", Payload: "p"}
+	_, err := e.SubmitBatch(e.runCtx, request)
+	g.Expect(result.From(err).Code).To(Equal(result.InProgress))
+
+	kept, err := e.SubmitBatch(e.runCtx, request)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(kept.State).To(Equal(batch.Waiting))
+	g.Expect(e.Explain("publish")).To(HaveLen(1))
+	g.Expect(s.len()).To(Equal(1), "the same key was stored twice")
+}
