Choose no workers for starving steps that wait for their quota

Cause: a plan chooses workers for 16 steps at most. askForStarving goes first and by the longest wait, and tried steps that wait for their customer's quota, too: nobody is ever named for them, but each try took one of the 16 turns, and the pause after it is 1 ms for the short calls of the most urgent queue. With a few hundred such steps of one hot customer no turn was left for any other step. A pool that is well used has no starving steps, so it began as the pool emptied.

TestStepsThatWaitForTheirQuotaTakeNoTurnsForAdvice fails before (nothing is asked) and passes now: steps that can't be given anything are not tried. The plan in full that tests compare with leaves them out, too.

--- a/pkg/dispatch/plan_in_full_test.go
+++ b/pkg/dispatch/plan_in_full_test.go
@@ -88,7 +88,7 @@
 	}
 	var starving []*step
 	for _, s := range ordered {
-		if p.starves(s, now) && !p.blocked(s.time.job) {
+		if p.starves(s, now) && !p.blocked(s.time.job) && !p.awaitsQuota(s) {
 			starving = append(starving, s)
 		}
 	}
--- a/pkg/dispatch/starving_test.go
+++ b/pkg/dispatch/starving_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -65,6 +66,23 @@
 	f.Expect(f.asked()).To(Equal([]job.ID{"lasts"}))
 }
 
+// A plan chooses workers for a few steps only. Starving steps that wait for their customer's quota, and can't be given any, took all of these turns.
+func TestStepsThatWaitForTheirQuotaTakeNoTurnsForAdvice(t *testing.T) {
+	f := quotaFixture(t)
+	f.pool.PutAdviser("host")
+	f.add(of(north(0), testJob("runs", testStep(3))))
+	for _, s := range f.plan().Starts {
+		f.accept(s)
+	}
+	for n := range choicesPerPlan {
+		f.add(of(north(0), adviceJob(fmt.Sprintf("waits-%d", n), 0, 20*time.Millisecond)))
+	}
+	f.pass(2 * starvingAfter)
+	f.reportAll(2)
+	f.add(adviceJob("new", 0, 20*time.Millisecond))
+	f.Expect(f.asked()).To(Equal([]job.ID{"new"}))
+}
+
 // fillPool has nobody's tasks run on a part of the pool's room of 16 cores.
 func (f *fixture) fillPool(cores int) {
 	f.add(testJob("fills", testStep(cores)))
