A task waits for its worker only where a late start may come, and only as long as that helps

- A start that was answered but not listed yet bound its task for 12 s after nearly each crash soon after a start; it was carried out, and does not come again. - A task that may have crashed its worker was never tried on the only worker that it was bound to, since others suit better. - A gang with a late start lost its rack, was spread over more workers than it needs, or waited though each member had room. - Runs were stopped to make room in which a bound task may not be started. - Ends as stopped, lapsed and broken were held as well, which say nothing against a later start. - The lapse on a life that nobody has heard of was believed without a confirmation by the store. - A task that lasts waited for a worker that can't be given it; it is lost after 6 s without a run, so it goes elsewhere.

The 12 s count from when the start got no answer, not from when it was ordered, since an order may wait for its turn. "Void" meant two things in the package; what may still be carried out is a late start now.

--- a/pkg/dispatch/ends.go
+++ b/pkg/dispatch/ends.go
@@ -166,6 +166,7 @@
 		return
 	}
 	p.cfg.Log(Event{Name: "start_unsettled", Task: r.task.id(), Run: r.number, Worker: w.info.ID})
+	r.unansweredAt = now
 	if r.state == runStarting {
 		r.state = runUnsettled
 	}
--- a/pkg/dispatch/jobs.go
+++ b/pkg/dispatch/jobs.go
@@ -119,25 +119,27 @@
 	crashes     []job.Crash
 	survivedRun int // highest number whose start a worker has survived
 	// inDoubt says that a worker has gone under a start that was not proven, whether a crash was counted for it or not.
-	inDoubt   bool
-	avoid     WorkerID    // where it failed last
-	voids     []voidStart // starts of it that may be carried out by the next lives of their workers
-	notBefore clock.Time
+	inDoubt    bool
+	avoid      WorkerID    // where it failed last
+	lateStarts []lateStart // starts of it that may be carried out by the next lives of their workers
+	notBefore  clock.Time
 	// presumedLost says that its last run is held for lost since its worker was silent.
 	presumedLost bool
 }
 
 // run is one start of a task.
 type run struct {
-	task        *task
-	number      int
-	worker      *worker
-	token       int64
-	state       runState
-	orderedAt   clock.Time
-	stored      bool   // its start was in the store before it was ordered
-	checkpoint  string // to begin from, while its start is being stored
-	confirmedAt clock.Time
+	task      *task
+	number    int
+	worker    *worker
+	token     int64
+	state     runState
+	orderedAt clock.Time
+	// unansweredAt is when its start got no answer; 0 while that may come.
+	unansweredAt clock.Time
+	stored       bool   // its start was in the store before it was ordered
+	checkpoint   string // to begin from, while its start is being stored
+	confirmedAt  clock.Time
 	// startClock is the worker's clock when it began, at the latest; 0 when that is not known.
 	startClock int64
 	// adopted says that a report listed it first, some time after it began.
--- /dev/null
+++ b/pkg/dispatch/late_starts.go
@@ -0,0 +1,173 @@
+package dispatch
+
+import (
+	"slices"
+
+	"foldarch.dev/foldarch/pkg/clock"
+)
+
+// A start without an answer that was fenced off, or whose worker was lost, does nothing any more on the life that it was sent to. The next life of that worker has
+// seen no token and may carry it out until latestOrder after it was sent. Until then:
+//
+//   - Its task starts again at once, but only on the same worker. A life that has seen a higher token does not carry the late start out, and what ran on a
+//     life that has ended does not run beside it. A task that lasts is not kept from other workers while that one can't be given it.
+//   - No end of its task as done or failed, nor one of another member of its gang, is noted, so a late start does not come after an end that was. The job is
+//     shown as completed all the same.
+//
+// Tickets are for one life, so starts with one are rejected by the next.
+
+// lateStart is a start of a task that the next life of its worker may carry out.
+type lateStart struct {
+	// line is the worker that the task is bound to meanwhile; nil when any may be given it.
+	line  *lineage
+	until clock.Time
+}
+
+// heldNote is an end of a worker that is not to be noted before a time.
+type heldNote struct {
+	number int64
+	until  clock.Time
+}
+
+// mayComeLate takes in that a start does nothing any more on the life that it was sent to. Its task is bound to the worker of a line; to none if that is nil.
+// One that was answered was carried out, by whichever life, and so does not come again.
+func (p *Pool) mayComeLate(r *run, line *lineage) {
+	s := r.task.step
+	if r.worker.info.ID.Born() == 0 || !r.mayGoOver() || r.confirmedAt != 0 || s.time.job.queue.Advice != nil || s.spec.Speculative {
+		return
+	}
+	sentBy := r.unansweredAt
+	if sentBy == 0 {
+		sentBy = p.now
+	}
+	r.task.lateStarts = append(r.task.lateStarts, lateStart{line: line, until: sentBy.Add(latestOrder)})
+}
+
+// lateStartOver says that a start can't be carried out any more and, for a bound task, that what a life has begun of it that nobody has heard of has ended.
+func (p *Pool) lateStartOver(l lateStart, now clock.Time) bool {
+	if l.line == nil || now < l.until {
+		return now >= l.until
+	}
+	heard := slices.ContainsFunc(l.line.lives, func(w *worker) bool { return w.provenAt >= l.until })
+	lapsed := l.until.Add(lapseTime(p.cfg.LongestLease))
+	return heard || now >= lapsed && p.confirmedSince(lapsed)
+}
+
+// dropLateStarts forgets the late starts of a task that are over, and lets a task that lasts go elsewhere when its worker can't be given it.
+func (p *Pool) dropLateStarts(t *task, now clock.Time) {
+	t.lateStarts = slices.DeleteFunc(t.lateStarts, func(l lateStart) bool { return p.lateStartOver(l, now) })
+	if !t.step.spec.LongRunning {
+		return
+	}
+	for i, l := range t.lateStarts {
+		if l.line != nil && !l.line.usable(now) {
+			t.lateStarts[i].line = nil
+		}
+	}
+}
+
+// usable says whether a life of the worker may be given a task now.
+func (l *lineage) usable(now clock.Time) bool {
+	return slices.ContainsFunc(l.lives, func(w *worker) bool { return w.usable(now) })
+}
+
+// mayRunOn says whether a task may be started on a worker as far as its late starts are concerned.
+func (t *task) mayRunOn(w *worker) bool {
+	return !slices.ContainsFunc(t.lateStarts, func(v lateStart) bool { return v.line != nil && v.line != w.line })
+}
+
+// bound says that a task may be given to one worker only.
+func (t *task) bound() bool {
+	return slices.ContainsFunc(t.lateStarts, func(v lateStart) bool { return v.line != nil })
+}
+
+// hasBound says that tasks of a step are bound to workers.
+func (s *step) hasBound() bool {
+	for i := range s.tasks {
+		if s.tasks[i].bound() {
+			return true
+		}
+	}
+	return false
+}
+
+// mayNoteFrom is from when on ends of a task may be noted; 0 for any time.
+func (t *task) mayNoteFrom() clock.Time {
+	if !t.step.spec.Gang {
+		return t.lateUntil()
+	}
+	var from clock.Time
+	for i := range t.step.tasks {
+		from = max(from, t.step.tasks[i].lateUntil())
+	}
+	return from
+}
+
+// lateUntil is until when late starts of a task may be carried out; 0 without any.
+func (t *task) lateUntil() clock.Time {
+	var until clock.Time
+	for _, v := range t.lateStarts {
+		until = max(until, v.until)
+	}
+	return until
+}
+
+// holdNote keeps an end from being noted while a late start of its task, or of its gang, may be carried out.
+func (p *Pool) holdNote(w *worker, f Finished, now clock.Time) {
+	t := p.task(f.Task)
+	if t == nil || f.How != EndDone && f.How != EndFailed {
+		return
+	}
+	if from := t.mayNoteFrom(); now < from {
+		w.heldNotes = append(w.heldNotes, heldNote{f.Number, from})
+		p.cfg.Log(Event{Name: "note_held", Task: f.Task, Run: f.Run, Worker: w.info.ID, Detail: from.Sub(now).String()})
+	}
+}
+
+// mayNoteUpTo is the number up to which all ends of a worker are taken in and may be noted.
+func (w *worker) mayNoteUpTo(now clock.Time) int64 {
+	w.heldNotes = slices.DeleteFunc(w.heldNotes, func(h heldNote) bool { return now >= h.until })
+	upTo := w.takenUpTo()
+	for _, h := range w.heldNotes {
+		upTo = min(upTo, h.number-1)
+	}
+	return upTo
+}
+
+// fillBound gives each member of a gang a worker, those that are bound theirs and the others the ones with most room; nil when they don't suffice.
+func fillBound(s *step, workers []*worker) []*worker {
+	room := make([]int, len(workers))
+	for i, w := range workers {
+		room[i] = fits(s, w)
+	}
+	chosen, last := make([]*worker, len(s.tasks)), -1
+	for _, bound := range []bool{true, false} {
+		for i := range s.tasks {
+			t := &s.tasks[i]
+			if t.bound() != bound {
+				continue
+			}
+			n := last
+			if n < 0 || room[n] == 0 || !t.mayRunOn(workers[n]) {
+				n = mostRoomFor(t, workers, room)
+			}
+			if n < 0 {
+				return nil
+			}
+			chosen[i], last = workers[n], n
+			room[n]--
+		}
+	}
+	return chosen
+}
+
+// mostRoomFor is the index of the worker with most room that a task may be started on; -1 for none.
+func mostRoomFor(t *task, workers []*worker, room []int) int {
+	best := -1
+	for n, w := range workers {
+		if room[n] > 0 && t.mayRunOn(w) && (best < 0 || room[n] > room[best]) {
+			best = n
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/pkg/dispatch/late_starts_test.go
@@ -0,0 +1,161 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/job"
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a gang that waits though there is room: a member whose void start binds it to no worker takes the room of one that is bound.
+func TestMemberBoundToNoWorkerLeavesRoomToABoundOne(t *testing.T) {
+	g := NewWithT(t)
+	f := newLives(t, 2, nil)
+	f.gangOf(2)
+	s := f.pool.jobs["a"].times[0].steps[0]
+	w0, w1 := f.pool.workers[firstLife(0).id], f.pool.workers[firstLife(1).id]
+	until := f.now.Add(latestOrder)
+	s.tasks[0].lateStarts = []lateStart{{until: until}}                // of a worker that was lost
+	s.tasks[1].lateStarts = []lateStart{{line: w0.line, until: until}} // fenced off
+	w0.used.CPUMillis, w1.used.CPUMillis = 3000, 3000                  // room for one on each
+	chosen := f.pool.gangWorkers(s, []*worker{w0, w1})
+	g.Expect(chosen != nil && chosen[0] == w1 && chosen[1] == w0).To(BeTrue(), "each has room")
+}
+
+// Guards against a gang that is spread over many workers, or racks, since one of its members had a start that is void.
+func TestGangWithAVoidStartStaysTogether(t *testing.T) {
+	g := NewWithT(t)
+	f := newLives(t, 4, nil)
+	f.gangOf(4)
+	s := f.pool.jobs["a"].times[0].steps[0]
+	w0 := f.pool.workers[firstLife(0).id]
+	s.tasks[0].lateStarts = []lateStart{{line: w0.line, until: f.now.Add(latestOrder)}}
+	chosen := f.pool.gangWorkers(s, f.pool.workersByID())
+	on := map[*worker]bool{}
+	for _, w := range chosen {
+		on[w] = true
+	}
+	g.Expect(len(on)).To(Equal(1), "worker 0 has room for all four")
+}
+
+func (f *fixture) gangOf(n int) {
+	f.add(voidGang(n))
+}
+
+// Guards against a wait for a start that was answered as carried out, and so can't be carried out any more.
+func TestStartThatWasAnsweredIsNotHeldForVoid(t *testing.T) {
+	h := newHall(t, 1)
+	h.gets(testJob("a", testStep(1)))
+	s := h.onlyStart()
+	h.comes(firstLife(1))
+	h.Expect(h.takeStart(h.there[0], s)).To(BeTrue())
+	h.acceptBy(s, h.there[0].life)
+	h.crashes(0) // before it has listed the run
+	h.passes(600 * time.Millisecond)
+	h.comes(secondLife(0))
+	h.closed(0)
+	again := h.startsWithin(2*time.Second, "a")
+	h.Expect(numberOf(again.Worker)).To(Equal(1))
+}
+
+// Guards against a task that may have crashed its worker and is never tried on the only worker that it may be started on: others suit better.
+func TestSuspectWithAVoidStartIsTriedOnItsWorker(t *testing.T) {
+	h, _ := lostOf(t, 3, testJob("a", testStep(1)))
+	h.pool.jobs["a"].suspected = true
+	h.pool.jobs["a"].times[0].steps[0].tasks[0].crashes = []job.Crash{{Run: 0, Worker: string(firstLife(0).id)}}
+	h.pool.lastCrashAt[firstLife(0).info().Address] = h.now
+	h.becomesVoid()
+	again := h.startsWithin(3*time.Second, "a")
+	h.Expect(numberOf(again.Worker)).To(Equal(0))
+}
+
+// Guards against a task that is started elsewhere by an owner that was not confirmed since: a later owner may have the leases extended on the life that
+// carries the void start out.
+func TestVoidStartIsHeldForOverOnlyAfterAConfirmation(t *testing.T) {
+	h, k := lost(t)
+	h.takes["a"] = time.Hour
+	h.comes(firstLife(1))
+	h.closed(0, 1)
+	h.becomesVoid()
+	h.takenByNextLife(k)
+	h.there[0].cut = true
+	h.storeAway = true // the next owner holds the lease by now, and extends what runs on the next life
+	h.closed()
+	before := len(h.started)
+	for end := h.now.Add(20 * time.Second); h.now < end; {
+		h.pass(beat)
+		h.asks(firstLife(1).id, false)
+		h.carryOut(h.plan())
+	}
+	h.Expect(h.started[before:]).To(BeEmpty())
+}
+
+// Guards against ends that are kept from being noted though they say nothing against a later start.
+func TestEndAsStoppedIsNotedBesideAVoidStart(t *testing.T) {
+	f := newLives(t, 1, nil)
+	f.add(testJob("a", testStep(1)))
+	s := f.onlyStart()
+	f.pool.jobs["a"].times[0].steps[0].tasks[0].lateStarts = []lateStart{{until: f.now.Add(latestOrder)}}
+	f.acceptBy(s, firstLife(0))
+	f.reports(firstLife(0), listed(s))
+	f.reports(firstLife(0), f.end(s, 1, EndStopped))
+	f.pool.Committed(f.pool.TakeCommit())
+	f.Expect(f.pool.workers[firstLife(0).id].noted).To(Equal(int64(1)))
+}
+
+// Guards against runs that are stopped to make room in which the waiting task may not be started.
+func TestNothingIsPreemptedForATaskThatIsBoundElsewhere(t *testing.T) {
+	f := fullWorker(t, nil)
+	f.pass(500 * time.Millisecond)
+	f.add(testJob("a", testStep(1)))
+	f.pool.jobs["a"].times[0].steps[0].tasks[0].lateStarts = []lateStart{{line: f.pool.lineageOf("another"), until: f.now.Add(latestOrder)}}
+	f.Expect(f.plan().Stops).To(BeEmpty())
+}
+
+// takes0 has the life of worker 0 that is there carry out a start, as the platform does: a run that is there already is not begun again.
+func (h *hall) takes0(s Start) {
+	r := h.there[0]
+	for _, x := range r.active {
+		if x.start.Task == s.Task && x.start.Run == s.Run && s.Token >= r.token {
+			r.token = s.Token
+			return
+		}
+	}
+	h.takeStart(r, s)
+}
+
+// Guards against a second start that gets no answer either: the next life may carry out both, the first one first.
+func TestTwoVoidStartsAreNotCarriedOutByOneLife(t *testing.T) {
+	h := newHall(t, 1)
+	h.loses = func(s Start) bool { return len(h.kept) < 2 }
+	h.takes["a"] = 10 * time.Second
+	h.gets(testJob("a", testStep(1)))
+	h.passes(2 * time.Second)
+	h.Expect(len(h.kept)).To(Equal(2))
+	h.crashes(0)
+	h.passes(600 * time.Millisecond)
+	h.comesUnlisted(secondLife(0))
+	for _, k := range h.kept {
+		h.takes0(k.Start)
+	}
+	h.checkNoneRunsTwice()
+}
+
+// Guards against a start that reaches the next life, which has carried the void one out, since its owner has not heard that the life before ended.
+func TestStartAgainDoesNotReachALifeThatHasTheTask(t *testing.T) {
+	h, k := lost(t)
+	h.takes["a"] = 10 * time.Second
+	h.closed(0)
+	h.becomesVoid()
+	h.hold(firstLife(0), false) // on its way while the worker ends, without a word of that
+	h.crashes(0)
+	h.pass(600 * time.Millisecond)
+	h.comesUnlisted(secondLife(0))
+	h.takes0(k.Start)
+	h.closed()
+	starts := h.plan().Starts
+	h.Expect(starts).To(HaveLen(1))
+	h.takes0(starts[0])
+	h.checkNoneRunsTwice()
+}
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -12,7 +12,7 @@
 // gangWorkers chooses a worker for each member, on as few workers and if possible in one
 // rack; nil when there is no room for all.
 func (p *Pool) gangWorkers(s *step, candidates []*worker) []*worker {
-	if s.hasVoids() {
+	if s.hasBound() {
 		return fillBound(s, candidates)
 	}
 	if s.spec.SameRack {
@@ -178,7 +178,7 @@
 	var bestScore float64
 	need := t.step.spec.Need()
 	for _, w := range candidates {
-		if fits(t.step, w) == 0 || !t.mayRunOn(w) {
+		if !t.mayRunOn(w) || fits(t.step, w) == 0 {
 			continue
 		}
 		score := leftOver(w, need)
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -247,7 +247,7 @@
 			}
 		}
 		w := bestFit(t, candidates)
-		if w == nil && len(t.voids) > 0 {
+		if w == nil && t.bound() {
 			continue // others of the step may have room elsewhere
 		}
 		if w == nil {
@@ -259,7 +259,7 @@
 
 // mayStart says whether a task may be started now, as far as it is concerned.
 func (p *Pool) mayStart(t *task, now clock.Time) bool {
-	p.dropVoidsOver(t, now)
+	p.dropLateStarts(t, now)
 	return t.waiting() && now >= t.notBefore && p.mayStartAgain(t, now) && p.mayTryLast(t, now)
 }
 
@@ -282,7 +282,7 @@
 		return
 	}
 	for i := range s.tasks {
-		p.dropVoidsOver(&s.tasks[i], now)
+		p.dropLateStarts(&s.tasks[i], now)
 		if !p.mayStartAgain(&s.tasks[i], now) || !p.mayTryLast(&s.tasks[i], now) {
 			return
 		}
--- a/pkg/dispatch/preempt.go
+++ b/pkg/dispatch/preempt.go
@@ -62,6 +62,9 @@
 	if now < s.preemptNotBefore || s.time.job.beyond && !s.lasting() {
 		return false
 	}
+	if s.hasBound() {
+		return false // the room that is made may be of no use
+	}
 	return s.lasting() || now.Add(p.cfg.StopGrace+s.spec.Estimate) <= s.time.objective
 }
 
--- a/pkg/dispatch/probe.go
+++ b/pkg/dispatch/probe.go
@@ -128,7 +128,11 @@
 			return
 		}
 		if w == nil {
-			if w = p.probeWorker(s, p.candidates(s, reserved, now), now); w == nil {
+			may := slices.DeleteFunc(p.candidates(s, reserved, now), func(w *worker) bool { return !t.mayRunOn(w) })
+			if w = p.probeWorker(s, may, now); w == nil && t.bound() {
+				continue
+			}
+			if w == nil {
 				return
 			}
 		}
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -193,7 +193,7 @@
 	switch {
 	case r.state == runUnsettled && h.Token > r.token:
 		p.cfg.Log(Event{Name: "start_void", Task: r.task.id(), Run: r.number, Worker: r.worker.info.ID})
-		p.becameVoid(r, r.worker.line)
+		p.mayComeLate(r, r.worker.line)
 		p.rejected(r, 0, now)
 	case r.state == runActive && r.confirmedAt < h.SentAt:
 		if r.missing++; r.missing >= sure {
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -241,7 +241,7 @@
 	if !w.doubts.has(r) {
 		p.dropAttempt(r.task, r.number)
 	}
-	p.becameVoid(r, nil)
+	p.mayComeLate(r, nil)
 	p.runEnded(r, EndLost, "", now)
 }
 
