A gang holds its customer's quota while it asks for advice

Cause: a gang in time keeps the quota that comes for it from later steps. Once there is enough it has to ask for advice, 0.8 to 1.7 s a call, and from then on held nothing: in that plan the later steps that have tickets took all of it. Then the gang waited for the quota anew, its tickets lapsed (2 s), and so on. Customer lora871, starts by tenths of seconds:

60.2:43 61.8:109 64.1:137 65.6:130 67.4:108 69.3:131, none between 60.01 advice_asked a5f40fb0.0.1 workers=20 waiting=35 (twice), 60.95 allowed=6 and 8 65.68 advice_asked a5f40fb0.0.1 workers=21 known=21 waiting=35, 66.63 allowed=21 of=21; 67.36 step_waits "its customer's quota: cpu=234450m ... may 465849m"

A gang in time now goes on holding while calls for it are on their way or it has tickets that hold, which later steps outlast: it stops as soon as nobody can be named for it, or when it is late. One of which a part runs holds nothing.

--- a/pkg/dispatch/quota.go
+++ b/pkg/dispatch/quota.go
@@ -90,10 +90,12 @@
 }
 
 // holdQuota keeps the room in its customer's quota that comes for a gang that is in time, from later steps: a gang never finds
-// enough at once while each end makes room for a smaller step.
+// enough at once while each end makes room for a smaller step. It goes on while the gang gets its advice, which takes longer than later
+// steps need to take all of the quota.
 func (p *Pool) holdQuota(s *step, now clock.Time) {
-	if s.spec.Gang && s.standing(now) <= worth.InTime {
-		p.account(s.time.job).Promise(s.spec.AtOnce())
+	a := p.account(s.time.job)
+	if a != nil && s.spec.Gang && !s.missing() && s.standing(now) <= worth.InTime {
+		a.Promise(s.spec.AtOnce())
 	}
 }
 
