What a customer sends beyond its weight, and can't be served in time, is refused

Cause: the door refused by queue only, by the calls for advice that are owed. It knew nothing of what a customer has waiting against what is carried out of it, and what bound here (the owner, advice, room) showed there late or not at all.

Where that is over what its jobs may wait for half a second, and jobs beyond the weight wait, only a share of its jobs is taken in: what its weight allows, and besides as much as is carried out in time. Hosts hear of the share with the owner's heartbeat and choose by the job's ID: all decide alike on a job that is sent again, and what comes in between two heartbeats is shared, too. A refusal is a 503 with Retry-After, only when the store has no record of the job. Others' jobs, nobody's, customers without a weight, a young owner and one that looks for former owners' runs: as before. No accepted job is given up.

Tried first, in the same tree: token buckets by host with the hosts' parts of the weight.

--- /dev/null
+++ b/pkg/admission/limits_test.go
@@ -0,0 +1,138 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	. "github.com/onsi/gomega"
+)
+
+const decideEvery = 250 * time.Millisecond
+
+// play has a limiter decide on the same demands for a time, and returns the last decision.
+func play(l *Limiter, demands []Demand, age, forTime time.Duration) []Limit {
+	var last []Limit
+	for passed := decideEvery; passed <= forTime; passed += decideEvery {
+		last = l.Limits(demands, age, clock.Time(100_000).Add(passed))
+	}
+	return last
+}
+
+// demandOf is a customer that waits for a time with all its work, with a tenth of the pool in use by it.
+func demandOf(name string, waits time.Duration) Demand {
+	return Demand{
+		Customer: name, Weight: 2, Beyond: true,
+		Queues: []QueueDemand{{Queue: "sheets", Pool: "pool", Priority: 1, Waiting: waits / 10, PerJob: 10 * time.Millisecond, Running: 0.1, Slack: 3 * time.Second}},
+	}
+}
+
+// customers names the customers of limits.
+func customers(limits []Limit) []string {
+	var out []string
+	for _, l := range limits {
+		out = append(out, l.Customer)
+	}
+	return out
+}
+
+// Customers that send 12 and 15 times their usual wait for their own work; the one that sends its usual does not.
+func TestLimitsFollowEachCustomersOwnBacklog(t *testing.T) {
+	g := NewWithT(t)
+	demands := []Demand{demandOf("usual", 500*time.Millisecond), demandOf("twelve", 6*time.Second), demandOf("fifteen", 40*time.Second)}
+	limits := play(NewLimiter(), demands, time.Minute, 2*time.Second)
+	g.Expect(customers(limits)).To(Equal([]string{"twelve", "fifteen"}))
+	g.Expect(limits[0].Queues).To(HaveLen(1))
+	g.Expect(limits[0].Queues[0].Wait).To(BeNumerically("~", 6*time.Second, time.Millisecond))
+	g.Expect(limits[0].Queues[0].RetryAfter).To(BeNumerically("~", 3600*time.Millisecond, time.Millisecond), "then the wait is what is aimed at")
+	g.Expect(limits[1].Queues[0].RetryAfter).To(Equal(MostAdviceWait), "nobody is sent away for longer")
+}
+
+func TestNothingIsLimitedWhenInDoubt(t *testing.T) {
+	within, noWeight, idle := demandOf("c", time.Minute), demandOf("c", time.Minute), demandOf("c", 0)
+	within.Beyond, noWeight.Weight, idle.Queues[0].Running = false, 0, 0
+	for name, test := range map[string]struct {
+		demand     Demand
+		age, lasts time.Duration
+	}{
+		"a young owner":                {demandOf("c", time.Minute), JoinTime - 1, time.Minute},
+		"a customer within its weight": {within, time.Minute, time.Minute},
+		"no weight":                    {noWeight, time.Minute, time.Minute},
+		"nothing waits":                {idle, time.Minute, time.Minute},
+		"a pool with room":             {demandOf("c", 3*time.Second), time.Minute, time.Minute},
+		"a burst that begins":          {demandOf("c", time.Minute), time.Minute, ExcessTime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			NewWithT(t).Expect(play(NewLimiter(), []Demand{test.demand}, test.age, test.lasts)).To(BeEmpty())
+		})
+	}
+}
+
+// What goes before a job counts, not what comes after it.
+func TestQueuesOfHigherPriorityAreTakenInLonger(t *testing.T) {
+	g := NewWithT(t)
+	d := demandOf("c", 5*time.Second)
+	d.Queues = append(d.Queues, QueueDemand{Queue: "ticks", Pool: "pool", Priority: 0, Waiting: 20 * time.Millisecond, Slack: 100 * time.Millisecond},
+		QueueDemand{Queue: "elsewhere", Pool: "other", Priority: 9, Slack: time.Second})
+	limits := play(NewLimiter(), []Demand{d}, time.Minute, 2*time.Second)
+	g.Expect(limits).To(HaveLen(1))
+	g.Expect(limits[0].Queues).To(HaveLen(1))
+	g.Expect(limits[0].Queues[0].Queue).To(Equal("sheets"))
+	g.Expect(limits[0].Queues[0].Wait).To(BeNumerically("~", 5200*time.Millisecond, time.Millisecond))
+}
+
+// A limit ends once the wait is well below what is allowed, so that it does not come and go with each decision.
+func TestLimitEndsWhenTheBacklogIsWorkedOff(t *testing.T) {
+	g := NewWithT(t)
+	l := NewLimiter()
+	now := clock.Time(100_000)
+	at := func(waits time.Duration) []Limit {
+		now = now.Add(decideEvery)
+		return l.Limits([]Demand{demandOf("c", waits)}, time.Minute, now)
+	}
+	for range 8 {
+		at(10 * time.Second)
+	}
+	g.Expect(at(2 * time.Second)).NotTo(BeEmpty())
+	g.Expect(at(500 * time.Millisecond)).To(BeEmpty())
+	g.Expect(at(2 * time.Second)).To(BeEmpty())
+}
+
+// Between two waves of its tasks a customer has little running: that is no sign of a long wait.
+func TestWorkInProgressIsSmoothed(t *testing.T) {
+	g := NewWithT(t)
+	l := NewLimiter()
+	d := demandOf("c", 2*time.Second)
+	now := clock.Time(100_000)
+	for n := range 40 {
+		now = now.Add(decideEvery)
+		d.Queues[0].Running = 0.1
+		if n%4 == 3 {
+			d.Queues[0].Running = 0
+		}
+		g.Expect(l.Limits([]Demand{d}, time.Minute, now)).To(BeEmpty())
+	}
+}
+
+// A customer's jobs beyond its weight are taken in as far as they are carried out in time; how many it sends is worked out from those that are.
+func TestShareFollowsWhatIsSentAndCarriedOut(t *testing.T) {
+	g := NewWithT(t)
+	l := NewLimiter()
+	now, share, aim := clock.Time(100_000), 1.0, 6*time.Second
+	send := func(perS float64, forTime time.Duration) {
+		owed := 0.0
+		for end := now.Add(forTime); now < end; now = now.Add(decideEvery) {
+			for owed += share * perS * decideEvery.Seconds(); owed >= 1; owed-- {
+				l.Accepted("c", "sheets", now)
+			}
+			share = 1
+			for _, limit := range l.Limits([]Demand{demandOf("c", aim)}, time.Minute, now) {
+				share = limit.Queues[0].Share
+			}
+		}
+	}
+	send(100, 20*time.Second)
+	g.Expect(share).To(BeNumerically("~", (2+10*aimedShare/2)/100, 0.01), "its weight, and of what is carried out so much that the wait becomes shorter")
+	send(4, 10*time.Second)
+	g.Expect(share).To(Equal(1.0), "all that it sends now is within that")
+}
--- a/pkg/dispatch/doc.go
+++ b/pkg/dispatch/doc.go
@@ -41,7 +41,7 @@
 //
 // Rules that depend on figures, and not on jobs and workers, stand in packages that know nothing of this one:
 //
-//   - admission: which queues take in no jobs for now (refusals.go sums up what is owed)
+//   - admission: which queues take in no jobs for now (refusals.go sums up what is owed), and which customers no more than their weights (limits.go)
 //   - advice: what calls for advice cost, how many workers they name, who makes them, and what their
 //     answers tell of queues (advice.go and naming.go find the workers and keep the tickets)
 //   - pace: how fast tasks go that fill what others leave (pace.go has the runs)
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"foldarch.dev/foldarch/pkg/account"
+	"foldarch.dev/foldarch/pkg/admission"
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/job"
 	"foldarch.dev/foldarch/pkg/queue"
@@ -72,6 +73,7 @@
 	timed    map[*jobState]struct{}
 	dirty    map[*jobState]struct{}
 	advice   adviceCalls
+	limiter  *admission.Limiter
 	stops    []*run
 	settles  []*worker
 	paces    []*run
@@ -104,7 +106,7 @@
 		cfg: cfg, takeover: newTakeover(cfg, now),
 		jobs: map[job.ID]*jobState{}, accounts: map[string]*account.Account{}, outcomes: newOutcomes(), unknown: map[job.ID]struct{}{}, absent: map[job.ID]struct{}{}, workers: map[WorkerID]*worker{}, lineages: map[string]*lineage{}, configured: map[string]bool{},
 		timed: map[*jobState]struct{}{}, dirty: map[*jobState]struct{}{},
-		advice: newAdviceCalls(), loads: map[string]*poolLoad{}, parting: map[WorkerID]WorkerInfo{}, rosterNews: map[string]struct{}{}, lastCrashAt: map[netip.AddrPort]clock.Time{}, createdAt: now,
+		advice: newAdviceCalls(), limiter: admission.NewLimiter(), loads: map[string]*poolLoad{}, parting: map[WorkerID]WorkerInfo{}, rosterNews: map[string]struct{}{}, lastCrashAt: map[netip.AddrPort]clock.Time{}, createdAt: now,
 	}
 	p.cfg.Log = func(e Event) {
 		e.Customer = p.customerOf(e)
@@ -183,6 +185,7 @@
 	j.account = p.openAccount(j.customer)
 	if p.loaded {
 		p.markBeyond(j)
+		p.countSent(j)
 	}
 	p.configured[j.queue.Pool] = true
 	p.takeProgress(j, progress)
--- a/pkg/jobhost/door.go
+++ b/pkg/jobhost/door.go
@@ -83,7 +83,10 @@
 	if err := tooWide(c, r.Job); err != nil {
 		return err
 	}
-	return h.refuseUnserved(ctx, r.Queue.Name, r.Job.ID)
+	if err := h.refuseUnserved(ctx, r.Queue.Name, r.Job.ID); err != nil {
+		return err
+	}
+	return h.refuseBeyondWeight(ctx, r)
 }
 
 // handedInBefore answers for a job whose id is taken: the owner knows it, and maybe as ended.
--- a/pkg/jobhost/figures.go
+++ b/pkg/jobhost/figures.go
@@ -25,7 +25,9 @@
 	refused  metrics.Counter
 	unknown  metrics.Counter
 	unserved metrics.Counter // refused since their queue takes in no jobs
-	state    metrics.Timer
+	// beyondWeight counts the jobs refused since their customer sends more than its weight.
+	beyondWeight metrics.Counter
+	state        metrics.Timer
 	// denials count the calls that were turned away before anything was done, by verdict.
 	denials map[customer.Verdict]metrics.Counter
 }
@@ -33,13 +35,14 @@
 func newFigures() *figures {
 	r := metrics.NewRegistry()
 	return &figures{
-		registry: r,
-		accept:   metrics.NewRegisteredTimer("jobs.accept", r),
-		accepted: metrics.NewRegisteredCounter("jobs.accepted", r),
-		refused:  metrics.NewRegisteredCounter("jobs.refused", r),
-		unserved: metrics.NewRegisteredCounter("jobs.refused_unserved", r),
-		unknown:  metrics.NewRegisteredCounter("jobs.outcome_unknown", r),
-		state:    metrics.NewRegisteredTimer("jobs.state", r),
+		registry:     r,
+		accept:       metrics.NewRegisteredTimer("jobs.accept", r),
+		accepted:     metrics.NewRegisteredCounter("jobs.accepted", r),
+		refused:      metrics.NewRegisteredCounter("jobs.refused", r),
+		unserved:     metrics.NewRegisteredCounter("jobs.refused_unserved", r),
+		beyondWeight: metrics.NewRegisteredCounter("jobs.refused_beyond_weight", r),
+		unknown:      metrics.NewRegisteredCounter("jobs.outcome_unknown", r),
+		state:        metrics.NewRegisteredTimer("jobs.state", r),
 		denials: map[customer.Verdict]metrics.Counter{
 			customer.UnknownQueue:    metrics.NewRegisteredCounter("calls.unknown_queue", r),
 			customer.Unauthenticated: metrics.NewRegisteredCounter("calls.unauthenticated", r),
--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -64,6 +64,7 @@
 	member       atomic.Pointer[poolrpc.Member]
 	owner        atomic.Pointer[poolowner.Owner]
 	refusals     queueRefusals
+	limits       customerLimits
 	stopping     atomic.Bool
 	probeFailed  atomic.Bool // the store has not answered the last probe (probeStore)
 
--- a/pkg/jobhost/refusals.go
+++ b/pkg/jobhost/refusals.go
@@ -64,8 +64,8 @@
 	if r == nil {
 		return nil
 	}
-	if _, err := h.readRecord(ctx, id); !errors.Is(err, platform.ErrNoJob) {
-		return nil // it is there, or the store can't tell
+	if !h.certainlyNew(ctx, id) {
+		return nil
 	}
 	h.figures.unserved.Inc(1)
 	return &platform.RefusedError{
@@ -73,3 +73,9 @@
 		RetryAfter: time.Duration(r.RetryAfterMs) * time.Millisecond,
 	}
 }
+
+// certainlyNew says that the store has no record of a job, and tells so.
+func (h *Host) certainlyNew(ctx context.Context, id job.ID) bool {
+	_, err := h.readRecord(ctx, id)
+	return errors.Is(err, platform.ErrNoJob)
+}
--- /dev/null
+++ b/pkg/poolowner/limits_test.go
@@ -0,0 +1,34 @@
+package poolowner
+
+import (
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/admission"
+	. "github.com/onsi/gomega"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+)
+
+// Hosts are told of a limit with the heartbeat, and the log when it begins and ends.
+func TestHostsAreToldOfLimits(t *testing.T) {
+	g := NewWithT(t)
+	o, now := ownerOf(t, 1, enough)
+	hook := logtest.NewLocal(o.deps.Log.Logger)
+	list := []admission.Limit{{Customer: "hot", Queues: []admission.QueueLimit{{
+		Refusal: admission.Refusal{Queue: "sheets", Wait: 9 * time.Second, RetryAfter: 2 * time.Second}, Share: 0.25,
+	}}}}
+	o.logLimits(nil, list)
+	g.Expect(hook.LastEntry().Message).To(Equal("customer_limited"))
+	g.Expect(hook.LastEntry().Data).To(HaveKeyWithValue("customer", "hot"))
+	o.limits = limits{at: *now, list: list, told: messagesOf(list)}
+	told := o.status(o.members["m000"].Session).Limits
+	g.Expect(told).To(HaveLen(1))
+	g.Expect(told[0].Customer).To(Equal("hot"))
+	g.Expect(told[0].Queues[0].RetryAfterMs).To(BeEquivalentTo(2000))
+	g.Expect(told[0].Queues[0].Share).To(Equal(0.25))
+	g.Expect(o.Limits()).To(Equal(told), "the owner's own door")
+	hook.Reset()
+	*now = now.Add(time.Second)
+	g.Expect(o.Limits()).To(BeEmpty(), "the pool has nothing")
+	g.Expect(hook.LastEntry().Message).To(Equal("customer_limit_ends"))
+}
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -119,6 +119,7 @@
 	fenced     bool            // most workers were fenced
 	counted    answerCount
 	refusals   refusals
+	limits     limits
 	plans      metrics.Timer // how long plans took
 	beats      beats         // of the duty that watches workers
 	position   position      // each field belongs to one duty
--- a/pkg/poolowner/refusals.go
+++ b/pkg/poolowner/refusals.go
@@ -34,7 +34,7 @@
 	}
 	o.refusals = refusals{at: now, list: list}
 	for _, r := range list {
-		o.refusals.told = append(o.refusals.told, &poolpb.Refusal{Queue: r.Queue, WaitMs: r.Wait.Milliseconds(), RetryAfterMs: r.RetryAfter.Milliseconds()})
+		o.refusals.told = append(o.refusals.told, messageOf(r))
 	}
 	return o.refusals.told
 }
@@ -51,3 +51,8 @@
 		}).Info("queue_refuses")
 	}
 }
+
+// messageOf is a refusal as hosts are told of it.
+func messageOf(r admission.Refusal) *poolpb.Refusal {
+	return &poolpb.Refusal{Queue: r.Queue, WaitMs: r.Wait.Milliseconds(), RetryAfterMs: r.RetryAfter.Milliseconds()}
+}
