Callers who ask for their jobs leave the store to the next owner

Cause: the store takes 6,000 reads a second of all hosts together. A host may ask for a quarter of the rate, so that 40 hosts could ask for ten times as much. A new owner then has to get through a dozen reads of which the store refuses most, all in one try, and begins only when the callers have given up.

Evidence (edge-qurum-2, elected at 38.6 s, 2.6 s after the store was back):

38.70 owner_loading error="operator's keys: store answered 429: refused", and 99 more of the kind until 55.26 55.61 jobs_listed items=4082 took=248ms, 55.69 takeover_settled, 55.73 the first start

What the owner tells is not bounded, nor is a job that the owner does not know, nor the look-up for a job that is handed in again.

TestCallersLeaveTheStoreToTheOwner fails before (400 callers' questions make 1,200 reads) and passes now.

--- a/pkg/jobhost/door.go
+++ b/pkg/jobhost/door.go
@@ -94,7 +94,7 @@
 	if c.Customer == nil {
 		return nil
 	}
-	_, holder, err := h.find(ctx, id)
+	_, holder, err := h.find(ctx, id, func() bool { return true })
 	if err != nil {
 		return errors.Mark(err, platform.ErrUnsettled)
 	}
@@ -198,19 +198,23 @@
 // state tells how far a job is.
 func (h *Host) state(ctx context.Context, c customer.Caller, id job.ID) (job.State, error) {
 	defer h.figures.state.UpdateSince(time.Now())
-	state, holder, err := h.find(ctx, id)
+	state, holder, err := h.find(ctx, id, h.stateReads.allow)
 	if err != nil {
 		return "", err
 	}
 	return state, h.about(c, id, holder)
 }
 
-// find tells how far a job is and whose it is. What the owner does not know, the store may. Errors: platform.ErrNoJob,
+// find tells how far a job is and whose it is. What the owner does not know, the store may; while no owner tells, it is asked only if it may be read. Errors: platform.ErrNoJob,
 // platform.ErrUnsettled.
-func (h *Host) find(ctx context.Context, id job.ID) (state job.State, holder string, err error) {
-	if a := h.ask(ctx, &poolpb.Question{Job: string(id)}); a != nil && !a.Unknown {
+func (h *Host) find(ctx context.Context, id job.ID, mayRead func() bool) (state job.State, holder string, err error) {
+	a := h.ask(ctx, &poolpb.Question{Job: string(id)})
+	if a != nil && !a.Unknown {
 		return job.State(a.State), a.Customer, nil
 	}
+	if a == nil && !mayRead() {
+		return "", "", errors.Wrap(platform.ErrUnsettled, "the owner does not tell, and the store is asked enough")
+	}
 	record, err := h.readRecord(ctx, id)
 	switch {
 	case err != nil:
--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -353,6 +353,7 @@
 	e.heardAt = h.clk.Now()
 	h.refusals.put(s.Refusals, e.heardAt)
 	h.limits.put(s.Limits, e.heardAt)
+	h.stateReads.setHosts(int(s.Hosts))
 	e.heartbeat = time.Duration(s.HeartbeatMs) * time.Millisecond
 	e.yielded = s.Yield == h.cfg.Load().Name
 }
--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -59,6 +59,7 @@
 	config       atomic.Pointer[queue.Config]
 	operatorKeys *follower // the configuration and waves
 	intake       *intake
+	stateReads   *stateReads // for callers
 	figures      *figures
 	election     election
 	member       atomic.Pointer[poolrpc.Member]
@@ -100,6 +101,7 @@
 	}
 	h.cfg.Store(&cfg)
 	h.intake = newIntake(store, clk, h.sawHolder)
+	h.stateReads = newStateReads(cfg.Store.ReadsPerSecond)
 	h.operatorKeys = h.newConfigFollower()
 	h.setAdvice(cfg.Advice)
 	return h
--- /dev/null
+++ b/pkg/jobhost/state_reads_test.go
@@ -0,0 +1,50 @@
+package jobhost
+
+import (
+	"testing"
+
+	"foldarch.dev/foldarch/pkg/customer"
+	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/jobstore"
+	"foldarch.dev/foldarch/platform"
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+)
+
+// Guards against callers that ask again and again while there is no owner: their reads left none of the store's rate to the next one.
+func TestCallersLeaveTheStoreToTheOwner(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := startPlatform(t)
+	h, _ := newTestHost(t, p)
+	text, err := job.Record{Job: job.Job{ID: "a", Spec: "spec"}}.Encode()
+	g.Expect(err).NotTo(HaveOccurred())
+	p.Store.Put(jobstore.JobKey("a"), text)
+	anyone := customer.NewCaller(nil, customer.Call{QueueKnown: true, Key: customer.KeyNotNeeded}, true)
+	before := p.Store.Calls()
+	told := 0
+	for range 400 {
+		state, err := h.state(t.Context(), anyone, "a")
+		if err == nil {
+			g.Expect(state).To(Equal(job.Queued))
+			told++
+			continue
+		}
+		g.Expect(errors.Is(err, platform.ErrUnsettled)).To(BeTrue(), "%v", err)
+	}
+	g.Expect(told).To(BeNumerically(">=", stateBurst), "a few are told by the store")
+	g.Expect(p.Store.Calls() - before).To(BeNumerically("<", 3*2*stateBurst))
+}
+
+// All hosts together leave half of the store's rate, however many there are.
+func TestStateReadsAreSharedAmongHosts(t *testing.T) {
+	g := NewWithT(t)
+	const readsPerSecond = 6000
+	s := newStateReads(readsPerSecond)
+	for _, hosts := range []int{1, 9, 40, 600} {
+		s.setHosts(hosts)
+		g.Expect(float64(s.limiter.Limit()) * readsAState * float64(hosts)).To(BeNumerically("~", readsPerSecond/2, 1))
+	}
+	s.setHosts(0)
+	g.Expect(float64(s.limiter.Limit())*readsAState*600).To(BeNumerically("~", readsPerSecond/2, 1), "the number is not told")
+}
--- a/pkg/poolowner/members.go
+++ b/pkg/poolowner/members.go
@@ -87,7 +87,7 @@
 
 // statusEach is the owner's heartbeat on a stream on which they follow each other in a time.
 func (o *Owner) statusEach(heartbeat time.Duration) *poolpb.OwnerStatus {
-	st := &poolpb.OwnerStatus{Term: o.claim.Term, HeartbeatMs: heartbeat.Milliseconds(), Refusals: o.refusalsNow(), Limits: o.limitsNow()}
+	st := &poolpb.OwnerStatus{Term: o.claim.Term, HeartbeatMs: heartbeat.Milliseconds(), Refusals: o.refusalsNow(), Limits: o.limitsNow(), Hosts: int32(1 + len(o.members))}
 	if name := o.yield.Load(); name != nil {
 		st.Yield = *name
 	}
