A step does not count on the room of a run that should have ended long ago

A run that should have ended is expected to end at once, so a worker on which one goes on counts as having room by the time of the answer, and covers what the step needs: nobody else is named. A run that stands still at 98% or more is never moved, so that can last for ever.

A run is no longer expected to end soon half a second after it should have. TestStepDoesNotWaitForTheRoomOfARunThatIsOverdue fails before.

--- a/pkg/dispatch/naming_test.go
+++ b/pkg/dispatch/naming_test.go
@@ -110,3 +110,42 @@
 	g.Expect(mostRoomFirst(in)).To(Equal(want))
 	g.Expect(mostRoomFirst(nil)).To(BeEmpty())
 }
+
+// Guards against a step that waits for the room of a run which should have ended long ago, while other workers have room.
+func TestStepDoesNotWaitForTheRoomOfARunThatIsOverdue(t *testing.T) {
+	f := fullPool(t, 1, time.Second, 10*time.Millisecond, 100*time.Microsecond)
+	f.pool.jobs["a"].times[0].steps[0].tasks[0].setDone()
+	var runs []Active
+	for _, r := range f.pool.workers["w0"].runs {
+		runs = append(runs, Active{Task: r.task.id(), Run: r.number, Percent: almostDone})
+	}
+	f.pass(1500 * time.Millisecond)
+	f.report(0, Report{Active: runs})
+	f.answerAdvice("w0")
+	f.addWorker(1)
+	for range 30 {
+		f.pass(100 * time.Millisecond)
+		f.report(0, Report{Active: runs})
+		f.report(1, Report{})
+		f.answerAdvice("w0", "w1")
+	}
+	f.Expect(f.pool.workers["w1"].runs).To(HaveLen(1))
+}
+
+// answerAdvice plans, has the calls for advice answered that are made, with tickets for some workers, and the starts carried out.
+func (f *fixture) answerAdvice(allowed ...WorkerID) {
+	actions := f.plan()
+	for _, s := range actions.Starts {
+		f.accept(s)
+	}
+	for _, a := range actions.Asks {
+		var tickets []Ticket
+		for _, w := range a.Workers {
+			if slices.Contains(allowed, w) {
+				tickets = append(tickets, Ticket{w, "t"})
+			}
+		}
+		f.pass(10 * time.Millisecond)
+		f.pool.AdviceAnswered(a.Number, tickets, true, f.now)
+	}
+}
--- a/pkg/dispatch/predict.go
+++ b/pkg/dispatch/predict.go
@@ -19,6 +19,11 @@
 // left is how long a run is expected to go on, by its progress or, before there is any, by the
 // estimate that came with its job. A run that should have ended is expected to end at once.
 func (r *run) left(now clock.Time) time.Duration {
+	return max(r.expectedIn(now), 0)
+}
+
+// expectedIn is left for a run that should not have ended yet, and below 0 for one that should have.
+func (r *run) expectedIn(now clock.Time) time.Duration {
 	s := r.task.step
 	switch {
 	case r.stopAsked:
@@ -31,16 +36,20 @@
 	elapsed := now.Sub(r.confirmedAt)
 	if r.percent >= minPercent && r.startPercent < r.percent {
 		done := r.percent - r.startPercent
-		return max(r.percentAt.Sub(r.confirmedAt)*time.Duration(100-r.percent)/time.Duration(done)-now.Sub(r.percentAt), 0)
+		return r.percentAt.Sub(r.confirmedAt)*time.Duration(100-r.percent)/time.Duration(done) - now.Sub(r.percentAt)
 	}
-	return max(s.spec.Estimate-elapsed, 0)
+	return s.spec.Estimate - elapsed
 }
 
+// overdueAfter is how long after it should have ended a run is no longer expected to end soon: one that stands still would hold up a step for ever that
+// counts on its room.
+const overdueAfter = 500 * time.Millisecond
+
 // freeBy is what a worker is expected to have free after a time.
 func (w *worker) freeBy(within time.Duration, now clock.Time) cell.Resources {
 	free := w.free()
 	for _, r := range w.runs {
-		if r.left(now) <= within {
+		if in := r.expectedIn(now); in <= within && in > -overdueAfter {
 			free = free.Add(r.task.step.spec.Need())
 		}
 	}
