Take back that a gang holds its customer's quota while it asks for advice

What a gang holds while it asks is room in a quota that nobody uses. It is suspected, not singled out; the fault that it mended (a gang that loses its quota again and again) is open again and described in docs/incidents/hot-customers.md.

--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -233,11 +233,6 @@
 	return slices.ContainsFunc(s.pending, func(a *pendingAsk) bool { return now <= a.sentAt.Add(a.cost+askLate) })
 }
 
-// comes says that the step may get what it needs to start: calls for it are on their way, or it has tickets that hold.
-func (s *stepAdvice) comes(now clock.Time) bool {
-	return len(s.pending) > 0 || now.Add(ticketMargin) < s.ticketsUntil
-}
-
 // dropAsk makes the answers of a step's pending calls useless.
 func (p *Pool) dropAsk(s *step) {
 	for _, a := range s.advice.pending {
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -173,9 +173,6 @@
 			continue
 		}
 		p.ask(s, p.longAtOnce(), reserved, now, out)
-		if s.spec.Gang && s.advice.comes(now) {
-			p.holdQuota(s, now)
-		}
 		p.reserve(s, reserved, now)
 	}
 }
--- a/pkg/dispatch/quota.go
+++ b/pkg/dispatch/quota.go
@@ -90,12 +90,10 @@
 }
 
 // holdQuota keeps the room in its customer's quota that comes for a gang that is in time, from later steps: a gang never finds
-// enough at once while each end makes room for a smaller step. It goes on while the gang gets its advice, which takes longer than later
-// steps need to take all of the quota.
+// enough at once while each end makes room for a smaller step.
 func (p *Pool) holdQuota(s *step, now clock.Time) {
-	a := p.account(s.time.job)
-	if a != nil && s.spec.Gang && !s.missing() && s.standing(now) <= worth.InTime {
-		a.Promise(s.spec.AtOnce())
+	if s.spec.Gang && s.standing(now) <= worth.InTime {
+		p.account(s.time.job).Promise(s.spec.AtOnce())
 	}
 }
 
