What the owner tells the doors is kept by one type

Refusals of queues and limits of customers were kept, and ceased to hold, by two copies of the same code. Names and a comment of late starts and look-ups besides.

--- a/pkg/dispatch/late_starts.go
+++ b/pkg/dispatch/late_starts.go
@@ -73,12 +73,12 @@
 
 // mayRunOn says whether a task may be started on a worker as far as its late starts are concerned.
 func (t *task) mayRunOn(w *worker) bool {
-	return !slices.ContainsFunc(t.lateStarts, func(v lateStart) bool { return v.line != nil && v.line != w.line })
+	return !slices.ContainsFunc(t.lateStarts, func(l lateStart) bool { return l.line != nil && l.line != w.line })
 }
 
 // bound says that a task may be given to one worker only.
 func (t *task) bound() bool {
-	return slices.ContainsFunc(t.lateStarts, func(v lateStart) bool { return v.line != nil })
+	return slices.ContainsFunc(t.lateStarts, func(l lateStart) bool { return l.line != nil })
 }
 
 // hasBound says that tasks of a step are bound to workers.
@@ -106,8 +106,8 @@
 // lateUntil is until when late starts of a task may be carried out; 0 without any.
 func (t *task) lateUntil() clock.Time {
 	var until clock.Time
-	for _, v := range t.lateStarts {
-		until = max(until, v.until)
+	for _, l := range t.lateStarts {
+		until = max(until, l.until)
 	}
 	return until
 }
--- a/pkg/jobhost/door.go
+++ b/pkg/jobhost/door.go
@@ -205,8 +205,8 @@
 	return state, h.about(c, id, holder)
 }
 
-// find tells how far a job is and whose it is. What the owner does not know, the store may; while no owner tells, it is asked only if it may be read. Errors: platform.ErrNoJob,
-// platform.ErrUnsettled.
+// find tells how far a job is and whose it is. What the owner does not know, the store may; while no owner tells, it is asked only if mayRead
+// allows it. Errors: platform.ErrNoJob, platform.ErrUnsettled.
 func (h *Host) find(ctx context.Context, id job.ID, mayRead func() bool) (state job.State, holder string, err error) {
 	a := h.ask(ctx, &poolpb.Question{Job: string(id)})
 	if a != nil && !a.Unknown {
--- a/pkg/jobhost/limits.go
+++ b/pkg/jobhost/limits.go
@@ -5,37 +5,16 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"fmt"
-	"sync/atomic"
 	"time"
 
-	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/job"
 	"foldarch.dev/foldarch/pkg/poolrpc/poolpb"
 	"foldarch.dev/foldarch/platform"
 )
 
-// customerLimits are the customers of whom not all is taken in, as the owner told last. It is safe for concurrent use.
+// customerLimits are the customers of whom not all is taken in, as the owner told last.
 type customerLimits struct {
-	told atomic.Pointer[toldLimits]
-}
-
-type toldLimits struct {
-	at   clock.Time
-	list []*poolpb.Limit
-}
-
-// put takes in what the owner tells.
-func (c *customerLimits) put(list []*poolpb.Limit, now clock.Time) {
-	c.told.Store(&toldLimits{now, list})
-}
-
-// now lists the limits in force; none when nobody knows.
-func (c *customerLimits) now(now clock.Time) []*poolpb.Limit {
-	told := c.told.Load()
-	if told == nil || now.Sub(told.at) > refusalsHold {
-		return nil
-	}
-	return told.list
+	told[*poolpb.Limit]
 }
 
 // limitOf returns why a job is not among those of its customer that are taken in; nil when it is.
--- a/pkg/jobhost/refusals.go
+++ b/pkg/jobhost/refusals.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync/atomic"
 	"time"
 
 	"foldarch.dev/foldarch/pkg/clock"
@@ -13,31 +12,14 @@
 	"github.com/cockroachdb/errors"
 )
 
-// refusalsHold is for how long what the owner told of queues holds: two of its slow heartbeats. An owner that is not heard refuses nothing.
-const refusalsHold = 2 * time.Second
-
-// queueRefusals are the queues that take in no jobs, as the owner told last. It is safe for concurrent use.
+// queueRefusals are the queues that take in no jobs, as the owner told last.
 type queueRefusals struct {
-	told atomic.Pointer[toldRefusals]
-}
-
-type toldRefusals struct {
-	at   clock.Time
-	list []*poolpb.Refusal
-}
-
-// put takes in what the owner tells.
-func (q *queueRefusals) put(list []*poolpb.Refusal, now clock.Time) {
-	q.told.Store(&toldRefusals{now, list})
+	told[*poolpb.Refusal]
 }
 
 // of returns the refusal of a queue; nil when it takes in jobs, or nobody knows.
 func (q *queueRefusals) of(queueName string, now clock.Time) *poolpb.Refusal {
-	told := q.told.Load()
-	if told == nil || now.Sub(told.at) > refusalsHold {
-		return nil
-	}
-	return refusalOf(told.list, queueName)
+	return refusalOf(q.now(now), queueName)
 }
 
 // refusalOf returns the refusal of a queue; nil when there is none.
