Two stored ends of a batch request don't keep each other's segment

Callers saw nothing; the store kept two segments for ever after each end whose first write took effect without an answer.

Cause: a segment with the end of a request stayed as long as any other segment told of the request. Two segments with the end kept each other.

Segments counts the segments that tell of a request without its end; only those keep the segment with the end. What is removed still never leaves a request without its end behind.

--- a/pkg/batch/segments.go
+++ b/pkg/batch/segments.go
@@ -19,6 +19,8 @@
 	byKey map[string]*held
 	// holding counts for each request the segments that tell of it.
 	holding map[ID]int
+	// open counts for each request the segments that tell of it without its end.
+	open map[ID]int
 }
 
 // held is what is remembered of a segment.
@@ -29,7 +31,7 @@
 
 // NewSegments returns an empty set.
 func NewSegments() *Segments {
-	return &Segments{byKey: map[string]*held{}, holding: map[ID]int{}}
+	return &Segments{byKey: map[string]*held{}, holding: map[ID]int{}, open: map[ID]int{}}
 }
 
 // Add records a segment that the store holds.
@@ -42,8 +44,11 @@
 		id, isEnd := e.about()
 		h.ids[id] = h.ids[id] || isEnd
 	}
-	for id := range h.ids {
+	for id, isEnd := range h.ids {
 		s.holding[id]++
+		if !isEnd {
+			s.open[id]++
+		}
 	}
 	s.byKey[segment.Key] = h
 }
@@ -59,9 +64,8 @@
 	return e.Starting, false
 }
 
-// Removable returns a segment that can be removed from the store: all its requests ended
-// longer ago than keep says, and no other segment would be left to tell of one of them
-// without its end, which would make it run again.
+// Removable returns a segment that can be removed from the store: all its requests ended longer ago than keep says, and no other segment would be left
+// to tell of one of them without its end, which would make it run again.
 func (s *Segments) Removable(book *Book, now time.Time, keep func(Record) time.Duration) (Segment, bool) {
 	for _, key := range slices.Sorted(maps.Keys(s.byKey)) {
 		if h := s.byKey[key]; s.obsolete(h, book, now, keep) {
@@ -77,7 +81,7 @@
 		if !ok || !r.State.Ended() || now.Before(r.EndedAt.Add(keep(r))) {
 			return false
 		}
-		if isEnd && s.holding[id] > 1 {
+		if isEnd && s.open[id] > 0 {
 			return false
 		}
 	}
@@ -92,15 +96,26 @@
 		return
 	}
 	delete(s.byKey, key)
-	for id := range h.ids {
-		s.holding[id]--
-		if s.holding[id] == 0 {
-			delete(s.holding, id)
+	for id, isEnd := range h.ids {
+		if !isEnd {
+			decrement(s.open, id)
+		}
+		if decrement(s.holding, id) == 0 {
 			book.Drop(id)
 		}
 	}
 }
 
+// decrement lowers the count of a request by one and returns it.
+func decrement(counts map[ID]int, id ID) int {
+	counts[id]--
+	n := counts[id]
+	if n == 0 {
+		delete(counts, id)
+	}
+	return n
+}
+
 // Len returns how many segments the store holds.
 func (s *Segments) Len() int {
 	return len(s.byKey)
