A batch segment whose write got no answer counts as one that may be there

What callers saw: a batch request ran a second time under a later owner, after its window.

Cause: the write of a first copy took effect, its answer was lost, and the caller's second try was stored in a segment of its own. Nobody knew of the first segment, so that it stayed in the store without an end when the others were removed.

The next owner reads what the store has. Their requests are not accepted: a caller is still told that the write is not known. Bounded by one segment for each write without an answer in an owner's life.

--- a/pkg/batch/journal.go
+++ b/pkg/batch/journal.go
@@ -37,7 +37,7 @@
 type JournalDeps struct {
 	// Put writes a new key of the store; errors as of store.Swap.
 	Put func(ctx context.Context, key, value string) (revision int64, err error)
-	// Stored is told of each segment that was written.
+	// Stored is told of each segment that was written, and of each that may have been.
 	Stored func(Segment)
 	// Authorized is asked right before each write.
 	Authorized func() bool
@@ -147,6 +147,9 @@
 	defer cancel()
 	key := prefixOf(j.shard) + uuid.NewString()
 	revision, err := j.deps.Put(ctx, key, string(text))
+	if errors.Is(err, store.ErrUnsettled) {
+		j.deps.Stored(Segment{Key: key, Entries: entries, Unsettled: true})
+	}
 	if err != nil {
 		return err
 	}
--- a/pkg/batch/segments.go
+++ b/pkg/batch/segments.go
@@ -11,10 +11,12 @@
 	Key      string
 	Revision int64 // of the key in the store
 	Entries  []Entry
+	// Unsettled says that the store may or may not hold the segment.
+	Unsettled bool
 }
 
-// Segments knows which segments of a shard the store holds and which of them are of no
-// use any more. It is not safe for concurrent use.
+// Segments knows which segments of a shard the store holds, or may hold, and which of them
+// are of no use any more. It is not safe for concurrent use.
 type Segments struct {
 	byKey map[string]*held
 	// holding counts for each request the segments that tell of it.
@@ -25,8 +27,9 @@
 
 // held is what is remembered of a segment.
 type held struct {
-	revision int64
-	ids      map[ID]bool // true when the segment holds the end
+	revision  int64
+	unsettled bool
+	ids       map[ID]bool // true when the segment holds the end
 }
 
 // NewSegments returns an empty set.
@@ -34,12 +37,12 @@
 	return &Segments{byKey: map[string]*held{}, holding: map[ID]int{}, open: map[ID]int{}}
 }
 
-// Add records a segment that the store holds.
+// Add records a segment that the store holds or may hold.
 func (s *Segments) Add(segment Segment) {
 	if _, ok := s.byKey[segment.Key]; ok {
 		return
 	}
-	h := &held{revision: segment.Revision, ids: map[ID]bool{}}
+	h := &held{revision: segment.Revision, unsettled: segment.Unsettled, ids: map[ID]bool{}}
 	for _, e := range segment.Entries {
 		id, isEnd := e.about()
 		h.ids[id] = h.ids[id] || isEnd
@@ -64,11 +67,12 @@
 	return e.Starting, false
 }
 
-// Removable returns a segment that can be removed from the store: all its requests ended longer ago than keep says, and no other segment would be left
+// Removable returns a segment that can be removed from the store: the store is known to hold
+// it, all its requests ended longer ago than keep says, and no other segment would be left
 // to tell of one of them without its end, which would make it run again.
 func (s *Segments) Removable(book *Book, now time.Time, keep func(Record) time.Duration) (Segment, bool) {
 	for _, key := range slices.Sorted(maps.Keys(s.byKey)) {
-		if h := s.byKey[key]; s.obsolete(h, book, now, keep) {
+		if h := s.byKey[key]; !h.unsettled && s.obsolete(h, book, now, keep) {
 			return Segment{Key: key, Revision: h.revision}, true
 		}
 	}
@@ -116,7 +120,7 @@
 	return n
 }
 
-// Len returns how many segments the store holds.
+// Len returns how many segments the store holds or may hold.
 func (s *Segments) Len() int {
 	return len(s.byKey)
 }
--- a/pkg/shard/removal.go
+++ b/pkg/shard/removal.go
@@ -16,11 +16,16 @@
 const removeEvery = 5 * time.Second
 
 // segmentStored takes in a segment and the requests in it at once: between the two, the
-// removal would find a segment of requests that nobody knows.
+// removal would find a segment of requests that nobody knows. Requests of a segment that
+// the store may not hold are not accepted.
 func (e *Engine) segmentStored(s batch.Segment) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.segments.Add(s)
+	if s.Unsettled {
+		e.log("segment_unsettled", logrus.Fields{"segment": s.Key, "entries": len(s.Entries)})
+		return
+	}
 	for _, entry := range s.Entries {
 		if entry.Submitted != nil {
 			e.acceptBatch(*entry.Submitted)
