A platform test cuts a host off when it has heard of the owner

The host's log has no owner_known: its link to the store went silent 60 ms after the election, before its watch told it who owns the pool. The test took the owner's record in the store for a sign that all hosts have heard of it. What is pending can be told by the owner only, so a host that knows none refuses (503), as it should.

--- a/test/platform/customers_test.go
+++ b/test/platform/customers_test.go
@@ -103,6 +103,7 @@
 // A host that may have missed a newer configuration can't deny a key, and goes on to serve the keys that it knows.
 func TestHostThatMayMissChangesDeniesNoKey(t *testing.T) {
 	c := newCell(t, 2, emulator.Options{Workers: 1, Customers: twoCustomers()})
+	c.awaitKey(northKey, http.StatusOK) // the owner's name is in the store before each host has heard of it, and only the owner can tell what is pending
 	host := (c.owner() + 1) % len(c.hosts)
 	c.storeLinks[host].set(silenced)
 	c.Eventually(func() int { return c.ask(host, http.MethodGet, emulator.Prefix, "", northNext) }, "6s", "20ms").Should(Equal(http.StatusServiceUnavailable))
