A start after a void one has its number, so that one life does not begin both

What callers saw: nothing; found by two tests that force the order of events.

Cause: a start without an answer is void on its life, and its task starts again on the same worker under a new number. When that start gets no answer either, the next life of the worker, which has seen no token, carries out the first one and then the second one, beside it: to a worker another number is another run. The same when the second start reaches the next life before its owner has heard of that life.

A task that is bound to a worker by a void start now starts there again under the number of that start, with a higher token, as long as no run with the number has ended. A worker does not begin a run again that is there, and the first start does nothing after the second one, whose token is higher. No start is put off.

A list that shows the run does not tell any more which of the two starts it is of. So the second one (run.repeated) counts as one that may come until its call was answered or its 12 s are over: its run goes over to the next life as one without an answer, and an end with that number is noted no earlier.

Nothing changes where lives have no beginnings or the queue has advice: there are no late starts in either.

--- a/pkg/dispatch/ends.go
+++ b/pkg/dispatch/ends.go
@@ -137,7 +137,11 @@
 		return
 	}
 	r, ok := w.runs[runKey{o.Task, o.Run}]
-	if !ok || r.state == runActive && a.Verdict != VerdictDone {
+	if !ok {
+		return
+	}
+	r.startOver(err, now)
+	if r.state == runActive && a.Verdict != VerdictDone {
 		return
 	}
 	w.heard(a.Clock, now)
@@ -166,7 +170,6 @@
 		return
 	}
 	p.cfg.Log(Event{Name: "start_unsettled", Task: r.task.id(), Run: r.number, Worker: w.info.ID})
-	r.unansweredAt = now
 	if r.state == runStarting {
 		r.state = runUnsettled
 	}
--- a/pkg/dispatch/jobs.go
+++ b/pkg/dispatch/jobs.go
@@ -137,9 +137,11 @@
 	orderedAt clock.Time
 	// unansweredAt is when its start got no answer; 0 while that may come.
 	unansweredAt clock.Time
-	stored       bool   // its start was in the store before it was ordered
-	checkpoint   string // to begin from, while its start is being stored
-	confirmedAt  clock.Time
+	// repeated says that its start, which may be carried out yet, has the number of an earlier one: a list that shows the run may tell of that one.
+	repeated    bool
+	stored      bool   // its start was in the store before it was ordered
+	checkpoint  string // to begin from, while its start is being stored
+	confirmedAt clock.Time
 	// startClock is the worker's clock when it began, at the latest; 0 when that is not known.
 	startClock int64
 	// adopted says that a report listed it first, some time after it began.
--- a/pkg/dispatch/late_starts.go
+++ b/pkg/dispatch/late_starts.go
@@ -11,6 +11,8 @@
 //
 //   - Its task starts again at once, but only on the same worker. A life that has seen a higher token does not carry the late start out, and what ran on a
 //     life that has ended does not run beside it. A task that lasts is not kept from other workers while that one can't be given it.
+//   - It starts again under the same number, until a run with that has ended: if that start gets no answer either, the next life may carry out both, and it
+//     does not begin a run again that is there.
 //   - No end of its task as done or failed, nor one of another member of its gang, is noted, so a late start does not come after an end that was. The job is
 //     shown as completed all the same.
 //
@@ -18,6 +20,7 @@
 
 // lateStart is a start of a task that the next life of its worker may carry out.
 type lateStart struct {
+	number int // of its run
 	// line is the worker that the task is bound to meanwhile; nil when any may be given it.
 	line  *lineage
 	until clock.Time
@@ -30,17 +33,40 @@
 }
 
 // mayComeLate takes in that a start does nothing any more on the life that it was sent to. Its task is bound to the worker of a line; to none if that is nil.
-// One that was answered was carried out, by whichever life, and so does not come again.
+// One that was answered was carried out, by whichever life, and so does not come again. One that was only listed was, too, unless it is a repeated one.
 func (p *Pool) mayComeLate(r *run, line *lineage) {
 	s := r.task.step
-	if r.worker.info.ID.Born() == 0 || !r.mayGoOver() || r.confirmedAt != 0 || s.time.job.queue.Advice != nil || s.spec.Speculative {
+	if r.worker.info.ID.Born() == 0 || !r.mayGoOver() || r.confirmedAt != 0 && !r.repeated || s.time.job.queue.Advice != nil || s.spec.Speculative {
 		return
 	}
 	sentBy := r.unansweredAt
 	if sentBy == 0 {
 		sentBy = p.now
 	}
-	r.task.lateStarts = append(r.task.lateStarts, lateStart{line: line, until: sentBy.Add(latestOrder)})
+	r.task.lateStarts = append(r.task.lateStarts, lateStart{number: r.number, line: line, until: sentBy.Add(latestOrder)})
+}
+
+// numberOn is the number of a task's next run, if that is on a worker.
+func (p *Pool) numberOn(t *task, w *worker) int {
+	repeats := func(l lateStart) bool { return l.line == w.line && l.number == t.lastRun && l.number > t.lastEnded }
+	if slices.ContainsFunc(t.lateStarts, repeats) {
+		return t.lastRun
+	}
+	return p.nextRun(t.step.time.job, t.lastRun)
+}
+
+// startOver takes in how the call of a run's start ended: a repeated start can't come any more unless it got no answer.
+func (r *run) startOver(err error, now clock.Time) {
+	if err == nil || isNotSent(err) {
+		r.repeated = false
+	} else {
+		r.unansweredAt = now
+	}
+}
+
+// settleRepeated forgets that a start is a repeated one when it can't be carried out any more.
+func (r *run) settleRepeated(now clock.Time) {
+	r.repeated = r.repeated && now < max(r.orderedAt, r.unansweredAt).Add(latestOrder)
 }
 
 // lateStartOver says that a start can't be carried out any more and, for a bound task, that what a life has begun of it that nobody has heard of has ended.
--- a/pkg/dispatch/late_starts_test.go
+++ b/pkg/dispatch/late_starts_test.go
@@ -159,3 +159,95 @@
 	h.takes0(starts[0])
 	h.checkNoneRunsTwice()
 }
+
+// Guards against the same where the first start is void on the next life, and the life after that carries out both.
+func TestTwoVoidStartsAreNotCarriedOutByTheThirdLife(t *testing.T) {
+	h := newHall(t, 1)
+	h.loses = func(s Start) bool { return len(h.kept) < 2 }
+	h.takes["a"] = 10 * time.Second
+	h.gets(testJob("a", testStep(1)))
+	h.beats()
+	h.crashes(0)
+	h.passes(600 * time.Millisecond)
+	h.Expect(h.isVoid()).To(BeFalse())
+	h.comes(secondLife(0))
+	h.passes(2 * time.Second)
+	h.Expect(len(h.kept)).To(Equal(2))
+	h.Expect(h.kept[0].Worker).To(Equal(firstLife(0).id))
+	h.Expect(h.kept[1].Worker).To(Equal(secondLife(0).id))
+	h.crashes(0)
+	h.passes(600 * time.Millisecond)
+	h.comesUnlisted(thirdLife(0))
+	for _, k := range h.kept {
+		h.takes0(k.Start)
+	}
+	h.checkNoneRunsTwice()
+}
+
+// startedAgain8sLater is a hall in which worker 0 leaves some starts without an answer, the first one of a task among them, which has started there once more.
+func startedAgain8sLater(t *testing.T, lost int) *hall {
+	h := newHall(t, 1)
+	h.loses = func(Start) bool { return len(h.kept) < lost }
+	h.gets(testJob("a", testStep(1)))
+	h.beats()
+	h.closed(0)
+	h.becomesVoid()
+	h.passes(8 * time.Second)
+	h.closed()
+	h.startsWithin(time.Second, "a")
+	h.Expect(h.kept).To(HaveLen(lost))
+	return h
+}
+
+// twiceLost is a hall in which both starts got no answer, and the second life of their worker has carried out the first one.
+func twiceLost(t *testing.T, takes time.Duration) *hall {
+	h := startedAgain8sLater(t, 2)
+	h.takes["a"] = takes
+	h.crashes(0)
+	h.passes(600 * time.Millisecond)
+	h.comesUnlisted(secondLife(0))
+	h.Expect(h.carriesOutLate(h.kept[0])).To(BeTrue())
+	h.lists(secondLife(0))
+	return h
+}
+
+// Guards against a second start that is held for carried out since a list shows its number: that was the first one, and the life after may carry it out.
+func TestStartIsNotHeldForCarriedOutSinceOneOfItsNumberIs(t *testing.T) {
+	for name, ends := range map[string]func(*hall){
+		"the life ends": func(h *hall) {
+			h.crashes(0)
+			h.passes(600 * time.Millisecond)
+			h.comes(thirdLife(0))
+		},
+		"the life lists the run no more": func(h *hall) { h.there[0].active = nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := twiceLost(t, time.Hour)
+			h.passes(500 * time.Millisecond)
+			h.Expect(h.there[0].active).To(HaveLen(1))
+			h.closed(0)
+			h.comes(firstLife(1))
+			ends(h)
+			h.passes(latestOrder)
+			h.Expect(h.there[1].active).To(HaveLen(1), "the task has started elsewhere")
+		})
+	}
+}
+
+// Guards against a note of an end of the first start's run while the second start may be carried out by the life after.
+func TestEndIsNotNotedWhileAStartOfItsNumberMayBeCarriedOut(t *testing.T) {
+	h := twiceLost(t, time.Second)
+	h.isDoneWithin(3*time.Second, "a")
+	h.Expect(h.noted).To(BeEmpty())
+	h.passes(latestOrder)
+	h.Expect(h.noted).To(HaveLen(1))
+}
+
+// Guards against a note that waits for a second start that was answered, and so can't be carried out any more.
+func TestEndIsNotedBesideAnAnsweredStartOfItsNumber(t *testing.T) {
+	h := startedAgain8sLater(t, 1)
+	h.isDoneWithin(2*time.Second, "a")
+	h.Expect(h.noted).To(BeEmpty())
+	h.passes(h.kept[0].sentAt.Add(latestOrder + time.Second).Sub(h.now))
+	h.Expect(h.noted).To(HaveLen(1))
+}
--- a/pkg/dispatch/lives.go
+++ b/pkg/dispatch/lives.go
@@ -186,10 +186,10 @@
 	return out
 }
 
-// mayGoOver says that the next life of its worker may have taken a run's start: no list has shown the run. An answer to a start does not
-// tell whose it is.
+// mayGoOver says that the next life of its worker may have taken a run's start: no list has shown the run, or one that may tell of an earlier start. An answer
+// to a start does not tell whose it is.
 func (r *run) mayGoOver() bool {
-	return !r.observed && !r.adopted && r.state != runStoring
+	return (!r.observed || r.repeated) && !r.adopted && r.state != runStoring
 }
 
 // goneOverUntil is until when the next life of a worker may run what was meant for the one before: it may take the order late, and the
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -180,6 +180,7 @@
 // book counts a run of a task against a worker.
 func (p *Pool) book(t *task, w *worker, number int, state runState, now clock.Time) *run {
 	r := &run{task: t, number: number, worker: w, state: state, orderedAt: now}
+	r.repeated = slices.ContainsFunc(t.lateStarts, func(l lateStart) bool { return l.number == number })
 	t.lastRun = number
 	t.setCurrent(r)
 	t.presumedLost = false
@@ -253,7 +254,7 @@
 		if w == nil {
 			return
 		}
-		p.start(t, w, p.nextRun(s.time.job, t.lastRun), t.checkpoint, now, out)
+		p.start(t, w, p.numberOn(t, w), t.checkpoint, now, out)
 	}
 }
 
--- a/pkg/dispatch/probe.go
+++ b/pkg/dispatch/probe.go
@@ -142,7 +142,7 @@
 		if !t.mayRunOn(w) {
 			continue
 		}
-		p.start(t, w, p.nextRun(s.time.job, t.lastRun), t.checkpoint, now, out)
+		p.start(t, w, p.numberOn(t, w), t.checkpoint, now, out)
 	}
 }
 
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -83,6 +83,9 @@
 			p.leaveUnread(w, f)
 			continue
 		}
+		if r, ok := w.runs[runKey{f.Task, f.Run}]; ok && r.repeated {
+			p.mayComeLate(r, w.line)
+		}
 		p.holdNote(w, f, now)
 		p.takeEnd(w, f, now)
 	}
@@ -160,6 +163,7 @@
 		p.confirm(r, now)
 	}
 	r.missing = 0
+	r.settleRepeated(now)
 	r.load = row.Load
 	r.observedAt = now
 	if !r.observed {
@@ -198,6 +202,7 @@
 	case r.state == runActive && r.confirmedAt < h.SentAt:
 		if r.missing++; r.missing >= sure {
 			p.dropAttempt(r.task, r.number) // the worker lives
+			p.mayComeLate(r, r.worker.line)
 			p.runEnded(r, EndLost, "", now)
 		}
 	}
