A new owner knows the starts that former owners got no answer to

What callers saw: a task ran twice after a change of the owner. A start of the former owner got no answer; the next life of its worker, which has seen no token, carried it out up to 12 s later, beside a run that the present owner had started elsewhere, or after an end that it had noted.

Cause: late starts were kept in the owner's memory only. The rows of a job's progress tell of starts for tasks that may crash their workers, of no others, so the next owner knew nothing.

The store is told of a start as soon as it got no answer: run, worker and time of day in the task's row of the progress, and the time of the last one in the outcome of a job that has ended. A later owner holds it for void on that worker for 12 s after it read the row (less for old rows, with 5 s for clocks that are apart): the task is bound to the worker and ends are held, by the rule for its own void starts. A start was sent before its row was written and that before it was read, so it can't be carried out after that. A run that a worker lists was carried out, and binds nothing; members of a gang may be sent again under one number, so theirs are held for the whole time. Only where workers tell the beginnings of their lives, and the queue has no advice: otherwise nothing more is written or held.

--- a/pkg/dispatch/commit.go
+++ b/pkg/dispatch/commit.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"foldarch.dev/foldarch/pkg/job"
 )
@@ -18,6 +19,8 @@
 	Customer string
 	// Unended is what may still run of a job that has ended.
 	Unended job.Unended
+	// LateStart is when the last start of a job that has ended was sent that may come late (job.Record).
+	LateStart time.Time
 	// Stored says that the store has progress of the job, to be removed with its end.
 	Stored bool
 }
@@ -90,25 +93,26 @@
 func (p *Pool) changeOf(j *jobState) Change {
 	c := Change{Job: j.job.ID, Outcome: j.outcome, Customer: j.customer.Name, Stored: j.stored}
 	if j.outcome == "" {
-		c.Progress = progressOf(j)
+		c.Progress = p.progressOf(j)
 		c.Progress.Unended = p.unended(j)
 		j.stored = true
 		return c
 	}
-	c.Unended = p.unended(j)
+	c.Unended, c.LateStart = p.unended(j), p.lastUnanswered(j)
 	return c
 }
 
-func progressOf(j *jobState) job.Progress {
+func (p *Pool) progressOf(j *jobState) job.Progress {
 	var out job.Progress
 	for s := range j.steps() {
 		for i := range s.tasks {
 			x := &s.tasks[i]
-			if !x.done && len(x.failures) == 0 && x.lastEnded == 0 && len(x.attempts) == 0 && len(x.crashes) == 0 {
+			p.dropUnanswered(x)
+			if !x.done && len(x.failures) == 0 && x.lastEnded == 0 && len(x.attempts) == 0 && len(x.crashes) == 0 && len(x.unanswered) == 0 {
 				continue
 			}
 			row := job.TaskProgress{
-				Time: s.time.index, Step: s.index, Index: i, Done: x.done, Failures: x.failures, LastRun: x.lastEnded,
+				Time: s.time.index, Step: s.index, Index: i, Done: x.done, Failures: x.failures, LastRun: x.lastEnded, Unanswered: slices.Clone(x.unanswered),
 			}
 			if !x.done {
 				row.Checkpoint, row.Attempts, row.Crashes = x.checkpoint, slices.Clone(x.attempts), slices.Clone(x.crashes)
@@ -128,7 +132,7 @@
 		if t == nil {
 			continue
 		}
-		j.began = true
+		j.began = j.began || row.Begun()
 		t.failures, t.lastEnded, t.checkpoint = row.Failures, row.LastRun, row.Checkpoint
 		t.attempts, t.crashes = row.Attempts, row.Crashes
 		j.suspected = j.suspected || len(row.Crashes) > 0
@@ -138,6 +142,7 @@
 		if row.Done {
 			t.setDone()
 		}
+		p.takeUnanswered(t, row.Unanswered)
 	}
 	for _, t := range j.times {
 		if t != nil {
--- a/pkg/dispatch/ends.go
+++ b/pkg/dispatch/ends.go
@@ -141,6 +141,9 @@
 		return
 	}
 	r.startOver(err, now)
+	if err != nil && !isNotSent(err) {
+		p.storeUnanswered(r, now)
+	}
 	if r.state == runActive && a.Verdict != VerdictDone {
 		return
 	}
--- a/pkg/dispatch/history_former_test.go
+++ b/pkg/dispatch/history_former_test.go
@@ -49,7 +49,7 @@
 // take has an owner take in what the store has of a job.
 func (o *modelOwner) take(w *world, id job.ID, s *storedJob) {
 	if s.outcome != "" {
-		o.pool.AddOutcome(id, job.Record{Outcome: s.outcome, Customer: s.record.Customer, Unended: s.unended}, w.now)
+		o.pool.AddOutcome(id, job.Record{Outcome: s.outcome, Customer: s.record.Customer, Unended: s.unended, LateStart: s.lateStart}, w.now)
 		return
 	}
 	o.pool.AddJob(s.record, copied(s.progress), s.stored, 0, w.now)
--- a/pkg/dispatch/history_lives_test.go
+++ b/pkg/dispatch/history_lives_test.go
@@ -6,6 +6,7 @@
 
 	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/job"
 )
 
 // Workers of the random histories that start again under the id that they had, and the entries that they write.
@@ -143,9 +144,22 @@
 	o.pool.Rostered(ids)
 }
 
-// awaited says that the present owner still counts with a start on a worker. It knows nothing of other starts of former owners without an answer, so it
-// can't prevent that the next life of their worker, which has seen no token, carries them out beside or after what it has started.
+// keepUnanswered keeps the starts without an answer of which a change tells the store.
+func (w *world) keepUnanswered(c Change) {
+	for _, row := range c.Progress.Tasks {
+		t := job.TaskID{StepID: job.StepID{Job: c.Job, Time: row.Time, Step: row.Step}, Index: row.Index}
+		for _, u := range row.Unanswered {
+			w.unanswered[runKey{t, u.Run}] = true
+		}
+	}
+}
+
+// awaited says that the present owner still counts with a start on a worker, or that the store was told that it got no answer. That owner knows nothing of other
+// starts of former owners, so it can't prevent that the next life of their worker, which has seen no token, carries them out beside or after what it has started.
 func (w *world) awaited(m *modelWorker, s Start) bool {
+	if w.unanswered[runKey{s.Task, s.Run}] {
+		return true
+	}
 	p := w.present().pool
 	for _, k := range p.workers {
 		if _, there := k.runs[runKey{s.Task, s.Run}]; there && numberOf(k.info.ID) == numberOf(m.id) {
--- a/pkg/dispatch/history_owner_test.go
+++ b/pkg/dispatch/history_owner_test.go
@@ -95,6 +95,7 @@
 	for i := range out.Tasks {
 		row := &out.Tasks[i]
 		row.Failures, row.Attempts, row.Crashes = slices.Clone(row.Failures), slices.Clone(row.Attempts), slices.Clone(row.Crashes)
+		row.Unanswered = slices.Clone(row.Unanswered)
 	}
 	return out
 }
@@ -196,7 +197,8 @@
 	for _, change := range c.Changes {
 		w.checkOutcome(change)
 		s := w.store[change.Job]
-		s.outcome, s.progress, s.unended, s.stored = change.Outcome, change.Progress, change.Unended, true
+		s.outcome, s.progress, s.unended, s.lateStart, s.stored = change.Outcome, change.Progress, change.Unended, change.LateStart, true
+		w.keepUnanswered(change)
 		if s.outcome == job.Completed {
 			s.shownAt = w.now
 		}
--- a/pkg/dispatch/history_test.go
+++ b/pkg/dispatch/history_test.go
@@ -90,6 +90,8 @@
 	bad    bool
 	handed int  // jobs that were handed in
 	late   bool // a call is being carried out that got no answer
+	// unanswered are the starts without an answer of which the store was told.
+	unanswered map[runKey]bool
 	// without leaves mechanisms out of all owners.
 	without Without
 	// relayed says that some answers are held up on their way by relays that are slow or frozen for a while.
@@ -129,7 +131,9 @@
 	stored   bool
 	outcome  job.State
 	unended  job.Unended // with the outcome
-	shownAt  clock.Time  // when it was shown as completed; 0 before
+	// lateStart is written with the outcome, too.
+	lateStart time.Time
+	shownAt   clock.Time // when it was shown as completed; 0 before
 	// cancelled says that the store holds the cancelling of the job.
 	cancelled bool
 }
@@ -139,7 +143,7 @@
 		t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, 0)), now: 100_000, wall: time.Unix(1_700_000_000, 0),
 		store: map[job.ID]*storedJob{}, gangs: map[gangKey]*modelGang{},
 		done: map[job.TaskID]bool{}, begun: map[job.TaskID]clock.Time{}, ended: map[job.TaskID]bool{}, failed: map[job.TaskID]int{},
-		ends: map[job.TaskID]int{}, crashers: map[job.ID]int{}, under: map[job.TaskID]int{}, after: map[job.TaskID]int{}, lost: map[job.TaskID]int{},
+		ends: map[job.TaskID]int{}, unanswered: map[runKey]bool{}, crashers: map[job.ID]int{}, under: map[job.TaskID]int{}, after: map[job.TaskID]int{}, lost: map[job.TaskID]int{},
 	}
 	for range historyWorkers {
 		w.addWorker()
--- a/pkg/dispatch/jobs.go
+++ b/pkg/dispatch/jobs.go
@@ -120,8 +120,9 @@
 	survivedRun int // highest number whose start a worker has survived
 	// inDoubt says that a worker has gone under a start that was not proven, whether a crash was counted for it or not.
 	inDoubt    bool
-	avoid      WorkerID    // where it failed last
-	lateStarts []lateStart // starts of it that may be carried out by the next lives of their workers
+	avoid      WorkerID         // where it failed last
+	lateStarts []lateStart      // starts of it that may be carried out by the next lives of their workers
+	unanswered []job.Unanswered // as the store is told (former_starts.go)
 	notBefore  clock.Time
 	// presumedLost says that its last run is held for lost since its worker was silent.
 	presumedLost bool
@@ -139,6 +140,7 @@
 	unansweredAt clock.Time
 	// repeated says that its start, which may be carried out yet, has the number of an earlier one: a list that shows the run may tell of that one.
 	repeated    bool
+	told        bool   // the store is told that its start got no answer
 	stored      bool   // its start was in the store before it was ordered
 	checkpoint  string // to begin from, while its start is being stored
 	confirmedAt clock.Time
--- a/pkg/dispatch/late_starts.go
+++ b/pkg/dispatch/late_starts.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/job"
 )
 
 // A start without an answer that was fenced off, or whose worker was lost, does nothing any more on the life that it was sent to. The next life of that worker has
@@ -24,6 +25,8 @@
 	// line is the worker that the task is bound to meanwhile; nil when any may be given it.
 	line  *lineage
 	until clock.Time
+	// former says that a former owner sent it, and void that this owner knew that it was void.
+	former, void bool
 }
 
 // heldNote is an end of a worker that is not to be noted before a time.
@@ -35,8 +38,7 @@
 // mayComeLate takes in that a start does nothing any more on the life that it was sent to. Its task is bound to the worker of a line; to none if that is nil.
 // One that was answered was carried out, by whichever life, and so does not come again. One that was only listed was, too, unless it is a repeated one.
 func (p *Pool) mayComeLate(r *run, line *lineage) {
-	s := r.task.step
-	if r.worker.info.ID.Born() == 0 || !r.mayGoOver() || r.confirmedAt != 0 && !r.repeated || s.time.job.queue.Advice != nil || s.spec.Speculative {
+	if !r.mayBeLate() {
 		return
 	}
 	sentBy := r.unansweredAt
@@ -44,11 +46,14 @@
 		sentBy = p.now
 	}
 	r.task.lateStarts = append(r.task.lateStarts, lateStart{number: r.number, line: line, until: sentBy.Add(latestOrder)})
+	p.storeVoid(r, sentBy)
 }
 
 // numberOn is the number of a task's next run, if that is on a worker.
 func (p *Pool) numberOn(t *task, w *worker) int {
-	repeats := func(l lateStart) bool { return l.line == w.line && l.number == t.lastRun && l.number > t.lastEnded }
+	repeats := func(l lateStart) bool {
+		return !l.former && l.line == w.line && l.number == t.lastRun && l.number > t.lastEnded
+	}
 	if slices.ContainsFunc(t.lateStarts, repeats) {
 		return t.lastRun
 	}
@@ -69,6 +74,16 @@
 	r.repeated = r.repeated && now < max(r.orderedAt, r.unansweredAt).Add(latestOrder)
 }
 
+// mayBeLate says that the next life of its worker may carry out the start of a run late, beside or after another one.
+func (r *run) mayBeLate() bool {
+	return r.worker.info.ID.Born() != 0 && r.mayGoOver() && (r.confirmedAt == 0 || r.repeated) && r.task.step.heedsLateStarts()
+}
+
+// heedsLateStarts says that late starts of a step's tasks do harm: they need no ticket, and the tasks may not run twice.
+func (s *step) heedsLateStarts() bool {
+	return s.time.job.queue.Advice == nil && !s.spec.Speculative
+}
+
 // lateStartOver says that a start can't be carried out any more and, for a bound task, that what a life has begun of it that nobody has heard of has ended.
 func (p *Pool) lateStartOver(l lateStart, now clock.Time) bool {
 	if l.line == nil || now < l.until {
@@ -117,6 +132,14 @@
 	return false
 }
 
+// mayNoteFrom is from when on ends of a task may be noted; 0 for any time. Of a job that a former owner has ended the tasks are not known.
+func (p *Pool) mayNoteFrom(id job.TaskID) clock.Time {
+	if t := p.task(id); t != nil {
+		return t.mayNoteFrom()
+	}
+	return p.outcomes.of[id.Job].lateUntil
+}
+
 // mayNoteFrom is from when on ends of a task may be noted; 0 for any time.
 func (t *task) mayNoteFrom() clock.Time {
 	if !t.step.spec.Gang {
@@ -140,11 +163,10 @@
 
 // holdNote keeps an end from being noted while a late start of its task, or of its gang, may be carried out.
 func (p *Pool) holdNote(w *worker, f Finished, now clock.Time) {
-	t := p.task(f.Task)
-	if t == nil || f.How != EndDone && f.How != EndFailed {
+	if f.How != EndDone && f.How != EndFailed {
 		return
 	}
-	if from := t.mayNoteFrom(); now < from {
+	if from := p.mayNoteFrom(f.Task); now < from {
 		w.heldNotes = append(w.heldNotes, heldNote{f.Number, from})
 		p.cfg.Log(Event{Name: "note_held", Task: f.Task, Run: f.Run, Worker: w.info.ID, Detail: from.Sub(now).String()})
 	}
--- a/pkg/dispatch/lives.go
+++ b/pkg/dispatch/lives.go
@@ -206,6 +206,7 @@
 	p.release(r)
 	r.worker, r.state, r.stopSentAt = next, runUnsettled, 0
 	p.count(r)
+	p.storeUnanswered(r, p.now)
 }
 
 // mayNote says whether a worker may be told which of its ends are noted. The next life, if it is there by now, would forget as many of its own:
--- a/pkg/dispatch/outcomes.go
+++ b/pkg/dispatch/outcomes.go
@@ -13,6 +13,8 @@
 	customer string // whose job it was
 	// since is when this owner learned of it.
 	since clock.Time
+	// lateUntil is until when late starts of its tasks may be carried out; 0 without any.
+	lateUntil clock.Time
 }
 
 // outcomes keeps the ends of jobs for as long as callers may ask for them, in the order in
@@ -27,10 +29,14 @@
 }
 
 func (o *outcomes) put(id job.ID, state job.State, customer string, now clock.Time) {
+	o.putLate(id, state, customer, 0, now)
+}
+
+func (o *outcomes) putLate(id job.ID, state job.State, customer string, lateUntil, now clock.Time) {
 	if _, known := o.of[id]; known {
 		return
 	}
-	o.of[id] = outcome{state, customer, now}
+	o.of[id] = outcome{state, customer, now, lateUntil}
 	o.order = append(o.order, id)
 }
 
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -207,7 +207,7 @@
 	if !p.loaded {
 		p.countUnended(ended)
 	}
-	p.outcomes.put(id, ended.Outcome, ended.Customer.Name, now)
+	p.outcomes.putLate(id, ended.Outcome, ended.Customer.Name, p.lateFrom(ended.LateStart, now), now)
 	p.becameKnown(id, now)
 	j, known := p.jobs[id]
 	if !known {
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -83,17 +83,21 @@
 			p.leaveUnread(w, f)
 			continue
 		}
-		if r, ok := w.runs[runKey{f.Task, f.Run}]; ok && r.repeated {
-			p.mayComeLate(r, w.line)
-		}
-		p.holdNote(w, f, now)
 		p.takeEnd(w, f, now)
 	}
 }
 
 // takeEnd takes in one end.
 func (p *Pool) takeEnd(w *worker, f Finished, now clock.Time) {
-	if r, ok := w.runs[runKey{f.Task, f.Run}]; ok {
+	r, known := w.runs[runKey{f.Task, f.Run}]
+	if known && r.repeated {
+		p.mayComeLate(r, w.line)
+	}
+	if t := p.task(f.Task); t != nil {
+		t.carriedOut(f.Run)
+	}
+	p.holdNote(w, f, now)
+	if known {
 		p.runEnded(r, f.How, f.Checkpoint, now)
 		return
 	}
@@ -179,6 +183,7 @@
 
 // confirm takes in that a run has begun.
 func (p *Pool) confirm(r *run, now clock.Time) {
+	r.task.carriedOut(r.number)
 	r.state = runActive
 	r.confirmedAt = now
 	r.percentAt = now
@@ -225,6 +230,7 @@
 	}
 	r := &run{task: t, number: row.Run, worker: w, token: w.line.token, state: runActive, confirmedAt: now, percentAt: now, adopted: true}
 	p.count(r)
+	t.carriedOut(row.Run)
 	t.lastRun = max(t.lastRun, row.Run)
 	j := t.step.time.job
 	j.began = true
--- a/pkg/dispatch/unknown_jobs.go
+++ b/pkg/dispatch/unknown_jobs.go
@@ -65,7 +65,6 @@
 	for _, w := range p.workersByID() {
 		p.takeUnknownRuns(w, id, now)
 		for _, f := range w.dropUnread(id) {
-			p.holdNote(w, f, now)
 			p.takeEnd(w, f, now)
 		}
 	}
--- a/pkg/dispatch/voided_fixture_test.go
+++ b/pkg/dispatch/voided_fixture_test.go
@@ -27,6 +27,7 @@
 	how   map[job.ID]End
 	// loses says which starts get no answer; those are kept.
 	loses   func(Start) bool
+	unheard bool // the owner does not hear that a start gets no answer
 	kept    []keptStart
 	lost    Start                     // the first of them
 	begun   map[job.TaskID]clock.Time // when a kept start was carried out
@@ -285,7 +286,9 @@
 			h.lost = s
 		}
 		h.kept = append(h.kept, keptStart{s, h.now})
-		h.noAnswer(s)
+		if !h.unheard {
+			h.noAnswer(s)
+		}
 	case r == nil || r.id != s.Worker:
 		h.pool.StartAnswered(s, Answer{}, ErrNotSent, h.now)
 	case h.takeStart(r, s):
@@ -402,8 +405,11 @@
 	h.pool = New(cfg, h.now)
 	for _, id := range slices.Sorted(maps.Keys(h.records)) {
 		change, stored := h.stored[id]
-		h.Expect(change.Outcome).To(BeEmpty())
-		h.pool.AddJob(h.records[id], change.Progress, stored, 0, h.now)
+		if change.Outcome != "" {
+			h.pool.AddOutcome(id, job.Record{Outcome: change.Outcome, Unended: change.Unended, LateStart: change.LateStart}, h.now)
+			continue
+		}
+		h.pool.AddJob(h.records[id], copied(change.Progress), stored, 0, h.now)
 	}
 	h.pool.SetLoaded()
 	for _, n := range slices.Sorted(maps.Keys(h.there)) {
--- a/pkg/dispatch/voided_start_test.go
+++ b/pkg/dispatch/voided_start_test.go
@@ -48,11 +48,31 @@
 	for name, test := range map[string]func(*testing.T){
 		"the former owner knew that it was void": voidedUnderFormerOwner,
 		"the former owner was gone before":       keptFromFormerOwner,
+		"its job was shown as completed":         voidedAndCompletedUnderFormerOwner,
+		"a member of a gang that was sent twice": voidedMemberUnderFormerOwner,
+		"a third owner":                          voidedUnderTwoFormerOwners,
+		"its worker is gone from the store":      keptFromFormerOwnerByOneThatLeft,
+		"its number was started again there":     startedAgainUnderFormerOwner,
 	} {
 		t.Run(name, test)
 	}
 }
 
+// Guards against a start of a former owner that was gone before it could hear that there was no answer.
+func TestStartInFlightOfAFormerOwnerDoesNotRunTwice(t *testing.T) {
+	h := newHall(t, 1)
+	h.unheard = true
+	h.loses = func(s Start) bool { return len(h.kept) == 0 && s.Task.Job == "a" }
+	h.takes["a"] = 5 * time.Second
+	h.gets(testJob("a", testStep(1)))
+	h.beats()
+	h.Expect(h.kept).To(HaveLen(1))
+	h.comes(firstLife(1))
+	h.nextOwner()
+	h.closed(0)
+	h.isDoneWithin(30*time.Second, "a")
+}
+
 // Guards against tasks that wait for a start that nobody can carry out any more, or that does no harm.
 func TestVoidedStartHoldsUpNothingElse(t *testing.T) {
 	for name, test := range map[string]func(*testing.T){
@@ -69,6 +89,10 @@
 		"a start that was rejected by its worker":   rejectedByItsWorker,
 		"another task of the step is not held up":   voidedBesideOthers,
 		"another job of the customer is not either": voidedBesideAnotherJob,
+		"it was carried out under a former owner":   carriedOutUnderFormerOwner,
+		"it ended under a former owner":             endedUnderFormerOwner,
+		"a former owner sent it long ago":           keptFromFormerOwnerLongAgo,
+		"a former owner's queue with advice":        formerStartWithTicket,
 	} {
 		t.Run(name, test)
 	}
@@ -313,6 +337,139 @@
 	h.isDoneWithin(30*time.Second, "a")
 }
 
+// The start after the void one has its number, so that a list of the run does not show that the void one was carried out.
+func startedAgainUnderFormerOwner(t *testing.T) {
+	h, k := lost(t)
+	h.becomesVoid()
+	h.Expect(h.startsWithin(time.Second, "a").Run).To(Equal(k.Run))
+	h.passes(300 * time.Millisecond)
+	h.nextOwner()
+	h.isDoneWithin(5*time.Second, "a")
+	h.Expect(h.noted).To(BeEmpty())
+	h.passes(latestOrder + clocksApart)
+	h.Expect(h.noted).To(HaveLen(1))
+}
+
+// The job is done on the same life, and its end is held; the next owner has its outcome only.
+func voidedAndCompletedUnderFormerOwner(t *testing.T) {
+	h, k := lost(t)
+	h.becomesVoid()
+	h.isDoneWithin(5*time.Second, "a")
+	h.Expect(h.stored["a"].Outcome).To(Equal(job.Completed))
+	h.Expect(h.noted).To(BeEmpty())
+	h.nextOwner()
+	h.passes(2 * time.Second)
+	h.Expect(h.noted).To(BeEmpty())
+	h.takenByNextLife(k)
+	h.lists(secondLife(0))
+	h.passes(time.Second)
+	h.Expect(h.there[0].active).To(BeEmpty(), "it is stopped")
+}
+
+// The second time it is sent with the same number, and carried out.
+func voidedMemberUnderFormerOwner(t *testing.T) {
+	r := voidGang(2)
+	r.Job.Steps[0].MaxPerWorker = 1
+	h, k := lostOf(t, 2, r)
+	h.takes["a"] = 3 * time.Second
+	h.becomesVoid()
+	again := h.startsWithin(500*time.Millisecond, "a")
+	h.Expect(again.Task).To(Equal(k.Task))
+	h.Expect(again.Run).To(Equal(k.Run))
+	h.passes(time.Second)
+	h.nextOwner()
+	h.isDoneWithin(30*time.Second, "a")
+	h.passes(latestOrder)
+	h.Expect(h.noted).To(HaveLen(2))
+}
+
+func voidedUnderTwoFormerOwners(t *testing.T) {
+	h, _ := lost(t)
+	h.takes["a"] = 5 * time.Second
+	h.comes(firstLife(1))
+	h.closed(0, 1)
+	h.becomesVoid()
+	h.nextOwner()
+	h.closed(0, 1)
+	h.pool.storeProgress(h.pool.task(h.lost.Task)) // it writes the job's progress anew
+	h.passes(2 * time.Second)
+	h.nextOwner()
+	h.closed(0)
+	h.isDoneWithin(40*time.Second, "a")
+}
+
+// Nothing but the job's progress names its worker, whose next life comes later.
+func keptFromFormerOwnerByOneThatLeft(t *testing.T) {
+	h, k := lost(t)
+	h.takes["a"] = 5 * time.Second
+	h.comes(firstLife(1))
+	h.crashes(0)
+	h.nextOwner()
+	h.passes(4 * time.Second)
+	h.comes(secondLife(0))
+	h.closed(0)
+	h.passes(k.sentAt.Add(latestOrder).Sub(h.now))
+	h.isDoneWithin(30*time.Second, "a")
+}
+
+// lostAnswerOf has the only start of a job be carried out, without the answer reaching the owner.
+func lostAnswerOf(t *testing.T) (*hall, keptStart) {
+	h, k := lost(t)
+	h.Expect(h.takeStart(h.there[0], k.Start)).To(BeTrue())
+	h.kept = nil
+	return h, k
+}
+
+// What runs is listed, so that its end is noted at once.
+func carriedOutUnderFormerOwner(t *testing.T) {
+	h, k := lostAnswerOf(t)
+	h.nextOwner()
+	h.isDoneWithin(2*time.Second, "a")
+	h.Expect(h.noted).To(HaveLen(1))
+	h.Expect(h.noted[0].Run).To(Equal(k.Run))
+}
+
+// The former owner was told nothing of the run, and the next one finds its end.
+func endedUnderFormerOwner(t *testing.T) {
+	h, _ := lostAnswerOf(t)
+	h.there[0].cut = true
+	h.passes(1200 * time.Millisecond)
+	h.there[0].cut = false
+	h.nextOwner()
+	h.isDoneWithin(time.Second, "a")
+	h.Expect(h.noted).To(HaveLen(1))
+}
+
+func keptFromFormerOwnerLongAgo(t *testing.T) {
+	h, _ := lost(t)
+	h.closed(0)
+	h.becomesVoid()
+	h.passes(latestOrder + clocksApart)
+	h.nextOwner()
+	h.comes(firstLife(1))
+	h.closed(0)
+	h.Expect(numberOf(h.startsWithin(500*time.Millisecond, "a").Worker)).To(Equal(1))
+	h.isDoneWithin(2*time.Second, "a")
+}
+
+// A next life rejects the ticket, so the store is told nothing.
+func formerStartWithTicket(t *testing.T) {
+	h := newHall(t, 2)
+	h.pool.PutAdviser("host")
+	h.loses = func(s Start) bool { return len(h.started) == 1 }
+	h.gets(advisedJob("a", testStep(1)))
+	h.passes(2 * beat)
+	h.Expect(h.kept).To(HaveLen(1))
+	n := numberOf(h.kept[0].Worker)
+	h.kept = nil
+	h.Expect(h.stored["a"].Progress.Tasks).To(BeEmpty())
+	h.nextOwner()
+	h.pool.PutAdviser("host")
+	h.closed(n)
+	h.Expect(numberOf(h.startsWithin(500*time.Millisecond, "a").Worker)).NotTo(Equal(n))
+	h.isDoneWithin(2*time.Second, "a")
+}
+
 func keptByASilentWorker(t *testing.T) {
 	h, _ := lost(t)
 	h.takes["a"] = 5 * time.Second
--- a/pkg/job/record.go
+++ b/pkg/job/record.go
@@ -28,6 +28,8 @@
 	Outcome State `json:"outcome,omitempty"`
 	// Unended is what may have run of the job when it ended.
 	Unended Unended `json:"unended,omitzero"`
+	// LateStart is the time of day by which the last start of an ended job was sent that got no answer (Unanswered); zero without any.
+	LateStart time.Time `json:"late_start,omitzero"`
 }
 
 // Unended is what may still run of a job that has ended, or for tasks that are done: runs that are being stopped, and starts without an
@@ -59,7 +61,7 @@
 }
 
 // Progress is what the store keeps of a job that has not ended: the ends that the owner
-// has taken note of. Tasks that are neither done nor failed nor stopped have no entry.
+// has taken note of, and starts that may come late. Other tasks have no entry.
 type Progress struct {
 	Tasks []TaskProgress `json:"tasks"`
 	// Unended is what may run for tasks that are done.
@@ -79,6 +81,19 @@
 	Attempts []Attempt `json:"a,omitempty"`
 	// Crashes are the starts in a row under which a worker crashed.
 	Crashes []Crash `json:"x,omitempty"`
+	// Unanswered are starts without an answer that a life of their worker may carry out late.
+	Unanswered []Unanswered `json:"u,omitempty"`
+}
+
+// Unanswered is a start of a task that got no answer.
+type Unanswered struct {
+	Run    int    `json:"r"`
+	Worker string `json:"w"`
+	// At is the time of day, at the owner that sent it, by which it was sent.
+	At time.Time `json:"t"`
+	// Void says that its owner knew that it does nothing on the life that it was sent to. A later start may have its number, so a run of that number does not show
+	// that this one was carried out.
+	Void bool `json:"v,omitempty"`
 }
 
 // Attempt is a start of a task on one life of a worker.
@@ -104,9 +119,17 @@
 	for _, c := range t.Crashes {
 		n = max(n, c.Run)
 	}
+	for _, u := range t.Unanswered {
+		n = max(n, u.Run)
+	}
 	return n
 }
 
+// Begun says that the task has begun, as far as the row tells.
+func (t TaskProgress) Begun() bool {
+	return t.Done || t.LastRun > 0 || len(t.Failures)+len(t.Attempts)+len(t.Crashes) > 0
+}
+
 // Encode returns the progress as the store keeps it.
 func (p Progress) Encode() ([]byte, error) {
 	text, err := json.Marshal(p)
--- a/pkg/poolowner/commits.go
+++ b/pkg/poolowner/commits.go
@@ -153,7 +153,7 @@
 		t.Put = []platform.Put{{Key: jobstore.ProgressKey(c.Job), Value: text}}
 		return t, err
 	}
-	text, err := job.Record{Outcome: c.Outcome, Customer: customer.Customer{Name: c.Customer}, Unended: c.Unended}.Encode()
+	text, err := job.Record{Outcome: c.Outcome, Customer: customer.Customer{Name: c.Customer}, Unended: c.Unended, LateStart: c.LateStart}.Encode()
 	t.Put = []platform.Put{{Key: jobstore.JobKey(c.Job), Value: text}}
 	if c.Stored {
 		t.Remove = append(t.Remove, jobstore.ProgressKey(c.Job))
--- a/pkg/poolowner/commits_test.go
+++ b/pkg/poolowner/commits_test.go
@@ -49,6 +49,17 @@
 	}
 }
 
+// Guards against a later owner that notes ends of an ended job while a late start of it may come.
+func TestOutcomeTellsOfTheLastStartWithoutAnAnswer(t *testing.T) {
+	g := NewWithT(t)
+	at := time.Date(2020, 1, 2, 3, 4, 5, 6_000_000, time.UTC)
+	txns, err := packChanges([]dispatch.Change{{Job: "a", Outcome: job.Completed, LateStart: at}})
+	g.Expect(err).NotTo(HaveOccurred())
+	record, err := job.DecodeRecord(txns[0].Put[0].Value)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(record.LateStart).To(Equal(at))
+}
+
 // A write whose bytes wait on the link is not followed by its own copies at the usual rate.
 func TestWritesWithoutAnAnswerAreGivenMoreTime(t *testing.T) {
 	g := NewWithT(t)
