--- a/pkg/shard/removal_test.go
+++ b/pkg/shard/removal_test.go
@@ -71,6 +71,11 @@
 // newRecoveredOwner returns an owner without workers that has read the store, and whose
 // journal writes. Its authority is asked of authorized.
 func newRecoveredOwner(t *testing.T, s *segmentStore, epoch cell.Epoch, authorized func() bool) *Engine {
+	return newOwnerThatPuts(t, s, s.put, epoch, authorized)
+}
+
+// newOwnerThatPuts returns such an owner that writes segments by put.
+func newOwnerThatPuts(t *testing.T, s *segmentStore, put func(ctx context.Context, key, value string) (int64, error), epoch cell.Epoch, authorized func() bool) *Engine {
 	g := NewWithT(t)
 	tree, faults := settings.Parse(map[string]string{
 		"cell.toml":    "[[hall]]\nname = \"north\"\nregion = \"r\"\n[team.t]\n[rules.resources]\ncpu_millis = 1000\nmemory_mb = 1000\n",
@@ -88,7 +93,7 @@
 		Authority: func() (cell.Epoch, clock.Time, bool) {
 			return epoch, clock.System().Now().Add(time.Minute), authorized()
 		},
-		LoadBatches: s.load, PutSegment: s.put, RemoveSegment: s.remove,
+		LoadBatches: s.load, PutSegment: put, RemoveSegment: s.remove,
 	})
 	e.SetTree(tree)
 	e.SetHosts(nil)
--- a/pkg/shard/unsettled_test.go
+++ b/pkg/shard/unsettled_test.go
@@ -15,7 +15,6 @@
 func TestRequestWhoseFirstCopyWasUnsettledDoesNotRunAgain(t *testing.T) {
 	g := NewWithT(t)
 	s := newSegmentStore()
-	e := newRecoveredOwner(t, s, 1, always)
 	puts := 0
 	lose := func(ctx context.Context, key, value string) (int64, error) {
 		puts++
@@ -25,8 +24,7 @@
 		}
 		return r, err
 	}
-	e.journal = batch.NewJournal(e.cfg.Shard, time.Microsecond, batch.JournalDeps{Put: lose, Authorized: e.authorized, Stored: e.segmentStored})
-	e.duties.Go(func() { e.journal.Run(e.runCtx) })
+	e := newOwnerThatPuts(t, s, lose, 1, always)
 	req := Submission{Caller: "tester", Key: "k", Workload: "publish", Payload: "p"}
 	_, err := e.SubmitBatch(e.runCtx, req)
 	g.Expect(result.From(err).Code).To(Equal(result.InProgress))
