A hold for an ended life notes no end of a start that is void there

What callers saw: nothing; on the platform a task that ran twice. A start is void on its life, the life ends unheard, and the next one carries the start out and ends the run. A hold that is meant for the former life tells it how many of its ends are noted; the next life forgets as many of its own, so that the owner never hears of that end and starts the task again.

Cause: such a hold says what is noted only when the worker answered within 0.5 s or every start was listed (mayNote). A start that is void does not count as one that was not listed, though the next life may have it.

A worker keeps until when a start that is void on one of its lives may be carried out by the next; until then only one that answered within 0.5 s is told what is noted. It costs that a silent worker with such a start lists its ends again.

Test: TestHoldForAnEndedLifeNotesNoEndOfAVoidStart failed before.

--- a/pkg/dispatch/former_starts.go
+++ b/pkg/dispatch/former_starts.go
@@ -74,8 +74,10 @@
 	}
 	for _, u := range starts {
 		if until := p.lateFrom(u.At, p.now); until != 0 {
+			line := p.lineageOf(WorkerID(u.Worker).Name())
 			t.unanswered = append(t.unanswered, u)
-			t.lateStarts = append(t.lateStarts, lateStart{number: u.Run, line: p.lineageOf(WorkerID(u.Worker).Name()), until: until, former: true, void: u.Void})
+			t.lateStarts = append(t.lateStarts, lateStart{number: u.Run, line: line, until: until, former: true, void: u.Void})
+			line.mayRunLateUntil(until)
 		}
 	}
 }
--- a/pkg/dispatch/late_starts.go
+++ b/pkg/dispatch/late_starts.go
@@ -45,7 +45,9 @@
 	if sentBy == 0 {
 		sentBy = p.now
 	}
-	r.task.lateStarts = append(r.task.lateStarts, lateStart{number: r.number, line: line, until: sentBy.Add(latestOrder)})
+	until := sentBy.Add(latestOrder)
+	r.task.lateStarts = append(r.task.lateStarts, lateStart{number: r.number, line: line, until: until})
+	r.worker.line.mayRunLateUntil(until)
 	p.storeVoid(r, sentBy)
 }
 
@@ -107,6 +109,11 @@
 	}
 }
 
+// mayRunLateUntil takes in that a start may be carried out by the next life until a time.
+func (l *lineage) mayRunLateUntil(until clock.Time) {
+	l.lateUntil = max(l.lateUntil, until)
+}
+
 // usable says whether a life of the worker may be given a task now.
 func (l *lineage) usable(now clock.Time) bool {
 	return slices.ContainsFunc(l.lives, func(w *worker) bool { return w.usable(now) })
--- a/pkg/dispatch/late_starts_test.go
+++ b/pkg/dispatch/late_starts_test.go
@@ -269,3 +269,26 @@
 	}
 	h.checkNoneRunsTwice()
 }
+
+// Guards against an end that is forgotten unheard: a hold for the life before reaches the next one, which has carried out a void start.
+func TestHoldForAnEndedLifeNotesNoEndOfAVoidStart(t *testing.T) {
+	h := newHall(t, 1)
+	h.gets(testJob("b", testStep(1)))
+	h.isDoneWithin(3*time.Second, "b")
+	h.passes(time.Second)
+	h.Expect(h.noted).To(HaveLen(1))
+	h.loses = func(Start) bool { return len(h.kept) == 0 }
+	h.gets(testJob("a", testStep(1)))
+	h.passes(200 * time.Millisecond)
+	h.Expect(h.kept).To(HaveLen(1))
+	h.closed(0)
+	h.becomesVoid()
+	h.crashes(0)
+	h.passes(600 * time.Millisecond)
+	h.comesUnlisted(secondLife(0))
+	h.takes["a"] = 0
+	h.Expect(h.carriesOutLate(h.kept[0])).To(BeTrue())
+	h.endRuns(h.there[0])
+	h.asks(firstLife(0).id, false)
+	h.Expect(h.noted).To(HaveLen(1), "the owner has not heard of that end")
+}
--- a/pkg/dispatch/lives.go
+++ b/pkg/dispatch/lives.go
@@ -44,7 +44,9 @@
 	// ended are lives after which another one was heard of, the latest last, and forgotten those that were taken for
 	// gone without that: one that was only cut off for long comes back.
 	ended, forgotten []WorkerID
-	closed           bool // the machine is being emptied
+	// lateUntil is until when a next life may carry out a start that is void on the one before; 0 for none.
+	lateUntil clock.Time
+	closed    bool // the machine is being emptied
 }
 
 // lineageOf returns what is kept of a worker by name.
@@ -215,7 +217,7 @@
 }
 
 // mayNote says whether a worker may be told which of its ends are noted. The next life, if it is there by now, would forget as many of its own:
-// ends of starts that were meant for this one.
+// ends of starts that were meant for this one, those that are void included.
 func (w *worker) mayNote(now clock.Time) bool {
-	return now.Sub(w.lastAnswer) < noteWithin || len(w.notListedYet()) == 0
+	return now.Sub(w.lastAnswer) < noteWithin || len(w.notListedYet()) == 0 && now >= w.line.lateUntil
 }
