A list that shows a number does not take the second start of that number off the store

What callers saw: nothing; found by a test that forces the order of events.

Cause: a start is void, its task starts again under the same number, and that start gets no answer either. Both stand in the job's progress, the second one not as void. When the next life has carried out the first one and lists its run, carriedOut took the second one's row away, and it is not written again (run.told). The present owner knows from run.repeated that the second start may come; the next owner did not, and started the task elsewhere, or noted its end, within the 12 s.

The row of a start that has the number of a void one now says from the beginning that a run of its number does not show that it was carried out (Void). Nothing else changes: repeated starts exist only where there are late starts, so not without beginnings of lives nor with advice; the row goes when its time is over.

Test: TestNextOwnerKnowsTheSecondStartOfOneNumber failed before ("8998 ms after run 1 of a.0.0.0 was sent to w0, the task runs on w1 as run 1001") and passes.

--- a/pkg/dispatch/former_starts.go
+++ b/pkg/dispatch/former_starts.go
@@ -20,7 +20,7 @@
 	}
 	r.told = true
 	at := p.cfg.Wall().Add(-p.now.Sub(sentBy))
-	t.unanswered = append(t.unanswered, job.Unanswered{Run: r.number, Worker: string(r.worker.info.ID), At: at})
+	t.unanswered = append(t.unanswered, job.Unanswered{Run: r.number, Worker: string(r.worker.info.ID), At: at, Void: r.repeated})
 	p.storeProgress(t)
 }
 
--- a/pkg/job/record.go
+++ b/pkg/job/record.go
@@ -91,8 +91,8 @@
 	Worker string `json:"w"`
 	// At is the time of day, at the owner that sent it, by which it was sent.
 	At time.Time `json:"t"`
-	// Void says that its owner knew that it does nothing on the life that it was sent to. A later start may have its number, so a run of that number does not show
-	// that this one was carried out.
+	// Void says that a run of its number does not show that it was carried out: its owner knew that it does nothing on the life that it was sent to, so that a later
+	// start may have its number, or it is such a later start.
 	Void bool `json:"v,omitempty"`
 }
 
