A start that waited to be sent counts for 18 s from when it was sent

What callers saw: nothing; found by a test that forces the order of events.

Cause: goneOverUntil counts the 12 s and the lease from when a start was ordered. A start waits for its turn in the orders of its worker and for room among the calls of the owner before it is sent, so the worker may carry it out later than that. late_starts.go counts from when the call was over (unansweredAt), goneOverUntil did not.

For a start without an answer that a silent worker may have kept (mayBeKept) the later of both counts now. Others are as before: without beginnings of lives, with advice, and for tasks that last.

--- a/pkg/dispatch/late_starts_test.go
+++ b/pkg/dispatch/late_starts_test.go
@@ -292,3 +292,24 @@
 	h.asks(firstLife(0).id, false)
 	h.Expect(h.noted).To(HaveLen(1), "the owner has not heard of that end")
 }
+
+// Guards against a run elsewhere beside a start that was sent a while after it was ordered: the time in which it may be carried out counts from when it was sent.
+func TestStartThatWasSentLateIsWaitedForFromThenOn(t *testing.T) {
+	h := newHall(t, 1)
+	h.unheard = true
+	h.loses = func(Start) bool { return len(h.started) == 1 }
+	h.takes["a"] = 5 * time.Second // on the lease of 6 s
+	h.gets(testJob("a", testStep(1)))
+	h.beats()
+	h.Expect(h.kept).To(HaveLen(1))
+	h.passes(2 * time.Second)
+	h.kept[0].sentAt = h.now // it waited for its turn
+	h.noAnswer(h.kept[0].Start)
+	h.crashes(0)
+	h.comes(firstLife(1))
+	h.passes(latestOrder - 2*beat)
+	h.comesUnlisted(secondLife(0))
+	h.there[0].cut = true
+	h.Expect(h.carriesOutLate(h.kept[0])).To(BeTrue())
+	h.isDoneWithin(20*time.Second, "a")
+}
--- a/pkg/dispatch/lives.go
+++ b/pkg/dispatch/lives.go
@@ -200,7 +200,11 @@
 	if !r.mayGoOver() || !w.doubted() && !r.mayBeKept() {
 		return 0
 	}
-	return r.orderedAt.Add(latestOrder + lapseTime(p.cfg.LongestLease))
+	sentBy := r.orderedAt
+	if r.mayBeKept() {
+		sentBy = max(sentBy, r.unansweredAt) // it may have waited to be sent
+	}
+	return sentBy.Add(latestOrder + lapseTime(p.cfg.LongestLease))
 }
 
 // mayBeKept says that a worker may hold back the start of a run for its next life, though none is known of. A task that lasts does not wait for that.
