The end of an earlier run is not noted while another start of its task is unsettled

What callers saw: nothing; found by a test that forces the order of events. On the platform: TWICE (a task begins again after an end that was noted).

Cause: a worker ends a run unheard and is silent; the task starts elsewhere, and that start gets no answer. The first worker is heard of again and lists the end. holdNote asked for starts that are known to be void only (lateStarts), not for the present one, which may be kept for the next life of its worker as well. The end was noted at once.

Nothing changes without beginnings of lives or with advice (mayBeLate), nor for the end of a run while its own start is unsettled. Callers don't wait: the job is shown as completed meanwhile.

--- a/pkg/dispatch/late_starts.go
+++ b/pkg/dispatch/late_starts.go
@@ -173,12 +173,40 @@
 	if f.How != EndDone && f.How != EndFailed {
 		return
 	}
-	if from := p.mayNoteFrom(f.Task); now < from {
+	if from := max(p.mayNoteFrom(f.Task), p.unsettledUntil(f, now)); now < from {
 		w.heldNotes = append(w.heldNotes, heldNote{f.Number, from})
 		p.cfg.Log(Event{Name: "note_held", Task: f.Task, Run: f.Run, Worker: w.info.ID, Detail: from.Sub(now).String()})
 	}
 }
 
+// unsettledUntil is until when another start of an ended run's task, or of its gang, may be carried out late that is not known to be void; 0 without any.
+func (p *Pool) unsettledUntil(f Finished, now clock.Time) clock.Time {
+	t := p.task(f.Task)
+	if t == nil {
+		return 0
+	}
+	if !t.step.spec.Gang {
+		return t.unsettledUntil(f.Run, now)
+	}
+	var until clock.Time
+	for i := range t.step.tasks {
+		until = max(until, t.step.tasks[i].unsettledUntil(f.Run, now))
+	}
+	return until
+}
+
+// unsettledUntil is the same of one task, of whose present run the end may be.
+func (t *task) unsettledUntil(ended int, now clock.Time) clock.Time {
+	r := t.current
+	if r == nil || r.number == ended || !r.mayBeLate() {
+		return 0
+	}
+	if r.unansweredAt != 0 {
+		return r.unansweredAt.Add(latestOrder)
+	}
+	return now.Add(latestOrder)
+}
+
 // mayNoteUpTo is the number up to which all ends of a worker are taken in and may be noted.
 func (w *worker) mayNoteUpTo(now clock.Time) int64 {
 	w.heldNotes = slices.DeleteFunc(w.heldNotes, func(h heldNote) bool { return now >= h.until })
