Ends that are read when their job is forgotten are held while a start of it may come late

What callers saw: nothing; found by a test that forces the order of events. On the platform: TWICE (a task begins again after an end that was noted).

Cause: a job is forgotten as soon as its outcome is stored and nothing of it runs, with the late starts of its tasks. Ends that are read after that were held only for jobs that a former owner had ended (outcome.lateUntil); for the owner's own jobs that was 0. So the end of a run that was lost with a silent worker was noted when that worker came back, though a void start of the task might still come elsewhere.

When a job is forgotten, its outcome takes in until when late starts of its tasks may come. It holds 0 as before where there are none: without beginnings of lives and with advice.

--- a/pkg/dispatch/ends.go
+++ b/pkg/dispatch/ends.go
@@ -249,6 +249,7 @@
 	}
 	if p.jobs[j.job.ID] == j {
 		p.outcomes.put(j.job.ID, j.outcome, j.customer.Name, p.now)
+		p.outcomes.mayRunLateUntil(j.job.ID, j.lateUntil())
 		delete(p.jobs, j.job.ID)
 	}
 }
--- a/pkg/dispatch/late_ends_test.go
+++ b/pkg/dispatch/late_ends_test.go
@@ -21,6 +21,19 @@
 	return h
 }
 
+// Guards against a late start after an end that was noted: the worker of an earlier run is heard of again after the job has ended, and its end is noted though a void start may come.
+func TestEndThatIsHeardWhenTheJobIsForgottenIsHeld(t *testing.T) {
+	h := doneUnheard(t)
+	h.startsWithin(10*time.Second, "a")
+	h.Expect(h.kept).To(HaveLen(1))
+	h.becomesVoid()
+	h.isDoneWithin(4*time.Second, "a")
+	h.Expect(h.pool.jobs).NotTo(HaveKey(h.kept[0].Task.Job))
+	h.there[1].cut = false
+	h.passes(latestOrder)
+	h.Expect(h.noted).To(HaveLen(2))
+}
+
 // Guards against a late start after an end that was noted: the worker of an earlier run is heard of again while nobody knows whether the next start is void.
 func TestEndOfAnEarlierRunIsHeldWhileAStartIsUnsettled(t *testing.T) {
 	h := doneUnheard(t)
--- a/pkg/dispatch/late_starts.go
+++ b/pkg/dispatch/late_starts.go
@@ -139,7 +139,7 @@
 	return false
 }
 
-// mayNoteFrom is from when on ends of a task may be noted; 0 for any time. Of a job that a former owner has ended the tasks are not known.
+// mayNoteFrom is from when on ends of a task may be noted; 0 for any time. Of a job that is forgotten, or that a former owner has ended, the tasks are not known.
 func (p *Pool) mayNoteFrom(id job.TaskID) clock.Time {
 	if t := p.task(id); t != nil {
 		return t.mayNoteFrom()
@@ -168,6 +168,17 @@
 	return until
 }
 
+// lateUntil is until when late starts of a job's tasks may be carried out; 0 without any.
+func (j *jobState) lateUntil() clock.Time {
+	var until clock.Time
+	for s := range j.steps() {
+		for i := range s.tasks {
+			until = max(until, s.tasks[i].lateUntil())
+		}
+	}
+	return until
+}
+
 // holdNote keeps an end from being noted while a late start of its task, or of its gang, may be carried out.
 func (p *Pool) holdNote(w *worker, f Finished, now clock.Time) {
 	if f.How != EndDone && f.How != EndFailed {
--- a/pkg/dispatch/outcomes.go
+++ b/pkg/dispatch/outcomes.go
@@ -40,6 +40,14 @@
 	o.order = append(o.order, id)
 }
 
+// mayRunLateUntil takes in that late starts of a job's tasks may be carried out until a time.
+func (o *outcomes) mayRunLateUntil(id job.ID, until clock.Time) {
+	if x, known := o.of[id]; known && until > x.lateUntil {
+		x.lateUntil = until
+		o.of[id] = x
+	}
+}
+
 func (o *outcomes) knows(id job.ID) bool {
 	_, ok := o.of[id]
 	return ok
