An outcome that is stored tells of a start whose call is not over

What callers saw: nothing; found by a test that forces the order of events.

Cause: a job ends (by the end of an earlier run) while the call of another start is not over. Its outcome was stored without that start. When the call gets no answer after that, storeProgress does nothing, since the job has ended. So the next owner noted the end at once, though the start may come up to 12 s after it was sent.

The outcome now counts such a start as one that was sent at that time. The next owner holds ends of the job for at most 12 s; nothing else asks for LateStart. Not without beginnings of lives, nor with advice (mayBeLate). A start whose call waits for its turn when the outcome is stored, and is sent more than 5 s later, is not covered.

--- a/pkg/dispatch/former_starts.go
+++ b/pkg/dispatch/former_starts.go
@@ -51,12 +51,16 @@
 	t.unanswered = slices.DeleteFunc(t.unanswered, func(u job.Unanswered) bool { return p.lateFrom(u.At, p.now) == 0 })
 }
 
-// lastUnanswered is when the last start of a job was sent that may come late, at the latest; zero without any.
+// lastUnanswered is when the last start of a job was sent that may come late, at the latest; zero without any. One whose call is not over counts: the store is
+// not told any more of what becomes of it.
 func (p *Pool) lastUnanswered(j *jobState) time.Time {
 	var last time.Time
 	for s := range j.steps() {
 		for i := range s.tasks {
 			p.dropUnanswered(&s.tasks[i])
+			if r := s.tasks[i].current; r != nil && !r.told && r.mayBeLate() {
+				return p.cfg.Wall()
+			}
 			for _, u := range s.tasks[i].unanswered {
 				if u.At.After(last) {
 					last = u.At
--- a/pkg/dispatch/late_ends_test.go
+++ b/pkg/dispatch/late_ends_test.go
@@ -45,3 +45,19 @@
 	h.passes(2 * time.Second)
 	h.Expect(h.noted).To(HaveLen(1))
 }
+
+// Guards against the same by the next owner, which reads the outcome: it was stored before the call of the start was over.
+func TestOutcomeTellsOfAStartWhoseCallIsNotOver(t *testing.T) {
+	h := doneUnheard(t)
+	h.unheard = true
+	h.startsWithin(10*time.Second, "a")
+	h.Expect(h.kept).To(HaveLen(1))
+	h.there[0].cut = true
+	h.there[1].cut = false
+	h.passes(3 * beat)
+	h.noAnswer(h.kept[0].Start)
+	h.nextOwner()
+	h.passes(latestOrder)
+	h.passes(clocksApart)
+	h.Expect(h.noted).To(HaveLen(1))
+}
