--- a/pkg/routing/doc.go
+++ b/pkg/routing/doc.go
@@ -14,8 +14,7 @@
 // Among the endpoints with a free slot the one with the least part of its slots in use is
 // taken, and among equals the one that answered faster. An endpoint that fails loses
 // slots and gets them back one answer at a time; one that fails again and again is left
-// alone for a while that doubles, and then tried with one request. An endpoint whose lease
-// ends too soon is given nothing until it is extended; requests wait for it meanwhile.
+// alone for a while that doubles, and then tried with one request.
 //
 // # Usage
 //
--- a/pkg/routing/endpoint.go
+++ b/pkg/routing/endpoint.go
@@ -38,8 +38,6 @@
 	foreign int // requests that may still run there without our waiting for them
 	leaving bool
 	removed bool
-	// leasedUntil is when the endpoint may end unless its lease is extended.
-	leasedUntil clock.Time
 
 	latency      time.Duration
 	failures     int
@@ -52,15 +50,10 @@
 	return e.inUse
 }
 
-// SendBy returns when the last request can be sent to the endpoint unless its lease is extended.
-func (e *Endpoint) SendBy() clock.Time {
-	return e.leasedUntil.Add(-e.service.LeaseLeft)
-}
-
 // takes says whether the endpoint can be given a request now.
 func (e *Endpoint) takes(now clock.Time) bool {
 	busy := e.inUse + e.foreign
-	if e.leaving || e.removed || busy >= e.limit || now < e.ejectedUntil || now > e.SendBy() {
+	if e.leaving || e.removed || busy >= e.limit || now < e.ejectedUntil {
 		return false
 	}
 	trying := e.ejections > 0 && e.failures > 0
--- a/pkg/routing/router.go
+++ b/pkg/routing/router.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -14,8 +13,6 @@
 // Service is what routing needs to know of a service.
 type Service struct {
 	QueueLimit int
-	// LeaseLeft is how long the lease of an endpoint has to last when it is given a request.
-	LeaseLeft time.Duration
 }
 
 // Router decides for the endpoints of one shard.
@@ -75,7 +72,7 @@
 		e.limit = min(e.limit, slots)
 		return
 	}
-	e := &Endpoint{ID: id, service: s, slots: slots, limit: slots, leasedUntil: math.MaxInt64}
+	e := &Endpoint{ID: id, service: s, slots: slots, limit: slots}
 	if inherited {
 		e.foreign = slots
 	}
@@ -114,14 +111,6 @@
 	}
 }
 
-// Leased tells until when the lease of an endpoint lasts for certain. An endpoint of whose
-// lease nothing was told counts as one without end.
-func (r *Router) Leased(id string, until clock.Time) {
-	if e, ok := r.endpoints[id]; ok {
-		e.leasedUntil = until
-	}
-}
-
 // Foreign tells how many requests, at most, an endpoint runs for which nobody here waits:
 // those of a former owner, and those whose answer was lost. It returns what can be sent
 // now. The number never goes up by a report, since a report counts our own requests too.
--- a/pkg/shard/call.go
+++ b/pkg/shard/call.go
@@ -255,7 +255,6 @@
 func (e *Engine) send(t *ticket, to *routing.Endpoint) (a Answer, again bool) {
 	e.mu.Lock()
 	state, ok := e.endpoints[to.ID]
-	sendBy := to.SendBy()
 	e.mu.Unlock()
 	if !ok {
 		e.release(to, routing.Unreached, 0)
@@ -267,8 +266,7 @@
 	defer cancel()
 	got := e.deps.Endpoints.Call(ctx, state.address, endpoint.Request{
 		Key: t.key, Shard: e.cfg.Shard, Epoch: e.cfg.Epoch,
-		NotRepeatable: t.call.NotRepeatable, Body: t.call.Body,
-		Authorized: func() bool { return e.authorized() && e.now() <= sendBy },
+		NotRepeatable: t.call.NotRepeatable, Body: t.call.Body, Authorized: e.authorized,
 	})
 	took := e.now().Sub(began)
 	e.release(to, e.outcomeOf(got), took)
--- a/pkg/shard/doc.go
+++ b/pkg/shard/doc.go
@@ -17,8 +17,7 @@
 // decisions reach it; all are bounded.
 //
 // Every send to a worker or an endpoint is preceded, at the last moment, by a look at the
-// authority on the monotonic clock; commands to workers carry its end as well. A call is
-// sent to an endpoint only when its lease, by the worker's answers, lasts long enough.
+// authority on the monotonic clock; commands to workers carry its end as well.
 //
 // # Files
 //
--- a/pkg/shard/engine.go
+++ b/pkg/shard/engine.go
@@ -153,7 +153,7 @@
 func (e *Engine) putServices(old *settings.Tree) {
 	for _, w := range e.tree.Sorted() {
 		if w.Kind == settings.KindService {
-			e.router.PutService(w.Name, routing.Service{QueueLimit: w.Queue, LeaseLeft: e.leaseLeft(w.TimeLimit)})
+			e.router.PutService(w.Name, routing.Service{QueueLimit: w.Queue})
 		}
 	}
 	if old == nil {
--- a/pkg/shard/reports.go
+++ b/pkg/shard/reports.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"time"
 
 	"foldarch.dev/foldarch/pkg/batch"
 	"foldarch.dev/foldarch/pkg/clock"
@@ -11,9 +10,6 @@
 	"github.com/sirupsen/logrus"
 )
 
-// extensionsMissed is after how many reports without an extension a lease counts as lapsing.
-const extensionsMissed = 2
-
 // endpointState is what the engine needs of an endpoint besides routing.
 type endpointState struct {
 	address  netip.AddrPort
@@ -49,7 +45,7 @@
 		e.book.Moved(batch.ID(r.ID), batch.Running, w.host.ID)
 		return
 	}
-	e.putEndpoint(r, w.leased[r.ID])
+	e.putEndpoint(r)
 	if r.State == worker.Draining {
 		e.router.Leaving(r.ID)
 		return
@@ -78,23 +74,18 @@
 	return true
 }
 
-func (e *Engine) putEndpoint(r worker.Report, leasedUntil clock.Time) {
+func (e *Engine) putEndpoint(r worker.Report) {
 	state, known := e.endpoints[r.ID]
-	if !known || state.address != r.Endpoint {
+	if known && state.address == r.Endpoint {
+		return
+	}
+	if known {
 		e.removeEndpoint(r.ID)
-		inherited := e.recovery.inherited && !e.recovery.settled
-		e.endpoints[r.ID] = &endpointState{address: r.Endpoint, workload: r.Workload, doubtSince: e.began}
-		e.router.PutEndpoint(r.Workload, r.ID, r.Slots, inherited)
 	}
-	e.router.Leased(r.ID, leasedUntil)
-}
-
-// leaseLeft is how long the lease of a service's endpoint has to last when it is sent a
-// call: for the time limit, since a call goes on there when its deadline has passed. A
-// time limit may be longer than any lease; then a lease counts that was extended a short
-// while ago, since extensions go on as long as the owner has authority.
-func (e *Engine) leaseLeft(timeLimit time.Duration) time.Duration {
-	return min(timeLimit+margin, e.cfg.TaskLease-extensionsMissed*e.cfg.ReportEvery)
+	inherited := e.recovery.inherited && !e.recovery.settled
+	e.endpoints[r.ID] = &endpointState{address: r.Endpoint, workload: r.Workload, doubtSince: e.began}
+	e.router.PutEndpoint(r.Workload, r.ID, r.Slots, inherited)
+	e.decideAll(e.router.PullAll(e.now()))
 }
 
 func (e *Engine) removeEndpoint(id string) {
--- a/pkg/shard/worker_duty.go
+++ b/pkg/shard/worker_duty.go
@@ -24,9 +24,6 @@
 	pollLeast = 100 * time.Millisecond
 )
 
-// errNoAuthority makes the duty ask again soon: calls wait until leases are extended.
-var errNoAuthority = errors.New("no authority over the shard")
-
 // workerDuty speaks with one worker. Its fields are guarded by the engine's lock.
 type workerDuty struct {
 	engine *Engine
@@ -41,13 +38,8 @@
 	started  clock.Time // when a batch task was last started
 	// lapse is when all leases that were given to the worker have ended for certain.
 	lapse clock.Time
-	// sentAt is when the last commands were built; what they extend lasts for a lease from then on.
-	sentAt clock.Time
 
-	tasks map[string]progress
-	// leased is until when the lease of a task lasts for certain. It has no tasks of a
-	// former owner until this one has extended their leases.
-	leased   map[string]clock.Time
+	tasks    map[string]progress
 	starting map[string]worker.Task
 	draining map[string]bool
 	drained  map[string]bool // the drain was ordered before
@@ -67,8 +59,7 @@
 func newWorkerDuty(e *Engine, h store.Host) *workerDuty {
 	return &workerDuty{
 		engine: e, host: h, wakeUp: make(chan struct{}, 1),
-		tasks: map[string]progress{}, leased: map[string]clock.Time{},
-		starting: map[string]worker.Task{}, draining: map[string]bool{},
+		tasks: map[string]progress{}, starting: map[string]worker.Task{}, draining: map[string]bool{},
 		drained: map[string]bool{}, stopping: map[string]bool{}, forget: map[string]bool{},
 	}
 }
@@ -103,7 +94,6 @@
 func (w *workerDuty) drop(id string) progress {
 	p := w.tasks[id]
 	delete(w.tasks, id)
-	delete(w.leased, id)
 	delete(w.starting, id)
 	delete(w.draining, id)
 	delete(w.drained, id)
@@ -179,7 +169,7 @@
 	address := w.host.Address
 	e.mu.Unlock()
 	if !ok || !e.authorized() {
-		return errNoAuthority
+		return nil
 	}
 	status, err := e.deps.Workers.Command(ctx, address, cmds)
 	if err != nil {
@@ -219,7 +209,6 @@
 		return worker.Commands{}, false
 	}
 	w.sequence++
-	w.sentAt = e.now()
 	w.lapse = max(w.lapse, until.Add(e.cfg.TaskLease+margin))
 	cmds := worker.Commands{
 		Shard: e.cfg.Shard, Epoch: epoch, Sequence: w.sequence, ValidUntil: until,
@@ -231,9 +220,6 @@
 	for _, id := range slices.Sorted(maps.Keys(w.starting)) {
 		cmds.Start = append(cmds.Start, w.starting[id])
 		w.tasks[id] = sent
-		if _, again := w.leased[id]; !again { // a start that is repeated extends nothing
-			w.leased[id] = w.sentAt.Add(e.cfg.TaskLease)
-		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(w.tasks)) {
 		if w.tasks[id] == acknowledged {
@@ -262,7 +248,7 @@
 		e.gone(id)
 	}
 	e.placer.RemoveWorker(w.host.ID)
-	w.tasks, w.starting, w.leased = map[string]progress{}, map[string]worker.Task{}, map[string]clock.Time{}
+	w.tasks, w.starting = map[string]progress{}, map[string]worker.Task{}
 	w.draining, w.drained, w.stopping = map[string]bool{}, map[string]bool{}, map[string]bool{}
 }
 
@@ -289,7 +275,6 @@
 	if w.leaving {
 		e.drainWorker(w)
 	}
-	e.decideAll(e.router.PullAll(e.now()))
 	e.wake()
 }
 
@@ -300,14 +285,6 @@
 		if _, ok := w.tasks[t.ID]; ok {
 			w.tasks[t.ID] = acknowledged
 		}
-		if w.leased[t.ID] < w.sentAt.Add(cmds.Lease) {
-			w.wake() // the start was a repeated one, so that its lease may end soon
-		}
-	}
-	for _, id := range cmds.Renew {
-		if _, ok := w.tasks[id]; ok {
-			w.leased[id] = w.sentAt.Add(cmds.Lease)
-		}
 	}
 	for _, id := range cmds.Drain {
 		delete(w.draining, id)
