--- a/test/e2e/thin_path_test.go
+++ b/test/e2e/thin_path_test.go
@@ -73,7 +73,12 @@
 		expectCode(c.call("north-a", "scoring", "", string(make([]byte, 300<<10))), result.BodyTooLarge)
 		expectCode(c.call("north-a", "scoring", "", string(make([]byte, 3<<20))), result.BodyTooLarge)
 		expectCode(c.call("north-a", "scoring", "", "x", "Foldarch-Deadline", "1000"), result.DeadlinePast)
-		expectCode(c.call("north-a", "scoring", "k", "x", "Foldarch-Issued-At", "9999999999999"), result.IssuedInFuture)
+		fromTheFuture := func() reply {
+			return c.call("north-a", "scoring", "k", "x", "Foldarch-Issued-At", "9999999999999")
+		}
+		// The key's home may be another hall, of whose owner a host hears a little after its own.
+		Eventually(func() int { return fromTheFuture().problem.Code }, generous).ShouldNot(Equal(int(result.NoOwner)))
+		expectCode(fromTheFuture(), result.IssuedInFuture)
 		expectCode(c.call("north-a", "scoring", "", "x", "Foldarch-Caller", ""), result.Malformed)
 		expectCode(c.call("north-a", "scoring", "", "x", "Foldarch-Class", "soon"), result.Malformed)
 		_, r := c.readBatch("north-a", "no-such-id", "tester")
