One name for what stands in the step and the job, one list of the tasks that are done together

Found reading the whole change once more; decisions stay as they are.

- waitingTasks() and account() had become names for fields (idle, account) and stood beside them.
- What holds for a task, or with a gang for all of its members, was spelled out three times: doneTogether lists these tasks.
- StartAnswered told the answers apart that startOver tells apart right before; startOver tells the store now.
- goneOverUntil worked out the same condition twice.

--- a/pkg/dispatch/attempt.go
+++ b/pkg/dispatch/attempt.go
@@ -58,7 +58,7 @@
 	if s.time.job.outcome != "" || s.gang.broken || r.task.done || !w.usable(now) || !w.used.Fits(w.info.Capacity) {
 		return false
 	}
-	if a := p.account(s.time.job); a != nil && a.OverQuota() {
+	if a := s.time.job.account; a != nil && a.OverQuota() {
 		return false // its quota was lowered while the start was being stored
 	}
 	if r.task.suspected() && !w.lives(now) {
--- a/pkg/dispatch/beyond.go
+++ b/pkg/dispatch/beyond.go
@@ -7,7 +7,7 @@
 
 // markBeyond takes in how many jobs a second a job's customer sends.
 func (p *Pool) markBeyond(j *jobState) {
-	if a := p.account(j); a != nil {
+	if a := j.account; a != nil {
 		j.beyond = a.Beyond(j.accepted)
 	}
 }
--- a/pkg/dispatch/ends.go
+++ b/pkg/dispatch/ends.go
@@ -82,12 +82,9 @@
 func (p *Pool) taskDone(t *task) {
 	s := t.step
 	p.dirty[s.time.job] = struct{}{}
-	if s.spec.Gang {
-		for i := range s.tasks {
-			s.tasks[i].setDone()
-		}
-	} else {
-		t.setDone()
+	tasks := t.doneTogether()
+	for i := range tasks {
+		tasks[i].setDone()
 	}
 	p.stepProgressed(s)
 }
@@ -140,10 +137,7 @@
 	if !ok {
 		return
 	}
-	r.startOver(err, now)
-	if err != nil && !isNotSent(err) {
-		p.storeUnanswered(r, now)
-	}
+	p.startOver(r, err, now)
 	if r.state == runActive && a.Verdict != VerdictDone {
 		return
 	}
--- a/pkg/dispatch/explain.go
+++ b/pkg/dispatch/explain.go
@@ -91,7 +91,7 @@
 	case s.waiting() == 0:
 		return ""
 	case p.awaitsQuota(s):
-		a := p.account(s.time.job)
+		a := s.time.job.account
 		return fmt.Sprintf("its customer's quota: %s runs, and %s may", a.Used(), a.Customer().Quota)
 	case s.held(now):
 		return "a start to be proven, since a worker crashed under one of its tasks"
--- a/pkg/dispatch/late_starts.go
+++ b/pkg/dispatch/late_starts.go
@@ -63,12 +63,13 @@
 }
 
 // startOver takes in how the call of a run's start ended: a repeated start can't come any more unless it got no answer.
-func (r *run) startOver(err error, now clock.Time) {
+func (p *Pool) startOver(r *run, err error, now clock.Time) {
 	if err == nil || isNotSent(err) {
 		r.repeated = false
-	} else {
-		r.unansweredAt = now
+		return
 	}
+	r.unansweredAt = now
+	p.storeUnanswered(r, now)
 }
 
 // settleRepeated forgets that a start is a repeated one when it can't be carried out any more.
@@ -149,16 +150,22 @@
 
 // mayNoteFrom is from when on ends of a task may be noted; 0 for any time.
 func (t *task) mayNoteFrom() clock.Time {
-	if !t.step.spec.Gang {
-		return t.lateUntil()
-	}
 	var from clock.Time
-	for i := range t.step.tasks {
-		from = max(from, t.step.tasks[i].lateUntil())
+	tasks := t.doneTogether()
+	for i := range tasks {
+		from = max(from, tasks[i].lateUntil())
 	}
 	return from
 }
 
+// doneTogether lists the tasks that are done with a task: all of its gang, else itself.
+func (t *task) doneTogether() []task {
+	if t.step.spec.Gang {
+		return t.step.tasks
+	}
+	return t.step.tasks[t.index : t.index+1]
+}
+
 // lateUntil is until when late starts of a task may be carried out; 0 without any.
 func (t *task) lateUntil() clock.Time {
 	var until clock.Time
@@ -196,12 +203,10 @@
 	if t == nil {
 		return 0
 	}
-	if !t.step.spec.Gang {
-		return t.unsettledUntil(f.Run, now)
-	}
 	var until clock.Time
-	for i := range t.step.tasks {
-		until = max(until, t.step.tasks[i].unsettledUntil(f.Run, now))
+	tasks := t.doneTogether()
+	for i := range tasks {
+		until = max(until, tasks[i].unsettledUntil(f.Run, now))
 	}
 	return until
 }
--- a/pkg/dispatch/lives.go
+++ b/pkg/dispatch/lives.go
@@ -197,11 +197,12 @@
 // goneOverUntil is until when the next life of a worker may run what was meant for the one before: it may take the order late, and the
 // deadline in it is by another clock. It is 0 for a run that can't have gone over, and for one that was answered and whose worker is not thought to have ended.
 func (p *Pool) goneOverUntil(w *worker, r *run) clock.Time {
-	if !r.mayGoOver() || !w.doubted() && !r.mayBeKept() {
+	kept := r.mayBeKept()
+	if !r.mayGoOver() || !w.doubted() && !kept {
 		return 0
 	}
 	sentBy := r.orderedAt
-	if r.mayBeKept() {
+	if kept {
 		sentBy = max(sentBy, r.unansweredAt) // it may have waited to be sent
 	}
 	return sentBy.Add(latestOrder + lapseTime(p.cfg.LongestLease))
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -284,7 +284,7 @@
 // waiting counts the tasks that may be started; of a gang all, those that are missing, or
 // none.
 func (s *step) waiting() int {
-	n := s.waitingTasks()
+	n := s.idle
 	if s.spec.Gang && n < len(s.tasks) && !s.missing() {
 		return 0
 	}
--- a/pkg/dispatch/quota.go
+++ b/pkg/dispatch/quota.go
@@ -15,11 +15,6 @@
 //
 // What former owners may have running on workers that a new one has not heard of counts, too (unheard.go).
 
-// account returns that of a job's customer; nil for nobody's job.
-func (p *Pool) account(j *jobState) *account.Account {
-	return j.account
-}
-
 // openAccount returns the account of a job's customer, which it makes unless there is one; nil for nobody's job.
 func (p *Pool) openAccount(c customer.Customer) *account.Account {
 	if c.Name == "" {
@@ -50,21 +45,21 @@
 // bookUse and giveBackUse keep what a customer has running.
 func (p *Pool) bookUse(s *step) {
 	s.counted++
-	if a := p.account(s.time.job); a != nil {
+	if a := s.time.job.account; a != nil {
 		a.Book(s.accountNeed())
 	}
 }
 
 func (p *Pool) giveBackUse(s *step) {
 	s.counted--
-	if a := p.account(s.time.job); a != nil {
+	if a := s.time.job.account; a != nil {
 		a.GiveBack(s.accountNeed())
 	}
 }
 
 // allowed is how many more tasks of a step its customer may have running, at most most.
 func (p *Pool) allowed(s *step, most int) int {
-	a := p.account(s.time.job)
+	a := s.time.job.account
 	if a == nil {
 		return most
 	}
@@ -93,7 +88,7 @@
 // enough at once while each end makes room for a smaller step.
 func (p *Pool) holdQuota(s *step, now clock.Time) {
 	if s.spec.Gang && s.standing(now) <= worth.InTime {
-		p.account(s.time.job).Promise(s.spec.AtOnce())
+		s.time.job.account.Promise(s.spec.AtOnce())
 	}
 }
 
--- a/pkg/dispatch/refusals.go
+++ b/pkg/dispatch/refusals.go
@@ -30,7 +30,7 @@
 			continue
 		}
 		for s := range j.steps() {
-			if n := s.waitingTasks(); n > 0 && !p.awaitsQuota(s) {
+			if n := s.idle; n > 0 && !p.awaitsQuota(s) {
 				owed[j.queue.Priority] += p.adviceNeed(&j.queue, n)
 			}
 		}
--- a/pkg/dispatch/unheard.go
+++ b/pkg/dispatch/unheard.go
@@ -112,7 +112,7 @@
 		a.BeginUnheard()
 	}
 	for _, j := range p.jobs {
-		if a := p.account(j); a != nil && !p.unknownToFormer(j) {
+		if a := j.account; a != nil && !p.unknownToFormer(j) {
 			a.AddUnheard(j.mayRunUnheard())
 		}
 	}
@@ -188,15 +188,10 @@
 		if !begun[i] || s.finished() {
 			continue
 		}
-		most[i] = s.accountNeed().Times(int64(s.waitingTasks())).Max(later[i])
+		most[i] = s.accountNeed().Times(int64(s.idle)).Max(later[i])
 		for _, a := range s.spec.After {
 			later[a] = later[a].Add(most[i])
 		}
 	}
 	return most
 }
-
-// waitingTasks counts the tasks of which no run is known.
-func (s *step) waitingTasks() int {
-	return s.idle
-}
