A step that waits tells what its gang lacks at once, and what counts against its customer's quota

step_waits said "advice from HOST" or what of a quota runs, so that the log could not tell apart why a gang stands still: room, tickets, its customer's quota, or what a former owner may have left. It now names what all members need at once, how many have room and tickets at that moment, what counts against the quota beside runs (unheard runs, room kept for others, runs of ended jobs, records that are being read), and what is left of the job's objective. No decision changes.

--- a/pkg/account/account.go
+++ b/pkg/account/account.go
@@ -91,6 +91,16 @@
 	a.promised = cell.Resources{}
 }
 
+// Promised is what the steps that came first in the last plan wait for.
+func (a *Account) Promised() cell.Resources {
+	return a.promised
+}
+
+// Foreign counts the runs of the customer of which nothing else is known.
+func (a *Account) Foreign() int {
+	return a.foreign
+}
+
 // CountForeign takes in that a worker lists a run of the customer of which nothing else is known.
 func (a *Account) CountForeign() {
 	a.foreign++
--- a/pkg/account/unheard.go
+++ b/pkg/account/unheard.go
@@ -5,6 +5,11 @@
 // What a customer may have running on workers that a new owner has not heard of. Its caller works the sum out anew now and then: ClearUnheard,
 // and while some workers are unheard BeginUnheard, AddUnheard for each job that goes on, CapUnheard, RaiseUnheard.
 
+// Unheard is what the customer may have running unheard.
+func (a *Account) Unheard() cell.Resources {
+	return a.unheard
+}
+
 // CountEnded takes in what may still run of a job that had ended.
 func (a *Account) CountEnded(need cell.Resources) {
 	a.ended = a.ended.Add(need)
--- a/pkg/dispatch/explain.go
+++ b/pkg/dispatch/explain.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 
+	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/job"
 )
@@ -66,10 +67,7 @@
 }
 
 func (p *Pool) explainStep(s *step, now clock.Time) StepView {
-	v := StepView{Step: s.id().String(), Done: s.done, Count: len(s.tasks), Waits: p.waitsFor(s, now)}
-	if !s.spec.LongRunning {
-		v.LeftMs = s.time.objective.Sub(now).Milliseconds()
-	}
+	v := StepView{Step: s.id().String(), Done: s.done, Count: len(s.tasks), Waits: p.waitsFor(s, now), LeftMs: s.left(now).Milliseconds()}
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		v.Failures += len(t.failures)
@@ -91,12 +89,13 @@
 	case s.waiting() == 0:
 		return ""
 	case p.awaitsQuota(s):
-		a := s.time.job.account
-		return fmt.Sprintf("its customer's quota: %s runs, and %s may", a.Used(), a.Customer().Quota)
+		return p.waitsForQuota(s)
 	case s.held(now):
 		return "a start to be proven, since a worker crashed under one of its tasks"
 	case len(s.advice.pending) > 0:
-		return "advice from " + s.advice.pending[0].ask.Adviser
+		return "advice from " + s.advice.pending[0].ask.Adviser + p.gangRoom(s, now)
+	case s.spec.Gang && len(s.advice.good) > 0:
+		return "tickets and room" + p.gangRoom(s, now)
 	case len(p.candidates(s, newReservations(), now)) > 0:
 		return "its turn"
 	case s.time.job.queue.Advice != nil && len(s.advice.good) == 0:
@@ -114,3 +113,46 @@
 	}
 	return waits
 }
+
+// waitsForQuota tells what the quota of a step's customer lacks, and what else than runs counts against it.
+func (p *Pool) waitsForQuota(s *step) string {
+	a := s.time.job.account
+	waits := fmt.Sprintf("its customer's quota: %s runs, and %s may", a.Used(), a.Customer().Quota)
+	if s.spec.Gang {
+		waits += fmt.Sprintf("; %d members need %s at once", len(s.tasks), s.spec.AtOnce())
+	}
+	if n := a.Unheard(); n != (cell.Resources{}) {
+		waits += fmt.Sprintf("; %s may run on workers that have not told", n)
+	}
+	if n := a.Promised(); n != (cell.Resources{}) {
+		waits += fmt.Sprintf("; %s is kept for steps that go first", n)
+	}
+	if n := a.Foreign(); n > 0 {
+		waits += fmt.Sprintf("; %d runs of its ended jobs are being stopped", n)
+	}
+	if p.ListsUnknown() {
+		waits += "; records of jobs that workers list are being read"
+	}
+	return waits
+}
+
+// gangRoom tells how many members of a gang have room and tickets at this moment; empty for other steps, and while nothing is known.
+func (p *Pool) gangRoom(s *step, now clock.Time) string {
+	if !s.spec.Gang || len(s.advice.good) == 0 {
+		return ""
+	}
+	allowed, withTickets := 0, 0
+	for id := range s.advice.good {
+		w, ok := p.workers[id]
+		if !ok || !p.eligible(s, w, now) {
+			continue
+		}
+		room := fits(s, w)
+		allowed += room
+		if now.Add(ticketMargin) < s.advice.tickets[id].until {
+			withTickets += room
+		}
+	}
+	return fmt.Sprintf("; %d members at once, room for %d on %d workers known to be allowed, for %d of them with tickets",
+		len(s.tasks), allowed, len(s.advice.good), withTickets)
+}
--- a/pkg/dispatch/explain_test.go
+++ b/pkg/dispatch/explain_test.go
@@ -53,3 +53,26 @@
 	f.Expect(waits[0].Waits).To(Equal("a call for advice (0 of 0 hosts are free)"))
 	f.Expect(f.pool.LongWaits(3*time.Second, 0, f.now)).To(BeEmpty())
 }
+
+// A gang that waits tells what it lacks at once, so that a log shows whether its customer's quota, tickets or room hold it up.
+func TestExplanationTellsWhatAGangLacks(t *testing.T) {
+	t.Run("quota", func(t *testing.T) {
+		f := quotaFixture(t)
+		f.add(of(north(0), testJob("runs", testStep(2))))
+		for _, s := range f.plan().Starts {
+			f.accept(s)
+		}
+		f.add(of(north(0), testJob("gang", gangOf(2))))
+		f.plan()
+		f.pass(3 * time.Second)
+		waits := f.pool.LongWaits(3*time.Second, 5, f.now)
+		f.Expect(waits).To(HaveLen(1))
+		f.Expect(waits[0].Waits).To(And(ContainSubstring("cpu=2000m"), ContainSubstring("2 members need cpu=2000m"), ContainSubstring("is kept for steps")))
+		f.Expect(waits[0].Left).To(BeNumerically("<", testQueue.TargetLatency), "its objective has begun to pass")
+	})
+	t.Run("tickets", func(t *testing.T) {
+		f := waitingGang(t)
+		e, _ := f.pool.Explain("a", f.now)
+		f.Expect(e.Steps[0].Waits).To(Equal("tickets and room; 4 members at once, room for 4 on 4 workers known to be allowed, for 0 of them with tickets"))
+	})
+}
--- a/pkg/dispatch/long_waits.go
+++ b/pkg/dispatch/long_waits.go
@@ -13,7 +13,9 @@
 type LongWait struct {
 	Step     job.StepID
 	Customer string
-	Waited   time.Duration
+	Waited   time.Duration // since this owner knows that its turn has come
+	// Left is what is left of its job's objective, below 0 once that has passed; 0 for tasks that last, which have none.
+	Left time.Duration
 	// Waits is for what (StepView.Waits).
 	Waits string
 }
@@ -37,7 +39,15 @@
 		if p.blocked(s.time.job) {
 			waits = blockedText
 		}
-		out = append(out, LongWait{s.id(), s.time.job.customer.Name, now.Sub(s.readySince), waits})
+		out = append(out, LongWait{s.id(), s.time.job.customer.Name, now.Sub(s.readySince), s.left(now), waits})
 	}
 	return out
 }
+
+// left is what is left of the objective of a step's job; 0 for tasks that last.
+func (s *step) left(now clock.Time) time.Duration {
+	if s.spec.LongRunning {
+		return 0
+	}
+	return s.time.objective.Sub(now)
+}
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -361,7 +361,7 @@
 	o.mu.Unlock()
 	for _, w := range waits {
 		o.deps.Log.WithFields(logrus.Fields{
-			"step": w.Step, "customer": w.Customer, "waited_ms": w.Waited.Milliseconds(), "waits": w.Waits,
+			"step": w.Step, "customer": w.Customer, "waited_ms": w.Waited.Milliseconds(), "left_ms": w.Left.Milliseconds(), "waits": w.Waits,
 		}).Info("step_waits")
 	}
 }
