--- a/pkg/dispatch/busy_pool_test.go
+++ b/pkg/dispatch/busy_pool_test.go
@@ -4,7 +4,6 @@
 	"container/heap"
 	"fmt"
 	"hash/fnv"
-	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -204,9 +203,9 @@
 
 // allowed is below the share of allowed workers if a step may run on a worker.
 func allowed(s job.StepID, w WorkerID) float64 {
-	h := fnv.New32a()
+	h := fnv.New64a()
 	_, _ = fmt.Fprint(h, s, w)
-	return float64(h.Sum32()) / math.MaxUint32
+	return rand.New(rand.NewPCG(h.Sum64(), 0)).Float64() // the hash alone is alike for like names
 }
 
 // play goes on for a time, with a plan every busyPlan.
