A test with real processes of a gang that stands still behind smaller jobs after a new owner

Three hosts, nine workers, a customer with a quota: a gang that needs 95% of it waits, the owner is killed, and smaller jobs of the customer go on.

--- /dev/null
+++ b/test/platform/gang_quota_test.go
@@ -0,0 +1,38 @@
+package platform_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/platform/emulator"
+	. "github.com/onsi/gomega"
+)
+
+// A gang that waits for its customer's quota is late by the time that a new owner has taken over. It needs most of the quota, of which smaller jobs that are in time
+// use a part.
+func TestGangStandsStillBehindSmallerJobsAfterANewOwner(t *testing.T) {
+	const quota = 10_000
+	c := newCell(t, 3, emulator.Options{Workers: 9, Advice: true, Customers: []emulator.Customer{
+		{Name: "north", Keys: []string{northKey}, Weight: 100, CPU: quota, MemoryMB: 1 << 20},
+	}})
+	north := c.callers.WithKeys(func() string { return northKey })
+	_, accepted := north.Submit(t.Context(), "ms=3000", []emulator.Step{{Count: 6, CPU: 1000, MemoryMB: 100, Estimate: 3000}})
+	c.Expect(accepted).To(BeTrue())
+	time.Sleep(300 * time.Millisecond)
+	gang, accepted := north.Submit(t.Context(), "ms=300 gang=19", []emulator.Step{{Count: 19, CPU: 500, MemoryMB: 100, Estimate: 300, Gang: true}})
+	c.Expect(accepted).To(BeTrue())
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	small := jobKind{"ms=400", []emulator.Step{{Count: 2, CPU: 500, MemoryMB: 100, Estimate: 400}}}
+	load := c.load(ctx, 12, small)
+	time.Sleep(time.Second)
+	c.kill(c.owner())
+	c.Eventually(func() string { return north.State(ctx, gang) }, "15s", "50ms").Should(Equal("completed"))
+	cancel()
+	load.Wait()
+	ctx, cancel = context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	c.Expect(north.Await(ctx)).To(BeEmpty())
+	c.Expect(c.p.Ledger.Faults()).To(BeEmpty())
+}
