A gang's first turn ends, asks by half of the hosts, and stops runs only for what it could use

What callers could have seen with: a gang for which no workers have room, by its label or width, keeps its customer's quota for good; with few hosts its calls for advice, made again each time that tickets lapse, take all of them; runs are stopped for it that bring it no start.

--- a/pkg/dispatch/first_turns.go
+++ b/pkg/dispatch/first_turns.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"foldarch.dev/foldarch/pkg/account"
+	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/clock"
 )
 
@@ -16,63 +17,69 @@
 
 // firstTurns are the gangs that go first.
 type firstTurns struct {
-	gangs    []*step // by how long they have waited
+	turns    []firstTurn // by when the gangs' jobs were accepted
 	chosenAt clock.Time
 }
 
+// firstTurn is the time in which a gang goes first.
+type firstTurn struct {
+	gang  *step
+	since clock.Time
+}
+
 const (
 	// chooseFirstEvery is the least time between two choices of the gangs that go first: one goes over all steps that wait.
 	chooseFirstEvery = 100 * time.Millisecond
 	// starvesForLong is how long a gang may starve while smaller steps of its customer use the quota.
 	starvesForLong = 6 * time.Second
+	// A gang goes first for firstTurnLasts at most, and then not for as long: one for which no workers have room must not keep its customer's quota unused.
+	firstTurnLasts = 10 * time.Second
 )
 
 // placeFirst has those gangs have their turns that go first.
 func (p *Pool) placeFirst(reserved *reservations, now clock.Time, out *Actions) {
-	if p.ready.gangs == 0 && len(p.first.gangs) == 0 || p.without(StarvingGangsFirst) {
+	if p.ready.gangs == 0 && len(p.first.turns) == 0 || p.without(StarvingGangsFirst) {
 		return
 	}
 	if now.Sub(p.first.chosenAt) >= chooseFirstEvery {
 		p.chooseFirst(now)
 	}
-	p.first.gangs = slices.DeleteFunc(p.first.gangs, func(s *step) bool {
-		s.goesFirst = s.waits()
-		return !s.goesFirst
+	p.first.turns = slices.DeleteFunc(p.first.turns, func(t firstTurn) bool {
+		t.gang.goesFirst = t.gang.waits()
+		return !t.gang.goesFirst
 	})
-	for _, s := range p.first.gangs {
-		if !p.blocked(s.time.job) {
-			p.placeFirstGang(s, reserved, now, out)
+	for _, t := range p.first.turns {
+		if !p.blocked(t.gang.time.job) {
+			p.placeFirstGang(t.gang, reserved, now, out)
 		}
 	}
 }
 
 // placeFirstGang starts a gang that goes first, or keeps what it lacks of its customer's quota.
 func (p *Pool) placeFirstGang(s *step, reserved *reservations, now clock.Time, out *Actions) {
-	if !p.awaitsQuota(s) {
-		p.placeGang(s, reserved, now, out)
-	}
 	if s.held(now) {
 		return
 	}
-	if !p.awaitsQuota(s) {
+	longAtOnce := p.longAtOnce() + longForStarving
+	if p.awaitsQuota(s) {
+		longAtOnce = p.advice.advisers.Joined() / 2 // these calls bring no start at once, so others go beside them
+		p.stopForQuota(s, reserved, now)
+	} else {
+		p.placeGang(s, reserved, now, out)
 		p.preempt(s, now)
 	}
 	if s.waiting() == 0 {
 		p.ready.remove(s)
 		return
 	}
-	p.stopForQuota(s, now)
-	p.ask(s, p.longAtOnce()+longForStarving, reserved, now, out)
+	p.ask(s, longAtOnce, reserved, now, out)
 	p.reserve(s, reserved, now)
 	s.time.job.account.Promise(s.spec.AtOnce())
 }
 
 // chooseFirst chooses the gangs that go first: of each customer the one whose job was accepted first, of those that starve.
 func (p *Pool) chooseFirst(now clock.Time) {
-	for _, s := range p.first.gangs {
-		s.goesFirst = false
-	}
-	p.first = firstTurns{gangs: p.first.gangs[:0], chosenAt: now}
+	since := p.endFirstTurns(now)
 	oldest := map[*account.Account]*step{}
 	for s := range p.ready.all() {
 		a := s.time.job.account
@@ -83,21 +90,41 @@
 			oldest[a] = s
 		}
 	}
+	p.first.chosenAt = now
 	for _, s := range oldest {
 		s.goesFirst = true
-		p.first.gangs = append(p.first.gangs, s)
+		p.first.turns = append(p.first.turns, firstTurn{s, cmp.Or(since[s], now)})
 	}
-	slices.SortFunc(p.first.gangs, compareAccepted)
+	slices.SortFunc(p.first.turns, func(a, b firstTurn) int { return compareAccepted(a.gang, b.gang) })
 }
 
-// mayGoFirst says that a step is a gang that starves in a pool that is not well used, and that its customer's quota is not well used either, or it has starved
-// for long.
+// endFirstTurns ends all turns, and returns since when the gangs have gone first that may do so again at once.
+func (p *Pool) endFirstTurns(now clock.Time) map[*step]clock.Time {
+	since := make(map[*step]clock.Time, len(p.first.turns))
+	for _, t := range p.first.turns {
+		t.gang.goesFirst = false
+		if now.Sub(t.since) >= firstTurnLasts {
+			t.gang.firstNotBefore = now.Add(firstTurnLasts)
+		} else {
+			since[t.gang] = t.since
+		}
+	}
+	p.first.turns = p.first.turns[:0]
+	return since
+}
+
+// mayGoFirst says that a step is a gang that starves in a pool that is not well used, and that its customer has a quota that is not well used either, or it has
+// starved for long.
 func (p *Pool) mayGoFirst(s *step, now clock.Time) bool {
-	if !s.spec.Gang || s.missing() || p.load(s.time.job.queue.Pool).isWellUsed() {
+	if !s.spec.Gang || s.missing() || now < s.firstNotBefore || p.load(s.time.job.queue.Pool).isWellUsed() {
 		return false
 	}
 	a, waited := s.time.job.account, now.Sub(s.readySince)
-	quotaIsWellUsed := a.Used().DominantShare(a.Customer().Quota) > wellUsed
+	quota := a.Customer().Quota
+	if quota == (cell.Resources{}) {
+		return false
+	}
+	quotaIsWellUsed := a.Used().DominantShare(quota) > wellUsed
 	return waited > starvesForLong || waited > starvingAfter && !quotaIsWellUsed
 }
 
--- a/pkg/dispatch/jobs.go
+++ b/pkg/dispatch/jobs.go
@@ -101,8 +101,9 @@
 	holds            stepHolds
 	// gangSoonest are the workers of which a gang holds the first ones, with those that other steps hold.
 	gangSoonest stepHolds
-	// goesFirst says that it is a gang that has its turn before all other steps.
-	goesFirst bool
+	// goesFirst says that it is a gang that has its turn before all other steps, which it does not have before firstNotBefore.
+	goesFirst      bool
+	firstNotBefore clock.Time
 	// quotaIdleSince is since when it has gone first while its customer's quota was little used; 0 when it does not.
 	quotaIdleSince clock.Time
 }
--- a/pkg/dispatch/quota_stops.go
+++ b/pkg/dispatch/quota_stops.go
@@ -20,17 +20,17 @@
 	littleUsedFor = time.Second
 )
 
-// stopForQuota stops runs of a gang's customer when its quota has been little used for too long while the gang waits for room in it.
-func (p *Pool) stopForQuota(s *step, now clock.Time) {
+// stopForQuota stops runs of a gang's customer when its quota has been little used for too long while the gang lacks nothing but room in it.
+func (p *Pool) stopForQuota(s *step, reserved *reservations, now clock.Time) {
 	a := s.time.job.account
-	if !p.awaitsQuota(s) || a.Used().DominantShare(a.Customer().Quota) >= quotaLittleUsed {
+	if a.Used().DominantShare(a.Customer().Quota) >= quotaLittleUsed {
 		s.quotaIdleSince = 0
 		return
 	}
 	if s.quotaIdleSince == 0 {
 		s.quotaIdleSince = now
 	}
-	if now.Sub(s.quotaIdleSince) < littleUsedFor || p.without(Preemption) {
+	if now.Sub(s.quotaIdleSince) < littleUsedFor || p.without(Preemption) || p.gangWorkers(s, p.gangCandidates(s, reserved, now)) == nil {
 		return
 	}
 	for _, r := range p.stopsForQuota(a, s.spec.AtOnce(), now) {
