The time for which a quota is little used begins anew with each turn of a gang

What callers could have seen: runs stopped at once for a gang that had waited in a little used quota some time before. Cause: the time was kept when the gang stopped going first or the quota had room. Found by reading; TestTimeOfALittleUsedQuotaBeginsAnewWithEachTurn failed before.

--- a/pkg/dispatch/explain.go
+++ b/pkg/dispatch/explain.go
@@ -67,7 +67,9 @@
 }
 
 func (p *Pool) explainStep(s *step, now clock.Time) StepView {
-	v := StepView{Step: s.id().String(), Done: s.done, Count: len(s.tasks), Waits: p.waitsFor(s, now), LeftMs: s.left(now).Milliseconds()}
+	v := StepView{
+		Step: s.id().String(), Done: s.done, Count: len(s.tasks), LeftMs: s.left(now).Milliseconds(), Waits: p.waitsFor(s, now),
+	}
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		v.Failures += len(t.failures)
@@ -136,7 +138,8 @@
 	return waits
 }
 
-// gangRoom tells how many members of a gang have room and tickets at this moment; empty for other steps, and while nothing is known.
+// gangRoom tells how many members of a gang have room and tickets at this moment; empty for other steps, and while
+// nothing is known.
 func (p *Pool) gangRoom(s *step, now clock.Time) string {
 	if !s.spec.Gang || len(s.advice.good) == 0 {
 		return ""
--- a/pkg/dispatch/first_turns.go
+++ b/pkg/dispatch/first_turns.go
@@ -10,10 +10,11 @@
 	"foldarch.dev/foldarch/pkg/clock"
 )
 
-// A gang takes its customer's quota as a whole, and other steps take it task by task, so that a gang which holds nothing waits as long as smaller steps come, with
-// however little in use. That is why the gang that has waited longest of each customer has its turn before all other steps of a plan: what it lacks of
-// the quota is kept for it until it starts, whatever its end is still worth, and calls for advice are made for it meanwhile, so that it starts as soon as
-// there is enough. In a pool that is well used gangs take their turns like others: there room is scarce, and what waits costs more than it gains.
+// A gang takes its customer's quota as a whole, and other steps take it task by task, so that a gang which holds
+// nothing waits as long as smaller steps come, with however little in use. That is why the gang that has waited longest
+// of each customer has its turn before all other steps of a plan: what it lacks of the quota is kept for it until it
+// starts, whatever its end is still worth, and calls for advice are made for it meanwhile, so that it starts as soon as
+// there is enough. In a pool that is well used gangs take their turns like others: room is scarce there.
 
 // firstTurns are the gangs that go first.
 type firstTurns struct {
@@ -28,11 +29,13 @@
 }
 
 const (
-	// chooseFirstEvery is the least time between two choices of the gangs that go first: one goes over all steps that wait.
+	// chooseFirstEvery is the least time between two choices of the gangs that go first: one goes over all steps that
+	// wait.
 	chooseFirstEvery = 100 * time.Millisecond
 	// starvesForLong is how long a gang may starve while smaller steps of its customer use the quota.
 	starvesForLong = 6 * time.Second
-	// A gang goes first for firstTurnLasts at most, and then not for as long: one for which no workers have room must not keep its customer's quota unused.
+	// A gang goes first for firstTurnLasts at most, and then not for as long: one for which no workers have room must not
+	// keep its customer's quota unused.
 	firstTurnLasts = 10 * time.Second
 )
 
@@ -65,6 +68,7 @@
 		longAtOnce = p.advice.advisers.Joined() / 2 // these calls bring no start at once, so others go beside them
 		p.stopForQuota(s, reserved, now)
 	} else {
+		s.quotaIdleSince = 0
 		p.placeGang(s, reserved, now, out)
 		p.preempt(s, now)
 	}
@@ -77,7 +81,8 @@
 	s.time.job.account.Promise(s.spec.AtOnce())
 }
 
-// chooseFirst chooses the gangs that go first: of each customer the one whose job was accepted first, of those that starve.
+// chooseFirst chooses the gangs that go first: of each customer the one whose job was accepted first, of those that
+// starve.
 func (p *Pool) chooseFirst(now clock.Time) {
 	since := p.endFirstTurns(now)
 	oldest := map[*account.Account]*step{}
@@ -93,7 +98,10 @@
 	p.first.chosenAt = now
 	for _, s := range oldest {
 		s.goesFirst = true
-		p.first.turns = append(p.first.turns, firstTurn{s, cmp.Or(since[s], now)})
+		if since[s] == 0 {
+			since[s], s.quotaIdleSince = now, 0
+		}
+		p.first.turns = append(p.first.turns, firstTurn{s, since[s]})
 	}
 	slices.SortFunc(p.first.turns, func(a, b firstTurn) int { return compareAccepted(a.gang, b.gang) })
 }
@@ -113,8 +121,8 @@
 	return since
 }
 
-// mayGoFirst says that a step is a gang that starves in a pool that is not well used, and that its customer has a quota that is not well used either, or it has
-// starved for long.
+// mayGoFirst says that a step is a gang that starves in a pool that is not well used, and that its customer has a quota
+// that is not well used either, or it has starved for long.
 func (p *Pool) mayGoFirst(s *step, now clock.Time) bool {
 	if !s.spec.Gang || s.missing() || now < s.firstNotBefore || p.load(s.time.job.queue.Pool).isWellUsed() {
 		return false
--- a/pkg/dispatch/first_turns_test.go
+++ b/pkg/dispatch/first_turns_test.go
@@ -8,7 +8,8 @@
 	. "github.com/onsi/gomega"
 )
 
-// starvingGang has a gang wait for its customer's quota in a pool of 8 cores. Another job of the customer takes some of the quota for a minute.
+// starvingGang has a gang wait for its customer's quota in a pool of 8 cores. Another job of the customer takes some of
+// the quota for a minute.
 func starvingGang(t *testing.T, quotaCores, othersRun, members int) *fixture {
 	f := newFixture(t, 2, nil)
 	f.configure(2, north(int64(quotaCores)*1000))
@@ -84,7 +85,7 @@
 	f.Expect(f.wait(starvesForLong).Asks).To(HaveLen(1), "it has starved for long")
 }
 
-// A run of a customer whose quota is little used is stopped for a gang that waits for the rest of it, unless it ends soon.
+// A run of a customer whose quota is little used is stopped for a gang that lacks nothing else.
 func TestRunsOfALittleUsedQuotaAreStoppedForAGang(t *testing.T) {
 	f := starvingGang(t, 5, 2, 4)
 	f.answer(f.wait(starvingAfter + 100*time.Millisecond))
@@ -106,3 +107,12 @@
 	f.Expect(f.plan().Starts).To(BeEmpty())
 	f.Expect(f.wait(firstTurnLasts).Starts).To(HaveLen(2))
 }
+
+// A quota that was little used in an earlier turn is no reason to stop runs at the beginning of the next one.
+func TestTimeOfALittleUsedQuotaBeginsAnewWithEachTurn(t *testing.T) {
+	f := starvingGang(t, 5, 2, 4)
+	f.answer(f.wait(starvingAfter + 100*time.Millisecond))
+	f.pool.jobs["gang"].times[0].steps[0].firstNotBefore = f.now.Add(littleUsedFor)
+	f.wait(littleUsedFor / 2)
+	f.Expect(f.wait(littleUsedFor).Stops).To(BeEmpty())
+}
--- a/pkg/dispatch/jobs.go
+++ b/pkg/dispatch/jobs.go
@@ -101,10 +101,11 @@
 	holds            stepHolds
 	// gangSoonest are the workers of which a gang holds the first ones, with those that other steps hold.
 	gangSoonest stepHolds
-	// goesFirst says that it is a gang that has its turn before all other steps, which it does not have before firstNotBefore.
+	// goesFirst says that it is a gang that has its turn before all other steps; it has none before firstNotBefore.
 	goesFirst      bool
 	firstNotBefore clock.Time
-	// quotaIdleSince is since when it has gone first while its customer's quota was little used; 0 when it does not.
+	// quotaIdleSince is since when its customer's quota has been little used while it goes first and waits for it; 0 for
+	// never.
 	quotaIdleSince clock.Time
 }
 
--- a/pkg/dispatch/stands_still_test.go
+++ b/pkg/dispatch/stands_still_test.go
@@ -38,7 +38,8 @@
 // lostAfter is for how long a job may have nothing running while there is room, by the rules of the platform.
 const lostAfter = 3 * time.Second
 
-// calmPool is a pool with much room whose only customer has a quota that it seldom uses up. It watches how long jobs stand still.
+// calmPool is a pool with much room whose only customer has a quota that it seldom uses up. It watches how long jobs
+// stand still.
 type calmPool struct {
 	*busyPool
 	since map[job.ID]clock.Time    // when a job began to stand still
@@ -94,7 +95,8 @@
 	}, job.Progress{}, false, age, p.now)
 }
 
-// couldRun says that a job's customer and the pool have less than half in use, and that the workers allowed have twice the room for what is to start at once.
+// couldRun says that a job's customer and the pool have less than half in use, and that the workers allowed have twice
+// the room for what is to start at once.
 func (p *calmPool) couldRun(j *jobState) bool {
 	load, used, quota := p.pool.load("pool"), j.account.Used(), j.account.Customer().Quota
 	if load.used.DominantShare(load.capacity) >= 0.5 || used.DominantShare(quota) >= 0.5 {
@@ -114,8 +116,8 @@
 	return room >= 2*atOnce
 }
 
-// A wide gang needs most of its customer's quota at once. While it waited, its customer's other jobs waited for it or took its room, with more than half of the
-// quota and of the pool free.
+// A wide gang needs most of its customer's quota at once. While it waited, its customer's other jobs waited for it or
+// took its room, with more than half of the quota and of the pool free.
 func TestGangsStandStillBehindTheirCustomersQuota(t *testing.T) {
 	for _, age := range []time.Duration{0, time.Minute} { // in time, and past what it is worth
 		for _, members := range []int{18, 24} {
--- a/pkg/dispatch/starving.go
+++ b/pkg/dispatch/starving.go
@@ -29,7 +29,10 @@
 	var starving starvingSteps
 	for i, e := range ordered {
 		s := e.step
-		if now.Sub(s.unadvisedSince()) > starvingAfter && p.mayAsk(s, now) && !s.goesFirst && p.starves(s, now) && !p.blocked(s.time.job) && !p.awaitsQuota(s) {
+		if s.goesFirst {
+			continue // its calls were made in its turn
+		}
+		if now.Sub(s.unadvisedSince()) > starvingAfter && p.mayAsk(s, now) && p.starves(s, now) && !p.blocked(s.time.job) && !p.awaitsQuota(s) {
 			starving = append(starving, starvingStep{s, s.responseRatio(now), i})
 		}
 	}
--- a/test/platform/gang_quota_test.go
+++ b/test/platform/gang_quota_test.go
@@ -9,8 +9,8 @@
 	. "github.com/onsi/gomega"
 )
 
-// A gang that waits for its customer's quota is late by the time that a new owner has taken over. It needs most of the quota, of which smaller jobs that are in time
-// use a part.
+// A gang that waits for its customer's quota is late by the time that a new owner has taken over. It needs most of the
+// quota, of which smaller jobs that are in time use a part.
 func TestGangStandsStillBehindSmallerJobsAfterANewOwner(t *testing.T) {
 	const quota = 10_000
 	c := newCell(t, 3, emulator.Options{Workers: 9, Advice: true, Customers: []emulator.Customer{
