One function stops a run with its gang, and a gang's room is counted by the lists that plans use

Stopping a run, with a gang all its members, stood three times (move, stopEarlier, and the preemption); gangRoom went over the allowed workers with the checks of allowedWorkers and candidates anew. No decision and no text changes.

--- a/pkg/dispatch/explain.go
+++ b/pkg/dispatch/explain.go
@@ -144,18 +144,17 @@
 	if !s.spec.Gang || len(s.advice.good) == 0 {
 		return ""
 	}
-	allowed, withTickets := 0, 0
-	for id := range s.advice.good {
-		w, ok := p.workers[id]
-		if !ok || !p.eligible(s, w, now) {
-			continue
-		}
-		room := fits(s, w)
-		allowed += room
-		if now.Add(ticketMargin) < s.advice.tickets[id].until {
-			withTickets += room
-		}
-	}
+	allowed := roomOn(s, p.allowedWorkers(s, now))
+	withTickets := roomOn(s, p.candidates(s, newReservations(), now))
 	return fmt.Sprintf("; %d members at once, room for %d on %d workers known to be allowed, for %d of them with tickets",
 		len(s.tasks), allowed, len(s.advice.good), withTickets)
 }
+
+// roomOn is how many more tasks of a step some workers have room for.
+func roomOn(s *step, workers []*worker) int {
+	room := 0
+	for _, w := range workers {
+		room += fits(s, w)
+	}
+	return room
+}
--- a/pkg/dispatch/gang.go
+++ b/pkg/dispatch/gang.go
@@ -27,6 +27,15 @@
 	}
 }
 
+// stopWithGang stops a run; with a gang, all its members.
+func (p *Pool) stopWithGang(r *run) {
+	if s := r.task.step; s.spec.Gang {
+		p.breakGang(s)
+		return
+	}
+	p.stopRun(r)
+}
+
 // stopPartialGangs stops gangs of former owners of which not all members were found.
 func (p *Pool) stopPartialGangs() {
 	for _, j := range p.jobsByID() {
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -106,11 +106,7 @@
 func (p *Pool) move(r *run, why string) {
 	p.cfg.Log(Event{Name: "run_moved", Task: r.task.id(), Run: r.number, Worker: r.worker.info.ID, Detail: why})
 	p.avoid(r.task, r.worker)
-	if r.task.step.spec.Gang {
-		p.breakGang(r.task.step)
-		return
-	}
-	p.stopRun(r)
+	p.stopWithGang(r)
 }
 
 // endsTooLate says whether a run won't be done before its worker may leave.
--- a/pkg/dispatch/preempt.go
+++ b/pkg/dispatch/preempt.go
@@ -52,11 +52,7 @@
 // stopForStep stops a run to make room for a step; with a gang, all its members.
 func (p *Pool) stopForStep(r *run, s *step) {
 	p.cfg.Log(Event{Name: "run_preempted", Task: r.task.id(), Run: r.number, Worker: r.worker.info.ID, Detail: "for " + s.id().String()})
-	if r.task.step.spec.Gang {
-		p.breakGang(r.task.step)
-	} else {
-		p.stopRun(r)
-	}
+	p.stopWithGang(r)
 }
 
 // mayPreempt says whether stopping others can still bring a step's end in time.
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -241,7 +241,7 @@
 	}
 	if row.Run <= t.lastEnded {
 		t.setCurrent(r) // the task starts again when it has stopped
-		p.stopEarlier(r)
+		p.stopWithGang(r)
 		return r
 	}
 	t.setCurrent(r)
@@ -252,15 +252,6 @@
 	return r
 }
 
-// stopEarlier stops a run of a task of which a later one has ended.
-func (p *Pool) stopEarlier(r *run) {
-	if s := r.task.step; s.spec.Gang {
-		p.breakGang(s)
-		return
-	}
-	p.stopRun(r)
-}
-
 // Running says that a job is known and has not ended.
 func (p *Pool) Running(id job.ID) bool {
 	j, ok := p.jobs[id]
