A task outwaits a void start whose number it can't repeat

What callers saw: nothing; found by a test that forces the order of events. A task runs twice at once (TWICE) on a worker that has started again.

Cause: a task got a new number while a start of an earlier number could still be carried out late. A void start is repeated under its own number, which a worker begins once; when a run with that number has ended, the worker rejects it, and the next start has a number of its own. If that gets no answer either, the next life of the worker, which has seen no fencing token, may carry out both. It is not the failure that matters: the same happens after a stop, after a crash, with a gang that starts again as a whole, and with a later owner, who always gave a new number.

Why the fix works: the task does not start before the earlier start is over, 12 s after it was sent at most, so there is no time at which two starts of different numbers can reach one life. A gang none of whose members has begun, and a later owner, repeat the number instead and don't wait. The wait ends early when another life lists the run or its end: the start has been carried out. It is due only where lives are told, the queue has no advice, a start got no answer and was void, and a run of its number ended within 12 s.

--- a/pkg/dispatch/explain.go
+++ b/pkg/dispatch/explain.go
@@ -94,6 +94,8 @@
 		return p.waitsForQuota(s)
 	case s.held(now):
 		return "a start to be proven, since a worker crashed under one of its tasks"
+	case s.outwaited() != 0:
+		return fmt.Sprintf("an earlier start without an answer, which its worker may carry out for %s", max(s.outwaited().Sub(now), 0))
 	case len(s.advice.pending) > 0:
 		return "advice from " + s.advice.pending[0].ask.Adviser + p.gangRoom(s, now)
 	case s.spec.Gang && len(s.advice.good) > 0:
--- a/pkg/dispatch/late_starts.go
+++ b/pkg/dispatch/late_starts.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 
 	"foldarch.dev/foldarch/pkg/clock"
@@ -13,7 +14,9 @@
 //   - Its task starts again at once, but only on the same worker. A life that has seen a higher token does not carry the late start out, and what ran on a
 //     life that has ended does not run beside it. A task that lasts is not kept from other workers while that one can't be given it.
 //   - It starts again under the same number, until a run with that has ended: if that start gets no answer either, the next life may carry out both, and it
-//     does not begin a run again that is there.
+//     does not begin a run again that is there. A gang starts again under the same number, too.
+//   - Once a run with that number has ended, the worker rejects the number, and the task does not start again before the late start is over: the next life
+//     would run two starts with numbers of their own beside each other.
 //   - No end of its task as done or failed, nor one of another member of its gang, is noted, so a late start does not come after an end that was. The job is
 //     shown as completed all the same.
 //
@@ -22,11 +25,14 @@
 // lateStart is a start of a task that the next life of its worker may carry out.
 type lateStart struct {
 	number int // of its run
+	// life is the one that the start was counted on last; nil for that of a former owner.
+	life *worker
 	// line is the worker that the task is bound to meanwhile; nil when any may be given it.
 	line  *lineage
 	until clock.Time
 	// former says that a former owner sent it, and void that this owner knew that it was void.
 	former, void bool
+	logged       bool // that the task waits for it
 }
 
 // heldNote is an end of a worker that is not to be noted before a time.
@@ -46,22 +52,101 @@
 		sentBy = p.now
 	}
 	until := sentBy.Add(latestOrder)
-	r.task.lateStarts = append(r.task.lateStarts, lateStart{number: r.number, line: line, until: until})
+	r.task.lateStarts = append(r.task.lateStarts, lateStart{number: r.number, life: r.worker, line: line, until: until})
 	r.worker.line.mayRunLateUntil(until)
 	p.storeVoid(r, sentBy)
 }
 
 // numberOn is the number of a task's next run, if that is on a worker.
 func (p *Pool) numberOn(t *task, w *worker) int {
-	repeats := func(l lateStart) bool {
-		return !l.former && l.line == w.line && l.number == t.lastRun && l.number > t.lastEnded
-	}
+	repeats := func(l lateStart) bool { return l.line == w.line && t.repeats(l) }
 	if slices.ContainsFunc(t.lateStarts, repeats) {
 		return t.lastRun
 	}
 	return p.nextRun(t.step.time.job, t.lastRun)
 }
 
+// repeats says that the next run of a task has the number of a late start; that of a gang has it for all members.
+func (t *task) repeats(l lateStart) bool {
+	ended := func(o task) bool { return o.lastEnded >= l.number }
+	return l.line != nil && l.number == t.highestRun() && !slices.ContainsFunc(t.doneTogether(), ended)
+}
+
+// highestRun is the highest number that was given to a run of a task, or of its gang.
+func (t *task) highestRun() int {
+	if !t.step.spec.Gang {
+		return t.lastRun
+	}
+	highest := t.step.gang.number
+	for i := range t.step.tasks {
+		highest = max(highest, t.step.tasks[i].lastRun)
+	}
+	return highest
+}
+
+// nextGangRun is the number of a gang's next run.
+func (p *Pool) nextGangRun(s *step) int {
+	for i := range s.tasks {
+		if t := &s.tasks[i]; slices.ContainsFunc(t.lateStarts, t.repeats) {
+			return t.highestRun()
+		}
+	}
+	return p.nextRun(s.time.job, s.tasks[0].highestRun())
+}
+
+// carriedOutLate takes in that a life runs, or has run, a start that was not known to be there: the late one, if there is just one that it can be.
+func (t *task) carriedOutLate(w *worker, number int) {
+	of := func(l lateStart) bool { return l.number == number }
+	n := slices.IndexFunc(t.lateStarts, of)
+	if n < 0 || slices.ContainsFunc(t.lateStarts[n+1:], of) {
+		return
+	}
+	if l := t.lateStarts[n]; !l.former && l.line == w.line && l.life != w {
+		t.lateStarts = slices.Delete(t.lateStarts, n, n+1)
+	}
+}
+
+// mustOutwait says that a task must not start again before a late start is over: the worker that it is bound to rejects the number of that start, since a run
+// with it has ended there.
+func (t *task) mustOutwait(l lateStart) bool {
+	return l.line != nil && !t.repeats(l)
+}
+
+// outwaitsLateStart says that a task does not start before a late start is over. The first time for each late start is logged.
+func (p *Pool) outwaitsLateStart(t *task, now clock.Time) bool {
+	i := slices.IndexFunc(t.lateStarts, t.mustOutwait)
+	if i < 0 {
+		return false
+	}
+	if l := &t.lateStarts[i]; !l.logged {
+		l.logged = true
+		p.cfg.Log(Event{Name: "start_delayed", Task: t.id(), Run: l.number, Detail: fmt.Sprintf("late_start_for=%s", l.until.Sub(now))})
+	}
+	return true
+}
+
+// outwaited is until when a step's waiting tasks all wait for late starts to be over, at the earliest; 0 when one of them doesn't.
+func (s *step) outwaited() clock.Time {
+	if !s.heedsLateStarts() {
+		return 0
+	}
+	var until clock.Time
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if !t.waiting() {
+			continue
+		}
+		n := slices.IndexFunc(t.lateStarts, t.mustOutwait)
+		if n < 0 && !s.spec.Gang {
+			return 0
+		}
+		if n >= 0 {
+			until = max(until, t.lateStarts[n].until)
+		}
+	}
+	return until
+}
+
 // startOver takes in how the call of a run's start ended: a repeated start can't come any more unless it got no answer.
 func (p *Pool) startOver(r *run, err error, now clock.Time) {
 	if err == nil || isNotSent(err) {
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -164,7 +164,7 @@
 		} else {
 			p.placeTasks(s, reserved, now, out)
 		}
-		if s.held(now) {
+		if s.held(now) || s.outwaited() != 0 {
 			continue
 		}
 		p.preempt(s, now)
@@ -261,7 +261,7 @@
 // mayStart says whether a task may be started now, as far as it is concerned.
 func (p *Pool) mayStart(t *task, now clock.Time) bool {
 	p.dropLateStarts(t, now)
-	return t.waiting() && now >= t.notBefore && p.mayStartAgain(t, now) && p.mayTryLast(t, now)
+	return t.waiting() && now >= t.notBefore && !p.outwaitsLateStart(t, now) && p.mayStartAgain(t, now) && p.mayTryLast(t, now)
 }
 
 // gangCandidates lists the workers that members of a gang may be started on.
@@ -284,7 +284,7 @@
 	}
 	for i := range s.tasks {
 		p.dropLateStarts(&s.tasks[i], now)
-		if !p.mayStartAgain(&s.tasks[i], now) || !p.mayTryLast(&s.tasks[i], now) {
+		if p.outwaitsLateStart(&s.tasks[i], now) || !p.mayStartAgain(&s.tasks[i], now) || !p.mayTryLast(&s.tasks[i], now) {
 			return
 		}
 	}
@@ -292,11 +292,7 @@
 	if chosen == nil {
 		return
 	}
-	last := s.gang.number
-	for i := range s.tasks {
-		last = max(last, s.tasks[i].lastRun)
-	}
-	number := p.nextRun(s.time.job, last)
+	number := p.nextGangRun(s)
 	s.gang = gang{number: number, startedAt: now}
 	checkpoint := s.gangCheckpoint()
 	for i, w := range chosen {
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -112,6 +112,7 @@
 		return
 	}
 	t.lastRun = max(t.lastRun, f.Run)
+	t.carriedOutLate(w, f.Run)
 	if f.How == EndFailed && !p.countFailure(t, f.Run) {
 		return
 	}
@@ -231,6 +232,7 @@
 	r := &run{task: t, number: row.Run, worker: w, token: w.line.token, state: runActive, confirmedAt: now, percentAt: now, adopted: true}
 	p.count(r)
 	t.carriedOut(row.Run)
+	t.carriedOutLate(w, row.Run)
 	t.lastRun = max(t.lastRun, row.Run)
 	j := t.step.time.job
 	j.began = true
