A customer's quota is kept for one gang while it is not well used

Cause: room in a quota was promised to every gang that waits in time, and to the one that goes first, as a whole each. The sum passes the quota, no more than one can be served next, and no smaller job of the customer starts, with hundreds of them waiting. The gang that goes first was kept its room for up to 10 s, also while it lacked tickets and however little was in use.

Why the fix works: below 0.6 of a quota only the first gang is kept room (EASY backfilling, Lifka 1995), so that the others start beside it; and that one is kept none once less than half has been in use for 2 s while it lacks workers or tickets. So less than half is not in use for 3 s while a job fits.

The log counted a gang's own promise against it and told that it waits for its quota when it lacked tickets. TestExplanationTellsWhatAGangLacks asked for just that ("is kept for steps", of the only gang there is): it now asks for "is kept for it", that nothing is told to be kept for others, and for "is kept for steps" at the job behind the gang.

--- a/pkg/account/account.go
+++ b/pkg/account/account.go
@@ -6,6 +6,9 @@
 	"foldarch.dev/foldarch/pkg/customer"
 )
 
+// Claimant is a step that takes from a quota, by a number above 0 that no other one has.
+type Claimant int64
+
 // Account is what one customer has in the pools of one owner. New makes one.
 type Account struct {
 	customer customer.Customer
@@ -13,8 +16,9 @@
 	// unheard is what it may have running besides, on workers that a new owner has not heard of, and ended the part of it that is
 	// of jobs that had ended.
 	unheard, ended cell.Resources
-	// promised is what steps that come first in the order of this plan wait for, and can't have yet.
+	// promised is what steps that come first in the order of this plan wait for and can't have yet, and promises is it by step.
 	promised cell.Resources
+	promises map[Claimant]cell.Resources
 	// foreign counts the runs that workers list of its jobs that have ended, of which nothing else is known any more.
 	foreign int
 	rate    customer.Rate
@@ -22,7 +26,7 @@
 
 // New returns the account of a customer that has nothing running.
 func New(c customer.Customer) *Account {
-	return &Account{customer: c}
+	return &Account{customer: c, promises: map[Claimant]cell.Resources{}}
 }
 
 // Update gives the account the weight and the quota of a newer configuration.
@@ -55,17 +59,17 @@
 	return !a.customer.Allows(a.used)
 }
 
-// Allowed is how many more tasks of a need the customer may start, at most most.
-func (a *Account) Allowed(need cell.Resources, most int) int {
+// Allowed is how many more tasks of a need the customer may start for a step, at most most.
+func (a *Account) Allowed(by Claimant, need cell.Resources, most int) int {
 	if a.foreign > 0 {
 		return 0 // what they take is not known; they are being stopped
 	}
-	return min(most, a.roomFor(need, most))
+	return min(most, a.roomFor(by, need, most))
 }
 
 // roomFor is how many tasks of a need the quota has room for, at most most.
-func (a *Account) roomFor(need cell.Resources, most int) int {
-	quota, running := a.customer.Quota, a.used.Add(a.unheard).Add(a.promised)
+func (a *Account) roomFor(by Claimant, need cell.Resources, most int) int {
+	quota, running := a.customer.Quota, a.used.Add(a.unheard).Add(a.PromisedToOthers(by))
 	n := int64(most)
 	for _, kind := range []struct{ limit, running, need int64 }{
 		{quota.CPUMillis, running.CPUMillis, need.CPUMillis},
@@ -79,21 +83,38 @@
 	return int(n)
 }
 
-// Promise keeps room in the quota for what a step waits for as a whole, until ClearPromises. What the quota never allows is promised nothing.
-func (a *Account) Promise(need cell.Resources) {
-	if a.customer.Allows(need) {
-		a.promised = a.promised.Add(need)
+// Promise keeps room in the quota for what a step waits for as a whole, until ClearPromises. While the quota is not well used, it does so for the first step
+// only: no more than one can be served next, and what is kept for several of them leaves the quota unused. What the quota never allows is promised nothing.
+func (a *Account) Promise(to Claimant, need cell.Resources) {
+	if !a.customer.Allows(need) || len(a.promises) > 0 && !a.WellUsed() {
+		return
 	}
+	a.promised = a.promised.Add(need)
+	a.promises[to] = need
 }
 
 // ClearPromises begins a plan.
 func (a *Account) ClearPromises() {
 	a.promised = cell.Resources{}
+	clear(a.promises)
+}
+
+// PromisedTo is what was kept in the last plan for a step.
+func (a *Account) PromisedTo(by Claimant) cell.Resources {
+	return a.promises[by]
 }
 
-// Promised is what the steps that came first in the last plan wait for.
-func (a *Account) Promised() cell.Resources {
-	return a.promised
+// PromisedToOthers is what was kept in the last plan for other steps than this one.
+func (a *Account) PromisedToOthers(by Claimant) cell.Resources {
+	return a.promised.Sub(a.PromisedTo(by))
+}
+
+// wellUsed is the part of a quota from which on it is well used. The platform counts a job as lost that waits while less than half is in use.
+const wellUsed = 0.6
+
+// WellUsed says that most of the quota is in use.
+func (a *Account) WellUsed() bool {
+	return a.used.DominantShare(a.customer.Quota) > wellUsed
 }
 
 // Foreign counts the runs of the customer of which nothing else is known.
--- a/pkg/account/account_test.go
+++ b/pkg/account/account_test.go
@@ -39,7 +39,7 @@
 		t.Run(name, func(t *testing.T) {
 			a := withQuota(test.quota)
 			a.Book(test.used)
-			NewWithT(t).Expect(a.Allowed(test.need, test.most)).To(Equal(test.want))
+			NewWithT(t).Expect(a.Allowed(1, test.need, test.most)).To(Equal(test.want))
 		})
 	}
 }
@@ -48,9 +48,9 @@
 	g, a := NewWithT(t), withQuota(cores(2))
 	a.Book(cores(1))
 	a.Book(cores(1))
-	g.Expect(a.Allowed(cores(1), 5)).To(Equal(0))
+	g.Expect(a.Allowed(1, cores(1), 5)).To(Equal(0))
 	a.GiveBack(cores(1))
-	g.Expect(a.Allowed(cores(1), 5)).To(Equal(1))
+	g.Expect(a.Allowed(1, cores(1), 5)).To(Equal(1))
 	g.Expect(a.Used()).To(Equal(cores(1)))
 }
 
@@ -64,12 +64,31 @@
 
 func TestPromisesHoldForOnePlan(t *testing.T) {
 	g, a := NewWithT(t), withQuota(cores(4))
-	a.Promise(cores(3))
-	g.Expect(a.Allowed(cores(1), 5)).To(Equal(1))
+	a.Promise(2, cores(3))
+	g.Expect(a.Allowed(1, cores(1), 5)).To(Equal(1))
 	a.ClearPromises()
-	g.Expect(a.Allowed(cores(1), 5)).To(Equal(4))
-	a.Promise(cores(5))
-	g.Expect(a.Allowed(cores(1), 5)).To(Equal(4), "more than the quota ever allows")
+	g.Expect(a.Allowed(1, cores(1), 5)).To(Equal(4))
+	a.Promise(2, cores(5))
+	g.Expect(a.Allowed(1, cores(1), 5)).To(Equal(4), "more than the quota ever allows")
+}
+
+func TestOnlyTheFirstStepIsPromisedRoomInALittleUsedQuota(t *testing.T) {
+	g, a := NewWithT(t), withQuota(cores(10))
+	a.Promise(2, cores(3))
+	a.Promise(3, cores(5))
+	g.Expect(a.Allowed(1, cores(1), 9)).To(Equal(7))
+	g.Expect(a.Allowed(2, cores(3), 9)).To(Equal(3), "its own promise does not count against it")
+	g.Expect(a.PromisedToOthers(2)).To(Equal(cell.Resources{}))
+	g.Expect(a.PromisedToOthers(3)).To(Equal(cores(3)))
+}
+
+func TestSeveralStepsArePromisedRoomInAWellUsedQuota(t *testing.T) {
+	g, a := NewWithT(t), withQuota(cores(10))
+	a.Book(cores(7))
+	a.Promise(2, cores(1))
+	a.Promise(3, cores(1))
+	g.Expect(a.Allowed(1, cores(1), 9)).To(Equal(1))
+	g.Expect(a.Allowed(3, cores(1), 9)).To(Equal(2))
 }
 
 func TestNothingIsAllowedBesideForeignRuns(t *testing.T) {
@@ -77,25 +96,25 @@
 	a.CountForeign()
 	a.CountForeign()
 	a.ForgetForeign()
-	g.Expect(a.Allowed(cores(1), 5)).To(Equal(0))
+	g.Expect(a.Allowed(1, cores(1), 5)).To(Equal(0))
 	a.ForgetForeign()
-	g.Expect(a.Allowed(cores(1), 5)).To(Equal(5))
+	g.Expect(a.Allowed(1, cores(1), 5)).To(Equal(5))
 }
 
 func TestUnheardCounts(t *testing.T) {
 	g, a := NewWithT(t), withQuota(cores(9))
 	a.CountEnded(cores(2))
-	g.Expect(a.Allowed(cores(1), 9)).To(Equal(9), "the sum has not begun")
+	g.Expect(a.Allowed(1, cores(1), 9)).To(Equal(9), "the sum has not begun")
 	a.BeginUnheard()
 	a.AddUnheard(cores(3))
-	g.Expect(a.Allowed(cores(1), 9)).To(Equal(4))
+	g.Expect(a.Allowed(1, cores(1), 9)).To(Equal(4))
 	a.CapUnheard(cores(4))
-	g.Expect(a.Allowed(cores(1), 9)).To(Equal(5), "the workers hold no more")
+	g.Expect(a.Allowed(1, cores(1), 9)).To(Equal(5), "the workers hold no more")
 	a.ClearUnheard()
-	g.Expect(a.Allowed(cores(1), 9)).To(Equal(9))
+	g.Expect(a.Allowed(1, cores(1), 9)).To(Equal(9))
 	a.ForgetEnded()
 	a.BeginUnheard()
-	g.Expect(a.Allowed(cores(1), 9)).To(Equal(9))
+	g.Expect(a.Allowed(1, cores(1), 9)).To(Equal(9))
 }
 
 func TestBeyondGoesByTheWeightInForce(t *testing.T) {
--- a/pkg/account/doc.go
+++ b/pkg/account/doc.go
@@ -10,7 +10,8 @@
 //
 //   - what is booked (Book, GiveBack): also starts without an answer, runs that are being stopped, and those of a worker that can't be heard;
 //   - what former owners may have running on workers that a new owner has not heard of (unheard.go);
-//   - what a step that comes first in the order of the present plan waits for (Promise), so that later ones don't take it.
+//   - what steps that come first in the order of the present plan wait for (Promise), so that later ones don't take it. In a quota that is not well used
+//     there is one such step, as in EASY backfilling (Lifka 1995): the others start where they leave it its room.
 //
 // While workers list runs of which only the customer is known (CountForeign), nothing more is allowed, since nobody knows what they take.
 //
@@ -20,8 +21,8 @@
 //
 //	a := account.New(customer.Customer{Name: "north", Quota: cell.Resources{CPUMillis: 3000}})
 //	core := cell.Resources{CPUMillis: 1000}
-//	a.Allowed(core, 5) // 3
+//	a.Allowed(7, core, 5) // 3 for step 7
 //	a.Book(core)
-//	a.Allowed(core, 5) // 2
+//	a.Allowed(7, core, 5) // 2
 //	a.GiveBack(core)   // the run has certainly ended
 package account
--- a/pkg/dispatch/busy_pool_test.go
+++ b/pkg/dispatch/busy_pool_test.go
@@ -83,6 +83,7 @@
 	allowed map[string]float64
 	// customers share the jobs; without any, they are nobody's.
 	customers []customer.Customer
+	silent    bool // no more jobs arrive
 	// plan makes the plans, and planned is told of each; nil for none.
 	plan    func(now clock.Time, authority bool) Actions
 	planned func(Actions)
@@ -135,6 +136,9 @@
 // arrive hands in jobs of a kind, at a steady rate.
 func (b *busyPool) arrive(k busyKind) {
 	b.at(time.Duration(float64(time.Second)/k.perSecond), func() {
+		if b.silent {
+			return
+		}
 		b.jobs++
 		s := k.step
 		s.Count = 1 + b.rand.IntN(2*s.Count-1)
--- a/pkg/dispatch/explain.go
+++ b/pkg/dispatch/explain.go
@@ -128,7 +128,10 @@
 	if n := a.Unheard(); n != (cell.Resources{}) {
 		waits += fmt.Sprintf("; %s may run on workers that have not told", n)
 	}
-	if n := a.Promised(); n != (cell.Resources{}) {
+	if n := a.PromisedTo(s.claimant()); n != (cell.Resources{}) {
+		waits += fmt.Sprintf("; %s is kept for it", n)
+	}
+	if n := a.PromisedToOthers(s.claimant()); n != (cell.Resources{}) {
 		waits += fmt.Sprintf("; %s is kept for steps that go first", n)
 	}
 	if n := a.Foreign(); n > 0 {
--- a/pkg/dispatch/explain_test.go
+++ b/pkg/dispatch/explain_test.go
@@ -67,9 +67,22 @@
 		f.pass(3 * time.Second)
 		waits := f.pool.LongWaits(3*time.Second, 5, f.now)
 		f.Expect(waits).To(HaveLen(1))
-		f.Expect(waits[0].Waits).To(And(ContainSubstring("cpu=2000m"), ContainSubstring("2 members need cpu=2000m"), ContainSubstring("is kept for steps")))
+		f.Expect(waits[0].Waits).To(And(ContainSubstring("cpu=2000m"), ContainSubstring("2 members need cpu=2000m"), ContainSubstring("cpu=2000m mem=2000MB acc=0 is kept for it")))
+		f.Expect(waits[0].Waits).NotTo(ContainSubstring("is kept for steps"), "nothing is kept for others")
 		f.Expect(waits[0].Left).To(BeNumerically("<", testQueue.TargetLatency), "its objective has begun to pass")
 	})
+	t.Run("quota that is kept for a gang", func(t *testing.T) {
+		f := quotaFixture(t)
+		f.add(of(north(0), testJob("runs", testStep(2))))
+		for _, s := range f.plan().Starts {
+			f.accept(s)
+		}
+		f.add(of(north(0), testJob("gang", gangOf(2))))
+		f.add(of(north(0), testJob("next", testStep(1))))
+		f.plan()
+		e, _ := f.pool.Explain("next", f.now)
+		f.Expect(e.Steps[0].Waits).To(ContainSubstring("cpu=2000m mem=2000MB acc=0 is kept for steps"))
+	})
 	t.Run("tickets", func(t *testing.T) {
 		f := waitingGang(t)
 		e, _ := f.pool.Explain("a", f.now)
--- a/pkg/dispatch/first_turns.go
+++ b/pkg/dispatch/first_turns.go
@@ -37,6 +37,9 @@
 	// A gang goes first for firstTurnLasts at most, and then not for as long: one for which no workers have room must not
 	// keep its customer's quota unused.
 	firstTurnLasts = 10 * time.Second
+	// unusedFor is how long a quota may be little used while a gang is kept room in it that lacks workers or tickets, too: the
+	// platform allows 3 s, of which a call for advice and a start take up to 0.9 s.
+	unusedFor = 2 * time.Second
 )
 
 // placeFirst has those gangs have their turns that go first.
@@ -78,7 +81,23 @@
 	}
 	p.ask(s, longAtOnce, reserved, now, out)
 	p.reserve(s, reserved, now)
-	s.time.job.account.Promise(s.spec.AtOnce())
+	if p.keepsQuota(s, reserved, now) {
+		s.promiseQuota()
+	}
+}
+
+// keepsQuota says whether a gang that goes first is kept room in its customer's quota. One that lacks workers or tickets is not kept any when little of the quota
+// has been used for too long.
+func (p *Pool) keepsQuota(s *step, reserved *reservations, now clock.Time) bool {
+	a := s.time.job.account
+	if a.Used().DominantShare(a.Customer().Quota) >= quotaLittleUsed {
+		s.quotaUnusedSince = 0
+		return true
+	}
+	if s.quotaUnusedSince == 0 {
+		s.quotaUnusedSince = now
+	}
+	return now.Sub(s.quotaUnusedSince) < unusedFor || p.gangWorkers(s, p.gangCandidates(s, reserved, now)) != nil
 }
 
 // chooseFirst chooses the gangs that go first: of each customer the one whose job was accepted first, of those that
@@ -99,7 +118,7 @@
 	for _, s := range oldest {
 		s.goesFirst = true
 		if since[s] == 0 {
-			since[s], s.quotaIdleSince = now, 0
+			since[s], s.quotaIdleSince, s.quotaUnusedSince = now, 0, 0
 		}
 		p.first.turns = append(p.first.turns, firstTurn{s, since[s]})
 	}
@@ -128,12 +147,10 @@
 		return false
 	}
 	a, waited := s.time.job.account, now.Sub(s.readySince)
-	quota := a.Customer().Quota
-	if quota == (cell.Resources{}) {
+	if a.Customer().Quota == (cell.Resources{}) {
 		return false
 	}
-	quotaIsWellUsed := a.Used().DominantShare(quota) > wellUsed
-	return waited > starvesForLong || waited > starvingAfter && !quotaIsWellUsed
+	return waited > starvesForLong || waited > starvingAfter && !a.WellUsed()
 }
 
 // compareAccepted orders steps by when their jobs were accepted.
--- a/pkg/dispatch/first_turns_test.go
+++ b/pkg/dispatch/first_turns_test.go
@@ -11,9 +11,14 @@
 // starvingGang has a gang wait for its customer's quota in a pool of 8 cores. Another job of the customer takes some of
 // the quota for a minute.
 func starvingGang(t *testing.T, quotaCores, othersRun, members int) *fixture {
-	f := newFixture(t, 2, nil)
+	return starvingGangOn(t, 2, quotaCores, othersRun, members)
+}
+
+// starvingGangOn is the same in a pool of a number of workers with 4 cores each.
+func starvingGangOn(t *testing.T, workers, quotaCores, othersRun, members int) *fixture {
+	f := newFixture(t, workers, nil)
 	f.configure(2, north(int64(quotaCores)*1000))
-	f.reportAll(2)
+	f.reportAll(workers)
 	f.pool.PutAdviser("host")
 	f.pool.PutAdviser("other host")
 	others := testStep(othersRun)
@@ -42,8 +47,8 @@
 			}
 		}
 	}
-	for n := range 2 {
-		f.report(n, reports[n])
+	for n := range f.pool.workers {
+		f.report(numberOf(n), reports[numberOf(n)])
 	}
 	f.pool.surveyedAt = 0
 	return f.plan()
--- a/pkg/dispatch/jobs.go
+++ b/pkg/dispatch/jobs.go
@@ -107,6 +107,8 @@
 	// quotaIdleSince is since when its customer's quota has been little used while it goes first and waits for it; 0 for
 	// never.
 	quotaIdleSince clock.Time
+	// quotaUnusedSince is since when the quota has been little used while it goes first, whatever it waits for; 0 for never.
+	quotaUnusedSince clock.Time
 }
 
 // task is one task of a step.
--- a/pkg/dispatch/quota.go
+++ b/pkg/dispatch/quota.go
@@ -66,7 +66,7 @@
 	if p.ListsUnknown() {
 		return 0 // whose the runs are that workers list of unknown jobs is not known; their records are being read
 	}
-	return a.Allowed(s.accountNeed(), most)
+	return a.Allowed(s.claimant(), s.accountNeed(), most)
 }
 
 // startable is how many of a step's waiting tasks its customer's quota lets start; of a gang that is to start as a whole, all or none.
@@ -88,10 +88,20 @@
 // enough at once while each end makes room for a smaller step.
 func (p *Pool) holdQuota(s *step, now clock.Time) {
 	if s.spec.Gang && s.standing(now) <= worth.InTime {
-		s.time.job.account.Promise(s.spec.AtOnce())
+		s.promiseQuota()
 	}
 }
 
+// promiseQuota keeps room in its customer's quota for all members of a gang, unless an earlier one is kept some.
+func (s *step) promiseQuota() {
+	s.time.job.account.Promise(s.claimant(), s.spec.AtOnce())
+}
+
+// claimant is a step as its customer's account knows it.
+func (s *step) claimant() account.Claimant {
+	return account.Claimant(s.number)
+}
+
 // countForeign takes in that a worker lists a run of a job of which nothing is known but that it has ended.
 func (p *Pool) countForeign(w *worker, id job.ID) {
 	if a := p.openAccount(customer.Customer{Name: p.outcomes.of[id].customer}); a != nil {
--- a/pkg/dispatch/stands_still_test.go
+++ b/pkg/dispatch/stands_still_test.go
@@ -47,16 +47,21 @@
 }
 
 func newCalmPool(seed uint64, load float64) *calmPool {
+	return newCalmPoolOf(calmKinds, customer.Customer{Name: "north", Weight: 10, Quota: cell.Resources{CPUMillis: 480_000, MemoryMB: 1_730_000}}, seed, load)
+}
+
+// newCalmPoolOf returns one with jobs of some kinds, by a part of their rates.
+func newCalmPoolOf(of []busyKind, c customer.Customer, seed uint64, load float64) *calmPool {
 	const workers = 350
-	kinds := make([]busyKind, len(calmKinds))
-	for i, k := range calmKinds {
+	kinds := make([]busyKind, len(of))
+	for i, k := range of {
 		k.perSecond *= load
 		kinds[i] = k
 	}
 	p := &calmPool{
 		busyPool: newBusyPoolOf(kinds, workers, 45, seed, nil), since: map[job.ID]clock.Time{}, lost: map[job.ID]time.Duration{},
 	}
-	p.customers = []customer.Customer{{Name: "north", Weight: 10, Quota: cell.Resources{CPUMillis: 480_000, MemoryMB: 1_730_000}}}
+	p.customers = []customer.Customer{c}
 	for _, w := range p.pool.workers {
 		w.info.Capacity = cell.Resources{CPUMillis: 32_000, MemoryMB: 131_072}
 	}
