--- a/pkg/dispatch/ends.go
+++ b/pkg/dispatch/ends.go
@@ -65,6 +65,7 @@
 	if j.outcome != "" || t.done && !s.spec.Gang {
 		return
 	}
+	p.logDelays(t)
 	switch {
 	case s.spec.LongRunning:
 		p.dirty[j] = struct{}{}
--- a/pkg/dispatch/former_starts.go
+++ b/pkg/dispatch/former_starts.go
@@ -84,6 +84,7 @@
 			line.mayRunLateUntil(until)
 		}
 	}
+	p.logDelays(t)
 }
 
 // lateFrom is until when a start may be carried out that was sent by a time of day, at this owner or a former one; 0 when that is over.
--- a/pkg/dispatch/late_starts.go
+++ b/pkg/dispatch/late_starts.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"fmt"
 	"slices"
 
 	"foldarch.dev/foldarch/pkg/clock"
@@ -32,7 +31,7 @@
 	until clock.Time
 	// former says that a former owner sent it, and void that this owner knew that it was void.
 	former, void bool
-	logged       bool // that the task waits for it
+	logged       bool // that its task waits for it to be over
 }
 
 // heldNote is an end of a worker that is not to be noted before a time.
@@ -112,17 +111,24 @@
 	return l.line != nil && !t.repeats(l)
 }
 
-// outwaitsLateStart says that a task does not start before a late start is over. The first time for each late start is logged.
-func (p *Pool) outwaitsLateStart(t *task, now clock.Time) bool {
-	i := slices.IndexFunc(t.lateStarts, t.mustOutwait)
-	if i < 0 {
-		return false
-	}
-	if l := &t.lateStarts[i]; !l.logged {
-		l.logged = true
-		p.cfg.Log(Event{Name: "start_delayed", Task: t.id(), Run: l.number, Detail: fmt.Sprintf("late_start_for=%s", l.until.Sub(now))})
+// outwaitsLateStart says that a task does not start before a late start is over.
+func (t *task) outwaitsLateStart() bool {
+	return slices.ContainsFunc(t.lateStarts, t.mustOutwait)
+}
+
+// logDelays tells, once for each late start, that a task, or its gang, does not start before that is over.
+func (p *Pool) logDelays(t *task) {
+	tasks := t.doneTogether()
+	for i := range tasks {
+		for n := range tasks[i].lateStarts {
+			l := &tasks[i].lateStarts[n]
+			if l.logged || !tasks[i].mustOutwait(*l) {
+				continue
+			}
+			l.logged = true
+			p.cfg.Log(Event{Name: "start_delayed", Task: tasks[i].id(), Run: l.number, Detail: "late_start_for=" + l.until.Sub(p.now).String()})
+		}
 	}
-	return true
 }
 
 // outwaited is until when a step's waiting tasks all wait for late starts to be over, at the earliest; 0 when one of them doesn't.
--- a/pkg/dispatch/new_number_test.go
+++ b/pkg/dispatch/new_number_test.go
@@ -151,11 +151,28 @@
 	})
 }
 
-// Guards against an operator who is told nothing of what a job waits for.
+// Guards against an operator who is told nothing of what a job waits for, by the present owner and by the next.
 func TestTaskThatOutwaitsAVoidStartSaysSo(t *testing.T) {
 	h := failedBesideAVoidStart(t, testJob("a", testStep(1)))
 	e, _ := h.pool.Explain("a", h.now)
 	h.Expect(e.Steps[0].Waits).To(HavePrefix("an earlier start without an answer"))
+	h.Expect(h.delays()).To(Equal(1))
+	h.nextOwner()
+	h.passes(time.Second)
+	e, _ = h.pool.Explain("a", h.now)
+	h.Expect(e.Steps[0].Waits).To(HavePrefix("an earlier start without an answer"))
+	h.Expect(h.delays()).To(Equal(2))
+}
+
+// delays counts the lines of the log that tell of a start that is delayed.
+func (h *hall) delays() int {
+	n := 0
+	for _, e := range h.events {
+		if e.Name == "start_delayed" {
+			n++
+		}
+	}
+	return n
 }
 
 // Guards against a start of a later owner that is carried out beside a void one of a former owner, whose number had ended or had not.
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -261,7 +261,7 @@
 // mayStart says whether a task may be started now, as far as it is concerned.
 func (p *Pool) mayStart(t *task, now clock.Time) bool {
 	p.dropLateStarts(t, now)
-	return t.waiting() && now >= t.notBefore && !p.outwaitsLateStart(t, now) && p.mayStartAgain(t, now) && p.mayTryLast(t, now)
+	return t.waiting() && now >= t.notBefore && !t.outwaitsLateStart() && p.mayStartAgain(t, now) && p.mayTryLast(t, now)
 }
 
 // gangCandidates lists the workers that members of a gang may be started on.
@@ -284,7 +284,7 @@
 	}
 	for i := range s.tasks {
 		p.dropLateStarts(&s.tasks[i], now)
-		if p.outwaitsLateStart(&s.tasks[i], now) || !p.mayStartAgain(&s.tasks[i], now) || !p.mayTryLast(&s.tasks[i], now) {
+		if s.tasks[i].outwaitsLateStart() || !p.mayStartAgain(&s.tasks[i], now) || !p.mayTryLast(&s.tasks[i], now) {
 			return
 		}
 	}
