A task that is done is not logged as delayed

 logged start_delayed when a run ended as done beside a void start, of a task that does not start again, so that an operator saw a wait that is none. It is logged after the end was taken in, for tasks that wait, of jobs that go on. TestDoneTaskIsNotLoggedAsDelayed failed before. No decision changes. The comment of promiseQuota told of one promise only; there are several in a well used quota.

--- a/pkg/dispatch/ends.go
+++ b/pkg/dispatch/ends.go
@@ -65,7 +65,6 @@
 	if j.outcome != "" || t.done && !s.spec.Gang {
 		return
 	}
-	p.logDelays(t)
 	switch {
 	case s.spec.LongRunning:
 		p.dirty[j] = struct{}{}
@@ -76,6 +75,7 @@
 	case s.spec.Gang:
 		p.breakGang(s)
 	}
+	p.logDelays(t)
 	p.updateReady(s.time)
 }
 
--- a/pkg/dispatch/late_starts.go
+++ b/pkg/dispatch/late_starts.go
@@ -116,13 +116,16 @@
 	return slices.ContainsFunc(t.lateStarts, t.mustOutwait)
 }
 
-// logDelays tells, once for each late start, that a task, or its gang, does not start before that is over.
+// logDelays tells, once for each late start, that a task that waits, or one of its gang, does not start before that is over.
 func (p *Pool) logDelays(t *task) {
+	if t.step.time.job.outcome != "" {
+		return
+	}
 	tasks := t.doneTogether()
 	for i := range tasks {
 		for n := range tasks[i].lateStarts {
 			l := &tasks[i].lateStarts[n]
-			if l.logged || !tasks[i].mustOutwait(*l) {
+			if l.logged || !tasks[i].waiting() || !tasks[i].mustOutwait(*l) {
 				continue
 			}
 			l.logged = true
--- a/pkg/dispatch/new_number_test.go
+++ b/pkg/dispatch/new_number_test.go
@@ -164,6 +164,16 @@
 	h.Expect(h.delays()).To(Equal(2))
 }
 
+// Guards against a log that tells of a delayed start of a task that is done.
+func TestDoneTaskIsNotLoggedAsDelayed(t *testing.T) {
+	h := newHall(t, 1)
+	h.loses = func(Start) bool { return len(h.kept) == 0 }
+	h.gets(testJob("a", testStep(1)))
+	h.isDoneWithin(3*time.Second, "a")
+	h.Expect(h.kept).To(HaveLen(1))
+	h.Expect(h.delays()).To(Equal(0))
+}
+
 // delays counts the lines of the log that tell of a start that is delayed.
 func (h *hall) delays() int {
 	n := 0
--- a/pkg/dispatch/quota.go
+++ b/pkg/dispatch/quota.go
@@ -92,7 +92,7 @@
 	}
 }
 
-// promiseQuota keeps room in its customer's quota for all members of a gang, unless an earlier one is kept some.
+// promiseQuota keeps room in its customer's quota for all members of a gang, as far as the account makes promises.
 func (s *step) promiseQuota() {
 	s.time.job.account.Promise(s.claimant(), s.spec.AtOnce())
 }
