A worker that drains holds back only its own jobs at a takeover

Cause: a new owner held back all jobs of former terms until every worker had reported or lapsed. Workers that were told to leave, and end without a report, held up the whole pool for the longest lease.

Change: once a worker drains its owner gives it no start any more, whatever its entry says later, and stores in its roster record which jobs may have a run there. A later owner that does not hear from it holds back only these (package takeover). Jobs are freed one by one, partial gangs with them, and quotas count unknown runs of held jobs only.

--- a/pkg/dispatch/confirmation.go
+++ b/pkg/dispatch/confirmation.go
@@ -37,7 +37,7 @@
 // mayStartAgain says whether a task may be started as far as an earlier run is concerned that is
 // presumed lost.
 func (p *Pool) mayStartAgain(t *task, now clock.Time) bool {
-	if !t.presumedLost && (!p.takeover.presumed || p.unknownToFormer(t.step.time.job)) {
+	if !t.presumedLost && !t.step.time.job.presumed {
 		return true
 	}
 	return p.confirmedSince(now.Add(-confirmedWithin))
--- a/pkg/dispatch/evacuation.go
+++ b/pkg/dispatch/evacuation.go
@@ -28,9 +28,9 @@
 	return slices.Contains(p.evacuated, w.info.Zone)
 }
 
-// leaving says that a worker gets nothing new, since it drains or its hall is being evacuated.
+// leaving says that a worker gets nothing new, since it drains, has drained, or its hall is being evacuated.
 func (w *worker) leaving() bool {
-	return w.info.Draining || w.evacuated
+	return w.info.Draining || w.retired || w.evacuated
 }
 
 // StartIsVoid says that a start which was decided a little ago must not be sent any more, since its worker is leaving by now.
--- a/pkg/dispatch/gang.go
+++ b/pkg/dispatch/gang.go
@@ -36,13 +36,11 @@
 	p.stopRun(r)
 }
 
-// stopPartialGangs stops gangs of former owners of which not all members were found.
-func (p *Pool) stopPartialGangs() {
-	for _, j := range p.jobsByID() {
-		for s := range j.steps() {
-			if s.spec.Gang && s.partial() {
-				p.breakGang(s)
-			}
+// stopPartialGangs stops the gangs of a job of which former owners have started some members only.
+func (p *Pool) stopPartialGangs(j *jobState) {
+	for s := range j.steps() {
+		if s.spec.Gang && s.partial() {
+			p.breakGang(s)
 		}
 	}
 }
--- a/pkg/dispatch/jobs.go
+++ b/pkg/dispatch/jobs.go
@@ -17,12 +17,15 @@
 // jobState is what the owner knows of a job that has not ended, or whose end is not
 // committed, or of which something may still run.
 type jobState struct {
-	job       job.Job
-	queue     queue.Queue
-	customer  customer.Customer // as the record has it; without a name for nobody's job
-	times     []*timeState      // index is the number of the time; nil before it is due
-	nextTime  int
-	free      bool // no former owner can have started it
+	job      job.Job
+	queue    queue.Queue
+	customer customer.Customer // as the record has it; without a name for nobody's job
+	times    []*timeState      // index is the number of the time; nil before it is due
+	nextTime int
+	free     bool // no former owner can have started it
+	held     bool // former owners may have runs of it that are not known (takeover.go)
+	// presumed says that what it may have run unknown was presumed to have ended by time.
+	presumed  bool
 	began     bool
 	outcome   job.State        // final, not necessarily committed; empty before
 	committed bool             // the outcome is in the store
--- a/pkg/dispatch/limits.go
+++ b/pkg/dispatch/limits.go
@@ -14,7 +14,7 @@
 // Limits lists the customers of whom only so much is to be taken in now, by name. While former owners' runs are looked for, nobody
 // knows what is carried out.
 func (p *Pool) Limits(now clock.Time) []admission.Limit {
-	if p.config == nil || !p.loaded || p.takeover.pending {
+	if p.config == nil || !p.loaded || p.takeover.mayRunAnything() {
 		return nil
 	}
 	return p.limiter.Limits(p.demands(), now.Sub(p.createdAt), now)
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -60,6 +60,7 @@
 	p.sumUnheard()
 	for _, w := range p.workersByID() {
 		p.expireWorker(w, now)
+		p.retireIfDraining(w)
 		if !w.gone && !w.evacuated {
 			l := p.load(w.info.Pool)
 			l.workers++
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -27,6 +27,9 @@
 	Remaining time.Duration `json:",omitempty"`
 	// Crashed says that the worker has gone, and that a later owner may not know under which starts.
 	Crashed bool `json:",omitempty"`
+	// Retired says that the worker gets no start any more, and that Jobs has every job that may have a run there. Only the roster tells it.
+	Retired bool     `json:",omitempty"`
+	Jobs    []job.ID `json:",omitempty"`
 }
 
 // Verdict is how a worker answered an order.
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -53,7 +53,7 @@
 // Pool is the owner's view of a pool of workers and of the jobs for it.
 type Pool struct {
 	cfg      Config
-	takeover takeover
+	takeover takeoverState
 	config   *queue.Config
 	// configured are the pools of workers that were named so far.
 	configured map[string]bool
@@ -180,6 +180,7 @@
 			j.queue = q
 		}
 	}
+	j.held = p.mayRunUnknown(j)
 	j.times = make([]*timeState, r.Job.Schedule.Times())
 	j.accepted, j.chains = now.Add(-age), chains(j)
 	p.jobs[id] = j
--- a/pkg/dispatch/refusals.go
+++ b/pkg/dispatch/refusals.go
@@ -12,7 +12,7 @@
 // Refusals lists the queues that should take in no jobs now, in the order of the configuration. While former owners' runs are looked for,
 // nobody knows what is owed.
 func (p *Pool) Refusals(now clock.Time) []admission.Refusal {
-	if p.config == nil || !p.loaded || p.takeover.pending {
+	if p.config == nil || !p.loaded || p.takeover.mayRunAnything() {
 		return nil
 	}
 	load := admission.Load{
--- /dev/null
+++ b/pkg/dispatch/retirement.go
@@ -0,0 +1,43 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+
+	"foldarch.dev/foldarch/pkg/job"
+)
+
+// A worker that drains gets no start any more. The roster then tells later owners which jobs may have a run there, so that
+// one that ends without a report holds back only these (package takeover).
+
+// retireIfDraining decides that a worker gets no start any more, whatever its entry says later. What runs there must be known whole, since the
+// list of jobs stays as it is.
+func (p *Pool) retireIfDraining(w *worker) {
+	if w.retired || w.gone || !w.info.Draining || !w.reported || w.foreign > 0 || len(w.unknownRuns) > 0 {
+		return
+	}
+	jobs := map[job.ID]bool{}
+	for key := range w.runs {
+		jobs[key.task.Job] = true
+	}
+	p.retire(w, slices.Sorted(maps.Keys(jobs)))
+}
+
+func (p *Pool) retire(w *worker, jobs []job.ID) {
+	w.retired, w.retiredJobs = true, jobs
+	p.rosterChanged(w.info.ID)
+}
+
+// TakeRetired takes in that the roster has a worker as retired.
+func (p *Pool) TakeRetired(info WorkerInfo) {
+	if w, ok := p.workers[info.ID]; ok && info.Retired {
+		p.retire(w, info.Jobs)
+	}
+}
+
+// rosterInfo is what the roster tells of a worker.
+func (w *worker) rosterInfo() WorkerInfo {
+	info := w.info
+	info.Retired, info.Jobs = w.retired, w.retiredJobs
+	return info
+}
--- /dev/null
+++ b/pkg/dispatch/retirement_test.go
@@ -0,0 +1,66 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/job"
+	. "github.com/onsi/gomega"
+)
+
+// retired has worker w1 of two run a task of job a and drain, and returns the roster's record of it.
+func retired(t *testing.T) WorkerInfo {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	f.add(testJob("a", testStep(1)))
+	f.pool.workers[workerID(0)].suspended = f.now.Add(time.Hour)
+	f.accept(f.plan().Starts[0])
+	f.drain(1)
+	f.pass(time.Second)
+	f.plan()
+	infos := f.pool.RosterOf(workerID(1).Name())
+	f.Expect(infos).To(HaveLen(1))
+	f.Expect(infos[0].Retired).To(BeTrue())
+	f.Expect(infos[0].Jobs).To(Equal([]job.ID{"a"}))
+	return infos[0]
+}
+
+// Workers that were told to leave before their owner died never report again, and held back all jobs until their leases lapsed.
+func TestTakeoverHoldsBackOnlyJobsOfARetiredWorker(t *testing.T) {
+	record := retired(t)
+	f := newFixture(t, 2, afterFormerOwner)
+	f.pool.TakeRetired(record)
+	f.add(testJob("a", testStep(1)))
+	f.add(testJob("b", testStep(1)))
+	f.report(0, Report{})
+	starts := f.plan().Starts
+	f.Expect(starts).To(HaveLen(1))
+	f.Expect(starts[0].Task.Job).To(Equal(job.ID("b")))
+	f.Expect(f.pool.Status(f.now).Held).To(Equal(1))
+	f.Expect(f.pool.RosterOf(workerID(1).Name())[0].Jobs).To(Equal([]job.ID{"a"}), "the next owner has to know it, too")
+	f.pass(8500 * time.Millisecond)
+	f.report(0, Report{})
+	starts = f.plan().Starts
+	f.Expect(starts).To(HaveLen(1), "everything on the worker has lapsed")
+	f.Expect(starts[0].Task.Job).To(Equal(job.ID("a")))
+}
+
+// The list of jobs is final, so a worker must not be given another one when its entry changes again.
+func TestRetiredWorkerGetsNoStartThoughItsEntryNoLongerDrains(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	f.reportAll(1)
+	f.drain(0)
+	f.plan()
+	f.pool.PutWorker(WorkerInfo{ID: workerID(0), Pool: "pool", Capacity: f.pool.workers[workerID(0)].info.Capacity}, true, f.now)
+	f.add(testJob("a", testStep(1)))
+	f.Expect(f.plan().Starts).To(BeEmpty())
+}
+
+// A worker that lists a run of a job that is not known yet may run more than is counted.
+func TestWorkerWithUnknownRunsIsNotRetired(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	f.report(0, Report{Active: []Active{{Task: job.TaskID{StepID: job.StepID{Job: "x"}}, Run: 1}}})
+	f.drain(0)
+	f.plan()
+	f.Expect(f.pool.RosterOf(workerID(0).Name())[0].Retired).To(BeFalse())
+}
--- a/pkg/dispatch/roster.go
+++ b/pkg/dispatch/roster.go
@@ -42,7 +42,7 @@
 	if l, known := p.lineages[name]; known {
 		for _, w := range l.lives {
 			if !w.gone {
-				out = append(out, w.info)
+				out = append(out, w.rosterInfo())
 			}
 		}
 	}
--- a/pkg/dispatch/status.go
+++ b/pkg/dispatch/status.go
@@ -20,6 +20,8 @@
 	Capacity  cell.Resources
 	// Takeover says that runs of a former owner are still looked for.
 	Takeover bool
+	Held     int // jobs that wait for them
+	Retired  int // silent workers that hold back only some jobs
 }
 
 // Status summarizes the pool.
@@ -38,6 +40,9 @@
 		if now.Sub(w.lastAnswer) >= usableWithin {
 			s.Silent++
 		}
+		if s.Takeover && !w.reported && w.retired {
+			s.Retired++
+		}
 		s.Runs += len(w.runs)
 		s.Used = s.Used.Add(w.used)
 		s.Capacity = s.Capacity.Add(w.info.Capacity)
@@ -46,6 +51,9 @@
 		if j.outcome == "" {
 			s.Jobs++
 		}
+		if p.blocked(j) {
+			s.Held++
+		}
 	}
 	for step := range p.ready.all() {
 		s.Waiting += step.waiting()
--- a/pkg/dispatch/takeover.go
+++ b/pkg/dispatch/takeover.go
@@ -1,36 +1,42 @@
 package dispatch
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/takeover"
 )
 
 // slowClock is how much slower than ours a worker's clock may run.
 const slowClock = 0.02
 
-// takeover tells which jobs have to wait until the runs of former owners are known.
+// takeoverState tells which jobs have to wait until the runs of former owners are known.
 //
 // A former owner goes on for at most AuthorityTerm after most workers were fenced. What it
-// starts until then on a worker that has not been fenced lapses within MaxHold. Jobs that
-// were accepted under a former term are free when all workers have reported, or when
-// everything has lapsed. A job that was accepted under our own term is free at once: a
+// starts until then on a worker that has not been fenced lapses within MaxHold. A job that
+// was accepted under a former term is free when all workers have reported that may run it (package
+// takeover), or when everything has lapsed. One that was accepted under our own term is free at once: a
 // former owner that is told of it ends.
-type takeover struct {
+type takeoverState struct {
 	pending bool
 	lapsed  clock.Time // everything of former owners has ended
 	orders  clock.Time // until when former owners may give orders to workers that have not answered here
-	// presumed says that the waiting ended by time: some workers have not told what they ran.
-	presumed bool
+	// silent are the workers that have not reported, and holds what they hold back; nil before that was worked out.
+	silent []takeover.Silent
+	holds  *takeover.Holds
+	// openSettled says that only retired workers were silent once.
+	openSettled bool
 	// missed says that a worker may have crashed under a start of a former owner that nobody has counted.
 	missed bool
 	// unknown says that a worker may run something that can't be asked, since the roster's record of it can't be read.
 	unknown bool
 }
 
-func newTakeover(cfg Config, now clock.Time) takeover {
+func newTakeover(cfg Config, now clock.Time) takeoverState {
 	orders := now.Add(cfg.AuthorityTerm)
-	return takeover{pending: cfg.Takeover, orders: orders, lapsed: orders.Add(lapseTime(cfg.MaxHold))}
+	return takeoverState{pending: cfg.Takeover, orders: orders, lapsed: orders.Add(lapseTime(cfg.MaxHold))}
 }
 
 // lapseTime is the time by our clock after which a lease of a duration by a worker's clock
@@ -57,25 +63,84 @@
 	}
 }
 
-// settleTakeover ends the waiting when all is known.
+// settleTakeover frees the jobs whose runs are all known, and ends the waiting when nothing is left to be known.
 func (p *Pool) settleTakeover(now clock.Time) {
 	if !p.takeover.pending || !p.loaded {
 		return
 	}
-	if !p.allReported() {
+	silent := p.silentWorkers()
+	presumed := false
+	if len(silent) > 0 || p.takeover.unknown {
 		if at := p.formerRunsOver(); now < at || !p.confirmedSince(at) {
+			p.holdJobs(silent)
 			return
 		}
-		p.takeover.presumed = true
+		presumed = true
 	}
 	p.takeover.pending = false
 	p.cfg.Log(Event{Name: "takeover_settled"})
-	p.stopPartialGangs()
 	p.forgetUnended()
 	p.sumUnheard()
-	for _, j := range p.jobs {
+	for _, j := range p.jobsByID() {
+		if j.held {
+			j.presumed = presumed
+			p.freeJob(j)
+		}
+		p.forgetIfIdle(j)
+	}
+}
+
+// silentWorkers lists the workers that have not told what they run, by id.
+func (p *Pool) silentWorkers() []takeover.Silent {
+	var out []takeover.Silent
+	for _, w := range p.workersByID() {
+		if !w.reported && !w.gone {
+			out = append(out, takeover.Silent{Worker: string(w.info.ID), Retired: w.retired, Jobs: w.retiredJobs})
+		}
+	}
+	return out
+}
+
+// holdJobs holds back the jobs that may have runs on silent workers, and frees the others.
+func (p *Pool) holdJobs(silent []takeover.Silent) {
+	t := &p.takeover
+	sameWorker := func(a, b takeover.Silent) bool { return a.Worker == b.Worker && a.Retired == b.Retired }
+	if t.unknown || t.holds != nil && slices.EqualFunc(silent, t.silent, sameWorker) {
+		return
+	}
+	t.silent, t.holds = silent, takeover.New(silent)
+	held := 0
+	for _, j := range p.jobsByID() {
+		if !j.held {
+			continue
+		}
+		if p.mayRunUnknown(j) {
+			held++
+			continue
+		}
+		p.freeJob(j)
 		p.forgetIfIdle(j)
 	}
+	p.sumUnheard()
+	if !t.openSettled && !t.mayRunAnything() {
+		t.openSettled = true
+		p.cfg.Log(Event{Name: "takeover_open_settled", Detail: fmt.Sprintf("jobs_held=%d retired_workers=%d", held, len(silent))})
+	}
+}
+
+// freeJob takes in that all runs of former owners are known of a job.
+func (p *Pool) freeJob(j *jobState) {
+	j.held = false
+	p.news = true
+	p.stopPartialGangs(j)
+}
+
+// mayRunUnknown says that silent workers may have runs of a job.
+func (p *Pool) mayRunUnknown(j *jobState) bool {
+	if !p.takeover.pending || p.unknownToFormer(j) {
+		return false
+	}
+	return p.takeover.holds == nil || p.takeover.holds.Holds(j.job.ID, takeover.Names{})
 }
 
 // MissWorker takes in that a worker may run something of former owners and can't be asked, so that all of theirs has to lapse.
@@ -95,22 +160,14 @@
 	return at
 }
 
-// allReported says that all workers have told what they run.
-func (p *Pool) allReported() bool {
-	if p.takeover.unknown {
-		return false
-	}
-	for _, w := range p.workers {
-		if !w.reported && !w.gone {
-			return false
-		}
-	}
-	return true
+// mayRunAnything says that there may be a worker with runs of any job.
+func (t *takeoverState) mayRunAnything() bool {
+	return t.pending && (t.unknown || t.holds == nil || t.holds.Open() > 0)
 }
 
 // blocked says that a former owner may have started tasks of the job that we don't know of.
 func (p *Pool) blocked(j *jobState) bool {
-	return p.takeover.pending && !p.unknownToFormer(j)
+	return p.takeover.pending && j.held
 }
 
 // unknownToFormer says that no former owner can have started the job.
--- a/pkg/dispatch/unheard.go
+++ b/pkg/dispatch/unheard.go
@@ -112,8 +112,12 @@
 		a.BeginUnheard()
 	}
 	for _, j := range p.jobs {
-		if a := j.account; a != nil && !p.unknownToFormer(j) {
+		switch a := j.account; {
+		case a == nil || p.unknownToFormer(j):
+		case j.held:
 			a.AddUnheard(j.mayRunUnheard())
+		default:
+			a.AddUnheard(j.unended)
 		}
 	}
 	unfenced := p.roomOfUnfenced()
@@ -130,7 +134,7 @@
 		return room
 	}
 	for _, w := range p.workers {
-		if !w.fenced && !w.gone {
+		if !w.fenced && !w.gone && !w.retired {
 			room = room.Add(w.info.Capacity)
 		}
 	}
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -43,14 +43,17 @@
 	// entryReplaced says that it went since another life's, which may be of one before, was written in its place.
 	entryReplaced bool
 	// rostered says that the roster has it, so that a later owner will ask it.
-	rostered  bool
-	knownAt   clock.Time // since when this owner knows of it
-	leavesAt  clock.Time // when a draining worker may end; 0 when it stays
-	evacuated bool       // its data hall is being evacuated
-	gone      bool       // the life has ended, or can't run anything any more
-	fenced    bool       // it has answered this owner
-	reported  bool       // its lists were taken in
-	follows   bool       // on a life that has ended while this owner knew of it
+	rostered bool
+	// retired says that it gets no start any more, and retiredJobs are those that may have had a run there by then (retirement.go).
+	retired     bool
+	retiredJobs []job.ID
+	knownAt     clock.Time // since when this owner knows of it
+	leavesAt    clock.Time // when a draining worker may end; 0 when it stays
+	evacuated   bool       // its data hall is being evacuated
+	gone        bool       // the life has ended, or can't run anything any more
+	fenced      bool       // it has answered this owner
+	reported    bool       // its lists were taken in
+	follows     bool       // on a life that has ended while this owner knew of it
 
 	clock      int64 // its clock when it answered last …
 	clockAt    clock.Time
--- a/pkg/poolowner/roster.go
+++ b/pkg/poolowner/roster.go
@@ -32,7 +32,7 @@
 
 // alikeForLater says that a record tells a later owner the same of two lives.
 func alikeForLater(a, b dispatch.WorkerInfo) bool {
-	return a.ID == b.ID && a.Crashed == b.Crashed
+	return a.ID == b.ID && a.Crashed == b.Crashed && a.Retired == b.Retired
 }
 
 // listRoster reads the workers that former owners have used, since the entry of one may be gone while it runs on.
@@ -73,6 +73,7 @@
 		o.pool.PutWorker(w, false, o.deps.Clock.Now())
 	}
 	o.pool.Rostered([]dispatch.WorkerID{w.ID})
+	o.pool.TakeRetired(w)
 }
 
 // rosterChange is a record that differs from what the store has.
