A table says who writes for whom; a hall cut off with the owner is not ready

Cause: hosts of a data hall that is cut off together with the owner heard it and so counted as connected: they reported ready and refused each attempt for the whole cut, while callers would have been served in other halls.

Change: package reach decides who writes and whether a host is ready, in place of conditions in four files of jobhost. The owner's heartbeat tells how long the store has not answered it, of how many other halls it hears members, and whether it lost them at about the time when the store fell silent. A store that is unavailable to all leaves hosts ready.

In reach_test.go, Host.cutOff is gone: the tests ask for the row host_cut_off, which it was. silenceOf moved to package reach with its test.

--- a/pkg/jobhost/door.go
+++ b/pkg/jobhost/door.go
@@ -13,6 +13,7 @@
 	"foldarch.dev/foldarch/pkg/poolrpc"
 	"foldarch.dev/foldarch/pkg/poolrpc/poolpb"
 	"foldarch.dev/foldarch/pkg/queue"
+	"foldarch.dev/foldarch/pkg/reach"
 	"foldarch.dev/foldarch/platform"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
@@ -29,7 +30,7 @@
 
 func (h *Host) door() http.Handler {
 	return &platform.Door{
-		Jobs: h.jobs(), Closing: func() bool { return h.stopping.Load() || h.cutOff() }, RetryAfter: func() time.Duration { return refusedPause },
+		Jobs: h.jobs(), Closing: func() bool { return h.stopping.Load() || !h.row().Ready() }, RetryAfter: func() time.Duration { return refusedPause },
 	}
 }
 
@@ -77,8 +78,8 @@
 	if err := errorOf(c.HandIn()); err != nil {
 		return err
 	}
-	if h.cutOff() {
-		return errors.Wrap(platform.ErrRefused, "this host reaches neither the store nor the owner")
+	if row := h.row(); !row.Open() {
+		return h.refuseClosed(row)
 	}
 	if err := tooWide(c, r.Job); err != nil {
 		return err
@@ -140,8 +141,16 @@
 	return keptValue{}, errors.Wrap(platform.ErrRefused, "the owner changes")
 }
 
-// putUnder writes a key under an owner's record. Errors: as of intake.put.
+// putUnder writes a key under an owner's record, by whom the table says. Errors: as of intake.put.
 func (h *Host) putUnder(ctx context.Context, key string, value []byte, record int64) (created bool, err error) {
+	row := h.row()
+	if !row.Open() {
+		return false, h.refuseClosed(row)
+	}
+	h.figures.rows[row].Inc(1)
+	if m := h.ownerToWrite(); row == reach.OwnerWrites && m != nil {
+		return writeByOwner(ctx, m, key, value)
+	}
 	created, err = h.intake.put(ctx, key, value, record)
 	m := h.ownerToWrite()
 	if err == nil || m == nil || errors.Is(err, errOwnerChanged) {
@@ -154,6 +163,12 @@
 	return created, byOwner
 }
 
+// refuseClosed refuses in a row in which nobody can write. Errors: platform.ErrRefused.
+func (h *Host) refuseClosed(row reach.Row) error {
+	h.figures.rows[row].Inc(1)
+	return errors.Wrap(platform.ErrRefused, row.Reason())
+}
+
 // writeByOwner has the owner write a key.
 func writeByOwner(ctx context.Context, m *poolrpc.Member, key string, value []byte) (created bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, ownerWriteTimeout)
--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -116,6 +116,7 @@
 	}
 	e.holder, e.record, e.yielded, e.heardAt = holder, i.Revision, false, h.clk.Now()
 	e.heartbeat = poolrpc.HeartbeatEvery
+	h.toldReach.Store(nil)
 	h.log.WithFields(logrus.Fields{"owner": holder.Name, "term": holder.Term, "revision": i.Revision}).Info("owner_known")
 	if o := h.owner.Load(); o != nil && holder.Life != h.life {
 		o.Depose()
@@ -259,7 +260,7 @@
 	}
 	o := poolowner.New(poolowner.Deps{
 		Machines: machines,
-		Name:     h.cfg.Load().Name, Clock: h.clk, Store: h.store, Workers: h.worker, WorkerTimeout: workerTimeout, Bounds: h.cfg.Load().Bounds, Heartbeat: h.cfg.Load().Heartbeat,
+		Name:     h.cfg.Load().Name, Hall: h.cfg.Load().Zone, Clock: h.clk, Store: h.store, Workers: h.worker, WorkerTimeout: workerTimeout, Bounds: h.cfg.Load().Bounds, Heartbeat: h.cfg.Load().Heartbeat,
 		Advise: h.advise, Write: h.writeFor, ReadOperator: h.readOperatorKeys, StoreAge: h.storeAge, Leased: k.holds, Log: h.log, Strength: strengthOf(*h.cfg.Load()), LinkMbps: h.cfg.Load().LinkMbps, Figures: h.figures.registry,
 	}, claim)
 	o.SetConfig(h.config.Load())
@@ -367,6 +368,7 @@
 	e.heardAt = h.clk.Now()
 	h.refusals.put(s.Refusals, e.heardAt)
 	h.limits.put(s.Limits, e.heardAt)
+	h.takeReach(s)
 	h.stateReads.setHosts(int(s.Hosts))
 	e.heartbeat = time.Duration(s.HeartbeatMs) * time.Millisecond
 	e.yielded = s.Yield == h.cfg.Load().Name
--- a/pkg/jobhost/figures.go
+++ b/pkg/jobhost/figures.go
@@ -14,6 +14,7 @@
 	"foldarch.dev/foldarch/pkg/job"
 	"foldarch.dev/foldarch/pkg/jobapi"
 	"foldarch.dev/foldarch/pkg/poolowner"
+	"foldarch.dev/foldarch/pkg/reach"
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -30,11 +31,18 @@
 	state        metrics.Timer
 	// denials count the calls that were turned away before anything was done, by verdict.
 	denials map[customer.Verdict]metrics.Counter
+	// rows count the writes of jobs and of cancellations that callers asked for, by the row of the table (package reach).
+	rows map[reach.Row]metrics.Counter
 }
 
 func newFigures() *figures {
 	r := metrics.NewRegistry()
+	rows := map[reach.Row]metrics.Counter{}
+	for _, row := range reach.Rows() {
+		rows[row] = metrics.NewRegisteredCounter("intake."+string(row), r)
+	}
 	return &figures{
+		rows:         rows,
 		registry:     r,
 		accept:       metrics.NewRegisteredTimer("jobs.accept", r),
 		accepted:     metrics.NewRegisteredCounter("jobs.accepted", r),
--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -17,6 +17,7 @@
 	"foldarch.dev/foldarch/pkg/poolowner"
 	"foldarch.dev/foldarch/pkg/poolrpc"
 	"foldarch.dev/foldarch/pkg/queue"
+	"foldarch.dev/foldarch/pkg/reach"
 	"foldarch.dev/foldarch/pkg/traffic"
 	"foldarch.dev/foldarch/pkg/upkeep"
 	"foldarch.dev/foldarch/platform"
@@ -68,6 +69,8 @@
 	limits       customerLimits
 	stopping     atomic.Bool
 	probeFailed  atomic.Bool // the store has not answered the last probe (probeStore)
+	gate         gate
+	toldReach    atomic.Pointer[reach.Owner] // by the owner; nil before its first heartbeat
 
 	// bytes of the connections to other hosts, of callers and for advice
 	peerBytes, callerBytes, adviceBytes *traffic.Meter
@@ -181,7 +184,7 @@
 	h.duties.Go(func() { h.intake.run(ctx) })
 	h.duties.Go(func() { h.newOwnerFollower().run(ctx) })
 	h.duties.Go(func() { h.campaign(ctx) })
-	h.duties.Go(func() { h.probeStore(ctx) })
+	h.duties.Go(func() { h.watchReach(ctx) })
 	h.duties.Go(func() { h.keepLink(ctx) })
 	h.duties.Go(func() { _ = poolrpc.Serve(ctx, h.peerBytes.Listener(peers), h.ownerHandlers, h.clk) })
 }
@@ -194,10 +197,9 @@
 	return o.Handlers(), true
 }
 
-// ready answers the platform's health check. A host that reaches neither the store nor the
-// owner can take in nothing.
+// ready answers the platform's health check. A host that can take in nothing is not ready if others may do better.
 func (h *Host) ready(w http.ResponseWriter, _ *http.Request) {
-	if h.config.Load() == nil || h.stopping.Load() || h.cutOff() {
+	if h.config.Load() == nil || h.stopping.Load() || !h.row().Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/pkg/jobhost/reach_test.go
+++ b/pkg/jobhost/reach_test.go
@@ -6,14 +6,14 @@
 	"time"
 
 	"foldarch.dev/foldarch/pkg/poolrpc"
+	"foldarch.dev/foldarch/pkg/reach"
 	"foldarch.dev/foldarch/platform/emulator"
 	. "github.com/onsi/gomega"
 )
 
-func TestOwnerCountsAsSilentAfterAMissedHeartbeat(t *testing.T) {
-	g := NewWithT(t)
-	g.Expect(silenceOf(poolrpc.HeartbeatEvery)).To(Equal(900 * time.Millisecond))
-	g.Expect(silenceOf(poolrpc.SlowHeartbeat)).To(Equal(1300 * time.Millisecond))
+// cutOff says that a host is in the row of those that reach neither the store nor the owner.
+func cutOff(h *Host) func() bool {
+	return func() bool { return h.row() == reach.HostCutOff }
 }
 
 // In a pool of 588 hosts a hall was cut off. Each host there took its link to the owner, with a heartbeat a second, for sound for 3.2 s: it called itself ready, and held
@@ -24,17 +24,17 @@
 	h, _ := newFollowingHost(t, p)
 	g.Expect(h.store.Reached(t.Context(), "foldarch/owner/holder")).To(BeTrue(), "an absent key is an answer")
 	go h.intake.run(t.Context())
-	go h.probeStore(t.Context())
+	go h.watchReach(t.Context())
 	g.Expect(handIn(t, h, "5c0e7a21d94b36f8").Code).To(Equal(http.StatusOK))
 	p.Store.SetMode(emulator.StoreSilent)
-	g.Eventually(h.cutOff, silenceOf(poolrpc.SlowHeartbeat)+2*storeTimeout, "10ms").Should(BeTrue())
+	g.Eventually(cutOff(h), reach.SilenceOf(poolrpc.SlowHeartbeat)+2*storeTimeout, "10ms").Should(BeTrue())
 	began := time.Now()
 	w := handIn(t, h, "5c0e7a21d94b36f9")
 	g.Expect(w.Code).To(Equal(http.StatusServiceUnavailable))
 	g.Expect(w.Header().Get("Retry-After")).NotTo(BeEmpty())
 	g.Expect(time.Since(began)).To(BeNumerically("<", 100*time.Millisecond))
 	p.Store.SetMode(emulator.StoreUp)
-	g.Eventually(h.cutOff, "3s", "10ms").Should(BeFalse())
+	g.Eventually(cutOff(h), "3s", "10ms").Should(BeFalse())
 	g.Expect(p.Store.Values("foldarch/jobs/5c0e7a21d94b36f9")).To(BeEmpty(), "it was refused, so it never runs")
 }
 
@@ -43,9 +43,9 @@
 	g := NewWithT(t)
 	p := startPlatform(t)
 	h, _ := newFollowingHost(t, p)
-	go h.probeStore(t.Context())
+	go h.watchReach(t.Context())
 	h.member.Store(poolrpc.NewMember(poolrpc.MemberHandlers{}, h.clk))
 	p.Store.SetMode(emulator.StoreSilent)
-	g.Consistently(h.cutOff, "700ms", "20ms").Should(BeFalse())
-	g.Eventually(h.cutOff, "2s", "20ms").Should(BeTrue(), "its link is silent, too")
+	g.Consistently(cutOff(h), "700ms", "20ms").Should(BeFalse())
+	g.Eventually(cutOff(h), "2s", "20ms").Should(BeTrue(), "its link is silent, too")
 }
--- a/pkg/poolowner/members.go
+++ b/pkg/poolowner/members.go
@@ -31,6 +31,7 @@
 	defer o.mu.Unlock()
 	if former := o.members[s.Name]; former != nil {
 		former.cancel() // its stream has not been found broken yet
+		o.heardOf(former)
 	}
 	o.members[s.Name] = o.newMember(s)
 	st := s.Status()
@@ -47,6 +48,7 @@
 		return
 	}
 	m.cancel()
+	o.heardOf(m)
 	o.relays.RemoveHost(s.Name)
 	delete(o.near, s.Name)
 	delete(o.members, s.Name)
@@ -87,7 +89,11 @@
 
 // statusEach is the owner's heartbeat on a stream on which they follow each other in a time.
 func (o *Owner) statusEach(heartbeat time.Duration) *poolpb.OwnerStatus {
-	st := &poolpb.OwnerStatus{Term: o.claim.Term, HeartbeatMs: heartbeat.Milliseconds(), Refusals: o.refusalsNow(), Limits: o.limitsNow(), Hosts: int32(1 + len(o.members))}
+	owner := o.reach()
+	st := &poolpb.OwnerStatus{
+		Term: o.claim.Term, HeartbeatMs: heartbeat.Milliseconds(), Refusals: o.refusalsNow(), Limits: o.limitsNow(), Hosts: int32(1 + len(o.members)),
+		StoreAgeMs: owner.StoreAge.Milliseconds(), OtherHalls: int32(owner.OtherHalls), HallsLost: owner.HallsLost,
+	}
 	if name := o.yield.Load(); name != nil {
 		st.Yield = *name
 	}
@@ -132,10 +138,15 @@
 	if old := o.yield.Swap(&best); old == nil || *old != best {
 		o.deps.Log.WithFields(logrus.Fields{"to": best, "why": why}).Info("owner_yields")
 	}
+	o.tellStatus()
+	return true
+}
+
+// tellStatus sends the owner's heartbeat to all members at once. The caller holds o.mu.
+func (o *Owner) tellStatus() {
 	for _, m := range o.members {
 		m.Send(&poolpb.OwnerMessage{Content: &poolpb.OwnerMessage_Status{Status: o.statusEach(o.heartbeat(m))}})
 	}
-	return true
 }
 
 // bestMember names the strongest member that will do for a reason, among like ones the one
--- a/pkg/poolowner/members_test.go
+++ b/pkg/poolowner/members_test.go
@@ -123,3 +123,31 @@
 	raise = true
 	g.Expect(s.holdPath(&raise)).To(BeNil(), "this host settles lost answers")
 }
+
+// Guards the two signs by which a hall that is cut off with the owner is told from a store that is unavailable to all.
+func TestOwnerTellsWhichHallsItHears(t *testing.T) {
+	g := NewWithT(t)
+	o, now := ownerOf(t, 2, enough)
+	storeAge := time.Duration(0)
+	o.deps.Hall, o.deps.StoreAge = "h", func() time.Duration { return storeAge }
+	own := o.members["m000"].Session
+	tell := func() *poolpb.OwnerStatus {
+		own.PutStatus(own.Status(), *now)
+		return o.status(own)
+	}
+	g.Expect(tell().OtherHalls).To(BeZero())
+	g.Expect(tell().HallsLost).To(BeFalse(), "it never had another hall")
+	other := join(o, "x", &poolpb.MemberStatus{Hall: "i"}, *now)
+	join(o, "y", &poolpb.MemberStatus{}, *now)
+	*now = now.Add(hallsEvery)
+	g.Expect(tell().OtherHalls).To(Equal(int32(1)), "a member that does not tell its hall does not count")
+	storeAge = 900 * time.Millisecond
+	*now = now.Add(storeAge)
+	g.Expect(tell()).To(And(HaveField("OtherHalls", BeZero()), HaveField("HallsLost", true), HaveField("StoreAgeMs", int64(900))), "it fell silent with the store")
+	o.left(other)
+	storeAge += time.Minute
+	*now = now.Add(time.Minute)
+	g.Expect(tell().HallsLost).To(BeTrue(), "its stream is gone, and the store is still silent")
+	storeAge = 0
+	g.Expect(tell().HallsLost).To(BeFalse(), "the store answers without the other hall")
+}
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -61,6 +61,7 @@
 // Deps are what an owner works with.
 type Deps struct {
 	Name    string
+	Hall    string // data hall of this host
 	Clock   clock.Clock
 	Store   *platform.Store
 	Workers *platform.Workers
@@ -114,6 +115,7 @@
 	sessions map[dispatch.WorkerID]*workerSession
 	members  map[string]*member
 	near     map[string]bool // members with the usual heartbeat (heartbeat)
+	halls    halls
 	relays   *relay.Assignments
 	unusable map[string]unusableEntry // by the worker's name
 	// unreadable are jobs whose progress can't be read.
--- a/pkg/poolrpc/owner.go
+++ b/pkg/poolrpc/owner.go
@@ -57,11 +57,16 @@
 
 // StatusAge is how long ago the member told its status.
 func (s *Session) StatusAge(now clock.Time) time.Duration {
-	return now.Sub(clock.Time(s.toldAt.Load()))
+	return now.Sub(s.StatusAt())
 }
 
-// heartbeat is the time between two heartbeats of the member, as it said last.
-func (s *Session) heartbeat() time.Duration {
+// StatusAt is when the member told its status.
+func (s *Session) StatusAt() clock.Time {
+	return clock.Time(s.toldAt.Load())
+}
+
+// Heartbeat is the time between two heartbeats of the member, as it said last.
+func (s *Session) Heartbeat() time.Duration {
 	return heartbeatOf(s.Status().GetHeartbeatMs())
 }
 
@@ -141,7 +146,7 @@
 		case <-ctx.Done():
 		}
 		limit.Stop()
-		if s.clk.Now().Sub(clock.Time(session.heardAt.Load())) > silenceLimit(session.heartbeat()) {
+		if s.clk.Now().Sub(clock.Time(session.heardAt.Load())) > silenceLimit(session.Heartbeat()) {
 			cancel()
 			return
 		}
--- /dev/null
+++ b/pkg/reach/table_test.go
@@ -0,0 +1,79 @@
+package reach
+
+import (
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	. "github.com/onsi/gomega"
+)
+
+const silent = 4 * time.Second
+
+// Guards each row of the table: who writes, and whether the balancer is to send callers.
+func TestTable(t *testing.T) {
+	for name, c := range map[string]struct {
+		view        View
+		row         Row
+		open, ready bool
+	}{
+		"the store answers": {View{true, Owner{Heard: true}}, OwnWrite, true, true},
+		"the store answers the host and not the owner": {
+			View{true, Owner{Heard: true, StoreAge: silent, HallsLost: true}}, OwnWrite, true, true,
+		},
+		"the store answers, and there is no owner":    {View{true, Owner{}}, OwnWrite, true, true},
+		"the store answers the owner":                 {View{false, Owner{Heard: true, StoreAge: 500 * time.Millisecond}}, OwnerWrites, true, true},
+		"the owner itself, whose write got no answer": {View{false, Owner{Heard: true, Self: true, OtherHalls: 1}}, StoreUnavailable, false, true},
+		"the owner has just lost other halls":         {View{false, Owner{Heard: true, HallsLost: true}}, OwnerWrites, true, true},
+		"the store answers nobody":                    {View{false, Owner{Heard: true, StoreAge: silent, OtherHalls: 1}}, StoreUnavailable, false, true},
+		"an owner that never had other halls":         {View{false, Owner{Heard: true, StoreAge: silent}}, StoreUnavailable, false, true},
+		"a hall that is cut off with the owner":       {View{false, Owner{Heard: true, StoreAge: silent, HallsLost: true}}, HallCutOff, false, false},
+		"neither the store nor the owner":             {View{false, Owner{}}, HostCutOff, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			row := Decide(c.view)
+			g.Expect(row).To(Equal(c.row))
+			g.Expect(row.Open()).To(Equal(c.open))
+			g.Expect(row.Ready()).To(Equal(c.ready))
+			g.Expect(row.Reason() == "").To(Equal(c.open), "a refusal has a reason")
+		})
+	}
+}
+
+// Guards against hosts that go in and out of the balancer with a link that comes and goes.
+func TestHallThatWasCutOffStaysOutUntilContactIsSteady(t *testing.T) {
+	g := NewWithT(t)
+	lost := View{false, Owner{Heard: true, StoreAge: silent, HallsLost: true}}
+	heard := View{false, Owner{Heard: true, StoreAge: silent, OtherHalls: 1}}
+	var gate Gate
+	now := clock.Time(1000)
+	g.Expect(gate.Row(heard, now)).To(Equal(StoreUnavailable))
+	g.Expect(gate.Row(lost, now)).To(Equal(HallCutOff))
+	g.Expect(gate.Row(heard, now.Add(time.Second))).To(Equal(HallCutOff))
+	g.Expect(gate.Row(lost, now.Add(2*time.Second))).To(Equal(HallCutOff))
+	g.Expect(gate.Row(heard, now.Add(3*time.Second))).To(Equal(HallCutOff))
+	g.Expect(gate.Row(heard, now.Add(5*time.Second))).To(Equal(StoreUnavailable), "steady for 2 s")
+	g.Expect(gate.Row(lost, now.Add(6*time.Second))).To(Equal(HallCutOff))
+	g.Expect(gate.Row(View{true, lost.Owner}, now.Add(6*time.Second))).To(Equal(OwnWrite), "the store answers: at once")
+}
+
+// Guards against deployments that count as cut off although they are not, and against cuts that are not seen.
+func TestHallsAreLostWithTheStoreOnly(t *testing.T) {
+	g := NewWithT(t)
+	now := clock.Time(100_000)
+	var c Contact
+	g.Expect(c.Lost(0, silent, now)).To(BeFalse(), "one hall, or no member has joined yet")
+	c.HeardAt(now.Add(-4100 * time.Millisecond))
+	c.HeardAt(now.Add(-9 * time.Second)) // another member, lost before
+	g.Expect(c.Lost(0, silent, now)).To(BeTrue())
+	g.Expect(c.Lost(0, silent+time.Minute, now.Add(time.Minute))).To(BeTrue(), "as long as the store is silent")
+	g.Expect(c.Lost(1, silent, now)).To(BeFalse(), "another hall is heard")
+	g.Expect(c.Lost(0, silent, now.Add(time.Minute))).To(BeFalse(), "the other halls left long before the store fell silent")
+}
+
+func TestSideCountsAsSilentAfterAMissedHeartbeat(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(SilenceOf(250 * time.Millisecond)).To(Equal(900 * time.Millisecond))
+	g.Expect(SilenceOf(time.Second)).To(Equal(1300 * time.Millisecond))
+}
