Tickets and seconds of calls for advice are counted by how they end

The owner counts each ticket that a call brings: used, or unused since its worker had no room or lost it, for the customer's quota, since a gang lacked other members, since it expired beside room, or since the step was done without it. Calls are summed up in time by standing, for starving steps and by customer. Shown in pool_status, as figures and in foldarch job customers.

The test of the figures of customers expects one line more for each customer.

--- a/pkg/cli/job_customers.go
+++ b/pkg/cli/job_customers.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"time"
 
 	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/dispatch"
@@ -29,11 +30,11 @@
 }
 
 func printCustomers(w io.Writer, rows []dispatch.CustomerStatus) {
-	fmt.Fprintf(w, "%-20s %8s %7s %18s %20s %6s %8s %10s\n", "CUSTOMER", "WEIGHT", "SHARE", "CORES OF QUOTA", "MEMORY MB OF QUOTA", "JOBS", "WAITING", "FOR QUOTA")
+	fmt.Fprintf(w, "%-20s %8s %7s %18s %20s %6s %8s %10s %9s\n", "CUSTOMER", "WEIGHT", "SHARE", "CORES OF QUOTA", "MEMORY MB OF QUOTA", "JOBS", "WAITING", "FOR QUOTA", "ADVICE S")
 	for _, r := range rows {
-		fmt.Fprintf(w, "%-20.20s %8g %6.1f%% %18s %20s %6d %8d %10d\n", r.Name, r.Weight, 100*r.Share,
+		fmt.Fprintf(w, "%-20.20s %8g %6.1f%% %18s %20s %6d %8d %10d %9.1f\n", r.Name, r.Weight, 100*r.Share,
 			ofQuota(r.Used.CPUMillis/cell.MillisPerCPU, r.Quota.CPUMillis/cell.MillisPerCPU), ofQuota(r.Used.MemoryMB, r.Quota.MemoryMB),
-			r.Jobs, r.Waiting, r.AwaitQuota)
+			r.Jobs, r.Waiting, r.AwaitQuota, (time.Duration(r.AdviceMs) * time.Millisecond).Seconds())
 	}
 }
 
--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -49,18 +49,15 @@
 	answeredAt clock.Time
 }
 
-type ticket struct {
-	text  string
-	until clock.Time
-}
-
 type pendingAsk struct {
 	ask    Ask
 	step   *step // nil when the answer is of no use any more
 	known  int   // how many of the named were known to be allowed; they come first
+	roomy  int   // how many had room, or were expected to; those without come last
 	sentAt clock.Time
 	cost   time.Duration
 	queue  string
+	over   advice.CallOver // but for how it ended
 }
 
 // adviceCalls are the calls for advice that are on their way, with those who make them and what earlier ones have told of queues.
@@ -73,10 +70,12 @@
 	rounds   advice.Rounds
 	offset   int // shifts which of like workers are named
 	choices  int // of workers to be named, in this plan
+	tally    *advice.Tally
+	issues   []*issue
 }
 
 func newAdviceCalls() adviceCalls {
-	return adviceCalls{advisers: advice.NewAdvisers(), asks: map[int64]*pendingAsk{}, rates: advice.Rates{}, rounds: advice.Rounds{}}
+	return adviceCalls{advisers: advice.NewAdvisers(), asks: map[int64]*pendingAsk{}, rates: advice.Rates{}, rounds: advice.Rounds{}, tally: advice.NewTally()}
 }
 
 // longAtOnce is how many long calls may be on their way.
@@ -114,14 +113,13 @@
 		return
 	}
 	p.advice.choices++
-	named, known := p.name(s, reserved, calls, now)
-	if len(named) == 0 {
+	names := p.name(s, reserved, calls, now)
+	if len(names.workers) == 0 {
 		s.advice.notBefore = now.Add(time.Duration(nameAgain * float64(calls.Cost.Of(1))))
 		return
 	}
-	for part := range slices.Chunk(named, calls.Size(len(named))) {
-		p.call(s, part, min(known, len(part)), longAtOnce, now, out)
-		known = max(known-len(part), 0)
+	for _, part := range names.parts(calls.Size(len(names.workers))) {
+		p.call(s, part, longAtOnce, now, out)
 	}
 }
 
@@ -144,29 +142,30 @@
 		s.time.job.queue.Advice != nil && s.time.job.outcome == ""
 }
 
-// call has one call made that names workers, of which the first are known to be allowed.
-func (p *Pool) call(s *step, named []WorkerID, known, longAtOnce int, now clock.Time, out *Actions) {
+// call has one call made that names workers.
+func (p *Pool) call(s *step, names naming, longAtOnce int, now clock.Time, out *Actions) {
 	q := s.time.job.queue
-	cost := q.Advice.Of(len(named))
+	cost := q.Advice.Of(len(names.workers))
 	if p.advice.advisers.Free() == 0 || cost >= longAsk && p.advice.long >= longAtOnce {
 		return
 	}
 	adviser := p.advice.advisers.Take()
 	p.advice.last++
-	a := &pendingAsk{step: s, known: known, sentAt: now, cost: cost, queue: q.Name, ask: Ask{
-		Number: p.advice.last, Step: s.id(), Workers: named, Adviser: adviser, Limit: cost + cost/2 + askSlack,
+	a := &pendingAsk{step: s, known: names.known, roomy: names.roomy, sentAt: now, cost: cost, queue: q.Name, ask: Ask{
+		Number: p.advice.last, Step: s.id(), Workers: names.workers, Adviser: adviser, Limit: cost + cost/2 + askSlack,
 	}}
+	a.over = advice.CallOver{Customer: s.time.job.customer.Name, Standing: s.standing(now), Starving: p.starves(s, now)}
 	if cost >= longAsk {
 		p.advice.long++
 	}
 	p.advice.asks[a.ask.Number] = a
 	s.advice.pending = append(s.advice.pending, a)
-	for _, id := range named {
+	for _, id := range names.workers {
 		p.nameWorker(s.time.job, id)
 	}
 	out.Asks = append(out.Asks, a.ask)
 	p.cfg.Log(Event{Name: "advice_asked", Task: job.TaskID{StepID: s.id()}, Detail: fmt.Sprintf(
-		"workers=%d known=%d waiting=%d by=%s cost_ms=%d", len(named), known, s.waiting(), adviser, cost.Milliseconds())})
+		"workers=%d known=%d waiting=%d by=%s cost_ms=%d", len(names.workers), names.known, s.waiting(), adviser, cost.Milliseconds())})
 }
 
 // AdviceAnswered takes in the answer of a call for advice, or that it failed.
@@ -180,11 +179,14 @@
 	if a.cost >= longAsk {
 		p.advice.long--
 	}
+	a.over.Took, a.over.OK = now.Sub(a.sentAt), ok
+	p.advice.tally.AddCall(a.over)
 	if ok {
 		p.learnRate(a, tickets)
 	}
 	s := a.step
 	if s == nil {
+		p.advice.tally.AddTickets(advice.TicketStepDone, len(tickets))
 		return
 	}
 	s.advice.pending = slices.DeleteFunc(s.advice.pending, func(other *pendingAsk) bool { return other == a })
@@ -194,7 +196,7 @@
 	s.advice.spent += now.Sub(a.sentAt)
 	s.advice.notBefore = now.Add(askAgain)
 	if ok {
-		s.advice.learn(a, tickets, s.time.job.queue.Advice.Validity)
+		p.advice.issues = append(p.advice.issues, s.learnAdvice(a, tickets))
 	}
 }
 
@@ -213,20 +215,32 @@
 	p.advice.rates.Learn(a.queue, allowed, len(fresh))
 }
 
+// learnAdvice keeps what a call for the step told, and returns what it brought.
+func (s *step) learnAdvice(a *pendingAsk, tickets []Ticket) *issue {
+	i := &issue{step: s, until: a.sentAt.Add(a.cost + s.time.job.queue.Advice.Validity)}
+	uses := make(map[WorkerID]*ticketUse, len(tickets))
+	for _, t := range tickets {
+		u := &ticketUse{worker: t.Worker, hadRoom: slices.Index(a.ask.Workers, t.Worker) < a.roomy}
+		uses[t.Worker] = u
+		i.tickets = append(i.tickets, u)
+	}
+	s.advice.learn(a, tickets, i.until, uses)
+	return i
+}
+
 // learn keeps what a call told. The tickets hold from when the service gave them, which it
 // did not do before the call had taken its time.
-func (s *stepAdvice) learn(a *pendingAsk, tickets []Ticket, validity time.Duration) {
+func (s *stepAdvice) learn(a *pendingAsk, tickets []Ticket, until clock.Time, uses map[WorkerID]*ticketUse) {
 	if s.good == nil {
 		s.good, s.denied, s.tickets = map[WorkerID]bool{}, map[WorkerID]bool{}, map[WorkerID]ticket{}
 	}
 	for _, id := range a.ask.Workers {
 		s.denied[id] = true
 	}
-	until := a.sentAt.Add(a.cost + validity)
 	for _, t := range tickets {
 		delete(s.denied, t.Worker)
 		s.good[t.Worker] = true
-		s.tickets[t.Worker] = ticket{t.Text, until}
+		s.tickets[t.Worker] = ticket{t.Text, until, uses[t.Worker]}
 		s.ticketsUntil = max(s.ticketsUntil, until)
 	}
 }
@@ -249,6 +263,7 @@
 	const grace = 500 * time.Millisecond
 	p.advice.choices = 0
 	p.advice.advisers.EndRests(now)
+	p.countLapsed(now)
 	for n, a := range p.advice.asks {
 		if now.Sub(a.sentAt) > a.ask.Limit+grace {
 			p.AdviceAnswered(n, nil, false, now)
--- a/pkg/dispatch/customer_status.go
+++ b/pkg/dispatch/customer_status.go
@@ -20,6 +20,8 @@
 	// Waiting are its tasks that may be started as far as their steps are concerned, and AwaitQuota those of them that wait for its quota.
 	Waiting    int `json:"waiting"`
 	AwaitQuota int `json:"await_quota"`
+	// AdviceMs is how long calls for advice for its steps have taken since the owner began, in milliseconds.
+	AdviceMs int64 `json:"advice_ms"`
 }
 
 // Customers lists the customers, those first that have most running.
@@ -33,7 +35,7 @@
 	rows := make(map[string]*CustomerStatus, len(p.accounts))
 	for name, a := range p.accounts {
 		c, used := a.Customer(), a.Used()
-		rows[name] = &CustomerStatus{Name: name, Weight: c.Weight, Quota: c.Quota, Used: used, Share: used.DominantShare(capacity)}
+		rows[name] = &CustomerStatus{Name: name, Weight: c.Weight, Quota: c.Quota, Used: used, Share: used.DominantShare(capacity), AdviceMs: p.advice.tally.SpentFor(name).Milliseconds()}
 	}
 	for _, j := range p.jobs {
 		if row := rows[j.customer.Name]; row != nil && j.outcome == "" {
--- a/pkg/dispatch/naming.go
+++ b/pkg/dispatch/naming.go
@@ -19,10 +19,27 @@
 	room   int
 }
 
+// naming is a list of workers to be named in a call: first those that are known to be allowed, last those without room.
+type naming struct {
+	workers []WorkerID
+	known   int // how many are known to be allowed
+	roomy   int // how many have room, or are expected to
+}
+
+// parts splits them up for calls that name a number of workers each.
+func (n naming) parts(size int) []naming {
+	var out []naming
+	for part := range slices.Chunk(n.workers, size) {
+		out = append(out, naming{part, min(n.known, len(part)), min(n.roomy, len(part))})
+		n.known, n.roomy = max(n.known-len(part), 0), max(n.roomy-len(part), 0)
+	}
+	return out
+}
+
 // name lists the workers to name in calls that go out together: those known to be allowed whose tickets have
 // lapsed, as many others as make the calls for the step shortest (advice.Prices), and some without
 // room, so that no other call has to learn of them.
-func (p *Pool) name(s *step, reserved *reservations, calls advice.Prices, now clock.Time) (named []WorkerID, nKnown int) {
+func (p *Pool) name(s *step, reserved *reservations, calls advice.Prices, now clock.Time) naming {
 	waiting := p.startable(s)
 	if s.goesFirst {
 		waiting = s.waiting() // its tickets are to be there when its customer's quota has room
@@ -30,20 +47,22 @@
 	known, covered := p.knownWorkers(s, reserved, calls, now)
 	need := float64(waiting - covered)
 	if need <= 0 {
-		return nil, 0
+		return naming{}
 	}
 	enough := roomEnough * need / p.advice.rates.Of(s.time.job.queue.Name)
 	others, full := p.otherWorkers(s, reserved, enough, s.spec.Gang || waiting > fewTasks, now)
 	if s.spec.Gang && totalRoom(known)+totalRoom(others) < need {
 		known, others = nil, nil // there is no room for all members, whoever is allowed
 	}
-	named, need = nameKnown(known, need*roomMargin, calls.MostNamed())
-	nKnown = len(named)
+	workers, need := nameKnown(known, need*roomMargin, calls.MostNamed())
+	nKnown := len(workers)
 	n, suffices := p.countOthers(s, others, need, calls, nKnown)
 	for _, o := range others[:n] {
-		named = append(named, o.worker.info.ID)
+		workers = append(workers, o.worker.info.ID)
 	}
-	return append(named, p.nameToLearn(s, full, suffices, advice.MaxNamed-len(named), now)...), nKnown
+	roomy := len(workers)
+	workers = append(workers, p.nameToLearn(s, full, suffices, advice.MaxNamed-len(workers), now)...)
+	return naming{workers, nKnown, roomy}
 }
 
 // countOthers is how many of the workers, in their order, calls name beside the known ones, and the
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -200,6 +200,7 @@
 	}
 	ticket := t.step.advice.tickets[w.info.ID]
 	o.Ticket = ticket.text
+	p.useTicket(ticket)
 	p.logStart(o, w, ticket, now)
 	return o
 }
--- a/pkg/dispatch/status.go
+++ b/pkg/dispatch/status.go
@@ -22,11 +22,13 @@
 	Takeover bool
 	Held     int // jobs that wait for them
 	Retired  int // silent workers that hold back only some jobs
+	// Advice is what calls for advice have taken and brought, by name (advice.Tally).
+	Advice map[string]int64
 }
 
 // Status summarizes the pool.
 func (p *Pool) Status(now clock.Time) Status {
-	s := Status{Steps: p.ready.count, Calls: len(p.advice.asks), Takeover: p.takeover.pending}
+	s := Status{Advice: p.advice.tally.Figures(), Steps: p.ready.count, Calls: len(p.advice.asks), Takeover: p.takeover.pending}
 	for _, w := range p.workers {
 		if w.gone {
 			continue
--- /dev/null
+++ b/pkg/dispatch/tickets_test.go
@@ -0,0 +1,108 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/advice"
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/worth"
+	. "github.com/onsi/gomega"
+)
+
+// Guards against tickets that are counted twice, not at all, or under a cause that hides why calls were wasted.
+func TestTicketsAreCountedByHowTheyEnd(t *testing.T) {
+	one := func(f *fixture) { f.add(advisedJob("a", testStep(1))) }
+	gang := func(f *fixture) { f.add(advisedJob("a", gangOf(8))) }
+	quota := func(f *fixture) {
+		c := north(2000)
+		c.Quota.MemoryMB = 0
+		f.configure(2, c)
+		f.add(of(c, testJob("others", testStep(2))))
+		for _, s := range f.plan().Starts {
+			f.accept(s)
+		}
+		f.add(of(c, advisedJob("a", testStep(1))))
+		f.pool.jobs["a"].times[0].steps[0].goesFirst = true // its tickets are to be there when the quota has room
+	}
+	fill := func(f *fixture) {
+		for _, w := range f.pool.workers {
+			w.used = cell.Resources{CPUMillis: 4000}
+		}
+	}
+	for name, test := range map[string]struct {
+		job    func(*fixture)
+		answer func(f *fixture, s *step, named []WorkerID)
+		after  func(*fixture)
+		want   map[advice.TicketEnd]int64
+	}{
+		"one of two is used": {one, nil, nil, map[advice.TicketEnd]int64{advice.TicketUsed: 1, advice.TicketStepDone: 1}},
+		"cancelled":          {one, nil, func(f *fixture) { f.pool.Cancel("a") }, map[advice.TicketEnd]int64{advice.TicketStepDone: 2}},
+		"room is taken":      {one, nil, fill, map[advice.TicketEnd]int64{advice.TicketRoomTaken: 2}},
+		"a gang lacks others": {gang, nil, func(f *fixture) {
+			f.pool.workers["w0"].suspended = f.now.Add(time.Minute)
+		}, map[advice.TicketEnd]int64{advice.TicketGangShort: 1, advice.TicketRoomTaken: 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 2, nil)
+			f.reportAll(2)
+			f.pool.PutAdviser("host")
+			test.job(f)
+			expectTicketEnds(f, test.after, test.want)
+		})
+	}
+	t.Run("the quota is used up", func(t *testing.T) {
+		f := newFixture(t, 2, nil)
+		f.reportAll(2)
+		quota(f)
+		s := f.pool.jobs["a"].times[0].steps[0]
+		f.pool.advice.issues = []*issue{{step: s, until: f.now, tickets: []*ticketUse{{worker: "w0", hadRoom: true}}}}
+		f.pool.countLapsed(f.now)
+		f.Expect(f.pool.advice.tally.Tickets(advice.TicketQuota)).To(Equal(int64(1)))
+	})
+}
+
+// expectTicketEnds has tickets for all workers given, something happen, and the tickets lapse.
+func expectTicketEnds(f *fixture, after func(*fixture), want map[advice.TicketEnd]int64) {
+	ask := f.plan().Asks[0]
+	f.pass(50 * time.Millisecond)
+	f.pool.AdviceAnswered(ask.Number, []Ticket{{"w0", "t"}, {"w1", "t"}}, true, f.now)
+	if after != nil {
+		after(f)
+	}
+	var ends []Start
+	for range 3 {
+		ends = append(ends, f.plan().Starts...)
+		f.pass(time.Second)
+		f.pool.workers["w0"].lastAnswer, f.pool.workers["w1"].lastAnswer = f.now, f.now
+	}
+	f.pool.countLapsed(f.now)
+	f.pool.countLapsed(f.now)
+	for end := advice.TicketUsed; end <= advice.TicketStepDone; end++ {
+		f.Expect(f.pool.advice.tally.Tickets(end)).To(Equal(want[end]), "end %d", end)
+	}
+	f.Expect(f.pool.advice.tally.Starts()).To(Equal(int64(len(ends))))
+}
+
+// Guards against seconds of calls that are missing in the sums by standing or by customer, also of calls that fail.
+func TestSecondsOfCallsAreSummedUpByStandingAndCustomer(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	f.pool.PutAdviser("host")
+	f.add(of(north(0), advisedJob("a", testStep(1))))
+	for _, ok := range []bool{true, false} {
+		f.pool.workers["w0"].lastAnswer, f.pool.workers["w1"].lastAnswer = f.now, f.now
+		asks := f.plan().Asks
+		f.Expect(asks).To(HaveLen(1))
+		f.pass(100 * time.Millisecond)
+		f.pool.AdviceAnswered(asks[0].Number, nil, ok, f.now)
+		f.pool.jobs["a"].times[0].steps[0].advice = stepAdvice{}
+		f.pool.jobs["a"].times[0].latest = f.now - 1
+		f.pool.jobs["a"].times[0].objective = f.now - 1
+	}
+	tally := f.pool.advice.tally
+	f.Expect(tally.Calls()).To(Equal(int64(2)))
+	f.Expect(tally.Spent(worth.InTime)).To(Equal(100 * time.Millisecond))
+	f.Expect(tally.Spent(worth.Worthless)).To(Equal(100 * time.Millisecond))
+	f.Expect(f.pool.Customers()).To(ContainElement(HaveField("AdviceMs", int64(200))))
+}
--- a/pkg/jobhost/customers.go
+++ b/pkg/jobhost/customers.go
@@ -40,6 +40,7 @@
 		others.Jobs += r.Jobs
 		others.Waiting += r.Waiting
 		others.AwaitQuota += r.AwaitQuota
+		others.AdviceMs += r.AdviceMs
 	}
 	if len(rows) > mostCustomers {
 		writeCustomer(w, others)
@@ -53,4 +54,5 @@
 	writeFigure(w, prefix+".jobs", float64(r.Jobs))
 	writeFigure(w, prefix+".tasks_waiting", float64(r.Waiting))
 	writeFigure(w, prefix+".tasks_awaiting_quota", float64(r.AwaitQuota))
+	writeFigure(w, prefix+".advice_ms", float64(r.AdviceMs))
 }
--- a/pkg/jobhost/customers_test.go
+++ b/pkg/jobhost/customers_test.go
@@ -19,7 +19,7 @@
 	}
 	var out bytes.Buffer
 	writeCustomers(&out, rows)
-	g.Expect(strings.Count(out.String(), "\n")).To(Equal(5 * (mostCustomers + 1)))
+	g.Expect(strings.Count(out.String(), "\n")).To(Equal(6 * (mostCustomers + 1)))
 	g.Expect(out.String()).To(ContainSubstring("customer.c0.used_cpu_millis 2\n"))
 	g.Expect(out.String()).To(ContainSubstring(fmt.Sprintf("customer.others.jobs %d\n", 5000-mostCustomers)))
 }
--- a/pkg/jobhost/figures.go
+++ b/pkg/jobhost/figures.go
@@ -143,6 +143,9 @@
 		"pool.used_cpu_millis": s.Used.CPUMillis, "pool.capacity_cpu_millis": s.Capacity.CPUMillis,
 		"pool.used_memory_mb": s.Used.MemoryMB, "pool.capacity_memory_mb": s.Capacity.MemoryMB,
 	}
+	for name, n := range s.Advice {
+		values["pool."+name] = n
+	}
 	for _, name := range slices.Sorted(maps.Keys(values)) {
 		writeFigure(w, name, float64(values[name]))
 	}
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -343,11 +343,15 @@
 func (o *Owner) logStatus() {
 	s := o.Status()
 	plans := o.plans.Snapshot()
-	o.deps.Log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"workers": s.Workers, "silent": s.Silent, "evacuated": s.Evacuated, "jobs": s.Jobs, "steps": s.Steps, "waiting": s.Waiting, "runs": s.Runs,
 		"calls": s.Calls, "advisers": s.Advisers, "takeover": s.Takeover, "held": s.Held, "retired": s.Retired, "calls_waiting": o.CallsWaiting(), "relayed": o.Relayed(), "used": s.Used, "capacity": s.Capacity,
 		"plan_p50_us": time.Duration(plans.Percentile(0.5)).Microseconds(), "plan_p99_us": time.Duration(plans.Percentile(0.99)).Microseconds(),
-	}).Info("pool_status")
+	}
+	for name, n := range s.Advice {
+		fields[name] = n
+	}
+	o.deps.Log.WithFields(fields).Info("pool_status")
 	o.logLongWaits()
 }
 
