Writes go by deadline after the store's return, which hosts learn at once

Cause: after an outage of the store hosts refused on, since calls that were sent while it was silent hung until their limits and nothing was asked meanwhile; writes then went in order of arrival, and those whose callers were gone went too.

Change: the owner probes a silent store each 50 ms and tells its members when it answers; probes overlap and take a bounded share of the store's rate. Writes wait in a queue: for a second after a gap the shortest time left goes first, writes of callers that are gone are dropped, and what waits while the store is silent is refused. A write that fails at its caller's deadline before anything was sent gets 503 in place of 504. The owner learns how long its members' callers wait (Write.left_ms).

--- a/pkg/jobhost/door.go
+++ b/pkg/jobhost/door.go
@@ -171,9 +171,10 @@
 
 // writeByOwner has the owner write a key.
 func writeByOwner(ctx context.Context, m *poolrpc.Member, key string, value []byte) (created bool, err error) {
+	left := timeLeft(ctx)
 	ctx, cancel := context.WithTimeout(ctx, ownerWriteTimeout)
 	defer cancel()
-	a, err := m.Write(ctx, key, value)
+	a, err := m.Write(ctx, key, value, left)
 	switch {
 	case errors.Is(err, poolrpc.ErrNotSent):
 		return false, errors.Mark(err, platform.ErrRefused)
@@ -187,6 +188,15 @@
 	return a.Created, nil
 }
 
+// timeLeft is how long a caller still waits; 0 when that is not told.
+func timeLeft(ctx context.Context) time.Duration {
+	d, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	return max(time.Until(d), time.Millisecond)
+}
+
 // writeFor puts a key into the store for a member, while this host is the owner.
 func (h *Host) writeFor(ctx context.Context, key string, value []byte) *poolpb.Answer {
 	record, _ := h.knownOwner()
--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -68,9 +68,14 @@
 	refusals     queueRefusals
 	limits       customerLimits
 	stopping     atomic.Bool
-	probeFailed  atomic.Bool // the store has not answered the last probe (probeStore)
-	gate         gate
-	toldReach    atomic.Pointer[reach.Owner] // by the owner; nil before its first heartbeat
+	// probeFailedAt is when a probe of the store got no answer last, and probedAt when the last one began (of the duty watchReach).
+	probeFailedAt atomic.Int64
+	probedAt      clock.Time
+	hosts         atomic.Int64 // as the owner told; 0 when not
+	// ownerStoreBack is of size 1: the owner told that the store answers it again.
+	ownerStoreBack chan struct{}
+	gate           gate
+	toldReach      atomic.Pointer[reach.Owner] // by the owner; nil before its first heartbeat
 
 	// bytes of the connections to other hosts, of callers and for advice
 	peerBytes, callerBytes, adviceBytes *traffic.Meter
@@ -100,7 +105,7 @@
 		worker: platform.NewWorkers(workerTimeout, traffic.New("workers", figures.registry)), figures: figures,
 		peerBytes: traffic.New("peers", figures.registry), callerBytes: traffic.New("callers", figures.registry), adviceBytes: traffic.New("advice", figures.registry),
 		waves: map[int64]upkeep.Wave{}, evacuated: evacuation.New(),
-		election: election{changed: make(chan struct{}, 1)},
+		election: election{changed: make(chan struct{}, 1)}, ownerStoreBack: make(chan struct{}, 1),
 	}
 	h.cfg.Store(&cfg)
 	h.intake = newIntake(store, clk, h.sawHolder)
--- a/pkg/jobhost/intake.go
+++ b/pkg/jobhost/intake.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// intakeRing bounds the writes that wait.
-	intakeRing = 512
 	// intakeAtOnce is how many transactions may be on their way.
 	intakeAtOnce = 4
 	// entriesPerWrite is how many entries of a transaction a write needs at most.
@@ -23,26 +21,20 @@
 	holderEntries = 1
 	// intakeLinger is how long a write waits for others while a transaction is on its way.
 	intakeLinger = 8 * time.Millisecond
-	// settleFor bounds the tries to settle a write whose answer was lost.
+	// settleFor bounds the tries to settle a write whose answer was lost, and settleBack those while the store has just come back.
 	settleFor   = 900 * time.Millisecond
+	settleBack  = 2 * settleFor
 	settlePause = 30 * time.Millisecond
 	// distrustAfter is how long the store must not have answered anything for writes to be
 	// refused at once after one has failed.
 	distrustAfter = 500 * time.Millisecond
+	// orderedFor is for how long after the store's return writes go in order of their callers' deadlines: what waited and what comes back meets there.
+	orderedFor = time.Second
 )
 
 // errOwnerChanged says that a key was certainly not written, since another owner is on record than the one that the write is for.
 var errOwnerChanged = errors.New("another owner is on record")
 
-// write is one key to be written by a host, if it is not there yet.
-type write struct {
-	key   string
-	value []byte
-	// holder is the revision of the owner's record that must stand; 0 for none.
-	holder int64
-	done   chan putResult
-}
-
 // putResult is the outcome of a write. created says that the key holds the value of this
 // write; otherwise an earlier one was there.
 type putResult struct {
@@ -57,13 +49,14 @@
 	clk   clock.Clock
 	// sawHolder takes in a record of the owner that a write has found.
 	sawHolder func(platform.Item)
-	ring      chan *write
+	queue     *writeQueue
 	slots     chan struct{}
-	failing   atomic.Bool // the last transaction got no answer
+	failedAt  atomic.Int64 // when a transaction got no answer last
+	backAt    atomic.Int64 // when the store came back last
 }
 
 func newIntake(store *platform.Store, clk clock.Clock, sawHolder func(platform.Item)) *intake {
-	return &intake{store: store, clk: clk, sawHolder: sawHolder, ring: make(chan *write, intakeRing), slots: make(chan struct{}, intakeAtOnce)}
+	return &intake{store: store, clk: clk, sawHolder: sawHolder, queue: newWriteQueue(), slots: make(chan struct{}, intakeAtOnce)}
 }
 
 // put writes a key that nobody changes, under an owner's record; it is no error when it is there already, but
@@ -73,41 +66,60 @@
 	if t.distrusts() {
 		return false, errors.Wrap(platform.ErrRefused, "the store does not answer")
 	}
-	w := &write{key: key, value: value, holder: holder, done: make(chan putResult, 1)}
-	select {
-	case t.ring <- w:
-	default:
+	w := &write{ctx: ctx, key: key, value: value, holder: holder, done: make(chan putResult, 1)}
+	if !t.queue.put(w) {
 		return false, errors.Wrap(platform.ErrRefused, "too many writes wait")
 	}
 	select {
 	case result := <-w.done:
 		return result.created, result.err
 	case <-ctx.Done():
+		if t.queue.remove(w) {
+			return false, errors.Wrap(platform.ErrRefused, "nothing was sent until the caller's deadline")
+		}
 		return false, errors.Mark(ctx.Err(), platform.ErrUnsettled)
 	}
 }
 
-// distrusts says that the store does not answer at present. The duties that watch the store
-// find out when it is back.
+// distrusts says that the store does not answer at present: a transaction failed, and nothing was answered since.
 func (t *intake) distrusts() bool {
-	return t.failing.Load() && t.clk.Now().Sub(t.store.LastAnswer()) > distrustAfter
+	return t.store.SilentSince(clock.Time(t.failedAt.Load())) && t.clk.Now().Sub(t.store.LastAnswer()) > distrustAfter
+}
+
+// failed takes in that a transaction got no answer.
+func (t *intake) failed() {
+	t.failedAt.Store(int64(t.clk.Now()))
+	t.store.Doubt()
+}
+
+// storeBack takes in that the store answers again after a gap.
+func (t *intake) storeBack() {
+	t.backAt.Store(int64(t.clk.Now()))
+}
+
+// backSince says that the store came back no longer ago than a time.
+func (t *intake) backSince(d time.Duration) bool {
+	at := t.backAt.Load()
+	return at != 0 && t.clk.Now().Sub(clock.Time(at)) < d
 }
 
 // run is the duty that groups writes.
 func (t *intake) run(ctx context.Context) {
 	for {
-		var group []*write
 		select {
 		case <-ctx.Done():
 			return
-		case w := <-t.ring:
-			group = append(group, w)
+		case <-t.queue.more:
 		}
 		if len(t.slots) > 0 {
 			clock.Sleep(ctx, intakeLinger)
 		}
-		t.slots <- struct{}{}
-		group = t.collect(group)
+		select {
+		case <-ctx.Done():
+			return
+		case t.slots <- struct{}{}:
+		}
+		group := t.queue.take((platform.MaxTxnEntries-holderEntries)/entriesPerWrite, t.backSince(orderedFor))
 		go func() {
 			defer func() { <-t.slots }()
 			t.commit(ctx, group)
@@ -115,18 +127,6 @@
 	}
 }
 
-func (t *intake) collect(group []*write) []*write {
-	for len(group) < (platform.MaxTxnEntries-holderEntries)/entriesPerWrite {
-		select {
-		case w := <-t.ring:
-			group = append(group, w)
-		default:
-			return group
-		}
-	}
-	return group
-}
-
 // commit writes a group. Writes whose key is there already are answered, and the others
 // tried again; a lost answer is settled by trying again, too, since a key is written once.
 func (t *intake) commit(ctx context.Context, group []*write) {
@@ -137,11 +137,9 @@
 		_, found, err := t.store.Commit(ctx, txnOf(group, holder))
 		switch {
 		case err == nil:
-			t.failing.Store(false)
 			answerAll(group, putResult{created: true})
 			return
 		case errors.Is(err, platform.ErrConflict):
-			t.failing.Store(false)
 			rest := answerPresent(group, found)
 			switch {
 			case t.ownerChanged(found, holder):
@@ -157,12 +155,12 @@
 		case errors.Is(err, platform.ErrUnsettled):
 			unsettled = true
 		}
-		t.failing.Store(true)
+		t.failed()
 		if !unsettled {
 			answerAll(group, putResult{err: errors.Mark(err, platform.ErrRefused)})
 			return
 		}
-		if ctx.Err() != nil || t.clk.Now().Sub(started) > settleFor {
+		if ctx.Err() != nil || t.clk.Now().Sub(started) > t.settleLimit() {
 			answerAll(group, putResult{err: errors.Mark(errors.Newf("%v", err), platform.ErrUnsettled)})
 			return
 		}
@@ -170,6 +168,14 @@
 	}
 }
 
+// settleLimit bounds the tries to settle a write.
+func (t *intake) settleLimit() time.Duration {
+	if t.backSince(orderedFor) {
+		return settleBack
+	}
+	return settleFor
+}
+
 // underLatest returns the writes of a group that are under the latest record of an owner, and that record's revision. It answers the others.
 func underLatest(group []*write) (latest []*write, holder int64) {
 	for _, w := range group {
--- a/pkg/jobhost/reach.go
+++ b/pkg/jobhost/reach.go
@@ -1,7 +1,9 @@
 package jobhost
 
 import (
+	"cmp"
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -18,9 +20,19 @@
 // or whose owner has no store, asks the store.
 
 const (
-	// probeEvery is the time between two looks at whether the store has to be asked, and probeAfter how long ago it must have answered.
-	probeEvery = 100 * time.Millisecond
-	probeAfter = 400 * time.Millisecond
+	// lookEvery is the time between two looks at whether the store has to be asked, which is also the time between two probes of the owner: all
+	// others hear from it at once that the store is back.
+	lookEvery = 50 * time.Millisecond
+	// probeAfter is how long ago the store must have answered to be asked, and ownerProbeAfter how long for the owner, which calls it every 0.4 s.
+	probeAfter      = 400 * time.Millisecond
+	ownerProbeAfter = 500 * time.Millisecond
+	// probeEvery is the time between two probes of a host that does not hear the owner, and heardProbeEvery of one that does.
+	probeEvery      = 100 * time.Millisecond
+	heardProbeEvery = 400 * time.Millisecond
+	// probeShare is the part of the store's rate of reads that the probes of all hosts may take, and burstShare the part for the moment in which
+	// all hear that the store is back.
+	probeShare = 0.25
+	burstShare = 0.5
 )
 
 // gate is the row of the table that this host is in. It is safe for concurrent use.
@@ -41,7 +53,7 @@
 
 // view is what this host knows of the store and the owner.
 func (h *Host) view() reach.View {
-	v := reach.View{StoreAnswers: h.storeAnswers() && !h.intake.distrusts() && !h.probeFailed.Load()}
+	v := reach.View{StoreAnswers: h.storeAnswers() && !h.intake.distrusts() && !h.probeFailed()}
 	switch o := h.owner.Load(); {
 	case v.StoreAnswers:
 		v.Owner.Heard = h.hearsOwner()
@@ -64,9 +76,18 @@
 
 // takeReach takes in what the owner tells of whom it reaches.
 func (h *Host) takeReach(s *poolpb.OwnerStatus) {
-	h.toldReach.Store(&reach.Owner{
+	told := &reach.Owner{
 		Heard: true, StoreAge: time.Duration(s.StoreAgeMs) * time.Millisecond, OtherHalls: int(s.OtherHalls), HallsLost: s.HallsLost,
-	})
+	}
+	former := h.toldReach.Swap(told)
+	h.hosts.Store(int64(s.Hosts))
+	if former == nil || former.StoreAnswers() || !told.StoreAnswers() {
+		return
+	}
+	select {
+	case h.ownerStoreBack <- struct{}{}:
+	default:
+	}
 }
 
 // storeAnswers says whether the store has answered lately.
@@ -91,27 +112,90 @@
 
 // watchReach is the duty that asks the store whether it answers when there is a reason to doubt it, and logs the row of the table.
 func (h *Host) watchReach(ctx context.Context) {
-	clock.Every(ctx, probeEvery, func() {
-		h.probeStore(ctx)
+	look := time.NewTicker(lookEvery)
+	defer look.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.store.Back():
+			h.storeBack()
+		case <-h.ownerStoreBack:
+			h.duties.Go(func() {
+				clock.Sleep(ctx, rand.N(h.spaced(burstShare)+time.Millisecond))
+				h.probe(ctx)
+			})
+		case <-look.C:
+			h.probeStore(ctx)
+		}
+		if h.intake.distrusts() {
+			h.intake.queue.refuseAll("the store does not answer")
+		}
 		h.logRow()
-	})
+	}
 }
 
-// probeStore asks the store whether it answers, unless it has lately or the owner is heard and reaches it.
+// storeBack has what waits for the store go on at once, and the members learn that the owner reaches it.
+func (h *Host) storeBack() {
+	h.intake.storeBack()
+	if o := h.owner.Load(); o != nil {
+		o.TellStatus()
+	}
+}
+
+// probeStore begins to ask the store whether it answers, if there is a reason and the time has come. Probes overlap: one that was sent while the store is silent
+// is never answered, and must not keep the next one back.
 func (h *Host) probeStore(ctx context.Context) {
-	if h.storeAge() < probeAfter || h.hearsOwner() && h.ownerHasStore() {
-		h.probeFailed.Store(false)
+	now := h.clk.Now()
+	if !h.mayHaveLostStore() || now.Sub(h.probedAt) < h.probePause() {
 		return
 	}
-	h.probeFailed.Store(!h.store.Reached(ctx, jobstore.HolderKey))
+	h.probedAt = now
+	h.duties.Go(func() { h.probe(ctx) })
 }
 
-// ownerHasStore says that the store answers the owner, as it told last, or this host if it is the owner.
-func (h *Host) ownerHasStore() bool {
-	if o := h.owner.Load(); o != nil {
-		return h.storeAnswers()
+// mayHaveLostStore says that the store has not answered lately, and that nobody who is heard reaches it.
+func (h *Host) mayHaveLostStore() bool {
+	if h.owner.Load() != nil {
+		return h.storeAge() >= ownerProbeAfter
 	}
-	return h.ownerReach().StoreAnswers()
+	return h.storeAge() >= probeAfter && !(h.hearsOwner() && h.ownerReach().StoreAnswers())
+}
+
+// probePause is the time between two probes of this host.
+func (h *Host) probePause() time.Duration {
+	switch {
+	case h.owner.Load() != nil:
+		return lookEvery
+	case h.hearsOwner():
+		return max(heardProbeEvery, h.spaced(probeShare))
+	}
+	return max(probeEvery, h.spaced(probeShare))
+}
+
+// spaced is the time between two probes of this host at which those of all hosts take a share of the store's rate of reads.
+func (h *Host) spaced(share float64) time.Duration {
+	reads := h.cfg.Load().Store.ReadsPerSecond
+	if reads <= 0 {
+		return 0
+	}
+	hosts := cmp.Or(h.hosts.Load(), unknownHosts)
+	return time.Duration(float64(hosts) / (share * reads) * float64(time.Second))
+}
+
+// probe asks the store whether it answers.
+func (h *Host) probe(ctx context.Context) {
+	began := h.clk.Now()
+	if h.store.Reached(ctx, jobstore.HolderKey) || ctx.Err() != nil || h.store.LastAnswer() >= began {
+		return
+	}
+	h.probeFailedAt.Store(int64(h.clk.Now()))
+	h.store.Doubt()
+}
+
+// probeFailed says that a probe got no answer, and that nothing was answered since.
+func (h *Host) probeFailed() bool {
+	return h.store.SilentSince(clock.Time(h.probeFailedAt.Load()))
 }
 
 // logRow logs when the intake of this host closes, opens, or is closed for another reason.
--- a/pkg/poolowner/members.go
+++ b/pkg/poolowner/members.go
@@ -142,6 +142,13 @@
 	return true
 }
 
+// TellStatus sends the owner's heartbeat to all members at once, since they should know of a change soon.
+func (o *Owner) TellStatus() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.tellStatus()
+}
+
 // tellStatus sends the owner's heartbeat to all members at once. The caller holds o.mu.
 func (o *Owner) tellStatus() {
 	for _, m := range o.members {
@@ -198,7 +205,11 @@
 
 // write puts a key into the store for a member.
 func (o *Owner) write(w *poolpb.Write) *poolpb.Answer {
-	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	limit := writeTimeout
+	if w.LeftMs > 0 {
+		limit = min(limit, time.Duration(w.LeftMs)*time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	a := o.deps.Write(ctx, w.Key, w.Value)
 	a.Number = w.Number
--- a/pkg/poolrpc/member.go
+++ b/pkg/poolrpc/member.go
@@ -205,10 +205,10 @@
 
 // Write has the owner put a key into the store and waits for its answer. After an error it
 // is not known whether the key was written, unless the error is ErrNotSent.
-func (m *Member) Write(ctx context.Context, key string, value []byte) (*poolpb.Answer, error) {
+func (m *Member) Write(ctx context.Context, key string, value []byte, left time.Duration) (*poolpb.Answer, error) {
 	return m.exchange(ctx, func(number int64) *poolpb.MemberMessage {
 		return &poolpb.MemberMessage{Content: &poolpb.MemberMessage_Write{
-			Write: &poolpb.Write{Number: number, Key: key, Value: value},
+			Write: &poolpb.Write{Number: number, Key: key, Value: value, LeftMs: left.Milliseconds()},
 		}}
 	})
 }
