Callers refused while nobody can write come back spread over their time left

Cause: all refused callers were told to come back after 1 s, so that those who were refused together came back together.

Change: Retry-After is a whole second from 1 to the last before the caller's time is up, by a hash of the job's id, so that all hosts agree.

--- a/pkg/jobhost/door.go
+++ b/pkg/jobhost/door.go
@@ -56,6 +56,7 @@
 			record.Term = term
 			return record.Encode()
 		})
+		err = spread(ctx, j.ID, err)
 	}
 	h.countAccept(started, err)
 	h.logOutcome("job_accepted", j.ID, record, j.Summary(), started, err)
@@ -79,7 +80,7 @@
 		return err
 	}
 	if row := h.row(); !row.Open() {
-		return h.refuseClosed(row)
+		return spread(ctx, r.Job.ID, h.refuseClosed(row))
 	}
 	if err := tooWide(c, r.Job); err != nil {
 		return err
@@ -188,6 +189,14 @@
 	return a.Created, nil
 }
 
+// spread has the caller of a write that was refused since nobody could write come back at a time that is spread over what it has left.
+func spread(ctx context.Context, id job.ID, err error) error {
+	if !errors.Is(err, platform.ErrRefused) || errors.Is(err, platform.ErrTooLarge) {
+		return err
+	}
+	return &platform.RefusedError{Reason: err.Error(), RetryAfter: reach.RetryAfter(string(id), timeLeft(ctx))}
+}
+
 // timeLeft is how long a caller still waits; 0 when that is not told.
 func timeLeft(ctx context.Context) time.Duration {
 	d, ok := ctx.Deadline()
@@ -315,6 +324,7 @@
 	}
 	started := h.clk.Now()
 	_, err = h.put(ctx, jobstore.CancelKey(id), func(int64) ([]byte, error) { return []byte{}, nil })
+	err = spread(ctx, id, err)
 	h.logOutcome("job_cancelled", id, record, "", started, err)
 	if err != nil {
 		return err
--- a/pkg/jobhost/reach_test.go
+++ b/pkg/jobhost/reach_test.go
@@ -1,6 +1,7 @@
 package jobhost
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -31,7 +32,7 @@
 	began := time.Now()
 	w := handIn(t, h, "5c0e7a21d94b36f9")
 	g.Expect(w.Code).To(Equal(http.StatusServiceUnavailable))
-	g.Expect(w.Header().Get("Retry-After")).NotTo(BeEmpty())
+	g.Expect(w.Header().Get("Retry-After")).To(Equal(fmt.Sprint(reach.RetryAfter("5c0e7a21d94b36f9", 4900*time.Millisecond).Seconds())), "of the 5 s without a deadline told")
 	g.Expect(time.Since(began)).To(BeNumerically("<", 100*time.Millisecond))
 	p.Store.SetMode(emulator.StoreUp)
 	g.Eventually(cutOff(h), "3s", "10ms").Should(BeFalse())
