Late starts are a package of their own

Package latestart has them by numbers of runs, names of workers and times: what a task is bound to, whether its next run repeats a number, until when ends are held back from being noted, and what the store is told for a later owner. late_starts.go and former_starts.go of dispatch are one file that says which starts are of that kind. Lives of workers are told apart by a number in place of a pointer; no decision changes. Tests set late starts through the package.

--- a/pkg/dispatch/attempt.go
+++ b/pkg/dispatch/attempt.go
@@ -45,7 +45,7 @@
 		case !p.mayOrder(r, now):
 			p.rejected(r, rejectedPause, now)
 		default:
-			r.state, r.orderedAt = runStarting, now
+			r.state, r.call.OrderedAt = runStarting, now
 			out.Starts = append(out.Starts, p.startOrder(r, r.checkpoint, now))
 		}
 	}
--- a/pkg/dispatch/commit.go
+++ b/pkg/dispatch/commit.go
@@ -44,7 +44,7 @@
 	clear(p.dirty)
 	slices.SortFunc(c.Changes, func(a, b Change) int { return cmp.Compare(a.Job, b.Job) })
 	for _, w := range p.workers {
-		if n := w.mayNoteUpTo(p.now); n > w.noted {
+		if n := w.notes.UpTo(w.takenUpTo(), p.now); n > w.noted {
 			c.taken[w] = n
 		}
 	}
@@ -109,12 +109,12 @@
 	for s := range j.steps() {
 		for i := range s.tasks {
 			x := &s.tasks[i]
-			p.dropUnanswered(x)
-			if !x.done && len(x.failures) == 0 && x.lastEnded == 0 && len(x.attempts) == 0 && len(x.crashes) == 0 && len(x.unanswered) == 0 {
+			unanswered := p.storedUnanswered(x)
+			if !x.done && len(x.failures) == 0 && x.lastEnded == 0 && len(x.attempts) == 0 && len(x.crashes) == 0 && len(unanswered) == 0 {
 				continue
 			}
 			row := job.TaskProgress{
-				Time: s.time.index, Step: s.index, Index: i, Done: x.done, Failures: x.failures, LastRun: x.lastEnded, Unanswered: slices.Clone(x.unanswered),
+				Time: s.time.index, Step: s.index, Index: i, Done: x.done, Failures: x.failures, LastRun: x.lastEnded, Unanswered: unanswered,
 			}
 			if !x.done {
 				row.Checkpoint, row.Attempts, row.Crashes = x.checkpoint, slices.Clone(x.attempts), slices.Clone(x.crashes)
--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -164,7 +164,7 @@
 	if r.state == runActive || r.stored {
 		return false
 	}
-	return w.unansweredAt != 0 && r.orderedAt > w.unansweredAt || r.orderedAt.Sub(w.lastSign()) > aliveFor
+	return w.unansweredAt != 0 && r.call.OrderedAt > w.unansweredAt || r.call.OrderedAt.Sub(w.lastSign()) > aliveFor
 }
 
 // begunSoonBefore says that the worker is known to have begun a run no longer than soonAfter before a time on its clock.
--- a/pkg/dispatch/doc.go
+++ b/pkg/dispatch/doc.go
@@ -46,6 +46,7 @@
 //     answers tell of queues (advice.go and naming.go find the workers and keep the tickets)
 //   - pace: how fast tasks go that fill what others leave (pace.go has the runs)
 //   - worth: what the end of a step is still worth, and the order of steps by that (order.go)
+//   - latestart: starts that another life of a worker may carry out, and what they keep tasks from (late_starts.go says which are of that kind)
 //   - account: what a customer has running, and how much more its quota lets it start (quota.go, unheard.go, beyond.go book and ask)
 //
 // # Usage
--- a/pkg/dispatch/jobs.go
+++ b/pkg/dispatch/jobs.go
@@ -10,6 +10,7 @@
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/customer"
 	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/latestart"
 	"foldarch.dev/foldarch/pkg/queue"
 	"foldarch.dev/foldarch/pkg/takeover"
 	"foldarch.dev/foldarch/pkg/worth"
@@ -133,30 +134,24 @@
 	crashes     []job.Crash
 	survivedRun int // highest number whose start a worker has survived
 	// inDoubt says that a worker has gone under a start that was not proven, whether a crash was counted for it or not.
-	inDoubt    bool
-	avoid      WorkerID         // where it failed last
-	lateStarts []lateStart      // starts of it that may be carried out by the next lives of their workers
-	unanswered []job.Unanswered // as the store is told (former_starts.go)
-	notBefore  clock.Time
+	inDoubt   bool
+	avoid     WorkerID       // where it failed last
+	late      latestart.Task // starts of it that may be carried out by the next lives of their workers
+	notBefore clock.Time
 	// presumedLost says that its last run is held for lost since its worker was silent.
 	presumedLost bool
 }
 
 // run is one start of a task.
 type run struct {
-	task      *task
-	number    int
-	worker    *worker
-	token     int64
-	state     runState
-	orderedAt clock.Time
-	// unansweredAt is when its start got no answer; 0 while that may come.
-	unansweredAt clock.Time
-	// repeated says that its start, which may be carried out yet, has the number of an earlier one: a list that shows the run may tell of that one.
-	repeated    bool
-	told        bool   // the store is told that its start got no answer
-	stored      bool   // its start was in the store before it was ordered
-	checkpoint  string // to begin from, while its start is being stored
+	task        *task
+	number      int
+	worker      *worker
+	token       int64
+	state       runState
+	call        latestart.Call // of its start
+	stored      bool           // its start was in the store before it was ordered
+	checkpoint  string         // to begin from, while its start is being stored
 	confirmedAt clock.Time
 	// startClock is the worker's clock when it began, at the latest; 0 when that is not known.
 	startClock int64
--- a/pkg/dispatch/lives.go
+++ b/pkg/dispatch/lives.go
@@ -25,13 +25,11 @@
 	// endedKept is how many lives that have ended are remembered of a worker: one a second for as long as an
 	// entry may be late (30 s, the longest wait of a watch).
 	endedKept = 30
-	// latestOrder is how long after it was sent an order without an answer may be carried out at the latest: workers were seen to do
-	// so 2 to 12 s later.
-	latestOrder = 12 * time.Second
 )
 
 // lineage is what is kept of a worker over all its lives.
 type lineage struct {
+	name string
 	// token is the highest fencing token that any of them was given. They share it, since an order for one may reach the next.
 	token int64
 	// lives are those that are known, also ended ones until they are forgotten.
@@ -53,7 +51,7 @@
 func (p *Pool) lineageOf(name string) *lineage {
 	l, ok := p.lineages[name]
 	if !ok {
-		l = &lineage{token: p.cfg.Token}
+		l = &lineage{name: name, token: p.cfg.Token}
 		p.lineages[name] = l
 	}
 	return l
@@ -69,7 +67,8 @@
 		l.forgotten = slices.DeleteFunc(l.forgotten, func(id WorkerID) bool { return id == info.ID })
 		p.withdrawCrashes(info.ID)
 	}
-	w := &worker{info: info, line: l, runs: map[runKey]*run{}, knownAt: now}
+	p.lives++
+	w := &worker{info: info, number: p.lives, line: l, runs: map[runKey]*run{}, knownAt: now}
 	w.evacuated = p.inEvacuatedHall(w)
 	l.lives = append(l.lives, w)
 	p.workers[info.ID] = w
@@ -96,6 +95,20 @@
 	}
 }
 
+// provenAt is when the last hold was sent to the worker that a life of it has answered.
+func (l *lineage) provenAt() clock.Time {
+	var at clock.Time
+	for _, w := range l.lives {
+		at = max(at, w.provenAt)
+	}
+	return at
+}
+
+// usable says whether a life of the worker may be given a task now.
+func (l *lineage) usable(now clock.Time) bool {
+	return slices.ContainsFunc(l.lives, func(w *worker) bool { return w.usable(now) })
+}
+
 func (l *lineage) hasEnded(id WorkerID) bool {
 	return slices.Contains(l.ended, id)
 }
@@ -191,7 +204,7 @@
 // mayGoOver says that the next life of its worker may have taken a run's start: no list has shown the run, or one that may tell of an earlier start. An answer
 // to a start does not tell whose it is.
 func (r *run) mayGoOver() bool {
-	return (!r.observed || r.repeated) && !r.adopted && r.state != runStoring
+	return (!r.observed || r.call.Repeated) && !r.adopted && r.state != runStoring
 }
 
 // goneOverUntil is until when the next life of a worker may run what was meant for the one before: it may take the order late, and the
@@ -201,16 +214,16 @@
 	if !r.mayGoOver() || !w.doubted() && !kept {
 		return 0
 	}
-	sentBy := r.orderedAt
+	sentBy := r.call.OrderedAt
 	if kept {
-		sentBy = max(sentBy, r.unansweredAt) // it may have waited to be sent
+		sentBy = r.call.LastSign()
 	}
 	return sentBy.Add(latestOrder + lapseTime(p.cfg.LongestLease))
 }
 
 // mayBeKept says that a worker may hold back the start of a run for its next life, though none is known of. A task that lasts does not wait for that.
 func (r *run) mayBeKept() bool {
-	return r.told && r.mayBeLate() && !r.task.step.spec.LongRunning
+	return r.call.Told && r.mayBeLate() && !r.task.step.spec.LongRunning
 }
 
 // carryOver counts a run on the next life of its worker, until that has told whether it is there.
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/latestart"
 )
 
 const (
@@ -179,8 +180,8 @@
 
 // book counts a run of a task against a worker.
 func (p *Pool) book(t *task, w *worker, number int, state runState, now clock.Time) *run {
-	r := &run{task: t, number: number, worker: w, state: state, orderedAt: now}
-	r.repeated = slices.ContainsFunc(t.lateStarts, func(l lateStart) bool { return l.number == number })
+	r := &run{task: t, number: number, worker: w, state: state}
+	r.call = latestart.Call{OrderedAt: now, Repeated: t.late.Has(number)}
 	t.lastRun = number
 	t.setCurrent(r)
 	t.presumedLost = false
@@ -248,7 +249,7 @@
 			}
 		}
 		w := bestFit(t, candidates)
-		if w == nil && t.bound() {
+		if w == nil && t.late.Bound() {
 			continue // others of the step may have room elsewhere
 		}
 		if w == nil {
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -102,7 +102,7 @@
 	loaded                 bool       // the jobs of the store are known
 	fenced                 bool       // a worker has seen a token of a later owner
 	now                    clock.Time // of the present event
-	steps                  int64      // made so far
+	steps, lives           int64      // made and taken in so far
 }
 
 // New returns a pool without workers and jobs.
--- a/pkg/dispatch/probe.go
+++ b/pkg/dispatch/probe.go
@@ -129,7 +129,7 @@
 		}
 		if w == nil {
 			may := slices.DeleteFunc(p.candidates(s, reserved, now), func(w *worker) bool { return !t.mayRunOn(w) })
-			if w = p.probeWorker(s, may, now); w == nil && t.bound() {
+			if w = p.probeWorker(s, may, now); w == nil && t.late.Bound() {
 				continue
 			}
 			if w == nil {
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -90,8 +90,8 @@
 // takeEnd takes in one end.
 func (p *Pool) takeEnd(w *worker, f Finished, now clock.Time) {
 	r, known := w.runs[runKey{f.Task, f.Run}]
-	if known && r.repeated {
-		p.mayComeLate(r, w.line)
+	if known && r.call.Repeated {
+		p.mayComeLate(r, w.line.name)
 	}
 	if t := p.task(f.Task); t != nil {
 		t.carriedOut(f.Run)
@@ -112,7 +112,7 @@
 		return
 	}
 	t.lastRun = max(t.lastRun, f.Run)
-	t.carriedOutLate(w, f.Run)
+	t.late.CarriedOutLate(w.number, w.line.name, f.Run)
 	if f.How == EndFailed && !p.countFailure(t, f.Run) {
 		return
 	}
@@ -168,7 +168,7 @@
 		p.confirm(r, now)
 	}
 	r.missing = 0
-	r.settleRepeated(now)
+	r.call.SettleRepeated(now)
 	r.load = row.Load
 	r.observedAt = now
 	if !r.observed {
@@ -203,12 +203,12 @@
 	switch {
 	case r.state == runUnsettled && h.Token > r.token:
 		p.cfg.Log(Event{Name: "start_void", Task: r.task.id(), Run: r.number, Worker: r.worker.info.ID})
-		p.mayComeLate(r, r.worker.line)
+		p.mayComeLate(r, r.worker.line.name)
 		p.rejected(r, 0, now)
 	case r.state == runActive && r.confirmedAt < h.SentAt:
 		if r.missing++; r.missing >= sure {
 			p.dropAttempt(r.task, r.number) // the worker lives
-			p.mayComeLate(r, r.worker.line)
+			p.mayComeLate(r, r.worker.line.name)
 			p.runEnded(r, EndLost, "", now)
 		}
 	}
@@ -232,7 +232,7 @@
 	r := &run{task: t, number: row.Run, worker: w, token: w.line.token, state: runActive, confirmedAt: now, percentAt: now, adopted: true}
 	p.count(r)
 	t.carriedOut(row.Run)
-	t.carriedOutLate(w, row.Run)
+	t.late.CarriedOutLate(w.number, w.line.name, row.Run)
 	t.lastRun = max(t.lastRun, row.Run)
 	j := t.step.time.job
 	j.began = true
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -10,6 +10,7 @@
 	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/latestart"
 	"foldarch.dev/foldarch/pkg/pace"
 )
 
@@ -36,6 +37,7 @@
 // worker is one life of a worker.
 type worker struct {
 	info   WorkerInfo
+	number int64 // in the order in which lives were taken in
 	line   *lineage
 	listed bool // its entry stands in the store
 	// unlistedAt is when its entry was found gone; 0 when that is not known.
@@ -87,10 +89,10 @@
 	unansweredAt clock.Time
 	claim        claim
 
-	read      int64      // highest number of an end that was read
-	unread    []Finished // of these, ends of jobs that may become known, by number
-	heldNotes []heldNote // ends that are not to be noted yet (holdNote)
-	noted     int64      // highest number up to which all ends are taken in and the job changes are committed
+	read   int64           // highest number of an end that was read
+	unread []Finished      // of these, ends of jobs that may become known, by number
+	notes  latestart.Notes // ends that are not to be noted yet (holdNote)
+	noted  int64           // highest number up to which all ends are taken in and the job changes are committed
 
 	pacing    pace.Control
 	suspended clock.Time // not to be given tasks before
@@ -244,7 +246,7 @@
 	if !w.doubts.has(r) {
 		p.dropAttempt(r.task, r.number)
 	}
-	p.mayComeLate(r, nil)
+	p.mayComeLate(r, "")
 	p.runEnded(r, EndLost, "", now)
 }
 
