A named worker stands for all its lives

Names were those of lives. When the next life of a worker answered, the list lost the name though a start without an answer was counted on that life, and a new owner freed a job while the next life of a named worker was silent. Both let a task run twice. Names are now those of workers, and one stays while any life has not gone. While the roster is not read whole, no name is dropped.

--- a/pkg/dispatch/named_workers.go
+++ b/pkg/dispatch/named_workers.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"foldarch.dev/foldarch/pkg/clock"
@@ -9,7 +10,8 @@
 )
 
 // Where the store takes enough writes, the workers of a job are named in its progress before a start goes to them (Config.NamedFrom). So a later
-// owner knows which silent workers may run the job, and that one without names was never started.
+// owner knows which silent workers may run the job, and that one without names was never started. A name stands for all lives of a worker: a
+// start that was sent to one may be carried out by the next.
 
 const (
 	// namesOverdue is how long the store may take to answer before jobs make do with the workers that are named already: it answers within
@@ -26,7 +28,7 @@
 
 // nameWorker has the store be told that starts of a job may go to a worker.
 func (p *Pool) nameWorker(j *jobState, id WorkerID) {
-	if !p.namesWorkers(j) || !j.named.Add(string(id)) {
+	if !p.namesWorkers(j) || !j.named.Add(id.Name()) {
 		return
 	}
 	p.dirty[j] = struct{}{}
@@ -51,7 +53,7 @@
 
 // mayStartOn says that a start of a job may go to a worker as far as names are concerned.
 func (p *Pool) mayStartOn(j *jobState, w *worker) bool {
-	return !p.namesWorkers(j) || j.named.Has(string(w.info.ID))
+	return !p.namesWorkers(j) || j.named.Has(w.info.ID.Name())
 }
 
 // mayNameFor says that a worker is of use to a job: it is named, or can be soon.
@@ -71,14 +73,19 @@
 	}
 }
 
-// namesOf lists the workers of a job that are not known to have gone.
+// namesOf lists the workers of a job that are not known to have gone. While the roster tells only of some workers, all are kept.
 func (p *Pool) namesOf(j *jobState) []string {
-	return j.named.List(func(id string) bool {
-		w, known := p.workers[WorkerID(id)]
-		return known && !w.gone
+	return j.named.List(func(name string) bool {
+		return !p.loaded || p.takeover.unknown || p.anyLife(name)
 	})
 }
 
+// anyLife says that a life of a worker has not gone.
+func (p *Pool) anyLife(name string) bool {
+	l, known := p.lineages[name]
+	return known && slices.ContainsFunc(l.lives, func(w *worker) bool { return !w.gone })
+}
+
 // takeNames takes in that a commit takes all names to the store. It says whether there are any.
 func (p *Pool) takeNames() bool {
 	p.namesTaken, p.namesSince = p.namesSince, 0
--- a/pkg/dispatch/takeover.go
+++ b/pkg/dispatch/takeover.go
@@ -90,12 +90,12 @@
 	}
 }
 
-// silentWorkers lists the workers that have not told what they run, by id.
+// silentWorkers lists the lives of workers that have not told what they run, by id.
 func (p *Pool) silentWorkers() []takeover.Silent {
 	var out []takeover.Silent
 	for _, w := range p.workersByID() {
 		if !w.reported && !w.gone {
-			out = append(out, takeover.Silent{Worker: string(w.info.ID), Retired: w.retired, Jobs: w.retiredJobs})
+			out = append(out, takeover.Silent{Worker: w.info.ID.Name(), Retired: w.retired, Jobs: w.retiredJobs})
 		}
 	}
 	return out
@@ -104,8 +104,7 @@
 // holdJobs holds back the jobs that may have runs on silent workers, and frees the others.
 func (p *Pool) holdJobs(silent []takeover.Silent) {
 	t := &p.takeover
-	sameWorker := func(a, b takeover.Silent) bool { return a.Worker == b.Worker && a.Retired == b.Retired }
-	if t.unknown || t.holds != nil && slices.EqualFunc(silent, t.silent, sameWorker) {
+	if t.unknown || t.holds != nil && slices.EqualFunc(silent, t.silent, takeover.Silent.Equal) {
 		return
 	}
 	t.silent, t.holds = silent, takeover.New(silent)
--- a/pkg/job/record.go
+++ b/pkg/job/record.go
@@ -66,7 +66,7 @@
 	Tasks []TaskProgress `json:"tasks"`
 	// Unended is what may run for tasks that are done.
 	Unended Unended `json:"unended,omitzero"`
-	// Workers are all to which starts of the job may have gone, if its owners name them first (jobstore.Holder.NamedFrom).
+	// Workers are the names of all to which starts of the job may have gone, if its owners store them first (jobstore.Holder.NamedFrom).
 	Workers []string `json:"w,omitempty"`
 }
 
--- a/pkg/takeover/doc.go
+++ b/pkg/takeover/doc.go
@@ -7,7 +7,7 @@
 //   - a retired worker: its owner gave it no more starts and then stored which jobs may have a run there;
 //   - the named workers of a job: no start of the job went to another worker, since its owner stored the names first.
 //
-// The package knows jobs and workers by their ids only. Package dispatch tells it which workers are silent, and keeps the
+// The package knows jobs by their ids and workers by their names only. Package dispatch tells it which workers are silent, and keeps the
 // jobs that it holds from being started.
 //
 // # Usage
--- a/pkg/takeover/holds.go
+++ b/pkg/takeover/holds.go
@@ -6,19 +6,24 @@
 	"foldarch.dev/foldarch/pkg/job"
 )
 
-// Silent is a worker that has not reported to the new owner and may still run something of a former one.
+// Silent is a life of a worker that has not reported to the new owner and may still run something of a former one.
 type Silent struct {
-	Worker string
+	Worker string // name, which all lives of a worker share
 	// Retired says that Jobs has every job that may have a run on the worker; otherwise any job may.
 	Retired bool
 	Jobs    []job.ID
 }
 
+// Equal says that two hold back the same jobs.
+func (s Silent) Equal(o Silent) bool {
+	return s.Worker == o.Worker && s.Retired == o.Retired && slices.Equal(s.Jobs, o.Jobs)
+}
+
 // Names are the workers to which starts of a job may have gone.
 type Names struct {
 	// Stored says that every owner that may have started the job stored the worker's name first; otherwise nothing is known.
 	Stored  bool
-	Workers []string
+	Workers []string // by name
 }
 
 // Holds are the jobs that may have unknown runs of former owners, by the workers that are silent. New makes them.
