--- a/pkg/dispatch/history_lives_test.go
+++ b/pkg/dispatch/history_lives_test.go
@@ -46,7 +46,7 @@
 	clear(m.endedAt)
 	clear(m.highest)
 	m.capacity = cell.Resources{CPUMillis: 3000 + 1000*w.rand.Int64N(2), MemoryMB: 8000}
-	m.dead = false
+	m.dead, m.draining = false, false
 	w.note("%s begins life %d", m.id, m.born)
 	if w.chance(0.15) {
 		w.later(w.between(100*time.Millisecond, time.Second), func() {
@@ -81,7 +81,7 @@
 }
 
 func (w *world) infoOf(m *modelWorker) WorkerInfo {
-	return WorkerInfo{ID: lifeID(numberOf(m.id), m.born), Pool: "pool", Address: m.address, Capacity: m.capacity}
+	return WorkerInfo{ID: lifeID(numberOf(m.id), m.born), Pool: "pool", Address: m.address, Capacity: m.capacity, Draining: m.draining}
 }
 
 // expireEntries has entries go that are not written any more.
@@ -127,6 +127,7 @@
 		case !slices.ContainsFunc(known, func(k WorkerInfo) bool { return k.ID == info.ID }):
 			o.pool.PutWorker(info, false, w.now)
 		}
+		o.pool.TakeRetired(info)
 	}
 }
 
--- a/pkg/dispatch/history_owner_test.go
+++ b/pkg/dispatch/history_owner_test.go
@@ -62,13 +62,14 @@
 		case w.worker[numberOf(info.ID)].dead:
 			o.pool.PutWorker(info, false, w.now)
 		}
+		o.pool.TakeRetired(info)
 	}
 }
 
 // meet takes in a worker's entry. Only the present owner can put a worker into the roster, since
 // that is a write on condition of the owner's record.
 func (w *world) meet(o *modelOwner, m *modelWorker) {
-	o.pool.PutWorker(WorkerInfo{ID: m.id, Pool: "pool", Address: m.address, Capacity: m.capacity}, true, w.now)
+	o.pool.PutWorker(WorkerInfo{ID: m.id, Pool: "pool", Address: m.address, Capacity: m.capacity, Draining: m.draining}, true, w.now)
 	if o == w.present() {
 		o.pool.Rostered([]WorkerID{m.id})
 	}
@@ -146,9 +147,8 @@
 	w.commit(o)
 	if w.reborn {
 		w.writeRoster(o)
-	} else if w.crashing && o == w.present() && !o.ended {
-		w.roster = o.pool.Roster()
-		w.checkRoster(o)
+	} else {
+		w.keepRoster(o)
 	}
 }
 
--- a/pkg/dispatch/history_test.go
+++ b/pkg/dispatch/history_test.go
@@ -105,6 +105,8 @@
 	roster []WorkerInfo
 	// reborn says that workers start again under the id that they had.
 	reborn bool
+	// leaves says that workers drain and end without a report.
+	leaves bool
 	// brief says that they do within half a second.
 	brief bool
 	// quotas are what customers may have running, nil in histories in which all jobs are nobody's.
@@ -191,6 +193,7 @@
 			w.cutOff(m)
 		}
 	}
+	w.mayLeave()
 }
 
 // cutOff has no call reach a worker for a while.
--- a/pkg/dispatch/history_worker_test.go
+++ b/pkg/dispatch/history_worker_test.go
@@ -58,6 +58,7 @@
 	highest  map[job.TaskID]int // runs up to it have ended or are there
 	cut      bool
 	dead     bool
+	draining bool // as its entry says
 	replaced bool // another incarnation answers at its address
 	born     int64
 	entry    modelEntry // in the store; kept in histories with lives under one id
