A report that is cut short does not retire a worker

The unknown runs of a worker were those of its last report, whole or not. After one that was cut short, a worker could be retired without a job that became known later, and a later owner would start that job a second time.

TestWorkerIsNotRetiredByAReportThatIsCutShort failed before. Adds tests of the decisions about named workers, of named_from, and of the roster record at later owners.

--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -52,7 +52,7 @@
 	}
 	// Only lists that are whole tell what a worker does not run.
 	whole := !overtaken && !report.More
-	w.reported = w.reported || whole
+	w.reported, w.partial = w.reported || whole, !whole
 	p.takeFinished(w, report.Finished, now)
 	if !overtaken {
 		p.takeActive(w, a.Clock, report, now)
--- a/pkg/dispatch/retirement.go
+++ b/pkg/dispatch/retirement.go
@@ -10,10 +10,10 @@
 // A worker that drains gets no start any more. The roster then tells later owners which jobs may have a run there, so that
 // one that ends without a report holds back only these (package takeover).
 
-// retireIfDraining decides that a worker gets no start any more, whatever its entry says later. What runs there must be known whole, since the
-// list of jobs stays as it is.
+// retireIfDraining decides that a worker gets no start any more, whatever its entry says later. The last report must have told all that runs
+// there, and nothing of it may be unknown, since the list of jobs stays as it is.
 func (p *Pool) retireIfDraining(w *worker) {
-	if w.retired || w.gone || !w.info.Draining || !w.reported || w.foreign > 0 || len(w.unknownRuns) > 0 {
+	if w.retired || w.gone || !w.info.Draining || !w.reported || w.partial || w.foreign > 0 || len(w.unknownRuns) > 0 {
 		return
 	}
 	jobs := map[job.ID]bool{}
--- a/pkg/dispatch/retirement_test.go
+++ b/pkg/dispatch/retirement_test.go
@@ -64,3 +64,17 @@
 	f.plan()
 	f.Expect(f.pool.RosterOf(workerID(0).Name())[0].Retired).To(BeFalse())
 }
+
+// A report that is cut short may leave out a run of a job that becomes known later, and that a later owner would free.
+func TestWorkerIsNotRetiredByAReportThatIsCutShort(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	f.report(0, Report{Active: []Active{{Task: job.TaskID{StepID: job.StepID{Job: "x"}}, Run: 1}}})
+	f.report(0, Report{More: true})
+	f.drain(0)
+	f.plan()
+	f.Expect(f.pool.RosterOf(workerID(0).Name())[0].Retired).To(BeFalse())
+	f.report(0, Report{})
+	f.pass(time.Second)
+	f.plan()
+	f.Expect(f.pool.RosterOf(workerID(0).Name())[0].Retired).To(BeTrue())
+}
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -53,6 +53,7 @@
 	gone        bool       // the life has ended, or can't run anything any more
 	fenced      bool       // it has answered this owner
 	reported    bool       // its lists were taken in
+	partial     bool       // its last report does not tell all that it runs
 	follows     bool       // on a life that has ended while this owner knew of it
 
 	clock      int64 // its clock when it answered last …
--- /dev/null
+++ b/pkg/jobhost/named_from_test.go
@@ -0,0 +1,37 @@
+package jobhost
+
+import (
+	"testing"
+
+	"foldarch.dev/foldarch/pkg/jobstore"
+	"foldarch.dev/foldarch/platform"
+	. "github.com/onsi/gomega"
+)
+
+// An owner that trusts names of a term in which an owner did not store them starts tasks a second time.
+func TestNamedFromHoldsOnlyWithoutAGap(t *testing.T) {
+	for name, test := range map[string]struct {
+		rate   float64
+		former string
+		want   int64
+	}{
+		"first owner":                        {1200, `{}`, 7},
+		"former owner named from a term on":  {1200, `{"term":6,"named_from":3}`, 3},
+		"former owner did not name":          {1200, `{"term":6}`, 7},
+		"store just fast enough":             {1000, `{"term":6}`, 7},
+		"store too slow":                     {400, `{"term":6}`, 0},
+		"store too slow after one that does": {999, `{"term":6,"named_from":3}`, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			h := &Host{}
+			cfg := platform.Settings{}
+			cfg.Store.WritesPerSecond = test.rate
+			h.cfg.Store(&cfg)
+			holder, err := jobstore.DecodeHolder([]byte(test.former))
+			g.Expect(err).NotTo(HaveOccurred())
+			h.election.holder = holder
+			g.Expect(h.namedFrom(7)).To(Equal(test.want))
+		})
+	}
+}
--- a/pkg/poolowner/roster_test.go
+++ b/pkg/poolowner/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +13,7 @@
 
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/dispatch"
+	"foldarch.dev/foldarch/pkg/job"
 	"foldarch.dev/foldarch/pkg/jobstore"
 	"foldarch.dev/foldarch/platform"
 	"foldarch.dev/foldarch/platform/emulator"
@@ -145,3 +147,19 @@
 	g.Expect(next.pool.Status(now).Takeover).To(BeTrue())
 	g.Expect(next.roster).To(HaveKey("i-unreadable"))
 }
+
+// A later owner that forgets which jobs may run on a silent worker frees them for the one after it.
+func TestRetiredWorkerOfAFormerOwnerStaysSoOnTheRoster(t *testing.T) {
+	g := NewWithT(t)
+	o, p, info := ownerOfEmulated(t)
+	info.Retired, info.Jobs = true, []job.ID{"a"}
+	text, err := json.Marshal([]dispatch.WorkerInfo{info})
+	g.Expect(err).NotTo(HaveOccurred())
+	p.Store.Put(jobstore.RosterKey(info.ID.Name()), text)
+	for term := int64(2); term <= 3; term++ {
+		next := New(o.deps, Claim{Term: term, Revision: o.claim.Revision})
+		g.Expect(next.loadWorkers(t.Context())).To(Succeed())
+		g.Expect(next.rosterChanges()).To(BeEmpty(), "the record is as it should be")
+		g.Expect(next.pool.RosterOf(info.ID.Name())).To(ConsistOf(And(HaveField("Retired", true), HaveField("Jobs", []job.ID{"a"}))))
+	}
+}
