The counting of crashes is a package of its own

What speaks against a task that may crash its workers was spread over four files of pkg/dispatch, among jobs, runs and workers.

Package crash has it by ids and times: which starts count as a cause, what is remembered of crashes, what is stored of a task, when its job is given up, and how well a worker suits a task that is started alone. dispatch keeps which workers have crashed and which starts had begun there; survival.go is part of crash.go. Package workerid has the id of a worker's life, which crash needs; dispatch.WorkerID is another name for it. No decision changes. The tests of sure crashes and of ids move along; others read through the package.

--- a/pkg/dispatch/attempt.go
+++ b/pkg/dispatch/attempt.go
@@ -1,21 +1,15 @@
 package dispatch
 
 import (
-	"slices"
-
 	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/crash"
 	"foldarch.dev/foldarch/pkg/job"
 )
 
-// Most starts are not put into the store before they are ordered: a later owner reads what runs back from the
-// workers. A worker that has crashed tells nothing. So the starts of tasks that may be the cause of a crash
-// are stored first: an attempt stands in the store until the worker has been seen to survive it, and a later owner that finds
-// the worker gone counts the crash.
-
 // mustStore says that a start of a task has to be in the store before it is ordered: there is a crash against it, a worker
 // was lost under an earlier start, or a former owner may have started it on a worker that crashed unseen.
 func (p *Pool) mustStore(t *task) bool {
-	if t.suspected() || t.inDoubt {
+	if t.suspected() || t.crash.InDoubt() {
 		return true
 	}
 	return p.takeover.missed && !p.unknownToFormer(t.step.time.job)
@@ -32,7 +26,7 @@
 	}
 	r := p.book(t, w, number, runStoring, now)
 	r.checkpoint, r.stored = checkpoint, true
-	t.attempts = append(t.attempts, job.Attempt{Run: number, Worker: string(w.info.ID)})
+	t.crash.Attempt(number, w.info.ID)
 	p.storeProgress(t)
 	p.toStore = append(p.toStore, r)
 }
@@ -61,17 +55,15 @@
 	if a := s.time.job.account; a != nil && a.OverQuota() {
 		return false // its quota was lowered while the start was being stored
 	}
-	if r.task.suspected() && !w.lives(now) {
+	if r.task.suspected() && !w.signs().Lives(now) {
 		return false
 	}
 	return s.time.job.queue.Advice == nil || now.Add(ticketMargin) < s.advice.tickets[w.info.ID].until
 }
 
-// dropAttempt takes in that nothing is open of a start any more.
+// dropAttempt takes in that nothing is open of a start of a task any more; nil is one of a job that is forgotten.
 func (p *Pool) dropAttempt(t *task, run int) {
-	n := len(t.attempts)
-	t.attempts = slices.DeleteFunc(t.attempts, func(a job.Attempt) bool { return a.Run == run })
-	if len(t.attempts) < n {
+	if t != nil && t.crash.DropAttempt(run) {
 		p.storeProgress(t)
 	}
 }
@@ -80,7 +72,7 @@
 func (p *Pool) takeAttempts(j *jobState, now clock.Time) {
 	for s := range j.steps() {
 		for i := range s.tasks {
-			for _, a := range slices.Clone(s.tasks[i].attempts) {
+			for _, a := range s.tasks[i].crash.Attempts() {
 				p.takeAttempt(&s.tasks[i], a, now)
 			}
 		}
@@ -89,15 +81,14 @@
 
 // takeAttempt counts a crash when the worker of an attempt is gone; one that lives tells what it runs.
 func (p *Pool) takeAttempt(t *task, a job.Attempt, now clock.Time) {
-	start := suspectStart{task: t, run: a.Run}
+	start := crash.Start{Task: t.id(), Run: a.Run}
 	w, known := p.workers[WorkerID(a.Worker)]
 	if !known {
 		w = &worker{info: WorkerInfo{ID: WorkerID(a.Worker)}, knownAt: p.createdAt, gone: true}
 	}
 	switch {
 	case w.gone:
-		starts := suspectStarts{start}
-		p.blame(newCrash(w, starts), starts, now)
+		p.blame(w, crash.Starts{start}, now)
 	case !w.reported:
 		w.doubts = append(w.doubts, start)
 	case w.runs[runKey{t.id(), a.Run}] == nil:
@@ -114,8 +105,8 @@
 // settleDoubts takes in that a worker lives that was in doubt.
 func (p *Pool) settleDoubts(w *worker) {
 	for _, s := range w.doubts {
-		if w.runs[runKey{s.task.id(), s.run}] == nil {
-			p.dropAttempt(s.task, s.run)
+		if w.runs[runKey{s.Task, s.Run}] == nil {
+			p.dropAttempt(p.task(s.Task), s.Run)
 		}
 	}
 	w.doubts = nil
--- a/pkg/dispatch/capacity_test.go
+++ b/pkg/dispatch/capacity_test.go
@@ -136,8 +136,8 @@
 	f.pool.AddJob(testJob("a", testStep(1)), progress, true, 0, f.now)
 	f.pool.workers["w0"].clock = f.workerClock + 10_000
 	f.report(0, Report{})
-	f.Expect(f.pool.jobs["a"].times[0].steps[0].tasks[0].attempts).To(HaveLen(1))
+	f.Expect(f.pool.jobs["a"].times[0].steps[0].tasks[0].crash.Attempts()).To(HaveLen(1))
 	f.workerClock += 20_000
 	f.report(0, Report{})
-	f.Expect(f.pool.jobs["a"].times[0].steps[0].tasks[0].attempts).To(BeEmpty())
+	f.Expect(f.pool.jobs["a"].times[0].steps[0].tasks[0].crash.Attempts()).To(BeEmpty())
 }
--- a/pkg/dispatch/commit.go
+++ b/pkg/dispatch/commit.go
@@ -109,15 +109,15 @@
 	for s := range j.steps() {
 		for i := range s.tasks {
 			x := &s.tasks[i]
-			unanswered := p.storedUnanswered(x)
-			if !x.done && len(x.failures) == 0 && x.lastEnded == 0 && len(x.attempts) == 0 && len(x.crashes) == 0 && len(unanswered) == 0 {
+			unanswered, attempts, crashes := p.storedUnanswered(x), x.crash.Attempts(), x.crash.Crashes()
+			if !x.done && len(x.failures) == 0 && x.lastEnded == 0 && len(attempts) == 0 && len(crashes) == 0 && len(unanswered) == 0 {
 				continue
 			}
 			row := job.TaskProgress{
 				Time: s.time.index, Step: s.index, Index: i, Done: x.done, Failures: x.failures, LastRun: x.lastEnded, Unanswered: unanswered,
 			}
 			if !x.done {
-				row.Checkpoint, row.Attempts, row.Crashes = x.checkpoint, slices.Clone(x.attempts), slices.Clone(x.crashes)
+				row.Checkpoint, row.Attempts, row.Crashes = x.checkpoint, attempts, crashes
 			}
 			out.Tasks = append(out.Tasks, row)
 		}
@@ -137,9 +137,8 @@
 		}
 		j.began = j.began || row.Begun()
 		t.failures, t.lastEnded, t.checkpoint = row.Failures, row.LastRun, row.Checkpoint
-		t.attempts, t.crashes = row.Attempts, row.Crashes
+		t.crash.Load(row.Attempts, row.Crashes)
 		j.suspected = j.suspected || len(row.Crashes) > 0
-		t.inDoubt = len(row.Attempts) > 0
 		t.lastRun = max(t.lastRun, row.HighestRun())
 		t.step.gang.number = max(t.step.gang.number, row.HighestRun())
 		if row.Done {
--- a/pkg/dispatch/crash_test.go
+++ b/pkg/dispatch/crash_test.go
@@ -10,11 +10,15 @@
 
 	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/crash"
 	"foldarch.dev/foldarch/pkg/job"
 	"foldarch.dev/foldarch/pkg/queue"
 	. "github.com/onsi/gomega"
 )
 
+// mostCrashes is how many crashes in a row give a task up whatever else crashed.
+const mostCrashes = crash.MostInARow
+
 // A task may crash each worker that starts it. The worker is silent from 10 ms after the start on, and seconds later
 // another incarnation answers at its address. An owner took that for a run like one on a worker that was cut off, ended
 // it as lost and started the task on the next worker, every 3.2 s for as long as the job was there:
@@ -520,17 +524,3 @@
 	}
 	m.pool.Committed(c)
 }
-
-func TestLivesOfOneWorkerAreSureOnce(t *testing.T) {
-	alone := func(workers ...string) []job.Crash {
-		var out []job.Crash
-		for n, w := range workers {
-			out = append(out, job.Crash{Run: n + 1, Worker: w, Alone: true})
-		}
-		return out
-	}
-	g := NewWithT(t)
-	g.Expect(sure(alone("w1@1000", "w1@1900", "w1@2800"))).To(Equal(1))
-	g.Expect(sure(alone("w1@1000", "w2@1900", "w1@2800"))).To(Equal(2))
-	g.Expect(sure(alone("w1", "w2"))).To(Equal(2))
-}
--- a/pkg/dispatch/doc.go
+++ b/pkg/dispatch/doc.go
@@ -47,6 +47,8 @@
 //   - pace: how fast tasks go that fill what others leave (pace.go has the runs)
 //   - worth: what the end of a step is still worth, and the order of steps by that (order.go)
 //   - latestart: starts that another life of a worker may carry out, and what they keep tasks from (late_starts.go says which are of that kind)
+//   - crash: which tasks crash the workers that start them (crash.go has the workers, attempt.go the starts, probe.go the choice of workers)
+//   - workerid: the id of one life of a worker
 //   - account: what a customer has running, and how much more its quota lets it start (quota.go, unheard.go, beyond.go book and ask)
 //
 // # Usage
--- a/pkg/dispatch/evacuation_test.go
+++ b/pkg/dispatch/evacuation_test.go
@@ -126,7 +126,7 @@
 	f.reportAll(1)
 	f.add(testJob("j", testStep(1)))
 	task := f.pool.task(job.TaskID{StepID: job.StepID{Job: "j"}})
-	task.inDoubt = true
+	task.crash.Doubt()
 	f.Expect(f.plan().Starts).To(BeEmpty())
 	f.pool.SetEvacuated([]string{"a"})
 	f.pool.Committed(f.pool.TakeCommit())
--- a/pkg/dispatch/explain.go
+++ b/pkg/dispatch/explain.go
@@ -73,7 +73,7 @@
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		v.Failures += len(t.failures)
-		v.Crashes += len(t.crashes)
+		v.Crashes += len(t.crash.Crashes())
 		if r := t.current; r != nil {
 			v.Runs = append(v.Runs, RunView{i, r.number, string(r.worker.info.ID), r.percent, runStateNames[r.state]})
 		}
--- a/pkg/dispatch/holds.go
+++ b/pkg/dispatch/holds.go
@@ -15,7 +15,7 @@
 	idleHoldWait = 1500 * time.Millisecond // at most, while nothing does
 	usualPool    = 400
 	// probeWait is the wait while a task that was started alone is not proven: other tasks wait for the worker. With it and a
-	// provenAfter of 0.3 s in place of 0.5 s jobs earn 0.024 more in a pool of 48 workers of which two crash each second (12 plays each).
+	// crash.ProvenAfter of 0.3 s in place of 0.5 s jobs earn 0.024 more in a pool of 48 workers of which two crash each second (12 plays each).
 	probeWait = 100 * time.Millisecond
 )
 
--- a/pkg/dispatch/jobs.go
+++ b/pkg/dispatch/jobs.go
@@ -8,6 +8,7 @@
 	"foldarch.dev/foldarch/pkg/account"
 	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/crash"
 	"foldarch.dev/foldarch/pkg/customer"
 	"foldarch.dev/foldarch/pkg/job"
 	"foldarch.dev/foldarch/pkg/latestart"
@@ -128,16 +129,10 @@
 	lastRun    int   // highest number given or seen
 	lastEnded  int   // highest number whose end was taken in
 	checkpoint string
-	// attempts are starts that are in the store and not known to have been survived, and crashes the starts in a
-	// row under which a worker crashed.
-	attempts    []job.Attempt
-	crashes     []job.Crash
-	survivedRun int // highest number whose start a worker has survived
-	// inDoubt says that a worker has gone under a start that was not proven, whether a crash was counted for it or not.
-	inDoubt   bool
-	avoid     WorkerID       // where it failed last
-	late      latestart.Task // starts of it that may be carried out by the next lives of their workers
-	notBefore clock.Time
+	crash      crash.Task     // what speaks against it
+	avoid      WorkerID       // where it failed last
+	late       latestart.Task // starts of it that may be carried out by the next lives of their workers
+	notBefore  clock.Time
 	// presumedLost says that its last run is held for lost since its worker was silent.
 	presumedLost bool
 }
@@ -157,7 +152,7 @@
 	startClock int64
 	// adopted says that a report listed it first, some time after it began.
 	adopted bool
-	// proven says that the worker lived on after the start (provenAfter).
+	// proven says that the worker lived on after the start (crash.ProvenAfter).
 	proven       bool
 	percent      int
 	observed     bool
--- a/pkg/dispatch/late_starts_test.go
+++ b/pkg/dispatch/late_starts_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"foldarch.dev/foldarch/pkg/crash"
 	"foldarch.dev/foldarch/pkg/job"
 	"foldarch.dev/foldarch/pkg/latestart"
 	. "github.com/onsi/gomega"
@@ -64,8 +65,8 @@
 func TestSuspectWithAVoidStartIsTriedOnItsWorker(t *testing.T) {
 	h, _ := lostOf(t, 3, testJob("a", testStep(1)))
 	h.pool.jobs["a"].suspected = true
-	h.pool.jobs["a"].times[0].steps[0].tasks[0].crashes = []job.Crash{{Run: 0, Worker: string(firstLife(0).id)}}
-	h.pool.lastCrashAt[firstLife(0).info().Address] = h.now
+	h.pool.jobs["a"].times[0].steps[0].tasks[0].crash.Load(nil, []job.Crash{{Run: 0, Worker: string(firstLife(0).id)}})
+	h.pool.crashes.Add(crash.Of(firstLife(0).id, firstLife(0).info().Address, h.now, nil), nil, h.now)
 	h.becomesVoid()
 	again := h.startsWithin(3*time.Second, "a")
 	h.Expect(numberOf(again.Worker)).To(Equal(0))
--- a/pkg/dispatch/lives_fixture_test.go
+++ b/pkg/dispatch/lives_fixture_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/crash"
 	. "github.com/onsi/gomega"
 )
 
@@ -124,7 +125,7 @@
 // survives has a life list runs until their starts are known not to be what ends it.
 func (f *fixture) survives(l life, starts ...Start) {
 	f.reports(l, listed(starts...))
-	f.pass(provenAfter + 50*time.Millisecond)
+	f.pass(crash.ProvenAfter + 50*time.Millisecond)
 	f.reports(l, listed(starts...))
 }
 
--- a/pkg/dispatch/lives_kept_test.go
+++ b/pkg/dispatch/lives_kept_test.go
@@ -102,7 +102,7 @@
 	f.begins(secondLife(0), Report{})
 	f.reports(secondLife(0), Report{})
 	j := f.pool.jobs["a"]
-	f.Expect(j.times[0].steps[0].tasks[0].crashes).To(HaveLen(1))
+	f.Expect(j.times[0].steps[0].tasks[0].crash.Crashes()).To(HaveLen(1))
 	f.Expect(f.plan().Starts).To(BeEmpty(), "it is stored first")
 	stored := f.pool.TakeCommit()
 	f.pool.Committed(stored)
@@ -124,7 +124,7 @@
 	f.pass(500 * time.Millisecond)
 	f.begins(thirdLife(0), Report{})
 	f.reports(thirdLife(0), Report{})
-	f.Expect(f.pool.jobs["a"].times[0].steps[0].tasks[0].crashes).To(HaveLen(1))
+	f.Expect(f.pool.jobs["a"].times[0].steps[0].tasks[0].crash.Crashes()).To(HaveLen(1))
 }
 
 // shortLeases has an owner give shorter leases than a worker does at most.
@@ -262,7 +262,7 @@
 	f.reports(secondLife(0), Report{})
 	f.reports(secondLife(0), Report{})
 	f.plan()
-	f.Expect(f.pool.jobs["a"].times[0].steps[0].tasks[0].crashes).To(HaveLen(2))
+	f.Expect(f.pool.jobs["a"].times[0].steps[0].tasks[0].crash.Crashes()).To(HaveLen(2))
 }
 
 func closedByName(t *testing.T) {
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -7,12 +7,21 @@
 	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/workerid"
 	"github.com/cockroachdb/errors"
 )
 
 // ErrNotSent marks the failure of an order that certainly did not reach the worker.
 var ErrNotSent = errors.New("the order was not sent")
 
+// WorkerID names one life of a worker.
+type WorkerID = workerid.ID
+
+// NewWorkerID returns the ID of the life of a worker that began at a time, in Unix ms; 0 when that is not told.
+func NewWorkerID(name string, born int64) WorkerID {
+	return workerid.New(name, born)
+}
+
 // WorkerInfo is what a worker says of itself.
 type WorkerInfo struct {
 	ID       WorkerID
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -3,13 +3,13 @@
 import (
 	"cmp"
 	"maps"
-	"net/netip"
 	"slices"
 	"time"
 
 	"foldarch.dev/foldarch/pkg/account"
 	"foldarch.dev/foldarch/pkg/admission"
 	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/crash"
 	"foldarch.dev/foldarch/pkg/job"
 	"foldarch.dev/foldarch/pkg/queue"
 )
@@ -82,8 +82,7 @@
 	paces    []*run
 	// toStore are starts that wait for a commit, and stored those that the store has and that are not ordered yet.
 	toStore, stored []*run
-	crashes         []*crash                      // of the last crashMemory
-	lastCrashAt     map[netip.AddrPort]clock.Time // by address, of these
+	crashes         *crash.History
 	// parting are workers that have crashed under starts that are not committed as crashes yet, and missedWorker is one that did under
 	// starts of a former owner (takeover.missed).
 	parting      map[WorkerID]WorkerInfo
@@ -111,7 +110,7 @@
 		cfg: cfg, takeover: newTakeover(cfg, now),
 		jobs: map[job.ID]*jobState{}, accounts: map[string]*account.Account{}, outcomes: newOutcomes(), unknown: map[job.ID]struct{}{}, absent: map[job.ID]struct{}{}, workers: map[WorkerID]*worker{}, lineages: map[string]*lineage{}, configured: map[string]bool{},
 		timed: map[*jobState]struct{}{}, dirty: map[*jobState]struct{}{},
-		advice: newAdviceCalls(), limiter: admission.NewLimiter(), loads: map[string]*poolLoad{}, parting: map[WorkerID]WorkerInfo{}, rosterNews: map[string]struct{}{}, lastCrashAt: map[netip.AddrPort]clock.Time{}, createdAt: now,
+		advice: newAdviceCalls(), limiter: admission.NewLimiter(), loads: map[string]*poolLoad{}, parting: map[WorkerID]WorkerInfo{}, rosterNews: map[string]struct{}{}, crashes: crash.NewHistory(togetherWithin, now), createdAt: now,
 	}
 	p.cfg.Log = func(e Event) {
 		e.Customer = p.customerOf(e)
--- a/pkg/dispatch/probe.go
+++ b/pkg/dispatch/probe.go
@@ -1,11 +1,10 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
-	"time"
 
 	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/crash"
 )
 
 // A task with a crash against it is started where no other job's task is beginning, and nothing else is started
@@ -13,15 +12,6 @@
 // counted again. Tasks of one step are tried on one worker at a time: in a step that crashes all its workers, each
 // of them would take one.
 
-const (
-	// claimLasts is how long a worker is claimed for a step before something begins there: provenAfter and the longest wait of a hold
-	// (longHoldWait), with as much to spare for a busy owner.
-	claimLasts = 2 * time.Second
-	// claimShare is the part of the workers, at least one, that may be claimed at once: with all of them a crash of many
-	// workers would stop what has nothing to do with it.
-	claimShare = 0.25
-)
-
 // claim keeps a worker from the starts of all jobs but that of one step.
 type claim struct {
 	step  *step
@@ -34,7 +24,7 @@
 	if t.step.spec.Gang {
 		return t.step.suspected()
 	}
-	return len(t.crashes) > 0
+	return t.crash.Suspected()
 }
 
 // suspected says that a step has tasks that are to be started alone.
@@ -43,7 +33,7 @@
 		return false
 	}
 	for i := range s.tasks {
-		if t := &s.tasks[i]; !t.done && len(t.crashes) > 0 {
+		if t := &s.tasks[i]; !t.done && t.crash.Suspected() {
 			return true
 		}
 	}
@@ -96,12 +86,6 @@
 	return w.beginning(s) == 0
 }
 
-// lives says that a worker was heard of just now, and that no call since has failed. Another one may have crashed already, and a start
-// there would be counted against its task.
-func (w *worker) lives(now clock.Time) bool {
-	return w.unansweredAt == 0 && now.Sub(w.lastSign()) <= aliveFor
-}
-
 // beginning counts the runs of other jobs on a worker that are not proven.
 func (w *worker) beginning(s *step) int {
 	n := 0
@@ -153,21 +137,21 @@
 		return nil
 	}
 	var best *worker
-	var bestFor probeFitness
+	var bestFor crash.ProbeFitness
 	for _, w := range candidates {
-		if !w.lives(now) {
+		if !w.signs().Lives(now) {
 			continue
 		}
 		f := p.probeFitness(s, w)
-		if best == nil || f.compare(bestFor) < 0 {
+		if best == nil || f.Compare(bestFor) < 0 {
 			best, bestFor = w, f
 		}
 	}
-	if best == nil || bestFor.beginning == 0 {
+	if best == nil || bestFor.Beginning == 0 {
 		return best
 	}
 	if p.mayClaimAnother(now) {
-		s.claim(best, now.Add(claimLasts))
+		s.claim(best, now.Add(crash.ClaimLasts))
 	}
 	return nil
 }
@@ -189,23 +173,8 @@
 	return !s.spec.Gang && !s.survived && s.suspected() && (s.probing() || s.awaitsClaimed(now))
 }
 
-// probeFitness is how well a worker suits a task that is to be started alone.
-type probeFitness struct {
-	beginning int        // runs of other jobs that are not proven
-	crashedAt clock.Time // at its address; 0 for not lately. Such a worker may crash on its own again
-	heardAt   clock.Time // one that was heard of lately has not crashed yet
-}
-
-func (p *Pool) probeFitness(s *step, w *worker) probeFitness {
-	return probeFitness{beginning: w.beginning(s), crashedAt: p.lastCrashAt[w.info.Address], heardAt: w.lastSign()}
-}
-
-// compare puts workers first on which nothing else is beginning.
-func (f probeFitness) compare(g probeFitness) int {
-	return cmp.Or(
-		cmp.Compare(min(f.beginning, 1), min(g.beginning, 1)), cmp.Compare(f.crashedAt, g.crashedAt),
-		cmp.Compare(f.beginning, g.beginning), cmp.Compare(g.heardAt, f.heardAt),
-	)
+func (p *Pool) probeFitness(s *step, w *worker) crash.ProbeFitness {
+	return crash.ProbeFitness{Beginning: w.beginning(s), CrashedAt: p.crashes.LastAt(w.info.Address), HeardAt: w.lastSign()}
 }
 
 // mayClaimAnother says whether one more worker may be claimed.
@@ -220,18 +189,18 @@
 			claimed++
 		}
 	}
-	return claimed < max(1, int(claimShare*float64(all)))
+	return crash.MayClaimAnother(claimed, all)
 }
 
 // probeWorkers lists the workers on which a gang with a crash against it may be started. Without enough, it claims those
 // that the gang would get.
 func (p *Pool) probeWorkers(s *step, candidates []*worker, now clock.Time) []*worker {
-	alone := slices.DeleteFunc(slices.Clone(candidates), func(w *worker) bool { return !w.lives(now) || !w.nothingBegins(s) })
+	alone := slices.DeleteFunc(slices.Clone(candidates), func(w *worker) bool { return !w.signs().Lives(now) || !w.nothingBegins(s) })
 	if s.missing() || p.gangWorkers(s, alone) != nil {
 		return alone
 	}
 	for _, w := range p.gangWorkers(s, candidates) {
-		s.claim(w, now.Add(claimLasts))
+		s.claim(w, now.Add(crash.ClaimLasts))
 	}
 	return nil
 }
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -9,6 +9,7 @@
 	"foldarch.dev/foldarch/pkg/account"
 	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/crash"
 	"foldarch.dev/foldarch/pkg/job"
 	"foldarch.dev/foldarch/pkg/latestart"
 	"foldarch.dev/foldarch/pkg/pace"
@@ -84,7 +85,7 @@
 	unknownLogged job.ID
 
 	// doubts are starts before it went silent, or of former owners, that it may not have survived.
-	doubts suspectStarts
+	doubts crash.Starts
 	// unansweredAt is when the first call got no answer since the worker was heard of; 0 for none.
 	unansweredAt clock.Time
 	claim        claim
@@ -243,7 +244,7 @@
 }
 
 func (p *Pool) loseRun(w *worker, r *run, now clock.Time) {
-	if !w.doubts.has(r) {
+	if !w.doubts.Has(r.task.id(), r.number) {
 		p.dropAttempt(r.task, r.number)
 	}
 	p.mayComeLate(r, "")
--- a/pkg/dispatch/worker_id_test.go
+++ b/pkg/workerid/id_test.go
@@ -1,4 +1,4 @@
-package dispatch
+package workerid
 
 import (
 	"testing"
@@ -6,14 +6,14 @@
 	. "github.com/onsi/gomega"
 )
 
-func TestWorkerIDIsMadeOfANameAndTheBeginningOfALife(t *testing.T) {
+func TestIDIsMadeOfANameAndTheBeginningOfALife(t *testing.T) {
 	for _, c := range []struct {
-		id   WorkerID
+		id   ID
 		name string
 		born int64
 	}{
-		{NewWorkerID("i-058fd8d354", 1767225600000), "i-058fd8d354", 1767225600000},
-		{NewWorkerID("i-058fd8d354", 0), "i-058fd8d354", 0},
+		{New("i-058fd8d354", 1767225600000), "i-058fd8d354", 1767225600000},
+		{New("i-058fd8d354", 0), "i-058fd8d354", 0},
 		{"i-058fd8d354", "i-058fd8d354", 0}, // as former releases stored it
 		{"mail@host", "mail@host", 0},
 		{"", "", 0},
