Outcomes, expected ends and the choice of stops are packages

Rules by figures stood in pkg/dispatch among jobs and workers.

- outcome keeps how jobs ended, by id.
- runend tells by progress, or by the estimate, when a run ends and when there is room beside runs that end (predict.go has the runs).
- preemption chooses, of the runs that may be stopped on some workers, those whose stops throw least work away (preempt.go says which may be stopped, and the cost).

No decision changes.

--- a/pkg/dispatch/closing.go
+++ b/pkg/dispatch/closing.go
@@ -53,7 +53,7 @@
 	away := 0
 	for i := range s.tasks {
 		x := &s.tasks[i]
-		if x != t && (x.current == nil || x.current.state != runActive || x.current.stopAsked || x.current.percent < atWork) {
+		if x != t && (x.current == nil || x.current.state != runActive || x.current.stopAsked || x.current.progress.Percent < atWork) {
 			away++
 		}
 	}
--- a/pkg/dispatch/commit.go
+++ b/pkg/dispatch/commit.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/outcome"
 )
 
 // Change is what the store has to be told of one job.
@@ -76,7 +77,7 @@
 			continue
 		}
 		j.committed = true
-		p.outcomes.put(change.Job, change.Outcome, change.Customer, p.now)
+		p.outcomes.Put(change.Job, outcome.Outcome{State: change.Outcome, Customer: change.Customer, Since: p.now})
 		p.forgetIfIdle(j)
 	}
 }
--- a/pkg/dispatch/doc.go
+++ b/pkg/dispatch/doc.go
@@ -35,7 +35,7 @@
 // A step gets workers with room (place.go), or has runs of lower priorities stopped (preempt.go); what it
 // still waits for is held from later steps (reserve.go). Which workers may run a step is learned by calls for
 // advice (naming.go, advice.go), which steps that starve get first (starving.go). Sums are kept for
-// each pool (load.go), and ends are foreseen by progress (predict.go).
+// each pool (load.go).
 //
 // # Packages below
 //
@@ -48,6 +48,9 @@
 //   - worth: what the end of a step is still worth, and the order of steps by that (order.go)
 //   - latestart: starts that another life of a worker may carry out, and what they keep tasks from (late_starts.go says which are of that kind)
 //   - crash: which tasks crash the workers that start them (crash.go has the workers, attempt.go the starts, probe.go the choice of workers)
+//   - outcome: how jobs ended
+//   - runend: when runs are expected to end, and when there is room (predict.go has the runs)
+//   - preemption: which runs are stopped to make room (preempt.go says which may be)
 //   - workerid: the id of one life of a worker
 //   - account: what a customer has running, and how much more its quota lets it start (quota.go, unheard.go, beyond.go book and ask)
 //
--- a/pkg/dispatch/ends.go
+++ b/pkg/dispatch/ends.go
@@ -6,6 +6,7 @@
 
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/outcome"
 )
 
 // rejectedPause is how long a task waits after an order that was rejected for a reason that
@@ -243,8 +244,8 @@
 		return // a run of a former owner that is still to be found counts, and needs what is known of the job
 	}
 	if p.jobs[j.job.ID] == j {
-		p.outcomes.put(j.job.ID, j.outcome, j.customer.Name, p.now)
-		p.outcomes.mayRunLateUntil(j.job.ID, j.lateUntil())
+		p.outcomes.Put(j.job.ID, outcome.Outcome{State: j.outcome, Customer: j.customer.Name, Since: p.now})
+		p.outcomes.MayRunLateUntil(j.job.ID, j.lateUntil())
 		delete(p.jobs, j.job.ID)
 	}
 }
--- a/pkg/dispatch/explain.go
+++ b/pkg/dispatch/explain.go
@@ -75,7 +75,7 @@
 		v.Failures += len(t.failures)
 		v.Crashes += len(t.crash.Crashes())
 		if r := t.current; r != nil {
-			v.Runs = append(v.Runs, RunView{i, r.number, string(r.worker.info.ID), r.percent, runStateNames[r.state]})
+			v.Runs = append(v.Runs, RunView{i, r.number, string(r.worker.info.ID), r.progress.Percent, runStateNames[r.state]})
 		}
 	}
 	return v
--- a/pkg/dispatch/jobs.go
+++ b/pkg/dispatch/jobs.go
@@ -13,6 +13,7 @@
 	"foldarch.dev/foldarch/pkg/job"
 	"foldarch.dev/foldarch/pkg/latestart"
 	"foldarch.dev/foldarch/pkg/queue"
+	"foldarch.dev/foldarch/pkg/runend"
 	"foldarch.dev/foldarch/pkg/takeover"
 	"foldarch.dev/foldarch/pkg/worth"
 )
@@ -153,18 +154,16 @@
 	// adopted says that a report listed it first, some time after it began.
 	adopted bool
 	// proven says that the worker lived on after the start (crash.ProvenAfter).
-	proven       bool
-	percent      int
-	observed     bool
-	observedAt   clock.Time // by the last report
-	startPercent int        // at the first report, with what a checkpoint brought
-	percentAt    clock.Time
-	missing      int // reports in a row that did not list it
-	stopAsked    bool
-	stopSentAt   clock.Time
-	load         int  // as reported last
-	pace         int  // of a filler, in percent
-	paced        bool // an order for a pace was given
+	proven     bool
+	progress   runend.Progress
+	observed   bool
+	observedAt clock.Time // by the last report
+	missing    int        // reports in a row that did not list it
+	stopAsked  bool
+	stopSentAt clock.Time
+	load       int  // as reported last
+	pace       int  // of a filler, in percent
+	paced      bool // an order for a pace was given
 }
 
 type runState int
--- a/pkg/dispatch/late_starts.go
+++ b/pkg/dispatch/late_starts.go
@@ -156,7 +156,8 @@
 func (p *Pool) mayNoteFrom(id job.TaskID) clock.Time {
 	t := p.task(id)
 	if t == nil {
-		return p.outcomes.of[id.Job].lateUntil
+		ended, _ := p.outcomes.Of(id.Job)
+		return ended.LateUntil
 	}
 	var from clock.Time
 	tasks := t.doneTogether()
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -84,7 +84,7 @@
 		p.move(r, "its worker leaves")
 		return
 	}
-	if s.spec.LongRunning || s.spec.Filler || r.percent >= almostDone || r.task.current != r {
+	if s.spec.LongRunning || s.spec.Filler || r.progress.Percent >= almostDone || r.task.current != r {
 		return
 	}
 	if !r.standsStill(now) || p.without(StuckMoves) {
@@ -100,7 +100,7 @@
 // so: a worker that was not asked tells nothing.
 func (r *run) standsStill(now clock.Time) bool {
 	limit := stuckAfter + time.Duration(stuckShare*float64(r.task.step.spec.Estimate))
-	return now.Sub(r.percentAt) >= limit && r.observedAt.Sub(r.percentAt) >= limit/2
+	return now.Sub(r.progress.At) >= limit && r.observedAt.Sub(r.progress.At) >= limit/2
 }
 
 // move stops a run so that its task starts elsewhere; with a gang, all its members.
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -11,6 +11,7 @@
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/crash"
 	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/outcome"
 	"foldarch.dev/foldarch/pkg/queue"
 )
 
@@ -62,7 +63,7 @@
 	evacuated  []string // data halls
 	jobs       map[job.ID]*jobState
 	accounts   map[string]*account.Account // of customers, by name
-	outcomes   outcomes                    // of jobs that have ended and been committed
+	outcomes   *outcome.Outcomes           // of jobs that have ended and been committed
 	// unknown are jobs that workers list and whose records have to be read, and absent those of which the store has none.
 	unknown, absent map[job.ID]struct{}
 	workers         map[WorkerID]*worker
@@ -108,7 +109,7 @@
 func New(cfg Config, now clock.Time) *Pool {
 	p := &Pool{
 		cfg: cfg, takeover: newTakeover(cfg, now),
-		jobs: map[job.ID]*jobState{}, accounts: map[string]*account.Account{}, outcomes: newOutcomes(), unknown: map[job.ID]struct{}{}, absent: map[job.ID]struct{}{}, workers: map[WorkerID]*worker{}, lineages: map[string]*lineage{}, configured: map[string]bool{},
+		jobs: map[job.ID]*jobState{}, accounts: map[string]*account.Account{}, outcomes: outcome.New(), unknown: map[job.ID]struct{}{}, absent: map[job.ID]struct{}{}, workers: map[WorkerID]*worker{}, lineages: map[string]*lineage{}, configured: map[string]bool{},
 		timed: map[*jobState]struct{}{}, dirty: map[*jobState]struct{}{},
 		advice: newAdviceCalls(), limiter: admission.NewLimiter(), loads: map[string]*poolLoad{}, parting: map[WorkerID]WorkerInfo{}, rosterNews: map[string]struct{}{}, crashes: crash.NewHistory(togetherWithin, now), createdAt: now,
 	}
@@ -174,7 +175,7 @@
 func (p *Pool) AddJob(r job.Record, progress job.Progress, stored bool, age time.Duration, now clock.Time) {
 	p.now = now
 	id := r.Job.ID
-	if _, known := p.jobs[id]; known || p.outcomes.knows(id) {
+	if _, known := p.jobs[id]; known || p.outcomes.Knows(id) {
 		return
 	}
 	j := &jobState{job: r.Job, queue: r.Queue, customer: r.Customer, stored: stored, term: r.Term, free: r.Term >= p.cfg.Term}
@@ -212,7 +213,7 @@
 	if !p.loaded {
 		p.countUnended(ended)
 	}
-	p.outcomes.putLate(id, ended.Outcome, ended.Customer.Name, p.lateFrom(ended.LateStart, now), now)
+	p.outcomes.Put(id, outcome.Outcome{State: ended.Outcome, Customer: ended.Customer.Name, Since: now, LateUntil: p.lateFrom(ended.LateStart, now)})
 	p.becameKnown(id, now)
 	j, known := p.jobs[id]
 	if !known {
@@ -300,7 +301,7 @@
 func (p *Pool) Cancel(id job.ID) bool {
 	j, ok := p.jobs[id]
 	if !ok {
-		return p.outcomes.knows(id)
+		return p.outcomes.Knows(id)
 	}
 	if j.outcome == "" {
 		p.finish(j, job.Cancelled)
@@ -341,8 +342,8 @@
 
 // State tells how far a job is, as it may be shown, and whose it is; ok is false when it is not known.
 func (p *Pool) State(id job.ID) (state job.State, customer string, ok bool) {
-	if x, ended := p.outcomes.of[id]; ended {
-		return x.state, x.customer, true
+	if x, ended := p.outcomes.Of(id); ended {
+		return x.State, x.Customer, true
 	}
 	j, known := p.jobs[id]
 	switch {
--- a/pkg/dispatch/preempt.go
+++ b/pkg/dispatch/preempt.go
@@ -3,11 +3,12 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
-	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/preemption"
 	"foldarch.dev/foldarch/pkg/worth"
 )
 
@@ -27,9 +28,6 @@
 	// soonOver is how long a run may still take to be left alone: its room comes by itself, about as
 	// soon as that of a stopped one.
 	soonOver = 500 * time.Millisecond
-	// acceleratorCores is how many processors an accelerator counts for in work, as the platform
-	// prices it.
-	acceleratorCores = 8
 )
 
 // preempt stops runs of lower priorities so that the waiting tasks of a step find room while their
@@ -72,20 +70,20 @@
 // cheapestStops chooses the runs whose stops throw least work away and make room for the waiting
 // tasks of a step; for a gang none when there can't be room for all.
 func (p *Pool) cheapestStops(s *step, now clock.Time) []*run {
-	limit := preemptLoss * work(s.spec.Need(), s.spec.Estimate)
+	limit := preemptLoss * preemption.Work(s.spec.Need(), s.spec.Estimate)
 	need := p.startable(s)
-	var options []*roomOption
+	var options []*preemption.Option[*run]
 	for _, w := range p.allowedWorkers(s, now) {
 		need -= fits(s, w)
-		options = append(options, newRoomOption(s, w, p.cfg.Restore, now))
+		options = append(options, p.stopsOn(w, s, now))
 	}
 	var stops []*run
 	for ; need > 0; need-- {
-		best, found := cheapestOption(s, options, now)
-		if !found || s.standing(now) != worth.Overdue && best.lost > limit {
+		best := preemption.Cheapest(s.spec.Need(), options)
+		if best == nil || s.standing(now) != worth.Overdue && best.Lost() > limit {
 			break
 		}
-		stops = append(stops, best.take(s)...)
+		stops = append(stops, best.Take(s.spec.Need())...)
 	}
 	if s.spec.Gang && need > 0 {
 		return nil
@@ -102,84 +100,24 @@
 	return p.among(slices.Collect(maps.Keys(s.advice.good)), may)
 }
 
-// roomOption is a worker on which stops can make room for one more task of a step.
-type roomOption struct {
-	worker  *worker
-	restore time.Duration // Config.Restore
-	free    cell.Resources
-	per     int    // tasks of the step there, with those that stops made room for
-	runs    []*run // that may be stopped, those that throw least away first
-	stops   []*run // of them, those that make room for one more task
-	lost    float64
-}
-
-func newRoomOption(s *step, w *worker, restore time.Duration, now clock.Time) *roomOption {
-	o := &roomOption{worker: w, restore: restore, free: w.free(), per: s.perOf[w.info.ID]}
-	for range fits(s, w) { // room that is there is not made anew
-		o.free = o.free.Sub(s.spec.Need())
-		o.per++
+// stopsOn lists the runs on a worker that may be stopped to make room for more tasks of a step than it has room for, in order.
+func (p *Pool) stopsOn(w *worker, s *step, now clock.Time) *preemption.Option[*run] {
+	room := fits(s, w)
+	o := &preemption.Option[*run]{Free: w.free().Sub(s.spec.Need().Times(int64(room))), Most: math.MaxInt}
+	if s.perOf != nil {
+		o.Most = s.spec.MaxPerWorker - s.perOf[w.info.ID] - room
 	}
 	for _, r := range w.runs {
 		if r.preemptable(s, now) {
-			o.runs = append(o.runs, r)
+			o.Victims = append(o.Victims, preemption.Victim[*run]{Run: r, Frees: r.task.step.spec.Need(), Lost: r.lostByStop(p.cfg.Restore, now)})
 		}
 	}
-	slices.SortFunc(o.runs, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(a.lostByStop(restore, now), b.lostByStop(restore, now)), compareTasks(b.task, a.task))
+	slices.SortFunc(o.Victims, func(a, b preemption.Victim[*run]) int {
+		return cmp.Or(cmp.Compare(a.Lost, b.Lost), compareTasks(b.Run.task, a.Run.task))
 	})
 	return o
 }
 
-// choose finds the runs to be stopped for one more task; ok is false when they don't suffice.
-func (o *roomOption) choose(s *step, now clock.Time) bool {
-	o.stops, o.lost = nil, 0
-	if s.perOf != nil && o.per >= s.spec.MaxPerWorker {
-		return false
-	}
-	free, need := o.free, s.spec.Need()
-	for _, r := range o.runs {
-		if need.Fits(free) {
-			break
-		}
-		free = free.Add(r.task.step.spec.Need())
-		o.stops = append(o.stops, r)
-	}
-	if !need.Fits(free) {
-		return false
-	}
-	for i := len(o.stops) - 1; i >= 0; i-- { // those that turned out not to be needed go on
-		if less := free.Sub(o.stops[i].task.step.spec.Need()); need.Fits(less) {
-			free = less
-			o.stops = slices.Delete(o.stops, i, i+1)
-		}
-	}
-	for _, r := range o.stops {
-		o.lost += r.lostByStop(o.restore, now)
-	}
-	return true
-}
-
-// take counts the chosen stops and the task that they make room for, and returns them.
-func (o *roomOption) take(s *step) []*run {
-	for _, r := range o.stops {
-		o.free = o.free.Add(r.task.step.spec.Need())
-		o.runs = slices.DeleteFunc(o.runs, func(x *run) bool { return x == r })
-	}
-	o.free = o.free.Sub(s.spec.Need())
-	o.per++
-	return o.stops
-}
-
-// cheapestOption is the worker on which room for one more task throws least work away.
-func cheapestOption(s *step, options []*roomOption, now clock.Time) (best *roomOption, found bool) {
-	for _, o := range options {
-		if o.choose(s, now) && (best == nil || o.lost < best.lost) {
-			best = o
-		}
-	}
-	return best, best != nil
-}
-
 // preemptable says whether a run may be stopped for a step: one of a lower priority or, for a task
 // that has been away for too long though it is to last, any that does not last itself.
 func (r *run) preemptable(waiting *step, now clock.Time) bool {
@@ -213,13 +151,7 @@
 		lost = min(lost, restore)
 	}
 	if s.spec.Gang {
-		return float64(len(s.tasks)) * work(s.spec.Need(), lost)
+		return float64(len(s.tasks)) * preemption.Work(s.spec.Need(), lost)
 	}
-	return work(s.spec.Need(), lost)
-}
-
-// work is what resources do in a time, in core-seconds.
-func work(need cell.Resources, d time.Duration) float64 {
-	cores := float64(need.CPUMillis)/1000 + acceleratorCores*float64(need.Accelerators)
-	return cores * d.Seconds()
+	return preemption.Work(s.spec.Need(), lost)
 }
--- a/pkg/dispatch/quota.go
+++ b/pkg/dispatch/quota.go
@@ -104,7 +104,8 @@
 
 // countForeign takes in that a worker lists a run of a job of which nothing is known but that it has ended.
 func (p *Pool) countForeign(w *worker, id job.ID) {
-	if a := p.openAccount(customer.Customer{Name: p.outcomes.of[id].customer}); a != nil {
+	ended, _ := p.outcomes.Of(id)
+	if a := p.openAccount(customer.Customer{Name: ended.Customer}); a != nil {
 		a.CountForeign()
 		w.foreignOf = append(w.foreignOf, a)
 	}
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -171,12 +171,8 @@
 	r.call.SettleRepeated(now)
 	r.load = row.Load
 	r.observedAt = now
-	if !r.observed {
-		r.observed, r.startPercent = true, row.Percent
-	}
-	if row.Percent != r.percent || r.percentAt == 0 {
-		r.percent, r.percentAt = row.Percent, now
-	}
+	r.observed = true
+	r.progress.Observe(row.Percent, now)
 	if row.Checkpoint != "" {
 		r.task.checkpoint = row.Checkpoint
 	}
@@ -187,7 +183,7 @@
 	r.task.carriedOut(r.number)
 	r.state = runActive
 	r.confirmedAt = now
-	r.percentAt = now
+	r.progress.Begin(now)
 	j := r.task.step.time.job
 	j.began = true
 	s := r.task.step
@@ -229,7 +225,8 @@
 		}
 		return nil
 	}
-	r := &run{task: t, number: row.Run, worker: w, token: w.line.token, state: runActive, confirmedAt: now, percentAt: now, adopted: true}
+	r := &run{task: t, number: row.Run, worker: w, token: w.line.token, state: runActive, confirmedAt: now, adopted: true}
+	r.progress.Begin(now)
 	p.count(r)
 	t.carriedOut(row.Run)
 	t.late.CarriedOutLate(w.number, w.line.name, row.Run)
@@ -262,7 +259,7 @@
 
 // knows says that a job is known, be it as ended.
 func (p *Pool) knows(id job.ID) bool {
-	return p.jobs[id] != nil || p.outcomes.knows(id)
+	return p.jobs[id] != nil || p.outcomes.Knows(id)
 }
 
 // unknownTask stands for a task of which nothing but its name is known.
--- /dev/null
+++ b/pkg/outcome/outcome_test.go
@@ -0,0 +1,54 @@
+package outcome
+
+import (
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/job"
+	. "github.com/onsi/gomega"
+)
+
+const at = clock.Time(1000)
+
+// Guards against an end that is shown differently later: a job ends once.
+func TestFirstOutcomeOfAJobStands(t *testing.T) {
+	g := NewWithT(t)
+	o := New()
+	o.Put("a", Outcome{State: job.Completed, Customer: "north", Since: at})
+	o.Put("a", Outcome{State: job.Failed, Since: at + 1})
+	x, known := o.Of("a")
+	g.Expect(known).To(BeTrue())
+	g.Expect(x).To(Equal(Outcome{State: job.Completed, Customer: "north", Since: at}))
+	g.Expect(o.Knows("b")).To(BeFalse())
+}
+
+// Guards against ends that are noted too early: an earlier time does not take the place of a later one.
+func TestLatestOfTheLateStartsCounts(t *testing.T) {
+	g := NewWithT(t)
+	o := New()
+	o.Put("a", Outcome{State: job.Completed, Since: at})
+	o.MayRunLateUntil("a", at+5)
+	o.MayRunLateUntil("a", at+2)
+	o.MayRunLateUntil("b", at+2)
+	x, _ := o.Of("a")
+	g.Expect(x.LateUntil).To(Equal(at + 5))
+	g.Expect(o.Knows("b")).To(BeFalse())
+}
+
+// Guards against outcomes that are forgotten while callers may ask for them, or kept for ever.
+func TestOutcomesAreForgottenInTheOrderInWhichTheyWereLearned(t *testing.T) {
+	g := NewWithT(t)
+	o := New()
+	for n, id := range []job.ID{"c", "a", "b"} {
+		o.Put(id, Outcome{State: job.Completed, Since: at.Add(time.Duration(n) * time.Second)})
+	}
+	g.Expect(o.Expired(time.Minute, 9, at)).To(BeEmpty())
+	now := at.Add(time.Minute + time.Second)
+	g.Expect(o.Expired(time.Minute, 1, now)).To(Equal([]job.ID{"c"}))
+	ids := o.Expired(time.Minute, 9, now)
+	g.Expect(ids).To(Equal([]job.ID{"c", "a"}))
+	o.Forget(ids)
+	g.Expect(o.Knows("a")).To(BeFalse())
+	g.Expect(o.Expired(time.Minute, 9, now.Add(time.Hour))).To(Equal([]job.ID{"b"}))
+}
--- /dev/null
+++ b/pkg/preemption/preemption_test.go
@@ -0,0 +1,44 @@
+package preemption
+
+import (
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	. "github.com/onsi/gomega"
+)
+
+func cores(n int64) cell.Resources {
+	return cell.Resources{CPUMillis: 1000 * n}
+}
+
+func victim(name string, frees int64, lost float64) Victim[string] {
+	return Victim[string]{Run: name, Frees: cores(frees), Lost: lost}
+}
+
+// Guards against stops that are not needed once a larger run is stopped.
+func TestRunsThatAreNotNeededGoOn(t *testing.T) {
+	g := NewWithT(t)
+	o := &Option[string]{Most: 2, Victims: []Victim[string]{victim("a", 1, 1), victim("b", 1, 2), victim("c", 4, 3)}}
+	best := Cheapest(cores(4), []*Option[string]{o})
+	g.Expect(best.Lost()).To(Equal(3.0))
+	g.Expect(best.Take(cores(4))).To(Equal([]string{"c"}))
+	g.Expect(Cheapest(cores(3), []*Option[string]{o})).To(BeNil(), "a and b free two cores")
+	g.Expect(Cheapest(cores(2), []*Option[string]{o}).Take(cores(2))).To(Equal([]string{"a", "b"}))
+	g.Expect(Cheapest(cores(0), []*Option[string]{o})).To(BeNil(), "no more tasks may run there")
+}
+
+// Guards against work that is thrown away though another worker has cheaper runs.
+func TestCheapestWorkerIsChosen(t *testing.T) {
+	g := NewWithT(t)
+	dear := &Option[string]{Most: 1, Victims: []Victim[string]{victim("a", 2, 2)}}
+	first := &Option[string]{Most: 1, Free: cores(1), Victims: []Victim[string]{victim("b", 1, 1)}}
+	second := &Option[string]{Most: 1, Free: cores(1), Victims: []Victim[string]{victim("c", 1, 1)}}
+	full := &Option[string]{Most: 0, Free: cores(9)}
+	g.Expect(Cheapest(cores(2), []*Option[string]{dear, first, second, full}).Take(cores(2))).To(Equal([]string{"b"}))
+}
+
+// Guards against accelerators that count for nothing in what a stop throws away.
+func TestAcceleratorsAreWork(t *testing.T) {
+	NewWithT(t).Expect(Work(cell.Resources{CPUMillis: 500, Accelerators: 1}, 2*time.Second)).To(Equal(17.0))
+}
--- /dev/null
+++ b/pkg/preemption/work.go
@@ -0,0 +1,17 @@
+package preemption
+
+import (
+	"time"
+
+	"foldarch.dev/foldarch/pkg/cell"
+)
+
+// acceleratorCores is how many processors an accelerator counts for in work, as the platform
+// prices it.
+const acceleratorCores = 8
+
+// Work is what resources do in a time, in core-seconds.
+func Work(need cell.Resources, d time.Duration) float64 {
+	cores := float64(need.CPUMillis)/1000 + acceleratorCores*float64(need.Accelerators)
+	return cores * d.Seconds()
+}
--- /dev/null
+++ b/pkg/runend/runend_test.go
@@ -0,0 +1,55 @@
+package runend
+
+import (
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/clock"
+	. "github.com/onsi/gomega"
+)
+
+const begun = clock.Time(1000)
+
+// Guards against an end that is told from too little progress, or from what a checkpoint brought.
+func TestEndIsToldByTheSpeedSinceTheFirstReport(t *testing.T) {
+	now := begun.Add(4 * time.Second)
+	for name, c := range map[string]struct {
+		first, last int
+		in          time.Duration
+	}{
+		"too little progress": {0, 4, 6 * time.Second},
+		"no progress":         {50, 50, 6 * time.Second},
+		"a fifth":             {0, 20, 6 * time.Second},
+		"with a checkpoint":   {60, 80, 0},
+		"should have ended":   {50, 90, -1500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var p Progress
+			p.Begin(begun)
+			p.Observe(c.first, begun.Add(time.Second))
+			p.Observe(c.last, begun.Add(2*time.Second))
+			NewWithT(t).Expect(p.EndsIn(10*time.Second, begun, now)).To(Equal(c.in))
+		})
+	}
+}
+
+// Guards against a step that counts for ever on the room of a run that stands still.
+func TestRunThatShouldHaveEndedLongAgoIsNotExpectedToEndSoon(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(Within(time.Second, time.Second)).To(BeTrue())
+	g.Expect(Within(time.Second+1, time.Second)).To(BeFalse())
+	g.Expect(Within(-overdueAfter+1, time.Second)).To(BeTrue())
+	g.Expect(Within(-overdueAfter, time.Second)).To(BeFalse())
+}
+
+// Guards against room that is expected too early, before enough runs have ended, or where there never is any.
+func TestRoomIsThereWhenEnoughRunsHaveEnded(t *testing.T) {
+	g := NewWithT(t)
+	cores := func(n int64) cell.Resources { return cell.Resources{CPUMillis: 1000 * n} }
+	ends := []End{{3 * time.Second, cores(1)}, {time.Second, cores(1)}}
+	g.Expect(RoomIn(cores(1), cores(1), ends)).To(BeZero())
+	g.Expect(RoomIn(cores(2), cores(1), ends)).To(Equal(time.Second))
+	g.Expect(RoomIn(cores(3), cores(1), ends)).To(Equal(3 * time.Second))
+	g.Expect(RoomIn(cores(4), cores(1), ends)).To(Equal(Never))
+}
