How well a worker suits a task is a package of its own

How many tasks resources suffice for, and what it costs to run a task on a worker, are rules by figures and stood in dispatch/place.go. They are package fit, which knows neither jobs nor workers. No decision changes.

--- a/pkg/dispatch/doc.go
+++ b/pkg/dispatch/doc.go
@@ -51,6 +51,7 @@
 //   - outcome: how jobs ended
 //   - runend: when runs are expected to end, and when there is room (predict.go has the runs)
 //   - preemption: which runs are stopped to make room (preempt.go says which may be)
+//   - fit: how many tasks there is room for, and how well a worker suits a task (place.go)
 //   - workerid: the id of one life of a worker
 //   - account: what a customer has running, and how much more its quota lets it start (quota.go, unheard.go, beyond.go book and ask)
 //
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -7,6 +7,7 @@
 
 	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/fit"
 )
 
 // gangWorkers chooses a worker for each member, on as few workers and if possible in one
@@ -76,18 +77,7 @@
 
 // tasksWithin is how many tasks of a step resources suffice for, at most all.
 func tasksWithin(s *step, free cell.Resources) int {
-	need := s.spec.Need()
-	n := len(s.tasks)
-	if need.CPUMillis > 0 {
-		n = min(n, int(free.CPUMillis/need.CPUMillis))
-	}
-	if need.MemoryMB > 0 {
-		n = min(n, int(free.MemoryMB/need.MemoryMB))
-	}
-	if need.Accelerators > 0 {
-		n = min(n, int(free.Accelerators/need.Accelerators))
-	}
-	return max(n, 0)
+	return fit.Tasks(s.spec.Need(), free, len(s.tasks))
 }
 
 // eligible says whether a worker may run tasks of a step at all, advice apart.
@@ -165,47 +155,22 @@
 	}
 }
 
-// leftOver is what a worker keeps free beside a task: first of the resource of which the task takes
-// the largest share, so that workers which are broken into already fill up and whole ones stay whole.
-func leftOver(w *worker, need cell.Resources) float64 {
-	left := w.free().Sub(need)
-	return left.ShareOf(need.Dominant(w.info.Capacity), w.info.Capacity) + restWeight*left.DominantShare(w.info.Capacity)
-}
-
-// restWeight makes the other resources decide among workers that are alike in the scarcest one.
-const restWeight = 0.1
-
-// What a worker costs in bestFit beside what is left free there, which is at most 1 + restWeight. Only the
-// order of these matters: data near goes before a good fit, a worker that has not failed lately before data
-// near, and any other worker before the one where the task failed.
-const (
-	farFromData = 10
-	failsLately = 50
-	failedThere = 100
-)
-
 // bestFit chooses the worker that a task uses up most, near its data and away from where it
 // failed; nil when none has room.
 func bestFit(t *task, candidates []*worker) *worker {
 	var best *worker
-	var bestScore float64
+	var bestCost float64
 	need := t.step.spec.Need()
 	for _, w := range candidates {
 		if !t.mayRunOn(w) || fits(t.step, w) == 0 {
 			continue
 		}
-		score := leftOver(w, need)
-		if t.step.spec.Affinity != "" && w.info.Rack != t.step.spec.Affinity {
-			score += farFromData
-		}
-		if t.avoid == w.info.ID {
-			score += failedThere
-		}
-		if t.avoid != "" && w.failures > 0 {
-			score += failsLately
-		}
-		if best == nil || score < bestScore {
-			best, bestScore = w, score
+		cost := fit.Worker{
+			Free: w.free(), Capacity: w.info.Capacity, Far: t.step.spec.Affinity != "" && w.info.Rack != t.step.spec.Affinity,
+			FailedThere: t.avoid == w.info.ID, FailsLately: t.avoid != "" && w.failures > 0,
+		}.Cost(need)
+		if best == nil || cost < bestCost {
+			best, bestCost = w, cost
 		}
 	}
 	return best
