--- a/spec/takeover.pml
+++ b/spec/takeover.pml
@@ -5,6 +5,11 @@
  * owners may be cut off from workers, one by one; time goes on in steps.
  * Shown: the task never runs in two places, and never starts after its end was noted.
  *
+ * The former owner stores up to two records, each on condition that it is still the owner on record:
+ *   NAMED          to which workers starts of the task may go, before one is sent
+ *   RETIRED        of a worker that gets no start any more, whether the task may have a run there (listed)
+ * The new owner then waits only for workers that may run the task by these records; without them for all.
+ *
  * Broken variants, each of which has to be found out:
  *   BROKEN_NOWAIT  the new owner does not wait for workers that don't answer
  *   BROKEN_NOFENCE the new owner reads lists without raising the fence
@@ -12,6 +17,8 @@
  *   BROKEN_NOTE    ends are noted before they are committed
  *   BROKEN_EXTEND  the new owner forgets that leases run on for their whole term
  *   BROKEN_LATE    the former owner counts an answer from when it arrives, not from when it asked
+ *   BROKEN_UNNAMED with NAMED: a start goes to a worker that the store does not name
+ *   BROKEN_RETIRED with RETIRED: a worker is retired while a start that is not on its list is on the way to it
  */
 #define W 3
 #define NONE 9
@@ -36,6 +43,19 @@
 bool noted = false;        /* a worker has forgotten the end */
 byte record = 1;           /* the owner that the store has */
 
+#ifdef NAMED
+bool named[W];             /* the store has that starts may go there; of at most MAXNAMED workers */
+#ifndef MAXNAMED
+#define MAXNAMED 2
+#endif
+#endif
+#ifdef RETIRED
+#define LEAVER 2           /* the worker that the new owner may not reach */
+bool retired = false;      /* the former owner gives LEAVER no start any more … */
+bool listed = false;       /* … and had a run of the task counted there by then … */
+bool stored = false;       /* … which the store has, too */
+#endif
+
 byte assigned1 = NONE, assigned2 = NONE;
 byte confirmed1 = 0;       /* when it was asked whether most workers accept token 1, as it knows */
 byte answered1 = NONE;     /* when most workers accepted it, in an answer that is on its way */
@@ -52,6 +72,37 @@
 #define LAPSED (fenced2 > 0 && t > fenced2 + AUTH + LEASE)
 #endif
 
+#ifdef NAMED
+#define MAYNAME1(w) (record == 1 && assigned1 == NONE && !done1 && !named[w] && named[0] + named[1] + named[2] < MAXNAMED)
+#define NAMED2(w) named[w]
+#else
+#define NAMED2(w) true
+#endif
+#ifdef BROKEN_UNNAMED
+#define NAMED1(w) true
+#else
+#define NAMED1(w) NAMED2(w)
+#endif
+#ifdef RETIRED
+#define RETIRED1(w) (w == LEAVER && retired)
+#define RETIRED2(w) (w == LEAVER && stored)
+#define LISTED2 listed
+#else
+#define RETIRED1(w) false
+#define RETIRED2(w) false
+#define LISTED2 false
+#endif
+#ifdef BROKEN_RETIRED
+#define COUNTED1 (assigned1 == LEAVER && !sent[LEAVER])
+#else
+#define COUNTED1 (assigned1 == LEAVER)
+#endif
+#define MAYSTART1(w) (NAMED1(w) && !RETIRED1(w))
+/* UNKNOWN says that a worker may run the task unknown to the new owner. Since the record of the owner is replaced
+   by then, the former one's records stay as they are. */
+#define UNKNOWN(w) (!reported[w] && ((RETIRED2(w) && LISTED2) || (!RETIRED2(w) && NAMED2(w))))
+#define FREE2 (!UNKNOWN(0) && !UNKNOWN(1) && !UNKNOWN(2))
+
 inline carryOut(w) {
 	d_step {
 		sent[w] = false;
@@ -114,7 +165,6 @@
 }
 
 active proctype former() {
-	byte w;
 	do
 	:: atomic { MOST1 && answered1 == NONE -> answered1 = t; hold1(0); hold1(1); hold1(2) }
 #ifdef BROKEN_LATE
@@ -128,9 +178,9 @@
 	:: atomic { AUTH1 && assigned1 == NONE && !done1 ->
 #endif
 		if
-		:: !cut1[0] && !sent[0] -> start(0, 1); assigned1 = 0
-		:: !cut1[1] && !sent[1] -> start(1, 1); assigned1 = 1
-		:: !cut1[2] && !sent[2] -> start(2, 1); assigned1 = 2
+		:: !cut1[0] && !sent[0] && MAYSTART1(0) -> start(0, 1); assigned1 = 0
+		:: !cut1[1] && !sent[1] && MAYSTART1(1) -> start(1, 1); assigned1 = 1
+		:: !cut1[2] && !sent[2] && MAYSTART1(2) -> start(2, 1); assigned1 = 2
 		:: else -> skip
 		fi }
 #ifdef BROKEN_NOTE
@@ -141,6 +191,16 @@
 	:: atomic { !done1 && record == 1 && ((ended[0] && !cut1[0]) || (ended[1] && !cut1[1]) || (ended[2] && !cut1[2])) ->
 		done1 = true; committed = true }
 	:: atomic { done1 && committed -> note1(0); note1(1); note1(2) }
+#ifdef NAMED
+	:: atomic { MAYNAME1(0) -> named[0] = true }
+	:: atomic { MAYNAME1(1) -> named[1] = true }
+	:: atomic { MAYNAME1(2) -> named[2] = true }
+#endif
+#ifdef RETIRED
+	/* a worker that has answered this owner is retired; what it may run is known by then */
+	:: atomic { !done1 && !retired && !cut1[LEAVER] && fence[LEAVER] <= 1 -> retired = true; listed = COUNTED1 }
+	:: atomic { record == 1 && !done1 && retired && !stored -> stored = true }
+#endif
 	:: t >= MAXT -> break
 	od
 }
@@ -171,7 +231,7 @@
 #ifdef BROKEN_NOWAIT
 	:: atomic { fenced2 > 0 && assigned2 == NONE && !done2 ->
 #else
-	:: atomic { fenced2 > 0 && assigned2 == NONE && !done2 && (REPORTED == W || LAPSED) ->
+	:: atomic { loaded2 && assigned2 == NONE && !done2 && (FREE2 || LAPSED) ->
 #endif
 		if
 		:: reported[0] && !cut2[0] && !sent[0] -> start(0, 2); assigned2 = 0
