--- a/pkg/dispatch/history_named_test.go
+++ b/pkg/dispatch/history_named_test.go
@@ -44,3 +44,12 @@
 func TestPromisesHoldWhenOwnersBeginToNameWorkers(t *testing.T) {
 	playHistories(t, func(w *world) { w.namedFrom = 2 })
 }
+
+// Of owners that did not name workers, one may still give orders for jobs that are not known here when the second that does has come.
+func TestQuotasHoldWhenOwnersBeginToNameWorkers(t *testing.T) {
+	playQuotas(t, func(w *world) {
+		w.namedFrom = 2
+		w.quotas = newModelQuotas()
+		w.tellsFormer = true
+	})
+}
