--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -50,14 +50,16 @@
 }
 
 type pendingAsk struct {
-	ask    Ask
-	step   *step // nil when the answer is of no use any more
-	known  int   // how many of the named were known to be allowed; they come first
-	roomy  int   // how many had room, or were expected to; those without come last
-	sentAt clock.Time
-	cost   time.Duration
-	queue  string
-	over   advice.CallOver // but for how it ended
+	ask     Ask
+	step    *step // nil when the answer is of no use any more
+	known   int   // how many of the named were known to be allowed; they come first
+	roomy   int   // how many had room, or were expected to; those without come last
+	sentAt  clock.Time
+	cost    time.Duration
+	queue   string
+	want    advice.Want
+	expects float64         // tasks that may be started when it is answered
+	over    advice.CallOver // but for how it ended
 }
 
 // adviceCalls are the calls for advice that are on their way, with those who make them and what earlier ones have told of queues.
@@ -70,12 +72,14 @@
 	rounds   advice.Rounds
 	offset   int // shifts which of like workers are named
 	choices  int // of workers to be named, in this plan
+	budget   *advice.Budget
+	claims   advice.Claims
 	tally    *advice.Tally
 	issues   []*issue
 }
 
 func newAdviceCalls() adviceCalls {
-	return adviceCalls{advisers: advice.NewAdvisers(), asks: map[int64]*pendingAsk{}, rates: advice.Rates{}, rounds: advice.Rounds{}, tally: advice.NewTally()}
+	return adviceCalls{advisers: advice.NewAdvisers(), asks: map[int64]*pendingAsk{}, rates: advice.Rates{}, rounds: advice.Rounds{}, budget: advice.NewBudget(), claims: advice.Claims{}, tally: advice.NewTally()}
 }
 
 // longAtOnce is how many long calls may be on their way.
@@ -110,6 +114,7 @@
 	}
 	calls := p.callPrices(s.time.job.queue.Advice, longAtOnce)
 	if calls.Most <= 0 {
+		p.noteWait(s, now)
 		return
 	}
 	p.advice.choices++
@@ -138,8 +143,12 @@
 
 // mayAsk says whether calls for a step may be made in this plan.
 func (p *Pool) mayAsk(s *step, now clock.Time) bool {
-	return p.advice.advisers.Free() > 0 && p.advice.choices < choicesPerPlan && now >= s.advice.notBefore && !s.advice.awaits(now) &&
-		s.time.job.queue.Advice != nil && s.time.job.outcome == ""
+	return p.advice.advisers.Free() > 0 && p.advice.choices < choicesPerPlan && p.wantsCall(s, now)
+}
+
+// wantsCall says that a step has a call to make, if a process is free.
+func (p *Pool) wantsCall(s *step, now clock.Time) bool {
+	return now >= s.advice.notBefore && !s.advice.awaits(now) && s.time.job.queue.Advice != nil && s.time.job.outcome == ""
 }
 
 // call has one call made that names workers.
@@ -155,6 +164,9 @@
 		Number: p.advice.last, Step: s.id(), Workers: names.workers, Adviser: adviser, Limit: cost + cost/2 + askSlack,
 	}}
 	a.over = advice.CallOver{Customer: s.time.job.customer.Name, Standing: s.standing(now), Starving: p.starves(s, now)}
+	a.want, a.expects = s.want(0, now), names.expects
+	a.want.Late = a.want.Late || a.over.Starving && p.advice.budget.Bounded(a.want, now)
+	p.advice.budget.Sent(a.want, cost, now)
 	if cost >= longAsk {
 		p.advice.long++
 	}
@@ -181,6 +193,7 @@
 	}
 	a.over.Took, a.over.OK = now.Sub(a.sentAt), ok
 	p.advice.tally.AddCall(a.over)
+	p.advice.budget.Over(a.want)
 	if ok {
 		p.learnRate(a, tickets)
 	}
--- a/pkg/dispatch/plan_in_full_test.go
+++ b/pkg/dispatch/plan_in_full_test.go
@@ -7,9 +7,11 @@
 	"testing"
 	"time"
 
+	"foldarch.dev/foldarch/pkg/advice"
 	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/customer"
+	"foldarch.dev/foldarch/pkg/worth"
 	. "github.com/onsi/gomega"
 )
 
@@ -36,12 +38,16 @@
 
 func (p *Pool) placeInFull(now clock.Time, out *Actions) {
 	p.clearPromises()
+	clear(p.advice.claims)
+	p.advice.budget.Begin(p.advice.advisers.Joined(), now)
 	p.sumBacklogInFull()
 	reserved := newReservations()
 	p.placeFirst(reserved, now, out)
 	ordered := p.orderInFull(now)
 	p.askForStarvingInFull(ordered, reserved, now, out)
-	for _, s := range ordered {
+	stepAt := func(place int) *step { return ordered[place] }
+	for i, s := range ordered {
+		p.askPutOff(s.standing(now), stepAt, reserved, now, out)
 		if s.goesFirst || p.blocked(s.time.job) {
 			continue
 		}
@@ -62,9 +68,11 @@
 			p.ready.remove(s)
 			continue
 		}
-		p.ask(s, p.longAtOnce(), reserved, now, out)
+		p.askInTurn(s, i, reserved, now, out)
+		p.claimRoom(s)
 		p.reserve(s, reserved, now)
 	}
+	p.askPutOff(afterAll, stepAt, reserved, now, out)
 }
 
 func (p *Pool) sumBacklogInFull() {
@@ -93,11 +101,17 @@
 			starving = append(starving, s)
 		}
 	}
-	slices.SortStableFunc(starving, func(a, b *step) int { return cmp.Compare(b.responseRatio(now), a.responseRatio(now)) })
+	ratio := func(s *step) float64 {
+		return advice.ResponseRatio(now.Sub(s.unadvisedSince()), s.time.job.queue.Advice.Of(1), s.standing(now) == worth.Overdue)
+	}
+	slices.SortStableFunc(starving, func(a, b *step) int { return cmp.Compare(ratio(b), ratio(a)) })
 	for _, s := range starving {
 		if p.advice.advisers.Free() == 0 {
 			return
 		}
+		if !p.advice.budget.GrantsStarving(s.want(0, now), now) {
+			continue
+		}
 		p.ask(s, p.longAtOnce()+longForStarving, reserved, now, out)
 	}
 }
