An owner that paused does not take its hall for cut off

Cause: an owner whose process paused for 0.9 s while the store was unavailable found the members of all other halls silent before it had read what they had sent, and by one heartbeat would have had all hosts report not ready for 2 s.

Change: halls count as lost only when none was heard for 0.2 s of counting.

Tests: TestHallsAreLostWithTheStoreOnly, TestOwnerTellsWhichHallsItHears; pkg/reach, pkg/poolowner, pkg/jobhost and test/platform/cut_hall_test.go pass.

--- a/pkg/poolowner/reach.go
+++ b/pkg/poolowner/reach.go
@@ -13,7 +13,6 @@
 // halls are the data halls that the owner hears.
 type halls struct {
 	contact   reach.Contact
-	others    int // halls but the owner's of which members are heard
 	countedAt clock.Time
 }
 
@@ -31,7 +30,7 @@
 		o.countHalls(now)
 	}
 	age := o.deps.StoreAge()
-	return reach.Owner{Heard: true, StoreAge: age, OtherHalls: o.halls.others, HallsLost: o.halls.contact.Lost(o.halls.others, age, now)}
+	return reach.Owner{Heard: true, StoreAge: age, OtherHalls: o.halls.contact.Halls(), HallsLost: o.halls.contact.Lost(age, now)}
 }
 
 // countHalls counts the halls but the owner's of which members are heard. The caller holds o.mu.
@@ -46,7 +45,8 @@
 			heard[m.Status().Hall] = true
 		}
 	}
-	o.halls.others, o.halls.countedAt = len(heard), now
+	o.halls.contact.Count(len(heard), now)
+	o.halls.countedAt = now
 }
 
 // heardOf takes in when a member of another hall was heard last. The caller holds o.mu.
--- a/pkg/reach/contact.go
+++ b/pkg/reach/contact.go
@@ -14,6 +14,8 @@
 	// sameCause is how long before the store's last answer the last member of another hall may have been heard for one cause to have taken both. Heartbeats
 	// come once a second on the slowest links.
 	sameCause = 2 * time.Second
+	// lostFor is for how long no other hall must have been counted. An owner whose process paused finds all members silent until it has read what they sent meanwhile.
+	lostFor = 200 * time.Millisecond
 )
 
 // SilenceOf is from when on a side counts as silent whose heartbeats should come each so often.
@@ -25,6 +27,8 @@
 type Contact struct {
 	last  clock.Time
 	heard bool
+	halls int        // that are heard now
+	none  clock.Time // since when none is counted; 0 while one is
 }
 
 // HeardAt takes in that a member of another hall was heard at a time.
@@ -34,7 +38,24 @@
 	}
 }
 
+// Count takes in of how many other halls members are heard now.
+func (c *Contact) Count(halls int, now clock.Time) {
+	c.halls = halls
+	switch {
+	case halls > 0:
+		c.none = 0
+	case c.none == 0:
+		c.none = now
+	}
+}
+
+// Halls is of how many other halls members were heard when they were counted last.
+func (c *Contact) Halls() int {
+	return c.halls
+}
+
 // Lost says that the owner hears no other hall now, and that it did until about when the store answered it last.
-func (c *Contact) Lost(halls int, storeAge time.Duration, now clock.Time) bool {
-	return halls == 0 && c.heard && now.Sub(c.last) < storeAge+sameCause
+func (c *Contact) Lost(storeAge time.Duration, now clock.Time) bool {
+	gone := c.halls == 0 && c.none != 0 && now.Sub(c.none) >= lostFor
+	return gone && c.heard && now.Sub(c.last) < storeAge+sameCause
 }
--- a/pkg/reach/doc.go
+++ b/pkg/reach/doc.go
@@ -20,8 +20,9 @@
 // # Usage
 //
 //	var c reach.Contact // of the owner
-//	c.HeardAt(at)        // for each member of another hall
-//	lost := c.Lost(halls, storeAge, now)
+//	c.HeardAt(at)         // for each member of another hall
+//	c.Count(halls, now)   // of how many other halls members are heard
+//	lost := c.Lost(storeAge, now)
 //
 //	var g reach.Gate // of a host
 //	row := g.Row(reach.View{StoreAnswers: false, Owner: reach.Owner{Heard: true, StoreAge: 2 * time.Second, HallsLost: true}}, now)
