--- a/pkg/dispatch/plan_in_full_test.go
+++ b/pkg/dispatch/plan_in_full_test.go
@@ -7,11 +7,9 @@
 	"testing"
 	"time"
 
-	"foldarch.dev/foldarch/pkg/advice"
 	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/customer"
-	"foldarch.dev/foldarch/pkg/worth"
 	. "github.com/onsi/gomega"
 )
 
@@ -101,10 +99,7 @@
 			starving = append(starving, s)
 		}
 	}
-	ratio := func(s *step) float64 {
-		return advice.ResponseRatio(now.Sub(s.unadvisedSince()), s.time.job.queue.Advice.Of(1), s.standing(now) == worth.Overdue)
-	}
-	slices.SortStableFunc(starving, func(a, b *step) int { return cmp.Compare(ratio(b), ratio(a)) })
+	slices.SortStableFunc(starving, func(a, b *step) int { return cmp.Compare(b.responseRatio(now), a.responseRatio(now)) })
 	for _, s := range starving {
 		if p.advice.advisers.Free() == 0 {
 			return
--- a/pkg/dispatch/starving.go
+++ b/pkg/dispatch/starving.go
@@ -1,9 +1,11 @@
 package dispatch
 
 import (
+	"cmp"
+	"container/heap"
+	"math"
 	"time"
 
-	"foldarch.dev/foldarch/pkg/advice"
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/worth"
 )
@@ -18,29 +20,25 @@
 const longForStarving = 1
 
 // askForStarving makes calls for advice for steps that have waited long, whatever their order, so that few
-// processes that make calls don't serve the first steps only. advice.Starving
-// says which go first.
+// processes that make calls don't serve the first steps only. Those go first that have waited longest in
+// proportion to the time that a call takes (highest response ratio next, Brinch Hansen 1971).
 func (p *Pool) askForStarving(ordered []waitingStep, reserved *reservations, now clock.Time, out *Actions) {
 	if p.advice.advisers.Free() == 0 || p.without(StarvingFirst) {
 		return
 	}
-	var starving advice.Starving
+	var starving starvingSteps
 	for i, e := range ordered {
 		s := e.step
 		if s.goesFirst {
 			continue // its calls were made in its turn
 		}
-		waited := now.Sub(s.unadvisedSince())
-		if waited > starvingAfter && p.mayAsk(s, now) && p.starves(s, now) && !p.blocked(s.time.job) && !p.awaitsQuota(s) {
-			starving.Add(i, waited, s.time.job.queue.Advice.Of(1), s.standing(now) == worth.Overdue)
+		if now.Sub(s.unadvisedSince()) > starvingAfter && p.mayAsk(s, now) && p.starves(s, now) && !p.blocked(s.time.job) && !p.awaitsQuota(s) {
+			starving = append(starving, starvingStep{s, s.responseRatio(now), i})
 		}
 	}
-	for p.advice.advisers.Free() > 0 {
-		place, ok := starving.Next()
-		if !ok {
-			return
-		}
-		s := ordered[place].step
+	heap.Init(&starving)
+	for len(starving) > 0 && p.advice.advisers.Free() > 0 {
+		s := heap.Pop(&starving).(starvingStep).step
 		if !p.without(AdviceBudget) && !p.advice.budget.GrantsStarving(s.want(0, now), now) {
 			continue // it has its turn
 		}
@@ -48,6 +46,34 @@
 	}
 }
 
+// starvingStep is a step that starves, with its response ratio and its place among the steps.
+type starvingStep struct {
+	step  *step
+	ratio float64
+	place int
+}
+
+// starvingSteps are a heap: those with the highest ratio first, like ones as they have their turns. Of thousands of them, few get calls in a plan.
+type starvingSteps []starvingStep
+
+func (h starvingSteps) Len() int { return len(h) }
+
+func (h starvingSteps) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(h[j].ratio, h[i].ratio), cmp.Compare(h[i].place, h[j].place)) < 0
+}
+
+func (h starvingSteps) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push adds a step.
+func (h *starvingSteps) Push(x any) { *h = append(*h, x.(starvingStep)) }
+
+// Pop takes the last step off.
+func (h *starvingSteps) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
 // starves says that a step has waited too long for a call for advice. In a pool that is well used none does: with the oldest first, each job of a
 // backlog gets its advice too late, and the backlog goes on when the burst is over. After 13 s in which one customer sent eight times its
 // usual, jobs in time were 3% for the next 30 s, and earned 0.26 of the day in place of 0.60 (one play each, processor time not charged).
@@ -65,3 +91,12 @@
 func (s *step) unadvisedSince() clock.Time {
 	return max(s.readySince, s.advice.answeredAt)
 }
+
+// responseRatio is how long a step has waited for a call for advice, in parts of the time of a call. A
+// task that lasts and is overdue comes first.
+func (s *step) responseRatio(now clock.Time) float64 {
+	if s.standing(now) == worth.Overdue {
+		return math.Inf(1)
+	}
+	return float64(now.Sub(s.unadvisedSince())) / float64(max(s.time.job.queue.Advice.Of(1), time.Millisecond))
+}
