--- a/pkg/advice/doc.go
+++ b/pkg/advice/doc.go
@@ -1,13 +1,12 @@
 // Package advice reckons with calls for advice: what they cost (prices.go), how many workers they name (number.go), who makes them
-// (advisers.go), what their answers tell of a queue's next ones (rates.go, rounds.go), which steps get them (budget.go, claims.go), and what they
-// have brought (tally.go).
+// (advisers.go), and what their answers tell of a queue's next ones (rates.go, rounds.go).
 //
 // Which workers may run the tasks of some steps is known only to a service outside. A process of the deployment calls it with a list of workers, which
 // takes a fixed time and some for each worker, and gets tickets for those that are allowed. A process makes one call at a time, so that
 // calls are a good that steps share.
 //
 // The package knows neither steps nor workers, only numbers. Package dispatch finds out which workers a step could use and how many tasks
-// each has room for, asks here how many of them to name in how many calls and whether the step may have them now, and has the calls made. Package queue has the times of
+// each has room for, asks here how many of them to name in how many calls, and has the calls made. Package queue has the times of
 // a queue's calls.
 //
 // # Usage
@@ -26,14 +25,6 @@
 //	name := hosts.Take() // host-1, which makes the call
 //	hosts.Answered(name, true, now)
 //
-//	budget := advice.NewBudget()
-//	budget.Begin(hosts.Working(now), now) // with each plan
-//	want := advice.Want{Place: 0, Standing: worth.InTime, Customer: "north", Weight: 5, Priority: 1}
-//	budget.Grants(want, now) // true: its customer has used nothing yet
-//	budget.Sent(want, p.Wait(n), now)
-//	budget.PutOff(worth.Late, now) // the places of steps in time that come after the others
-//	budget.Over(want)
-//
 //	rates := advice.Rates{}
 //	rates.Of("recap")           // 0.5, of which nothing is known yet
 //	rates.Learn("recap", 2, 20) // two of twenty were allowed
