--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -50,16 +50,15 @@
 }
 
 type pendingAsk struct {
-	ask     Ask
-	step    *step // nil when the answer is of no use any more
-	known   int   // how many of the named were known to be allowed; they come first
-	roomy   int   // how many had room, or were expected to; those without come last
-	sentAt  clock.Time
-	cost    time.Duration
-	queue   string
-	want    advice.Want
-	expects float64         // tasks that may be started when it is answered
-	over    advice.CallOver // but for how it ended
+	ask    Ask
+	step   *step // nil when the answer is of no use any more
+	known  int   // how many of the named were known to be allowed; they come first
+	roomy  int   // how many had room, or were expected to; those without come last
+	sentAt clock.Time
+	cost   time.Duration
+	queue  string
+	want   advice.Want
+	over   advice.CallOver // but for how it ended
 }
 
 // adviceCalls are the calls for advice that are on their way, with those who make them and what earlier ones have told of queues.
@@ -73,13 +72,12 @@
 	offset   int // shifts which of like workers are named
 	choices  int // of workers to be named, in this plan
 	budget   *advice.Budget
-	claims   advice.Claims
 	tally    *advice.Tally
 	issues   []*issue
 }
 
 func newAdviceCalls() adviceCalls {
-	return adviceCalls{advisers: advice.NewAdvisers(), asks: map[int64]*pendingAsk{}, rates: advice.Rates{}, rounds: advice.Rounds{}, budget: advice.NewBudget(), claims: advice.Claims{}, tally: advice.NewTally()}
+	return adviceCalls{advisers: advice.NewAdvisers(), asks: map[int64]*pendingAsk{}, rates: advice.Rates{}, rounds: advice.Rounds{}, budget: advice.NewBudget(), tally: advice.NewTally()}
 }
 
 // longAtOnce is how many long calls may be on their way.
@@ -164,7 +162,7 @@
 		Number: p.advice.last, Step: s.id(), Workers: names.workers, Adviser: adviser, Limit: cost + cost/2 + askSlack,
 	}}
 	a.over = advice.CallOver{Customer: s.time.job.customer.Name, Standing: s.standing(now), Starving: p.starves(s, now)}
-	a.want, a.expects = s.want(0, now), names.expects
+	a.want = s.want(0, now)
 	a.want.Late = a.want.Late || a.over.Starving && p.advice.budget.Bounded(a.want, now)
 	p.advice.budget.Sent(a.want, cost, now)
 	if cost >= longAsk {
--- a/pkg/dispatch/mechanism.go
+++ b/pkg/dispatch/mechanism.go
@@ -32,8 +32,6 @@
 	StarvingGangsFirst Mechanism = "starving_gangs_first"
 	// AdviceBudget puts off calls for advice of customers beyond their shares, and bounds those for late work.
 	AdviceBudget Mechanism = "advice_budget"
-	// AdviceClaims makes no calls for advice while all room is expected to be used by what other calls bring.
-	AdviceClaims Mechanism = "advice_claims"
 	// AdviceInParts makes several calls for advice for a step at once.
 	AdviceInParts Mechanism = "advice_in_parts"
 	// Suspension leaves out workers that fail in a row, or on which a run stands still.
--- a/pkg/dispatch/naming.go
+++ b/pkg/dispatch/naming.go
@@ -24,16 +24,13 @@
 	workers []WorkerID
 	known   int // how many are known to be allowed
 	roomy   int // how many have room, or are expected to
-	// expects is how many tasks they are expected to have room for that are allowed.
-	expects float64
 }
 
 // parts splits them up for calls that name a number of workers each.
 func (n naming) parts(size int) []naming {
 	var out []naming
-	each := n.expects / float64(len(n.workers))
 	for part := range slices.Chunk(n.workers, size) {
-		out = append(out, naming{part, min(n.known, len(part)), min(n.roomy, len(part)), each * float64(len(part))})
+		out = append(out, naming{part, min(n.known, len(part)), min(n.roomy, len(part))})
 		n.known, n.roomy = max(n.known-len(part), 0), max(n.roomy-len(part), 0)
 	}
 	return out
@@ -57,19 +54,15 @@
 	if s.spec.Gang && totalRoom(known)+totalRoom(others) < need {
 		known, others = nil, nil // there is no room for all members, whoever is allowed
 	}
-	if p.roomClaimed(s, totalRoom(known)+totalRoom(others)) {
-		return naming{}
-	}
 	workers, need := nameKnown(known, need*roomMargin, calls.MostNamed())
 	nKnown := len(workers)
 	n, suffices := p.countOthers(s, others, need, calls, nKnown)
-	expects := totalRoom(known[:nKnown]) + p.advice.rates.Of(s.time.job.queue.Name)*totalRoom(others[:n])
 	for _, o := range others[:n] {
 		workers = append(workers, o.worker.info.ID)
 	}
 	roomy := len(workers)
 	workers = append(workers, p.nameToLearn(s, full, suffices, advice.MaxNamed-len(workers), now)...)
-	return naming{workers, nKnown, roomy, expects}
+	return naming{workers, nKnown, roomy}
 }
 
 // countOthers is how many of the workers, in their order, calls name beside the known ones, and the
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -136,7 +136,6 @@
 // place starts tasks and asks for advice, in the order in which steps go.
 func (p *Pool) place(now clock.Time, out *Actions) {
 	p.clearPromises()
-	clear(p.advice.claims)
 	p.advice.budget.Begin(p.advice.advisers.Joined(), now)
 	if p.ready.gangs > 0 {
 		p.sumBacklog() // which decides whether gangs hold workers
@@ -178,7 +177,6 @@
 			continue
 		}
 		p.askInTurn(s, i, reserved, now, out)
-		p.claimRoom(s)
 		p.reserve(s, reserved, now)
 	}
 	p.askPutOff(afterAll, stepAt, reserved, now, out)
