--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -57,7 +57,6 @@
 	sentAt clock.Time
 	cost   time.Duration
 	queue  string
-	want   advice.Want
 	over   advice.CallOver // but for how it ended
 }
 
@@ -71,13 +70,12 @@
 	rounds   advice.Rounds
 	offset   int // shifts which of like workers are named
 	choices  int // of workers to be named, in this plan
-	budget   *advice.Budget
 	tally    *advice.Tally
 	issues   []*issue
 }
 
 func newAdviceCalls() adviceCalls {
-	return adviceCalls{advisers: advice.NewAdvisers(), asks: map[int64]*pendingAsk{}, rates: advice.Rates{}, rounds: advice.Rounds{}, budget: advice.NewBudget(), tally: advice.NewTally()}
+	return adviceCalls{advisers: advice.NewAdvisers(), asks: map[int64]*pendingAsk{}, rates: advice.Rates{}, rounds: advice.Rounds{}, tally: advice.NewTally()}
 }
 
 // longAtOnce is how many long calls may be on their way.
@@ -112,7 +110,6 @@
 	}
 	calls := p.callPrices(s.time.job.queue.Advice, longAtOnce)
 	if calls.Most <= 0 {
-		p.noteWait(s, now)
 		return
 	}
 	p.advice.choices++
@@ -141,12 +138,8 @@
 
 // mayAsk says whether calls for a step may be made in this plan.
 func (p *Pool) mayAsk(s *step, now clock.Time) bool {
-	return p.advice.advisers.Free() > 0 && p.advice.choices < choicesPerPlan && p.wantsCall(s, now)
-}
-
-// wantsCall says that a step has a call to make, if a process is free.
-func (p *Pool) wantsCall(s *step, now clock.Time) bool {
-	return now >= s.advice.notBefore && !s.advice.awaits(now) && s.time.job.queue.Advice != nil && s.time.job.outcome == ""
+	return p.advice.advisers.Free() > 0 && p.advice.choices < choicesPerPlan && now >= s.advice.notBefore && !s.advice.awaits(now) &&
+		s.time.job.queue.Advice != nil && s.time.job.outcome == ""
 }
 
 // call has one call made that names workers.
@@ -162,9 +155,6 @@
 		Number: p.advice.last, Step: s.id(), Workers: names.workers, Adviser: adviser, Limit: cost + cost/2 + askSlack,
 	}}
 	a.over = advice.CallOver{Customer: s.time.job.customer.Name, Standing: s.standing(now), Starving: p.starves(s, now)}
-	a.want = s.want(0, now)
-	a.want.Late = a.want.Late || a.over.Starving && p.advice.budget.Bounded(a.want, now)
-	p.advice.budget.Sent(a.want, cost, now)
 	if cost >= longAsk {
 		p.advice.long++
 	}
@@ -191,7 +181,6 @@
 	}
 	a.over.Took, a.over.OK = now.Sub(a.sentAt), ok
 	p.advice.tally.AddCall(a.over)
-	p.advice.budget.Over(a.want)
 	if ok {
 		p.learnRate(a, tickets)
 	}
--- a/pkg/dispatch/mechanism.go
+++ b/pkg/dispatch/mechanism.go
@@ -30,8 +30,6 @@
 	StarvingTakeTurns Mechanism = "starving_take_turns"
 	// StarvingGangsFirst keeps a customer's quota for its gang that has starved longest.
 	StarvingGangsFirst Mechanism = "starving_gangs_first"
-	// AdviceBudget puts off calls for advice of customers beyond their shares, and bounds those for late work.
-	AdviceBudget Mechanism = "advice_budget"
 	// AdviceInParts makes several calls for advice for a step at once.
 	AdviceInParts Mechanism = "advice_in_parts"
 	// Suspension leaves out workers that fail in a row, or on which a run stands still.
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -136,7 +136,6 @@
 // place starts tasks and asks for advice, in the order in which steps go.
 func (p *Pool) place(now clock.Time, out *Actions) {
 	p.clearPromises()
-	p.advice.budget.Begin(p.advice.advisers.Joined(), now)
 	if p.ready.gangs > 0 {
 		p.sumBacklog() // which decides whether gangs hold workers
 	}
@@ -145,11 +144,9 @@
 	reserved := newReservations()
 	p.placeFirst(reserved, now, out)
 	ordered := p.ready.sort(now)
-	stepAt := func(place int) *step { return ordered[place].step }
 	p.askForStarving(ordered, reserved, now, out)
 	for i := range ordered {
 		s := ordered[i].step
-		p.askPutOff(ordered[i].place.Standing, stepAt, reserved, now, out)
 		if s.goesFirst {
 			continue
 		}
@@ -176,10 +173,9 @@
 			p.ready.remove(s)
 			continue
 		}
-		p.askInTurn(s, i, reserved, now, out)
+		p.ask(s, p.longAtOnce(), reserved, now, out)
 		p.reserve(s, reserved, now)
 	}
-	p.askPutOff(afterAll, stepAt, reserved, now, out)
 }
 
 // book counts a run of a task against a worker.
--- a/pkg/dispatch/starving.go
+++ b/pkg/dispatch/starving.go
@@ -39,9 +39,6 @@
 	heap.Init(&starving)
 	for len(starving) > 0 && p.advice.advisers.Free() > 0 {
 		s := heap.Pop(&starving).(starvingStep).step
-		if !p.without(AdviceBudget) && !p.advice.budget.GrantsStarving(s.want(0, now), now) {
-			continue // it has its turn
-		}
 		p.ask(s, p.longAtOnce()+longForStarving, reserved, now, out)
 	}
 }
