A job that nobody could write is refused as store_down again

Cause: the spread Retry-After gives such refusals the type of those for too much work, so foldarch's own API answered 201 overloaded in place of 209 store_down.

Change: the refusal says whether nobody could write.

--- a/pkg/jobapi/server.go
+++ b/pkg/jobapi/server.go
@@ -63,7 +63,11 @@
 	case errors.Is(err, platform.ErrNoJob):
 		return result.New(result.UnknownJob, "%v", err)
 	case errors.As(err, &refused):
-		return result.New(result.Overloaded, "%v", err).WithRetryAfter(refused.RetryAfter)
+		code := result.Overloaded
+		if refused.Unwritten {
+			code = result.StoreDown
+		}
+		return result.New(code, "%v", err).WithRetryAfter(refused.RetryAfter)
 	case errors.Is(err, platform.ErrRefused):
 		return result.New(result.StoreDown, "%v", err).WithRetryAfter(retryAfter)
 	}
--- a/pkg/jobhost/door.go
+++ b/pkg/jobhost/door.go
@@ -194,7 +194,7 @@
 	if !errors.Is(err, platform.ErrRefused) || errors.Is(err, platform.ErrTooLarge) {
 		return err
 	}
-	return &platform.RefusedError{Reason: err.Error(), RetryAfter: reach.RetryAfter(string(id), timeLeft(ctx))}
+	return &platform.RefusedError{Reason: err.Error(), RetryAfter: reach.RetryAfter(string(id), timeLeft(ctx)), Unwritten: true}
 }
 
 // timeLeft is how long a caller still waits; 0 when that is not told.
