--- a/review/play.sh
+++ b/review/play.sh
@@ -34,6 +34,7 @@
 while read -r _ host settings; do
 	FOLDARCH_NODE_FILE=$settings target/foldarch-entry platform --metrics 9100 >"$dir/$host.log" 2>&1 &
 	started+=("$!")
+	echo "$!" >"$dir/$host.pid"
 done <"$dir/hosts"
 wait "$standin"
 status=$?
@@ -43,6 +44,6 @@
 	cat "$dir/standin.log"
 } >>"$folder/record.txt"
 [ -z "${KEEP_LOGS:-}" ] || cp "$dir"/host-*.log "$KEEP_LOGS"/
-grep -hE 'ordinary jobs: .* after the traffic|^ *[0-9.]+ (MIXED|the wave is shown)' "$folder/record.txt" | tail -n 1
+grep -hE 'ordinary jobs: .* after the traffic|^ *[0-9.]+ (MIXED|the wave is shown|tasks that ran in two places)' "$folder/record.txt" | tail -n 1
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -33,7 +33,7 @@
 func main() {
 	dir := flag.String("dir", "", "where the settings of the hosts are written")
 	recordPath := flag.String("record", "", "the file that records what was sent, answered and run")
-	caseName := flag.String("case", "", "the case: progress, repeats or wave")
+	caseName := flag.String("case", "", "the case: progress, inflight, wave or repeats")
 	trouble := flag.Bool("trouble", true, "whether the disruption happens")
 	flag.Parse()
 	os.Exit(run(*dir, *recordPath, *caseName, *trouble))
@@ -59,7 +59,7 @@
 		fmt.Fprintln(os.Stderr, "standin:", err)
 		return 2
 	}
-	p, err := emulator.Start(emulator.Options{Workers: workerCount, UnknownClients: true, AdvertisedAddress: w.addProxy})
+	p, err := emulator.Start(emulator.Options{Workers: workerCount, UnknownClients: true, KeepIDs: caseName == "inflight", AdvertisedAddress: w.addProxy})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
 		return 2
--- a/review/standin/watcher.go
+++ b/review/standin/watcher.go
@@ -19,10 +19,14 @@
 	workers []*workerView
 	starts  map[string][]time.Time // of each job
 	quiet   map[string]bool        // jobs whose starts are counted and not recorded one by one
+	// delay, if set, is called with each order that starts a task. If it returns true, the order is held back
+	// and gets no answer.
+	delay func(delayedOrder) bool
 }
 
 // workerView is what the calls to one worker have shown.
 type workerView struct {
+	number int
 	listed map[int64]time.Time // when each end was listed first that was not taken note of
 	noted  int                 // ends that were taken note of
 	active []string            // the tasks in the last list
@@ -39,7 +43,7 @@
 	if err != nil {
 		return address
 	}
-	v := &workerView{listed: map[int64]time.Time{}}
+	v := &workerView{number: len(w.workers), listed: map[int64]time.Time{}}
 	w.workers = append(w.workers, v)
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}
 	go func() {
@@ -64,6 +68,10 @@
 	}
 	var o order
 	_ = json.Unmarshal(body, &o)
+	if w.delay != nil && r.URL.Path == "/run-start" && w.delay(delayedOrder{v.number, address, r.Header.Clone(), body, o.Task}) {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	sent, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+address+r.URL.Path, bytes.NewReader(body))
 	if err != nil {
 		panic(http.ErrAbortHandler)
