--- a/review/standin/inflight.go
+++ b/review/standin/inflight.go
@@ -20,9 +20,12 @@
 	inflightID = "00000000000f0000"
 	// drainTime is how long the worker serves on after it has said that it drains (drainMs and a little more), and
 	// downTime how long it takes to start again under its id.
-	drainTime    = 2500 * time.Millisecond
+	drainTime    = 3500 * time.Millisecond
 	downTime     = time.Second
 	inflightTime = 16 * time.Second
+	// An order that meets a worker that is still down is delivered a little later.
+	deliveryTime  = 100 * time.Millisecond
+	maxDeliveries = 20
 )
 
 // delayedOrder is an order to start a task that was held back on its way to the worker.
@@ -84,19 +87,30 @@
 	e.killOwner()
 	rec.line("%s drains, ends after %s and starts again under its id after %s", w.ID(), drainTime, downTime)
 	w.Drain(drainTime)
-	time.Sleep(drainTime + downTime + 20*time.Millisecond)
+	time.Sleep(drainTime + downTime)
+	for range maxDeliveries {
+		if status := o.deliver(); status != 0 {
+			rec.line("the delayed order arrives at %s: answered %d", w.ID(), status)
+			return
+		}
+	}
+	rec.line("the delayed order met no answer")
+}
+
+// deliver sends the order to the worker's address and returns the status of the answer; 0 without one.
+func (o delayedOrder) deliver() (status int) {
+	client := &http.Client{Timeout: deliveryTime}
 	r, err := http.NewRequest(http.MethodPost, "http://"+o.address+"/run-start", bytes.NewReader(o.body))
 	if err != nil {
-		return
+		return 0
 	}
 	r.Header = o.header
-	res, err := http.DefaultClient.Do(r)
+	res, err := client.Do(r)
 	if err != nil {
-		rec.line("the delayed order met %v", err)
-		return
+		return 0
 	}
 	defer func() { _ = res.Body.Close() }()
-	rec.line("the delayed order arrives at %s: answered %d", w.ID(), res.StatusCode)
+	return res.StatusCode
 }
 
 // killOwner kills the host that owns the pool; the operators' address tells which one that is.
