--- a/pkg/dispatch/advice_targets.go
+++ b/pkg/dispatch/advice_targets.go
@@ -86,7 +86,7 @@
 		return nil
 	}
 	q := s.occurrence.job.queue
-	missing := allowedRoomFactor * float64(len(s.tasks))
+	missing := allowedRoomFactor * float64(s.spec.Count)
 	for id := range s.advice.allowed {
 		if w, ok := p.workers[id]; ok && !w.terminated && !w.isLeaving() {
 			missing -= float64(roomWhenEmpty(s, w))
@@ -153,7 +153,7 @@
 		return 0
 	}
 	n := roomFor(s, w)
-	if n > 0 || s.spec.Gang && len(s.tasks) > maxSmallStepTasks || p.isDisabled(ExpectedRoom) {
+	if n > 0 || s.spec.Gang && s.spec.Count > maxSmallStepTasks || p.isDisabled(ExpectedRoom) {
 		return n
 	}
 	return roomWithin(s, w, w.freeWithin(s.occurrence.job.queue.Advice.CallTime(1), now))
@@ -239,7 +239,7 @@
 func minTicketExpiry(s *step, prices advice.Prices, now clock.Time) clock.Time {
 	expiry := now.Add(minTicketValidity)
 	if s.spec.Gang {
-		expiry = expiry.Add(prices.CallTime(max(typicalAdviceWorkers, len(s.tasks))))
+		expiry = expiry.Add(prices.CallTime(max(typicalAdviceWorkers, s.spec.Count)))
 	}
 	return expiry
 }
--- a/pkg/dispatch/commit.go
+++ b/pkg/dispatch/commit.go
@@ -25,6 +25,19 @@
 	LastLateStart time.Time
 	// HasProgress says that the store has progress of the job, which is to be removed when the job ends.
 	HasProgress bool
+	// ProgressUnchanged says that the store has Progress already, and ProgressAfterSegments that it must
+	// not have it before it has all Segments.
+	ProgressUnchanged, ProgressAfterSegments bool
+	// Segments are the segments of the progress that have changed. RemovedSegments are segments that the
+	// store may drop once the job's outcome, if it is set, is stored.
+	Segments        []SegmentChange
+	RemovedSegments []int64
+}
+
+// SegmentChange is a changed segment of a job's progress.
+type SegmentChange struct {
+	Number  int64
+	Segment job.Segment
 }
 
 // Commit is what has to be written to the store before run ends are acknowledged to the workers.
@@ -58,6 +71,13 @@
 	return len(c.Changes) == 0 && len(c.lastEnds) == 0 && len(c.crashedWorkers) == 0
 }
 
+// Withdraw removes the changes of a job from a commit. No end is acknowledged for this commit then, since
+// some may be ends of that job.
+func (c *Commit) Withdraw(id job.ID) {
+	c.Changes = slices.DeleteFunc(c.Changes, func(x JobChange) bool { return x.Job == id })
+	clear(c.lastEnds)
+}
+
 // ApplyCommit records that the store has all changes of a commit.
 func (p *Pool) ApplyCommit(c Commit) {
 	p.startsToOrder = append(p.startsToOrder, c.startsToOrder...)
@@ -75,6 +95,9 @@
 			continue
 		}
 		if change.Outcome == "" {
+			if len(j.storedProgress.obsolete) > 0 && j.outcome == "" {
+				p.dirty[j] = struct{}{}
+			}
 			continue
 		}
 		j.committed = true
@@ -98,60 +121,11 @@
 func (p *Pool) jobChange(j *jobState) JobChange {
 	c := JobChange{Job: j.job.ID, Outcome: j.outcome, Customer: j.customer.Name, HasProgress: j.hasStoredProgress}
 	if j.outcome == "" {
-		c.Progress = p.jobProgress(j)
-		c.Progress.RemainingUse = p.remainingUse(j)
+		p.addProgress(j, &c)
 		j.hasStoredProgress = true
 		return c
 	}
 	c.RemainingUse, c.LastLateStart = p.remainingUse(j), p.lastUnansweredAt(j)
+	c.RemovedSegments = j.storedProgress.takeAllSegments()
 	return c
 }
-
-func (p *Pool) jobProgress(j *jobState) job.Progress {
-	out := job.Progress{Workers: p.workersToRecord(j)}
-	for s := range j.steps() {
-		for i := range s.tasks {
-			x := &s.tasks[i]
-			unanswered, attempts, crashes := p.unansweredStarts(x), x.crash.Attempts(), x.crash.Crashes()
-			if !x.done && len(x.failures) == 0 && x.lastEndedRun == 0 && len(attempts) == 0 && len(crashes) == 0 && len(unanswered) == 0 {
-				continue
-			}
-			row := job.TaskProgress{
-				Time: s.occurrence.index, Step: s.index, Index: i, Done: x.done, Failures: x.failures, LastRun: x.lastEndedRun, UnansweredStarts: unanswered,
-			}
-			if !x.done {
-				row.Checkpoint, row.Attempts, row.Crashes = x.checkpoint, attempts, crashes
-			}
-			out.Tasks = append(out.Tasks, row)
-		}
-	}
-	return out
-}
-
-// loadProgress restores a job's progress that a previous owner stored.
-func (p *Pool) loadProgress(j *jobState, progress job.Progress) {
-	j.remainingUse = p.unexpiredUse(progress.RemainingUse)
-	j.loadStoredWorkers(progress)
-	for _, row := range progress.Tasks {
-		id := job.TaskID{StepID: job.StepID{Job: j.job.ID, Time: row.Time, Step: row.Step}, Index: row.Index}
-		t := p.task(id)
-		if t == nil {
-			continue
-		}
-		j.began = j.began || row.HasBegun()
-		t.failures, t.lastEndedRun, t.checkpoint = row.Failures, row.LastRun, row.Checkpoint
-		t.crash.Load(row.Attempts, row.Crashes)
-		j.suspected = j.suspected || len(row.Crashes) > 0
-		t.lastRunNumber = max(t.lastRunNumber, row.HighestRun())
-		t.step.gang.runNumber = max(t.step.gang.runNumber, row.HighestRun())
-		if row.Done {
-			t.setDone()
-		}
-		p.loadUnanswered(t, row.UnansweredStarts)
-	}
-	for _, t := range j.occurrences {
-		if t != nil {
-			p.updateWaitingSteps(t)
-		}
-	}
-}
--- a/pkg/dispatch/cordon.go
+++ b/pkg/dispatch/cordon.go
@@ -51,9 +51,9 @@
 	if !s.spec.LongRunning || s.spec.MissAllowed == 0 {
 		return true
 	}
-	absent := 0
+	absent := s.spec.Count - len(s.tasks) // those that were never started
 	for i := range s.tasks {
-		x := &s.tasks[i]
+		x := s.tasks[i]
 		if x != t && (x.current == nil || x.current.state != runActive || x.current.stopRequested || x.current.progress.Percent < servingPercent) {
 			absent++
 		}
--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -159,7 +159,7 @@
 	for _, j := range p.jobs {
 		for s := range j.steps() {
 			for i := range s.tasks {
-				if t := &s.tasks[i]; t.crash.RemoveCrashesOf(id) {
+				if t := s.tasks[i]; t.crash.RemoveCrashesOf(id) {
 					p.markProgressChanged(t)
 				}
 			}
@@ -192,7 +192,7 @@
 	s.hasSurvivedStart = true
 	tasks := r.task.completionGroup()
 	for i := range tasks {
-		if t := &tasks[i]; t.crash.RecordSurvival(r.number) {
+		if t := tasks[i]; t.crash.RecordSurvival(r.number) {
 			p.markProgressChanged(t)
 		}
 	}
@@ -208,9 +208,10 @@
 	return true
 }
 
-// markProgressChanged schedules the progress of a task's job to be stored, unless the job has ended.
+// markProgressChanged schedules the progress of a task to be stored, unless its job has ended.
 func (p *Pool) markProgressChanged(t *task) {
 	if j := t.step.occurrence.job; j.outcome == "" {
 		p.dirty[j] = struct{}{}
+		j.storedProgress.markChanged(t.number())
 	}
 }
--- a/pkg/dispatch/customer_limits.go
+++ b/pkg/dispatch/customer_limits.go
@@ -78,7 +78,7 @@
 		}
 		need, ms := s.spec.Need(), s.spec.Estimate.Milliseconds()
 		t.waiting = t.waiting.Add(need.Times(int64(s.idleTasks) * ms))
-		t.work = t.work.Add(need.Times(int64(len(s.tasks)) * ms))
+		t.work = t.work.Add(need.Times(int64(s.spec.Count) * ms))
 		t.running = t.running.Add(need.Times(int64(s.countedRuns)))
 		waits = waits || s.idleTasks > 0
 	}
--- a/pkg/dispatch/explain.go
+++ b/pkg/dispatch/explain.go
@@ -69,10 +69,10 @@
 
 func (p *Pool) explainStep(s *step, now clock.Time) StepView {
 	v := StepView{
-		Step: s.id().String(), Done: s.doneTasks, Count: len(s.tasks), LeftMs: s.timeLeft(now).Milliseconds(), WaitReason: p.waitReason(s, now),
+		Step: s.id().String(), Done: s.doneTasks, Count: s.spec.Count, LeftMs: s.timeLeft(now).Milliseconds(), WaitReason: p.waitReason(s, now),
 	}
 	for i := range s.tasks {
-		t := &s.tasks[i]
+		t := s.tasks[i]
 		v.Failures += len(t.failures)
 		v.Crashes += len(t.crash.Crashes())
 		if r := t.current; r != nil {
@@ -124,7 +124,7 @@
 	a := s.occurrence.job.account
 	reason := fmt.Sprintf("its customer's quota: %s runs, and %s may", a.Used(), a.Customer().Quota)
 	if s.spec.Gang {
-		reason += fmt.Sprintf("; %d members need %s at once", len(s.tasks), s.spec.MinResources())
+		reason += fmt.Sprintf("; %d members need %s at once", s.spec.Count, s.spec.MinResources())
 	}
 	if n := a.Unreported(); n != (cell.Resources{}) {
 		reason += fmt.Sprintf("; %s may run on workers that have not told", n)
@@ -153,7 +153,7 @@
 	allowed := totalRoomFor(s, p.allowedWorkers(s, now))
 	withTickets := totalRoomFor(s, p.candidates(s, newReservations(), now))
 	return fmt.Sprintf("; %d members at once, room for %d on %d workers known to be allowed, for %d of them with tickets",
-		len(s.tasks), allowed, len(s.advice.allowed), withTickets)
+		s.spec.Count, allowed, len(s.advice.allowed), withTickets)
 }
 
 // totalRoomFor returns how many more tasks of a step some workers have room for.
--- a/pkg/dispatch/gang.go
+++ b/pkg/dispatch/gang.go
@@ -47,7 +47,7 @@
 
 // isPartialGang reports whether only some members of a gang run.
 func (s *step) isPartialGang() bool {
-	return s.runningTasks > 0 && s.runningTasks < len(s.tasks) && !s.finished()
+	return s.runningTasks > 0 && s.runningTasks < s.spec.Count && !s.finished()
 }
 
 // hasMissingMembers reports whether the current run of a gang continues and some of its members have to be
@@ -64,7 +64,7 @@
 		return
 	}
 	for i := range s.tasks {
-		t := &s.tasks[i]
+		t := s.tasks[i]
 		if !p.mayStart(t, now) {
 			continue
 		}
--- a/pkg/dispatch/history_incarnations_test.go
+++ b/pkg/dispatch/history_incarnations_test.go
@@ -146,7 +146,11 @@
 
 // recordUnansweredStarts remembers the starts without an answer that a commit writes to the store.
 func (w *world) recordUnansweredStarts(c JobChange) {
-	for _, row := range c.Progress.Tasks {
+	rows := slices.Clone(c.Progress.Tasks)
+	for _, s := range c.Segments {
+		rows = append(rows, s.Segment.Tasks...)
+	}
+	for _, row := range rows {
 		t := job.TaskID{StepID: job.StepID{Job: c.Job, Time: row.Time, Step: row.Step}, Index: row.Index}
 		for _, u := range row.UnansweredStarts {
 			w.unansweredStarts[runKey{t, u.Run}] = true
--- a/pkg/dispatch/history_owner_test.go
+++ b/pkg/dispatch/history_owner_test.go
@@ -21,7 +21,8 @@
 	o.pool = New(Config{
 		LeaseDuration: 5700 * time.Millisecond, MaxLeaseDuration: 5700 * time.Millisecond, WorkerMaxLease: platformMaxLease, MinDrainTime: time.Second, StopGrace: 400 * time.Millisecond,
 		Token: w.term << 20, Term: w.term, RunNumberBase: int(w.term) * 1000, HasPreviousOwner: w.term > 1, AuthorityTerm: ownerTerm + 200*time.Millisecond,
-		WallClock: func() time.Time { return w.wallTime }, Disabled: w.disabled, RecordWorkersFromTerm: w.recordWorkersFrom,
+		MaxValueBytes: historyValueBytes,
+		WallClock:     func() time.Time { return w.wallTime }, Disabled: w.disabled, RecordWorkersFromTerm: w.recordWorkersFrom,
 		Log: func(e Event) {
 			w.logf("owner %d %s %s run %d %s %s", term, e.Name, e.Task, e.Run, e.Worker, e.Detail)
 			if m := w.workers[workerNumber(e.Worker)]; e.Name == "crash_counted" && (m.dead || m.startedAt != e.Worker.StartedAt()) {
@@ -30,6 +31,9 @@
 		},
 	}, w.now)
 	o.pool.SetConfig(w.quotas.config())
+	if w.largeJobs {
+		o.pool.SetSegmentSupport(w.drawSegmentSupport())
+	}
 	w.owners = append(w.owners, o)
 	w.loadWorkers(o)
 	if w.slowLoading && w.term > 1 {
@@ -90,9 +94,13 @@
 
 // copyProgress returns progress as an owner reads it from the store: a copy that no other owner changes.
 func copyProgress(p job.Progress) job.Progress {
-	out := job.Progress{Tasks: slices.Clone(p.Tasks), RemainingUse: p.RemainingUse, Workers: slices.Clone(p.Workers)}
-	for i := range out.Tasks {
-		row := &out.Tasks[i]
+	return job.Progress{Tasks: copyRows(p.Tasks), Index: p.Index, RemainingUse: p.RemainingUse, Workers: slices.Clone(p.Workers)}
+}
+
+func copyRows(rows []job.TaskProgress) []job.TaskProgress {
+	out := slices.Clone(rows)
+	for i := range out {
+		row := &out[i]
 		row.Failures, row.Attempts, row.Crashes = slices.Clone(row.Failures), slices.Clone(row.Attempts), slices.Clone(row.Crashes)
 		row.UnansweredStarts = slices.Clone(row.UnansweredStarts)
 	}
@@ -192,10 +200,16 @@
 		o.ended = true
 		return
 	}
+	if w.cutCommit(o, c) {
+		return
+	}
 	for _, change := range c.Changes {
 		w.checkOutcome(change)
+		w.checkCompletion(change)
+		w.checkChangeSizes(change)
 		s := w.store[change.Job]
 		s.outcome, s.progress, s.remainingUse, s.lastLateStart, s.hasProgress = change.Outcome, change.Progress, change.RemainingUse, change.LastLateStart, true
+		s.storeSegments(change)
 		w.recordUnansweredStarts(change)
 		if s.outcome == job.Completed {
 			s.shownCompletedAt = w.now
--- a/pkg/dispatch/history_previous_owner_test.go
+++ b/pkg/dispatch/history_previous_owner_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -29,7 +30,7 @@
 	var out []jobSnapshot
 	for _, id := range w.jobs() {
 		s := jobSnapshot{id, *w.store[id]}
-		s.progress = copyProgress(s.progress)
+		s.progress, s.segments = copyProgress(s.progress), maps.Clone(s.segments)
 		out = append(out, s)
 	}
 	return out
@@ -50,7 +51,7 @@
 		o.pool.AddOutcome(id, job.Record{Outcome: s.outcome, Customer: s.record.Customer, RemainingUse: s.remainingUse, LastLateStart: s.lastLateStart}, w.now)
 		return
 	}
-	o.pool.AddJob(s.record, copyProgress(s.progress), s.hasProgress, 0, w.now)
+	o.pool.AddJob(s.record, s.storedProgress(), s.hasProgress, 0, w.now)
 	if s.cancelled {
 		o.pool.Cancel(id)
 	}
--- a/pkg/dispatch/history_test.go
+++ b/pkg/dispatch/history_test.go
@@ -137,6 +137,8 @@
 	// conditionalAccept says that these hosts store jobs only on condition that the owner's record is the
 	// present one.
 	conditionalAccept bool
+	// largeJobs says that some jobs have hundreds of tasks (history_large_jobs_test.go).
+	largeJobs bool
 	// faultsUntil is the time at which fault injection stops.
 	faultsUntil        clock.Time
 	crashingMembers    map[job.ID]int
@@ -148,6 +150,7 @@
 type storedJob struct {
 	record       job.Record
 	progress     job.Progress
+	segments     map[int64]job.Segment // of the progress
 	hasProgress  bool
 	outcome      job.State
 	remainingUse job.RemainingUse // written with the outcome
@@ -251,6 +254,10 @@
 		steps[1].After = []int{0}
 	}
 	r := job.Record{Job: job.Job{ID: id, Spec: "spec", Steps: steps}, Queue: testQueue, Term: o.term}
+	if w.largeJobs && w.chance(0.25) {
+		r.Job = w.drawLargeJob()
+		r.Job.ID, r.Job.Spec, steps = id, "spec", r.Job.Steps
+	}
 	if w.quotas != nil {
 		r.Customer = w.quotas.drawCustomer(w, steps)
 	}
@@ -301,6 +308,9 @@
 	if w.quotas != nil {
 		end = end.Add(quotaExtraTime)
 	}
+	if w.largeJobs {
+		end = end.Add(largeJobExtraTime)
+	}
 	lastFaultAt := w.now.Add(historyDuration - historyCalmTime)
 	w.faultsUntil = lastFaultAt
 	for ; w.now < end && !w.violated; w.now = w.now.Add(historyTick) {
@@ -320,6 +330,7 @@
 			w.advanceWorker(m)
 		}
 		w.expireEntries()
+		w.changeSegmentSupport()
 		w.deliverCalls()
 		for _, o := range w.owners {
 			w.advanceOwner(o)
@@ -336,6 +347,7 @@
 			w.reportViolation("job %s has not ended %s after the last fault: %+v; cancelled %t", id, w.now.Sub(lastFaultAt), x, w.store[id].cancelled)
 		}
 	}
+	w.checkSegmentsRemoved()
 	for _, m := range w.workers {
 		for key := range m.runs {
 			if !w.violated {
--- a/pkg/dispatch/history_worker_test.go
+++ b/pkg/dispatch/history_worker_test.go
@@ -121,6 +121,9 @@
 		task: s.Task, run: s.Run, need: step.Resources, fails: w.chance(0.05),
 		endsAt: w.now.Add(w.drawRunTime(4 * time.Second)),
 	}
+	if w.largeJobs && step.Estimate == largeTaskTime {
+		r.fails, r.endsAt = w.chance(0.01), w.now.Add(w.drawDuration(20*time.Millisecond, largeTaskTime))
+	}
 	if !step.Gang {
 		return r
 	}
@@ -220,6 +223,7 @@
 		w.reportViolation("%s exceeds its capacity by %s run %d", m.id, r.task, r.run)
 	}
 	w.checkDependencies(m, r)
+	w.checkDue(r)
 	w.quotas.checkRun(w, m, r)
 	if w.ackedFailures[w.failureCountTask(r.task)] >= testQueue.MaxAttempts && r.gang == nil {
 		w.reportViolation("%s begins as run %d on %s after all its attempts", r.task, r.run, m.id)
--- a/pkg/dispatch/jobs.go
+++ b/pkg/dispatch/jobs.go
@@ -15,17 +15,25 @@
 	"foldarch.dev/foldarch/pkg/queue"
 	"foldarch.dev/foldarch/pkg/runend"
 	"foldarch.dev/foldarch/pkg/takeover"
+	"foldarch.dev/foldarch/pkg/taskset"
 	"foldarch.dev/foldarch/pkg/worth"
 )
 
 // jobState is what the owner knows of a job that has not ended, or whose end is not committed, or of which
 // something may still run.
 type jobState struct {
-	job                   job.Job
-	queue                 queue.Queue
-	customer              customer.Customer // as in the record; without a name for no customer
-	occurrences           []*occurrence     // by their number; nil before an occurrence is due
+	job      job.Job
+	queue    queue.Queue
+	customer customer.Customer // as in the record; without a name for no customer
+	// occurrences are those that have been created and are still needed, by number; all before
+	// nextOccurrence have been created. finishedOccurrences counts the finished ones.
+	occurrences           []*occurrence
 	nextOccurrence        int
+	finishedOccurrences   int
+	hasBacklog            bool // occurrences that are due have not been created
+	taskNumbers           job.TaskNumbers
+	done                  taskset.Set // the numbers of its done tasks
+	storedProgress        storedProgress
 	term                  int64                    // of the owner for which the job was accepted
 	recordedWorkers       takeover.RecordedWorkers // workers to which its starts may go
 	acceptedInCurrentTerm bool                     // no previous owner can have started it
@@ -57,15 +65,13 @@
 	// is still worth something.
 	objective       clock.Time
 	latestUsefulEnd clock.Time
+	counted         bool // among its job's finishedOccurrences
 }
 
-// steps iterates over the steps of all occurrences that have been created.
+// steps iterates over the steps of all occurrences that are needed (jobState.occurrences).
 func (j *jobState) steps() iter.Seq[*step] {
 	return func(yield func(*step) bool) {
 		for _, o := range j.occurrences {
-			if o == nil {
-				continue
-			}
 			for _, s := range o.steps {
 				if !yield(s) {
 					return
@@ -86,15 +92,21 @@
 
 // step is one step of one occurrence.
 type step struct {
-	seq          int64 // in the order of creation
-	waitingSeq   int64 // number in the waiting queue; 0 when the step is not in it
-	occurrence   *occurrence
-	index        int
-	spec         *job.Step
-	tasks        []task
-	doneTasks    int // how many tasks are done
-	idleTasks    int // how many tasks are not done and have no run
-	runningTasks int // how many tasks have a run
+	seq         int64 // in the order of creation
+	waitingSeq  int64 // number in the waiting queue; 0 when the step is not in it
+	occurrence  *occurrence
+	index       int
+	spec        *job.Step
+	firstNumber int64 // of its first task (job.TaskNumbers)
+	// tasks are those tasks that have been created and are still needed, by index. Of the tasks from nextTask
+	// on, only those in tasks have been created.
+	tasks     []*task
+	nextTask  int
+	doneTasks int // how many tasks are done
+	// doneTasksKept counts the tasks that were done since done tasks were last forgotten.
+	doneTasksKept int
+	idleTasks     int // how many tasks are not done and have no run
+	runningTasks  int // how many tasks have a run
 	// countedRuns is how many runs of its tasks count against workers and quotas.
 	countedRuns   int
 	advice        stepAdvice
@@ -204,6 +216,7 @@
 	t.removeFromCounts()
 	t.done = true
 	t.step.doneTasks++
+	t.step.occurrence.job.done.Add(t.number())
 	t.addToCounts()
 }
 
@@ -231,8 +244,13 @@
 	return job.StepID{Job: s.occurrence.job.job.ID, Time: s.occurrence.index, Step: s.index}
 }
 
+// number returns the task's number in its job (job.TaskNumbers).
+func (t *task) number() int64 {
+	return t.step.firstNumber + int64(t.index)
+}
+
 func (s *step) finished() bool {
-	return s.doneTasks == len(s.tasks)
+	return s.doneTasks == s.spec.Count
 }
 
 // typicalAdviceWorkers is how many workers an advice call is assumed to ask about when a job's objective is
--- a/pkg/dispatch/late_starts.go
+++ b/pkg/dispatch/late_starts.go
@@ -70,7 +70,7 @@
 	}
 	tasks := t.completionGroup()
 	for i := range tasks {
-		x := &tasks[i]
+		x := tasks[i]
 		if !x.waiting() || !x.lateStarts.HasStarts() {
 			continue
 		}
@@ -83,12 +83,12 @@
 // blockedUntil is until when late starts block all waiting tasks of a step; 0 when one of them is not blocked.
 // A gang is blocked as a whole while one of its members is.
 func (s *step) blockedUntil() clock.Time {
-	if !s.tracksLateStarts() {
+	if !s.tracksLateStarts() || s.hasMoreTasks() {
 		return 0
 	}
 	var until clock.Time
 	for i := range s.tasks {
-		t := &s.tasks[i]
+		t := s.tasks[i]
 		if !t.waiting() {
 			continue
 		}
@@ -176,11 +176,11 @@
 
 // completionGroup returns the tasks that are done at the same time as a task: its whole gang, otherwise the
 // task alone.
-func (t *task) completionGroup() []task {
+func (t *task) completionGroup() []*task {
 	if t.step.spec.Gang {
 		return t.step.tasks
 	}
-	return t.step.tasks[t.index : t.index+1]
+	return []*task{t}
 }
 
 // lateStartsExpireAt is until when late starts of a job's tasks may be carried out; 0 without any.
@@ -284,7 +284,7 @@
 			if r := s.tasks[i].current; r != nil && !r.startCall.Stored && r.mayStartLate() {
 				return p.cfg.WallClock()
 			}
-			for _, u := range p.unansweredStarts(&s.tasks[i]) {
+			for _, u := range p.unansweredStarts(s.tasks[i]) {
 				if u.SentBy.After(last) {
 					last = u.SentBy
 				}
--- a/pkg/dispatch/placement.go
+++ b/pkg/dispatch/placement.go
@@ -55,7 +55,7 @@
 	var chosen []*worker
 	for _, w := range sorted {
 		for range roomFor(s, w) {
-			if chosen = append(chosen, w); len(chosen) == len(s.tasks) {
+			if chosen = append(chosen, w); len(chosen) == s.spec.Count {
 				return chosen
 			}
 		}
@@ -81,7 +81,7 @@
 // maxTasksWithin returns how many tasks of a step fit into the given resources, at most the number of
 // tasks of the step.
 func maxTasksWithin(s *step, free cell.Resources) int {
-	return fit.MaxTasks(s.spec.Need(), free, len(s.tasks))
+	return fit.MaxTasks(s.spec.Need(), free, s.spec.Count)
 }
 
 // isEligible reports whether a worker may run tasks of a step. Advice is not considered.
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -30,7 +30,7 @@
 	p.updateLoads(now)
 	p.expireAdviceCalls(now)
 	p.updateTakeover(now)
-	for _, j := range slices.SortedFunc(maps.Keys(p.scheduledJobs), compareJobs) {
+	for _, j := range slices.SortedFunc(maps.Keys(p.growingJobs), compareJobs) {
 		p.createDueOccurrences(j)
 	}
 	var out Actions
@@ -67,6 +67,7 @@
 		}
 		p.paceFillers(w, now)
 	}
+	p.forgetFinishedOccurrences()
 }
 
 // inspectRun sends an unanswered stop order again, or restarts a run that is stuck or would end after
@@ -207,15 +208,14 @@
 	ticket := t.step.advice.tickets[w.info.ID]
 	o.Ticket = ticket.text
 	p.markTicketUsed(ticket)
-	p.logStart(o, w, ticket, now)
+	p.logStart(o, t.step.occurrence, w, ticket, now)
 	return o
 }
 
 // logStart logs what a start was based on: the time left until the job's objective, the age of the last
 // report from the worker, the time for which the ticket is still valid, and what stays free on the
 // worker.
-func (p *Pool) logStart(o StartOrder, w *worker, ticket ticket, now clock.Time) {
-	occ := p.jobs[o.Task.Job].occurrences[o.Task.Time]
+func (p *Pool) logStart(o StartOrder, occ *occurrence, w *worker, ticket ticket, now clock.Time) {
 	detail := fmt.Sprintf("left_ms=%d worker_age_ms=%d free=%s", occ.objective.Sub(now).Milliseconds(),
 		now.Sub(w.lastAnsweredAt).Milliseconds(), w.free())
 	if ticket.text != "" {
@@ -243,8 +243,16 @@
 		}
 	}
 	var candidates []*worker
-	for i := range s.tasks {
-		t := &s.tasks[i]
+	for i := 0; i < len(s.tasks) || s.hasMoreTasks(); i++ {
+		if i == len(s.tasks) {
+			if candidates == nil {
+				if candidates = p.candidates(s, reserved, now); len(candidates) == 0 {
+					return
+				}
+			}
+			i = s.createMoreTasks()
+		}
+		t := s.tasks[i]
 		if t.isSuspect() || !p.mayStart(t, now) {
 			continue
 		}
@@ -294,8 +302,8 @@
 		return
 	}
 	for i := range s.tasks {
-		p.expireLateStarts(&s.tasks[i], now)
-		if s.tasks[i].isBlockedByLateStart() || !p.mayRestartPresumedLost(&s.tasks[i], now) || !p.crashesAllowStart(&s.tasks[i], now) {
+		p.expireLateStarts(s.tasks[i], now)
+		if s.tasks[i].isBlockedByLateStart() || !p.mayRestartPresumedLost(s.tasks[i], now) || !p.crashesAllowStart(s.tasks[i], now) {
 			return
 		}
 	}
@@ -307,6 +315,6 @@
 	s.gang = gang{runNumber: number, startedAt: now}
 	checkpoint := s.gangCheckpoint()
 	for i, w := range chosen {
-		p.startTask(&s.tasks[i], w, number, checkpoint, now, out)
+		p.startTask(s.tasks[i], w, number, checkpoint, now, out)
 	}
 }
--- a/pkg/dispatch/plan_equivalence_test.go
+++ b/pkg/dispatch/plan_equivalence_test.go
@@ -20,7 +20,7 @@
 	p.updateLoads(now)
 	p.expireAdviceCalls(now)
 	p.updateTakeover(now)
-	for _, j := range slices.SortedFunc(maps.Keys(p.scheduledJobs), compareJobs) {
+	for _, j := range slices.SortedFunc(maps.Keys(p.growingJobs), compareJobs) {
 		p.createDueOccurrences(j)
 	}
 	var out Actions
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -41,6 +41,8 @@
 	// RecordWorkersFromTerm is the first term from which on all owners record a job's workers in the
 	// store before they start the job on them; 0 when this owner does not.
 	RecordWorkersFromTerm int64
+	// MaxValueBytes is the largest value that the store takes; 0 if it takes any.
+	MaxValueBytes int
 	// HasPreviousOwner says that there was a previous owner, whose runs have to be found.
 	HasPreviousOwner bool
 	// AuthorityTerm is how long a previous owner may go on giving orders after it was fenced.
@@ -79,13 +81,16 @@
 	usableWorkers   usableWorkersByPool // for the plan that is being made; nil between plans
 	waitingSteps    waitingQueue
 	promotedGangs   gangPromotions
-	scheduledJobs   map[*jobState]struct{}
-	dirty           map[*jobState]struct{}
-	advice          adviceState
-	limiter         *admission.Limiter
-	pendingStops    []*run
-	workersToFence  []*worker
-	pendingPaces    []*run
+	// growingJobs are the jobs of which more occurrences have to be created.
+	growingJobs map[*jobState]struct{}
+	// retainedOccurrences are finished and still needed (occurrence.isNeeded).
+	retainedOccurrences map[*occurrence]struct{}
+	dirty               map[*jobState]struct{}
+	advice              adviceState
+	limiter             *admission.Limiter
+	pendingStops        []*run
+	workersToFence      []*worker
+	pendingPaces        []*run
 	// startsToStore are starts that wait to be committed to the store; startsToOrder are those that the
 	// store has and that have not been ordered yet.
 	startsToStore, startsToOrder []*run
@@ -110,6 +115,7 @@
 	// store; workersInCommitSince is the same for those in the commit that is under way. 0 when there
 	// are none.
 	unstoredWorkersSince, workersInCommitSince clock.Time
+	segmentSupport                             SegmentSupport
 	needsPlan                                  bool       // the current event may allow a plan to do more
 	jobsLoaded                                 bool       // all jobs have been read from the store
 	fenced                                     bool       // a worker has seen the token of a later owner
@@ -122,7 +128,7 @@
 	p := &Pool{
 		cfg: cfg, takeover: newTakeover(cfg, now),
 		jobs: map[job.ID]*jobState{}, accounts: map[string]*account.Account{}, outcomes: outcome.New(), unknownJobs: map[job.ID]struct{}{}, absentJobs: map[job.ID]struct{}{}, workers: map[WorkerID]*worker{}, workerHistories: map[string]*workerHistory{}, knownPools: map[string]bool{},
-		scheduledJobs: map[*jobState]struct{}{}, dirty: map[*jobState]struct{}{},
+		growingJobs: map[*jobState]struct{}{}, retainedOccurrences: map[*occurrence]struct{}{}, dirty: map[*jobState]struct{}{},
 		advice: newAdviceState(), limiter: admission.NewLimiter(), loads: map[string]*poolLoad{}, uncommittedCrashes: map[WorkerID]WorkerInfo{}, rosterChanges: map[string]struct{}{}, crashes: crash.NewHistory(crashCoincidenceWindow, now), createdAt: now,
 	}
 	p.cfg.Log = func(e Event) {
@@ -199,7 +205,8 @@
 			j.queue = q
 		}
 	}
-	j.occurrences = make([]*occurrence, r.Job.Schedule.Occurrences())
+	var err error
+	j.taskNumbers, err = r.Job.NumberTasks()
 	j.accepted, j.chainEstimates = now.Add(-age), chainEstimates(j)
 	p.jobs[id] = j
 	j.account = p.openAccount(j.customer)
@@ -208,14 +215,16 @@
 		p.countAcceptedJob(j)
 	}
 	p.knownPools[j.queue.Pool] = true
+	if err != nil {
+		p.cfg.Log(Event{Name: "job_given_up", Job: id, Detail: err.Error()})
+		p.finishJob(j, job.Failed)
+		p.resolveUnknownJob(id, now)
+		return
+	}
 	p.loadProgress(j, progress)
 	j.blockedByTakeover = p.mayHaveUnknownRuns(j)
-	if r.Job.Schedule.Repeat > 0 {
-		p.scheduledJobs[j] = struct{}{}
-		p.createDueOccurrences(j)
-	} else {
-		p.createOccurrence(j, 0)
-	}
+	p.growingJobs[j] = struct{}{}
+	p.createDueOccurrences(j)
 	p.resolveUnknownJob(id, now)
 	p.finishJobIfDone(j)
 	if p.jobsLoaded {
@@ -242,48 +251,13 @@
 	p.forgetJobIfIdle(j)
 }
 
-// createOccurrence creates the steps of an occurrence and queues those that depend on no other step.
-func (p *Pool) createOccurrence(j *jobState, k int) *occurrence {
-	if j.occurrences[k] != nil {
-		return j.occurrences[k]
-	}
-	occ := &occurrence{job: j, index: k}
-	occ.setObjective(p.occurrenceDueAt(j, k, p.now))
-	for i := range j.job.Steps {
-		spec := &j.job.Steps[i]
-		p.stepCount++
-		s := &step{seq: p.stepCount, occurrence: occ, index: i, spec: spec, tasks: make([]task, spec.Count), idleTasks: spec.Count, chainEstimate: j.chainEstimates[i]}
-		for n := range s.tasks {
-			s.tasks[n] = task{step: s, index: n}
-		}
-		if spec.MaxPerWorker > 0 {
-			s.runsPerWorker = map[WorkerID]int{}
-		}
-		occ.steps = append(occ.steps, s)
-	}
-	j.occurrences[k] = occ
-	p.updateWaitingSteps(occ)
-	return occ
-}
-
-// createDueOccurrences creates the occurrences of a scheduled job whose times have come.
-func (p *Pool) createDueOccurrences(j *jobState) {
-	wall := p.cfg.WallClock()
-	for j.nextOccurrence < len(j.occurrences) && !j.job.Schedule.DueAt(j.nextOccurrence).After(wall) {
-		p.createOccurrence(j, j.nextOccurrence)
-		j.nextOccurrence++
-	}
-	if j.nextOccurrence == len(j.occurrences) {
-		delete(p.scheduledJobs, j)
-	}
-}
-
 // updateWaitingSteps puts the steps of an occurrence that have waiting tasks and whose dependencies are
 // done into the waiting queue, and removes the others from it.
 func (p *Pool) updateWaitingSteps(occ *occurrence) {
 	for _, s := range occ.steps {
 		if occ.job.outcome == "" && s.dependenciesDone() && s.waitingTasks() > 0 {
 			if !s.isQueued() {
+				s.createFirstTasks()
 				s.readySince = p.now
 				p.waitingSteps.add(s)
 			}
@@ -308,7 +282,7 @@
 // members, the missing ones, or none.
 func (s *step) waitingTasks() int {
 	n := s.idleTasks
-	if s.spec.Gang && n < len(s.tasks) && !s.hasMissingMembers() {
+	if s.spec.Gang && n < s.spec.Count && !s.hasMissingMembers() {
 		return 0
 	}
 	return n
@@ -330,7 +304,7 @@
 func (p *Pool) finishJob(j *jobState, outcome job.State) {
 	j.outcome = outcome
 	p.dirty[j] = struct{}{}
-	delete(p.scheduledJobs, j)
+	delete(p.growingJobs, j)
 	for s := range j.steps() {
 		p.waitingSteps.remove(s)
 		p.abandonAdviceCalls(s)
@@ -344,17 +318,24 @@
 	p.cfg.Log(Event{Name: "job_ended", Job: j.job.ID, Detail: string(outcome)})
 }
 
+// GiveUpJob ends a job as failed because it can't be kept in the store; reason is logged.
+func (p *Pool) GiveUpJob(id job.ID, reason string) {
+	j, known := p.jobs[id]
+	if !known || j.outcome != "" {
+		return
+	}
+	p.cfg.Log(Event{Name: "job_given_up", Job: id, Detail: reason})
+	p.finishJob(j, job.Failed)
+}
+
 // finishJobIfDone completes a job when all its occurrences are finished.
 func (p *Pool) finishJobIfDone(j *jobState) {
 	if j.outcome != "" {
 		return
 	}
-	for _, occ := range j.occurrences {
-		if occ == nil || !occ.finished() {
-			return
-		}
+	if j.finishedOccurrences == j.job.Schedule.Occurrences() {
+		p.finishJob(j, job.Completed)
 	}
-	p.finishJob(j, job.Completed)
 }
 
 // JobState returns the state of a job as it may be shown to callers, and its customer; ok is false when
@@ -400,20 +381,3 @@
 func (p *Pool) IsFenced() bool {
 	return p.fenced
 }
-
-// task returns the task with the given ID, or nil if it does not exist. It creates the occurrence of
-// the task if needed.
-func (p *Pool) task(id job.TaskID) *task {
-	j, ok := p.jobs[id.Job]
-	if !ok || id.Time < 0 || id.Time >= len(j.occurrences) {
-		return nil
-	}
-	occ := j.occurrences[id.Time]
-	if occ == nil {
-		occ = p.createOccurrence(j, id.Time)
-	}
-	if id.Step < 0 || id.Step >= len(occ.steps) || id.Index < 0 || id.Index >= len(occ.steps[id.Step].tasks) {
-		return nil
-	}
-	return &occ.steps[id.Step].tasks[id.Index]
-}
--- a/pkg/dispatch/preempt.go
+++ b/pkg/dispatch/preempt.go
@@ -155,7 +155,7 @@
 		lost = min(lost, restore)
 	}
 	if s.spec.Gang {
-		return float64(len(s.tasks)) * preemption.CoreSeconds(s.spec.Need(), lost)
+		return float64(s.spec.Count) * preemption.CoreSeconds(s.spec.Need(), lost)
 	}
 	return preemption.CoreSeconds(s.spec.Need(), lost)
 }
--- a/pkg/dispatch/probe.go
+++ b/pkg/dispatch/probe.go
@@ -33,7 +33,7 @@
 		return false
 	}
 	for i := range s.tasks {
-		if t := &s.tasks[i]; !t.done && t.crash.IsSuspect() {
+		if t := s.tasks[i]; !t.done && t.crash.IsSuspect() {
 			return true
 		}
 	}
@@ -43,7 +43,7 @@
 // isProbing reports whether a suspect task of a step has been started and has not survived yet.
 func (s *step) isProbing() bool {
 	for i := range s.tasks {
-		if t := &s.tasks[i]; t.current != nil && !t.current.survived && t.isSuspect() {
+		if t := s.tasks[i]; t.current != nil && !t.current.survived && t.isSuspect() {
 			return true
 		}
 	}
@@ -107,7 +107,7 @@
 	}
 	var w *worker
 	for i := range s.tasks {
-		t := &s.tasks[i]
+		t := s.tasks[i]
 		if !t.isSuspect() || !p.mayStart(t, now) {
 			continue
 		}
--- a/pkg/dispatch/quota_preemption.go
+++ b/pkg/dispatch/quota_preemption.go
@@ -95,7 +95,7 @@
 // stopped as a whole, so only its first member is eligible.
 func (r *run) isQuotaPreemptable(now clock.Time) bool {
 	s := r.task.step
-	if s.spec.LongRunning || s.spec.Gang && (r.task.index > 0 || s.runningTasks < len(s.tasks)) {
+	if s.spec.LongRunning || s.spec.Gang && (r.task.index > 0 || s.runningTasks < s.spec.Count) {
 		return false
 	}
 	return r.timeLeft(now) > endsSoonWithin
--- a/pkg/dispatch/recorded_workers.go
+++ b/pkg/dispatch/recorded_workers.go
@@ -69,7 +69,7 @@
 // little room.
 func (p *Pool) recordMoreWorkers(s *step, unrecorded []*worker, room int) {
 	need := s.waitingTasks() - room
-	for _, w := range unrecorded[:min(len(unrecorded), max(maxRecordedAhead, len(s.tasks)))] {
+	for _, w := range unrecorded[:min(len(unrecorded), max(maxRecordedAhead, s.spec.Count))] {
 		if need <= 0 {
 			return
 		}
--- a/pkg/dispatch/refused_queues.go
+++ b/pkg/dispatch/refused_queues.go
@@ -58,5 +58,5 @@
 	if q.Advice == nil || s.advice.callTime == 0 {
 		return
 	}
-	p.advice.rounds.Update(q.Name, s.advice.callTime, p.adviceRoundTime(q, len(s.tasks)))
+	p.advice.rounds.Update(q.Name, s.advice.callTime, p.adviceRoundTime(q, s.spec.Count))
 }
--- a/pkg/dispatch/reservations.go
+++ b/pkg/dispatch/reservations.go
@@ -154,7 +154,7 @@
 	if now >= s.gangReservation.expiresAt {
 		s.gangReservation = stepReservation{expiresAt: now.Add(reservationValidity), workers: p.workersByTimeUntilRoom(s, r, priority, now)}
 	}
-	need := gangReservationFactor * float64(len(s.tasks))
+	need := gangReservationFactor * float64(s.spec.Count)
 	for _, w := range s.gangReservation.workers {
 		if need <= 0 || float64(gangs.workers) >= maxGangReservedShare*float64(load.workers) {
 			return
--- a/pkg/dispatch/run_ends.go
+++ b/pkg/dispatch/run_ends.go
@@ -68,7 +68,7 @@
 	}
 	switch {
 	case s.spec.LongRunning:
-		p.dirty[j] = struct{}{}
+		p.markProgressChanged(t)
 	case reason == EndDone:
 		p.completeTask(t)
 	case reason == EndFailed:
@@ -83,11 +83,11 @@
 // completeTask marks a task as done; for a gang, all its members.
 func (p *Pool) completeTask(t *task) {
 	s := t.step
-	p.dirty[s.occurrence.job] = struct{}{}
-	tasks := t.completionGroup()
-	for i := range tasks {
-		tasks[i].setDone()
+	for _, member := range t.completionGroup() {
+		member.setDone()
+		p.markProgressChanged(member)
 	}
+	p.forgetDoneTasks(s)
 	p.completeStepIfDone(s)
 }
 
@@ -99,6 +99,7 @@
 	}
 	p.updateAdviceRounds(s)
 	p.abandonAdviceCalls(s)
+	p.finishOccurrenceIfDone(s.occurrence)
 	p.finishJobIfDone(s.occurrence.job)
 }
 
@@ -117,13 +118,13 @@
 	s, j := t.step, t.step.occurrence.job
 	counted := t
 	if s.spec.Gang {
-		counted = &s.tasks[0]
+		counted = s.tasks[0]
 	}
 	if slices.Contains(counted.failures, number) || s.spec.LongRunning {
 		return true
 	}
 	counted.failures = append(counted.failures, number)
-	p.dirty[j] = struct{}{}
+	p.markProgressChanged(counted)
 	if len(counted.failures) >= max(j.queue.MaxAttempts, 1) {
 		p.finishJob(j, job.Failed)
 		return false
--- a/pkg/dispatch/stored_starts.go
+++ b/pkg/dispatch/stored_starts.go
@@ -75,7 +75,7 @@
 	for s := range j.steps() {
 		for i := range s.tasks {
 			for _, a := range s.tasks[i].crash.Attempts() {
-				p.resolveLoadedAttempt(&s.tasks[i], a, now)
+				p.resolveLoadedAttempt(s.tasks[i], a, now)
 			}
 		}
 	}
--- a/pkg/dispatch/unreported.go
+++ b/pkg/dispatch/unreported.go
@@ -48,7 +48,7 @@
 func (s *step) unfinishedTasksWithRuns() int {
 	n := 0
 	for i := range s.tasks {
-		if t := &s.tasks[i]; !t.done && t.current != nil {
+		if t := s.tasks[i]; !t.done && t.current != nil {
 			n++
 		}
 	}
@@ -154,8 +154,11 @@
 func (j *jobState) maxUnreportedUse() cell.Resources {
 	sum := j.remainingUse
 	for _, occ := range j.occurrences {
-		if occ != nil {
-			sum = sum.Add(occ.maxUnreportedUse())
+		sum = sum.Add(occ.maxUnreportedUse())
+	}
+	if j.hasBacklog {
+		for i := range j.job.Steps {
+			sum = sum.Add(j.job.Steps[i].Resources.Times(maxReadyTasks))
 		}
 	}
 	return sum
--- a/pkg/job/record.go
+++ b/pkg/job/record.go
@@ -63,14 +63,19 @@
 }
 
 // Progress is what the store keeps of a job that has not ended: the run ends that the owner has
-// committed, and starts that may still be carried out late. Tasks without either have no entry.
+// committed, and starts that may still be carried out late. Tasks without either have no entry. Its
+// encodings are described at SegmentIndex.
 type Progress struct {
-	Tasks []TaskProgress `json:"tasks"`
+	Tasks []TaskProgress
+	// Index is set if the tasks are stored in segments.
+	Index *SegmentIndex
+	// Segments are the stored segments by their numbers, as AddSegments has added them.
+	Segments map[int64]Segment
 	// RemainingUse is the resources that runs of tasks that are done may still use.
-	RemainingUse RemainingUse `json:"unended,omitzero"`
+	RemainingUse RemainingUse
 	// Workers are the names of all workers to which starts of the job may have been sent, if its owners
 	// record them first (jobstore.OwnerRecord.RecordWorkersFromTerm).
-	Workers []string `json:"w,omitempty"`
+	Workers []string
 }
 
 // TaskProgress is the stored progress of one task, or of a gang under its task 0.
@@ -138,18 +143,3 @@
 func (t TaskProgress) HasBegun() bool {
 	return t.Done || t.LastRun > 0 || len(t.Failures)+len(t.Attempts)+len(t.Crashes) > 0
 }
-
-// Encode returns the progress's encoding for the store.
-func (p Progress) Encode() ([]byte, error) {
-	text, err := json.Marshal(p)
-	return text, errors.Wrap(err, "encode job progress")
-}
-
-// DecodeProgress decodes what Encode returned.
-func DecodeProgress(text []byte) (Progress, error) {
-	var p Progress
-	if err := json.Unmarshal(text, &p); err != nil {
-		return Progress{}, errors.Wrap(err, "job progress")
-	}
-	return p, nil
-}
--- a/pkg/jobhost/jobs.go
+++ b/pkg/jobhost/jobs.go
@@ -282,7 +282,7 @@
 // be stored earlier, to record the job's workers. Progress that can't be decoded counts as begun.
 func hasBegun(progress []byte) bool {
 	p, err := job.DecodeProgress(progress)
-	return err != nil || len(p.Tasks) > 0
+	return err != nil || p.HasTasks()
 }
 
 // readRecord reads a job's record. Errors: platform.ErrNoJob, platform.ErrOutcomeUnknown.
--- a/pkg/jobstore/doc.go
+++ b/pkg/jobstore/doc.go
@@ -4,6 +4,7 @@
 //	foldarch/jobs/ID          a job.Record, written by the host that accepts the job
 //	foldarch/jobs/ID/cancel   exists if the job was cancelled
 //	foldarch/progress/ID      a job.Progress, kept by the owner until the job has ended
+//	foldarch/progress/ID/N    a job.Segment of it, for a job of many tasks
 //	foldarch/owner/holder     an OwnerRecord: the host that owns the pool
 //	foldarch/owner/alive      exists while the owner renews its lease
 //	foldarch/commit/N         the owner's last commit of sequence N; replaced by every commit of it
--- a/pkg/jobstore/keys.go
+++ b/pkg/jobstore/keys.go
@@ -48,6 +48,25 @@
 	return ProgressPrefix + string(id)
 }
 
+// SegmentKey returns the key of a segment of a job's progress.
+func SegmentKey(id job.ID, segment int64) string {
+	return ProgressKey(id) + "/" + strconv.FormatInt(segment, 10)
+}
+
+// ParseProgressKey returns the job of a key under ProgressPrefix. If the key is that of a segment, it returns
+// its number, and otherwise -1.
+func ParseProgressKey(key string) (id job.ID, segment int64, err error) {
+	name, number, isSegment := strings.Cut(strings.TrimPrefix(key, ProgressPrefix), "/")
+	if !isSegment {
+		return job.ID(name), -1, nil
+	}
+	segment, err = strconv.ParseInt(number, 10, 64)
+	if err != nil || segment < 0 {
+		return job.ID(name), -1, errors.Newf("key %s: %q is not the number of a segment", key, number)
+	}
+	return job.ID(name), segment, nil
+}
+
 // RosterKey returns the key of a worker's entry in the roster.
 func RosterKey(worker string) string {
 	return RosterPrefix + worker
--- a/pkg/poolowner/commits.go
+++ b/pkg/poolowner/commits.go
@@ -6,13 +6,9 @@
 	"time"
 
 	"foldarch.dev/foldarch/pkg/clock"
-	"foldarch.dev/foldarch/pkg/customer"
-	"foldarch.dev/foldarch/pkg/dispatch"
-	"foldarch.dev/foldarch/pkg/job"
 	"foldarch.dev/foldarch/pkg/jobstore"
 	"foldarch.dev/foldarch/platform"
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -49,6 +45,7 @@
 		if now := o.deps.Clock.Now(); now.Sub(lastRemoval) >= outcomeRemovalInterval {
 			lastRemoval = now
 			o.removeOldOutcomes(ctx)
+			o.removeOrphanedSegments(ctx)
 		}
 		o.commitChanges(ctx)
 		clock.Sleep(ctx, minCommitPause)
@@ -63,18 +60,25 @@
 	}
 }
 
-// commitChanges writes what has changed since the last commit.
+// commitChanges writes what has changed since the last commit. A job whose changes the store never takes is
+// given up.
 func (o *Owner) commitChanges(ctx context.Context) {
 	o.mu.Lock()
+	o.pool.SetSegmentSupport(o.segmentReaders.support(func(name string) bool { return o.members[name] != nil }, o.deps.Clock.Now()))
 	c := o.pool.PrepareCommit()
 	o.mu.Unlock()
 	if c.IsEmpty() {
 		return
 	}
-	if err := o.writeChanges(ctx, c.Changes); err != nil {
+	refused, err := o.writeChanges(ctx, c.Changes)
+	if err != nil {
 		return // only when this owner ends
 	}
 	o.mu.Lock()
+	for _, r := range refused {
+		c.Withdraw(r.job)
+		o.pool.GiveUpJob(r.job, r.reason())
+	}
 	o.pool.ApplyCommit(c)
 	close(o.committed)
 	o.committed = make(chan struct{})
@@ -98,13 +102,21 @@
 		t.Remove = append(t.Remove, jobstore.JobKey(id))
 	}
 	if o.commit(ctx, &o.lanes[0], t) != nil {
-		return // only when this owner ends
+		return // this owner ends, or the store does not take the call; the next removal repeats it
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.pool.ForgetOutcomes(ids)
 }
 
+// removeOrphanedSegments removes segments of jobs that have ended, at most one transaction at a time.
+func (o *Owner) removeOrphanedSegments(ctx context.Context) {
+	n := min(len(o.orphanedSegments), platform.MaxTxnEntries-reservedEntries)
+	if n > 0 && o.commit(ctx, &o.lanes[0], platform.Txn{Remove: o.orphanedSegments[:n]}) == nil {
+		o.orphanedSegments = o.orphanedSegments[n:]
+	}
+}
+
 // commitLane is a sequence of commits, each on condition of the one before it. Lanes are independent of
 // each other.
 type commitLane struct {
@@ -120,78 +132,6 @@
 	return lanes
 }
 
-// writeChanges writes changes to the store and repeats failed writes; it returns an error only when this
-// owner ends. Changes that do not fit into one transaction are spread over the lanes, so that a slow
-// store gets several transactions at the same time. They are of different jobs and may be written in any
-// order.
-func (o *Owner) writeChanges(ctx context.Context, changes []dispatch.JobChange) error {
-	txns, err := packChanges(changes)
-	if err != nil {
-		return err
-	}
-	group, ctx := errgroup.WithContext(ctx)
-	lanes := len(o.lanes)
-	if o.deps.Disabled.Contains(dispatch.ParallelCommits) {
-		lanes = 1
-	}
-	for n := range min(lanes, len(txns)) {
-		group.Go(func() error {
-			for at := n; at < len(txns); at += lanes {
-				if err := o.commit(ctx, &o.lanes[n], txns[at]); err != nil {
-					return err
-				}
-			}
-			return nil
-		})
-	}
-	return group.Wait()
-}
-
-// packChanges packs changes into as few transactions as possible.
-func packChanges(changes []dispatch.JobChange) ([]platform.Txn, error) {
-	const maxEntries = platform.MaxTxnEntries - reservedEntries
-	var txns []platform.Txn
-	var current platform.Txn
-	for _, c := range changes {
-		entries, err := changeEntries(c)
-		if err != nil {
-			return nil, err
-		}
-		if entryCount(current)+entryCount(entries) > maxEntries {
-			txns = append(txns, current)
-			current = platform.Txn{}
-		}
-		current.Put = append(current.Put, entries.Put...)
-		current.Remove = append(current.Remove, entries.Remove...)
-	}
-	if entryCount(current) > 0 {
-		txns = append(txns, current)
-	}
-	return txns, nil
-}
-
-func entryCount(t platform.Txn) int {
-	return len(t.Put) + len(t.Remove)
-}
-
-// changeEntries returns what one change writes and removes.
-func changeEntries(c dispatch.JobChange) (t platform.Txn, err error) {
-	if c.Outcome == "" {
-		data, err := c.Progress.Encode()
-		t.Put = []platform.Put{{Key: jobstore.ProgressKey(c.Job), Value: data}}
-		return t, err
-	}
-	data, err := job.Record{Outcome: c.Outcome, Customer: customer.Customer{Name: c.Customer}, RemainingUse: c.RemainingUse, LastLateStart: c.LastLateStart}.Encode()
-	t.Put = []platform.Put{{Key: jobstore.JobKey(c.Job), Value: data}}
-	if c.HasProgress {
-		t.Remove = append(t.Remove, jobstore.ProgressKey(c.Job))
-	}
-	if c.Outcome == job.Cancelled {
-		t.Remove = append(t.Remove, jobstore.CancelKey(c.Job))
-	}
-	return t, err
-}
-
 // nextExtraTimeout returns the extra time for the next attempt at a write, from that of the failed
 // attempt.
 func nextExtraTimeout(previous time.Duration, err error) time.Duration {
@@ -203,7 +143,8 @@
 
 // commit writes one transaction exactly once, repeating it until the store answers. Each commit of a
 // lane replaces the lane's key on condition that nobody else has. So an attempt without an answer is
-// repeated safely: if it did take effect, the repetition finds its marker in the key.
+// repeated safely: if it did take effect, the repetition finds its marker in the key. A refusal that would
+// not pass is returned (platform.IsPermanent); other errors only when this owner ends.
 func (o *Owner) commit(ctx context.Context, lane *commitLane, t platform.Txn) error {
 	lane.number++
 	marker := fmt.Appendf(nil, "%d/%d", o.claim.Term, lane.number)
@@ -224,6 +165,9 @@
 			o.depose("commit")
 			return ErrDeposed
 		}
+		if platform.IsPermanent(err) {
+			return err
+		}
 		o.commitFailures.recordFailure(err)
 		t.ExtraTimeout = nextExtraTimeout(t.ExtraTimeout, err)
 		clock.Sleep(ctx, commitRetryDelay)
--- a/pkg/poolowner/commits_test.go
+++ b/pkg/poolowner/commits_test.go
@@ -20,12 +20,22 @@
 	return out
 }
 
+// packInAnyOrder packs changes, all of which may be written in any order, into transactions.
+func packInAnyOrder(g *WithT, changes []dispatch.JobChange) []platform.Txn {
+	packed, err := packChanges(changes, progressEncoder{})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(packed.last).To(BeEmpty())
+	var txns []platform.Txn
+	for _, b := range packed.first {
+		txns = append(txns, b.txn())
+	}
+	return txns
+}
+
 // A slow store takes a tenth of a second per transaction, so changes must be packed into few.
 func TestChangesArePackedIntoFewTransactions(t *testing.T) {
 	g := NewWithT(t)
-	none, err := packChanges(nil)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(none).To(BeEmpty())
+	g.Expect(packInAnyOrder(g, nil)).To(BeEmpty())
 	for _, c := range []struct {
 		changes int
 		change  dispatch.JobChange
@@ -37,12 +47,11 @@
 		{30, dispatch.JobChange{Outcome: job.Completed, HasProgress: true}, 2},
 		{20, dispatch.JobChange{Outcome: job.Cancelled, HasProgress: true}, 2},
 	} {
-		txns, err := packChanges(changes(c.changes, c.change))
-		g.Expect(err).NotTo(HaveOccurred())
+		txns := packInAnyOrder(g, changes(c.changes, c.change))
 		g.Expect(txns).To(HaveLen(c.want), "%+v", c)
 		jobs := 0
 		for _, t := range txns {
-			g.Expect(entryCount(t) + reservedEntries).To(BeNumerically("<=", platform.MaxTxnEntries))
+			g.Expect(len(t.Put) + len(t.Remove) + reservedEntries).To(BeNumerically("<=", platform.MaxTxnEntries))
 			jobs += len(t.Put)
 		}
 		g.Expect(jobs).To(Equal(c.changes))
@@ -54,8 +63,7 @@
 func TestOutcomeRecordsTheLastUnansweredStart(t *testing.T) {
 	g := NewWithT(t)
 	at := time.Date(2020, 1, 2, 3, 4, 5, 6_000_000, time.UTC)
-	txns, err := packChanges([]dispatch.JobChange{{Job: "a", Outcome: job.Completed, LastLateStart: at}})
-	g.Expect(err).NotTo(HaveOccurred())
+	txns := packInAnyOrder(g, []dispatch.JobChange{{Job: "a", Outcome: job.Completed, LastLateStart: at}})
 	record, err := job.DecodeRecord(txns[0].Put[0].Value)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(record.LastLateStart).To(Equal(at))
--- a/pkg/poolowner/loading.go
+++ b/pkg/poolowner/loading.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -111,6 +112,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.applyJobs(items, progress)
+	if !o.loaded.Load() {
+		o.orphanedSegments = orphanedSegments(items, progress)
+	}
 	o.watchPosition.jobs = at
 	o.deps.Log.WithFields(logrus.Fields{
 		"items": len(items), "progress": len(progress), "took": o.deps.Clock.Now().Sub(started),
@@ -125,21 +129,62 @@
 	}
 	progress := make(map[job.ID]job.Progress, len(items))
 	for _, i := range items {
-		id := job.ID(strings.TrimPrefix(i.Key, jobstore.ProgressPrefix))
-		p, err := job.DecodeProgress(i.Value)
-		if err != nil {
+		if id, err := addStoredProgress(progress, i); err != nil {
 			// The progress of this job is unknown, so it must not run; other jobs do.
-			o.deps.Log.WithFields(logrus.Fields{"job": id, "error": err}).Error("progress_unreadable")
+			o.deps.Log.WithFields(logrus.Fields{"job": id, "key": i.Key, "error": err}).Error("progress_unreadable")
 			o.mu.Lock()
 			o.unreadableProgress[id] = true
 			o.mu.Unlock()
-			continue
 		}
-		progress[id] = p
 	}
 	return progress, nil
 }
 
+// addStoredProgress adds an item under jobstore.ProgressPrefix to the progress of its job.
+func addStoredProgress(progress map[job.ID]job.Progress, i platform.Item) (job.ID, error) {
+	id, segment, err := jobstore.ParseProgressKey(i.Key)
+	if err != nil {
+		return id, err
+	}
+	p := progress[id]
+	if segment >= 0 {
+		s, err := job.DecodeSegment(i.Value)
+		if err != nil {
+			return id, err
+		}
+		p.AddSegment(segment, s)
+		progress[id] = p
+		return id, nil
+	}
+	segments := p.Segments
+	p, err = job.DecodeProgress(i.Value)
+	p.Segments = segments
+	progress[id] = p
+	return id, err
+}
+
+// orphanedSegments returns the keys of stored segments whose jobs have ended, according to the jobs' records.
+// An owner that ended between two transactions, or that knows no segments, leaves them behind.
+func orphanedSegments(records []platform.Item, progress map[job.ID]job.Progress) []string {
+	active := map[job.ID]bool{}
+	for _, i := range records {
+		if id, cancel := jobstore.ParseJobKey(i.Key); !cancel && !job.HasOutcome(i.Value) {
+			active[id] = true
+		}
+	}
+	var keys []string
+	for id, p := range progress {
+		if active[id] {
+			continue
+		}
+		for n := range p.Segments {
+			keys = append(keys, jobstore.SegmentKey(id, n))
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 // applyJobs applies items under JobsPrefix. The caller holds o.mu.
 func (o *Owner) applyJobs(items []platform.Item, progress map[job.ID]job.Progress) {
 	for _, i := range items {
--- a/pkg/poolowner/members.go
+++ b/pkg/poolowner/members.go
@@ -35,6 +35,7 @@
 	}
 	o.members[s.Name] = o.newMember(s)
 	st := s.Status()
+	o.segmentReaders.recordMember(s.Name, st.ReadsSegments, o.deps.Clock.Now())
 	o.relays.AddHost(s.Name, st.Hall, int(st.Strength), cmp.Or(int(st.MostWorkers), relay.MaxWorkersPerRelay))
 	o.pool.AddAdviser(s.Name)
 	o.deps.Log.WithField("member", s.Name).Info("member_joined")
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -144,12 +144,15 @@
 	// jobsWatch and workersWatch are each used by the goroutine that watches these keys.
 	jobsWatch, workersWatch *jobstore.WatchStatus
 
-	lanes      [jobstore.MaxParallelCommits]commitLane // used by runCommits only
-	yieldTo    atomic.Pointer[string]
-	loaded     atomic.Bool
-	deposed    atomic.Bool
-	cancel     context.CancelCauseFunc
-	background sync.WaitGroup
+	lanes [jobstore.MaxParallelCommits]commitLane // used by runCommits only
+	// orphanedSegments are keys to be removed from the store; used while loading and then by runCommits only.
+	orphanedSegments []string
+	segmentReaders   segmentReaders
+	yieldTo          atomic.Pointer[string]
+	loaded           atomic.Bool
+	deposed          atomic.Bool
+	cancel           context.CancelCauseFunc
+	background       sync.WaitGroup
 }
 
 // New returns an owner. It does nothing until Run is called.
@@ -161,7 +164,7 @@
 		calls:    newCallLimiter(concurrentCallLimit(deps)),
 		sessions: map[dispatch.WorkerID]*workerSession{}, members: map[string]*member{}, fastMembers: map[string]bool{},
 		invalidEntries: map[string]invalidEntry{}, roster: map[string]rosterRecord{}, unreadableProgress: map[job.ID]bool{}, earlyCancellations: map[job.ID]bool{}, committed: make(chan struct{}), lanes: newLanes(claim),
-		entryWrites: newEntryWrites(deps.HeartbeatInterval), upkeep: upkeep.New(),
+		entryWrites: newEntryWrites(deps.HeartbeatInterval), upkeep: upkeep.New(), segmentReaders: newSegmentReaders(now),
 		plans:          metrics.GetOrRegisterTimer("pool.plan", deps.Metrics),
 		rosterFailures: &storeFailures{purpose: "roster", clk: deps.Clock, log: deps.Log},
 		commitFailures: &storeFailures{purpose: "commit", clk: deps.Clock, log: deps.Log},
@@ -172,8 +175,8 @@
 	lease := min(maxLease, deps.Bounds.MaxHold-leaseMargin)
 	o.pool = dispatch.New(dispatch.Config{
 		LeaseDuration: lease, MaxLeaseDuration: lease, WorkerMaxLease: deps.Bounds.MaxHold, MinDrainTime: deps.Bounds.Drain, StopGrace: deps.Bounds.StopGrace,
-		RestoreTime: deps.Bounds.Restore,
-		Token:       claim.Revision * tokenStep, Term: claim.Term, RecordWorkersFromTerm: claim.RecordWorkersFromTerm, RunNumberBase: int(claim.Term) * runNumbersPerTerm, HasPreviousOwner: !claim.First,
+		RestoreTime: deps.Bounds.Restore, MaxValueBytes: maxValueBytes(deps),
+		Token: claim.Revision * tokenStep, Term: claim.Term, RecordWorkersFromTerm: claim.RecordWorkersFromTerm, RunNumberBase: int(claim.Term) * runNumbersPerTerm, HasPreviousOwner: !claim.First,
 		AuthorityTerm: previousAuthorityTerm(claim), WallClock: deps.Clock.Wall, Log: o.logEvent, Disabled: deps.Disabled,
 	}, now)
 	o.relays = relay.NewAssignments(o.isStopping, deps.LinkMbps)
@@ -181,6 +184,14 @@
 	return o
 }
 
+// maxValueBytes returns the largest value of the store; 0 if that is not known.
+func maxValueBytes(deps Deps) int {
+	if deps.Store == nil {
+		return 0
+	}
+	return deps.Store.MaxValueBytes()
+}
+
 // previousAuthorityTerm is how long the previous owner may go on giving orders.
 func previousAuthorityTerm(c Claim) time.Duration {
 	if c.PreviousOwnerEnded {
