--- a/pkg/dispatch/occurrences.go
+++ b/pkg/dispatch/occurrences.go
@@ -13,8 +13,8 @@
 
 const (
 	// maxReadyTasks is how many tasks of a job may be ready to start while further occurrences of it are
-	// created. A pool is not given more starts than that between two plans.
-	maxReadyTasks = 4096
+	// created. An owner does not order more starts than that between two plans.
+	maxReadyTasks = 1024
 	// maxOpenSteps is the same for the steps that are not finished, whether they are ready or not.
 	maxOpenSteps = 16384
 )
--- a/pkg/dispatch/unreported.go
+++ b/pkg/dispatch/unreported.go
@@ -17,6 +17,10 @@
 	maxWallClockSkew = 5 * time.Second
 )
 
+// backlogTasks is how many tasks of each step a previous owner is assumed to have started of occurrences that
+// this owner has not created yet: more than any worker has room for.
+const backlogTasks = 1 << 20
+
 // remainingUse returns what is stored with a job for runs that may go on although they are no longer
 // needed: the surplus runs of done tasks and, if the job has ended, all of its runs. The members of a
 // gang end together, so the counted runs of a finished gang have ended.
@@ -158,7 +162,7 @@
 	}
 	if j.hasBacklog {
 		for i := range j.job.Steps {
-			sum = sum.Add(j.job.Steps[i].Resources.Times(maxReadyTasks))
+			sum = sum.Add(j.job.Steps[i].Resources.Times(backlogTasks))
 		}
 	}
 	return sum
