Soak and rolling update hand in jobs of hundreds of tasks, with a schedule or a wide step

The soak missed jobs whose progress outgrows a value: its jobs had up to five tasks. The rolling update carries a job of 3,600 tasks through all owners.

--- a/test/platform/builds_test.go
+++ b/test/platform/builds_test.go
@@ -52,6 +52,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	load := c.startLoad(ctx, 20, quickJob, chainJob, quickJob, gangJob)
+	// Owners of either build go on with the progress of a large job that the other one has stored.
+	_, accepted := c.callers.SubmitScheduled(ctx, "ms=100", []emulator.Step{{Count: 12, CPU: 100, MemoryMB: 10, Estimate: 100}}, startIn(0, 300, 50*time.Millisecond))
+	c.Expect(accepted).To(BeTrue())
 	owners := map[string]bool{initialBuild(0): false, initialBuild(1): false}
 	for round := 0; round < minRounds || round < maxRounds && slices.Contains(slices.Collect(maps.Values(owners)), false); round++ {
 		last := c.owner()
@@ -66,6 +69,7 @@
 		c.awaitReady(last)
 		c.Eventually(c.owner, "10s", "20ms").ShouldNot(BeElementOf(-1, last), "another host becomes the owner")
 		owners[c.hosts[c.owner()].binary] = true
+		t.Logf("round %d: host %d owned the pool, then host %d; owners so far: %v", round, last, c.owner(), owners)
 	}
 	cancel()
 	load.Wait()
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -165,12 +165,16 @@
 	r := rand.New(rand.NewPCG(seed, 0))
 	keepIDs := rand.New(rand.NewPCG(seed, 2)).IntN(2) == 0
 	customers := randomCustomers(rand.New(rand.NewPCG(seed, 3)))
-	c := newCell(t, 3+r.IntN(3), emulator.Options{Workers: 4 + r.IntN(6), Advice: r.IntN(2) == 0, KeepIDs: keepIDs, Customers: customers.list})
+	sizes := rand.New(rand.NewPCG(seed, 4))
+	c := newCell(t, 3+r.IntN(3), emulator.Options{
+		Workers: 4 + r.IntN(6), Advice: r.IntN(2) == 0, KeepIDs: keepIDs, Customers: customers.list, MaxValueBytes: randomValueBytes(sizes),
+	})
 	customers.useKeys(c)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(*soakSeconds)*time.Second)
 	defer cancel()
 	load := c.startLoad(ctx, 20, quickJob, chainJob, quickJob, gangJob)
 	customers.start(ctx, c, load)
+	c.startLargeJobs(ctx, sizes, load)
 	var injections sync.WaitGroup
 	allFaults := slices.Concat(soakFaults, buildFaults())
 	for ctx.Err() == nil {
