A roster record that the store never takes holds up only its worker

What callers would have seen: one worker whose entry has labels that take more than a value once they are encoded (< takes six bytes) kept all workers that joined from then on out of the roster, so that they got no tasks.

Cause: as for a job's progress, a refusal that never passes was repeated for ever, for the whole transaction.

Change: the transaction is written in halves down to the cause, which is logged and counted with key, size and bound (pool.value_refused) and not tried again before it changes; its new incarnation is not used.

--- a/pkg/poolowner/roster.go
+++ b/pkg/poolowner/roster.go
@@ -163,8 +163,8 @@
 	}
 }
 
-// commitRoster writes records until the store accepts them, and returns them; it returns none when this
-// owner ends. A write that got no answer may take effect after later writes. So each record is written
+// commitRoster writes records until the store accepts them, and returns them, or the stored ones in place of
+// those that the store never takes; it returns fewer when this owner ends. A write that got no answer may take effect after later writes. So each record is written
 // on condition that it replaces the stored one: otherwise the late write would drop workers that were
 // added since.
 func (o *Owner) commitRoster(ctx context.Context, u rosterUpdate) []rosterRecord {
@@ -186,6 +186,8 @@
 		case errors.Is(err, platform.ErrConflict):
 			o.depose("roster")
 			return nil
+		case platform.IsPermanent(err):
+			return o.handleRefusedRoster(ctx, u, t, err)
 		}
 		o.rosterFailures.recordFailure(err)
 		extraTimeout = nextExtraTimeout(extraTimeout, err)
@@ -194,6 +196,25 @@
 	return nil
 }
 
+// handleRefusedRoster handles an update that the store never takes: it writes the halves of it, down to the
+// records that are the cause. Their new incarnations are not used until the record changes. It returns the
+// records that the store has then.
+func (o *Owner) handleRefusedRoster(ctx context.Context, u rosterUpdate, t platform.Txn, err error) []rosterRecord {
+	if n := len(u.changes); n > 1 {
+		first := o.commitRoster(ctx, rosterUpdate{u.changes[:n/2], u.stored[:n/2]})
+		second := o.commitRoster(ctx, rosterUpdate{u.changes[n/2:], u.stored[n/2:]})
+		if len(first) < n/2 {
+			return first // this owner ends
+		}
+		return append(first, second...)
+	}
+	for _, p := range t.Put {
+		o.recordOversize("value_refused", p.Key, len(p.Value))
+	}
+	o.deps.Log.WithFields(logrus.Fields{"worker": u.changes[0].name, "error": err}).Error("roster_not_written")
+	return u.stored
+}
+
 // rosterTxn returns the transaction that writes an update.
 func (o *Owner) rosterTxn(u rosterUpdate) (platform.Txn, error) {
 	t := platform.Txn{Conditions: []platform.Condition{{Key: jobstore.OwnerRecordKey, Revision: o.claim.Revision}}}
--- a/pkg/poolowner/roster_test.go
+++ b/pkg/poolowner/roster_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -18,6 +20,7 @@
 	"foldarch.dev/foldarch/platform"
 	"foldarch.dev/foldarch/platform/emulator"
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 )
 
 // lateStore is a proxy of an emulated store. It leaves the first transaction without an answer and can
@@ -169,3 +172,26 @@
 		g.Expect(next.pool.RosterEntries(info.ID.Name())).To(ConsistOf(And(HaveField("Retired", true), HaveField("Jobs", []job.ID{"a"}))))
 	}
 }
+
+// Guards against a record that the store never takes and that is repeated for ever, so that no other worker
+// gets into the roster, and so gets no tasks.
+func TestRefusedRosterRecordHoldsUpOnlyItsWorker(t *testing.T) {
+	g := NewWithT(t)
+	o, p, info := newOwnerOnEmulator(t)
+	knowValueBytes(o, p)
+	for n := range 9 {
+		w := info
+		w.ID = workerName(n)
+		if n == 4 {
+			w.Labels = []string{strings.Repeat("<", emulatedValueBytes/2)} // six bytes each in the record
+		}
+		o.pool.UpsertWorker(w, true, o.deps.Clock.Now())
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	o.writeRoster(ctx)
+	g.Expect(ctx.Err()).NotTo(HaveOccurred(), "the write ends")
+	g.Expect(nextOwnerRoster(t, o)).To(ConsistOf(workerName(0), workerName(1), workerName(2), workerName(3), workerName(5), workerName(6), workerName(7), workerName(8)))
+	g.Expect(o.rosterChanges()).To(BeEmpty(), "it is not tried again before it changes")
+	g.Expect(metrics.GetOrRegisterCounter("pool.value_refused", o.deps.Metrics).Count()).To(BeEquivalentTo(1))
+}
