Messages between the owner and its relays stay below what a stream takes

What callers would have seen: on a pool with relays, a burst of 1,000 jobs with long specs, or full lists of ends with checkpoints, makes a message of more than 4 MiB. The stream ends, the next one gets the same orders or reports, and the workers behind that relay get nothing.

Cause: a message took all that had been collected, up to 4,096 items, whatever their size.

Change: messages get no further items from 1 MiB on. A report that is larger by itself loses its largest checkpoints, which nothing bounds; log and counter name worker, size and bound.

--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/dispatch"
 	"foldarch.dev/foldarch/pkg/jobstore"
 	"foldarch.dev/foldarch/pkg/poolowner"
 	"foldarch.dev/foldarch/pkg/poolrpc"
@@ -309,7 +310,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	calls := relay.NewServer(relay.DirectCalls(h.workers))
+	calls := relay.NewServer(relay.DirectCalls(h.workers), h.recordOmittedCheckpoints)
 	m := poolrpc.NewMember(poolrpc.MemberHandlers{
 		Status: h.memberStatus, Advise: h.advise, Orders: calls.HandleOrders,
 		OwnerStatus: func(s *poolpb.OwnerStatus) { h.handleOwnerStatus(record, s) },
@@ -366,6 +367,12 @@
 		MostWorkers: int64(min(relay.MaxWorkersForLink(h.cfg.Load().LinkMbps), relay.MaxWorkersPerRelay))}
 }
 
+// recordOmittedCheckpoints logs and counts a report that this host passed on without its largest checkpoints.
+func (h *Host) recordOmittedCheckpoints(worker dispatch.WorkerID, bytes, maxBytes int) {
+	h.metrics.checkpointsOmitted.Inc(1)
+	h.log.WithFields(logrus.Fields{"worker": worker, "bytes": bytes, "max_bytes": maxBytes}).Warn("checkpoints_not_relayed")
+}
+
 // handleOwnerStatus applies a heartbeat of the owner.
 func (h *Host) handleOwnerStatus(record jobstore.OwnerRecord, s *poolpb.OwnerStatus) {
 	e := &h.election
--- a/pkg/jobhost/metrics.go
+++ b/pkg/jobhost/metrics.go
@@ -30,6 +30,8 @@
 	overShare  metrics.Counter
 	lookupTime metrics.Timer
 	tooLarge   metrics.Counter // refused because the store takes no record of that size
+	// checkpointsOmitted counts the reports that this host passed on without their largest checkpoints.
+	checkpointsOmitted metrics.Counter
 	// denials count the rejected calls by verdict.
 	denials map[customer.Verdict]metrics.Counter
 	// writesByMode count the requested writes of jobs and cancellations by the mode of this host (package
@@ -44,16 +46,17 @@
 		writesByMode[mode] = metrics.NewRegisteredCounter("intake."+string(mode), r)
 	}
 	return &hostMetrics{
-		writesByMode:   writesByMode,
-		registry:       r,
-		submitTime:     metrics.NewRegisteredTimer("jobs.accept", r),
-		accepted:       metrics.NewRegisteredCounter("jobs.accepted", r),
-		refused:        metrics.NewRegisteredCounter("jobs.refused", r),
-		queueRefused:   metrics.NewRegisteredCounter("jobs.refused_unserved", r),
-		tooLarge:       metrics.NewRegisteredCounter("jobs.refused_too_large", r),
-		overShare:      metrics.NewRegisteredCounter("jobs.refused_beyond_weight", r),
-		outcomeUnknown: metrics.NewRegisteredCounter("jobs.outcome_unknown", r),
-		lookupTime:     metrics.NewRegisteredTimer("jobs.state", r),
+		writesByMode:       writesByMode,
+		registry:           r,
+		submitTime:         metrics.NewRegisteredTimer("jobs.accept", r),
+		accepted:           metrics.NewRegisteredCounter("jobs.accepted", r),
+		refused:            metrics.NewRegisteredCounter("jobs.refused", r),
+		queueRefused:       metrics.NewRegisteredCounter("jobs.refused_unserved", r),
+		tooLarge:           metrics.NewRegisteredCounter("jobs.refused_too_large", r),
+		overShare:          metrics.NewRegisteredCounter("jobs.refused_beyond_weight", r),
+		outcomeUnknown:     metrics.NewRegisteredCounter("jobs.outcome_unknown", r),
+		lookupTime:         metrics.NewRegisteredTimer("jobs.state", r),
+		checkpointsOmitted: metrics.NewRegisteredCounter("relay.checkpoints_omitted", r),
 		denials: map[customer.Verdict]metrics.Counter{
 			customer.UnknownQueue:    metrics.NewRegisteredCounter("calls.unknown_queue", r),
 			customer.Unauthenticated: metrics.NewRegisteredCounter("calls.unauthenticated", r),
--- a/pkg/relay/client.go
+++ b/pkg/relay/client.go
@@ -42,9 +42,11 @@
 // ErrNoResult. send reports whether it accepted the message for sending.
 func (c *Client) Run(ctx context.Context, send func(*poolpb.OwnerMessage) bool) {
 	c.orders.run(ctx, func(orders []*poolpb.Order) {
-		msg := &poolpb.OwnerMessage{Content: &poolpb.OwnerMessage_Orders{Orders: packOrders(orders)}}
-		if !send(msg) {
-			c.failUnsent(orders)
+		for part := range chunks(orders, orderBytes) {
+			msg := &poolpb.OwnerMessage{Content: &poolpb.OwnerMessage_Orders{Orders: packOrders(part)}}
+			if !send(msg) {
+				c.failUnsent(part)
+			}
 		}
 	})
 	c.close()
--- a/pkg/relay/doc.go
+++ b/pkg/relay/doc.go
@@ -28,7 +28,7 @@
 //
 // At the other host:
 //
-//	s := relay.NewServer(relay.DirectCalls(workers))
+//	s := relay.NewServer(relay.DirectCalls(workers), logOmitted)
 //	go s.Run(ctx, member.Send)
 //	s.HandleOrders(ctx, orders)   // for each message of orders
 package relay
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -29,7 +29,7 @@
 }
 
 func newLoopback(t *testing.T, calls WorkerCalls) *loopback {
-	l := &loopback{WithT: NewWithT(t), client: NewClient(testTimeout), server: NewServer(calls)}
+	l := &loopback{WithT: NewWithT(t), client: NewClient(testTimeout), server: NewServer(calls, func(dispatch.WorkerID, int, int) {})}
 	ctx := t.Context()
 	go l.client.Run(ctx, func(msg *poolpb.OwnerMessage) bool {
 		l.mu.Lock()
@@ -163,7 +163,7 @@
 	s := NewServer(WorkerCalls{Stop: func(context.Context, platform.Order, job.TaskID, int) (dispatch.Answer, error) {
 		<-block
 		return dispatch.Answer{}, nil
-	}})
+	}}, nil)
 	orders := &poolpb.Orders{}
 	for n := range maxConcurrentCalls + 1 {
 		o := newOrder(poolpb.Order_STOP, testOrder(), testTask(), 1)
--- a/pkg/relay/server.go
+++ b/pkg/relay/server.go
@@ -34,18 +34,25 @@
 	calls   WorkerCalls
 	results *batcher[*poolpb.Result]
 	slots   chan struct{} // one for each call under way
+	// checkpointsOmitted is called when a report was sent without its largest checkpoints.
+	checkpointsOmitted func(worker dispatch.WorkerID, bytes, maxBytes int)
 }
 
-// NewServer returns a server that makes the given calls.
-func NewServer(calls WorkerCalls) *Server {
-	return &Server{calls: calls, results: newBatcher[*poolpb.Result](), slots: make(chan struct{}, maxConcurrentCalls)}
+// NewServer returns a server that makes the given calls. checkpointsOmitted is called when the report of a
+// worker had more bytes than a message may have and was sent without its largest checkpoints.
+func NewServer(calls WorkerCalls, checkpointsOmitted func(worker dispatch.WorkerID, bytes, maxBytes int)) *Server {
+	return &Server{
+		calls: calls, results: newBatcher[*poolpb.Result](), slots: make(chan struct{}, maxConcurrentCalls), checkpointsOmitted: checkpointsOmitted,
+	}
 }
 
 // Run sends results until ctx ends. Results not sent by then are lost. The owner's stream has then
 // ended too, so it treats the outcomes of their orders as unknown.
 func (s *Server) Run(ctx context.Context, send func(*poolpb.MemberMessage) bool) {
 	s.results.run(ctx, func(results []*poolpb.Result) {
-		send(&poolpb.MemberMessage{Content: &poolpb.MemberMessage_Results{Results: &poolpb.Results{Results: results}}})
+		for part := range chunks(results, func(_ []*poolpb.Result, r *poolpb.Result) int { return resultBytes(r) }) {
+			send(&poolpb.MemberMessage{Content: &poolpb.MemberMessage_Results{Results: &poolpb.Results{Results: part}}})
+		}
 	})
 }
 
@@ -98,6 +105,9 @@
 			ExtraTimeout: time.Duration(o.PatienceMs) * time.Millisecond,
 		})
 		setReport(result, report)
+		if bytes := omitLargeCheckpoints(result); bytes > 0 {
+			s.checkpointsOmitted(target.Worker, bytes, maxMessageBytes)
+		}
 		return a, err
 	}
 	task, err := job.ParseTaskID(o.Task)
