Large jobs: bounded names of workers, a job that has not begun shows as queued, counts of what was forgotten

Looked for beside the progress of a job: the names of its recorded workers share a value with the index, and grow with the workers of the pool; they are bounded by half a value. A job of many tasks of which only the workers are recorded was shown as running by a host that reads the store; the index tells now whether it has begun. 'foldarch job show' counts the finished times of a schedule and the failures of forgotten tasks.

--- a/pkg/cli/job_show.go
+++ b/pkg/cli/job_show.go
@@ -54,6 +54,9 @@
 	if x.Blocked != "" {
 		fmt.Fprintf(out, "held back: %s\n", x.Blocked)
 	}
+	if x.FinishedTimes > 0 {
+		fmt.Fprintf(out, "%d times done\n", x.FinishedTimes)
+	}
 	for _, s := range x.Steps {
 		fmt.Fprintf(out, "\nstep %s: %d of %d done, %d failures%s\n", s.Step, s.Done, s.Count, s.Failures, formatTimeLeft(s.LeftMs))
 		if s.WaitReason != "" {
--- a/pkg/dispatch/explain.go
+++ b/pkg/dispatch/explain.go
@@ -15,9 +15,12 @@
 	State job.State `json:"state"`
 	Queue string    `json:"queue,omitempty"`
 	// Customer is the name of the job's customer.
-	Customer string     `json:"customer,omitempty"`
-	Blocked  string     `json:"blocked,omitempty"`
-	Steps    []StepView `json:"steps,omitempty"`
+	Customer string `json:"customer,omitempty"`
+	Blocked  string `json:"blocked,omitempty"`
+	// FinishedTimes counts the times of a schedule at which all tasks are done. Steps has those of other times
+	// that have been due.
+	FinishedTimes int        `json:"finished_times,omitempty"`
+	Steps         []StepView `json:"steps,omitempty"`
 }
 
 // StepView is one step of one occurrence of a job.
@@ -61,6 +64,9 @@
 	if p.isBlockedByTakeover(j) {
 		e.Blocked = blockedJobReason
 	}
+	if j.job.Schedule.Repeat > 0 {
+		e.FinishedTimes = j.finishedOccurrences
+	}
 	for s := range j.steps() {
 		e.Steps = append(e.Steps, p.explainStep(s, now))
 	}
@@ -69,7 +75,7 @@
 
 func (p *Pool) explainStep(s *step, now clock.Time) StepView {
 	v := StepView{
-		Step: s.id().String(), Done: s.doneTasks, Count: s.spec.Count, LeftMs: s.timeLeft(now).Milliseconds(), WaitReason: p.waitReason(s, now),
+		Step: s.id().String(), Done: s.doneTasks, Count: s.spec.Count, LeftMs: s.timeLeft(now).Milliseconds(), WaitReason: p.waitReason(s, now), Failures: s.forgottenFailures,
 	}
 	for i := range s.tasks {
 		t := s.tasks[i]
--- a/pkg/dispatch/jobs.go
+++ b/pkg/dispatch/jobs.go
@@ -105,8 +105,10 @@
 	doneTasks int // how many tasks are done
 	// doneTasksKept counts the tasks that were done since done tasks were last forgotten.
 	doneTasksKept int
-	idleTasks     int // how many tasks are not done and have no run
-	runningTasks  int // how many tasks have a run
+	// forgottenFailures counts the failures of the tasks that have been forgotten.
+	forgottenFailures int
+	idleTasks         int // how many tasks are not done and have no run
+	runningTasks      int // how many tasks have a run
 	// countedRuns is how many runs of its tasks count against workers and quotas.
 	countedRuns   int
 	advice        stepAdvice
--- a/pkg/dispatch/recorded_workers.go
+++ b/pkg/dispatch/recorded_workers.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -31,7 +32,7 @@
 
 // recordWorker has the store record that starts of a job may go to a worker.
 func (p *Pool) recordWorker(j *jobState, id WorkerID) {
-	if !p.recordsWorkers(j) || !j.recordedWorkers.Add(id.Name()) {
+	if !p.recordsWorkers(j) || !j.recordedWorkers.Add(id.Name(), p.maxRecordedBytes()) {
 		return
 	}
 	p.dirty[j] = struct{}{}
@@ -40,6 +41,16 @@
 	}
 }
 
+// maxRecordedBytes is the size of the names of a job's recorded workers, which share a value of the store with
+// the index of its segments. A job that needs more workers uses those that are recorded.
+func (p *Pool) maxRecordedBytes() int {
+	const share = 2
+	if p.cfg.MaxValueBytes == 0 {
+		return math.MaxInt
+	}
+	return p.cfg.MaxValueBytes / share
+}
+
 // HasUnstoredWorkers reports whether starts wait for recorded workers to be written to the store.
 func (p *Pool) HasUnstoredWorkers() bool {
 	return p.unstoredWorkersSince != 0
--- a/pkg/dispatch/step_tasks.go
+++ b/pkg/dispatch/step_tasks.go
@@ -103,7 +103,13 @@
 		return
 	}
 	s.doneTasksKept = 0
-	s.tasks = slices.DeleteFunc(s.tasks, func(t *task) bool { return t.done && !p.isTaskNeeded(t) })
+	s.tasks = slices.DeleteFunc(s.tasks, func(t *task) bool {
+		forget := !p.isTaskNeeded(t)
+		if forget {
+			s.forgottenFailures += len(t.failures)
+		}
+		return forget
+	})
 }
 
 // isTaskNeeded reports whether more has to be kept of a task than that it is done, if it is.
--- a/pkg/dispatch/stored_progress.go
+++ b/pkg/dispatch/stored_progress.go
@@ -138,7 +138,7 @@
 		p.addSegment(j, n, c)
 	}
 	clear(s.changed)
-	c.Progress.Index = &job.SegmentIndex{Size: taskset.SegmentSize, Done: slices.Clone(j.done.CompleteSegments())}
+	c.Progress.Index = &job.SegmentIndex{Size: taskset.SegmentSize, Done: slices.Clone(j.done.CompleteSegments()), Begun: j.began}
 	c.ProgressUnchanged = s.index.Equal(c.Progress)
 	s.index = c.Progress
 	c.RemovedSegments = slices.DeleteFunc(c.RemovedSegments, func(n int64) bool { _, has := s.segments[n]; return has })
@@ -300,7 +300,7 @@
 		}
 		return
 	}
-	j.done = progress.DoneTasks()
+	j.done, j.began = progress.DoneTasks(), progress.Index.Begun
 	s.index = job.Progress{Index: progress.Index}
 	for _, n := range numbers {
 		s.segments[n] = struct{}{}
--- a/pkg/job/segments.go
+++ b/pkg/job/segments.go
@@ -20,7 +20,7 @@
 // of the index lists the segments of which all tasks are done, and which need no key; "d" of a segment lists
 // its done tasks by their offsets, and "t" is the rows of tasks of which there is more to know:
 //
-//	{"tasks":{"size":256,"done":[[0,12],[13,14]]},"w":["w1"]}
+//	{"tasks":{"size":256,"done":[[0,12],[13,14]],"begun":true},"w":["w1"]}
 //	{"size":256,"d":[[0,7],[9,30]],"t":[{"k":3,"i":8,"f":[1]}]}
 //
 // The first encoding grows with each task that ends, and builds that know only that one can't decode the
@@ -28,6 +28,8 @@
 type SegmentIndex struct {
 	Size int64              `json:"size"` // tasks of a segment
 	Done []taskset.Interval `json:"done,omitempty"`
+	// Begun says that a task of the job has begun.
+	Begun bool `json:"begun,omitempty"`
 }
 
 // Segment is the progress of the tasks of one segment.
@@ -92,13 +94,13 @@
 
 // Equal reports whether two progresses without rows and segments are the same.
 func (p Progress) Equal(o Progress) bool {
-	return (p.Index == nil) == (o.Index == nil) && (p.Index == nil || slices.Equal(p.Index.Done, o.Index.Done)) &&
+	return (p.Index == nil) == (o.Index == nil) && (p.Index == nil || slices.Equal(p.Index.Done, o.Index.Done) && p.Index.Begun == o.Index.Begun) &&
 		p.RemainingUse == o.RemainingUse && slices.Equal(p.Workers, o.Workers)
 }
 
 // HasTasks reports whether there is progress of any task.
 func (p Progress) HasTasks() bool {
-	return len(p.Tasks) > 0 || p.Index != nil
+	return len(p.Tasks) > 0 || p.Index != nil && p.Index.Begun
 }
 
 // AddSegment adds a stored segment, which applies only if the progress has an index.
--- a/pkg/job/segments_test.go
+++ b/pkg/job/segments_test.go
@@ -29,14 +29,15 @@
 func TestProgressInSegments(t *testing.T) {
 	g := NewWithT(t)
 	const size = taskset.SegmentSize
-	p := Progress{Index: &SegmentIndex{Size: size, Done: []taskset.Interval{{From: 0, To: 2}}}, Workers: []string{"w1"}}
+	p := Progress{Index: &SegmentIndex{Size: size, Done: []taskset.Interval{{From: 0, To: 2}}, Begun: true}, Workers: []string{"w1"}}
 	text, err := p.Encode()
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(string(text)).To(Equal(`{"tasks":{"size":256,"done":[[0,2]]},"w":["w1"]}`))
+	g.Expect(string(text)).To(Equal(`{"tasks":{"size":256,"done":[[0,2]],"begun":true},"w":["w1"]}`))
 	got, err := DecodeProgress(text)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(got.Equal(p)).To(BeTrue())
 	g.Expect(got.HasTasks()).To(BeTrue())
+	g.Expect(Progress{Index: &SegmentIndex{Size: size}, Workers: []string{"w1"}}.HasTasks()).To(BeFalse(), "only its workers are recorded")
 
 	s := Segment{Size: size, Done: []taskset.Interval{{From: 0, To: 3}}, Tasks: []TaskProgress{{Index: 4, Failures: []int{1}}}}
 	text, err = s.Encode()
--- a/pkg/takeover/recorded_workers.go
+++ b/pkg/takeover/recorded_workers.go
@@ -9,13 +9,16 @@
 // start is sent only to a worker that is known to be in the store. The zero value has none.
 type RecordedWorkers struct {
 	stored map[string]bool // false until the store is known to have the worker
+	bytes  int             // of the names
 }
 
-// Add adds a worker. It reports whether the worker is new and so has to be put into the store.
-func (r *RecordedWorkers) Add(worker string) bool {
-	if _, known := r.stored[worker]; known {
+// Add adds a worker, unless the names would have more than maxBytes then. It reports whether the worker is new
+// and so has to be put into the store.
+func (r *RecordedWorkers) Add(worker string, maxBytes int) bool {
+	if _, known := r.stored[worker]; known || r.bytes+len(worker) > maxBytes {
 		return false
 	}
+	r.bytes += len(worker)
 	if r.stored == nil {
 		r.stored = map[string]bool{}
 	}
@@ -29,6 +32,9 @@
 		r.stored = make(map[string]bool, len(workers))
 	}
 	for _, w := range workers {
+		if _, known := r.stored[w]; !known {
+			r.bytes += len(w)
+		}
 		r.stored[w] = true
 	}
 }
@@ -41,7 +47,13 @@
 // Retain removes the workers for which keep returns false. It returns the others, sorted, whether the
 // store has them or not.
 func (r *RecordedWorkers) Retain(keep func(worker string) bool) []string {
-	maps.DeleteFunc(r.stored, func(w string, _ bool) bool { return !keep(w) })
+	maps.DeleteFunc(r.stored, func(w string, _ bool) bool {
+		if keep(w) {
+			return false
+		}
+		r.bytes -= len(w)
+		return true
+	})
 	return slices.Sorted(maps.Keys(r.stored))
 }
 
--- a/test/platform/large_job_test.go
+++ b/test/platform/large_job_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -65,3 +68,52 @@
 	c.Expect(c.p.Checker.Ends("done")).To(BeNumerically(">=", 2400))
 	c.Expect(strings.Join(c.p.Store.Values(jobstore.ProgressPrefix), "")).To(BeEmpty())
 }
+
+// Guards against an owner whose memory or whose time under its lock grows with the tasks that a job has, and
+// not with those that run: jobs without end run beside ordinary ones until they are cancelled.
+func TestJobsWithoutEndLeaveOthersAlone(t *testing.T) {
+	const maxMemoryKB = 200 << 10
+	c := newCell(t, 3, emulator.Options{Workers: 4})
+	small := emulator.Step{Count: 1, CPU: 100, MemoryMB: 10, Estimate: 100}
+	wide := small
+	wide.Count = 1<<31 - 1
+	ctx := context.Background()
+	endless := []string{}
+	for _, submit := range []func() (string, bool){
+		func() (string, bool) { return c.callers.Submit(ctx, "ms=100", []emulator.Step{wide}) },
+		func() (string, bool) {
+			return c.callers.SubmitScheduled(ctx, "ms=100", []emulator.Step{small}, startIn(0, 1<<53-1, 50*time.Millisecond))
+		},
+		func() (string, bool) {
+			return c.callers.SubmitScheduled(ctx, "ms=100", []emulator.Step{small}, emulator.Schedule{Repeat: 1<<31 - 1, StartAtMs: 1})
+		},
+	} {
+		id, accepted := submit()
+		c.Expect(accepted).To(BeTrue())
+		endless = append(endless, id)
+	}
+	load, stop := context.WithTimeout(ctx, 8*time.Second)
+	defer stop()
+	c.startLoad(load, 10, quickJob).Wait()
+	for n := range c.hosts {
+		c.Expect(c.memoryKB(n)).To(BeNumerically("<", maxMemoryKB), "host %d", n)
+	}
+	c.Eventually(func() int { return c.callers.Counts().Accepted }).Should(BeNumerically(">=", 80))
+	for _, id := range endless {
+		c.Expect(c.callers.Cancel(ctx, id)).To(Equal(http.StatusOK))
+	}
+	counts := c.awaitJobs(20 * time.Second)
+	c.Expect(counts.Cancelled).To(Equal(len(endless)))
+	c.Expect(counts.Completed).To(Equal(counts.Accepted - len(endless)))
+}
+
+// memoryKB returns the memory that the process of a host uses.
+func (c *cell) memoryKB(n int) (kb int) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", c.hosts[n].cmd.Process.Pid))
+	c.Expect(err).NotTo(HaveOccurred())
+	_, rss, found := strings.Cut(string(status), "VmRSS:")
+	c.Expect(found).To(BeTrue())
+	_, err = fmt.Sscan(rss, &kb)
+	c.Expect(err).NotTo(HaveOccurred())
+	return kb
+}
