A machine that is down after an unanswered order has not had its upkeep

Cause: once an order was outstanding, answered or not, a machine that was listed as down counted as one in its upkeep, and as done when it was up again. After an order without an answer it may have crashed.

Change: down counts only after an order that was answered; the others are repeated, as they were without the crash.

--- a/pkg/upkeep/plan.go
+++ b/pkg/upkeep/plan.go
@@ -225,7 +225,8 @@
 	if pr.orderedAt == 0 {
 		return
 	}
-	if m.State == StateUpkeep || m.State == StateDown {
+	// After an order without an answer, a machine may be down because it has crashed.
+	if m.State == StateUpkeep || m.State == StateDown && pr.answered {
 		pr.wasDown = true
 	}
 	settled := now.Sub(pr.orderedAt) > orderSettleTime
--- a/pkg/upkeep/plan_test.go
+++ b/pkg/upkeep/plan_test.go
@@ -85,6 +85,27 @@
 	g.Expect(p.Plan(100 + 3500).StateUpdates).To(Equal([]StateUpdate{{1, WaveCompleted}}))
 }
 
+// Guards against a wave that is shown as completed although a machine never had its upkeep: the order got no
+// answer and was not carried out, and then the machine was down for another reason.
+func TestCrashAfterAnUnansweredOrderIsNoUpkeep(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlannerWithWave(3)
+	p.SetMachines(machinesInStates(StateUp))
+	p.RecordOrder(p.Plan(100).Orders[0], false, 100)
+	p.SetMachines(machinesInStates(StateDown))
+	p.Plan(1100)
+	p.SetMachines(machinesInStates(StateUp))
+	p.Plan(2100)
+	g.Expect(p.Plan(2200).StateUpdates).NotTo(ContainElement(StateUpdate{1, WaveCompleted}))
+	again := p.Plan(100 + 3500).Orders
+	g.Expect(again).To(HaveLen(1))
+	p.RecordOrder(again[0], true, 3600)
+	p.SetMachines(machinesInStates(StateDown)) // acknowledged, so that this is the upkeep
+	p.Plan(3700)
+	p.SetMachines(machinesInStates(StateUp))
+	g.Expect(p.Plan(3800).StateUpdates).To(ContainElement(StateUpdate{1, WaveCompleted}))
+}
+
 // An order without an answer may or may not have been carried out. It is repeated after orderSettleTime,
 // and its machine counts as unavailable until then.
 func TestUnacknowledgedOrderIsRepeated(t *testing.T) {
