Tasks on silent workers count as missing before a wave stops another one

Cause: a task counted as at work by its last report until its lease expired.

Change: it counts as at work only while its worker answers.

Evidence: TestVacatingCountsTasksOnSilentWorkersAsMissing failed before and passes. Not played with processes.

--- a/pkg/dispatch/cordon.go
+++ b/pkg/dispatch/cordon.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "slices"
+import (
+	"slices"
+
+	"foldarch.dev/foldarch/pkg/clock"
+)
 
 // SetCordoned cordons exactly the named workers: no incarnation of them gets new tasks.
 func (p *Pool) SetCordoned(names map[string]bool) {
@@ -36,7 +40,7 @@
 	}
 	for _, r := range sortedRuns(w) {
 		longRunning := r.task.step.spec.LongRunning
-		if (force || longRunning) && r.state == runActive && !r.stopRequested && r.task.step.toleratesAbsenceOf(r.task) {
+		if (force || longRunning) && r.state == runActive && !r.stopRequested && r.task.step.toleratesAbsenceOf(r.task, p.now) {
 			p.restartElsewhere(r, "its worker is being vacated for host maintenance")
 		}
 	}
@@ -47,16 +51,22 @@
 const servingPercent = 100
 
 // toleratesAbsenceOf reports whether a step allows one more of its tasks, t, to be absent.
-func (s *step) toleratesAbsenceOf(t *task) bool {
+func (s *step) toleratesAbsenceOf(t *task, now clock.Time) bool {
 	if !s.spec.LongRunning || s.spec.MissAllowed == 0 {
 		return true
 	}
 	absent := s.spec.Count - len(s.tasks) // those that were never started
 	for i := range s.tasks {
-		x := s.tasks[i]
-		if x != t && (x.current == nil || x.current.state != runActive || x.current.stopRequested || x.current.progress.Percent < servingPercent) {
+		if x := s.tasks[i]; x != t && !x.isServing(now) {
 			absent++
 		}
 	}
 	return absent < s.spec.MissAllowed
 }
+
+// isServing reports whether a long-running task is at work, according to a recent report of its worker. A worker
+// that has not answered may have crashed.
+func (t *task) isServing(now clock.Time) bool {
+	r := t.current
+	return r != nil && r.state == runActive && !r.stopRequested && r.progress.Percent >= servingPercent && now.Sub(r.worker.lastAnsweredAt) < answerTimeout
+}
--- a/pkg/dispatch/long_running_test.go
+++ b/pkg/dispatch/long_running_test.go
@@ -117,6 +117,36 @@
 	f.Expect(f.plan().Stops).To(HaveLen(1), "one of its tasks may be missing at a time")
 }
 
+// Guards against a second task that is stopped while the one that may be missing is on a worker that has
+// crashed: it counted as at work until its lease expired.
+func TestVacatingCountsTasksOnSilentWorkersAsMissing(t *testing.T) {
+	f := newFixture(t, 3, nil)
+	f.reportAll(3)
+	s := serviceStep(3)
+	s.MaxPerWorker = 1
+	f.add(testJob("a", s))
+	reports := map[int]Report{}
+	for _, o := range f.plan().Starts {
+		f.accept(o)
+		reports[workerNumber(o.Worker)] = Report{Active: []ActiveRun{{Task: o.Task, Run: o.Run, Percent: 100}}}
+	}
+	f.Expect(reports).To(HaveLen(3))
+	f.report(0, reports[0])
+	f.report(1, reports[1])
+	f.report(2, reports[2])
+	for range 2 { // w2 has crashed
+		f.advance(answerTimeout)
+		f.report(0, reports[0])
+		f.report(1, reports[1])
+	}
+	f.pool.SetCordoned(map[string]bool{"w0": true})
+	f.Expect(f.pool.VacateWorker("w0", true)).To(BeFalse())
+	f.Expect(f.plan().Stops).To(BeEmpty(), "the task on w2 is missing")
+	f.report(2, reports[2])
+	f.Expect(f.pool.VacateWorker("w0", true)).To(BeFalse())
+	f.Expect(f.plan().Stops).To(HaveLen(1), "it is at work again")
+}
+
 // Guards against a failed task of a service that comes after all other jobs: a long-running job passed
 // its objective once, and from then on its failed tasks were ranked behind everything. Seen on a copy of
 // the market stalls workload with more schedules.
