A late backlog of a schedule does not close its queue; what was looked at beside a job's progress

What callers would have seen: while one job of a queue with advice has more occurrences due than can run, the queue refuses the jobs of all customers, for as long as that lasts.

Cause: calls for advice of all ready steps count as going before those of a new job; late steps come after them.

Change: late steps of a job of which more occurrences are due do not count. Other jobs count as before.

Evidence: TestLateBacklogOfAScheduleDoesNotCloseItsQueue fails without the change.

--- a/pkg/dispatch/endless_schedule_test.go
+++ b/pkg/dispatch/endless_schedule_test.go
@@ -64,3 +64,17 @@
 		f.pool.Plan(f.now, true)
 	}
 }
+
+// Guards against a queue that refuses the jobs of all customers for as long as the occurrences of one job are late:
+// there are always more of them, and they come after new jobs.
+func TestLateBacklogOfAScheduleDoesNotCloseItsQueue(t *testing.T) {
+	f := newAdviceBacklog(t)
+	before := f.pool.pendingAdviceTime()[1]
+	r := testJob("endless", testStep(1))
+	r.Queue = f.pool.jobs["0"].queue
+	r.Job.Schedule = job.Schedule{Repeat: math.MaxInt32, Start: time.Unix(0, 0), Interval: time.Second}
+	f.add(r)
+	f.Expect(f.pool.pendingAdviceTime()[1]).To(BeNumerically(">", before), "at first, they are in time")
+	f.pool.now = f.pool.jobs["endless"].occurrences[0].latestUsefulEnd + 1
+	f.Expect(f.pool.pendingAdviceTime()[1]).To(Equal(before))
+}
--- a/pkg/dispatch/refused_queues.go
+++ b/pkg/dispatch/refused_queues.go
@@ -7,6 +7,7 @@
 	"foldarch.dev/foldarch/pkg/advice"
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/queue"
+	"foldarch.dev/foldarch/pkg/worth"
 )
 
 // RefusedQueues lists the queues that should accept no jobs now, in the order of the configuration. It
@@ -32,6 +33,9 @@
 			continue
 		}
 		for s := range j.steps() {
+			if j.hasBacklog && s.valueClass(p.now) == worth.NoValue {
+				continue // new jobs go first, and there may always be more of these
+			}
 			if n := s.idleTasks; n > 0 && !p.awaitsQuota(s) {
 				pending[j.queue.Priority] += p.expectedAdviceTime(&j.queue, n)
 			}
