--- a/pkg/poolowner/commit_batches.go
+++ b/pkg/poolowner/commit_batches.go
@@ -84,20 +84,23 @@
 // each group in any order.
 type packedChanges struct {
 	first, last []batch
+	refused     []refusedChange // those that can't be encoded
 }
 
 // packChanges packs changes into transactions.
-func packChanges(changes []dispatch.JobChange, e progressEncoder) (packedChanges, error) {
+func packChanges(changes []dispatch.JobChange, e progressEncoder) packedChanges {
 	var first, last batchBuilder
+	var refused []refusedChange
 	for _, c := range changes {
 		before, after, err := changeWrites(c, e)
 		if err != nil {
-			return packedChanges{}, err
+			refused = append(refused, refusedChange{job: c.Job, key: jobstore.ProgressKey(c.Job), bound: e.maxBytes, err: err})
+			continue
 		}
 		first.add(before...)
 		last.add(after...)
 	}
-	return packedChanges{first.batches, last.batches}, nil
+	return packedChanges{first.batches, last.batches, refused}
 }
 
 // changeWrites returns what one change writes and removes, and what of it must be written after the rest.
@@ -165,11 +168,12 @@
 // writeChanges writes changes to the store and repeats failed writes. It returns the changes that the store
 // never takes, and an error only when this owner ends.
 func (o *Owner) writeChanges(ctx context.Context, changes []dispatch.JobChange) ([]refusedChange, error) {
-	packed, err := packChanges(changes, o.newProgressEncoder())
-	if err != nil {
-		return nil, err
+	packed := packChanges(changes, o.newProgressEncoder())
+	for _, r := range packed.refused {
+		o.recordOversize("value_refused", r.key, r.bytes)
 	}
 	refused, err := o.writeBatches(ctx, packed.first)
+	refused = append(refused, packed.refused...)
 	if err != nil || len(packed.last) == 0 {
 		return refused, err
 	}
@@ -250,7 +254,6 @@
 		return []refusedChange{r}, nil
 	}
 	for platform.IsPermanent(err) {
-		o.commitFailures.recordFailure(err)
 		clock.Sleep(ctx, storeRetryDelay)
 		err = o.commit(ctx, lane, batch{w}.txn())
 	}
--- a/pkg/poolowner/commit_batches_test.go
+++ b/pkg/poolowner/commit_batches_test.go
@@ -118,12 +118,12 @@
 	g := NewWithT(t)
 	segments := []dispatch.SegmentChange{{Number: 3, Segment: job.Segment{Size: taskset.SegmentSize}}}
 	progress := job.Progress{Index: &job.SegmentIndex{Size: taskset.SegmentSize}}
-	packed, err := packChanges([]dispatch.JobChange{
+	packed := packChanges([]dispatch.JobChange{
 		{Job: "a", Progress: progress, ProgressAfterSegments: true, Segments: segments},
 		{Job: "b", Outcome: job.Completed, HasProgress: true, RemovedSegments: []int64{5}},
 		{Job: "c", Progress: progress, ProgressUnchanged: true, Segments: segments, RemovedSegments: []int64{2}},
 	}, progressEncoder{})
-	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(packed.refused).To(BeEmpty())
 	g.Expect(packed.first).To(HaveLen(1))
 	g.Expect(packed.last).To(HaveLen(1))
 	first, last := packed.first[0].txn(), packed.last[0].txn()
--- a/pkg/poolowner/commits.go
+++ b/pkg/poolowner/commits.go
@@ -102,7 +102,7 @@
 		t.Remove = append(t.Remove, jobstore.JobKey(id))
 	}
 	if o.commit(ctx, &o.lanes[0], t) != nil {
-		return // this owner ends, or the store does not take the call; the next removal repeats it
+		return // this owner ends, or the store never takes the call, which is logged and tried again
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -165,10 +165,10 @@
 			o.depose("commit")
 			return ErrDeposed
 		}
+		o.commitFailures.recordFailure(err)
 		if platform.IsPermanent(err) {
 			return err
 		}
-		o.commitFailures.recordFailure(err)
 		t.ExtraTimeout = nextExtraTimeout(t.ExtraTimeout, err)
 		clock.Sleep(ctx, commitRetryDelay)
 	}
--- a/pkg/poolowner/commits_test.go
+++ b/pkg/poolowner/commits_test.go
@@ -22,8 +22,8 @@
 
 // packInAnyOrder packs changes, all of which may be written in any order, into transactions.
 func packInAnyOrder(g *WithT, changes []dispatch.JobChange) []platform.Txn {
-	packed, err := packChanges(changes, progressEncoder{})
-	g.Expect(err).NotTo(HaveOccurred())
+	packed := packChanges(changes, progressEncoder{})
+	g.Expect(packed.refused).To(BeEmpty())
 	g.Expect(packed.last).To(BeEmpty())
 	var txns []platform.Txn
 	for _, b := range packed.first {
