The explanation of a job numbers its runs by task again

What operators saw: since tasks that are done are forgotten, 'foldarch job show' numbered the runs of a step by their position among the tasks that are left.

Evidence: TestExplanationNumbersRunsByTask failed before.

--- a/pkg/dispatch/explain.go
+++ b/pkg/dispatch/explain.go
@@ -77,12 +77,11 @@
 	v := StepView{
 		Step: s.id().String(), Done: s.doneTasks, Count: s.spec.Count, LeftMs: s.timeLeft(now).Milliseconds(), WaitReason: p.waitReason(s, now), Failures: s.forgottenFailures,
 	}
-	for i := range s.tasks {
-		t := s.tasks[i]
+	for _, t := range s.tasks {
 		v.Failures += len(t.failures)
 		v.Crashes += len(t.crash.Crashes())
 		if r := t.current; r != nil {
-			v.Runs = append(v.Runs, RunView{i, r.number, string(r.worker.info.ID), r.progress.Percent, runStateNames[r.state]})
+			v.Runs = append(v.Runs, RunView{t.index, r.number, string(r.worker.info.ID), r.progress.Percent, runStateNames[r.state]})
 		}
 	}
 	return v
--- a/pkg/dispatch/large_jobs_test.go
+++ b/pkg/dispatch/large_jobs_test.go
@@ -160,3 +160,23 @@
 		f.Expect(f.pool.rowsFit(j, c.Progress)).To(BeFalse(), fmt.Sprintf("%d bytes in %d rows", len(text), len(c.Progress.Tasks)))
 	}
 }
+
+// Guards against an explanation that numbers the runs of a step by the tasks that are left of it.
+func TestExplanationNumbersRunsByTask(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	f.reportAll(2)
+	f.add(scheduledJob("a", 3000, 0, time.Time{}, 0))
+	f.runAll(2, 1000)
+	starts := f.plan().Starts
+	f.Expect(starts).NotTo(BeEmpty())
+	running := map[int]bool{}
+	for _, s := range starts {
+		f.accept(s)
+		running[s.Task.Index] = true
+	}
+	e, _ := f.pool.Explain("a", f.now)
+	f.Expect(e.Steps[0].Runs).To(HaveLen(len(starts)))
+	for _, r := range e.Steps[0].Runs {
+		f.Expect(running[r.Task]).To(BeTrue(), "task %d", r.Task)
+	}
+}
