--- a/pkg/dispatch/cordon.go
+++ b/pkg/dispatch/cordon.go
@@ -56,8 +56,8 @@
 		return true
 	}
 	absent := s.spec.Count - len(s.tasks) // those that were never started
-	for i := range s.tasks {
-		if x := s.tasks[i]; x != t && !x.isServing(now) {
+	for _, x := range s.tasks {
+		if x != t && !x.isServing(now) {
 			absent++
 		}
 	}
--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -158,8 +158,8 @@
 	p.crashes.RemoveCrashesOf(id)
 	for _, j := range p.jobs {
 		for s := range j.steps() {
-			for i := range s.tasks {
-				if t := s.tasks[i]; t.crash.RemoveCrashesOf(id) {
+			for _, t := range s.tasks {
+				if t.crash.RemoveCrashesOf(id) {
 					p.markProgressChanged(t)
 				}
 			}
@@ -191,8 +191,8 @@
 	}
 	s.hasSurvivedStart = true
 	tasks := r.task.completionGroup()
-	for i := range tasks {
-		if t := tasks[i]; t.crash.RecordSurvival(r.number) {
+	for _, t := range tasks {
+		if t.crash.RecordSurvival(r.number) {
 			p.markProgressChanged(t)
 		}
 	}
--- a/pkg/dispatch/gang.go
+++ b/pkg/dispatch/gang.go
@@ -63,8 +63,7 @@
 		p.breakGang(s)
 		return
 	}
-	for i := range s.tasks {
-		t := s.tasks[i]
+	for _, t := range s.tasks {
 		if !p.mayStart(t, now) {
 			continue
 		}
--- a/pkg/dispatch/late_starts.go
+++ b/pkg/dispatch/late_starts.go
@@ -69,8 +69,7 @@
 		return
 	}
 	tasks := t.completionGroup()
-	for i := range tasks {
-		x := tasks[i]
+	for _, x := range tasks {
 		if !x.waiting() || !x.lateStarts.HasStarts() {
 			continue
 		}
@@ -87,8 +86,7 @@
 		return 0
 	}
 	var until clock.Time
-	for i := range s.tasks {
-		t := s.tasks[i]
+	for _, t := range s.tasks {
 		if !t.waiting() {
 			continue
 		}
--- a/pkg/dispatch/long_running_test.go
+++ b/pkg/dispatch/long_running_test.go
@@ -96,21 +96,30 @@
 	f.Expect(up[:2]).To(Equal([]int{15, 30}))
 }
 
-func TestVacatingStopsOneTaskOfAServiceAtATime(t *testing.T) {
-	f := newFixture(t, 2, nil)
-	f.reportAll(2)
-	s := serviceStep(2)
+// newServiceOnWorkers returns a pool with a service that has one task at work on each worker, and the reports of
+// the workers.
+func newServiceOnWorkers(t *testing.T, workers int) (*fixture, map[int]Report) {
+	f := newFixture(t, workers, nil)
+	f.reportAll(workers)
+	s := serviceStep(workers)
 	s.MaxPerWorker = 1
 	f.add(testJob("a", s))
 	starts := f.plan().Starts
-	f.Expect(starts).To(HaveLen(2))
+	f.Expect(starts).To(HaveLen(workers))
 	reports := map[int]Report{}
 	for _, o := range starts {
 		f.accept(o)
 		reports[workerNumber(o.Worker)] = Report{Active: []ActiveRun{{Task: o.Task, Run: o.Run, Percent: 100}}}
 	}
-	f.report(0, reports[0])
-	f.report(1, reports[1])
+	f.Expect(reports).To(HaveLen(workers))
+	for n := range workers {
+		f.report(n, reports[n])
+	}
+	return f, reports
+}
+
+func TestVacatingStopsOneTaskOfAServiceAtATime(t *testing.T) {
+	f, _ := newServiceOnWorkers(t, 2)
 	f.pool.SetCordoned(map[string]bool{"w0": true, "w1": true})
 	f.Expect(f.pool.VacateWorker("w0", false)).To(BeFalse())
 	f.Expect(f.pool.VacateWorker("w1", false)).To(BeFalse())
@@ -120,20 +129,7 @@
 // Guards against a second task that is stopped while the one that may be missing is on a worker that has
 // crashed: it counted as at work until its lease expired.
 func TestVacatingCountsTasksOnSilentWorkersAsMissing(t *testing.T) {
-	f := newFixture(t, 3, nil)
-	f.reportAll(3)
-	s := serviceStep(3)
-	s.MaxPerWorker = 1
-	f.add(testJob("a", s))
-	reports := map[int]Report{}
-	for _, o := range f.plan().Starts {
-		f.accept(o)
-		reports[workerNumber(o.Worker)] = Report{Active: []ActiveRun{{Task: o.Task, Run: o.Run, Percent: 100}}}
-	}
-	f.Expect(reports).To(HaveLen(3))
-	f.report(0, reports[0])
-	f.report(1, reports[1])
-	f.report(2, reports[2])
+	f, reports := newServiceOnWorkers(t, 3)
 	for range 2 { // w2 has crashed
 		f.advance(answerTimeout)
 		f.report(0, reports[0])
--- a/pkg/dispatch/occurrences.go
+++ b/pkg/dispatch/occurrences.go
@@ -162,14 +162,17 @@
 	return false
 }
 
+// isTask reports whether the job has a task with these numbers.
+func (j *jobState) isTask(occurrence, step, index int) bool {
+	return occurrence >= 0 && occurrence < j.job.Schedule.Occurrences() && step >= 0 && step < len(j.job.Steps) &&
+		index >= 0 && index < j.job.Steps[step].Count
+}
+
 // task returns the task with the given ID, or nil if it does not exist, or is done and has been forgotten. It
 // creates the task and its occurrence if needed.
 func (p *Pool) task(id job.TaskID) *task {
 	j, ok := p.jobs[id.Job]
-	if !ok || id.Time < 0 || id.Time >= j.job.Schedule.Occurrences() || id.Step < 0 || id.Step >= len(j.job.Steps) {
-		return nil
-	}
-	if id.Index < 0 || id.Index >= j.job.Steps[id.Step].Count {
+	if !ok || !j.isTask(id.Time, id.Step, id.Index) {
 		return nil
 	}
 	at, found := j.findOccurrence(id.Time)
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -243,12 +243,16 @@
 		}
 	}
 	var candidates []*worker
+	hasCandidates := func() bool {
+		if candidates == nil {
+			candidates = p.candidates(s, reserved, now)
+		}
+		return len(candidates) > 0
+	}
 	for i := 0; i < len(s.tasks) || s.hasMoreTasks(); i++ {
 		if i == len(s.tasks) {
-			if candidates == nil {
-				if candidates = p.candidates(s, reserved, now); len(candidates) == 0 {
-					return
-				}
+			if !hasCandidates() {
+				return
 			}
 			i = s.createMoreTasks()
 		}
@@ -259,10 +263,8 @@
 		if p.quotaRoom(s, 1) == 0 {
 			return
 		}
-		if candidates == nil {
-			if candidates = p.candidates(s, reserved, now); len(candidates) == 0 {
-				return
-			}
+		if !hasCandidates() {
+			return
 		}
 		w := bestFit(t, candidates)
 		if w == nil && t.lateStarts.IsBound() {
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -83,7 +83,7 @@
 	promotedGangs   gangPromotions
 	// growingJobs are the jobs of which more occurrences have to be created.
 	growingJobs map[*jobState]struct{}
-	// retainedOccurrences are finished and still needed (occurrence.isNeeded).
+	// retainedOccurrences are finished and still needed (isOccurrenceNeeded).
 	retainedOccurrences map[*occurrence]struct{}
 	dirty               map[*jobState]struct{}
 	advice              adviceState
--- a/pkg/dispatch/probe.go
+++ b/pkg/dispatch/probe.go
@@ -32,8 +32,8 @@
 	if !s.occurrence.job.suspected {
 		return false
 	}
-	for i := range s.tasks {
-		if t := s.tasks[i]; !t.done && t.crash.IsSuspect() {
+	for _, t := range s.tasks {
+		if !t.done && t.crash.IsSuspect() {
 			return true
 		}
 	}
@@ -42,8 +42,8 @@
 
 // isProbing reports whether a suspect task of a step has been started and has not survived yet.
 func (s *step) isProbing() bool {
-	for i := range s.tasks {
-		if t := s.tasks[i]; t.current != nil && !t.current.survived && t.isSuspect() {
+	for _, t := range s.tasks {
+		if t.current != nil && !t.current.survived && t.isSuspect() {
 			return true
 		}
 	}
@@ -106,8 +106,7 @@
 		return
 	}
 	var w *worker
-	for i := range s.tasks {
-		t := s.tasks[i]
+	for _, t := range s.tasks {
 		if !t.isSuspect() || !p.mayStart(t, now) {
 			continue
 		}
--- a/pkg/dispatch/step_tasks.go
+++ b/pkg/dispatch/step_tasks.go
@@ -71,13 +71,11 @@
 // skipKnownTasks advances nextTask to a task that is not done and has not been created.
 func (s *step) skipKnownTasks() {
 	for s.nextTask < s.spec.Count {
-		next := int(s.occurrence.job.done.NextAbsent(s.firstNumber+int64(s.nextTask)) - s.firstNumber)
-		if _, known := s.find(next); next == s.nextTask && !known {
+		s.nextTask = min(int(s.occurrence.job.done.NextAbsent(s.firstNumber+int64(s.nextTask))-s.firstNumber), s.spec.Count)
+		if _, known := s.find(s.nextTask); !known {
 			return
-		} else if known {
-			next++
 		}
-		s.nextTask = min(next, s.spec.Count)
+		s.nextTask++
 	}
 }
 
--- a/pkg/dispatch/stored_progress.go
+++ b/pkg/dispatch/stored_progress.go
@@ -173,7 +173,7 @@
 	}
 	for s := range j.steps() {
 		for _, t := range s.tasks {
-			if _, has := p.taskRow(t); has && !(t.done && len(t.lateStarts.Unanswered()) == 0) {
+			if _, has := p.segmentRow(t); has {
 				out[taskset.SegmentOf(t.number())] = struct{}{}
 			}
 		}
@@ -196,6 +196,13 @@
 	return row, true
 }
 
+// segmentRow returns the row of a task in its segment; has is false if there is no more to know than whether it
+// is done.
+func (p *Pool) segmentRow(t *task) (row job.TaskProgress, has bool) {
+	row, has = p.taskRow(t)
+	return row, has && !(t.done && len(row.UnansweredStarts) == 0)
+}
+
 // progressRows returns the rows of all tasks of a job.
 func (p *Pool) progressRows(j *jobState) []job.TaskProgress {
 	var rows []job.TaskProgress
@@ -254,7 +261,7 @@
 		if t.number() >= to {
 			break
 		}
-		if row, has := p.taskRow(t); has && !(t.done && len(row.UnansweredStarts) == 0) {
+		if row, has := p.segmentRow(t); has {
 			rows = append(rows, row)
 		}
 	}
@@ -268,13 +275,13 @@
 	j.loadStoredWorkers(progress)
 	p.loadSegments(j, progress)
 	for _, row := range progress.Tasks {
-		if row.Done && p.isTaskID(j, row) {
+		if row.Done && j.isTask(row.Time, row.Step, row.Index) {
 			j.done.Add(j.taskNumbers.First(row.Time, row.Step) + int64(row.Index))
 		}
 	}
 	for _, row := range progress.Tasks {
 		j.began = j.began || row.HasBegun()
-		if p.isTaskID(j, row) && (!row.Done || len(row.UnansweredStarts) > 0) {
+		if j.isTask(row.Time, row.Step, row.Index) && (!row.Done || len(row.UnansweredStarts) > 0) {
 			p.loadTask(j, row)
 		}
 	}
@@ -309,19 +316,13 @@
 	for _, n := range numbers {
 		for _, row := range progress.Segments[n].Tasks {
 			j.began = j.began || row.HasBegun()
-			if p.isTaskID(j, row) {
+			if j.isTask(row.Time, row.Step, row.Index) {
 				p.loadTask(j, row)
 			}
 		}
 	}
 }
 
-// isTaskID reports whether a row is of a task that the job has.
-func (p *Pool) isTaskID(j *jobState, row job.TaskProgress) bool {
-	return row.Time >= 0 && row.Time < j.job.Schedule.Occurrences() && row.Step >= 0 && row.Step < len(j.job.Steps) &&
-		row.Index >= 0 && row.Index < j.job.Steps[row.Step].Count
-}
-
 // loadTask restores the progress of a task.
 func (p *Pool) loadTask(j *jobState, row job.TaskProgress) {
 	s := p.createOccurrence(j, row.Time).steps[row.Step]
--- a/pkg/dispatch/unreported.go
+++ b/pkg/dispatch/unreported.go
@@ -51,8 +51,8 @@
 // unfinishedTasksWithRuns counts the tasks that are not done and have a known run.
 func (s *step) unfinishedTasksWithRuns() int {
 	n := 0
-	for i := range s.tasks {
-		if t := s.tasks[i]; !t.done && t.current != nil {
+	for _, t := range s.tasks {
+		if !t.done && t.current != nil {
 			n++
 		}
 	}
--- a/pkg/job/record.go
+++ b/pkg/job/record.go
@@ -73,7 +73,7 @@
 	Tasks []TaskProgress
 	// Index is set if the tasks are stored in segments.
 	Index *SegmentIndex
-	// Segments are the stored segments by their numbers, as AddSegments has added them.
+	// Segments are the stored segments by their numbers, as AddSegment has added them.
 	Segments map[int64]Segment
 	// RemainingUse is the resources that runs of tasks that are done may still use.
 	RemainingUse RemainingUse
--- a/pkg/taskset/set.go
+++ b/pkg/taskset/set.go
@@ -75,7 +75,7 @@
 // Add adds a number.
 func (s *Set) Add(n int64) {
 	segment, offset := n/SegmentSize, n%SegmentSize
-	if s.isComplete(segment) {
+	if s.HasSegment(segment) {
 		return
 	}
 	b := s.partial[segment]
@@ -117,17 +117,13 @@
 	maps.DeleteFunc(s.partial, func(n int64, _ *bitmap) bool { return segments.From <= n && n < segments.To })
 }
 
-func (s *Set) isComplete(segment int64) bool {
-	return s.complete.nextAbsent(segment) != segment
-}
-
 // Contains reports whether a number is in the set.
 func (s *Set) Contains(n int64) bool {
 	segment := n / SegmentSize
 	if b := s.partial[segment]; b != nil {
 		return b.contains(n % SegmentSize)
 	}
-	return s.isComplete(segment)
+	return s.HasSegment(segment)
 }
 
 // Len returns how many numbers are in the set.
@@ -246,7 +242,7 @@
 
 // Segment returns the numbers of a segment that are in the set, as intervals of their offsets.
 func (s *Set) Segment(segment int64) []Interval {
-	if s.isComplete(segment) {
+	if s.HasSegment(segment) {
 		return []Interval{{0, SegmentSize}}
 	}
 	b := s.partial[segment]
@@ -264,7 +260,7 @@
 
 // HasSegment reports whether the set has all numbers of a segment.
 func (s *Set) HasSegment(segment int64) bool {
-	return s.isComplete(segment)
+	return s.complete.nextAbsent(segment) != segment
 }
 
 // CompleteSegments returns the segments of which the set has all numbers. The caller must not change them.
--- a/test/platform/large_job_test.go
+++ b/test/platform/large_job_test.go
@@ -62,7 +62,7 @@
 		c.kill(owner)
 		c.Eventually(c.owner, "10s", "20ms").ShouldNot(BeElementOf(-1, owner))
 		c.start(owner)
-		time.Sleep(time.Second)
+		c.awaitReady(owner)
 	}
 	c.awaitJobsWhile(2 * time.Second)
 	c.Expect(c.p.Checker.Ends("done")).To(BeNumerically(">=", 2400))
