The owner's log tells why jobs stand beside room: by cause, workers taken out, authority, age of the last plan

Change: a warning jobs_idle each second while jobs have had nothing running for 1.5 s in a pool with room: steps by what they wait for, workers by why they get no tasks, authority, plan_age_ms. step_waits is a warning and names its cause; pool_status counts suspended workers. What suspends a worker is told apart from what else speaks against it (isHealthy), with no change of decisions.

--- a/pkg/dispatch/delayed_steps.go
+++ b/pkg/dispatch/delayed_steps.go
@@ -17,7 +17,8 @@
 	// TimeLeft is the time until its job's objective, negative once that has passed; 0 for long-running
 	// tasks, which have none.
 	TimeLeft time.Duration
-	// WaitReason says what it waits for (StepView.WaitReason).
+	// Cause and WaitReason (StepView.WaitReason) say what it waits for.
+	Cause      WaitCause
 	WaitReason string
 }
 
@@ -25,13 +26,7 @@
 // pool is not mostly used, those that have waited longest first. A job that is lost in a pool with room is
 // listed until then, so that the logs show the cause.
 func (p *Pool) DelayedSteps(minWait time.Duration, maxSteps int, now clock.Time) []DelayedStep {
-	var waiting []*step
-	for s := range p.waitingSteps.all() {
-		j := s.occurrence.job
-		if now.Sub(s.readySince) >= minWait && !j.hasRuns() && !p.poolLoad(j.queue.Pool).isMostlyUsed() {
-			waiting = append(waiting, s)
-		}
-	}
+	waiting := p.idleSteps(minWait, now)
 	slices.SortFunc(waiting, func(a, b *step) int {
 		return cmp.Or(cmp.Compare(a.readySince, b.readySince), cmp.Compare(a.seq, b.seq))
 	})
@@ -41,7 +36,7 @@
 		if p.isBlockedByTakeover(s.occurrence.job) {
 			reason = blockedJobReason
 		}
-		out = append(out, DelayedStep{s.id(), s.occurrence.job.customer.Name, now.Sub(s.readySince), s.timeLeft(now), reason})
+		out = append(out, DelayedStep{s.id(), s.occurrence.job.customer.Name, now.Sub(s.readySince), s.timeLeft(now), p.waitCause(s, now), reason})
 	}
 	return out
 }
--- a/pkg/dispatch/explain_test.go
+++ b/pkg/dispatch/explain_test.go
@@ -55,6 +55,39 @@
 	f.Expect(f.pool.DelayedSteps(3*time.Second, 0, f.now)).To(BeEmpty())
 }
 
+// Guards against a pool that stands still without a log line that says why.
+func TestIdleJobsAreCountedByWhatTheyWaitFor(t *testing.T) {
+	idleJobs := func(f *fixture) IdleJobs {
+		f.plan()
+		f.advance(2 * time.Second)
+		f.reportAll(2)
+		return f.pool.IdleJobs(2*time.Second, f.now)
+	}
+	t.Run("no adviser", func(t *testing.T) {
+		f := newFixture(t, 2, nil)
+		f.reportAll(2)
+		f.add(jobWithAdviceTime("waits", 0, 100*time.Millisecond))
+		f.Expect(idleJobs(f)).To(Equal(IdleJobs{Jobs: 1, Causes: map[WaitCause]int{WaitsForAdviser: 1}, Workers: WorkerCounts{Usable: 2}}))
+	})
+	t.Run("suspended workers", func(t *testing.T) {
+		f := newFixture(t, 2, nil)
+		f.reportAll(2)
+		for n := range 2 {
+			f.pool.suspendWorker(f.pool.workers[workerID(n)], time.Minute, "unhealthy", f.now)
+		}
+		f.add(testJob("waits", testStep(1)))
+		f.Expect(idleJobs(f)).To(Equal(IdleJobs{Jobs: 1, Causes: map[WaitCause]int{WaitsForSuspended: 1}, Workers: WorkerCounts{Suspended: 2}}))
+	})
+	t.Run("takeover", func(t *testing.T) {
+		f := newFixture(t, 2, afterPreviousOwner)
+		f.add(testJob("waits", testStep(1)))
+		f.plan()
+		f.advance(2 * time.Second)
+		f.report(0, Report{})
+		f.Expect(f.pool.IdleJobs(2*time.Second, f.now)).To(Equal(IdleJobs{Jobs: 1, Causes: map[WaitCause]int{WaitsForTakeover: 1}, Workers: WorkerCounts{Usable: 1, Silent: 1}}))
+	})
+}
+
 // The wait reason of a gang lists all that it lacks, so that a log shows whether the gang waits for its
 // customer's quota, for tickets or for room.
 func TestExplainReportsWhatAGangLacks(t *testing.T) {
--- a/pkg/dispatch/placement.go
+++ b/pkg/dispatch/placement.go
@@ -86,8 +86,13 @@
 
 // isEligible reports whether a worker may run tasks of a step. Advice is not considered.
 func (p *Pool) isEligible(s *step, w *worker, now clock.Time) bool {
-	return w.info.Pool == s.occurrence.job.queue.Pool && w.isUsable(now) && !w.isClaimedByOther(s, now) && p.mayUseWorker(s.occurrence.job, w, now) &&
-		(s.spec.Requirement == "" || slices.Contains(w.info.Labels, s.spec.Requirement))
+	return w.isUsable(now) && !w.isClaimedByOther(s, now) && p.mayUseWorker(s.occurrence.job, w, now) && p.isFit(s, w)
+}
+
+// isFit reports whether a worker, whatever its state, is in the pool of a step and has the label that the step
+// requires.
+func (p *Pool) isFit(s *step, w *worker) bool {
+	return w.info.Pool == s.occurrence.job.queue.Pool && (s.spec.Requirement == "" || slices.Contains(w.info.Labels, s.spec.Requirement))
 }
 
 // minTicketValidity is the minimum time for which a ticket must still be valid when a start is sent
--- a/pkg/dispatch/status.go
+++ b/pkg/dispatch/status.go
@@ -9,6 +9,7 @@
 type Status struct {
 	Workers             int // may be given tasks now
 	UnresponsiveWorkers int // have not answered recently
+	SuspendedWorkers    int // get no tasks for a time, apart from those that don't answer
 	EvacuatedWorkers    int // get no tasks while their data hall is evacuated
 	Jobs                int // have not ended
 	WaitingSteps        int // have waiting tasks that may be started
@@ -36,6 +37,9 @@
 		if w.isUsable(now) {
 			s.Workers++
 		}
+		if w.isHealthy(now) && w.isSuspended(now) {
+			s.SuspendedWorkers++
+		}
 		if w.evacuated {
 			s.EvacuatedWorkers++
 		}
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -120,8 +120,18 @@
 
 // isUsable reports whether the worker may be given a task now.
 func (w *worker) isUsable(now clock.Time) bool {
+	return w.isHealthy(now) && !w.isSuspended(now)
+}
+
+// isHealthy reports whether nothing but a suspension speaks against giving the worker a task now.
+func (w *worker) isHealthy(now clock.Time) bool {
 	return w.isPresent(now) && w.isAnswering(now) && w.inRoster && !w.terminated && !w.mayBeReplaced() &&
-		!w.isLeaving() && !w.history.cordoned && w.orphanRuns == 0 && now >= w.suspendedUntil
+		!w.isLeaving() && !w.history.cordoned && w.orphanRuns == 0
+}
+
+// isSuspended reports whether the worker is suspended (suspendWorker).
+func (w *worker) isSuspended(now clock.Time) bool {
+	return now < w.suspendedUntil
 }
 
 // isAnswering reports whether the worker has answered recently, including the last call, and was polled
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -129,6 +130,7 @@
 	unreadableProgress map[job.ID]bool
 	earlyCancellations map[job.ID]bool // cancelled before the job itself was received
 	committed          chan struct{}   // closed and replaced at each commit
+	plannedAt          clock.Time      // when the last plan was made
 	majorityFenced     bool            // a majority of the workers has accepted this owner's token
 	majority           majorityCheck
 	refusedQueues      refusedQueues
@@ -367,7 +369,7 @@
 	s := o.Status()
 	plans := o.plans.Snapshot()
 	fields := logrus.Fields{
-		"workers": s.Workers, "silent": s.UnresponsiveWorkers, "evacuated": s.EvacuatedWorkers, "jobs": s.Jobs, "steps": s.WaitingSteps, "waiting": s.WaitingTasks, "runs": s.Runs,
+		"workers": s.Workers, "suspended": s.SuspendedWorkers, "silent": s.UnresponsiveWorkers, "evacuated": s.EvacuatedWorkers, "jobs": s.Jobs, "steps": s.WaitingSteps, "waiting": s.WaitingTasks, "runs": s.Runs,
 		"calls": s.AdviceCalls, "advisers": s.FreeAdvisers, "takeover": s.TakeoverPending, "held": s.BlockedJobs, "retired": s.SilentRetiredWorkers, "calls_waiting": o.WaitingCalls(), "relayed": o.RelayedWorkers(), "used": s.Used, "capacity": s.Capacity,
 		"plan_p50_us": time.Duration(plans.Percentile(0.5)).Microseconds(), "plan_p99_us": time.Duration(plans.Percentile(0.99)).Microseconds(),
 	}
@@ -375,9 +377,31 @@
 		fields[name] = n
 	}
 	o.deps.Log.WithFields(fields).Info("pool_status")
+	o.logIdleJobs()
 	o.logDelayedSteps()
 }
 
+// idleJobThreshold is the waiting time from which jobs without runs are counted in the log.
+const idleJobThreshold = 1500 * time.Millisecond
+
+// logIdleJobs logs how many jobs have nothing running in a pool with room, what they wait for, which workers get
+// no tasks, and whether this owner plans.
+func (o *Owner) logIdleJobs() {
+	o.mu.Lock()
+	now := o.deps.Clock.Now()
+	idle := o.pool.IdleJobs(idleJobThreshold, now)
+	authority, planAge := o.hasAuthority(now), now.Sub(o.plannedAt)
+	o.mu.Unlock()
+	if idle.Jobs == 0 {
+		return
+	}
+	w := idle.Workers
+	o.deps.Log.WithFields(logrus.Fields{
+		"jobs": idle.Jobs, "authority": authority, "causes": fmt.Sprint(idle.Causes), "plan_age_ms": planAge.Milliseconds(),
+		"usable": w.Usable, "suspended": w.Suspended, "silent": w.Silent, "not_in_roster": w.NotInRoster, "no_entry": w.NoEntry, "other": w.Other,
+	}).Warn("jobs_idle")
+}
+
 const (
 	// delayedStepThreshold is the waiting time from which a step in a pool with room is logged. The
 	// platform counts a job as lost when it waits for 3 s there.
@@ -393,8 +417,8 @@
 	o.mu.Unlock()
 	for _, step := range steps {
 		o.deps.Log.WithFields(logrus.Fields{
-			"step": step.Step, "customer": step.Customer, "waited_ms": step.Waited.Milliseconds(), "left_ms": step.TimeLeft.Milliseconds(), "waits": step.WaitReason,
-		}).Info("step_waits")
+			"cause": step.Cause, "step": step.Step, "customer": step.Customer, "waited_ms": step.Waited.Milliseconds(), "left_ms": step.TimeLeft.Milliseconds(), "waits": step.WaitReason,
+		}).Warn("step_waits")
 	}
 }
 
@@ -403,6 +427,7 @@
 	o.mu.Lock()
 	now := o.deps.Clock.Now()
 	actions := o.pool.Plan(now, o.hasAuthority(now))
+	o.plannedAt = now
 	if o.pool.HasUnstoredWorkers() {
 		o.requestCommit()
 	}
