--- a/test/platform/cell_test.go
+++ b/test/platform/cell_test.go
@@ -81,10 +81,18 @@
 func (c *cell) newLink(target string) *link {
 	k, err := newLink(target)
 	c.Expect(err).NotTo(HaveOccurred())
+	k.disturbed = c.recordDisruption
 	c.t.Cleanup(k.close)
 	return k
 }
 
+// recordDisruption records that something is disturbed now.
+func (c *cell) recordDisruption() {
+	if c.p != nil {
+		c.p.Checker.RecordDisruption()
+	}
+}
+
 // reserveHost reserves a host for one fault and reports false if another fault has reserved it.
 func (c *cell) reserveHost(n int) bool {
 	c.mu.Lock()
@@ -138,6 +146,7 @@
 
 // start starts the process of a host.
 func (c *cell) start(n int) {
+	c.recordDisruption()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.hosts[n]
@@ -170,6 +179,7 @@
 
 // signal sends a signal to the process of a host.
 func (c *cell) signal(n int, s syscall.Signal) {
+	c.recordDisruption()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	_ = c.hosts[n].cmd.Process.Signal(s)
@@ -260,13 +270,15 @@
 	gangJob   = jobKind{"ms=600 gang=4", []emulator.Step{{Count: 4, CPU: 1500, MemoryMB: 2000, Estimate: 600, Gang: true}}}
 )
 
-// awaitJobs waits until all accepted jobs have ended and checks that the platform saw no violations.
+// awaitJobs waits until all accepted jobs have ended and checks that the platform saw no violations. No more jobs
+// are submitted and nothing is disturbed from then on.
 func (c *cell) awaitJobs(within time.Duration) emulator.Counts {
+	c.p.Checker.EndTraffic()
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
 	open := c.callers.AwaitJobs(ctx)
 	counts := c.callers.Counts()
-	c.t.Logf("%+v, %d starts, %d done, %d store calls", counts, c.p.Checker.Starts(), c.p.Checker.Ends("done"), c.p.Store.Calls())
+	c.t.Logf("%+v, %d starts, %d done, %d store calls, longest idle %s", counts, c.p.Checker.Starts(), c.p.Checker.Ends("done"), c.p.Store.Calls(), c.p.Checker.LongestIdle())
 	c.Expect(c.p.Checker.Violations()).To(BeEmpty())
 	c.Expect(open).To(BeEmpty(), "accepted jobs that have not ended")
 	return counts
--- a/test/platform/link_test.go
+++ b/test/platform/link_test.go
@@ -16,8 +16,9 @@
 // link is a TCP relay in front of one listener on the loopback address that can inject faults. Data that a
 // fault holds back is passed on when the fault ends, as after a network partition.
 type link struct {
-	target   string
-	listener net.Listener
+	target    string
+	listener  net.Listener
+	disturbed func() // called when a fault begins or ends
 
 	mu          sync.Mutex
 	fault       linkFault
@@ -32,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &link{target: target, listener: l, changed: make(chan struct{}), conns: map[net.Conn]struct{}{}, silentConns: map[net.Conn]struct{}{}}
+	k := &link{target: target, listener: l, disturbed: func() {}, changed: make(chan struct{}), conns: map[net.Conn]struct{}{}, silentConns: map[net.Conn]struct{}{}}
 	go k.accept()
 	return k, nil
 }
@@ -43,6 +44,7 @@
 
 // set replaces the fault of the link. The zero value means no fault.
 func (k *link) set(f linkFault) {
+	k.disturbed()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.fault = f
@@ -52,6 +54,7 @@
 
 // reset closes all connections with a TCP reset.
 func (k *link) reset() {
+	k.disturbed()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for c := range k.conns {
@@ -65,6 +68,7 @@
 // silence drops all further data of the connections that are open now, without closing them. New connections
 // work.
 func (k *link) silence() {
+	k.disturbed()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for c := range k.conns {
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -160,6 +160,19 @@
 	}
 }
 
+// injectFaults injects random faults, several at a time, until ctx ends, and waits until they are over.
+func (c *cell) injectFaults(ctx context.Context, r *rand.Rand, faults []soakFault) {
+	var injections sync.WaitGroup
+	for ctx.Err() == nil {
+		fault := faults[r.IntN(len(faults))]
+		faultRNG := rand.New(rand.NewPCG(r.Uint64(), 1))
+		c.t.Logf("%s", fault.name)
+		injections.Go(func() { fault.inject(c, faultRNG) })
+		time.Sleep(randomDuration(r, 200*time.Millisecond, 2*time.Second))
+	}
+	injections.Wait()
+}
+
 func runSoak(t *testing.T, seed uint64) {
 	t.Helper()
 	r := rand.New(rand.NewPCG(seed, 0))
@@ -175,16 +188,7 @@
 	load := c.startLoad(ctx, 20, quickJob, chainJob, quickJob, gangJob)
 	customers.start(ctx, c, load)
 	c.startLargeJobs(ctx, sizes, load)
-	var injections sync.WaitGroup
-	allFaults := slices.Concat(soakFaults, buildFaults())
-	for ctx.Err() == nil {
-		fault := allFaults[r.IntN(len(allFaults))]
-		faultRNG := rand.New(rand.NewPCG(r.Uint64(), 1))
-		t.Logf("%s", fault.name)
-		injections.Go(func() { fault.inject(c, faultRNG) })
-		time.Sleep(randomDuration(r, 200*time.Millisecond, 2*time.Second))
-	}
-	injections.Wait()
+	c.injectFaults(ctx, r, slices.Concat(soakFaults, buildFaults()))
 	load.Wait()
 	customers.awaitJobs(c)
 	c.awaitJobs(60 * time.Second)
