Failing jobs no longer take the workers of a pool out: a worker is distrusted for what others don't have, and only in favour of others

Jobs that fail wherever they run have each worker fail tasks of two jobs in a row; it is suspended for 4 s, and after that at the first failure again, so that the work meets fewer workers and these fail sooner. With a third of the jobs failing for 4 s in each 8, up to 46 of 48 workers were out at a time, in a calm pool.

Cause: a verdict on one worker was given without looking at the others, excluded it, and nothing bounded how many were out.

Change: a worker is distrusted when it has more failures in a row than the share of failing runs in its pool explains (a hundredth by chance, two at least); a run whose task has failed on another worker before says nothing about this one; no more than a quarter of a pool is distrusted at once; and a job without runs waits for other workers for 1 s, after which distrusted ones will do. The same holds for workers on which a run makes no progress.

TestWorkerThatFailsAloneGetsNoTasks holds before and after: a worker that fails alone is still left out.

--- a/pkg/dispatch/placement.go
+++ b/pkg/dispatch/placement.go
@@ -86,7 +86,7 @@
 
 // isEligible reports whether a worker may run tasks of a step. Advice is not considered.
 func (p *Pool) isEligible(s *step, w *worker, now clock.Time) bool {
-	return w.isUsable(now) && !w.isClaimedByOther(s, now) && p.mayUseWorker(s.occurrence.job, w, now) && p.isFit(s, w)
+	return w.isUsable(now) && (!w.isDistrusted(now) || s.mayUseDistrusted(now)) && !w.isClaimedByOther(s, now) && p.mayUseWorker(s.occurrence.job, w, now) && p.isFit(s, w)
 }
 
 // isFit reports whether a worker, whatever its state, is in the pool of a step and has the label that the step
@@ -118,11 +118,11 @@
 	}
 	if j.queue.Advice != nil {
 		// These workers were recorded when the advice call was made.
-		return p.filterWorkers(s.advice.workersWithTickets(now), accept)
+		return preferTrusted(s, p.filterWorkers(s.advice.workersWithTickets(now), accept), now)
 	}
 	candidates := p.filterUsable(j.queue.Pool, now, accept)
 	p.recordMoreWorkers(s, unrecorded, room)
-	return candidates
+	return preferTrusted(s, candidates, now)
 }
 
 // filterUsable lists the usable workers of a pool that satisfy a condition, sorted by ID.
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -94,9 +94,7 @@
 	if !r.isStuck(now) || p.isDisabled(StuckRunRestarts) {
 		return
 	}
-	if !p.isDisabled(Suspension) {
-		p.suspendWorker(w, suspendFor, "a run makes no progress", now)
-	}
+	p.distrustWorker(w, "a run makes no progress", now)
 	p.restartElsewhere(r, "the run makes no progress")
 }
 
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -95,6 +95,7 @@
 	// store has and that have not been ordered yet.
 	startsToStore, startsToOrder []*run
 	crashes                      *crash.History
+	failureShares                failureShares
 	// uncommittedCrashes are workers that crashed after starts, while the store does not have these
 	// crashes yet. uncountedCrash is a worker that crashed after starts of a previous owner
 	// (takeoverState.hasUncountedCrash).
@@ -129,7 +130,7 @@
 		cfg: cfg, takeover: newTakeover(cfg, now),
 		jobs: map[job.ID]*jobState{}, accounts: map[string]*account.Account{}, outcomes: outcome.New(), unknownJobs: map[job.ID]struct{}{}, absentJobs: map[job.ID]struct{}{}, workers: map[WorkerID]*worker{}, workerHistories: map[string]*workerHistory{}, knownPools: map[string]bool{},
 		growingJobs: map[*jobState]struct{}{}, retainedOccurrences: map[*occurrence]struct{}{}, dirty: map[*jobState]struct{}{},
-		advice: newAdviceState(), limiter: admission.NewLimiter(), loads: map[string]*poolLoad{}, uncommittedCrashes: map[WorkerID]WorkerInfo{}, rosterChanges: map[string]struct{}{}, crashes: crash.NewHistory(crashCoincidenceWindow, now), createdAt: now,
+		advice: newAdviceState(), limiter: admission.NewLimiter(), loads: map[string]*poolLoad{}, uncommittedCrashes: map[WorkerID]WorkerInfo{}, rosterChanges: map[string]struct{}{}, failureShares: failureShares{}, crashes: crash.NewHistory(crashCoincidenceWindow, now), createdAt: now,
 	}
 	p.cfg.Log = func(e Event) {
 		e.Customer = p.customerOf(e)
--- a/pkg/dispatch/status.go
+++ b/pkg/dispatch/status.go
@@ -34,7 +34,7 @@
 		if w.terminated {
 			continue
 		}
-		if w.isUsable(now) {
+		if w.isUsable(now) && !w.isDistrusted(now) {
 			s.Workers++
 		}
 		if w.isHealthy(now) && w.isSuspended(now) {
--- a/pkg/dispatch/wait_causes.go
+++ b/pkg/dispatch/wait_causes.go
@@ -124,7 +124,7 @@
 	for _, w := range p.workers {
 		switch {
 		case w.terminated:
-		case w.isUsable(now):
+		case w.isUsable(now) && !w.isDistrusted(now):
 			c.Usable++
 		case !w.isAnswering(now):
 			c.Silent++
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -25,10 +25,6 @@
 	// found to be gone. A worker that runs and reaches the store writes its entry again within that
 	// time.
 	entryRewriteTimeout = 2500 * time.Millisecond
-	// A worker is suspended for suspendFor after suspendAfter failures in a row that are not all of the
-	// same job.
-	suspendAfter = 2
-	suspendFor   = 4 * time.Second
 )
 
 type runKey struct {
@@ -108,9 +104,10 @@
 
 	pacing              pace.Control
 	suspendedUntil      clock.Time // gets no tasks before this time
+	distrustedUntil     clock.Time // gets tasks only when no other worker can (distrustWorker)
 	consecutiveFailures int        // not counting further ones of the same job
 	lastFailedJob       job.ID     // the job of the last failure
-	onProbation         bool       // it was suspended for failures, and no run has succeeded since
+	onProbation         bool       // it was distrusted for failures, and no run has succeeded since
 }
 
 // free returns the capacity that no run uses.
@@ -120,7 +117,7 @@
 
 // isUsable reports whether the worker may be given a task now.
 func (w *worker) isUsable(now clock.Time) bool {
-	return w.isHealthy(now) && !w.isSuspended(now)
+	return w.isHealthy(now) && now >= w.suspendedUntil
 }
 
 // isHealthy reports whether nothing but a suspension speaks against giving the worker a task now.
@@ -129,9 +126,9 @@
 		!w.isLeaving() && !w.history.cordoned && w.orphanRuns == 0
 }
 
-// isSuspended reports whether the worker is suspended (suspendWorker).
+// isSuspended reports whether the worker is suspended (suspendWorker) or distrusted (distrustWorker).
 func (w *worker) isSuspended(now clock.Time) bool {
-	return now < w.suspendedUntil
+	return now < w.suspendedUntil || w.isDistrusted(now)
 }
 
 // isAnswering reports whether the worker has answered recently, including the last call, and was polled
@@ -326,30 +323,3 @@
 	w.history.forget(w)
 	p.sortedWorkers = nil
 }
-
-// recordWorkerResult counts failures on a worker, and suspends it when it fails whatever it is given.
-func (p *Pool) recordWorkerResult(w *worker, r *run, reason EndReason, now clock.Time) {
-	switch reason {
-	case EndDone:
-		w.consecutiveFailures, w.onProbation = 0, false
-	case EndFailed:
-		id := r.task.step.occurrence.job.job.ID
-		if w.consecutiveFailures == 0 || w.lastFailedJob != id {
-			w.consecutiveFailures++
-		}
-		w.lastFailedJob = id
-		if p.isDisabled(Suspension) {
-			return
-		}
-		if w.consecutiveFailures >= suspendAfter || w.onProbation && w.consecutiveFailures > 0 {
-			p.suspendWorker(w, suspendFor, "failures", now)
-			w.consecutiveFailures, w.onProbation = 0, true
-		}
-	}
-}
-
-// suspendWorker gives a worker no tasks for the given time.
-func (p *Pool) suspendWorker(w *worker, d time.Duration, reason string, now clock.Time) {
-	w.suspendedUntil = max(w.suspendedUntil, now.Add(d))
-	p.cfg.Log(Event{Name: "worker_suspended", Worker: w.info.ID, Detail: reason})
-}
