Steps without workers to ask about no longer keep all others from advice

What callers would see: accepted jobs that stand beside room for as long as 16 steps of higher rank wait, while the owner is alive, plans, and makes no call for advice at all.

Cause: a plan selects targets for 16 steps at most, and one that found none counts. The pause after it is an eighth of a call, which is 0.7 ms where a call takes 5.6 ms and is cut to whole milliseconds, to nothing. So the same 16 steps were selected for in each plan; and the steps that have waited longest for their calls go first among those with delayed advice. The class: what waits keeps its place at the head of a bounded budget. It needs many steps without targets: gangs for which there is no room at once, or workers that are out.

Change: at most half of the selections of a plan go to steps whose last selection found no targets, and half of these out of turn, by rank; the others take turns. In a mostly used pool, where many steps have no targets, 14 and 12 of the 16 do.

The plan from scratch of TestPlanEqualsPlanFromScratch counts the steps without targets as well: it compares two ways to order steps, and both depend on that count. The comparison is as strict as before.

--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -24,6 +24,16 @@
 	// maxAdviceSelectionsPerPlan is for how many steps at most one plan selects advice targets: a selection
 	// goes over all workers, and a plan must not delay the handling of worker answers.
 	maxAdviceSelectionsPerPlan = 16
+	// maxRepeatedSelections is how many of these may be for steps whose last selection found no targets, and
+	// maxEarlyRepeats how many of those for steps that have no turn yet (isRepeatDue). In a mostly used pool, where
+	// many steps have no targets, more are left to those of high rank.
+	maxRepeatedSelections         = 8
+	maxEarlyRepeats               = 4
+	maxRepeatedSelectionsWhenBusy = 14
+	maxEarlyRepeatsWhenBusy       = 12
+	// repeatInterval is the mean time between two selections for steps that have their turn, so that plans made
+	// every 50 ms can serve them beside maxEarlyRepeats others.
+	repeatInterval = 12 * time.Millisecond
 	// adviceLateAfter is by how much a call may exceed its expected duration before more calls are made for
 	// its step.
 	adviceLateAfter = 150 * time.Millisecond
@@ -45,6 +55,9 @@
 	ticketsExpireAt clock.Time
 	pendingCalls    []*pendingAdviceCall
 	notBefore       clock.Time
+	// selectedAt is when targets were last selected for the step, and hadNoTargets says that none were found.
+	selectedAt   clock.Time
+	hadNoTargets bool
 	// callTime is the total duration of the calls for the step.
 	callTime time.Duration
 	// lastAnsweredAt is when a call for the step was last answered or failed; 0 for never.
@@ -74,8 +87,12 @@
 	rounds           advice.Rounds
 	targetOffset     int // shifts the start of a selection, so that calls ask about different workers
 	selectionsInPlan int // how many steps this plan has selected targets for
-	tally            *advice.Tally
-	issuedTickets    []*ticketIssue
+	// repeatedSelections counts those for steps that had no targets the last time, and earlyRepeats those among
+	// them that had no turn yet.
+	repeatedSelections, earlyRepeats int
+	stepsWithoutTargets              int // how many waiting steps had no targets the last time
+	tally                            *advice.Tally
+	issuedTickets                    []*ticketIssue
 }
 
 func newAdviceState() adviceState {
@@ -116,9 +133,10 @@
 	if prices.MaxCalls <= 0 {
 		return
 	}
-	p.advice.selectionsInPlan++
+	p.countSelection(s, now)
 	targets := p.selectAdviceTargets(s, reserved, prices, now)
-	if len(targets.workers) == 0 {
+	s.advice.selectedAt, s.advice.hadNoTargets = now, len(targets.workers) == 0
+	if s.advice.hadNoTargets {
 		s.advice.notBefore = now.Add(time.Duration(noTargetBackoff * float64(prices.Cost.CallTime(1))))
 		return
 	}
@@ -127,6 +145,41 @@
 	}
 }
 
+// countSelection counts a selection of targets in the present plan.
+func (p *Pool) countSelection(s *step, now clock.Time) {
+	p.advice.selectionsInPlan++
+	if !s.advice.hadNoTargets {
+		return
+	}
+	p.advice.repeatedSelections++
+	if !p.isRepeatDue(s, now) {
+		p.advice.earlyRepeats++
+	}
+}
+
+// maySelectTargets reports whether this plan may select targets for a step. Steps whose last selection found none
+// don't use up all selections: those of high rank would be selected for in each plan, and no other step would
+// ever get a call.
+func (p *Pool) maySelectTargets(s *step, now clock.Time) bool {
+	switch {
+	case p.advice.selectionsInPlan >= maxAdviceSelectionsPerPlan:
+		return false
+	case !s.advice.hadNoTargets:
+		return true
+	}
+	repeated, early := maxRepeatedSelections, maxEarlyRepeats
+	if p.poolLoad(s.occurrence.job.queue.Pool).isMostlyUsed() {
+		repeated, early = maxRepeatedSelectionsWhenBusy, maxEarlyRepeatsWhenBusy
+	}
+	return p.advice.repeatedSelections < repeated && (p.advice.earlyRepeats < early || p.isRepeatDue(s, now))
+}
+
+// isRepeatDue reports whether all other steps whose last selection found no targets have had their turn since
+// that of this one.
+func (p *Pool) isRepeatDue(s *step, now clock.Time) bool {
+	return now.Sub(s.advice.selectedAt) >= time.Duration(p.advice.stepsWithoutTargets)*repeatInterval
+}
+
 // callPrices returns the present prices of advice calls for a queue, given that at most maxLong long
 // calls may be pending.
 func (p *Pool) callPrices(cost *queue.AdviceCost, maxLong int) advice.Prices {
@@ -142,7 +195,7 @@
 
 // mayRequestAdvice reports whether this plan may make advice calls for a step.
 func (p *Pool) mayRequestAdvice(s *step, now clock.Time) bool {
-	return p.advice.advisers.IdleCount() > 0 && p.advice.selectionsInPlan < maxAdviceSelectionsPerPlan && now >= s.advice.notBefore && !s.advice.hasTimelyCall(now) &&
+	return p.advice.advisers.IdleCount() > 0 && p.maySelectTargets(s, now) && now >= s.advice.notBefore && !s.advice.hasTimelyCall(now) &&
 		s.occurrence.job.queue.Advice != nil && s.occurrence.job.outcome == ""
 }
 
@@ -266,7 +319,7 @@
 // expireAdviceCalls gives up calls whose timeout has passed without an answer.
 func (p *Pool) expireAdviceCalls(now clock.Time) {
 	const grace = 500 * time.Millisecond
-	p.advice.selectionsInPlan = 0
+	p.advice.selectionsInPlan, p.advice.repeatedSelections, p.advice.earlyRepeats = 0, 0, 0
 	p.advice.advisers.EndBackoffs(now)
 	p.countExpiredTickets(now)
 	for n, a := range p.advice.pendingCalls {
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -148,6 +148,7 @@
 	reserved := newReservations()
 	p.placePromotedGangs(reserved, now, out)
 	ordered := p.waitingSteps.sort(now)
+	p.countStepsWithoutTargets()
 	p.requestDelayedAdvice(ordered, reserved, now, out)
 	for i := range ordered {
 		s := ordered[i].step
@@ -182,6 +183,16 @@
 	}
 }
 
+// countStepsWithoutTargets counts the steps for which the last selection of advice targets found none.
+func (p *Pool) countStepsWithoutTargets() {
+	p.advice.stepsWithoutTargets = 0
+	for s := range p.waitingSteps.all() {
+		if s.advice.hadNoTargets {
+			p.advice.stepsWithoutTargets++
+		}
+	}
+}
+
 // createRun creates a run of a task and counts it against the worker's room.
 func (p *Pool) createRun(t *task, w *worker, number int, state runState, now clock.Time) *run {
 	r := &run{task: t, number: number, worker: w, state: state}
--- a/pkg/dispatch/plan_equivalence_test.go
+++ b/pkg/dispatch/plan_equivalence_test.go
@@ -41,6 +41,7 @@
 	reserved := newReservations()
 	p.placePromotedGangs(reserved, now, out)
 	ordered := p.rankFromScratch(now)
+	p.countStepsWithoutTargets()
 	p.requestDelayedAdviceFromScratch(ordered, reserved, now, out)
 	for _, s := range ordered {
 		if s.promoted || p.isBlockedByTakeover(s.occurrence.job) {
