Jobs accepted without an owner no longer wait for workers that went with it

A job that was accepted between the end of an owner and the election of the next is one of a former term.

Cause: what the next owner can't know is decided by the job's term alone, though the host that accepted the job knew that no owner was there to start it.

Change: a host marks a job that it accepts while it has heard nothing of the owner for one and a half heartbeats (unannounced). Every owner records the workers of such a job before it starts it, so that one without recorded workers was never started, as on faster stores. Whether all owners do so is said by the owner's record from a term on, as for recorded workers, since an owner of an older build does not. There are few such jobs: nothing changes while an owner is there.

--- a/pkg/dispatch/history_owner_test.go
+++ b/pkg/dispatch/history_owner_test.go
@@ -22,7 +22,7 @@
 		LeaseDuration: 5700 * time.Millisecond, MaxLeaseDuration: 5700 * time.Millisecond, WorkerMaxLease: platformMaxLease, MinDrainTime: time.Second, StopGrace: 400 * time.Millisecond,
 		Token: w.term << 20, Term: w.term, RunNumberBase: int(w.term) * 1000, HasPreviousOwner: w.term > 1, AuthorityTerm: ownerTerm + 200*time.Millisecond,
 		MaxValueBytes: historyValueBytes,
-		WallClock:     func() time.Time { return w.wallTime }, Disabled: w.disabled, RecordWorkersFromTerm: w.recordWorkersFrom,
+		WallClock:     func() time.Time { return w.wallTime }, Disabled: w.disabled, RecordWorkersFromTerm: w.recordWorkersFrom, RecordUnannouncedFromTerm: w.recordUnannouncedFrom,
 		Log: func(e Event) {
 			w.logf("owner %d %s %s run %d %s %s", term, e.Name, e.Task, e.Run, e.Worker, e.Detail)
 			if m := w.workers[workerNumber(e.Worker)]; e.Name == "crash_counted" && (m.dead || m.startedAt != e.Worker.StartedAt()) {
--- a/pkg/dispatch/history_recorded_workers_test.go
+++ b/pkg/dispatch/history_recorded_workers_test.go
@@ -57,3 +57,13 @@
 		w.announceToPrevious = true
 	})
 }
+
+// Guards against a task that runs twice since a later owner takes an unannounced job for one that was never
+// started.
+func TestInvariantsHoldWithRecordedWorkersOfUnannouncedJobs(t *testing.T) {
+	simulateHistories(t, func(w *world) { w.recordUnannouncedFrom = 1 })
+}
+
+func TestInvariantsHoldWhenOwnersBeginToRecordWorkersOfUnannouncedJobs(t *testing.T) {
+	simulateHistories(t, func(w *world) { w.recordUnannouncedFrom = 2 })
+}
--- a/pkg/dispatch/history_test.go
+++ b/pkg/dispatch/history_test.go
@@ -104,6 +104,8 @@
 	// recordWorkersFrom is the first term whose owner records the workers of jobs in the store; 0 for
 	// none.
 	recordWorkersFrom int64
+	// recordUnannouncedFrom is the same for unannounced jobs, which half of the jobs are then; 0 for none.
+	recordUnannouncedFrom int64
 	// slowRelays says that some answers are delayed by relays that are slow or frozen for a while.
 	slowRelays bool
 	// tasksCrash says that tasks of some jobs crash the workers that start them. crashingMembers has, for
@@ -254,6 +256,7 @@
 		steps[1].After = []int{0}
 	}
 	r := job.Record{Job: job.Job{ID: id, Spec: "spec", Steps: steps}, Queue: testQueue, Term: o.term}
+	r.Unannounced = w.recordUnannouncedFrom > 0 && w.rand.IntN(2) == 0
 	if w.largeJobs && w.chance(0.25) {
 		r.Job = w.drawLargeJob()
 		r.Job.ID, r.Job.Spec, steps = id, "spec", r.Job.Steps
--- a/pkg/dispatch/jobs.go
+++ b/pkg/dispatch/jobs.go
@@ -35,6 +35,7 @@
 	done                  taskset.Set // the numbers of its done tasks
 	storedProgress        storedProgress
 	term                  int64                    // of the owner for which the job was accepted
+	unannounced           bool                     // job.Record.Unannounced
 	recordedWorkers       takeover.RecordedWorkers // workers to which its starts may go
 	acceptedInCurrentTerm bool                     // no previous owner can have started it
 	blockedByTakeover     bool                     // previous owners may have unknown runs of it (takeover.go)
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -41,6 +41,8 @@
 	// RecordWorkersFromTerm is the first term from which on all owners record a job's workers in the
 	// store before they start the job on them; 0 when this owner does not.
 	RecordWorkersFromTerm int64
+	// RecordUnannouncedFromTerm is the same for unannounced jobs (job.Record).
+	RecordUnannouncedFromTerm int64
 	// MaxValueBytes is the largest value that the store takes; 0 if it takes any.
 	MaxValueBytes int
 	// HasPreviousOwner says that there was a previous owner, whose runs have to be found.
@@ -200,7 +202,7 @@
 	if _, known := p.jobs[id]; known || p.outcomes.Contains(id) {
 		return
 	}
-	j := &jobState{job: r.Job, queue: r.Queue, customer: r.Customer, hasStoredProgress: stored, term: r.Term, acceptedInCurrentTerm: r.Term >= p.cfg.Term}
+	j := &jobState{job: r.Job, queue: r.Queue, customer: r.Customer, hasStoredProgress: stored, term: r.Term, unannounced: r.Unannounced, acceptedInCurrentTerm: r.Term >= p.cfg.Term}
 	if p.config != nil {
 		if q, ok := p.config.Queue(r.Queue.Name); ok {
 			j.queue = q
--- a/pkg/dispatch/recorded_workers.go
+++ b/pkg/dispatch/recorded_workers.go
@@ -22,12 +22,14 @@
 // recordsWorkers reports whether this owner and all that may have started a job record its workers in
 // the store before they start it there (Config.RecordWorkersFromTerm). A later owner then knows which
 // silent workers may run the job, and that a job without recorded workers was never started. This is
-// done only where the store accepts enough writes.
+// done only where the store accepts enough writes, and everywhere for unannounced jobs: those that were
+// accepted after an owner had ended wait for no worker that is silent.
 //
 // A recorded worker stands for all incarnations of the worker's name, since a start that was sent to
 // one incarnation may be carried out by the next.
 func (p *Pool) recordsWorkers(j *jobState) bool {
-	return p.cfg.RecordWorkersFromTerm > 0 && j.term >= p.cfg.RecordWorkersFromTerm
+	isRecordedFrom := func(term int64) bool { return term > 0 && j.term >= term }
+	return isRecordedFrom(p.cfg.RecordWorkersFromTerm) || j.unannounced && isRecordedFrom(p.cfg.RecordUnannouncedFromTerm)
 }
 
 // recordWorker has the store record that starts of a job may go to a worker.
--- a/pkg/dispatch/takeover_test.go
+++ b/pkg/dispatch/takeover_test.go
@@ -37,6 +37,40 @@
 	f.Expect(state).To(Equal(job.Completed))
 }
 
+// Guards against jobs that stand still beside room since a worker went for good just before the owner: those that
+// were accepted in between were started by nobody.
+func TestUnannouncedJobDoesNotWaitForASilentWorker(t *testing.T) {
+	unannounced := testJob("a", testStep(1))
+	unannounced.Term, unannounced.Unannounced = 1, true
+	f := newFixture(t, 2, func(c *Config) {
+		afterPreviousOwner(c)
+		c.RecordUnannouncedFromTerm = 1
+	})
+	f.add(unannounced)
+	f.report(0, Report{})
+	f.startAfterRecording()
+	t.Run("the previous owner may have started it", func(t *testing.T) {
+		f := newFixture(t, 2, func(c *Config) {
+			afterPreviousOwner(c)
+			c.RecordUnannouncedFromTerm = 1
+		})
+		f.pool.AddJob(unannounced, job.Progress{Workers: []string{"w1"}}, true, 0, f.now)
+		f.report(0, Report{})
+		f.plan()
+		f.Expect(f.pool.Status(f.now).BlockedJobs).To(Equal(1))
+	})
+	t.Run("a previous owner did not record workers", func(t *testing.T) {
+		f := newFixture(t, 2, func(c *Config) {
+			afterPreviousOwner(c)
+			c.RecordUnannouncedFromTerm = 2
+		})
+		f.add(unannounced)
+		f.report(0, Report{})
+		f.plan()
+		f.Expect(f.pool.Status(f.now).BlockedJobs).To(Equal(1))
+	})
+}
+
 func TestTakeoverWaitsForAWorkerThatDoesNotAnswer(t *testing.T) {
 	f := newFixture(t, 2, afterPreviousOwner)
 	f.add(testJob("a", testStep(1)))
--- a/pkg/job/record.go
+++ b/pkg/job/record.go
@@ -24,6 +24,9 @@
 	// Term is the highest owner's term that the accepting host knew. Owners of lower terms never start
 	// the job.
 	Term int64 `json:"term,omitempty"`
+	// Unannounced says that the accepting host had no working link to the owner, which may have ended. Owners
+	// record the workers of such a job in the store before they start it there, even if they don't for others.
+	Unannounced bool `json:"unannounced,omitempty"`
 	// Outcome is set once the job has ended; Job and Queue are then omitted.
 	Outcome State `json:"outcome,omitempty"`
 	// RemainingUse is what may still have been running for the job when it ended.
--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -193,7 +193,7 @@
 func (h *Host) tryTakeOver(ctx context.Context, ifLeaseExpired bool, recordRevision, term int64) {
 	began := h.clk.Now()
 	previousEnded := h.isOwnerPreviousIncarnation()
-	owner := jobstore.OwnerRecord{Name: h.cfg.Load().Name, Incarnation: h.incarnation, Address: h.cfg.Load().PeerAddress, Term: term + 1, RecordWorkersFromTerm: h.recordWorkersFromTerm(term + 1)}
+	owner := jobstore.OwnerRecord{Name: h.cfg.Load().Name, Incarnation: h.incarnation, Address: h.cfg.Load().PeerAddress, Term: term + 1, RecordWorkersFromTerm: h.recordWorkersFromTerm(term + 1), RecordUnannouncedFromTerm: h.recordUnannouncedFromTerm(term + 1)}
 	text, err := owner.Encode()
 	if err != nil {
 		return
@@ -215,7 +215,7 @@
 	h.log.WithFields(logrus.Fields{"term": owner.Term, "revision": revision, "took": h.clk.Now().Sub(began)}).Info("owner_elected")
 	h.applyOwnerItems([]platform.Item{{Key: jobstore.OwnerRecordKey, Value: text, Revision: revision}})
 	h.runOwner(ctx, poolowner.Claim{
-		Term: owner.Term, Revision: revision, First: recordRevision == 0, PreviousOwnerEnded: previousEnded, RecordWorkersFromTerm: owner.RecordWorkersFromTerm,
+		Term: owner.Term, Revision: revision, First: recordRevision == 0, PreviousOwnerEnded: previousEnded, RecordWorkersFromTerm: owner.RecordWorkersFromTerm, RecordUnannouncedFromTerm: owner.RecordUnannouncedFromTerm,
 	}, began)
 }
 
@@ -235,6 +235,27 @@
 	return cmp.Or(h.election.ownerRecord.RecordWorkersFromTerm, term)
 }
 
+// recordUnannouncedFromTerm is recordWorkersFromTerm for unannounced jobs. There are few of them, so that each
+// store has room for their workers.
+func (h *Host) recordUnannouncedFromTerm(term int64) int64 {
+	h.election.mu.Lock()
+	defer h.election.mu.Unlock()
+	return cmp.Or(h.election.ownerRecord.RecordUnannouncedFromTerm, term)
+}
+
+// announceHeartbeats is for how many heartbeat intervals nothing may have come from the owner while its link still
+// counts as working.
+const announceHeartbeats = 1.5
+
+// hasOwnerLink reports whether this host is the owner, or has heard from the owner recently.
+func (h *Host) hasOwnerLink() bool {
+	if h.owner.Load() != nil {
+		return true
+	}
+	m := h.member.Load()
+	return m != nil && h.clk.Now().Sub(m.LastHeardAt()) <= time.Duration(announceHeartbeats*float64(m.HeartbeatInterval()))
+}
+
 // commitTakeover commits the transaction that makes this host the owner. If the answer is lost it repeats
 // the transaction, and recognizes its own record by the value.
 func (h *Host) commitTakeover(ctx context.Context, t platform.Txn, value string) (revision int64, ok bool) {
--- a/pkg/jobhost/jobs.go
+++ b/pkg/jobhost/jobs.go
@@ -54,7 +54,7 @@
 	err := h.checkAcceptance(ctx, c, record)
 	if err == nil {
 		stored, err = h.writeIfAbsent(ctx, jobstore.JobKey(j.ID), func(term int64) ([]byte, error) {
-			record.Term = term
+			record.Term, record.Unannounced = term, !h.hasOwnerLink()
 			return record.Encode()
 		})
 		err = spreadRetries(ctx, j.ID, err)
--- a/pkg/jobstore/keys.go
+++ b/pkg/jobstore/keys.go
@@ -95,6 +95,9 @@
 	// (job.Progress) before it started the job there; 0 if this owner does not record them. It applies to
 	// jobs that were accepted under that term or a later one.
 	RecordWorkersFromTerm int64 `json:"named_from,omitempty"`
+	// RecordUnannouncedFromTerm is the same for jobs that were accepted without a link to the owner
+	// (job.Record.Unannounced).
+	RecordUnannouncedFromTerm int64 `json:"unannounced_from,omitempty"`
 }
 
 // Encode returns the record as the store keeps it.
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -61,6 +61,8 @@
 	// RecordWorkersFromTerm is the first term from which on every owner records the workers of a job in
 	// the store before it starts the job there; 0 when this owner does not (jobstore.OwnerRecord).
 	RecordWorkersFromTerm int64
+	// RecordUnannouncedFromTerm is the same for unannounced jobs (job.Record).
+	RecordUnannouncedFromTerm int64
 }
 
 // Deps are the dependencies and settings of an Owner.
@@ -178,7 +180,7 @@
 	o.pool = dispatch.New(dispatch.Config{
 		LeaseDuration: lease, MaxLeaseDuration: lease, WorkerMaxLease: deps.Bounds.MaxHold, MinDrainTime: deps.Bounds.Drain, StopGrace: deps.Bounds.StopGrace,
 		RestoreTime: deps.Bounds.Restore, MaxValueBytes: maxValueBytes(deps),
-		Token: claim.Revision * tokenStep, Term: claim.Term, RecordWorkersFromTerm: claim.RecordWorkersFromTerm, RunNumberBase: int(claim.Term) * runNumbersPerTerm, HasPreviousOwner: !claim.First,
+		Token: claim.Revision * tokenStep, Term: claim.Term, RecordWorkersFromTerm: claim.RecordWorkersFromTerm, RecordUnannouncedFromTerm: claim.RecordUnannouncedFromTerm, RunNumberBase: int(claim.Term) * runNumbersPerTerm, HasPreviousOwner: !claim.First,
 		AuthorityTerm: previousAuthorityTerm(claim), WallClock: deps.Clock.Wall, Log: o.logEvent, Disabled: deps.Disabled,
 	}, now)
 	o.relays = relay.NewAssignments(o.isStopping, deps.LinkMbps)
