A plan during which the process was stopped no longer pauses planning for twice as long

What callers would see: accepted jobs that stand although the owner is alive and writes pool_status. The pause after a plan is twice what the plan took by the clock on the wall. An owner that is stopped for 4 s during a plan and stays the owner, as it does while the store is down for all, then made none for 8 s when one was requested; the ticker alone does not wait.

Change: the pause is a second at most. TestPlanThatTookSecondsDoesNotPausePlanningForLonger fails before (8 s).

--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -43,6 +43,8 @@
 	// planPauseFactor is the least pause before a requested plan, as a multiple of the time that the last
 	// plan took. It leaves processor time for the calls to workers when many steps wait.
 	planPauseFactor = 2
+	// maxPlanPause bounds that pause: a plan in which the process was stopped for seconds took as long.
+	maxPlanPause    = time.Second
 	inspectInterval = 250 * time.Millisecond
 	statusInterval  = time.Second
 )
@@ -338,7 +340,7 @@
 	if o.deps.Disabled.Contains(dispatch.PlanThrottling) {
 		return minPlanPause
 	}
-	return max(minPlanPause, planPauseFactor*planTime)
+	return min(max(minPlanPause, planPauseFactor*planTime), maxPlanPause)
 }
 
 func (o *Owner) inspect() {
