After a takeover, what follows a run seen active no longer waits for workers that are gone

The doubt is about the whole job.

Cause: a job was held as long as a former owner might have started any of it on a silent worker. A run that a report shows as active ends later, and its worker rejects former owners by then. So none of them hears of that end, and none starts the task again or the steps after it.

Change: tasks whose run of a former owner was seen active, and steps after such a task, are not held. Left out are members of gangs, whose end the workers of other members tell as well, and workers that keep their names, whose next life may start a run late. A gang that this owner has started is not broken as one of a former owner when the takeover settles.

Evidence: TestTasksAfterARunSeenActiveDoNotWaitForASilentWorker failed before for the next step and for the task again; another task of the step, and a step after a gang, are still held.

The plan from scratch of TestPlanEqualsPlanFromScratch holds steps by the same rule.

--- a/pkg/dispatch/delayed_advice.go
+++ b/pkg/dispatch/delayed_advice.go
@@ -33,7 +33,7 @@
 		if s.promoted {
 			continue // its calls were made when it was placed
 		}
-		if now.Sub(s.awaitsAdviceSince()) > adviceDelayLimit && p.mayRequestAdvice(s, now) && p.isAdviceDelayed(s, now) && !p.isBlockedByTakeover(s.occurrence.job) && !p.awaitsQuota(s) {
+		if now.Sub(s.awaitsAdviceSince()) > adviceDelayLimit && p.mayRequestAdvice(s, now) && p.isAdviceDelayed(s, now) && !p.isStepBlockedByTakeover(s) && !p.awaitsQuota(s) {
 			delayed = append(delayed, delayedAdviceStep{s, s.responseRatio(now), i})
 		}
 	}
--- a/pkg/dispatch/delayed_steps.go
+++ b/pkg/dispatch/delayed_steps.go
@@ -33,7 +33,7 @@
 	var out []DelayedStep
 	for _, s := range waiting[:min(len(waiting), maxSteps)] {
 		reason := p.waitReason(s, now)
-		if p.isBlockedByTakeover(s.occurrence.job) {
+		if p.isStepBlockedByTakeover(s) {
 			reason = blockedJobReason
 		}
 		out = append(out, DelayedStep{s.id(), s.occurrence.job.customer.Name, now.Sub(s.readySince), s.timeLeft(now), p.waitCause(s, now), reason})
--- a/pkg/dispatch/gang.go
+++ b/pkg/dispatch/gang.go
@@ -39,7 +39,7 @@
 // stopPartialGangs stops the gangs of a job of which previous owners have started only some members.
 func (p *Pool) stopPartialGangs(j *jobState) {
 	for s := range j.steps() {
-		if s.spec.Gang && s.isPartialGang() {
+		if s.spec.Gang && s.isPartialGang() && !s.isUnknownToPreviousOwners() {
 			p.breakGang(s)
 		}
 	}
--- a/pkg/dispatch/jobs.go
+++ b/pkg/dispatch/jobs.go
@@ -116,6 +116,7 @@
 	gang          gang
 	runsPerWorker map[WorkerID]int // runs of the step on each worker; only with MaxPerWorker
 	chainEstimate time.Duration    // estimated time from the start of this step to the end of the job
+	seenActive    bool             // one of its tasks is or was (task.seenActive)
 	// readySince is since when its tasks have been waiting for workers.
 	readySince clock.Time
 	// hasSurvivedStart says that a worker has survived a start of one of its tasks, and claimedWorker is the
@@ -154,6 +155,8 @@
 	avoidedWorker WorkerID             // where it last failed
 	lateStarts    latestart.TaskStarts // its starts that the next incarnations of their workers may carry out
 	notBefore     clock.Time
+	// seenActive says that a report has shown a run of a previous owner as active.
+	seenActive bool
 	// presumedLost says that its last run was presumed lost since its worker was silent.
 	presumedLost bool
 }
--- a/pkg/dispatch/mechanism.go
+++ b/pkg/dispatch/mechanism.go
@@ -34,7 +34,7 @@
 	GangPromotion Mechanism = "starving_gangs_first"
 	// ParallelAdvice makes several advice calls for a step at once.
 	ParallelAdvice Mechanism = "advice_in_parts"
-	// Suspension gives no tasks for a time to workers with consecutive failures or with a stuck run.
+	// Suspension prefers other workers for a time to those that fail more than the others, or have a stuck run.
 	Suspension Mechanism = "suspension"
 	// Avoidance places a task away from the worker where it failed.
 	Avoidance Mechanism = "avoidance"
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -158,7 +158,7 @@
 		if ordered[i].mayOnlyRequestAdvice(now) && !p.mayRequestAdvice(s, now) {
 			continue
 		}
-		if p.isBlockedByTakeover(s.occurrence.job) {
+		if p.isStepBlockedByTakeover(s) {
 			continue
 		}
 		if p.awaitsQuota(s) {
@@ -258,7 +258,7 @@
 		}
 		return len(candidates) > 0
 	}
-	for i := 0; i < len(s.tasks) || s.hasMoreTasks(); i++ {
+	for i := 0; i < len(s.tasks) || s.hasMoreTasks() && !p.hasTasksBlockedByTakeover(s); i++ {
 		if i == len(s.tasks) {
 			if !hasCandidates() {
 				return
@@ -290,7 +290,7 @@
 // considered.
 func (p *Pool) mayStart(t *task, now clock.Time) bool {
 	p.expireLateStarts(t, now)
-	return t.waiting() && now >= t.notBefore && !t.isBlockedByLateStart() && p.mayRestartPresumedLost(t, now) && p.crashesAllowStart(t, now)
+	return t.waiting() && !p.isTaskBlockedByTakeover(t) && now >= t.notBefore && !t.isBlockedByLateStart() && p.mayRestartPresumedLost(t, now) && p.crashesAllowStart(t, now)
 }
 
 // gangCandidates lists the workers on which members of a gang may be started.
--- a/pkg/dispatch/plan_equivalence_test.go
+++ b/pkg/dispatch/plan_equivalence_test.go
@@ -44,7 +44,7 @@
 	p.countStepsWithoutTargets()
 	p.requestDelayedAdviceFromScratch(ordered, reserved, now, out)
 	for _, s := range ordered {
-		if s.promoted || p.isBlockedByTakeover(s.occurrence.job) {
+		if s.promoted || p.isStepBlockedByTakeover(s) {
 			continue
 		}
 		if p.awaitsQuota(s) {
@@ -91,7 +91,7 @@
 	}
 	var delayed []*step
 	for _, s := range ordered {
-		if !s.promoted && p.isAdviceDelayed(s, now) && !p.isBlockedByTakeover(s.occurrence.job) && !p.awaitsQuota(s) {
+		if !s.promoted && p.isAdviceDelayed(s, now) && !p.isStepBlockedByTakeover(s) && !p.awaitsQuota(s) {
 			delayed = append(delayed, s)
 		}
 	}
--- a/pkg/dispatch/takeover.go
+++ b/pkg/dispatch/takeover.go
@@ -181,6 +181,43 @@
 	return p.takeover.pending && j.blockedByTakeover
 }
 
+// hasTasksBlockedByTakeover reports whether a previous owner may have started tasks of a step that this owner does
+// not know of.
+func (p *Pool) hasTasksBlockedByTakeover(s *step) bool {
+	return p.isBlockedByTakeover(s.occurrence.job) && !s.isUnknownToPreviousOwners()
+}
+
+// isTaskBlockedByTakeover is hasTasksBlockedByTakeover for one waiting task.
+func (p *Pool) isTaskBlockedByTakeover(t *task) bool {
+	return !t.seenActive && p.hasTasksBlockedByTakeover(t.step)
+}
+
+// isStepBlockedByTakeover reports whether all waiting tasks of a step are blocked.
+func (p *Pool) isStepBlockedByTakeover(s *step) bool {
+	return p.hasTasksBlockedByTakeover(s) && !slices.ContainsFunc(s.tasks, func(t *task) bool { return t.waiting() && t.seenActive })
+}
+
+// isUnknownToPreviousOwners reports whether no previous owner can have started a step, since it can't have heard
+// that all tasks of a step before it were done.
+func (s *step) isUnknownToPreviousOwners() bool {
+	for _, n := range s.spec.After {
+		if before := s.occurrence.steps[n]; before.seenActive || before.isUnknownToPreviousOwners() {
+			return true
+		}
+	}
+	return false
+}
+
+// recordSeenActive records that a report shows a run of a previous owner as active. The worker rejects previous
+// owners by then, so that none of them hears of the end of the run, and none has started the task again. This
+// does not hold for members of a gang, whose end the workers of other members tell as well, and for a run that
+// the next incarnation of its worker may have started late.
+func (p *Pool) recordSeenActive(t *task, w *worker) {
+	if p.takeover.pending && !t.step.spec.Gang && w.info.ID.StartedAt() == 0 {
+		t.seenActive, t.step.seenActive = true, true
+	}
+}
+
 // isUnknownToPreviousOwners reports whether no previous owner can have started the job.
 func (p *Pool) isUnknownToPreviousOwners(j *jobState) bool {
 	return !p.cfg.HasPreviousOwner || j.acceptedInCurrentTerm
--- a/pkg/dispatch/takeover_test.go
+++ b/pkg/dispatch/takeover_test.go
@@ -71,6 +71,38 @@
 	})
 }
 
+// Guards against jobs that stand still beside room after a takeover although no previous owner can have started what
+// comes next: the run of a previous owner was active when its worker first answered this one.
+func TestTasksAfterARunSeenActiveDoNotWaitForASilentWorker(t *testing.T) {
+	next := testStep(1)
+	next.After = []int{0}
+	for name, test := range map[string]struct {
+		steps   []job.Step
+		reason  EndReason
+		started []job.TaskID
+	}{
+		"the next step":     {[]job.Step{testStep(1), next}, EndDone, []job.TaskID{{StepID: job.StepID{Job: "a", Step: 1}}}},
+		"the task again":    {[]job.Step{testStep(1), next}, EndFailed, []job.TaskID{{StepID: job.StepID{Job: "a"}}}},
+		"not another task":  {[]job.Step{testStep(2)}, EndDone, nil},
+		"not a gang's step": {[]job.Step{gangStep(1), next}, EndDone, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 2, afterPreviousOwner)
+			f.add(testJob("a", test.steps...))
+			id := job.TaskID{StepID: job.StepID{Job: "a"}}
+			f.report(0, Report{Active: []ActiveRun{{Task: id, Run: 1}}})
+			f.Expect(f.plan().Starts).To(BeEmpty())
+			f.advance(time.Second)
+			f.report(0, Report{Finished: []FinishedRun{{Number: 1, Task: id, Run: 1, Reason: test.reason}}})
+			var started []job.TaskID
+			for _, s := range f.plan().Starts {
+				started = append(started, s.Task)
+			}
+			f.Expect(started).To(Equal(test.started))
+		})
+	}
+}
+
 func TestTakeoverWaitsForAWorkerThatDoesNotAnswer(t *testing.T) {
 	f := newFixture(t, 2, afterPreviousOwner)
 	f.add(testJob("a", testStep(1)))
--- a/pkg/dispatch/wait_causes.go
+++ b/pkg/dispatch/wait_causes.go
@@ -33,7 +33,7 @@
 		return WaitsForSteps
 	case s.waitingTasks() == 0:
 		return ""
-	case p.isBlockedByTakeover(s.occurrence.job):
+	case p.isStepBlockedByTakeover(s):
 		return WaitsForTakeover
 	case p.awaitsQuota(s):
 		return WaitsForQuota
