--- a/pkg/dispatch/takeover_test.go
+++ b/pkg/dispatch/takeover_test.go
@@ -40,32 +40,25 @@
 // Guards against jobs that stand still beside room since a worker went for good just before the owner: those that
 // were accepted in between were started by nobody.
 func TestUnannouncedJobDoesNotWaitForASilentWorker(t *testing.T) {
-	unannounced := testJob("a", testStep(1))
-	unannounced.Term, unannounced.Unannounced = 1, true
-	f := newFixture(t, 2, func(c *Config) {
-		afterPreviousOwner(c)
-		c.RecordUnannouncedFromTerm = 1
-	})
-	f.add(unannounced)
-	f.report(0, Report{})
-	f.startAfterRecording()
-	t.Run("the previous owner may have started it", func(t *testing.T) {
+	takeOver := func(t *testing.T, recordFrom int64, progress job.Progress) *fixture {
 		f := newFixture(t, 2, func(c *Config) {
 			afterPreviousOwner(c)
-			c.RecordUnannouncedFromTerm = 1
+			c.RecordUnannouncedFromTerm = recordFrom
 		})
-		f.pool.AddJob(unannounced, job.Progress{Workers: []string{"w1"}}, true, 0, f.now)
+		r := testJob("a", testStep(1))
+		r.Term, r.Unannounced = 1, true
+		f.pool.AddJob(r, progress, len(progress.Workers) > 0, 0, f.now)
 		f.report(0, Report{})
+		return f
+	}
+	takeOver(t, 1, job.Progress{}).startAfterRecording()
+	t.Run("the previous owner may have started it", func(t *testing.T) {
+		f := takeOver(t, 1, job.Progress{Workers: []string{"w1"}})
 		f.plan()
 		f.Expect(f.pool.Status(f.now).BlockedJobs).To(Equal(1))
 	})
 	t.Run("a previous owner did not record workers", func(t *testing.T) {
-		f := newFixture(t, 2, func(c *Config) {
-			afterPreviousOwner(c)
-			c.RecordUnannouncedFromTerm = 2
-		})
-		f.add(unannounced)
-		f.report(0, Report{})
+		f := takeOver(t, 2, job.Progress{})
 		f.plan()
 		f.Expect(f.pool.Status(f.now).BlockedJobs).To(Equal(1))
 	})
--- a/test/platform/busy_pool_test.go
+++ b/test/platform/busy_pool_test.go
@@ -20,7 +20,7 @@
 	jobsPerSecond = 35
 )
 
-// newBusyCell starts a pool with three queues, whose advice is slow, of medium speed and fast.
+// newBusyCell starts a pool with three queues, whose advice is fast, of medium speed and slow.
 func newBusyCell(t *testing.T) *cell {
 	terms := func(decision, period time.Duration, share float64) *emulator.AdviceTerms {
 		return &emulator.AdviceTerms{Decision: decision, Period: period, Validity: 2 * time.Second, Share: share}
