--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -36,8 +36,10 @@
 // taskSpec is the behaviour of a task, as the text of its job tells it.
 type taskSpec struct {
 	serves bool
-	target float64 // ms, of a task that serves
-	work   time.Duration
+	// failsFirst says that the first run of each task fails by the job's own fault.
+	failsFirst bool
+	target     float64 // ms, of a task that serves
+	work       time.Duration
 }
 
 type ended struct {
@@ -65,8 +67,10 @@
 	endedRun map[string]int
 	ends     []ended
 	lastEnd  int64
-	changed  chan struct{}
-	ownTail  float64 // tail of its serving tasks without what fills, as a share of the target
+	// doneTasks are the tasks that have ended done on this machine.
+	doneTasks map[string]bool
+	changed   chan struct{}
+	ownTail   float64 // tail of its serving tasks without what fills, as a share of the target
 	// lateShare of its orders is left unanswered and carried out late.
 	lateShare float64
 }
@@ -76,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &worker{world: w, machine: fmt.Sprintf("m-%d", n), address: l.Addr().String()}
+	x := &worker{world: w, doneTasks: map[string]bool{}, machine: fmt.Sprintf("m-%d", n), address: l.Addr().String()}
 	x.begin()
 	x.server = &http.Server{Handler: x}
 	go func() { _ = x.server.Serve(l) }()
@@ -90,6 +94,9 @@
 	defer x.mu.Unlock()
 	x.lives++
 	x.id = fmt.Sprintf("i-%s-%d", x.machine, x.lives)
+	if x.world.keepIDs {
+		x.id = "i-" + x.machine
+	}
 	x.startAt, x.down, x.token, x.deadline, x.lastEnd = time.Now(), false, 0, 0, 0
 	x.runs, x.endedRun, x.ends, x.changed = map[string]*run{}, map[string]int{}, nil, make(chan struct{})
 }
@@ -114,16 +121,25 @@
 		x.mu.Unlock()
 		return
 	}
-	text, _ := json.Marshal(map[string]any{
+	entry := map[string]any{
 		"service": "pool-1", "address": x.address, "zone": "hall-1", "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
 		"sequence": time.Since(x.startAt).Milliseconds(), "capacity": map[string]int{"cpu": 16000, "memMb": 65536, "gpu": 0},
 		"labels": []string{"a", "r1-1"}, "machine": x.machine,
-	})
+	}
+	x.addBirth(entry)
+	text, _ := json.Marshal(entry)
 	id := x.id
 	x.mu.Unlock()
 	x.world.platform.Store.Put("servers/"+id, text)
 }
 
+// addBirth adds the beginning of the minion's life to what it says of itself. The caller holds the lock.
+func (x *worker) addBirth(body map[string]any) {
+	if x.world.keepIDs {
+		body["born"] = x.startAt.UnixMilli()
+	}
+}
+
 func (x *worker) clock() int64 {
 	return time.Since(x.startAt).Milliseconds() + 1000
 }
@@ -190,6 +206,7 @@
 	}
 	if path == "/hold" && status == http.StatusOK {
 		body["active"], body["finished"] = x.lists()
+		x.addBirth(body)
 	}
 	x.mu.Unlock()
 	out.Header().Set("Content-Type", "application/json")
@@ -257,13 +274,13 @@
 	case o.Deadline <= x.clock():
 		return http.StatusConflict, reasonLate
 	}
-	x.runs[o.Task] = &run{task: o.Task, number: o.Run, spec: parseSpec(o.Spec), startAt: time.Now(), percent: 100, nextPace: 100}
+	x.runs[o.Task] = &run{task: o.Task, number: o.Run, spec: parseSpec(o.Spec, stepOf(o.Task)), startAt: time.Now(), percent: 100, nextPace: 100}
 	x.world.note("%s starts %s run %d", x.machine, o.Task, o.Run)
 	return http.StatusOK, ""
 }
 
-// parseSpec reads "serve target=MS" or "fill ms=MS".
-func parseSpec(text string) taskSpec {
+// parseSpec reads "serve target=MS", "fill ms=MS" or "steps", of which the second step takes less time.
+func parseSpec(text string, step int) taskSpec {
 	var s taskSpec
 	for _, field := range strings.Fields(text) {
 		name, value, _ := strings.Cut(field, "=")
@@ -276,11 +293,27 @@
 			s.target = n
 		case "ms":
 			s.work = time.Duration(n) * time.Millisecond
+		case "failsfirst":
+			s.failsFirst = true
+		case "steps":
+			s.work = firstStep
+			if step == 1 {
+				s.work = secondStep
+			}
 		}
 	}
 	return s
 }
 
+// stepOf returns the step in the name of a task, ID.K.STEP.INDEX.
+func stepOf(task string) int {
+	var n int
+	if parts := strings.Split(task, "."); len(parts) == 4 {
+		_, _ = fmt.Sscan(parts[2], &n)
+	}
+	return n
+}
+
 // awaitEnd waits until there is an end to list, for as long as the hold wants.
 func (x *worker) awaitEnd(r *http.Request, o order) {
 	limit := time.NewTimer(time.Duration(o.WaitMs) * time.Millisecond)
@@ -307,6 +340,9 @@
 	delete(x.runs, r.task)
 	x.endedRun[r.task] = max(x.endedRun[r.task], r.number)
 	x.lastEnd++
+	if how == "done" {
+		x.doneTasks[r.task] = true
+	}
 	x.ends = append(x.ends, ended{x.lastEnd, r.task, r.number, how})
 	close(x.changed)
 	x.changed = make(chan struct{})
@@ -326,6 +362,14 @@
 	return min(int(100*r.worked/max(r.spec.work, 1)), 99)
 }
 
+// howDone returns how a run ends whose work is done. The caller holds the lock.
+func (x *worker) howDone(r *run) string {
+	if r.spec.failsFirst && x.world.isFirstRun(r.task) {
+		return "failed"
+	}
+	return "done"
+}
+
 // filling is the sum of the shares at which what fills works. The caller holds the lock.
 func (x *worker) filling() float64 {
 	sum := 0.0
@@ -373,7 +417,7 @@
 		case !r.stopAt.IsZero() && now.After(r.stopAt):
 			x.end(r, "stopped")
 		case !r.spec.serves && r.worked >= r.spec.work:
-			x.end(r, "done")
+			x.end(r, x.howDone(r))
 		}
 	}
 	for _, r := range x.runs {
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -27,12 +27,16 @@
 
 // world is the platform of a case.
 type world struct {
-	platform *emulator.Platform
-	hosts    []emulator.Host
-	workers  []*worker
-	cloud    *cloud
-	trouble  bool
-	began    time.Time
+	platform  *emulator.Platform
+	hosts     []emulator.Host
+	workers   []*worker
+	cloud     *cloud
+	trouble   bool
+	dir       string
+	keepIDs   bool // minions start again under their ids and tell when they were born
+	jobs      map[string]*jobWatch
+	endedOnce map[string]bool // tasks of which a run has ended; by mu
+	began     time.Time
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -49,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{platform: p, trouble: trouble, began: time.Now(), random: rand.New(rand.NewPCG(seed, 1)), record: f}
+	w := &world{dir: dir, jobs: map[string]*jobWatch{}, endedOnce: map[string]bool{}, platform: p, trouble: trouble, began: time.Now(), random: rand.New(rand.NewPCG(seed, 1)), record: f}
 	w.note("seed %d, trouble %t", seed, trouble)
 	if w.cloud, err = newCloud(w); err != nil {
 		return nil, err
