An upkeep counts as begun only after the platform has confirmed its order

Cause: progress.observe took the listed state "upkeep" after an unanswered order for its effect. The list does not tell for which wave a machine is down. That the progress of the waves is mixed up was ruled out: each wave has its own, and wave 2 went on correctly. That a refusal was taken for a confirmation was ruled out too: m-0 had none.

The progress of a machine is a state (not ordered, unconfirmed, confirmed, done); an unconfirmed order is repeated every 3 s while the machine is up, occupies a place of its wave, and keeps its worker closed, as it may be carried out late. The platform identifies an upkeep by machine and wave, so a repetition begins no second one. Waves still end: an order is repeated until it is confirmed.

--- a/pkg/upkeep/doc.go
+++ b/pkg/upkeep/doc.go
@@ -5,9 +5,12 @@
 // the caller, then ordered into upkeep. The package does no I/O: the caller passes in the list
 // of machines and the current time, and Plan returns the next actions.
 //
-// The planner's progress is not stored. A new owner starts without it and may order a machine
-// into upkeep a second time; the platform then answers that the order was already carried out
-// and does nothing.
+// Only the platform's answer proves that an order was carried out: a machine may be down for another
+// wave, or because it has crashed. An order without an answer is repeated until it is confirmed. The
+// platform identifies an upkeep by machine and wave; if it has carried out the order before, it
+// confirms that and does nothing.
+//
+// The planner's progress is not stored. A new owner starts without it and orders each machine again.
 //
 // # Usage
 //
--- a/pkg/upkeep/plan.go
+++ b/pkg/upkeep/plan.go
@@ -45,8 +45,7 @@
 const missingListsUntilGone = 2
 
 // orderSettleTime is how long a machine may still be listed as up after its order. If the platform
-// acknowledged the order, the machine then counts as maintained before; otherwise the order counts
-// as lost.
+// confirmed the order, the machine then counts as maintained before; otherwise the order is repeated.
 const orderSettleTime = 3 * time.Second
 
 // drainShare is the fraction of a machine's share of the wave's duration that is left for its
@@ -62,18 +61,33 @@
 
 type wave struct {
 	Wave
-	addedAt       clock.Time
 	recordedState string
 	progress      map[MachineID]*progress
 }
 
+// orderState is the state of the upkeep of a machine in a wave. Only the platform's confirmation of an order
+// leads to orderConfirmed. The state of a machine in a list proves nothing: the machine may have crashed, or
+// be down for another wave.
+type orderState int
+
+const (
+	notOrdered       orderState = iota
+	orderUnconfirmed            // the order got no answer; it may have been carried out, or may be yet
+	orderConfirmed              // the platform answered that the upkeep has begun or is over
+	upkeepDone                  // confirmed, and the machine is up again
+)
+
 type progress struct {
+	state        orderState
 	closedAt     clock.Time // 0 until the machine's worker is closed
-	orderedAt    clock.Time // 0 while no order is outstanding
-	answered     bool       // the platform answered that it accepts the order or has carried it out before
-	wasDown      bool
-	missingLists int // consecutive calls of Plan whose machine list lacked the machine
-	done         bool
+	orderedAt    clock.Time // of the last order
+	wasDown      bool       // the machine was listed as not up after the order was confirmed
+	missingLists int        // consecutive calls of Plan whose machine list lacked the machine
+}
+
+// isUnavailable reports whether the machine may be down because of its order.
+func (pr *progress) isUnavailable() bool {
+	return pr.state == orderUnconfirmed || pr.state == orderConfirmed
 }
 
 // New returns a planner that has no waves.
@@ -86,7 +100,7 @@
 	if _, ok := p.waves[w.Number]; ok {
 		return
 	}
-	p.waves[w.Number] = &wave{Wave: w, addedAt: now, progress: map[MachineID]*progress{}}
+	p.waves[w.Number] = &wave{Wave: w, progress: map[MachineID]*progress{}}
 }
 
 // MarkCompleted records that a previous owner has completed a wave.
@@ -172,10 +186,10 @@
 		}
 		pr.missingLists = 0
 		pr.observe(m, now)
-		if m.State != StateUp || pr.orderedAt != 0 && !pr.done {
+		if m.State != StateUp || pr.isUnavailable() {
 			unavailable++
 		}
-		if !pr.done {
+		if pr.state != upkeepDone {
 			remaining++
 		}
 	}
@@ -189,28 +203,43 @@
 	p.orderMachines(w, unavailable, now, out)
 }
 
-// orderMachines closes machines and orders them into upkeep until MaxUnavailable machines of the wave
-// are unavailable. The parameter unavailable counts those that already are.
+// orderMachines repeats the orders that the platform has not confirmed. Then it closes machines and orders
+// them into upkeep until MaxUnavailable machines of the wave are unavailable. The parameter unavailable
+// counts those that already are.
 func (p *Planner) orderMachines(w *wave, unavailable int, now clock.Time, out *Plan) {
-	share := time.Duration(float64(w.Duration) * float64(max(w.MaxUnavailable, 1)) / float64(len(w.Machines)))
 	for _, id := range w.Machines {
 		pr, m := w.progressOf(id), p.machines[id]
-		if pr.done || pr.orderedAt != 0 || m.State != StateUp { // an unlisted machine has an empty state
+		if m.State != StateUp { // an unlisted machine has an empty state
 			continue
 		}
-		if unavailable >= max(w.MaxUnavailable, 1) {
-			return
-		}
-		unavailable++
-		if pr.closedAt == 0 {
-			pr.closedAt = now
+		switch pr.state {
+		case orderUnconfirmed:
+			// The worker stays closed: the platform may carry out the order at any time.
+			out.CloseWorkers = append(out.CloseWorkers, m.Worker)
+			if now.Sub(pr.orderedAt) > orderSettleTime {
+				out.Orders = append(out.Orders, w.order(m, now))
+			}
+		case notOrdered:
+			if unavailable >= max(w.MaxUnavailable, 1) {
+				continue
+			}
+			unavailable++
+			if pr.closedAt == 0 {
+				pr.closedAt = now
+			}
+			out.CloseWorkers = append(out.CloseWorkers, m.Worker)
+			out.Orders = append(out.Orders, w.order(m, now))
 		}
-		out.CloseWorkers = append(out.CloseWorkers, m.Worker)
-		force := now.Sub(pr.closedAt) > time.Duration(drainShare*float64(share))
-		out.Orders = append(out.Orders, Order{Machine: m, Wave: w.Number, Force: force})
 	}
 }
 
+// order returns the order for a machine that has been closed.
+func (w *wave) order(m Machine, now clock.Time) Order {
+	share := time.Duration(float64(w.Duration) * float64(max(w.MaxUnavailable, 1)) / float64(len(w.Machines)))
+	closedFor := now.Sub(w.progressOf(m.ID).closedAt)
+	return Order{Machine: m, Wave: w.Number, Force: closedFor > time.Duration(drainShare*float64(share))}
+}
+
 func (w *wave) progressOf(id MachineID) *progress {
 	pr, ok := w.progress[id]
 	if !ok {
@@ -220,34 +249,29 @@
 	return pr
 }
 
-// observe updates the progress of an ordered machine from its listed state.
+// observe updates the progress of a machine whose order was confirmed from its listed state.
 func (pr *progress) observe(m Machine, now clock.Time) {
-	if pr.orderedAt == 0 {
-		return
-	}
-	// After an order without an answer, a machine may be down because it has crashed.
-	if m.State == StateUpkeep || m.State == StateDown && pr.answered {
-		pr.wasDown = true
-	}
-	settled := now.Sub(pr.orderedAt) > orderSettleTime
 	switch {
+	case pr.state != orderConfirmed:
 	case m.State != StateUp:
-	case pr.wasDown, settled && pr.answered:
-		pr.done = true
-	case settled:
-		pr.orderedAt = 0 // the order was lost; the next plan repeats it
+		pr.wasDown = true
+	case pr.wasDown, now.Sub(pr.orderedAt) > orderSettleTime:
+		pr.state = upkeepDone
 	}
 }
 
-// RecordOrder records that an order was sent. answered is false if the platform did not answer or
-// answered with an error; the order may have been carried out even then.
-func (p *Planner) RecordOrder(o Order, answered bool, now clock.Time) {
+// RecordOrder records that an order was sent. confirmed is false if the platform did not answer or answered
+// with an error; the order may have been carried out even then, and is repeated until it is confirmed.
+func (p *Planner) RecordOrder(o Order, confirmed bool, now clock.Time) {
 	w, ok := p.waves[o.Wave]
 	if !ok {
 		return
 	}
 	pr := w.progressOf(o.Machine.ID)
-	pr.orderedAt, pr.answered = now, answered
+	pr.state, pr.orderedAt = orderUnconfirmed, now
+	if confirmed {
+		pr.state = orderConfirmed
+	}
 }
 
 // RecordState records that a wave's state has been stored.
