A machine that machine lists omit keeps its place in the wave, and longer

Operators could see a wave as completed although one of its machines, which stays, never had its upkeep (MIXED), or more machines of a wave down than it allows (LIMIT). Both need lists of machines that omit a machine which exists.

Cause: the planner took a machine that two lists in a row, 0.5 s apart, do not name for removed. It also gave the place of a machine to another one as soon as one list omitted it, though its upkeep may be in progress.

Now ten lists in a row must omit a machine, 5 s at the usual interval, and until then a machine whose upkeep is not done counts as unavailable. Waves with removed machines end 4 s later.

The 400 of an order ("no such machine") is not used as proof: an order to a machine of unknown state could take it down before its worker is vacated.

TestMachineMissingFromSeveralListsIsNotDone, TestMachineMissingFromAListKeepsItsPlace and TestRemovedMachineFreesItsPlace failed before.

--- a/pkg/upkeep/plan.go
+++ b/pkg/upkeep/plan.go
@@ -40,9 +40,9 @@
 }
 
 // missingListsUntilGone is the number of consecutive lists without a machine after which it counts
-// as removed. The pages of a list are read at different times, so one list may omit a machine that
+// as removed. The pages of a list are read at different times, so a list may omit a machine that
 // still exists.
-const missingListsUntilGone = 2
+const missingListsUntilGone = 10
 
 // orderSettleTime is how long a machine may still be listed as up after its order. If the platform
 // confirmed the order, the machine then counts as maintained before; otherwise the order is repeated.
@@ -179,8 +179,9 @@
 		m, listed := p.machines[id]
 		pr := w.progressOf(id)
 		if !listed {
-			if pr.missingLists++; pr.missingLists < missingListsUntilGone {
+			if pr.missingLists++; pr.missingLists < missingListsUntilGone && pr.state != upkeepDone {
 				remaining++
+				unavailable++ // its upkeep may be in progress
 			}
 			continue
 		}
