A wave that is written again under its number is carried out as written last

Cause: the planner ignored a request of a known number. The stored state of a wave counted for every later request: a new owner took "completed" of the first one for that of the second, and a late write of the state could follow a newer request.

Now a request carries the store's revision. A later one replaces the earlier one, whether that is completed or not; machines whose upkeep is confirmed keep it, as the platform identifies an upkeep by machine and wave. The state is written under the condition that the request has its revision, and a stored "completed" counts only if it was written after the request. A request whose key is removed is withdrawn.

--- a/pkg/jobhost/config.go
+++ b/pkg/jobhost/config.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"foldarch.dev/foldarch/pkg/poolowner"
 	"foldarch.dev/foldarch/pkg/queue"
 	"foldarch.dev/foldarch/platform"
 	"github.com/sirupsen/logrus"
@@ -53,29 +52,7 @@
 		h.applyEvacuation(hall, i)
 		return
 	}
-	w, ok, err := platform.ParseWave(i)
-	if err != nil {
-		h.log.WithField("error", err).Error("wave_unreadable")
-		return
-	}
-	if !ok {
-		return
-	}
-	h.mu.Lock()
-	h.waves[w.Number] = w
-	h.mu.Unlock()
-	if o := h.owner.Load(); o != nil {
-		o.PutWave(w)
-	}
-}
-
-// sendWaves passes the known waves to a new owner.
-func (h *Host) sendWaves(o *poolowner.Owner) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, w := range h.waves {
-		o.PutWave(w)
-	}
+	h.applyWave(i)
 }
 
 // applyConfig puts a configuration in force if its version is higher than the current one's.
--- a/pkg/jobhost/evacuations.go
+++ b/pkg/jobhost/evacuations.go
@@ -11,13 +11,18 @@
 // applyOperatorList applies a complete list of the operator's keys as of a revision.
 func (h *Host) applyOperatorList(items []platform.Item, at int64) {
 	evacuated := map[string]int64{}
+	waves := map[int64]bool{}
 	for _, i := range items {
+		if number, ok := platform.WaveNumber(i.Key); ok {
+			waves[number] = true
+		}
 		if hall, ok := platform.EvacuatedHall(i); ok {
 			evacuated[hall] = i.Revision
 			continue
 		}
 		h.applyOperatorItem(i)
 	}
+	h.withdrawOtherWaves(waves, at)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.evacuated.List(evacuated, at) {
--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -84,7 +84,7 @@
 	peerBytes, callerBytes, adviceBytes *traffic.Meter
 
 	mu        sync.Mutex
-	waves     map[int64]upkeep.Wave // requested by the operator
+	waves     *upkeep.Requests
 	evacuated *evacuation.Halls
 
 	background sync.WaitGroup
@@ -107,7 +107,7 @@
 		incarnation: uuid.NewString(), log: log.WithField("host", cfg.Name), clk: clk, store: store,
 		workers: platform.NewWorkerClient(workerTimeout, traffic.New("workers", metrics.registry)), metrics: metrics,
 		peerBytes: traffic.New("peers", metrics.registry), callerBytes: traffic.New("callers", metrics.registry), adviceBytes: traffic.New("advice", metrics.registry),
-		waves: map[int64]upkeep.Wave{}, evacuated: evacuation.New(),
+		waves: upkeep.NewRequests(), evacuated: evacuation.New(),
 		election: election{changed: make(chan struct{}, 1)}, ownerStoreRecovered: make(chan struct{}, 1),
 	}
 	h.cfg.Store(&cfg)
--- a/pkg/poolowner/upkeep.go
+++ b/pkg/poolowner/upkeep.go
@@ -15,12 +15,22 @@
 // upkeepInterval is the time between two checks of the machines while there is a wave.
 const upkeepInterval = 500 * time.Millisecond
 
-// PutWave adds an upkeep wave that the operator has requested.
+// PutWave adds an upkeep wave that the operator has requested, or replaces an earlier request of its number.
 func (o *Owner) PutWave(w upkeep.Wave) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.upkeep.AddWave(w, o.deps.Clock.Now())
-	o.deps.Log.WithFields(logrus.Fields{"wave": w.Number, "machines": len(w.Machines), "at_once": w.MaxUnavailable}).Info("wave_known")
+	o.upkeep.PutWave(w)
+	o.deps.Log.WithFields(logrus.Fields{
+		"wave": w.Number, "revision": w.Revision, "machines": len(w.Machines), "at_once": w.MaxUnavailable,
+	}).Info("wave_known")
+}
+
+// RemoveWave removes an upkeep wave that the operator has withdrawn.
+func (o *Owner) RemoveWave(number int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.upkeep.RemoveWave(number)
+	o.deps.Log.WithField("wave", number).Info("wave_withdrawn")
 }
 
 // runUpkeep carries out the upkeep waves.
@@ -86,8 +96,9 @@
 	o.upkeep.RecordOrder(order, err == nil, o.deps.Clock.Now())
 }
 
-// writeWaveState writes the state of a wave, unless a previous owner has written it as completed. Before
-// the first write to a wave it reads the stored state; checked holds the waves for which it has.
+// writeWaveState writes the state of a wave, unless a previous owner has written it as completed since the
+// wave was requested. The write has no effect if the operator has written the request again. Before the first
+// write to a wave it reads the stored state; checked holds the waves for which it has.
 func (o *Owner) writeWaveState(ctx context.Context, s upkeep.StateUpdate, checked map[int64]bool) {
 	if !checked[s.Wave] {
 		item, err := o.deps.Store.Read(ctx, platform.WaveStatusKey(s.Wave))
@@ -95,18 +106,22 @@
 			return
 		}
 		checked[s.Wave] = true
-		if platform.ParseWaveStatus(item.Value) == upkeep.WaveCompleted {
+		if platform.ParseWaveStatus(item.Value) == upkeep.WaveCompleted && item.Revision > s.Revision {
 			o.mu.Lock()
 			defer o.mu.Unlock()
-			o.upkeep.MarkCompleted(s.Wave)
+			o.upkeep.RecordState(upkeep.StateUpdate{Wave: s.Wave, Revision: s.Revision, State: upkeep.WaveCompleted})
 			return
 		}
 	}
 	_, _, err := o.deps.Store.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: jobstore.OwnerRecordKey, Revision: o.claim.Revision}},
-		Put:        []platform.Put{{Key: platform.WaveStatusKey(s.Wave), Value: platform.WaveStatus(s.State)}},
+		Conditions: []platform.Condition{
+			{Key: jobstore.OwnerRecordKey, Revision: o.claim.Revision},
+			{Key: platform.WaveKey(s.Wave), Revision: s.Revision},
+		},
+		Put: []platform.Put{{Key: platform.WaveStatusKey(s.Wave), Value: platform.WaveStatus(s.State)}},
 	})
 	if err != nil {
+		o.deps.Log.WithFields(logrus.Fields{"wave": s.Wave, "state": s.State, "error": err}).Warn("wave_not_shown")
 		return
 	}
 	o.deps.Log.WithFields(logrus.Fields{"wave": s.Wave, "state": s.State}).Info("wave_shown")
--- a/pkg/upkeep/doc.go
+++ b/pkg/upkeep/doc.go
@@ -15,7 +15,7 @@
 // # Usage
 //
 //	p := upkeep.New()
-//	p.AddWave(wave, now)
+//	p.PutWave(wave)
 //	p.SetMachines(machines)
 //	plan := p.Plan(now)             // plan.CloseWorkers, plan.Orders, plan.StateUpdates
 //	p.RecordOrder(order, true, now) // the platform has acknowledged the order
--- a/pkg/upkeep/machine_list_test.go
+++ b/pkg/upkeep/machine_list_test.go
@@ -34,7 +34,7 @@
 	}
 	p.SetMachines(machinesInStates(StateUp, StateUp)) // m3 is missing
 	for now := clock.Time(600); now < 4600; now += 500 {
-		g.Expect(p.Plan(now).StateUpdates).To(Equal([]StateUpdate{{1, WaveRunning}}), "at %d", now)
+		g.Expect(p.Plan(now).StateUpdates).To(Equal([]StateUpdate{{1, 0, WaveRunning}}), "at %d", now)
 	}
 	p.SetMachines(machinesInStates(StateUp, StateUp, StateUp))
 	g.Expect(p.Plan(4600).Orders).To(HaveLen(1))
--- a/pkg/upkeep/plan.go
+++ b/pkg/upkeep/plan.go
@@ -33,6 +33,7 @@
 // Wave is an operator's request for the upkeep of a set of machines.
 type Wave struct {
 	Number   int64
+	Revision int64 // the store's revision at which the operator wrote the request
 	Machines []MachineID
 	Duration time.Duration
 	// MaxUnavailable is how many machines of the wave may be unavailable at the same time.
@@ -95,19 +96,23 @@
 	return &Planner{waves: map[int64]*wave{}, machines: map[MachineID]Machine{}}
 }
 
-// AddWave adds a wave. A wave whose number is already known is ignored.
-func (p *Planner) AddWave(w Wave, now clock.Time) {
-	if _, ok := p.waves[w.Number]; ok {
+// PutWave adds a wave, or replaces the request of a known number if the given one was written later. The
+// wave is then completed anew. Machines keep their progress: the platform identifies an upkeep by machine and
+// number.
+func (p *Planner) PutWave(w Wave) {
+	known, ok := p.waves[w.Number]
+	if !ok {
+		p.waves[w.Number] = &wave{Wave: w, progress: map[MachineID]*progress{}}
 		return
 	}
-	p.waves[w.Number] = &wave{Wave: w, progress: map[MachineID]*progress{}}
+	if w.Revision > known.Revision {
+		known.Wave, known.recordedState = w, ""
+	}
 }
 
-// MarkCompleted records that a previous owner has completed a wave.
-func (p *Planner) MarkCompleted(number int64) {
-	if w, ok := p.waves[number]; ok {
-		w.recordedState = WaveCompleted
-	}
+// RemoveWave removes a wave that the operator has withdrawn.
+func (p *Planner) RemoveWave(number int64) {
+	delete(p.waves, number)
 }
 
 // HasActiveWave reports whether any wave is not completed.
@@ -145,8 +150,9 @@
 
 // StateUpdate is a state of a wave that the caller has to store.
 type StateUpdate struct {
-	Wave  int64
-	State string
+	Wave     int64
+	Revision int64 // of the request that the state belongs to
+	State    string
 }
 
 // Plan lists the actions that are due.
@@ -195,11 +201,11 @@
 		}
 	}
 	if remaining == 0 {
-		out.StateUpdates = append(out.StateUpdates, StateUpdate{w.Number, WaveCompleted})
+		out.StateUpdates = append(out.StateUpdates, StateUpdate{w.Number, w.Revision, WaveCompleted})
 		return
 	}
 	if w.recordedState == "" {
-		out.StateUpdates = append(out.StateUpdates, StateUpdate{w.Number, WaveRunning})
+		out.StateUpdates = append(out.StateUpdates, StateUpdate{w.Number, w.Revision, WaveRunning})
 	}
 	p.orderMachines(w, unavailable, now, out)
 }
@@ -275,9 +281,10 @@
 	}
 }
 
-// RecordState records that a wave's state has been stored.
+// RecordState records that a wave's state has been stored, by this owner or a previous one. A state of an
+// earlier request is ignored.
 func (p *Planner) RecordState(s StateUpdate) {
-	if w, ok := p.waves[s.Wave]; ok {
+	if w, ok := p.waves[s.Wave]; ok && w.Revision == s.Revision {
 		w.recordedState = s.State
 	}
 }
--- a/pkg/upkeep/plan_test.go
+++ b/pkg/upkeep/plan_test.go
@@ -23,7 +23,7 @@
 
 func newPlannerWithWaveOf(maxUnavailable int, machines ...MachineID) *Planner {
 	p := New()
-	p.AddWave(Wave{Number: 1, Machines: machines, Duration: 30 * time.Second, MaxUnavailable: maxUnavailable}, 0)
+	p.PutWave(Wave{Number: 1, Machines: machines, Duration: 30 * time.Second, MaxUnavailable: maxUnavailable})
 	return p
 }
 
@@ -38,7 +38,7 @@
 	plan := p.Plan(100)
 	g.Expect(plan.CloseWorkers).To(Equal([]string{"w-m1"}))
 	g.Expect(plan.Orders).To(HaveLen(1))
-	g.Expect(plan.StateUpdates).To(Equal([]StateUpdate{{1, WaveRunning}}))
+	g.Expect(plan.StateUpdates).To(Equal([]StateUpdate{{1, 0, WaveRunning}}))
 	p.RecordState(plan.StateUpdates[0])
 	p.RecordOrder(plan.Orders[0], true, 100)
 	g.Expect(p.Plan(200).Orders).To(BeEmpty(), "the machine list may be older than the order")
@@ -72,13 +72,13 @@
 		p.RecordOrder(o, true, now)
 	}
 	p.SetMachines(machinesInStates(StateUpkeep, StateUpkeep))
-	g.Expect(p.Plan(200).StateUpdates).To(Equal([]StateUpdate{{1, WaveRunning}}))
+	g.Expect(p.Plan(200).StateUpdates).To(Equal([]StateUpdate{{1, 0, WaveRunning}}))
 	p.SetMachines(machinesInStates(StateUp, StateUp))
 	for list := 3; list < missingListsUntilGone; list++ {
-		g.Expect(p.Plan(300).StateUpdates).To(Equal([]StateUpdate{{1, WaveRunning}}), "list %d", list)
+		g.Expect(p.Plan(300).StateUpdates).To(Equal([]StateUpdate{{1, 0, WaveRunning}}), "list %d", list)
 	}
-	g.Expect(p.Plan(400).StateUpdates).To(Equal([]StateUpdate{{1, WaveCompleted}}))
-	p.RecordState(StateUpdate{1, WaveCompleted})
+	g.Expect(p.Plan(400).StateUpdates).To(Equal([]StateUpdate{{1, 0, WaveCompleted}}))
+	p.RecordState(StateUpdate{1, 0, WaveCompleted})
 	g.Expect(p.HasActiveWave()).To(BeFalse())
 }
 
@@ -89,7 +89,7 @@
 	for _, o := range p.Plan(100).Orders {
 		p.RecordOrder(o, true, 100) // the platform answers that it was carried out before
 	}
-	g.Expect(p.Plan(100 + 3500).StateUpdates).To(Equal([]StateUpdate{{1, WaveCompleted}}))
+	g.Expect(p.Plan(100 + 3500).StateUpdates).To(Equal([]StateUpdate{{1, 0, WaveCompleted}}))
 }
 
 // Guards against a wave that is shown as completed although a machine never had its upkeep: the order got no
@@ -103,14 +103,14 @@
 	p.Plan(1100)
 	p.SetMachines(machinesInStates(StateUp))
 	p.Plan(2100)
-	g.Expect(p.Plan(2200).StateUpdates).NotTo(ContainElement(StateUpdate{1, WaveCompleted}))
+	g.Expect(p.Plan(2200).StateUpdates).NotTo(ContainElement(StateUpdate{1, 0, WaveCompleted}))
 	again := p.Plan(100 + 3500).Orders
 	g.Expect(again).To(HaveLen(1))
 	p.RecordOrder(again[0], true, 3600)
 	p.SetMachines(machinesInStates(StateDown)) // acknowledged, so that this is the upkeep
 	p.Plan(3700)
 	p.SetMachines(machinesInStates(StateUp))
-	g.Expect(p.Plan(3800).StateUpdates).To(ContainElement(StateUpdate{1, WaveCompleted}))
+	g.Expect(p.Plan(3800).StateUpdates).To(ContainElement(StateUpdate{1, 0, WaveCompleted}))
 }
 
 // An order without an answer may or may not have been carried out. It is repeated after orderSettleTime,
--- a/pkg/upkeep/shared_machines_test.go
+++ b/pkg/upkeep/shared_machines_test.go
@@ -14,7 +14,7 @@
 	g := NewWithT(t)
 	p := New()
 	for number := range int64(2) {
-		p.AddWave(Wave{Number: number + 1, Machines: []MachineID{"m1"}, Duration: 30 * time.Second, MaxUnavailable: 1}, 0)
+		p.PutWave(Wave{Number: number + 1, Machines: []MachineID{"m1"}, Duration: 30 * time.Second, MaxUnavailable: 1})
 	}
 	p.SetMachines(machinesInStates(StateUp))
 	orders := p.Plan(100).Orders
@@ -25,9 +25,9 @@
 	p.Plan(600)
 	p.SetMachines(machinesInStates(StateUp))
 	updates := p.Plan(2600).StateUpdates
-	g.Expect(updates).To(ContainElement(StateUpdate{2, WaveCompleted}))
-	g.Expect(updates).NotTo(ContainElement(StateUpdate{1, WaveCompleted}))
-	p.RecordState(StateUpdate{2, WaveCompleted})
+	g.Expect(updates).To(ContainElement(StateUpdate{2, 0, WaveCompleted}))
+	g.Expect(updates).NotTo(ContainElement(StateUpdate{1, 0, WaveCompleted}))
+	p.RecordState(StateUpdate{2, 0, WaveCompleted})
 
 	again := p.Plan(100 + 3500)
 	g.Expect(again.Orders).To(HaveLen(1))
@@ -36,7 +36,7 @@
 	p.SetMachines(machinesInStates(StateUpkeep))
 	p.Plan(4100)
 	p.SetMachines(machinesInStates(StateUp))
-	g.Expect(p.Plan(6100).StateUpdates).To(Equal([]StateUpdate{{1, WaveCompleted}}))
+	g.Expect(p.Plan(6100).StateUpdates).To(Equal([]StateUpdate{{1, 0, WaveCompleted}}))
 }
 
 // Guards against more machines in upkeep than the wave allows: an order without an answer may be carried out
