A machine that the platform does not count to a wave delays no other

Operators saw a wave that never ended, with a worker closed for good: the machine service answered 409 with reason "wave" for its first machine.

Cause: that answer was taken for a temporary refusal, so the order was sent again twice a second, its machine kept a place of the wave, and its worker stayed closed. A 400 ("no such machine") counted as an order that may have been carried out, with the same effect once the wave is full.

Both are definite answers: nothing was done, and nothing will be. The machine now leaves its place and its worker is opened, and the order is sent again 3 s later, as the service may know a new request later than foldarch does. The wave is not completed without the machine; it ends when the operator corrects the request, or the machine gets its upkeep or is removed.

--- a/pkg/poolowner/upkeep.go
+++ b/pkg/poolowner/upkeep.go
@@ -93,6 +93,10 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if errors.Is(err, platform.ErrNotInWave) {
+		o.upkeep.RecordNotInWave(order, o.deps.Clock.Now())
+		return
+	}
 	o.upkeep.RecordOrder(order, err == nil, o.deps.Clock.Now())
 }
 
--- a/pkg/upkeep/plan.go
+++ b/pkg/upkeep/plan.go
@@ -46,7 +46,8 @@
 const missingListsUntilGone = 10
 
 // orderSettleTime is how long a machine may still be listed as up after its order. If the platform
-// confirmed the order, the machine then counts as maintained before; otherwise the order is repeated.
+// confirmed the order, the machine then counts as maintained before; otherwise the order is repeated. A
+// refused order is repeated after the same time.
 const orderSettleTime = 3 * time.Second
 
 // drainShare is the fraction of a machine's share of the wave's duration that is left for its
@@ -82,6 +83,7 @@
 	state        orderState
 	closedAt     clock.Time // 0 until the machine's worker is closed
 	orderedAt    clock.Time // of the last order
+	refusedAt    clock.Time // when an order was last refused as not of the wave; 0 for never
 	wasDown      bool       // the machine was listed as not up after the order was confirmed
 	missingLists int        // consecutive calls of Plan whose machine list lacked the machine
 }
@@ -227,7 +229,7 @@
 				out.Orders = append(out.Orders, w.order(m, now))
 			}
 		case notOrdered:
-			if unavailable >= max(w.MaxUnavailable, 1) {
+			if unavailable >= max(w.MaxUnavailable, 1) || pr.refusedAt != 0 && now.Sub(pr.refusedAt) <= orderSettleTime {
 				continue
 			}
 			unavailable++
@@ -281,6 +283,18 @@
 	}
 }
 
+// RecordNotInWave records that the platform refused an order since the machine is not of the wave, as it knows
+// the wave: the operator has changed the request, or the platform has not read it yet. Other machines take the
+// machine's place until the order is repeated. The refusal is no upkeep, so that the wave goes on.
+func (p *Planner) RecordNotInWave(o Order, now clock.Time) {
+	w, ok := p.waves[o.Wave]
+	if !ok {
+		return
+	}
+	pr := w.progressOf(o.Machine.ID)
+	pr.state, pr.closedAt, pr.refusedAt = notOrdered, 0, now
+}
+
 // RecordState records that a wave's state has been stored, by this owner or a previous one. A state of an
 // earlier request is ignored.
 func (p *Planner) RecordState(s StateUpdate) {
