An owner reads the stored state of a wave before it orders anything for it

After each takeover, workers of machines of a wave completed long ago were closed, their lasting tasks moved, and orders sent; the workers then stayed closed for good, unless another wave came. The same happened when the only wave was withdrawn.

Cause: the stored state was read after the orders of the first plan, and cordons are set only while a wave is active, so nothing lifted those of a wave that turned out to be completed.

Now a request goes to the planner after its stored state has been read; until then it waits. Without an active wave all cordons are lifted.

--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -123,6 +123,8 @@
 	mu             sync.Mutex
 	pool           *dispatch.Pool
 	upkeep         *upkeep.Planner
+	newWaves       map[int64]upkeep.Wave // requests that the planner does not have yet
+	hasCordons     bool                  // workers are closed for their machines' upkeep
 	sessions       map[dispatch.WorkerID]*workerSession
 	members        map[string]*member
 	fastMembers    map[string]bool // members with the fast heartbeat (heartbeatInterval)
@@ -169,7 +171,7 @@
 		calls:    newCallLimiter(concurrentCallLimit(deps)),
 		sessions: map[dispatch.WorkerID]*workerSession{}, members: map[string]*member{}, fastMembers: map[string]bool{},
 		invalidEntries: map[string]invalidEntry{}, roster: map[string]rosterRecord{}, unreadableProgress: map[job.ID]bool{}, earlyCancellations: map[job.ID]bool{}, committed: make(chan struct{}), lanes: newLanes(claim),
-		entryWrites: newEntryWrites(deps.HeartbeatInterval), upkeep: upkeep.New(), segmentReaders: newSegmentReaders(now),
+		entryWrites: newEntryWrites(deps.HeartbeatInterval), upkeep: upkeep.New(), newWaves: map[int64]upkeep.Wave{}, segmentReaders: newSegmentReaders(now),
 		plans:          metrics.GetOrRegisterTimer("pool.plan", deps.Metrics),
 		rosterFailures: &storeFailures{purpose: "roster", clk: deps.Clock, log: deps.Log},
 		commitFailures: &storeFailures{purpose: "commit", clk: deps.Clock, log: deps.Log},
--- a/pkg/poolowner/rewritten_wave_test.go
+++ b/pkg/poolowner/rewritten_wave_test.go
@@ -15,7 +15,7 @@
 	first := f.request("m1")
 	f.o.PutWave(first)
 	f.request("m1", "m2")
-	f.o.writeWaveState(t.Context(), upkeep.StateUpdate{Wave: 1, Revision: first.Revision, State: upkeep.WaveCompleted}, map[int64]bool{})
+	f.o.writeWaveState(t.Context(), upkeep.StateUpdate{Wave: 1, Revision: first.Revision, State: upkeep.WaveCompleted})
 	f.Expect(f.shownState()).To(BeEmpty())
 }
 
@@ -26,12 +26,7 @@
 	f.request("m1")
 	f.p.Store.Put(platform.WaveStatusKey(1), platform.WaveStatus(upkeep.WaveCompleted))
 	f.o.PutWave(f.request("m1", "m2"))
-	checked := map[int64]bool{}
-	f.o.advanceUpkeep(t.Context(), checked)
-	f.Expect(f.shownState()).To(Equal(upkeep.WaveRunning))
+	f.Expect(f.advance()).To(Equal(upkeep.WaveRunning))
 	f.Expect(f.orders()).To(Equal([]string{"m1", "m2"}))
-	f.Eventually(func() string {
-		f.o.advanceUpkeep(t.Context(), checked)
-		return f.shownState()
-	}, "5s", "100ms").Should(Equal(upkeep.WaveCompleted))
+	f.Eventually(f.advance, "5s", "100ms").Should(Equal(upkeep.WaveCompleted))
 }
--- a/pkg/poolowner/upkeep.go
+++ b/pkg/poolowner/upkeep.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"foldarch.dev/foldarch/pkg/clock"
@@ -19,7 +21,7 @@
 func (o *Owner) PutWave(w upkeep.Wave) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.upkeep.PutWave(w)
+	o.newWaves[w.Number] = w
 	o.deps.Log.WithFields(logrus.Fields{
 		"wave": w.Number, "revision": w.Revision, "machines": len(w.Machines), "at_once": w.MaxUnavailable,
 	}).Info("wave_known")
@@ -30,6 +32,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.upkeep.RemoveWave(number)
+	delete(o.newWaves, number)
 	o.deps.Log.WithField("wave", number).Info("wave_withdrawn")
 }
 
@@ -40,20 +43,16 @@
 	}
 	// Orders of two owners for one machine must be at least MachineLease apart.
 	clock.Sleep(ctx, o.deps.Bounds.MachineLease)
-	checked := map[int64]bool{}
-	clock.Every(ctx, upkeepInterval, func() {
-		o.mu.Lock()
-		active := o.upkeep.HasActiveWave()
-		o.mu.Unlock()
-		if active {
-			o.advanceUpkeep(ctx, checked)
-		}
-	})
+	clock.Every(ctx, upkeepInterval, func() { o.advanceUpkeep(ctx) })
 }
 
-// advanceUpkeep lists the machines, orders the next upkeeps and writes the states of the waves. checked
-// holds the waves whose stored state has been read (writeWaveState).
-func (o *Owner) advanceUpkeep(ctx context.Context, checked map[int64]bool) {
+// advanceUpkeep lists the machines, orders the next upkeeps and writes the states of the waves. It does
+// nothing while there is no wave to carry out.
+func (o *Owner) advanceUpkeep(ctx context.Context) {
+	o.admitWaves(ctx)
+	if !o.hasActiveWave() {
+		return
+	}
 	machines, err := o.deps.Machines.List(ctx)
 	if err != nil {
 		o.deps.Log.WithField("error", err).Warn("machines_not_listed")
@@ -62,17 +61,67 @@
 	o.mu.Lock()
 	o.upkeep.SetMachines(machines)
 	plan := o.upkeep.Plan(o.deps.Clock.Now())
-	cordoned := make(map[string]bool, len(plan.CloseWorkers))
-	for _, name := range plan.CloseWorkers {
-		cordoned[name] = true
-	}
-	o.pool.SetCordoned(cordoned)
+	o.cordon(plan.CloseWorkers)
 	o.mu.Unlock()
 	for _, order := range plan.Orders {
 		o.startUpkeep(ctx, order)
 	}
 	for _, s := range plan.StateUpdates {
-		o.writeWaveState(ctx, s, checked)
+		o.writeWaveState(ctx, s)
+	}
+}
+
+// hasActiveWave reports whether there is a wave to carry out. If there is none, it opens all workers.
+func (o *Owner) hasActiveWave() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	active := o.upkeep.HasActiveWave()
+	if !active {
+		o.cordon(nil)
+	}
+	return active
+}
+
+// cordon closes exactly the named workers for new tasks. The caller holds the lock.
+func (o *Owner) cordon(workers []string) {
+	if len(workers) == 0 && !o.hasCordons {
+		return
+	}
+	names := make(map[string]bool, len(workers))
+	for _, name := range workers {
+		names[name] = true
+	}
+	o.pool.SetCordoned(names)
+	o.hasCordons = len(names) > 0
+}
+
+// admitWaves reads the stored states of new requests and passes the requests to the planner.
+func (o *Owner) admitWaves(ctx context.Context) {
+	o.mu.Lock()
+	waves := maps.Clone(o.newWaves)
+	o.mu.Unlock()
+	for _, number := range slices.Sorted(maps.Keys(waves)) {
+		o.admitWave(ctx, waves[number])
+	}
+}
+
+// admitWave passes a request to the planner, as completed if a previous owner has completed it since it was
+// made. If the stored state can't be read, the request waits.
+func (o *Owner) admitWave(ctx context.Context, w upkeep.Wave) {
+	item, err := o.deps.Store.Read(ctx, platform.WaveStatusKey(w.Number))
+	if err != nil && !errors.Is(err, platform.ErrAbsent) {
+		o.deps.Log.WithFields(logrus.Fields{"wave": w.Number, "error": err}).Warn("wave_state_unread")
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if latest, ok := o.newWaves[w.Number]; !ok || latest.Revision != w.Revision {
+		return // withdrawn or written again meanwhile
+	}
+	delete(o.newWaves, w.Number)
+	o.upkeep.PutWave(w)
+	if platform.ParseWaveStatus(item.Value) == upkeep.WaveCompleted && item.Revision > w.Revision {
+		o.upkeep.RecordState(upkeep.StateUpdate{Wave: w.Number, Revision: w.Revision, State: upkeep.WaveCompleted})
 	}
 }
 
@@ -100,23 +149,9 @@
 	o.upkeep.RecordOrder(order, err == nil, o.deps.Clock.Now())
 }
 
-// writeWaveState writes the state of a wave, unless a previous owner has written it as completed since the
-// wave was requested. The write has no effect if the operator has written the request again. Before the first
-// write to a wave it reads the stored state; checked holds the waves for which it has.
-func (o *Owner) writeWaveState(ctx context.Context, s upkeep.StateUpdate, checked map[int64]bool) {
-	if !checked[s.Wave] {
-		item, err := o.deps.Store.Read(ctx, platform.WaveStatusKey(s.Wave))
-		if err != nil && !errors.Is(err, platform.ErrAbsent) {
-			return
-		}
-		checked[s.Wave] = true
-		if platform.ParseWaveStatus(item.Value) == upkeep.WaveCompleted && item.Revision > s.Revision {
-			o.mu.Lock()
-			defer o.mu.Unlock()
-			o.upkeep.RecordState(upkeep.StateUpdate{Wave: s.Wave, Revision: s.Revision, State: upkeep.WaveCompleted})
-			return
-		}
-	}
+// writeWaveState writes the state of a wave. The write has no effect if the operator has written the request
+// again, or if another host has become the owner.
+func (o *Owner) writeWaveState(ctx context.Context, s upkeep.StateUpdate) {
 	_, _, err := o.deps.Store.Commit(ctx, platform.Txn{
 		Conditions: []platform.Condition{
 			{Key: jobstore.OwnerRecordKey, Revision: o.claim.Revision},
--- a/pkg/poolowner/upkeep_answers_test.go
+++ b/pkg/poolowner/upkeep_answers_test.go
@@ -29,15 +29,10 @@
 			f := newUpkeepFixture(t)
 			f.answer(answer.status, answer.body)
 			f.o.PutWave(f.request("m1", "m2"))
-			checked := map[int64]bool{}
-			advance := func() string {
-				f.o.advanceUpkeep(t.Context(), checked)
-				return f.shownState()
-			}
-			f.Consistently(advance, "4s", "200ms").Should(Equal(upkeep.WaveRunning))
+			f.Consistently(f.advance, "4s", "200ms").Should(Equal(upkeep.WaveRunning))
 			f.Expect(len(f.orders())).To(BeNumerically(">", 2), "orders are repeated")
 			f.answer(http.StatusOK, "")
-			f.Eventually(advance, "8s", "200ms").Should(Equal(upkeep.WaveCompleted))
+			f.Eventually(f.advance, "8s", "200ms").Should(Equal(upkeep.WaveCompleted))
 		})
 	}
 }
--- a/pkg/poolowner/upkeep_fixture_test.go
+++ b/pkg/poolowner/upkeep_fixture_test.go
@@ -82,3 +82,9 @@
 func (f *upkeepFixture) shownState() string {
 	return platform.ParseWaveStatus(f.p.Store.Value(platform.WaveStatusKey(1)))
 }
+
+// advance advances the upkeep by one step and returns the state of wave 1 that is shown.
+func (f *upkeepFixture) advance() string {
+	f.o.advanceUpkeep(context.Background())
+	return f.shownState()
+}
--- a/pkg/poolowner/upkeep_refused_test.go
+++ b/pkg/poolowner/upkeep_refused_test.go
@@ -31,9 +31,8 @@
 	t.Cleanup(s.Close)
 	o.deps.Machines = platform.NewMachineClient(netip.MustParseAddrPort(s.Listener.Addr().String()))
 	o.PutWave(upkeep.Wave{Number: 1, Machines: []upkeep.MachineID{"m1"}, Duration: time.Minute, MaxUnavailable: 1})
-	checked := map[int64]bool{}
 	state := func() string {
-		o.advanceUpkeep(t.Context(), checked)
+		o.advanceUpkeep(t.Context())
 		return platform.ParseWaveStatus(p.Store.Value(platform.WaveStatusKey(1)))
 	}
 	g.Consistently(state, 4*time.Second, 200*time.Millisecond).Should(Equal(upkeep.WaveRunning), "all orders are refused")
