A machine that a wave drops keeps its place until it is up again

A wave could have more machines down than it allows (LIMIT; found by random histories, not seen with the programs). Cause: the planner counts the machines of the latest request. When the operator wrote a wave again without a machine that was in upkeep for it, another one was ordered at once. Now such a machine counts until it is up again, or lists omit it as they do a removed one.

TestDroppedMachineKeepsItsPlaceWhileItIsDown failed before.

--- a/pkg/upkeep/plan.go
+++ b/pkg/upkeep/plan.go
@@ -182,7 +182,7 @@
 }
 
 func (p *Planner) planWave(w *wave, now clock.Time, out *Plan) {
-	unavailable, remaining := 0, 0
+	unavailable, remaining := p.countDropped(w, now), 0
 	for _, id := range w.Machines {
 		m, listed := p.machines[id]
 		pr := w.progressOf(id)
@@ -212,6 +212,31 @@
 	p.orderMachines(w, unavailable, now, out)
 }
 
+// countDropped counts the machines that may be down for a wave although its latest request no longer names
+// them.
+func (p *Planner) countDropped(w *wave, now clock.Time) (unavailable int) {
+	for id, pr := range w.progress {
+		if !pr.isUnavailable() || slices.Contains(w.Machines, id) {
+			continue
+		}
+		m, listed := p.machines[id]
+		if !listed {
+			pr.missingLists++
+		} else {
+			pr.missingLists = 0
+			pr.observe(m, now)
+		}
+		if pr.missingLists >= missingListsUntilGone {
+			continue
+		}
+		// The platform refuses orders for a machine that is not named, so one that is up has none to come.
+		if pr.state == orderConfirmed || pr.state == orderUnconfirmed && m.State != StateUp {
+			unavailable++
+		}
+	}
+	return unavailable
+}
+
 // orderMachines repeats the orders that the platform has not confirmed. Then it closes machines and orders
 // them into upkeep until MaxUnavailable machines of the wave are unavailable. The parameter unavailable
 // counts those that already are.
--- a/pkg/upkeep/rewritten_wave_test.go
+++ b/pkg/upkeep/rewritten_wave_test.go
@@ -92,3 +92,26 @@
 	g.Expect(r.Withdraw(1, 11)).To(BeFalse())
 	g.Expect(r.Waves()).To(Equal([]Wave{waveOf(12, "m2")}))
 }
+
+// Guards against more machines in upkeep than the wave allows: a machine was in upkeep, the operator wrote the
+// wave again without it, and another machine took its place.
+func TestDroppedMachineKeepsItsPlaceWhileItIsDown(t *testing.T) {
+	for _, confirmed := range []bool{false, true} {
+		g := NewWithT(t)
+		p := New()
+		w := waveOf(5, "m1", "m2")
+		w.MaxUnavailable = 1
+		p.PutWave(w)
+		p.SetMachines(machinesInStates(StateUp, StateUp))
+		p.RecordOrder(p.Plan(100).Orders[0], confirmed, 100)
+		w = waveOf(8, "m2")
+		w.MaxUnavailable = 1
+		p.PutWave(w)
+		p.SetMachines(machinesInStates(StateUpkeep, StateUp))
+		g.Expect(p.Plan(600).Orders).To(BeEmpty())
+		p.SetMachines(machinesInStates(StateUp, StateUp)[1:]) // m1 is missing
+		g.Expect(p.Plan(1100).Orders).To(BeEmpty())
+		p.SetMachines(machinesInStates(StateUp, StateUp))
+		g.Expect(p.Plan(1600).Orders).To(HaveLen(1))
+	}
+}
