--- a/test/platform/faults_test.go
+++ b/test/platform/faults_test.go
@@ -233,12 +233,13 @@
 	c := newCell(t, 3, emulator.Options{Workers: 5})
 	c.runUnderLoad(9*time.Second, func() {
 		time.Sleep(2 * time.Second)
-		c.p.PutWave(3, 1, 12*time.Second)
-		c.Eventually(c.p.WaveState, "3s", "50ms").Should(Equal("running"))
+		c.p.PutWave(emulator.Wave{Number: 1, Machines: c.p.MachinesOf(3), AtOnce: 1, Duration: 12 * time.Second})
+		state := func() string { return c.p.WaveState(1) }
+		c.Eventually(state, "3s", "50ms").Should(Equal("running"))
 		time.Sleep(time.Second)
 		c.kill(c.owner())
-		c.Eventually(c.p.WaveState, "25s", "50ms").Should(Equal("completed"))
-		serviced, maxAtOnce := c.p.Upkeep()
+		c.Eventually(state, "25s", "50ms").Should(Equal("completed"))
+		serviced, maxAtOnce := c.p.Upkeep(1)
 		c.Expect(serviced).To(Equal(3))
 		c.Expect(maxAtOnce).To(Equal(1))
 	})
