The soak plays upkeep waves over shared machines and checks what is shown

Up to four waves over half of the machines each are requested while hosts are killed and other faults are injected, and written again with one more machine; the machine service is silent or busy, drops, loses and delays orders, and lists are incomplete.

--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -152,8 +152,8 @@
 	}},
 }
 
-// TestSoak injects random faults, several at a time, while jobs run. Afterwards all accepted jobs have to
-// end. To run it with other seeds: make soak SEED=n SEEDS=m SECONDS=s.
+// TestSoak injects random faults, several at a time, while jobs run and the operator requests upkeep waves over
+// machines that the waves share. Afterwards all waves have to be completed and all accepted jobs have to end. To run it with other seeds: make soak SEED=n SEEDS=m SECONDS=s.
 func TestSoak(t *testing.T) {
 	for seed := *soakSeed; seed < *soakSeed+uint64(*soakSeeds); seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { runSoak(t, seed) })
@@ -179,6 +179,7 @@
 	keepIDs := rand.New(rand.NewPCG(seed, 2)).IntN(2) == 0
 	customers := randomCustomers(rand.New(rand.NewPCG(seed, 3)))
 	sizes := rand.New(rand.NewPCG(seed, 4))
+	waves, machines := rand.New(rand.NewPCG(seed, 5)), rand.New(rand.NewPCG(seed, 6))
 	c := newCell(t, 3+r.IntN(3), emulator.Options{
 		Workers: 4 + r.IntN(6), Advice: r.IntN(2) == 0, KeepIDs: keepIDs, Customers: customers.list, MaxValueBytes: randomValueBytes(sizes),
 	})
@@ -188,8 +189,11 @@
 	load := c.startLoad(ctx, 20, quickJob, chainJob, quickJob, gangJob)
 	customers.start(ctx, c, load)
 	c.startLargeJobs(ctx, sizes, load)
+	c.startWaves(ctx, waves, load)
+	load.Go(func() { c.injectFaults(ctx, machines, machineFaults) })
 	c.injectFaults(ctx, r, slices.Concat(soakFaults, buildFaults()))
 	load.Wait()
+	c.awaitWaves()
 	customers.awaitJobs(c)
 	c.awaitJobs(60 * time.Second)
 }
