--- a/pkg/poolowner/upkeep.go
+++ b/pkg/poolowner/upkeep.go
@@ -17,6 +17,10 @@
 // upkeepInterval is the time between two checks of the machines while there is a wave.
 const upkeepInterval = 500 * time.Millisecond
 
+// maxMachineListAge is how old a list of machines may be when an order is sent. A machine may have started
+// again since, with a worker that has not been vacated.
+const maxMachineListAge = time.Second
+
 // PutWave adds an upkeep wave that the operator has requested, or replaces an earlier request of its number.
 func (o *Owner) PutWave(w upkeep.Wave) {
 	o.mu.Lock()
@@ -58,12 +62,16 @@
 		o.deps.Log.WithField("error", err).Warn("machines_not_listed")
 		return
 	}
+	listedAt := o.deps.Clock.Now()
 	o.mu.Lock()
 	o.upkeep.SetMachines(machines)
 	plan := o.upkeep.Plan(o.deps.Clock.Now())
 	o.cordon(plan.CloseWorkers)
 	o.mu.Unlock()
 	for _, order := range plan.Orders {
+		if o.deps.Clock.Now().Sub(listedAt) > maxMachineListAge {
+			break // the next plan repeats the remaining orders
+		}
 		o.startUpkeep(ctx, order)
 	}
 	for _, s := range plan.StateUpdates {
--- a/pkg/poolowner/upkeep_fixture_test.go
+++ b/pkg/poolowner/upkeep_fixture_test.go
@@ -26,6 +26,7 @@
 	ordered []string // machines, in the order of the calls
 	status  int      // of the answers to orders
 	body    string   // of the answers to orders
+	silent  bool     // orders get no answer
 }
 
 func newUpkeepFixture(t *testing.T) *upkeepFixture {
@@ -49,6 +50,10 @@
 	}
 	_ = json.NewDecoder(r.Body).Decode(&body)
 	f.ordered = append(f.ordered, body.Machine)
+	if f.silent {
+		<-r.Context().Done()
+		return
+	}
 	w.WriteHeader(f.status)
 	_, _ = w.Write([]byte(f.body))
 }
