Machines that a wave's orders were refused for are ordered last

A refused machine that stands first in the request took the only place of its wave again every 3 s, so that the next one, whose tasks take longer to end, was opened and closed in turn. Refused machines now come after all others.

TestMachineThatIsNotOfTheWaveDelaysNoOther, which now lets the tasks of m2 take 6 s, fails with the order of the request.

--- a/pkg/upkeep/not_in_wave_test.go
+++ b/pkg/upkeep/not_in_wave_test.go
@@ -19,6 +19,9 @@
 	for now := clock.Time(100); now < 15_000; now += 500 {
 		plan := p.Plan(now)
 		g.Expect(plan.CloseWorkers).To(HaveLen(len(plan.Orders)), "no worker is closed without an order")
+		if now < 6000 && now != 100 {
+			g.Expect(plan.CloseWorkers).NotTo(ContainElement("w-m1"), "m2 has its place until its tasks have ended")
+		}
 		g.Expect(plan.StateUpdates).To(Equal([]StateUpdate{{1, 5, WaveRunning}}), "m1 has had no upkeep")
 		for _, o := range plan.Orders {
 			orders[o.Machine.ID]++
@@ -26,11 +29,14 @@
 				p.RecordNotInWave(o, now)
 				continue
 			}
+			if now < 6000 { // tasks run on its worker
+				continue
+			}
 			p.RecordOrder(o, true, now)
 		}
 	}
 	g.Expect(orders["m1"]).To(BeNumerically(">", 1), "the order is repeated")
-	g.Expect(orders["m2"]).To(Equal(1))
+	g.Expect(orders["m2"]).To(Equal(12), "once in each plan until its tasks have ended")
 	p.PutWave(Wave{Number: 1, Revision: 8, Machines: []MachineID{"m2"}, Duration: 30 * time.Second, MaxUnavailable: 1})
 	g.Expect(p.Plan(15_000).StateUpdates).To(Equal([]StateUpdate{{1, 8, WaveCompleted}}))
 }
--- a/pkg/upkeep/plan.go
+++ b/pkg/upkeep/plan.go
@@ -1,6 +1,7 @@
 package upkeep
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -241,7 +242,7 @@
 // them into upkeep until MaxUnavailable machines of the wave are unavailable. The parameter unavailable
 // counts those that already are.
 func (p *Planner) orderMachines(w *wave, unavailable int, now clock.Time, out *Plan) {
-	for _, id := range w.Machines {
+	for _, id := range w.machinesByRefusal() {
 		pr, m := w.progressOf(id), p.machines[id]
 		if m.State != StateUp { // an unlisted machine has an empty state
 			continue
@@ -267,6 +268,16 @@
 	}
 }
 
+// machinesByRefusal returns the machines in the order of the request, apart from those whose orders were refused
+// as not of the wave: they come last, so that no other machine waits for them.
+func (w *wave) machinesByRefusal() []MachineID {
+	out := slices.Clone(w.Machines)
+	slices.SortStableFunc(out, func(a, b MachineID) int {
+		return cmp.Compare(w.progressOf(a).refusedAt, w.progressOf(b).refusedAt)
+	})
+	return out
+}
+
 // order returns the order for a machine that has been closed.
 func (w *wave) order(m Machine, now clock.Time) Order {
 	share := time.Duration(float64(w.Duration) * float64(max(w.MaxUnavailable, 1)) / float64(len(w.Machines)))
