--- a/pkg/upkeep/history_test.go
+++ b/pkg/upkeep/history_test.go
@@ -118,7 +118,7 @@
 	return slices.Contains(w.Machines, id)
 }
 
-// begin carries out an order, and reports whether the service answers 200.
+// begin carries out an order of the owner with a fencing token, and reports whether the service answers 200.
 func (h *history) begin(o Order, token int64) bool {
 	m, w := h.machines[o.Machine.ID], h.requests[o.Wave]
 	if token < m.token || !h.namesMachine(o.Wave, o.Machine.ID) {
@@ -137,7 +137,7 @@
 			down++
 		}
 	}
-	h.Expect(down).To(BeNumerically("<", w.MaxUnavailable), "LIMIT at %s: wave %d, %s", h.now, o.Wave, o.Machine.ID)
+	h.Expect(down).To(BeNumerically("<", w.MaxUnavailable), "LIMIT at %d: wave %d, %s", h.now, o.Wave, o.Machine.ID)
 	m.upAt, m.upkeepWave = h.now.Add(upkeepTime), o.Wave
 	h.begun[o.Wave][o.Machine.ID] = true
 	return true
@@ -169,7 +169,7 @@
 	}
 	if s.State == WaveCompleted {
 		for _, id := range w.Machines {
-			h.Expect(h.begun[s.Wave]).To(HaveKey(id), "MIXED at %s: wave %d", h.now, s.Wave)
+			h.Expect(h.begun[s.Wave]).To(HaveKey(id), "MIXED at %d: wave %d", h.now, s.Wave)
 		}
 	}
 	h.stored[s.Wave] = s
