--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -153,7 +153,8 @@
 }
 
 // TestSoak injects random faults, several at a time, while jobs run and the operator requests upkeep waves over
-// machines that the waves share. Afterwards all waves have to be completed and all accepted jobs have to end. To run it with other seeds: make soak SEED=n SEEDS=m SECONDS=s.
+// machines that the waves share. Afterwards all waves have to be completed and all accepted jobs have to end.
+// To run it with other seeds: make soak SEED=n SEEDS=m SECONDS=s.
 func TestSoak(t *testing.T) {
 	for seed := *soakSeed; seed < *soakSeed+uint64(*soakSeeds); seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { runSoak(t, seed) })
--- a/test/platform/soak_waves_test.go
+++ b/test/platform/soak_waves_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/platform/emulator"
 	. "github.com/onsi/gomega"
 )
@@ -41,7 +42,11 @@
 func (c *cell) startWaves(ctx context.Context, r *rand.Rand, load *sync.WaitGroup) {
 	load.Go(func() {
 		var waves []emulator.Wave
-		for sleepUnlessDone(ctx, randomDuration(r, 300*time.Millisecond, 4*time.Second)) {
+		for {
+			clock.Sleep(ctx, randomDuration(r, 300*time.Millisecond, 4*time.Second))
+			if ctx.Err() != nil {
+				return
+			}
 			if len(waves) < maxSoakWaves {
 				waves = append(waves, c.randomWave(r, int64(len(waves)+1)))
 				c.p.PutWave(waves[len(waves)-1])
@@ -71,16 +76,6 @@
 	return machines
 }
 
-// sleepUnlessDone sleeps for d and returns false if ctx ends before.
-func sleepUnlessDone(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // awaitWaves waits until all requested waves are reported as completed.
 func (c *cell) awaitWaves() {
 	c.p.SetMachineFault(emulator.MachineFault{})
