Restarts of workers and takeovers log what a lease may rest on

worker_started_again tells how far the latest deadline that the former incarnation was sent is ahead on the clock of the next one, and takeover_settled whether it was settled by time while workers were silent. Without them the log did not tell a lease by a former incarnation's clock from orders that were carried out late or from a worker that was taken for ended. No decision changes.

--- a/pkg/dispatch/incarnations.go
+++ b/pkg/dispatch/incarnations.go
@@ -145,9 +145,9 @@
 }
 
 // recordAnsweringIncarnation records which incarnation, by its start time, answered a poll with its report,
-// and ends all others that were known when the poll was sent. It reports whether the incarnation that was
-// polled has answered.
-func (p *Pool) recordAnsweringIncarnation(w *worker, poll PollOrder, startedAt int64, now clock.Time) bool {
+// and ends all others that were known when the poll was sent. workerClock is the clock of the one that has
+// answered. It reports whether the incarnation that was polled has answered.
+func (p *Pool) recordAnsweringIncarnation(w *worker, poll PollOrder, startedAt, workerClock int64, now clock.Time) bool {
 	answering := w
 	if startedAt != 0 && startedAt != w.info.ID.StartedAt() {
 		answering = p.otherIncarnation(w, startedAt, now)
@@ -157,6 +157,7 @@
 	}
 	for _, other := range slices.Clone(w.history.incarnations) {
 		if other != answering && !other.terminated && other.discoveredAt <= poll.SentAt {
+			p.logReplacement(other, answering, workerClock)
 			p.replaceIncarnation(other, answering, now)
 		}
 	}
@@ -181,6 +182,13 @@
 	return x
 }
 
+// logReplacement logs that the next incarnation of a worker has answered. A poll for the previous one may have
+// reached it, with a deadline that is far ahead on its clock, or has passed.
+func (p *Pool) logReplacement(previous, next *worker, workerClock int64) {
+	p.cfg.Log(Event{Name: "worker_started_again", Worker: next.info.ID, Detail: fmt.Sprintf(
+		"before=%s runs=%d may_have_gone_over=%d deadline_ahead_ms=%d", previous.info.ID, len(previous.runs), len(previous.transferableRuns()), previous.latestDeadline-workerClock)})
+}
+
 // replaceIncarnation ends an incarnation that was replaced by the next one.
 func (p *Pool) replaceIncarnation(previous, next *worker, now clock.Time) {
 	previous.terminated = true
@@ -190,8 +198,6 @@
 	previous.history.markEnded(previous)
 	previous.markEntryRemoved(now)
 	transferable := previous.transferableRuns()
-	p.cfg.Log(Event{Name: "worker_started_again", Worker: next.info.ID, Detail: fmt.Sprintf(
-		"before=%s runs=%d may_have_gone_over=%d", previous.info.ID, len(previous.runs), len(transferable))})
 	p.handleWorkerCrash(previous, now)
 	for _, r := range transferable {
 		p.transferRun(r, next)
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -37,7 +37,7 @@
 	default:
 		return
 	}
-	if !p.recordAnsweringIncarnation(w, poll, report.IncarnationStart, now) {
+	if !p.recordAnsweringIncarnation(w, poll, report.IncarnationStart, a.Clock, now) {
 		return
 	}
 	outdated := a.Clock < w.clock
--- a/pkg/dispatch/takeover.go
+++ b/pkg/dispatch/takeover.go
@@ -87,7 +87,7 @@
 		presumed = true
 	}
 	p.takeover.pending = false
-	p.cfg.Log(Event{Name: "takeover_settled"})
+	p.cfg.Log(Event{Name: "takeover_settled", Detail: fmt.Sprintf("by_time=%t silent_workers=%d", presumed, len(silent))})
 	p.clearRemainingUse()
 	p.updateUnreportedUse()
 	for _, j := range p.jobsByID() {
