Tests of leases by the clock of a worker's earlier incarnation, which fail

A hold for an incarnation that has ended reaches the next one with a deadline by another clock, and the worker cuts it to the longest lease that it takes. An owner that takes over counts 5.7 s in place of that, and so does one to which a worker reports for the first time without runs.

The random histories could not show it: their workers took leases of 6 s, their owners gave 5.7, and their tasks ended within 4 s. A start that gets "old" extends the lease there now, as the protocol says.

--- a/pkg/dispatch/history_incarnations_test.go
+++ b/pkg/dispatch/history_incarnations_test.go
@@ -32,6 +32,9 @@
 	if w.shortDowntime {
 		return w.drawDuration(minShortDowntime, minDowntime)
 	}
+	if w.longLeases {
+		return w.drawDuration(minDowntime, leaseExtensionTimeout)
+	}
 	return w.drawDuration(minDowntime, 4*time.Second)
 }
 
@@ -54,6 +57,18 @@
 		})
 	}
 	w.scheduleEntryWrites(m, w.drawDuration(0, 300*time.Millisecond))
+	if w.longLeases && w.term > 0 && w.now < w.faultsUntil {
+		w.cutAfterRestart(m)
+	}
+}
+
+// cutAfterRestart has a worker that has just restarted become unreachable for longer than the leases of owners,
+// after it may have been given tasks, and changes the owner at about that time.
+func (w *world) cutAfterRestart(m *modelWorker) {
+	w.schedule(w.drawDuration(500*time.Millisecond, 2*time.Second), w.changeOwner)
+	w.schedule(w.drawDuration(500*time.Millisecond, 2500*time.Millisecond), func() {
+		w.isolateWorkerFor(m, w.drawDuration(6*time.Second, 14*time.Second))
+	})
 }
 
 // scheduleEntryWrites has an incarnation write its entry after a delay, and periodically until it ends.
--- a/pkg/dispatch/history_informed_owner_test.go
+++ b/pkg/dispatch/history_informed_owner_test.go
@@ -45,6 +45,9 @@
 	if w.informedOwner {
 		return informedOwnerElectionChance
 	}
+	if w.longLeases {
+		return 0
+	}
 	return 0.003
 }
 
@@ -53,6 +56,9 @@
 	if w.informedOwner {
 		return informedOwnerIsolationChance
 	}
+	if w.longLeases {
+		return 0
+	}
 	return 0.002
 }
 
@@ -74,6 +80,9 @@
 	if w.informedOwner && w.chance(shortRunChance) {
 		return w.drawDuration(20*time.Millisecond, 200*time.Millisecond)
 	}
+	if w.longLeases {
+		longest = longRunTime
+	}
 	return w.drawDuration(200*time.Millisecond, longest)
 }
 
--- a/pkg/dispatch/history_owner_test.go
+++ b/pkg/dispatch/history_owner_test.go
@@ -19,7 +19,7 @@
 	term := w.term
 	o := &modelOwner{term: term, nextPollAt: map[WorkerID]clock.Time{}, entryVersions: map[int]int{}, reportedDone: map[job.TaskID]modelIncarnation{}}
 	o.pool = New(Config{
-		LeaseDuration: 5700 * time.Millisecond, MaxLeaseDuration: 5700 * time.Millisecond, WorkerMaxLease: platformMaxLease, MinDrainTime: time.Second, StopGrace: 400 * time.Millisecond,
+		LeaseDuration: 5700 * time.Millisecond, MaxLeaseDuration: 5700 * time.Millisecond, WorkerMaxLease: w.maxLease, MinDrainTime: time.Second, StopGrace: 400 * time.Millisecond,
 		Token: w.term << 20, Term: w.term, RunNumberBase: int(w.term) * 1000, HasPreviousOwner: w.term > 1, AuthorityTerm: ownerTerm + 200*time.Millisecond,
 		MaxValueBytes: historyValueBytes,
 		WallClock:     func() time.Time { return w.wallTime }, Disabled: w.disabled, RecordWorkersFromTerm: w.recordWorkersFrom, RecordUnannouncedFromTerm: w.recordUnannouncedFrom,
--- a/pkg/dispatch/history_test.go
+++ b/pkg/dispatch/history_test.go
@@ -29,10 +29,14 @@
 	crashExtraTime = 60 * time.Second
 	// quotaExtraTime is how much longer a history goes on in which a customer's tasks run two at a time:
 	// twelve jobs of up to eight tasks of 4 s each take up to 190 s then.
-	quotaExtraTime     = 120 * time.Second
+	quotaExtraTime = 120 * time.Second
+	// longLeaseExtraTime is how much longer a history goes on in which tasks run for up to longRunTime.
+	longLeaseExtraTime = 120 * time.Second
+	longRunTime        = 15 * time.Second
 	historyWorkerCount = 4
 	historyJobCount    = 12
-	// platformMaxLease is the longest lease that a worker gives, by its own clock.
+	// platformMaxLease is the longest lease that a worker gives, by its own clock, unless maxLease says
+	// otherwise.
 	platformMaxLease = 6 * time.Second
 	// ownerTerm is for how long at most a replaced owner still acts.
 	ownerTerm   = 2 * time.Second
@@ -122,6 +126,10 @@
 	workersLeave bool
 	// shortDowntime says that workers are back within half a second.
 	shortDowntime bool
+	// longLeases says that workers accept leases that are longer than those of owners (maxLease), that
+	// tasks run for longer than these, and that workers are often cut off after a restart
+	// (cutAfterRestart).
+	longLeases bool
 	// quotas are the customers' quotas; nil in histories in which no job has a customer.
 	quotas *modelQuotas
 	// countedCrashes counts the crashes that an owner counted against a task and whose worker had really
@@ -141,6 +149,8 @@
 	conditionalAccept bool
 	// largeJobs says that some jobs have hundreds of tasks (history_large_jobs_test.go).
 	largeJobs bool
+	// maxLease is the longest lease that a worker gives, by its own clock.
+	maxLease time.Duration
 	// faultsUntil is the time at which fault injection stops.
 	faultsUntil        clock.Time
 	crashingMembers    map[job.ID]int
@@ -165,7 +175,7 @@
 
 func newWorld(t *testing.T, seed uint64) *world {
 	w := &world{
-		t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, 0)), now: 100_000, wallTime: time.Unix(1_700_000_000, 0),
+		t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, 0)), now: 100_000, wallTime: time.Unix(1_700_000_000, 0), maxLease: platformMaxLease,
 		store: map[job.ID]*storedJob{}, gangs: map[gangKey]*modelGang{},
 		ackedDone: map[job.TaskID]bool{}, lastBegunAt: map[job.TaskID]clock.Time{}, ended: map[job.TaskID]bool{}, ackedFailures: map[job.TaskID]int{},
 		failureCounts: map[job.TaskID]int{}, unansweredStarts: map[runKey]bool{}, crashingMembers: map[job.ID]int{}, crashesByTask: map[job.TaskID]int{}, startsAfterCrashes: map[job.TaskID]int{}, countedCrashes: map[job.TaskID]int{},
@@ -219,9 +229,13 @@
 
 // isolateWorker makes a worker unreachable for a while.
 func (w *world) isolateWorker(m *modelWorker) {
+	w.isolateWorkerFor(m, w.drawDuration(200*time.Millisecond, 9*time.Second))
+}
+
+func (w *world) isolateWorkerFor(m *modelWorker, d time.Duration) {
 	m.unreachable = true
 	w.logf("%s is unreachable", m.id)
-	w.schedule(w.drawDuration(200*time.Millisecond, 9*time.Second), func() { m.unreachable = false })
+	w.schedule(d, func() { m.unreachable = false })
 }
 
 // cancelProbability is the probability that a job is cancelled at a tick.
@@ -235,7 +249,7 @@
 // crashProbability is the probability that a worker crashes at a tick. It is higher in histories with
 // restarts, which are about crashes.
 func (w *world) crashProbability() float64 {
-	if w.workersRestart {
+	if w.workersRestart && !w.longLeases {
 		return 0.002
 	}
 	return 0.0005
@@ -314,6 +328,9 @@
 	if w.largeJobs {
 		end = end.Add(largeJobExtraTime)
 	}
+	if w.longLeases {
+		end = end.Add(longLeaseExtraTime)
+	}
 	lastFaultAt := w.now.Add(historyDuration - historyCalmTime)
 	w.faultsUntil = lastFaultAt
 	for ; w.now < end && !w.violated; w.now = w.now.Add(historyTick) {
--- a/pkg/dispatch/history_worker_test.go
+++ b/pkg/dispatch/history_worker_test.go
@@ -86,9 +86,9 @@
 	return true
 }
 
-// extendLease extends the lease to a deadline on the worker's clock, by platformMaxLease at most.
-func (m *modelWorker) extendLease(deadline int64, now clock.Time) {
-	m.leaseEnd = max(m.leaseEnd, min(deadline, m.clock(now)+platformMaxLease.Milliseconds()))
+// extendLease extends a worker's lease to a deadline on its clock, by maxLease at most.
+func (w *world) extendLease(m *modelWorker, deadline int64) {
+	m.leaseEnd = max(m.leaseEnd, min(deadline, m.clock(w.now)+w.maxLease.Milliseconds()))
 }
 
 func (w *world) handleStart(m *modelWorker, s StartOrder) Answer {
@@ -105,10 +105,11 @@
 		a.Verdict = VerdictDone
 		return a
 	case s.Run <= m.highestRun[s.Task]:
+		w.extendLease(m, s.Deadline)
 		a.Verdict = VerdictOldRun
 		return a
 	}
-	m.extendLease(s.Deadline, w.now)
+	w.extendLease(m, s.Deadline)
 	m.highestRun[s.Task] = s.Run
 	w.beginRun(m, w.newRun(s))
 	a.Verdict = VerdictDone
@@ -311,7 +312,7 @@
 		return a, Report{}
 	}
 	if poll.Deadline > 0 {
-		m.extendLease(poll.Deadline, w.now)
+		w.extendLease(m, poll.Deadline)
 	}
 	for _, f := range m.ended {
 		if f.Number <= poll.AckedEnd && m.leaseExpiredAt < m.endedAt[f.Number] {
