A lease from before a worker's first report counts although nothing runs there

Cause: a worker's lease covers all that runs there, also what begins later. Before it answers an owner for the first time, a worker that has restarted under its name may have taken a hold for its former incarnation, with a deadline by another clock, and have cut it to the longest lease that it takes. The owner reckoned with that only if the first report listed runs, or if it had itself replaced the former incarnation a moment before.

Now the first report of a worker with incarnations always counts as one after which the longest lease may follow; the worker has seen the owner's token by then, and does nothing for earlier orders. Workers whose names are unique are treated as before.

--- a/pkg/dispatch/incarnations.go
+++ b/pkg/dispatch/incarnations.go
@@ -203,7 +203,6 @@
 		p.transferRun(r, next)
 	}
 	p.loseRuns(previous, now)
-	next.hasPredecessor = true
 	next.inheritedLeasesUntil = max(next.inheritedLeasesUntil, now.Add(leaseExpiryTime(p.cfg.WorkerMaxLease)))
 }
 
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -56,7 +56,6 @@
 	fenced           bool       // it has answered this owner, so it rejects orders of previous owners
 	reported         bool       // a complete report has been applied
 	reportIncomplete bool       // its last report may not list all its runs
-	hasPredecessor   bool       // it replaced an incarnation that was known to this owner
 
 	clock          int64      // the worker's clock in its last answer, …
 	clockAt        clock.Time // … and when that answer arrived
