--- a/test/platform/cell_test.go
+++ b/test/platform/cell_test.go
@@ -120,6 +120,9 @@
 		c.workerLinks = append(c.workerLinks, k)
 		return k.address()
 	}
+	if o.Owner == nil {
+		o.Owner = storedOwner
+	}
 	p, err := emulator.Start(o)
 	c.Expect(err).NotTo(HaveOccurred())
 	c.p = p
@@ -220,6 +223,15 @@
 	c.t.Logf("logs of the hosts are in %s", path)
 }
 
+// storedOwner returns the term of the pool's owner according to the store's record, empty if there is none.
+func storedOwner(s *emulator.Store) string {
+	var holder jobstore.OwnerRecord
+	if json.Unmarshal(s.Value(jobstore.OwnerRecordKey), &holder) != nil {
+		return ""
+	}
+	return strconv.FormatInt(holder.Term, 10)
+}
+
 // owner returns the index of the host that owns the pool according to the store's record, or -1 if there is
 // none.
 func (c *cell) owner() int {
