A test of workers that restart and are cut off after their owner is killed

Cause: not changed here. A worker that restarts under its ID takes a deadline by its former clock for one that is far ahead, and holds its runs for maxHoldMs. A new owner counts the leases that owners give, 5.7 s.

Change: a test with real processes. Five of ten workers with maxHoldMs 10 s restart, get tasks of 13 s, the owner is killed 2 s after the crash and the five are cut off 0.6 s after that, for 9 s. No task may run twice.

--- /dev/null
+++ b/test/platform/former_lives_test.go
@@ -0,0 +1,47 @@
+package platform_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/platform/emulator"
+)
+
+// longJob outlasts a takeover. A worker has room for five of them.
+var longJob = jobKind{"ms=13000", []emulator.Step{{Count: 1, CPU: emulator.WorkerCPUMillis / 5, MemoryMB: 100, Estimate: 13000}}}
+
+// Guards against a task that a new owner starts beside a run on a worker that is cut off: the worker has restarted
+// under its ID, and has taken a longer lease than owners give from a deadline by its former clock.
+func TestRestartedWorkersAreCutOffAfterTheOwnerIsKilled(t *testing.T) {
+	const (
+		affected  = 5 // of twice as many workers
+		downtime  = 600 * time.Millisecond
+		untilKill = 2 * time.Second // from the crash
+		untilCut  = 600 * time.Millisecond
+		cut       = 9 * time.Second
+	)
+	c := newCell(t, 4, emulator.Options{Workers: 2 * affected, KeepIDs: true, MaxHold: 10 * time.Second})
+	c.awaitOwnerLinks()
+	time.Sleep(time.Second)
+	for _, w := range c.p.Workers[:affected] {
+		w.Crash(downtime)
+	}
+	time.Sleep(downtime + 200*time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), untilKill-downtime-200*time.Millisecond)
+	defer cancel()
+	load := c.startLoad(ctx, 20, longJob)
+	load.Wait()
+	n := c.owner()
+	c.kill(n)
+	time.Sleep(untilCut)
+	for _, w := range c.p.Workers[:affected] {
+		w.SetFault(emulator.WorkerFault{Silent: true})
+	}
+	c.start(n)
+	time.Sleep(cut)
+	for _, w := range c.p.Workers[:affected] {
+		w.SetFault(emulator.WorkerFault{})
+	}
+	c.awaitJobs(60 * time.Second)
+}
