A test of late orders that reach restarted workers

Cause: nothing played starts, stops and polls that arrive late at workers which have restarted under their IDs, in a queue whose starts have no ticket.

Change: a test with nine such workers, maxHoldMs 10 s, a fifth of all calls late by 1.5 s for 3 s, and two rounds of restarts.

--- a/test/platform/former_lives_test.go
+++ b/test/platform/former_lives_test.go
@@ -45,3 +45,21 @@
 	}
 	c.awaitJobs(60 * time.Second)
 }
+
+// Guards against starts, stops and polls that the next incarnations of workers carry out late, with the deadlines and
+// end numbers of the previous ones: a task runs twice, or its end is forgotten. The queue has no advice, so that no
+// ticket keeps a start from being carried out. The load outlasts the time for which tasks wait for late starts.
+func TestLateOrdersReachRestartedWorkers(t *testing.T) {
+	c := newCell(t, 3, emulator.Options{Workers: 9, KeepIDs: true, MaxHold: 10 * time.Second})
+	c.runUnderLoad(22*time.Second, func() {
+		time.Sleep(time.Second)
+		time.AfterFunc(3*time.Second, c.disturbWorkers(0, 1, emulator.WorkerFault{LateShare: 0.2, LateDelay: 1500 * time.Millisecond}))
+		for range 2 {
+			for _, w := range c.p.Workers {
+				w.Crash(600 * time.Millisecond)
+				time.Sleep(500 * time.Millisecond)
+			}
+		}
+	})
+	c.awaitJobs(30 * time.Second)
+}
