--- /dev/null
+++ b/pkg/dispatch/review_late_hold_test.go
@@ -0,0 +1,89 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"foldarch.dev/foldarch/pkg/clock"
+	"foldarch.dev/foldarch/pkg/job"
+	. "github.com/onsi/gomega"
+)
+
+// The next incarnation carries out a start that got no answer, and then, as late as an order may be, a hold for the
+// first incarnation that was sent after the start. Its deadline is by the clock of the first incarnation.
+func TestRunLastsAsLongAsALateHoldForTheEarlierIncarnationExtendsIt(t *testing.T) {
+	for name, longRunning := range map[string]bool{"a task that ends": false, "a task that lasts": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newIncarnationFixture(t, 2, withLongWorkerLeases)
+			f.outlastFirstReports(firstIncarnation(0), firstIncarnation(1))
+			cordoned := f.pool.historyOf(string(workerID(1)))
+			cordoned.cordoned = true
+			step := testStep(1)
+			step.LongRunning = longRunning
+			f.add(testJob("a", step))
+			f.pollAndReport(firstIncarnation(0), Report{})
+			s := f.planOneStart()
+			f.Expect(s.Worker).To(Equal(firstIncarnation(0).id))
+			f.advance(160 * time.Millisecond)
+			f.failStart(s)
+			f.advance(650 * time.Millisecond)
+			hold := f.newPoll(firstIncarnation(0), true)
+			f.Expect(hold.Deadline).NotTo(BeZero())
+			f.Expect(hold.Token).To(BeNumerically(">=", s.Token))
+			f.pool.HandlePollFailure(hold.Worker, f.now)
+			cordoned.cordoned = false
+			f.expectNoStartWhile(hold.SentAt.Add(maxOrderDelay+f.pool.cfg.WorkerMaxLease), firstIncarnation(1))
+		})
+	}
+}
+
+// The next incarnation takes a start and a hold that were meant for the first one, without a delay, and is cut off;
+// its owner learns nothing of it.
+func TestRunOnAnUnknownNextIncarnationMayHaveTheLongestLease(t *testing.T) {
+	for name, change := range map[string]func(*job.Step){
+		"a task that ends":  func(*job.Step) {},
+		"a task that lasts": func(s *job.Step) { s.LongRunning = true },
+		"a gang":            func(s *job.Step) { s.Gang = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newIncarnationFixture(t, 2, withLongWorkerLeases)
+			f.outlastFirstReports(firstIncarnation(0), firstIncarnation(1))
+			cordoned := f.pool.historyOf(string(workerID(1)))
+			cordoned.cordoned = true
+			step := testStep(1)
+			change(&step)
+			f.add(testJob("a", step))
+			s := f.planOneStart()
+			f.advance(160 * time.Millisecond)
+			f.failStart(s)
+			f.advance(600 * time.Millisecond)
+			hold := f.newPoll(firstIncarnation(0), true)
+			f.Expect(hold.Deadline).NotTo(BeZero())
+			f.pool.HandlePollFailure(hold.Worker, f.now)
+			cordoned.cordoned = false
+			f.expectNoStartWhile(hold.SentAt.Add(f.pool.cfg.WorkerMaxLease), firstIncarnation(1))
+		})
+	}
+}
+
+// expectNoStartWhile is expectNoStartUntil with shorter steps and without a start after that.
+func (f *fixture) expectNoStartWhile(until clock.Time, by testIncarnation) {
+	for f.now < until {
+		f.advance(20 * time.Millisecond)
+		f.pollAndReport(by, Report{})
+		f.Expect(f.plan().Starts).To(BeEmpty(), "%d ms before the run has certainly lapsed", until.Sub(f.now).Milliseconds())
+		f.pool.ApplyCommit(f.pool.PrepareCommit())
+	}
+}
+
+// outlastFirstReports has workers answer until no lease from before their first reports lasts.
+func (f *fixture) outlastFirstReports(workers ...testIncarnation) {
+	for until := f.now.Add(leaseExpiryTime(f.pool.cfg.WorkerMaxLease)); f.now <= until; f.advance(200 * time.Millisecond) {
+		for _, w := range workers {
+			f.pollAndReport(w, Report{})
+		}
+	}
+	for _, w := range workers {
+		f.pollAndReport(w, Report{})
+	}
+}
