--- a/pkg/dispatch/review_majority_test.go
+++ b/pkg/dispatch/review_majority_test.go
@@ -49,3 +49,73 @@
 		})
 	}
 }
+
+// The same, up to the start by the next owner of a task that the previous one keeps running.
+func TestRestartsOfFencedWorkersDoNotLetATaskRunTwice(t *testing.T) {
+	const restarted, kept = 6, 4
+	const all = restarted + kept + 1
+	for name, restarts := range map[string]bool{"no worker restarts": false, "fenced workers restart": true} {
+		t.Run(name, func(t *testing.T) {
+			previous := newIncarnationFixture(t, restarted+kept, withLongWorkerLeases)
+			previous.add(testJob("a", testStep(1)))
+			for n := range restarted + kept {
+				previous.pool.historyOf(string(workerID(n))).cordoned = n != restarted
+			}
+			s := previous.planOneStart()
+			keeper := firstIncarnation(restarted)
+			previous.Expect(s.Worker).To(Equal(keeper.id))
+			previous.acceptFrom(s, keeper)
+			previous.pollAndReport(keeper, activeReport(s))
+
+			next := newFixture(t, 0, func(c *Config) {
+				afterPreviousOwner(c)
+				withLongWorkerLeases(c)
+			})
+			for n := range all {
+				next.addEntry(firstIncarnation(n))
+			}
+			for n := range restarted {
+				next.pollAndReport(firstIncarnation(n), Report{})
+			}
+			record := testJob("a", testStep(1))
+			record.Term = 1
+			next.add(record)
+			next.pollAndReport(firstIncarnation(all-1), Report{})
+			next.pool.RestartTakeoverTimers(next.now)
+			previousBegan, nextBegan := previous.now, next.now
+			leaseEnd := previous.now.Add(previous.pool.cfg.LeaseDuration)
+			for range 100 {
+				if restarts {
+					for n := range restarted {
+						if previous.pool.workers[secondIncarnation(n).id] == nil {
+							previous.answerPoll(previous.newPoll(firstIncarnation(n), false), secondIncarnation(n), Report{})
+						} else {
+							previous.pollAndReport(secondIncarnation(n), Report{})
+						}
+					}
+				}
+				for n := restarted; n < restarted+kept; n++ {
+					answering, known := previous.pool.AnsweringCount(previous.now, 2*time.Second)
+					poll, ok := previous.pool.NewPoll(firstIncarnation(n).id, false, 2*answering > known, previous.now)
+					previous.Expect(ok).To(BeTrue())
+					report := Report{}
+					if n == restarted {
+						report = activeReport(s)
+					}
+					if n == restarted && poll.Deadline != 0 {
+						leaseEnd = previous.now.Add(previous.pool.cfg.LeaseDuration)
+					}
+					previous.answerPoll(poll, firstIncarnation(n), report)
+				}
+				next.pollAndReport(firstIncarnation(all-1), Report{})
+				next.advance(300 * time.Millisecond)
+				previous.advance(next.now.Sub(nextBegan) - previous.now.Sub(previousBegan)) // the same time passes for both
+				if len(next.plan().Starts) > 0 {
+					next.Expect(previous.now).To(BeNumerically(">=", leaseEnd), "the previous owner still extends the lease of the run")
+					return
+				}
+				next.pool.ApplyCommit(next.pool.PrepareCommit())
+			}
+		})
+	}
+}
--- a/pkg/dispatch/review_takeover_kinds_test.go
+++ b/pkg/dispatch/review_takeover_kinds_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	"foldarch.dev/foldarch/pkg/customer"
 	"foldarch.dev/foldarch/pkg/job"
 	. "github.com/onsi/gomega"
 )
@@ -65,7 +64,7 @@
 						withLongWorkerLeases(c)
 						c.AuthorityTerm = term
 					})
-					f.configureCustomers(2, customer.Customer(northWithQuota(1000)))
+					f.configureCustomers(2, northWithQuota(1000))
 					f.beginIncarnation(firstIncarnation(1), Report{})
 					learn(f)
 					f.beginIncarnation(firstIncarnation(2), Report{})
