The clock in the answer to a stop is not taken for that of the worker's incarnation

Cause: a stop that was meant for an incarnation may be answered by the next one, whose clock may be ahead. The owner took that clock for the former incarnation's, by which its latest deadline had passed then, and held the worker for lapsed 1.7 s after its last answer: a task that lasts was started elsewhere beside a late start on the next incarnation, and a crash was not counted as conclusive.

Holds tell the clock often enough, and with the incarnation that answers. TestStopAnswerOfTheNextIncarnationDoesNotShortenLeases and TestStopAnswerOfTheNextIncarnationDoesNotHideACrash failed and pass.

--- a/pkg/dispatch/run_ends.go
+++ b/pkg/dispatch/run_ends.go
@@ -230,13 +230,12 @@
 }
 
 // HandleStopAnswer handles a worker's answer to a stop order. The end itself is reported in the answer
-// to a poll.
+// to a poll. The answer's clock is not used, since the next incarnation may have given the answer.
 func (p *Pool) HandleStopAnswer(o StopOrder, a Answer, now clock.Time) {
 	w, ok := p.workers[o.Worker]
 	if !ok {
 		return
 	}
-	w.updateClock(a.Clock, now)
 	switch a.Verdict {
 	case VerdictFenced:
 		p.checkFence(w, o.Token)
