An unreadable record of the roster may be of a worker with incarnations

Cause: a takeover with a record that can't be read waits until all leases of former owners have expired, and took the longest lease of workers with incarnations only if it knew of one.

TestUnreadableRecordMayBeOfAWorkerWithIncarnations failed in its case without a known worker (settled after 7.95 s in place of 12) and passes.

--- a/pkg/dispatch/takeover.go
+++ b/pkg/dispatch/takeover.go
@@ -164,15 +164,17 @@
 // For a worker that answers without complete reports, this owner's own polls go on extending the
 // leases.
 func (p *Pool) previousRunsExpireAt() clock.Time {
-	at := p.takeover.ordersUntil.Add(leaseExpiryTime(p.cfg.MaxLeaseDuration))
+	lease := p.cfg.MaxLeaseDuration
+	if p.takeover.hasUnreadableWorker {
+		lease = max(lease, p.cfg.WorkerMaxLease) // it may have incarnations
+	}
+	at := p.takeover.ordersUntil.Add(leaseExpiryTime(lease))
 	for _, w := range p.workers {
-		if w.terminated {
+		if w.reported || w.terminated {
 			continue
 		}
-		if !w.reported || p.takeover.hasUnreadableWorker { // such a worker may have incarnations if the others do
-			at = max(at, p.previousLeasesExpireAt(w))
-		}
-		if w.fenced && !w.reported {
+		at = max(at, p.previousLeasesExpireAt(w))
+		if w.fenced {
 			at = max(at, w.leasesExpireAt())
 		}
 	}
