A first report without runs says nothing of the leases of a previous owner

Cause: a new owner counted the leases of a previous one on a worker with a unique name only if runs were listed there. A lease also covers what begins later, so that a previous owner that gave longer leases than this one left one behind that nobody counted. Found by the review.

TestLongerLeaseOfAPreviousOwnerCoversLaterRuns failed for unique names and passes.

--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -49,7 +49,7 @@
 	if !p.jobsLoaded {
 		return
 	}
-	if !w.reported && p.mayHaveOtherLease(w, report) {
+	if !w.reported && p.mayHaveOtherLease(w) {
 		// The worker has seen this owner's token, so no lease lasts longer.
 		w.inheritedLeasesUntil = now.Add(leaseExpiryTime(p.maxLeaseOn(w)))
 	}
@@ -67,11 +67,10 @@
 }
 
 // mayHaveOtherLease reports whether a worker that reports for the first time may have a lease that outlasts those
-// which this owner gives. A lease also covers runs that begin later, so a deadline by the clock of another
-// incarnation counts even if nothing runs. One by the worker's own clock ends before that of a run which this
-// owner starts.
-func (p *Pool) mayHaveOtherLease(w *worker, report Report) bool {
-	return w.info.ID.StartedAt() != 0 || p.cfg.HasPreviousOwner && len(report.Active) > 0
+// which this owner gives: one of a previous owner, or one by the clock of another incarnation. A lease also covers
+// runs that begin later, so it counts even if nothing runs.
+func (p *Pool) mayHaveOtherLease(w *worker) bool {
+	return p.cfg.HasPreviousOwner || w.info.ID.StartedAt() != 0
 }
 
 // checkFence marks this owner as fenced if a worker refused its current token. A lower token may have
