--- a/pkg/cell/resources.go
+++ b/pkg/cell/resources.go
@@ -1,6 +1,10 @@
 package cell
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+)
 
 // MillisPerCPU is the number of CPU millis in one processor.
 const MillisPerCPU = 1000
@@ -12,12 +16,31 @@
 	Accelerators int64
 }
 
+// MaxPerWorker is the largest amount of a resource that a worker may offer or a task may need. No machine has
+// as much.
+const MaxPerWorker = 1 << 40
+
+// Validate returns an error if an amount is negative or above MaxPerWorker.
+func (r Resources) Validate() error {
+	if min(r.CPUMillis, r.MemoryMB, r.Accelerators) < 0 || max(r.CPUMillis, r.MemoryMB, r.Accelerators) > MaxPerWorker {
+		return errors.Newf("resources %s: want 0 to %d of each", r, int64(MaxPerWorker))
+	}
+	return nil
+}
+
 // maxAmount is the largest amount that Add and Times return. Estimates for jobs of any size are summed up.
 const maxAmount = 1 << 61
 
 // Add returns the sum of two amounts, at most maxAmount of each.
 func (r Resources) Add(o Resources) Resources {
-	return Resources{min(r.CPUMillis+o.CPUMillis, maxAmount), min(r.MemoryMB+o.MemoryMB, maxAmount), min(r.Accelerators+o.Accelerators, maxAmount)}
+	return Resources{add(r.CPUMillis, o.CPUMillis), add(r.MemoryMB, o.MemoryMB), add(r.Accelerators, o.Accelerators)}
+}
+
+func add(a, b int64) int64 {
+	if a > 0 && b > maxAmount-a {
+		return maxAmount
+	}
+	return a + b
 }
 
 // Sub returns the difference r - o.
--- /dev/null
+++ b/pkg/poolowner/odd_entries_test.go
@@ -0,0 +1,60 @@
+package poolowner
+
+import (
+	"strings"
+	"testing"
+
+	"foldarch.dev/foldarch/pkg/dispatch"
+	"foldarch.dev/foldarch/platform"
+	"foldarch.dev/foldarch/platform/emulator"
+	. "github.com/onsi/gomega"
+)
+
+// oddWorkerEntries are entries of another writer. valid is the entry of a worker.
+func oddWorkerEntries(valid string) map[string]string {
+	odd := func(field string) string { return strings.Replace(valid, "{", "{"+field+",", 1) }
+	const depth = 200_000
+	return map[string]string{
+		"nested":        strings.Repeat("[", depth),
+		"nested-unused": odd(`"unused":` + strings.Repeat("[", depth) + strings.Repeat("]", depth)),
+		"large":         strings.Replace(valid, `"cpu":`, `"cpu":9223372036854775807,"x":`, 1),
+		"large-2":       strings.Replace(valid, `"memMb":`, `"memMb":9223372036854775807,"x":`, 1),
+		"too-large":     odd(`"slots":1e400`),
+		"port":          strings.Replace(valid, `"address":"`, `"address":"10.0.0.9:70000","x":"`, 1),
+		"no-utf8":       "\xff\xfe{",
+		"empty":         "",
+		"a/b":           valid,
+	}
+}
+
+// putOddEntries writes odd entries, and after them the entry of one more worker.
+func putOddEntries(p *emulator.Platform, info dispatch.WorkerInfo) (added dispatch.WorkerID) {
+	valid := string(p.Store.Value(platform.WorkersPrefix + info.ID.Name()))
+	for name, value := range oddWorkerEntries(valid) {
+		p.Store.Put(platform.WorkersPrefix+name, []byte(value))
+	}
+	p.Store.Put("status/wave/7", []byte("[[["))
+	p.Store.Put(platform.WorkersPrefix+"zz", []byte(strings.Replace(valid, info.Address.String(), "127.0.0.1:1", 1)))
+	return dispatch.NewWorkerID("zz", info.ID.StartedAt())
+}
+
+// Guards against odd entries of another writer that keep the owner from following the workers' entries.
+func TestOddWorkerEntriesAffectNoOther(t *testing.T) {
+	g := NewWithT(t)
+	o, p, info, hook := ownerWatchingEntries(t)
+	before := o.watchPosition.workers
+	added := putOddEntries(p, info)
+	g.Eventually(o.workerNames, "5s", "10ms").Should(ConsistOf(info.ID, added))
+	for name := range oddWorkerEntries("{}") {
+		g.Eventually(func() int { return countLogLines(hook, "entry_unusable", name) }, "2s", "10ms").Should(BeNumerically(">=", 1), name)
+	}
+	o.mu.Lock()
+	g.Expect(o.watchPosition.workers).To(BeNumerically(">", before))
+	o.mu.Unlock()
+	p.Store.Remove(platform.WorkersPrefix + "zz")
+	g.Eventually(func() bool { return o.hasEntry(added) }, "5s", "10ms").Should(BeFalse(), "the watch goes on")
+
+	next := New(o.deps, Claim{Term: 2, Revision: o.claim.Revision})
+	g.Expect(next.listWorkers(t.Context())).To(Succeed())
+	g.Expect(next.workerNames()).To(ConsistOf(info.ID))
+}
--- a/pkg/poolowner/worker_entries.go
+++ b/pkg/poolowner/worker_entries.go
@@ -12,6 +12,9 @@
 // counted (pool.entries_unusable).
 const maxInvalidEntries = 1000
 
+// maxReasonBytes limits the text that is kept and logged of an error, which may quote the entry.
+const maxReasonBytes = 300
+
 // invalidEntry is an entry in the store that names no usable worker.
 type invalidEntry struct {
 	info   dispatch.WorkerInfo // without an ID when the entry can't be decoded
@@ -26,7 +29,8 @@
 		err = errors.Newf("entry of worker %s: pool %s is not configured", info.ID, info.Pool)
 	}
 	if err != nil {
-		o.markEntryInvalid(platform.WorkerName(i), invalidEntry{info, err.Error()})
+		reason := err.Error()
+		o.markEntryInvalid(platform.WorkerName(i), invalidEntry{info, reason[:min(len(reason), maxReasonBytes)]})
 		return "", false
 	}
 	o.upsertWorker(info)
