The slack of jobs with very long target latencies does not overflow when it is summed up

The slack of a job is up to 50 years. The sum over six such jobs of a customer overflowed, and its mean was negative, so that the customer could be limited.

The sum is a float64.

--- a/pkg/dispatch/customer_limits.go
+++ b/pkg/dispatch/customer_limits.go
@@ -31,7 +31,7 @@
 type queueTotals struct {
 	demand     admission.QueueDemand
 	jobs       int
-	totalSlack time.Duration // of all jobs
+	totalSlack float64 // of all jobs, in ns; the sum of a few long ones overflows a duration
 	// waiting and work are resources multiplied by milliseconds; running are resources.
 	waiting, running, work cell.Resources
 }
@@ -85,7 +85,7 @@
 	}
 	longest := slices.Max(j.chainEstimates)
 	objective, _ := worth.Deadlines(0, longest, j.queue.Extension, j.queue.TargetLatency)
-	t.totalSlack += objective.Sub(clock.Time(0).Add(longest))
+	t.totalSlack += float64(objective.Sub(clock.Time(0).Add(longest)))
 	t.jobs++
 	return waits
 }
@@ -99,7 +99,7 @@
 		return time.Duration(min(work.DominantShare(capacity)*float64(time.Millisecond), maxPoolTime))
 	}
 	t.demand.Waiting, t.demand.WorkPerJob = poolTime(t.waiting), poolTime(t.work)/time.Duration(t.jobs)
-	t.demand.Slack = t.totalSlack / time.Duration(t.jobs)
+	t.demand.Slack = time.Duration(t.totalSlack / float64(t.jobs))
 	t.demand.Running = t.running.DominantShare(capacity)
 	return t.demand
 }
--- a/pkg/dispatch/customer_limits_test.go
+++ b/pkg/dispatch/customer_limits_test.go
@@ -209,3 +209,22 @@
 	f.Expect(f.pool.accounts["north"].Used()).To(Equal(cell.Resources{CPUMillis: 1000, MemoryMB: 1000}))
 	f.Expect(f.pool.jobs).To(HaveKey(job.ID("q19")), "accepted jobs stay")
 }
+
+// Guards against the slack of a few jobs with a very long target latency that overflows when it is summed up, so
+// that their customer is limited.
+func TestSumOfLongSlacksDoesNotOverflow(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	f.reportAll(1)
+	for n := range 8 {
+		r := testJob(fmt.Sprint("a", n), testStep(1))
+		r.Customer = customer.Customer{Name: "c", Weight: 1}
+		r.Queue.TargetLatency = 100 * 365 * 24 * time.Hour
+		f.pool.config = nil
+		f.add(r)
+	}
+	f.plan()
+	for _, d := range f.pool.customerDemands() {
+		f.Expect(d.Queues[0].Slack).To(BeNumerically(">", 0))
+	}
+	f.Expect(f.pool.customerDemands()).NotTo(BeEmpty())
+}
