Progress with numbers that no job has is unreadable

A segment of a job's progress whose number, in the key or in the index, is too large gave tasks whose numbers overflow: the owner that read it did not return from listing the jobs, and neither did the next one. A run number of 2^63 - 1 overflowed in the next start. A key below a job's progress that is not the key of a segment kept that job from running.

Decoding checks the numbers of segments and runs, and that what may still run is not negative. A key that no host writes costs itself only.

--- a/pkg/job/record.go
+++ b/pkg/job/record.go
@@ -64,6 +64,14 @@
 	return r, nil
 }
 
+// validate returns an error if an amount is negative, which would raise a customer's quota.
+func (u RemainingUse) validate() error {
+	if min(u.Need.CPUMillis, u.Need.MemoryMB, u.Need.Accelerators) < 0 {
+		return errors.Newf("negative need %s", u.Need)
+	}
+	return nil
+}
+
 // HasOutcome reports whether an encoded record may have an outcome, without decoding it.
 func HasOutcome(text []byte) bool {
 	return bytes.Contains(text, []byte(`"outcome":`))
@@ -131,6 +139,22 @@
 	Conclusive bool `json:"s,omitempty"`
 }
 
+// MaxRunNumber is the largest number of a run. Larger integers are not exact where JSON numbers are decoded as
+// floating point.
+const MaxRunNumber = 1 << 53
+
+// validate returns an error if the number of a run is out of range.
+func (t TaskProgress) validate() error {
+	lowest := min(t.LastRun, 0)
+	for _, n := range t.Failures {
+		lowest = min(lowest, n)
+	}
+	if highest := t.HighestRun(); lowest < 0 || highest > MaxRunNumber {
+		return errors.Newf("task %d.%d.%d: runs %d to %d: want 0 to %d", t.Time, t.Step, t.Index, lowest, highest, int64(MaxRunNumber))
+	}
+	return nil
+}
+
 // HighestRun returns the highest known run number of the task.
 func (t TaskProgress) HighestRun() int {
 	n := t.LastRun
--- a/pkg/job/segments.go
+++ b/pkg/job/segments.go
@@ -65,15 +65,41 @@
 	if err := json.Unmarshal(text, &stored); err != nil {
 		return Progress{}, errors.Wrap(err, "job progress")
 	}
+	if err := stored.RemainingUse.validate(); err != nil {
+		return Progress{}, errors.Wrap(err, "unended of job progress")
+	}
 	p := Progress{RemainingUse: stored.RemainingUse, Workers: stored.Workers}
 	if !bytes.HasPrefix(stored.Tasks, []byte("{")) {
 		err := json.Unmarshal(orNull(stored.Tasks), &p.Tasks)
-		return p, errors.Wrap(err, "tasks of job progress")
+		return p, errors.Wrap(errors.CombineErrors(err, validateRows(p.Tasks)), "tasks of job progress")
 	}
 	if err := json.Unmarshal(stored.Tasks, &p.Index); err != nil {
 		return Progress{}, errors.Wrap(err, "index of job progress")
 	}
-	return p, checkSegmentSize(p.Index.Size)
+	return p, errors.Wrap(p.Index.validate(), "index of job progress")
+}
+
+// MaxSegments is the largest number of segments of a job.
+const MaxSegments = MaxTasks / taskset.SegmentSize
+
+// validate returns an error for segments of another size than this build's, and for numbers that no job's
+// segments have.
+func (x SegmentIndex) validate() error {
+	for _, i := range x.Done {
+		if i.To > MaxSegments {
+			return errors.Newf("segment %d: want at most %d segments", i.To-1, int64(MaxSegments))
+		}
+	}
+	return checkSegmentSize(x.Size)
+}
+
+func validateRows(rows []TaskProgress) error {
+	for _, t := range rows {
+		if err := t.validate(); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // orNull returns the JSON value null for an absent value.
@@ -145,7 +171,7 @@
 			return Segment{}, errors.Newf("segment of job progress: offset %d of %d tasks", i.To-1, s.Size)
 		}
 	}
-	return s, checkSegmentSize(s.Size)
+	return s, errors.Wrap(errors.CombineErrors(checkSegmentSize(s.Size), validateRows(s.Tasks)), "segment of job progress")
 }
 
 // IsEmpty reports whether there is nothing to store.
--- a/pkg/jobstore/keys.go
+++ b/pkg/jobstore/keys.go
@@ -61,7 +61,7 @@
 		return job.ID(name), -1, nil
 	}
 	segment, err = strconv.ParseInt(number, 10, 64)
-	if err != nil || segment < 0 {
+	if err != nil || segment < 0 || segment >= job.MaxSegments {
 		return job.ID(name), -1, errors.Newf("key %s: %q is not the number of a segment", key, number)
 	}
 	return job.ID(name), segment, nil
--- a/pkg/poolowner/loading.go
+++ b/pkg/poolowner/loading.go
@@ -129,7 +129,13 @@
 	}
 	progress := make(map[job.ID]job.Progress, len(items))
 	for _, i := range items {
-		if id, err := addStoredProgress(progress, i); err != nil {
+		id, segment, err := jobstore.ParseProgressKey(i.Key)
+		if err != nil {
+			// No host writes such a key, so nothing of the job's progress is missing.
+			o.deps.Log.WithFields(logrus.Fields{"job": id, "key": i.Key, "error": err}).Error("progress_unreadable")
+			continue
+		}
+		if err := addStoredProgress(progress, id, segment, i.Value); err != nil {
 			// The progress of this job is unknown, so it must not run; other jobs do.
 			o.deps.Log.WithFields(logrus.Fields{"job": id, "key": i.Key, "error": err}).Error("progress_unreadable")
 			o.mu.Lock()
@@ -140,27 +146,24 @@
 	return progress, nil
 }
 
-// addStoredProgress adds an item under jobstore.ProgressPrefix to the progress of its job.
-func addStoredProgress(progress map[job.ID]job.Progress, i platform.Item) (job.ID, error) {
-	id, segment, err := jobstore.ParseProgressKey(i.Key)
-	if err != nil {
-		return id, err
-	}
+// addStoredProgress adds a value under jobstore.ProgressPrefix to the progress of its job. segment is as in
+// jobstore.ParseProgressKey.
+func addStoredProgress(progress map[job.ID]job.Progress, id job.ID, segment int64, value []byte) error {
 	p := progress[id]
 	if segment >= 0 {
-		s, err := job.DecodeSegment(i.Value)
+		s, err := job.DecodeSegment(value)
 		if err != nil {
-			return id, err
+			return err
 		}
 		p.AddSegment(segment, s)
 		progress[id] = p
-		return id, nil
+		return nil
 	}
 	segments := p.Segments
-	p, err = job.DecodeProgress(i.Value)
+	p, err := job.DecodeProgress(value)
 	p.Segments = segments
 	progress[id] = p
-	return id, err
+	return err
 }
 
 // orphanedSegments returns the keys of stored segments whose jobs have ended, according to the jobs' records.
--- a/pkg/poolowner/odd_entries_test.go
+++ b/pkg/poolowner/odd_entries_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"foldarch.dev/foldarch/pkg/dispatch"
+	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/jobstore"
 	"foldarch.dev/foldarch/platform"
 	"foldarch.dev/foldarch/platform/emulator"
 	. "github.com/onsi/gomega"
@@ -58,3 +60,25 @@
 	g.Expect(next.listWorkers(t.Context())).To(Succeed())
 	g.Expect(next.workerNames()).To(ConsistOf(info.ID))
 }
+
+// Guards against progress whose segments overflow where the owner adds up the numbers of their tasks.
+func TestOddSegmentsAffectOnlyTheirJob(t *testing.T) {
+	for _, odd := range []struct{ progress, segment string }{
+		{`{"tasks":{"size":256}}`, "36028797018963968"},
+		{`{"tasks":{"size":256}}`, "9223372036854775807"},
+		{`{"tasks":{"size":256,"done":[[0,9223372036854775807]]}}`, "0"},
+		{`{"tasks":[{"r":9223372036854775807,"f":[-1]}]}`, "0"},
+	} {
+		g := NewWithT(t)
+		o, p, _ := newOwnerOnEmulator(t)
+		putJob(t, p, "00000000000000a1")
+		record, err := job.Record{Job: job.Job{ID: "00000000000000a2", Spec: "s", Steps: []job.Step{{Count: 10_000}}}}.Encode()
+		g.Expect(err).NotTo(HaveOccurred())
+		p.Store.Put(jobstore.JobKey("00000000000000a2"), record)
+		p.Store.Put(jobstore.ProgressKey("00000000000000a2"), []byte(odd.progress))
+		p.Store.Put(jobstore.ProgressKey("00000000000000a2")+"/"+odd.segment, []byte(`{"size":256,"d":[[0,3]]}`))
+		g.Expect(o.listJobs(t.Context())).To(Succeed())
+		_, ok := o.Explain("00000000000000a1")
+		g.Expect(ok).To(BeTrue())
+	}
+}
