A job's record that no host can have written is unreadable

A record without steps, or with a step that depends on one that does not exist, made the owner that read it panic, and each next owner after it. A record of a later term deposed each owner. A record with the ID of another job took that job's place.

DecodeRecord checks what adding the job relies on. The owner checks that a record is of its key's job, and that its term is not above the record's revision: each owner's term raises the store's revision. Such a record is logged as record_unreadable and costs itself only.

TestOddJobKeysAffectNoOther failed before (integer divide by zero; index out of range [7] with length 1; deposed; the other job's steps), as did TestOddRecordIsRejected; they pass. TestCallersLeaveStoreReadsToTheOwner stored a job without steps, which no host accepts; its job has a step now, and its checks are as before.

--- a/pkg/job/job.go
+++ b/pkg/job/job.go
@@ -135,12 +135,17 @@
 	if len(j.Spec) > MaxSpecBytes {
 		return errors.Newf("spec: want at most %d bytes, not %d", MaxSpecBytes, len(j.Spec))
 	}
-	if len(j.Steps) == 0 {
-		return errors.New("steps: a job has at least one step")
-	}
 	if _, err := j.NumberTasks(); err != nil {
 		return err
 	}
+	return j.validateSteps()
+}
+
+// validateSteps checks that there are steps, and that each depends on earlier ones only.
+func (j Job) validateSteps() error {
+	if len(j.Steps) == 0 {
+		return errors.New("steps: a job has at least one step")
+	}
 	for n, s := range j.Steps {
 		for _, a := range s.After {
 			if a < 0 || a >= n {
--- a/pkg/job/odd_values_test.go
+++ b/pkg/job/odd_values_test.go
@@ -8,6 +8,35 @@
 	. "github.com/onsi/gomega"
 )
 
+// Guards against a record that an owner can't add: each owner that read it ended, one after the other.
+func TestOddRecordIsRejected(t *testing.T) {
+	for text, want := range map[string]string{
+		`{}`:                            "steps",
+		`{"job":{"ID":"a","Steps":[]}}`: "steps",
+		`{"job":{"ID":"a","Steps":[{"Count":1,"After":[0]}]}}`:                                                          "steps[0].after: 0",
+		`{"job":{"ID":"a","Steps":[{"Count":1},{"Count":1,"After":[5]}]}}`:                                              "steps[1].after: 5",
+		`{"job":{"ID":"a","Steps":[{"Count":1,"After":[-1]}]}}`:                                                         "steps[0].after: -1",
+		`{"job":{"ID":"a","Steps":[{"Count":1,"Resources":{"CPUMillis":-5}}]}}`:                                         "steps[0]",
+		`{"job":{"ID":"a","Steps":[{"Count":1,"Resources":{"MemoryMB":9223372036854775807}}]}}`:                         "steps[0]",
+		`{"job":{"ID":"a","Steps":[{"Count":9223372036854775808}]}}`:                                                    "Count",
+		`{"job":{"ID":"a","Steps":[{"Count":1}],"Schedule":{"Repeat":-4,"Start":"2026-01-01T00:00:00Z"}}}`:              "schedule",
+		`{"job":{"ID":"a","Steps":[{"Count":1}],"Schedule":{"Repeat":4,"Start":"2026-01-01T00:00:00Z","Interval":-1}}}`: "schedule",
+		`{"job":{"ID":"a","Steps":[{"Count":1}],"Schedule":{"Repeat":4,"Start":"99999-01-01T00:00:00Z"}}}`:              "99999",
+		`{"job":{"ID":"a","Steps":[{"Count":1}]},"term":-1}`:                                                            "term",
+		`{"outcome":"lost"}`: "outcome",
+		`{"outcome":"completed","unended":{"need":{"CPUMillis":-1}}}`: "unended",
+	} {
+		_, err := DecodeRecord([]byte(text))
+		NewWithT(t).Expect(err).To(MatchError(And(ContainSubstring("job record"), ContainSubstring(want))), text)
+	}
+}
+
+// A job that an earlier build accepted, and that is then given up, has to be readable.
+func TestRecordOfTooManyTasksIsReadable(t *testing.T) {
+	_, err := DecodeRecord([]byte(`{"job":{"ID":"a","Steps":[{"Count":9223372036854775807},{"Count":9223372036854775807}]}}`))
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+}
+
 // Guards against numbers of segments and runs that overflow in the owner that loads them.
 func TestOddProgressIsRejected(t *testing.T) {
 	for text, want := range map[string]string{
--- a/pkg/job/record.go
+++ b/pkg/job/record.go
@@ -55,15 +55,40 @@
 	return bytes.TrimSuffix(text.Bytes(), []byte("\n")), errors.Wrap(err, "encode job record")
 }
 
-// DecodeRecord decodes what Encode returned.
+// DecodeRecord decodes what Encode returned. It fails for a value that Encode can't have returned for an
+// accepted job, since processes of other systems may write to the store.
 func DecodeRecord(text []byte) (Record, error) {
 	var r Record
 	if err := json.Unmarshal(text, &r); err != nil {
 		return Record{}, errors.Wrap(err, "job record")
 	}
+	if err := r.validate(); err != nil {
+		return Record{}, errors.Wrap(err, "job record")
+	}
 	return r, nil
 }
 
+// validate does not check what Job.NumberTasks checks: an earlier build may have accepted such a job, which is
+// then given up.
+func (r Record) validate() error {
+	switch {
+	case r.Outcome != "" && !r.Outcome.Ended():
+		return errors.Newf("outcome: %q is not a final state", r.Outcome)
+	case r.Outcome != "":
+		return errors.Wrap(r.RemainingUse.validate(), "unended")
+	case r.Term < 0:
+		return errors.Newf("term: want 0 or more, not %d", r.Term)
+	case r.Job.Schedule.Repeat < 0 || r.Job.Schedule.Interval < 0:
+		return errors.Newf("schedule: negative repetitions %d or interval %s", r.Job.Schedule.Repeat, r.Job.Schedule.Interval)
+	}
+	for n, s := range r.Job.Steps {
+		if err := s.Resources.Validate(); err != nil {
+			return errors.Wrapf(err, "steps[%d]", n)
+		}
+	}
+	return r.Job.validateSteps()
+}
+
 // validate returns an error if an amount is negative, which would raise a customer's quota.
 func (u RemainingUse) validate() error {
 	if min(u.Need.CPUMillis, u.Need.MemoryMB, u.Need.Accelerators) < 0 {
--- a/pkg/jobhost/lookup_limiter_test.go
+++ b/pkg/jobhost/lookup_limiter_test.go
@@ -18,7 +18,7 @@
 	g := NewWithT(t)
 	p := startPlatform(t)
 	h, _ := newTestHost(t, p)
-	text, err := job.Record{Job: job.Job{ID: "a", Spec: "spec"}}.Encode()
+	text, err := job.Record{Job: job.Job{ID: "a", Spec: "spec", Steps: []job.Step{{Count: 1}}}}.Encode()
 	g.Expect(err).NotTo(HaveOccurred())
 	p.Store.Put(jobstore.JobKey("a"), text)
 	anyone := customer.NewCaller(nil, customer.Call{QueueKnown: true, Key: customer.KeyNotNeeded}, true)
--- a/pkg/poolowner/loading.go
+++ b/pkg/poolowner/loading.go
@@ -202,7 +202,7 @@
 				o.earlyCancellations[id] = true
 			}
 		default:
-			record, err := job.DecodeRecord(i.Value)
+			record, err := decodeStoredRecord(id, i)
 			if err != nil {
 				o.deps.Log.WithFields(logrus.Fields{"job": id, "error": err}).Error("record_unreadable")
 				continue
--- a/pkg/poolowner/members.go
+++ b/pkg/poolowner/members.go
@@ -10,6 +10,8 @@
 	"foldarch.dev/foldarch/pkg/poolrpc"
 	"foldarch.dev/foldarch/pkg/poolrpc/poolpb"
 	"foldarch.dev/foldarch/pkg/relay"
+	"foldarch.dev/foldarch/platform"
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 )
 
@@ -298,7 +300,7 @@
 	if !o.loaded.Load() {
 		return
 	}
-	record, err := job.DecodeRecord(text)
+	record, err := decodeRecord(id, text)
 	if err != nil {
 		o.deps.Log.WithFields(logrus.Fields{"job": id, "error": err}).Error("record_unreadable")
 		return
@@ -309,6 +311,25 @@
 	o.requestPlan()
 }
 
+// decodeRecord decodes the record of a job.
+func decodeRecord(id job.ID, text []byte) (job.Record, error) {
+	record, err := job.DecodeRecord(text)
+	if err == nil && record.Outcome == "" && record.Job.ID != id {
+		err = errors.Newf("the record is of job %q", record.Job.ID)
+	}
+	return record, err
+}
+
+// decodeStoredRecord decodes a job's record in the store. Each owner's term raises the store's revision, so that
+// no host can have written a record of a term above the record's revision.
+func decodeStoredRecord(id job.ID, i platform.Item) (job.Record, error) {
+	record, err := decodeRecord(id, i.Value)
+	if err == nil && record.Term > i.Revision {
+		err = errors.Newf("the record at revision %d is of term %d", i.Revision, record.Term)
+	}
+	return record, err
+}
+
 // addJob adds a job or its outcome from the job's record. stored is whether progress is from the store.
 // The caller holds o.mu.
 func (o *Owner) addJob(id job.ID, record job.Record, progress job.Progress, stored bool) {
--- a/pkg/poolowner/odd_entries_test.go
+++ b/pkg/poolowner/odd_entries_test.go
@@ -61,6 +61,42 @@
 	g.Expect(next.workerNames()).To(ConsistOf(info.ID))
 }
 
+// Guards against a job's record or progress that ends the owner that reads it: each later owner ended, too.
+func TestOddJobKeysAffectNoOther(t *testing.T) {
+	const good = job.ID("00000000000000a1")
+	deep := strings.Repeat("[", 200_000)
+	for name, odd := range map[string]struct{ key, value string }{
+		"a record of no steps":                {jobstore.JobsPrefix + "00000000000000a2", `{"job":{"ID":"00000000000000a2"}}`},
+		"a record with an unknown step":       {jobstore.JobsPrefix + "00000000000000a2", `{"job":{"ID":"00000000000000a2","Steps":[{"Count":1,"After":[7]}]}}`},
+		"a record of another job":             {jobstore.JobsPrefix + "00000000000000a0", `{"job":{"ID":"00000000000000a1","Steps":[{"Count":1},{"Count":1}]}}`},
+		"a record of a later term":            {jobstore.JobsPrefix + "00000000000000a2", `{"job":{"ID":"00000000000000a2","Steps":[{"Count":1}]},"term":9000000000000000000}`},
+		"a nested record":                     {jobstore.JobsPrefix + "00000000000000a2", deep},
+		"a record that is not UTF-8":          {jobstore.JobsPrefix + "\xff", "\xff"},
+		"a key below a record":                {jobstore.JobsPrefix + "00000000000000a2/x", `7`},
+		"nested progress":                     {jobstore.ProgressPrefix + "00000000000000a2", deep},
+		"progress of a segment without index": {jobstore.ProgressPrefix + "00000000000000a2/9223372036854775807", `{"size":256,"d":[[0,3]]}`},
+		"a key below progress":                {jobstore.ProgressPrefix + string(good) + "/9223372036854775807", `{"size":256,"d":[[0,3]]}`},
+		"a key of another kind":               {jobstore.ProgressPrefix + string(good) + "/x", `7`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			o, p, _ := newOwnerOnEmulator(t)
+			p.Store.Put(odd.key, []byte(odd.value))
+			putJob(t, p, good)
+			g.Expect(o.listJobs(t.Context())).To(Succeed())
+			o.watchPosition.jobs = 0
+			g.Expect(o.watchJobsOnce(t.Context())).To(Succeed())
+			g.Expect(o.watchPosition.jobs).To(BeNumerically(">", 0))
+			e, ok := o.Explain(good)
+			g.Expect(ok).To(BeTrue())
+			g.Expect(e.Steps).To(HaveLen(1))
+			_, ok = o.Explain("00000000000000a2")
+			g.Expect(ok).To(BeFalse())
+			g.Expect(o.deposed.Load()).To(BeFalse())
+		})
+	}
+}
+
 // Guards against progress whose segments overflow where the owner adds up the numbers of their tasks.
 func TestOddSegmentsAffectOnlyTheirJob(t *testing.T) {
 	for _, odd := range []struct{ progress, segment string }{
