Incarnations in a roster record that can't be used are left out

A roster record that could be decoded in part added a worker without a name or an address, and one under another name could retire a worker that it does not belong to.

Each incarnation is decoded by itself. One without an address, with an impossible capacity or of another name is left out, and the takeover waits for the leases of previous owners as for an unreadable record.

TestOddRosterRecordsAffectNoOther failed before (workers "", mixed@6, mixed@7 and port@5 were added) and passes.

--- a/pkg/poolowner/odd_entries_test.go
+++ b/pkg/poolowner/odd_entries_test.go
@@ -1,6 +1,7 @@
 package poolowner
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -118,3 +119,26 @@
 		g.Expect(ok).To(BeTrue())
 	}
 }
+
+// Guards against an odd roster record that adds workers that can't be called, or that changes another worker.
+func TestOddRosterRecordsAffectNoOther(t *testing.T) {
+	const row = `{"ID":%q,"Pool":%q,"Address":"10.0.0.9:80","Zone":"z","Capacity":{"CPUMillis":%s,"MemoryMB":1,"Accelerators":0},"Retired":true}`
+	g := NewWithT(t)
+	o, p, info := newOwnerOnEmulator(t)
+	for name, value := range map[string]string{
+		"nested":   strings.Repeat("[", 200_000),
+		"a-number": `7`,
+		"mixed":    `[7,` + fmt.Sprintf(row, "mixed@5", info.Pool, "9") + `,{"ID":"mixed@6"},` + fmt.Sprintf(row, "mixed@7", info.Pool, "9223372036854775807") + `]`,
+		"other":    `[` + fmt.Sprintf(row, info.ID, info.Pool, "9") + `]`,
+		"port":     strings.Replace(`[`+fmt.Sprintf(row, "port@5", info.Pool, "9")+`]`, ":80", ":70000", 1),
+		"\xff":     "\xff",
+	} {
+		p.Store.Put(jobstore.RosterKey(name), []byte(value))
+	}
+	g.Expect(o.loadWorkers(t.Context())).To(Succeed())
+	g.Expect(o.workerNames()).To(ConsistOf(info.ID, dispatch.WorkerID("mixed@5")))
+	for _, w := range o.pool.RosterEntries(info.ID.Name()) {
+		g.Expect(w.Retired).To(BeFalse(), "the record of another name does not retire it")
+	}
+	g.Expect(o.pool.RosterEntries(info.ID.Name())).To(HaveLen(1))
+}
--- a/pkg/poolowner/roster.go
+++ b/pkg/poolowner/roster.go
@@ -54,11 +54,12 @@
 	}
 	for _, i := range items {
 		name := jobstore.ParseRosterKey(i.Key)
-		r := rosterRecord{revision: i.Revision}
-		if err := json.Unmarshal(i.Value, &r.workers); err != nil {
+		workers, err := decodeRosterRecord(name, i.Value)
+		if err != nil {
 			o.pool.RecordUnreadableWorker()
 			o.deps.Log.WithFields(logrus.Fields{"worker": name, "error": err}).Error("roster_unreadable")
 		}
+		r := rosterRecord{revision: i.Revision, workers: workers}
 		o.roster[name] = r
 		for _, w := range r.workers {
 			o.loadRosterWorker(w, hasEntry)
@@ -66,6 +67,40 @@
 	}
 }
 
+// decodeRosterRecord decodes the incarnations of a worker name. It leaves out those that can't be used, and
+// returns an error for them.
+func decodeRosterRecord(name string, text []byte) ([]dispatch.WorkerInfo, error) {
+	var rows []json.RawMessage
+	if err := json.Unmarshal(text, &rows); err != nil {
+		return nil, err
+	}
+	var workers []dispatch.WorkerInfo
+	var unusable error
+	for n, row := range rows {
+		w, err := decodeRosterWorker(name, row)
+		if err != nil {
+			unusable = errors.CombineErrors(unusable, errors.Wrapf(err, "incarnation %d", n))
+			continue
+		}
+		workers = append(workers, w)
+	}
+	return workers, unusable
+}
+
+func decodeRosterWorker(name string, text []byte) (dispatch.WorkerInfo, error) {
+	var w dispatch.WorkerInfo
+	if err := json.Unmarshal(text, &w); err != nil {
+		return w, err
+	}
+	switch {
+	case w.ID.Name() != name:
+		return w, errors.Newf("%q is not an incarnation of the worker", w.ID)
+	case !w.Address.IsValid():
+		return w, errors.New("the address is missing")
+	}
+	return w, w.Capacity.Validate()
+}
+
 // loadRosterWorker applies one incarnation of the roster. hasEntry holds the workers that have an entry.
 // The caller holds o.mu.
 func (o *Owner) loadRosterWorker(w dispatch.WorkerInfo, hasEntry map[dispatch.WorkerID]bool) {
