An owner's record that can't be decoded is replaced

No host took over once another writer had replaced the owner's record by a value that can't be decoded: hosts kept the revision of the record before, on which the takeover is conditional. A term of 2^63 - 1 overflowed in the next record.

Such a record counts as that of an unknown owner. Each term raises the store's revision, so the next owner takes a term that follows the record's revision, which is above those of all previous owners. A term above the revision of its record is unreadable, too.

--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -114,10 +114,10 @@
 	if i.Removed || i.Revision <= e.revision {
 		return
 	}
-	record, err := jobstore.DecodeOwnerRecord(i.Value)
+	record, err := decodeOwnerRecord(i)
 	if err != nil {
-		h.log.WithField("error", err).Error("holder_unreadable")
-		return
+		h.log.WithFields(logrus.Fields{"revision": i.Revision, "error": err}).Error("holder_unreadable")
+		record = jobstore.OwnerRecord{Term: i.Revision}
 	}
 	e.ownerRecord, e.revision, e.askedToTakeOver, e.lastHeardAt = record, i.Revision, false, h.clk.Now()
 	e.heartbeatInterval = poolrpc.HeartbeatInterval
@@ -132,6 +132,17 @@
 	}
 }
 
+// decodeOwnerRecord decodes the owner's record. Each term raises the store's revision, so that no owner can have
+// written a term above the record's revision. The next owner after an unreadable record takes a term that
+// follows the revision, and is thus above those of all previous owners.
+func decodeOwnerRecord(i platform.Item) (jobstore.OwnerRecord, error) {
+	record, err := jobstore.DecodeOwnerRecord(i.Value)
+	if err == nil && record.Term > i.Revision {
+		err = errors.Newf("owner record at revision %d: term %d", i.Revision, record.Term)
+	}
+	return record, err
+}
+
 // mayTakeOver reports whether this host should replace the owner's record now. This requires that the
 // owner's lease has expired, unless the owner has asked this host to take over or was a previous process
 // of this host. In these cases immediate is true: the takeover need not be left to stronger hosts.
--- a/pkg/jobstore/keys.go
+++ b/pkg/jobstore/keys.go
@@ -109,6 +109,13 @@
 // DecodeOwnerRecord decodes what Encode returned.
 func DecodeOwnerRecord(text []byte) (OwnerRecord, error) {
 	var r OwnerRecord
-	err := json.Unmarshal(text, &r)
-	return r, errors.Wrap(err, "decode owner record")
+	if err := json.Unmarshal(text, &r); err != nil {
+		return OwnerRecord{}, errors.Wrap(err, "decode owner record")
+	}
+	for _, first := range []int64{r.RecordWorkersFromTerm, r.RecordUnannouncedFromTerm} {
+		if first < 0 || first > r.Term {
+			return OwnerRecord{}, errors.Newf("owner record of term %d: workers recorded from term %d on", r.Term, first)
+		}
+	}
+	return r, nil
 }
--- a/pkg/jobstore/keys_test.go
+++ b/pkg/jobstore/keys_test.go
@@ -13,3 +13,13 @@
 		NewWithT(t).Expect(err).To(MatchError(ContainSubstring("00000000000000a1/"+number)), number)
 	}
 }
+
+func TestOddOwnerRecordIsRejected(t *testing.T) {
+	for _, text := range []string{
+		`[]`, `{"term":9223372036854775808}`, `{"term":1e400}`, `{"term":-1}`, `{"term":3,"named_from":4}`, `{"term":3,"unannounced_from":-1}`,
+		`{"address":"10.0.0.1:70000"}`,
+	} {
+		_, err := DecodeOwnerRecord([]byte(text))
+		NewWithT(t).Expect(err).To(HaveOccurred(), text)
+	}
+}
