A listed run of a large step number does not end the owner

A negative number made it panic, too.

The placeholder has the one step, and a task with a negative number is a row that can't be read.

--- a/pkg/dispatch/odd_workers_test.go
+++ b/pkg/dispatch/odd_workers_test.go
@@ -6,9 +6,26 @@
 
 	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/customer"
+	"foldarch.dev/foldarch/pkg/job"
 	. "github.com/onsi/gomega"
 )
 
+// Guards against a listed run of an absent job whose task has a large number: the owner made a step for each
+// number below it.
+func TestListedRunOfALargeStepNumberIsStopped(t *testing.T) {
+	for _, step := range []int{math.MaxInt, 1 << 40} {
+		f := newFixture(t, 1, nil)
+		task := job.TaskID{StepID: job.StepID{Job: "absent", Time: math.MaxInt, Step: step}, Index: math.MaxInt}
+		listed := Report{Active: []ActiveRun{{Task: task, Run: 1}}}
+		f.report(0, listed)
+		f.pool.MarkJobAbsent("absent")
+		f.report(0, listed)
+		stops := f.plan().Stops
+		f.Expect(stops).To(HaveLen(1))
+		f.Expect(stops[0].Task).To(Equal(task))
+	}
+}
+
 // Two workers of the largest capacity that an entry may have, beside ordinary ones. Guards against sums over the
 // pool that overflow, so that the pool counts as full or as empty.
 func TestLargestCapacitiesOverflowNoSum(t *testing.T) {
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -281,9 +281,9 @@
 
 // placeholderTask returns a task for an ID of which nothing else is known.
 func placeholderTask(id job.TaskID) *task {
-	j := &jobState{job: job.Job{ID: id.Job, Steps: make([]job.Step, id.Step+1)}, outcome: job.Cancelled}
+	j := &jobState{job: job.Job{ID: id.Job}, outcome: job.Cancelled}
 	occ := &occurrence{job: j, index: id.Time}
-	s := &step{occurrence: occ, index: id.Step, spec: &j.job.Steps[id.Step]}
+	s := &step{occurrence: occ, index: id.Step, spec: &job.Step{}}
 	return &task{step: s, index: id.Index, done: true}
 }
 
--- a/pkg/job/job.go
+++ b/pkg/job/job.go
@@ -191,6 +191,9 @@
 		if err != nil {
 			return TaskID{}, errors.Wrap(err, fmt.Sprintf("task %q", text))
 		}
+		if n < 0 {
+			return TaskID{}, errors.Newf("task %q: the number %d is negative", text, n)
+		}
 		numbers[i] = n
 	}
 	return TaskID{StepID{ID(parts[0]), numbers[0], numbers[1]}, numbers[2]}, nil
--- a/pkg/job/odd_values_test.go
+++ b/pkg/job/odd_values_test.go
@@ -74,3 +74,10 @@
 	done := p.DoneTasks()
 	g.Expect(done.Len()).To(Equal(int64(MaxTasks)))
 }
+
+func TestTaskIDOfNegativeNumbersIsRejected(t *testing.T) {
+	for _, text := range []string{"a.-1.0.0", "a.0.-1.0", "a.0.0.-1", "a.0.0.9223372036854775808", "a.0.0.1e3"} {
+		_, err := ParseTaskID(text)
+		NewWithT(t).Expect(err).To(MatchError(ContainSubstring(text)))
+	}
+}
