--- a/pkg/upkeep/plan.go
+++ b/pkg/upkeep/plan.go
@@ -280,7 +280,8 @@
 
 // order returns the order for a machine that has been closed.
 func (w *wave) order(m Machine, now clock.Time) Order {
-	share := time.Duration(float64(w.Duration) * float64(max(w.MaxUnavailable, 1)) / float64(len(w.Machines)))
+	atOnce := min(max(w.MaxUnavailable, 1), len(w.Machines))
+	share := time.Duration(float64(w.Duration) * float64(atOnce) / float64(len(w.Machines)))
 	closedFor := now.Sub(w.progressOf(m.ID).closedAt)
 	return Order{Machine: m, Wave: w.Number, Force: closedFor > time.Duration(drainShare*float64(share))}
 }
--- a/pkg/upkeep/plan_test.go
+++ b/pkg/upkeep/plan_test.go
@@ -1,6 +1,7 @@
 package upkeep
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -128,3 +129,13 @@
 	p.RecordOrder(again[0], true, 3600)
 	g.Expect(p.Plan(3700).Orders).To(BeEmpty())
 }
+
+// Guards against a share of the wave's time that overflows, so that machines are ordered before they are vacated.
+func TestWaveOfManyAtOnceLeavesTimeToVacate(t *testing.T) {
+	g := NewWithT(t)
+	p := New()
+	p.PutWave(Wave{Number: 1, Machines: []MachineID{"m1"}, Duration: 100 * 365 * 24 * time.Hour, MaxUnavailable: math.MaxInt})
+	p.SetMachines(machinesInStates(StateUp))
+	g.Expect(p.Plan(100).Orders[0].Force).To(BeFalse())
+	g.Expect(p.Plan(clock.Time(100).Add(time.Hour)).Orders[0].Force).To(BeFalse())
+}
