A job's record of a term that no owner has had deposes no later owner

A record of a term above the owner's, and below the store's revision, deposed the owner that read it, and each next owner until their terms had reached the record's.

No host can have written a record of a later term before this owner's claim, so such a record is unreadable.

TestOddTermDeposesNoLaterOwner failed before (deposed) and passes.

--- a/pkg/poolowner/loading.go
+++ b/pkg/poolowner/loading.go
@@ -202,7 +202,7 @@
 				o.earlyCancellations[id] = true
 			}
 		default:
-			record, err := decodeStoredRecord(id, i)
+			record, err := o.decodeStoredRecord(id, i)
 			if err != nil {
 				o.deps.Log.WithFields(logrus.Fields{"job": id, "error": err}).Error("record_unreadable")
 				continue
--- a/pkg/poolowner/members.go
+++ b/pkg/poolowner/members.go
@@ -321,10 +321,11 @@
 }
 
 // decodeStoredRecord decodes a job's record in the store. Each owner's term raises the store's revision, so that
-// no host can have written a record of a term above the record's revision.
-func decodeStoredRecord(id job.ID, i platform.Item) (job.Record, error) {
+// no host can have written a record of a term above the record's revision, or a record of a later term than this
+// owner's before this owner's claim.
+func (o *Owner) decodeStoredRecord(id job.ID, i platform.Item) (job.Record, error) {
 	record, err := decodeRecord(id, i.Value)
-	if err == nil && record.Term > i.Revision {
+	if err == nil && (record.Term > i.Revision || record.Term > o.claim.Term && i.Revision < o.claim.Revision) {
 		err = errors.Newf("the record at revision %d is of term %d", i.Revision, record.Term)
 	}
 	return record, err
--- a/pkg/poolowner/odd_entries_test.go
+++ b/pkg/poolowner/odd_entries_test.go
@@ -142,3 +142,21 @@
 	}
 	g.Expect(o.pool.RosterEntries(info.ID.Name())).To(HaveLen(1))
 }
+
+// Guards against a record of a term that no owner has had yet: it deposed each owner that read it.
+func TestOddTermDeposesNoLaterOwner(t *testing.T) {
+	g := NewWithT(t)
+	o, p, _ := newOwnerOnEmulator(t)
+	for range 9 {
+		p.Store.Put("status/wave/7", nil)
+	}
+	p.Store.Put(jobstore.JobsPrefix+"00000000000000a1", []byte(`{"job":{"ID":"00000000000000a1","Steps":[{"Count":1}]},"term":5}`))
+	revision, _, err := o.deps.Store.Commit(t.Context(), platform.Txn{Put: []platform.Put{{Key: jobstore.OwnerRecordKey, Value: []byte("{}")}}})
+	g.Expect(err).NotTo(HaveOccurred())
+	next := New(o.deps, Claim{Term: 2, Revision: revision})
+	next.cancel = func(error) {}
+	g.Expect(next.listJobs(t.Context())).To(Succeed())
+	g.Expect(next.deposed.Load()).To(BeFalse())
+	_, ok := next.Explain("00000000000000a1")
+	g.Expect(ok).To(BeFalse())
+}
