Limits for clients: connections, heads and bodies of all listeners

Callers saw hosts that no longer answered, or ended, while other clients held connections, heads or bodies open. Cause: no listener had a limit of connections, bodies were read whole without a time or a limit on all of them together, heads could have 1 MiB, and a frame of another host 4 MiB before its first call.

Package clientlimit derives limits from memoryMb and maxFds. Each listener has its own limit of connections; at the limit the one that makes the least progress is replaced, never one whose request is being processed. Heads have 16 KiB. Bodies have 5 s, and those over 32 KiB share an eighth of the memory, in which each JSON object counts 512 bytes more, since decoded steps take many times their text. Receive buffers of callers are small, and the runtime's soft limit leaves room for what it does not count; at 284 MB it is as before. A refused or late body is answered with 503 (429 in foldarch's own API), and nothing of it was done. Bodies of foldarch's own API had no limit and have 512 KiB now.

--- /dev/null
+++ b/pkg/clientlimit/clientlimit_test.go
@@ -0,0 +1,217 @@
+package clientlimit
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"storj.io/drpc/drpcctx"
+)
+
+const (
+	testConnections = minConnections
+	testMemory      = 8 << 20 // gives a budget of 1 MiB for bodies
+)
+
+// testServer is an HTTP server with limits, whose handler answers with the body once it may.
+type testServer struct {
+	*WithT
+	t        *testing.T
+	address  string
+	registry metrics.Registry
+	log      *logtest.Hook
+	mayEnd   chan struct{} // closed when requests for /wait may end
+}
+
+func newTestServer(t *testing.T, o Options) *testServer {
+	log, hook := logtest.NewNullLogger()
+	s := &testServer{WithT: NewWithT(t), t: t, registry: metrics.NewRegistry(), log: hook, mayEnd: make(chan struct{})}
+	limiter := New(Resources{MemoryBytes: testMemory, Descriptors: maxTestDescriptors}, o, s.registry, logrus.NewEntry(log))
+	limits := limiter.Listener("callers", Callers)
+	l, err := limits.Listen("127.0.0.1:0")
+	s.Expect(err).NotTo(HaveOccurred())
+	s.address = l.Addr().String()
+	server := limits.Server(http.HandlerFunc(s.serve))
+	go func() { _ = server.Serve(limits.Wrap(l)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return s
+}
+
+const maxTestDescriptors = 1000
+
+func (s *testServer) serve(w http.ResponseWriter, r *http.Request) {
+	n, err := io.Copy(io.Discard, r.Body)
+	if errors.Is(err, ErrBusy) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if r.URL.Path == "/wait" {
+		<-s.mayEnd
+	}
+	_, _ = fmt.Fprint(w, n)
+}
+
+// send opens a connection and sends text on it.
+func (s *testServer) send(text string) net.Conn {
+	c, err := net.Dial("tcp", s.address)
+	s.Expect(err).NotTo(HaveOccurred())
+	s.t.Cleanup(func() { _ = c.Close() })
+	_, err = io.WriteString(c, text)
+	s.Expect(err).NotTo(HaveOccurred())
+	return c
+}
+
+func post(path string, length int) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", path, length)
+}
+
+// status reads the status of the answer on a connection.
+func (s *testServer) status(c net.Conn) int {
+	s.Expect(c.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, res.Body)
+	return res.StatusCode
+}
+
+func (s *testServer) isClosed(c net.Conn) func() bool {
+	return func() bool {
+		s.Expect(c.SetReadDeadline(time.Now().Add(10 * time.Millisecond))).To(Succeed())
+		_, err := c.Read(make([]byte, 1))
+		var timeout net.Error
+		return err != nil && !(errors.As(err, &timeout) && timeout.Timeout())
+	}
+}
+
+func (s *testServer) count(name string) func() int64 {
+	return func() int64 {
+		switch m := s.registry.Get("clients.callers." + name).(type) {
+		case metrics.Counter:
+			return m.Count()
+		case metrics.Gauge:
+			return m.Value()
+		}
+		return 0
+	}
+}
+
+// Guards against new callers that are turned away, or requests that are cut, while other connections make no progress.
+func TestSlowestConnectionIsReplaced(t *testing.T) {
+	o := DefaultOptions()
+	o.Connections = testConnections
+	s := newTestServer(t, o)
+	working := s.send(post("/wait", 0))
+	body := s.send(post("/", 10) + "12345")
+	silent := s.send("")
+	head := s.send("GET / HTTP/1.1\r\n")
+	for range testConnections - 4 {
+		s.send(post("/wait", 0))
+	}
+	s.Eventually(s.count("connections"), "10s").Should(BeEquivalentTo(testConnections))
+	for _, next := range []net.Conn{silent, head, body} {
+		s.Expect(s.isClosed(next)()).To(BeFalse())
+		s.send(post("/wait", 0))
+		s.Eventually(s.isClosed(next), "10s").Should(BeTrue())
+	}
+	time.Sleep(100 * time.Millisecond) // for the last request to reach its handler
+	s.Expect(s.status(s.send(post("/", 0)))).To(BeZero(), "all requests are being processed")
+	s.Expect(s.count("connections_replaced")()).To(BeEquivalentTo(3))
+	s.Expect(s.count("connections_rejected")()).To(BeEquivalentTo(1))
+	close(s.mayEnd)
+	s.Expect(s.status(working)).To(Equal(http.StatusOK))
+}
+
+// Guards against bodies that together take more memory than they may, and against refusing one body alone.
+func TestLargeBodiesShareABudget(t *testing.T) {
+	s := newTestServer(t, DefaultOptions())
+	const large = 700 << 10
+	text := strings.Repeat("a", large)
+	first := s.send(post("/", large) + text[1:])
+	s.Eventually(s.count("connections"), "10s").Should(BeEquivalentTo(1))
+	time.Sleep(100 * time.Millisecond) // for the body to be read
+	s.Expect(s.status(s.send(post("/", large) + text[1:]))).To(Equal(http.StatusServiceUnavailable))
+	s.Expect(s.status(s.send(post("/", 1000) + text[:1000]))).To(Equal(http.StatusOK))
+	s.Expect(s.count("bodies_refused")()).To(BeEquivalentTo(1))
+	s.Expect(s.log.LastEntry().Message).To(Equal("client_limited"))
+	_, err := io.WriteString(first, "a")
+	s.Expect(err).NotTo(HaveOccurred())
+	s.Expect(s.status(first)).To(Equal(http.StatusOK))
+	alone := bytes.Repeat([]byte("{}"), 256<<10) // counts more than the whole budget
+	s.Expect(s.status(s.send(post("/", len(alone)) + string(alone)))).To(Equal(http.StatusOK))
+}
+
+// Guards against bodies that never end.
+func TestLateBodyEnds(t *testing.T) {
+	o := DefaultOptions()
+	o.BodyTime = 50 * time.Millisecond
+	s := newTestServer(t, o)
+	c := s.send(post("/", 10) + "12345")
+	s.Eventually(s.count("bodies_late"), "10s").Should(BeEquivalentTo(1))
+	s.Eventually(s.isClosed(c), "10s").Should(BeTrue())
+}
+
+// Guards against heads that take more memory than they may.
+func TestLargeHeadIsRefused(t *testing.T) {
+	s := newTestServer(t, DefaultOptions())
+	c := s.send("GET / HTTP/1.1\r\nHost: a\r\nX-Pad: " + strings.Repeat("a", 40<<10) + "\r\n\r\n")
+	s.Expect(s.status(c)).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
+	s.Eventually(s.count("heads_too_large"), "10s").Should(BeEquivalentTo(1))
+}
+
+// Guards against connections of other hosts that are held up or closed for new ones once they are in use.
+func TestEstablishedPeersAreKept(t *testing.T) {
+	g := NewWithT(t)
+	log, _ := logtest.NewNullLogger()
+	limits := New(Resources{MemoryBytes: testMemory, Descriptors: 0}, DefaultOptions(), metrics.NewRegistry(), logrus.NewEntry(log)).Listener("peers", Peers)
+	client, server := net.Pipe()
+	c := newConn(server, limits)
+	g.Expect(limits.admit(c)).To(BeTrue())
+	go func() { _, _ = client.Write(make([]byte, 2*firstBytes)) }()
+	_, err := io.ReadFull(c, make([]byte, firstBytes))
+	g.Expect(err).NotTo(HaveOccurred())
+	rest := make(chan error, 1)
+	go func() {
+		_, err := io.ReadFull(c, make([]byte, firstBytes))
+		rest <- err
+	}()
+	g.Consistently(rest, "100ms").ShouldNot(Receive(), "nothing more is read before the first call")
+	Establish(drpcctx.WithTransport(context.Background(), c))
+	g.Eventually(rest, "10s").Should(Receive(BeNil()))
+	for range minConnections {
+		_, other := net.Pipe()
+		g.Expect(limits.admit(newConn(other, limits))).To(BeTrue())
+	}
+	_, kept := limits.conns[c]
+	g.Expect(kept).To(BeTrue())
+	g.Expect(len(limits.conns)).To(Equal(minConnections))
+}
+
+// Guards against limits that ordinary clients meet.
+func TestOptionsAreChecked(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(DefaultOptions().Validate()).To(Succeed())
+	for key, change := range map[string]func(*Options){
+		"connections": func(o *Options) { o.Connections = 1 },
+		"head size":   func(o *Options) { o.HeadKB = 0 },
+		"body time":   func(o *Options) { o.BodyTime = time.Second },
+		"idle time":   func(o *Options) { o.IdleTime = time.Second },
+	} {
+		o := DefaultOptions()
+		change(&o)
+		g.Expect(o.Validate()).To(MatchError(ContainSubstring(key)))
+	}
+}
--- /dev/null
+++ b/pkg/clientlimit/conn.go
@@ -0,0 +1,133 @@
+package clientlimit
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"storj.io/drpc/drpcctx"
+)
+
+// phase is how far a connection is with its request. Connections of lower phases are closed first.
+type phase int
+
+const (
+	awaitingHead phase = iota
+	readingBody
+	processing
+)
+
+// Conn is a limited connection.
+type Conn struct {
+	net.Conn
+	limits *Listener
+	opened time.Time
+	closed sync.Once
+
+	mu        sync.Mutex
+	phase     phase
+	since     time.Time // when the phase began
+	headBytes int       // read in the phase awaitingHead
+	// established is closed once a connection of another protocol than HTTP has made its first call.
+	established chan struct{}
+	done        chan struct{} // closed when the connection is closed
+}
+
+func newConn(inner net.Conn, l *Listener) *Conn {
+	now := time.Now()
+	c := &Conn{Conn: inner, limits: l, opened: now, since: now, established: make(chan struct{}), done: make(chan struct{})}
+	if l.kind == Peers {
+		_ = inner.SetReadDeadline(c.opened.Add(firstTime)) // fails only on a closed connection
+	}
+	return c
+}
+
+// Read reads from the connection. Before a peer's connection is established, it reads only firstBytes.
+func (c *Conn) Read(p []byte) (int, error) {
+	if c.limits.kind == Peers {
+		return c.readPeer(p)
+	}
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == awaitingHead {
+		c.headBytes += n
+	}
+	return n, err
+}
+
+func (c *Conn) readPeer(p []byte) (int, error) {
+	select {
+	case <-c.established:
+		return c.Conn.Read(p)
+	default:
+	}
+	if c.headBytes >= firstBytes { // only the connection's reader uses headBytes here
+		select {
+		case <-c.established:
+			return c.Conn.Read(p)
+		case <-c.done:
+			return 0, net.ErrClosed
+		case <-time.After(time.Until(c.opened.Add(firstTime))):
+			c.limits.heads.exceeded()
+			return 0, net.ErrClosed
+		}
+	}
+	n, err := c.Conn.Read(p[:min(len(p), firstBytes-c.headBytes)])
+	c.headBytes += n
+	return n, err
+}
+
+// Close closes the connection.
+func (c *Conn) Close() error {
+	c.closed.Do(func() {
+		close(c.done)
+		c.limits.remove(c)
+		if c.limits.kind != Peers && c.headTooLarge() {
+			c.limits.heads.exceeded()
+		}
+	})
+	return c.Conn.Close()
+}
+
+func (c *Conn) headTooLarge() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase == awaitingHead && c.headBytes > c.limits.limiter.options.HeadKB<<10
+}
+
+// setPhase begins a phase.
+func (c *Conn) setPhase(p phase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.since, c.headBytes = p, time.Now(), 0
+}
+
+// progress returns the present phase and when it began.
+func (c *Conn) progress() (phase, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase, c.since
+}
+
+// Establish marks the connection of a call as one that has made a call, by the context of the call's stream.
+func Establish(ctx context.Context) {
+	transport, _ := drpcctx.Transport(ctx)
+	c, ok := transport.(*Conn)
+	if !ok {
+		return // the call has come over a listener without limits
+	}
+	c.establish()
+}
+
+func (c *Conn) establish() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == processing {
+		return
+	}
+	c.phase, c.since = processing, time.Now()
+	_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
+	close(c.established)
+}
--- /dev/null
+++ b/pkg/clientlimit/doc.go
@@ -0,0 +1,32 @@
+// Package clientlimit bounds what clients can take of a process: connections, request heads and request bodies. All
+// listeners of a process share one Limiter, whose limits follow from the memory and the descriptors that the process
+// may use.
+//
+// # Connections
+//
+// Each listener has a limit of its own, so that clients of one listener can't use up what the others need. At the
+// limit, a new connection replaces the one that makes the least progress: first those that wait for a complete head
+// of a request, the oldest first; then those whose body has been arriving for longest. A connection whose request is
+// being processed is never closed for another one. If all are being processed, the new connection is closed.
+//
+// # Heads and bodies
+//
+// The head of a request is limited in size and time, and a body in time. Up to a small size, a body belongs to the
+// fixed cost of its connection. Beyond that it is charged to a budget that all listeners share; JSON objects count
+// more than their bytes, since they take more memory once they are decoded. If the budget is used up, reading the
+// body fails with ErrBusy and nothing of the request has been done. One body alone is never refused.
+//
+// # Usage
+//
+//	limiter := clientlimit.New(clientlimit.Resources{MemoryBytes: 284 << 20, Descriptors: 4200}, options, registry, log)
+//	callers := limiter.Listener("callers", clientlimit.Callers)
+//	l, err := callers.Listen(address)
+//	server := callers.Server(handler)
+//	go server.Serve(l)
+//
+// Listeners of other protocols wrap their connections as well. A connection of theirs may send firstBytes within
+// firstTime until Establish is called with the context of its first call; from then on it is never closed for another
+// one:
+//
+//	l := limiter.Listener("peers", clientlimit.Peers).Wrap(inner)
+package clientlimit
--- /dev/null
+++ b/pkg/clientlimit/limits.go
@@ -0,0 +1,113 @@
+package clientlimit
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// reservedDescriptors are those that the platform keeps for files.
+	reservedDescriptors = 200
+	// Shares of the other descriptors. The rest is for the store, workers and other services.
+	callerDescriptorShare = 0.5
+	peerDescriptorShare   = 0.25
+	// Shares of the memory of the process.
+	callerMemoryShare = 0.25
+	bodyMemoryShare   = 0.125
+	// connectionBytes is the memory that a caller's connection may take without being charged: its goroutine and
+	// buffers, what has arrived and is not read, a head and a small body.
+	connectionBytes = 80 << 10
+	// minorConnections is the limit for each of the listeners that only the platform or operators need.
+	minorConnections = 32
+	// minConnections is the lowest limit of a listener, for hosts whose settings leave less.
+	minConnections = 16
+	// receiveBufferBytes is the receive buffer of a connection. The kernel doubles it for its own needs.
+	receiveBufferBytes = 16 << 10
+	// freeBodyBytes is the charge up to which a body needs nothing from the budget.
+	freeBodyBytes = 32 << 10
+	// objectBytes is charged for each JSON object in a body.
+	objectBytes = 512
+	// headTime bounds the time until a head is complete.
+	headTime = 10 * time.Second
+	// firstTime and firstBytes bound what a connection of another protocol sends before it is established.
+	firstTime  = 5 * time.Second
+	firstBytes = 16 << 10
+)
+
+// Resources are what the process may use of its machine.
+type Resources struct {
+	MemoryBytes int64
+	Descriptors int
+}
+
+// Options are limits that an operator may set. Zero values stand for the defaults.
+type Options struct {
+	// Connections is the largest number of callers' connections; 0 derives it from the Resources.
+	Connections int           `default:"0" help:"Callers' connections at one time; 0 derives it from the memory and descriptors of the settings." placeholder:"N"`
+	HeadKB      int           `default:"16" help:"Size of a request's head, in KiB."`
+	BodyTime    time.Duration `default:"5s" help:"Time for a request's body to arrive."`
+	IdleTime    time.Duration `default:"2m" help:"Time that a connection may stay open between requests."`
+}
+
+// DefaultOptions returns the defaults.
+func DefaultOptions() Options {
+	return Options{HeadKB: 16, BodyTime: 5 * time.Second, IdleTime: 2 * time.Minute}
+}
+
+// Lowest values that no client inside the platform's limits meets.
+const (
+	minHeadKB   = 4
+	minBodyTime = 2 * time.Second
+	minIdleTime = 30 * time.Second
+)
+
+// Validate returns an error that names the first option that is out of range.
+func (o Options) Validate() error {
+	switch {
+	case o.Connections != 0 && o.Connections < minConnections:
+		return errors.Newf("connections: want 0 or at least %d, not %d", minConnections, o.Connections)
+	case o.HeadKB < minHeadKB:
+		return errors.Newf("head size: want at least %d KiB, not %d", minHeadKB, o.HeadKB)
+	case o.BodyTime < minBodyTime:
+		return errors.Newf("body time: want at least %s, not %s", minBodyTime, o.BodyTime)
+	case o.IdleTime < minIdleTime:
+		return errors.Newf("idle time: want at least %s, not %s", minIdleTime, o.IdleTime)
+	}
+	return nil
+}
+
+// Kind is what a listener is for.
+type Kind int
+
+// The kinds of listeners.
+const (
+	// Callers is for the requests of callers.
+	Callers Kind = iota
+	// Peers is for connections of other hosts.
+	Peers
+	// Minor is for health checks, metrics and operators.
+	Minor
+)
+
+// connections returns the largest number of connections of a listener.
+func (r Resources) connections(k Kind, o Options) int {
+	descriptors := float64(max(r.Descriptors-reservedDescriptors, 0))
+	switch k {
+	case Callers:
+		if o.Connections > 0 {
+			return o.Connections
+		}
+		byMemory := callerMemoryShare * float64(r.MemoryBytes) / connectionBytes
+		return max(int(min(callerDescriptorShare*descriptors, byMemory)), minConnections)
+	case Peers:
+		return max(int(peerDescriptorShare*descriptors), minConnections)
+	default:
+		return minorConnections
+	}
+}
+
+// bodyBytes returns the budget for bodies of all listeners.
+func (r Resources) bodyBytes() int64 {
+	return max(int64(bodyMemoryShare*float64(r.MemoryBytes)), freeBodyBytes)
+}
--- /dev/null
+++ b/pkg/clientlimit/listener.go
@@ -0,0 +1,137 @@
+package clientlimit
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sys/unix"
+)
+
+// Listener limits the connections of one listener.
+type Listener struct {
+	limiter *Limiter
+	name    string
+	kind    Kind
+	max     int
+
+	replaced *limit // connections that were closed for new ones
+	rejected *limit // connections that were closed at once
+	heads    *limit // connections that were closed for the size of a head
+	bodies   *limit // bodies that were refused
+	late     *limit // bodies that took too long
+	open     metrics.Gauge
+
+	mu    sync.Mutex
+	conns map[*Conn]struct{}
+}
+
+// Listener returns the limits of a listener. Its name stands in metrics and log lines.
+func (l *Limiter) Listener(name string, k Kind) *Listener {
+	n := l.resources.connections(k, l.options)
+	return &Listener{
+		limiter: l, name: name, kind: k, max: n, conns: map[*Conn]struct{}{},
+		replaced: l.newLimit(name, "connections_replaced", n), rejected: l.newLimit(name, "connections_rejected", n),
+		heads:  l.newLimit(name, "heads_too_large", l.options.HeadKB<<10),
+		bodies: l.newLimit(name, "bodies_refused", l.resources.bodyBytes()), late: l.newLimit(name, "bodies_late", l.options.BodyTime),
+		open: metrics.GetOrRegisterGauge("clients."+name+".connections", l.registry),
+	}
+}
+
+// Listen listens on a TCP address. The receive buffers of accepted connections are small, since what has arrived and
+// is not read takes memory of the machine.
+func (l *Listener) Listen(address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		err := setReceiveBuffer(c)
+		if err != nil {
+			l.limiter.log.WithField("error", err).Warn("receive_buffer_not_set") // the host can serve without
+		}
+		return nil
+	}}
+	return config.Listen(context.Background(), "tcp", address)
+}
+
+func setReceiveBuffer(c syscall.RawConn) error {
+	var sockoptErr error
+	err := c.Control(func(fd uintptr) {
+		sockoptErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
+	})
+	return errors.CombineErrors(err, sockoptErr)
+}
+
+// Wrap returns a listener whose connections are limited.
+func (l *Listener) Wrap(inner net.Listener) net.Listener {
+	return &limitedListener{inner, l}
+}
+
+// limitedListener is a net.Listener with the limits of a Listener.
+type limitedListener struct {
+	net.Listener
+	limits *Listener
+}
+
+// Accept returns the next connection that the limits admit.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := newConn(inner, l.limits)
+		if l.limits.admit(c) {
+			return c, nil
+		}
+		_ = inner.Close()
+	}
+}
+
+// admit adds a connection, in place of another one at the limit. It returns false if none may be replaced.
+func (l *Listener) admit(c *Conn) bool {
+	l.mu.Lock()
+	var victim *Conn
+	if len(l.conns) >= l.max {
+		if victim = l.slowest(); victim == nil {
+			l.mu.Unlock()
+			l.rejected.exceeded()
+			return false
+		}
+		delete(l.conns, victim)
+	}
+	l.conns[c] = struct{}{}
+	l.open.Update(int64(len(l.conns)))
+	l.mu.Unlock()
+	if victim != nil {
+		l.replaced.exceeded()
+		_ = victim.Close()
+	}
+	return true
+}
+
+// slowest returns the connection that makes the least progress; nil if all requests are being processed.
+func (l *Listener) slowest() *Conn {
+	var out *Conn
+	var outPhase phase
+	var outSince time.Time
+	for c := range l.conns {
+		p, since := c.progress()
+		if p == processing {
+			continue
+		}
+		if out == nil || p < outPhase || p == outPhase && since.Before(outSince) {
+			out, outPhase, outSince = c, p, since
+		}
+	}
+	return out
+}
+
+// remove removes a connection that was closed.
+func (l *Listener) remove(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+	l.open.Update(int64(len(l.conns)))
+}
--- a/pkg/entry/main.go
+++ b/pkg/entry/main.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"syscall"
 
+	"foldarch.dev/foldarch/pkg/clientlimit"
 	"foldarch.dev/foldarch/pkg/jobhost"
 	"foldarch.dev/foldarch/pkg/logring"
 	"foldarch.dev/foldarch/pkg/procconf"
@@ -36,7 +37,13 @@
 }
 
 type platformCommand struct {
-	Metrics uint16 `help:"Port for counters and latencies, as text at /metrics; 0 for none." placeholder:"PORT"`
+	Metrics uint16              `help:"Port for counters and latencies, as text at /metrics; 0 for none." placeholder:"PORT"`
+	Clients clientlimit.Options `embed:"" prefix:"client-"`
+}
+
+// Validate checks the limits for clients.
+func (c platformCommand) Validate() error {
+	return c.Clients.Validate()
 }
 
 type checkCommand struct {
@@ -113,7 +120,7 @@
 	defer w.Close()
 	ctx, stop := stopSignal()
 	defer stop()
-	return jobhost.New(cfg, newLog(w, logrus.InfoLevel.String())).Run(ctx, path, c.Metrics)
+	return jobhost.New(cfg, c.Clients, newLog(w, logrus.InfoLevel.String())).Run(ctx, path, c.Metrics)
 }
 
 // Run checks a settings file and prints its warnings.
--- a/pkg/jobhost/config_test.go
+++ b/pkg/jobhost/config_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"foldarch.dev/foldarch/pkg/clientlimit"
 	"foldarch.dev/foldarch/platform"
 	"foldarch.dev/foldarch/platform/emulator"
 	. "github.com/onsi/gomega"
@@ -25,7 +26,7 @@
 			Address: netip.MustParseAddrPort(p.StoreAddress()), WritesPerSecond: 400, ReadsPerSecond: 2000,
 		},
 	}
-	return New(cfg, logrus.NewEntry(log)), hook
+	return New(cfg, clientlimit.DefaultOptions(), logrus.NewEntry(log)), hook
 }
 
 func startPlatform(t *testing.T) *emulator.Platform {
--- a/pkg/jobhost/doc.go
+++ b/pkg/jobhost/doc.go
@@ -18,6 +18,6 @@
 //
 // # Usage
 //
-//	h, err := jobhost.New(settings, log)
+//	h, err := jobhost.New(settings, clientlimit.DefaultOptions(), log)
 //	err = h.Run(ctx, path, metricsPort) // until ctx ends, then a planned stop
 package jobhost
--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"foldarch.dev/foldarch/pkg/clientlimit"
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/evacuation"
 	"foldarch.dev/foldarch/pkg/poolowner"
@@ -38,14 +39,15 @@
 	storeAnswerMaxAge = 1500 * time.Millisecond
 	// memoryLimitShare is the share of the host's memory limit that is set as Go's soft memory limit.
 	memoryLimitShare = 0.8
-	gcPercent        = 200
+	// uncountedBytes is the memory of the process that Go's limit does not count, such as the program's text.
+	uncountedBytes = 16 << 20
+	gcPercent      = 200
 	// stopMargin is the part of the platform's grace period that is kept in reserve for the end of a
 	// planned stop.
 	stopMargin = 1500 * time.Millisecond
 	// stopAcceptTime is how long a stopping host still accepts requests, so that callers and the
 	// platform's balancer have time to switch to other hosts.
 	stopAcceptTime = 2500 * time.Millisecond
-	headerTimeout  = 10 * time.Second
 )
 
 // Host is the process of one entry host.
@@ -62,6 +64,7 @@
 	operatorKeys  *keyWatcher // the configuration, waves and evacuations
 	writer        *batchWriter
 	lookupLimiter *lookupLimiter // limits lookups for callers
+	clients       *clientlimit.Limiter
 	metrics       *hostMetrics
 	election      election
 	member        atomic.Pointer[poolrpc.Member]
@@ -91,7 +94,7 @@
 }
 
 // New returns a host that does nothing until Run is called.
-func New(cfg platform.Settings, log *logrus.Entry) *Host {
+func New(cfg platform.Settings, clients clientlimit.Options, log *logrus.Entry) *Host {
 	clk := clock.System()
 	metrics := newHostMetrics()
 	store := platform.NewStore(cfg.Store, platform.StoreOptions{
@@ -111,6 +114,7 @@
 		election: election{changed: make(chan struct{}, 1)}, ownerStoreRecovered: make(chan struct{}, 1),
 	}
 	h.cfg.Store(&cfg)
+	h.clients = clientlimit.New(clientlimit.Resources{MemoryBytes: cfg.MemoryBytes, Descriptors: cfg.MaxDescriptors}, clients, metrics.registry, h.log)
 	h.writer = newBatchWriter(store, clk, h.handleFoundOwnerRecord)
 	h.lookupLimiter = newLookupLimiter(cfg.Store.ReadsPerSecond)
 	h.operatorKeys = h.newOperatorWatcher()
@@ -134,16 +138,18 @@
 // unless it is 0.
 func (h *Host) Run(ctx context.Context, path string, metricsPort uint16) error {
 	cfg := h.cfg.Load()
-	debug.SetMemoryLimit(memoryLimit(*cfg))
+	debug.SetMemoryLimit(h.memoryLimit(*cfg))
 	debug.SetGCPercent(gcPercent)
 	if cfg.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores))) // more threads than cores only add context switches
 	}
-	callers, err := net.Listen("tcp", cfg.CallerAddress.String())
+	callerLimits := h.clients.Listener("callers", clientlimit.Callers)
+	callers, err := callerLimits.Listen(cfg.CallerAddress.String())
 	if err != nil {
 		return errors.Wrap(err, "listen on callers' address")
 	}
-	ready, err := net.Listen("tcp", cfg.ReadyAddress.String())
+	readyLimits := h.clients.Listener("ready", clientlimit.Minor)
+	ready, err := readyLimits.Listen(cfg.ReadyAddress.String())
 	if err != nil {
 		return errors.Wrap(err, "listen on ready address")
 	}
@@ -155,10 +161,9 @@
 	h.logWarnings(*cfg)
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
-	server := &http.Server{Handler: h.jobHandler(), ReadHeaderTimeout: headerTimeout}
-	readyServer := &http.Server{Handler: http.HandlerFunc(h.serveReady), ReadHeaderTimeout: headerTimeout}
-	go func() { _ = server.Serve(h.callerBytes.Listener(callers)) }()
-	go func() { _ = readyServer.Serve(ready) }()
+	server := callerLimits.Server(h.jobHandler())
+	go func() { _ = server.Serve(callerLimits.Wrap(h.callerBytes.Listener(callers))) }()
+	go func() { _ = readyLimits.Server(http.HandlerFunc(h.serveReady)).Serve(readyLimits.Wrap(ready)) }()
 	if metricsPort != 0 {
 		if err := h.listenForOperators(netip.AddrPortFrom(cfg.ReadyAddress.Addr(), metricsPort)); err != nil {
 			return err
@@ -181,9 +186,12 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Addr: address.String(), Handler: handler, ReadHeaderTimeout: headerTimeout}
+	limits := h.clients.Listener("operators", clientlimit.Minor)
 	go func() {
-		err := server.ListenAndServe()
+		l, err := limits.Listen(address.String())
+		if err == nil {
+			err = limits.Server(handler).Serve(limits.Wrap(l))
+		}
 		h.log.WithFields(logrus.Fields{"address": address, "error": err}).Warn("operators_not_served")
 	}()
 	return nil
@@ -196,7 +204,8 @@
 	h.background.Go(func() { h.campaign(ctx) })
 	h.background.Go(func() { h.watchStore(ctx) })
 	h.background.Go(func() { h.maintainLink(ctx) })
-	h.background.Go(func() { _ = poolrpc.Serve(ctx, h.peerBytes.Listener(peers), h.ownerHandlers, h.clk) })
+	limited := h.clients.Listener("peers", clientlimit.Peers).Wrap(h.peerBytes.Listener(peers))
+	h.background.Go(func() { _ = poolrpc.Serve(ctx, limited, h.ownerHandlers, h.clk) })
 }
 
 func (h *Host) ownerHandlers() (poolrpc.OwnerHandlers, bool) {
--- a/pkg/jobhost/metrics.go
+++ b/pkg/jobhost/metrics.go
@@ -93,6 +93,10 @@
 	}
 }
 
+// maxOperatorBodyBytes is the size of the bodies that foldarch's own API takes. Its field names are longer than those
+// of the platform's requests.
+const maxOperatorBodyBytes = 512 << 10
+
 // operatorHandler returns the handler of operators' requests: metrics, who owns the pool, what the owner
 // knows about a job, profiles of the process under /debug/pprof/, and foldarch's own jobs API under /v1/.
 func (h *Host) operatorHandler() (http.Handler, error) {
@@ -101,7 +105,7 @@
 		return nil, err
 	}
 	mux := http.NewServeMux()
-	mux.Handle("/v1/", jobs)
+	mux.Handle("/v1/", http.MaxBytesHandler(jobs, maxOperatorBodyBytes))
 	mux.HandleFunc("GET /metrics", h.serveMetrics)
 	mux.HandleFunc("GET /owner", func(w http.ResponseWriter, _ *http.Request) {
 		h.election.mu.Lock()
--- a/pkg/jobhost/reload.go
+++ b/pkg/jobhost/reload.go
@@ -33,7 +33,7 @@
 	if s.AdviceAddress != old.AdviceAddress {
 		h.setAdvice(s.AdviceAddress)
 	}
-	debug.SetMemoryLimit(memoryLimit(s))
+	debug.SetMemoryLimit(h.memoryLimit(s))
 	h.log.WithFields(logrus.Fields{
 		"restart_needed": s.CallerAddress != old.CallerAddress || s.ReadyAddress != old.ReadyAddress || s.PeerAddress != old.PeerAddress || s.Name != old.Name,
 	}).Info("settings_reloaded")
@@ -47,6 +47,8 @@
 	}
 }
 
-func memoryLimit(s platform.Settings) int64 {
-	return int64(float64(s.MemoryBytes) * memoryLimitShare)
+// memoryLimit returns Go's soft memory limit. It leaves room for memory that the runtime does not count.
+func (h *Host) memoryLimit(s platform.Settings) int64 {
+	counted := s.MemoryBytes - uncountedBytes - h.clients.UnreadBytes()
+	return max(min(int64(float64(s.MemoryBytes)*memoryLimitShare), counted), s.MemoryBytes/2)
 }
--- a/pkg/poolrpc/owner.go
+++ b/pkg/poolrpc/owner.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"foldarch.dev/foldarch/pkg/clientlimit"
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/poolrpc/poolpb"
 	"github.com/cockroachdb/errors"
@@ -129,6 +130,9 @@
 		}
 		now := s.clk.Now()
 		session.lastHeardAt.Store(int64(now))
+		if session.Name == "" {
+			clientlimit.Establish(ctx)
+		}
 		session.handle(msg, now, h)
 	}
 }
--- a/pkg/result/problem.go
+++ b/pkg/result/problem.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"os"
 	"time"
 
+	"foldarch.dev/foldarch/pkg/clientlimit"
 	"github.com/cockroachdb/errors"
 	"github.com/ogen-go/ogen/ogenerrors"
 )
@@ -37,6 +39,9 @@
 	return int((p.RetryAfterMs + second - 1) / second)
 }
 
+// busyRetryAfter is after how long a caller may try again whose body was not read.
+const busyRetryAfter = time.Second
+
 // WriteMalformed writes the response to a request that the generated server could not decode.
 func WriteMalformed(_ context.Context, w http.ResponseWriter, _ *http.Request, err error) {
 	code := Malformed
@@ -44,7 +49,11 @@
 	if errors.As(err, &tooLarge) {
 		code = BodyTooLarge
 	}
-	p := NewProblem(New(code, "%v", err))
+	e := New(code, "%v", err)
+	if errors.IsAny(err, clientlimit.ErrBusy, os.ErrDeadlineExceeded) {
+		e = New(Overloaded, "%v", err).WithRetryAfter(busyRetryAfter)
+	}
+	p := NewProblem(e)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(max(p.Status, ogenerrors.ErrorCode(err)))
 	_ = json.NewEncoder(w).Encode(p)
