--- a/pkg/dispatch/history_test.go
+++ b/pkg/dispatch/history_test.go
@@ -477,7 +477,7 @@
 
 const (
 	allSeeds seedShare = 1
-	// fifthOfSeeds is for histories with quotas, which take three times as long, for those with crashing
+	// fifthOfSeeds is for histories with quotas or long leases, which take three times as long, for those with crashing
 	// tasks, which take twice as long, and for those with early takeovers, of which there are seven
 	// kinds. The race detector makes them ten times slower.
 	fifthOfSeeds seedShare = 5
