--- a/pkg/poolowner/odd_entries_test.go
+++ b/pkg/poolowner/odd_entries_test.go
@@ -44,18 +44,18 @@
 // Guards against odd entries of another writer that keep the owner from following the workers' entries.
 func TestOddWorkerEntriesAffectNoOther(t *testing.T) {
 	g := NewWithT(t)
-	o, p, info, hook := ownerWatchingEntries(t)
-	before := o.watchPosition.workers
+	o, p, info, hook, stopWatch := ownerWithStoppableWatch(t)
+	_, before, err := o.deps.Store.List(t.Context(), platform.WorkersPrefix)
+	g.Expect(err).NotTo(HaveOccurred())
 	added := putOddEntries(p, info)
 	g.Eventually(o.workerNames, "5s", "10ms").Should(ConsistOf(info.ID, added))
 	for name := range oddWorkerEntries("{}") {
 		g.Eventually(func() int { return countLogLines(hook, "entry_unusable", name) }, "2s", "10ms").Should(BeNumerically(">=", 1), name)
 	}
-	o.mu.Lock()
-	g.Expect(o.watchPosition.workers).To(BeNumerically(">", before))
-	o.mu.Unlock()
 	p.Store.Remove(platform.WorkersPrefix + "zz")
 	g.Eventually(func() bool { return o.hasEntry(added) }, "5s", "10ms").Should(BeFalse(), "the watch goes on")
+	stopWatch()
+	g.Expect(o.watchPosition.workers).To(BeNumerically(">", before))
 
 	next := New(o.deps, Claim{Term: 2, Revision: o.claim.Revision})
 	g.Expect(next.listWorkers(t.Context())).To(Succeed())
--- a/pkg/poolowner/worker_entries_test.go
+++ b/pkg/poolowner/worker_entries_test.go
@@ -17,14 +17,21 @@
 
 // ownerWatchingEntries returns an owner that watches the entries of an emulated platform, and its log.
 func ownerWatchingEntries(t *testing.T) (*Owner, *emulator.Platform, dispatch.WorkerInfo, *logtest.Hook) {
+	o, p, info, hook, _ := ownerWithStoppableWatch(t)
+	return o, p, info, hook
+}
+
+// ownerWithStoppableWatch is ownerWatchingEntries with a function that ends the watch and waits for its end.
+func ownerWithStoppableWatch(t *testing.T) (*Owner, *emulator.Platform, dispatch.WorkerInfo, *logtest.Hook, func()) {
 	o, p, info := newOwnerOnEmulator(t)
 	o.deps.Log.Logger.SetLevel(logrus.InfoLevel)
 	hook := logtest.NewLocal(o.deps.Log.Logger)
 	ctx, cancel := context.WithCancel(t.Context())
 	o.background.Go(func() { o.watchWorkers(ctx) })
-	t.Cleanup(func() { cancel(); o.background.Wait() })
+	stop := func() { cancel(); o.background.Wait() }
+	t.Cleanup(stop)
 	NewWithT(t).Eventually(o.workerNames, "5s", "10ms").Should(ConsistOf(info.ID))
-	return o, p, info, hook
+	return o, p, info, hook, stop
 }
 
 func (o *Owner) workerNames() []dispatch.WorkerID {
