A replaced incarnation's runs are gone through once, and timers restart without a second state

The log line of a replaced incarnation had moved to a function of its own, which listed and sorted the runs that may have gone over a second time; replaceIncarnation has that list and logs it again. RestartTakeoverTimers made a whole takeover state to read one time of it.

--- a/pkg/dispatch/incarnations.go
+++ b/pkg/dispatch/incarnations.go
@@ -157,8 +157,7 @@
 	}
 	for _, other := range slices.Clone(w.history.incarnations) {
 		if other != answering && !other.terminated && other.discoveredAt <= poll.SentAt {
-			p.logReplacement(other, answering, workerClock)
-			p.replaceIncarnation(other, answering, now)
+			p.replaceIncarnation(other, answering, workerClock, now)
 		}
 	}
 	return answering == w
@@ -182,15 +181,9 @@
 	return x
 }
 
-// logReplacement logs that the next incarnation of a worker has answered. A poll for the previous one may have
-// reached it, with a deadline that is far ahead on its clock, or has passed.
-func (p *Pool) logReplacement(previous, next *worker, workerClock int64) {
-	p.cfg.Log(Event{Name: "worker_started_again", Worker: next.info.ID, Detail: fmt.Sprintf(
-		"before=%s runs=%d may_have_gone_over=%d deadline_ahead_ms=%d", previous.info.ID, len(previous.runs), len(previous.transferableRuns()), previous.latestDeadline-workerClock)})
-}
-
-// replaceIncarnation ends an incarnation that was replaced by the next one.
-func (p *Pool) replaceIncarnation(previous, next *worker, now clock.Time) {
+// replaceIncarnation ends an incarnation that was replaced by the next one, whose clock is workerClock. It logs how
+// far ahead on that clock the latest deadline is that was sent to the previous one: the next one may have received it.
+func (p *Pool) replaceIncarnation(previous, next *worker, workerClock int64, now clock.Time) {
 	previous.terminated = true
 	p.markRosterChanged(previous.info.ID)
 	previous.clearOrphans()
@@ -198,6 +191,8 @@
 	previous.history.markEnded(previous)
 	previous.markEntryRemoved(now)
 	transferable := previous.transferableRuns()
+	p.cfg.Log(Event{Name: "worker_started_again", Worker: next.info.ID, Detail: fmt.Sprintf(
+		"before=%s runs=%d may_have_gone_over=%d deadline_ahead_ms=%d", previous.info.ID, len(previous.runs), len(transferable), previous.latestDeadline-workerClock)})
 	p.handleWorkerCrash(previous, now)
 	for _, r := range transferable {
 		p.transferRun(r, next)
--- a/pkg/dispatch/takeover.go
+++ b/pkg/dispatch/takeover.go
@@ -70,7 +70,7 @@
 // until then.
 func (p *Pool) RestartTakeoverTimers(now clock.Time) {
 	if p.takeover.pending {
-		p.takeover.ordersUntil = newTakeover(p.cfg, now).ordersUntil
+		p.takeover.ordersUntil = now.Add(p.cfg.AuthorityTerm)
 	}
 }
 
