One function says which errors mean that a limit left a body unread

Both APIs compared the error of a body with the same two values. clientlimit, which causes them, says now which they are. Tests of clientlimit, platform and result pass.

--- a/pkg/clientlimit/limiter.go
+++ b/pkg/clientlimit/limiter.go
@@ -1,6 +1,7 @@
 package clientlimit
 
 import (
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +15,12 @@
 // Nothing of the request has been done.
 var ErrBusy = errors.New("too many large requests at once")
 
+// IsUnread reports whether an error of reading a body means that a limit ended it: ErrBusy, or the time for bodies.
+// Nothing of the request has been done.
+func IsUnread(err error) bool {
+	return errors.IsAny(err, ErrBusy, os.ErrDeadlineExceeded)
+}
+
 // logInterval is the time between two log lines about one limit.
 const logInterval = 5 * time.Second
 
--- a/pkg/result/problem.go
+++ b/pkg/result/problem.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"os"
 	"time"
 
 	"foldarch.dev/foldarch/pkg/clientlimit"
@@ -50,7 +49,7 @@
 		code = BodyTooLarge
 	}
 	e := New(code, "%v", err)
-	if errors.IsAny(err, clientlimit.ErrBusy, os.ErrDeadlineExceeded) {
+	if clientlimit.IsUnread(err) {
 		e = New(Overloaded, "%v", err).WithRetryAfter(busyRetryAfter)
 	}
 	p := NewProblem(e)
