--- a/pkg/dispatch/former_lives_test.go
+++ b/pkg/dispatch/former_lives_test.go
@@ -25,6 +25,16 @@
 	}
 }
 
+// expectRunOutlastsLongLease starts a task on an incarnation that goes silent then, and checks that it is not started
+// elsewhere while that one may have its longest lease.
+func (f *fixture) expectRunOutlastsLongLease(inc testIncarnation) {
+	f.pollAndReport(inc, Report{})
+	f.add(testJob("a", testStep(1)))
+	f.acceptFrom(f.planOneStart(), inc)
+	f.beginIncarnation(firstIncarnation(1), Report{})
+	f.expectNoStartElsewhere(longWorkerLease-500*time.Millisecond, "the run may have a lease of 10 s")
+}
+
 // Guards against two runs after a new owner has started a task on a worker that ran nothing: a call of the former
 // owner, with a deadline by the clock of the previous incarnation, may have given the worker its longest lease,
 // which covers what starts later.
@@ -34,11 +44,7 @@
 		withShortLeasesOnLongOnes(c)
 	})
 	f.beginIncarnation(secondIncarnation(0), Report{})
-	f.pollAndReport(secondIncarnation(0), Report{})
-	f.add(testJob("a", testStep(1)))
-	f.acceptFrom(f.planOneStart(), secondIncarnation(0))
-	f.beginIncarnation(firstIncarnation(1), Report{})
-	f.expectNoStartElsewhere(longWorkerLease-500*time.Millisecond, "the run may have a lease of 10 s")
+	f.expectRunOutlastsLongLease(secondIncarnation(0))
 }
 
 // Guards against the same under one owner: a poll for the previous incarnation arrives seconds after the next one
@@ -54,11 +60,7 @@
 		f.pool.HandlePollFailure(secondIncarnation(0).id, f.now)
 	}
 	f.beginIncarnation(secondIncarnation(0), Report{}) // right after the late poll
-	f.pollAndReport(secondIncarnation(0), Report{})
-	f.add(testJob("a", testStep(1)))
-	f.acceptFrom(f.planOneStart(), secondIncarnation(0))
-	f.beginIncarnation(firstIncarnation(1), Report{})
-	f.expectNoStartElsewhere(longWorkerLease-500*time.Millisecond, "the run may have a lease of 10 s")
+	f.expectRunOutlastsLongLease(secondIncarnation(0))
 }
 
 // Guards against a task that starts again after its end was acknowledged unread: the next incarnation carries out
--- a/pkg/dispatch/late_hold_test.go
+++ b/pkg/dispatch/late_hold_test.go
@@ -16,8 +16,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newIncarnationFixture(t, 2, withLongWorkerLeases)
 			f.outlastFirstReports(firstIncarnation(0), firstIncarnation(1))
-			cordoned := f.pool.historyOf(string(workerID(1)))
-			cordoned.cordoned = true
+			uncordon := f.cordon(1)
 			step := testStep(1)
 			step.LongRunning = longRunning
 			f.add(testJob("a", step))
@@ -31,7 +30,7 @@
 			f.Expect(hold.Deadline).NotTo(BeZero())
 			f.Expect(hold.Token).To(BeNumerically(">=", s.Token))
 			f.pool.HandlePollFailure(hold.Worker, f.now)
-			cordoned.cordoned = false
+			uncordon()
 			f.expectNoStartWhile(hold.SentAt.Add(maxOrderDelay+f.pool.cfg.WorkerMaxLease), firstIncarnation(1))
 		})
 	}
@@ -48,8 +47,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newIncarnationFixture(t, 2, withLongWorkerLeases)
 			f.outlastFirstReports(firstIncarnation(0), firstIncarnation(1))
-			cordoned := f.pool.historyOf(string(workerID(1)))
-			cordoned.cordoned = true
+			uncordon := f.cordon(1)
 			step := testStep(1)
 			change(&step)
 			f.add(testJob("a", step))
@@ -60,7 +58,7 @@
 			hold := f.newPoll(firstIncarnation(0), true)
 			f.Expect(hold.Deadline).NotTo(BeZero())
 			f.pool.HandlePollFailure(hold.Worker, f.now)
-			cordoned.cordoned = false
+			uncordon()
 			f.expectNoStartWhile(hold.SentAt.Add(f.pool.cfg.WorkerMaxLease), firstIncarnation(1))
 		})
 	}
