--- a/pkg/dispatch/late_acknowledgement_test.go
+++ b/pkg/dispatch/late_acknowledgement_test.go
@@ -13,7 +13,7 @@
 	for name, holdFirst := range map[string]bool{"the hold is sent before the start": true, "the hold is sent after the start": false} {
 		t.Run(name, func(t *testing.T) {
 			f := newIncarnationFixture(t, 2, nil)
-			f.cordon(1)
+			f.cordonMachineOf(1)
 			f.completeOnFirst("b")
 			f.pollAndReport(firstIncarnation(0), Report{})
 			var hold PollOrder
--- a/pkg/dispatch/late_hold_test.go
+++ b/pkg/dispatch/late_hold_test.go
@@ -16,7 +16,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newIncarnationFixture(t, 2, withLongWorkerLeases)
 			f.outlastFirstReports(firstIncarnation(0), firstIncarnation(1))
-			uncordon := f.cordon(1)
+			f.cordonMachineOf(1)
 			step := testStep(1)
 			step.LongRunning = longRunning
 			f.add(testJob("a", step))
@@ -30,7 +30,7 @@
 			f.Expect(hold.Deadline).NotTo(BeZero())
 			f.Expect(hold.Token).To(BeNumerically(">=", s.Token))
 			f.pool.HandlePollFailure(hold.Worker, f.now)
-			uncordon()
+			f.pool.SetCordoned(nil)
 			f.expectNoStartWhile(hold.SentAt.Add(maxOrderDelay+f.pool.cfg.WorkerMaxLease), firstIncarnation(1))
 		})
 	}
@@ -47,7 +47,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newIncarnationFixture(t, 2, withLongWorkerLeases)
 			f.outlastFirstReports(firstIncarnation(0), firstIncarnation(1))
-			uncordon := f.cordon(1)
+			f.cordonMachineOf(1)
 			step := testStep(1)
 			change(&step)
 			f.add(testJob("a", step))
@@ -58,7 +58,7 @@
 			hold := f.newPoll(firstIncarnation(0), true)
 			f.Expect(hold.Deadline).NotTo(BeZero())
 			f.pool.HandlePollFailure(hold.Worker, f.now)
-			uncordon()
+			f.pool.SetCordoned(nil)
 			f.expectNoStartWhile(hold.SentAt.Add(f.pool.cfg.WorkerMaxLease), firstIncarnation(1))
 		})
 	}
--- a/pkg/dispatch/long_leases_test.go
+++ b/pkg/dispatch/long_leases_test.go
@@ -27,13 +27,6 @@
 	f.oneStartWithinOneSecond(by, Report{})
 }
 
-// cordon keeps new tasks away from worker n until the returned function is called.
-func (f *fixture) cordon(n int) (uncordon func()) {
-	h := f.pool.historyOf(string(workerID(n)))
-	h.cordoned = true
-	return func() { h.cordoned = false }
-}
-
 // Guards against a task that runs twice after a takeover: a hold of the previous owner for an earlier
 // incarnation, with a deadline by that one's clock, has given its silent worker the longest lease.
 func TestTakeoverWaitsForLeasesByTheClockOfAnEarlierIncarnation(t *testing.T) {
@@ -81,12 +74,12 @@
 			begin(f)
 			reportedAt := f.now
 			f.pollAndReport(secondIncarnation(0), Report{})
-			uncordon := f.cordon(1)
+			f.cordonMachineOf(1)
 			f.add(testJob("a", testStep(1)))
 			s := f.planOneStart()
 			f.Expect(s.Worker).To(Equal(secondIncarnation(0).id))
 			f.acceptFrom(s, secondIncarnation(0))
-			uncordon()
+			f.pool.SetCordoned(nil)
 			f.expectNoStartUntil(reportedAt.Add(f.pool.cfg.WorkerMaxLease-50*time.Millisecond), firstIncarnation(1), "the silent worker may have the run")
 		})
 	}
--- a/pkg/dispatch/previous_owner_leases_test.go
+++ b/pkg/dispatch/previous_owner_leases_test.go
@@ -23,12 +23,12 @@
 			f.beginIncarnation(other, Report{})
 			f.beginIncarnation(silent, Report{})
 			reportedAt := f.now
-			uncordon := f.cordon(1)
+			f.cordonMachineOf(1)
 			f.add(testJob("a", testStep(1)))
 			s := f.planOneStart()
 			f.Expect(s.Worker).To(Equal(silent.id))
 			f.acceptFrom(s, silent)
-			uncordon()
+			f.pool.SetCordoned(nil)
 			f.expectNoStartWhile(reportedAt.Add(f.pool.cfg.MaxLeaseDuration-100*time.Millisecond), other)
 		})
 	}
--- a/pkg/dispatch/stop_answer_clock_test.go
+++ b/pkg/dispatch/stop_answer_clock_test.go
@@ -51,7 +51,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newIncarnationFixture(t, 2, withLongWorkerLeases)
 			f.outlastFirstReports(firstIncarnation(0), firstIncarnation(1))
-			uncordon := f.cordon(1)
+			f.cordonMachineOf(1)
 			f.add(testJob("b", testStep(1)))
 			other := f.planOneStart()
 			f.acceptFrom(other, firstIncarnation(0))
@@ -69,7 +69,7 @@
 			f.advance(400 * time.Millisecond)
 			next := laterClockIncarnation(0)
 			f.pool.HandleStopAnswer(stops[0], Answer{Verdict: VerdictDone, Clock: f.workerClock - next.clockLag}, f.now)
-			uncordon()
+			f.pool.SetCordoned(nil)
 			f.expectNoStartWhile(startedAt.Add(f.pool.cfg.LeaseDuration), firstIncarnation(1))
 		})
 	}
