--- a/pkg/clientlimit/clientlimit_test.go
+++ b/pkg/clientlimit/clientlimit_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,6 +34,8 @@
 	registry metrics.Registry
 	log      *logtest.Hook
 	mayEnd   chan struct{} // closed when requests for /wait may end
+	read     atomic.Int64  // bytes of bodies that the handler has read
+	waiting  atomic.Int64  // requests for /wait that have reached the handler
 }
 
 func newTestServer(t *testing.T, o Options) *testServer {
@@ -52,17 +55,27 @@
 const maxTestDescriptors = 1000
 
 func (s *testServer) serve(w http.ResponseWriter, r *http.Request) {
-	n, err := io.Copy(io.Discard, r.Body)
+	n, err := io.Copy(io.Discard, io.TeeReader(r.Body, byteCounter{&s.read}))
 	if errors.Is(err, ErrBusy) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	if r.URL.Path == "/wait" {
+		s.waiting.Add(1)
 		<-s.mayEnd
 	}
 	_, _ = fmt.Fprint(w, n)
 }
 
+// byteCounter is an io.Writer that counts bytes.
+type byteCounter struct{ n *atomic.Int64 }
+
+// Write counts the bytes of p.
+func (c byteCounter) Write(p []byte) (int, error) {
+	c.n.Add(int64(len(p)))
+	return len(p), nil
+}
+
 // send opens a connection and sends text on it.
 func (s *testServer) send(text string) net.Conn {
 	c, err := net.Dial("tcp", s.address)
@@ -127,7 +140,7 @@
 		s.send(post("/wait", 0))
 		s.Eventually(s.isClosed(next), "10s").Should(BeTrue())
 	}
-	time.Sleep(100 * time.Millisecond) // for the last request to reach its handler
+	s.Eventually(s.waiting.Load, "10s").Should(BeEquivalentTo(testConnections))
 	s.Expect(s.status(s.send(post("/", 0)))).To(BeZero(), "all requests are being processed")
 	s.Expect(s.count("connections_replaced")()).To(BeEquivalentTo(3))
 	s.Expect(s.count("connections_rejected")()).To(BeEquivalentTo(1))
@@ -142,7 +155,7 @@
 	text := strings.Repeat("a", large)
 	first := s.send(post("/", large) + text[1:])
 	s.Eventually(s.count("connections"), "10s").Should(BeEquivalentTo(1))
-	time.Sleep(100 * time.Millisecond) // for the body to be read
+	s.Eventually(s.read.Load, "10s").Should(BeEquivalentTo(large - 1))
 	s.Expect(s.status(s.send(post("/", large) + text[1:]))).To(Equal(http.StatusServiceUnavailable))
 	s.Expect(s.status(s.send(post("/", 1000) + text[:1000]))).To(Equal(http.StatusOK))
 	s.Expect(s.count("bodies_refused")()).To(BeEquivalentTo(1))
