--- a/pkg/jobhost/odd_entries_test.go
+++ b/pkg/jobhost/odd_entries_test.go
@@ -38,7 +38,7 @@
 		return numbers
 	}
 	g.Eventually(waves, "2s", "5ms").Should(ConsistOf(int64(3)))
-	g.Expect(h.evacuatedHallNames()).To(ConsistOf("hall-a"))
+	g.Eventually(h.evacuatedHallNames, "2s", "5ms").Should(ConsistOf("hall-a"))
 
 	put()
 	p.Store.Remove("op/wave/+3")
