A task whose run was seen active waits for unread failures that may exhaust its attempts

Cause: after a takeover, a task whose last run a report has shown as active starts again without waiting for silent workers, since no previous owner hears of the end of that run. An earlier run may have failed on a silent worker without the store knowing, so that the run that was seen was the last attempt.

Change: the runs between the last one in the store and the one that was seen may have failed unread. If they and the known failures could reach the limit of the queue, the task waits like the others until the silent workers have reported or the takeover is settled. A run of a later term counts as many as the limit allows, as numbers jump with each term. The previous owner has started the run that was seen, so one failure fewer than the limit came before it at most. While unread failures are possible the task starts once: the store would have a later last run after that, and an owner that takes over within the same silence would not count them. Long-running tasks have no limit. A run that follows the stored one goes on as before.

Evidence: TestUnreadFailureCountsBeforeATaskSeenActiveStartsAgain failed before and passes, as do three of the seven cases of TestTaskSeenActiveStartsAgainUnlessUnreadFailuresMayExhaustItsAttempts (the other four passed before: they start at once) and TestTaskWithUnreadFailureStartsOnceBeforeTheTakeoverIsSettled. Tests of dispatch, poolowner, takeover and job pass.

--- a/pkg/dispatch/jobs.go
+++ b/pkg/dispatch/jobs.go
@@ -116,7 +116,7 @@
 	gang          gang
 	runsPerWorker map[WorkerID]int // runs of the step on each worker; only with MaxPerWorker
 	chainEstimate time.Duration    // estimated time from the start of this step to the end of the job
-	seenActive    bool             // one of its tasks is or was (task.seenActive)
+	seenActive    bool             // one of its tasks is or was (task.seenActiveRun)
 	// readySince is since when its tasks have been waiting for workers.
 	readySince clock.Time
 	// hasSurvivedStart says that a worker has survived a start of one of its tasks, and claimedWorker is the
@@ -155,8 +155,9 @@
 	avoidedWorker WorkerID             // where it last failed
 	lateStarts    latestart.TaskStarts // its starts that the next incarnations of their workers may carry out
 	notBefore     clock.Time
-	// seenActive says that a report has shown a run of a previous owner as active.
-	seenActive bool
+	// seenActiveRun is the run of a previous owner that a report has shown as active; 0 for none. storedLastRun is
+	// the lastEndedRun of previous owners.
+	seenActiveRun, storedLastRun int
 	// presumedLost says that its last run was presumed lost since its worker was silent.
 	presumedLost bool
 }
@@ -259,6 +260,11 @@
 	return s.doneTasks == s.spec.Count
 }
 
+// maxAttempts returns how many runs of a task may fail.
+func (j *jobState) maxAttempts() int {
+	return max(j.queue.MaxAttempts, 1)
+}
+
 // typicalAdviceWorkers is how many workers an advice call is assumed to ask about when a job's objective is
 // calculated.
 const typicalAdviceWorkers = 30
--- a/pkg/dispatch/reports.go
+++ b/pkg/dispatch/reports.go
@@ -260,7 +260,7 @@
 		return r
 	}
 	t.setCurrent(r)
-	p.recordSeenActive(t, w)
+	p.recordSeenActive(r)
 	if t.step.spec.Gang {
 		t.step.gang.runNumber = max(t.step.gang.runNumber, row.Run)
 	}
--- a/pkg/dispatch/run_ends.go
+++ b/pkg/dispatch/run_ends.go
@@ -125,7 +125,7 @@
 	}
 	counted.failures = append(counted.failures, number)
 	p.markProgressChanged(counted)
-	if len(counted.failures) >= max(j.queue.MaxAttempts, 1) {
+	if len(counted.failures) >= j.maxAttempts() {
 		p.finishJob(j, job.Failed)
 		return false
 	}
--- a/pkg/dispatch/stored_progress.go
+++ b/pkg/dispatch/stored_progress.go
@@ -330,7 +330,7 @@
 		s.createAllTasks()
 	}
 	t := s.createTask(row.Index)
-	t.failures, t.lastEndedRun, t.checkpoint = row.Failures, row.LastRun, row.Checkpoint
+	t.failures, t.lastEndedRun, t.storedLastRun, t.checkpoint = row.Failures, row.LastRun, row.LastRun, row.Checkpoint
 	t.crash.Load(row.Attempts, row.Crashes)
 	j.suspected = j.suspected || len(row.Crashes) > 0
 	t.lastRunNumber = max(t.lastRunNumber, row.HighestRun())
--- a/pkg/dispatch/takeover.go
+++ b/pkg/dispatch/takeover.go
@@ -200,12 +200,38 @@
 
 // isTaskBlockedByTakeover is hasTasksBlockedByTakeover for one waiting task.
 func (p *Pool) isTaskBlockedByTakeover(t *task) bool {
-	return !t.seenActive && p.hasTasksBlockedByTakeover(t.step)
+	return p.hasTasksBlockedByTakeover(t.step) && (t.seenActiveRun == 0 || t.mayHaveExhaustedAttempts())
 }
 
 // isStepBlockedByTakeover reports whether all waiting tasks of a step are blocked.
 func (p *Pool) isStepBlockedByTakeover(s *step) bool {
-	return p.hasTasksBlockedByTakeover(s) && !slices.ContainsFunc(s.tasks, func(t *task) bool { return t.waiting() && t.seenActive })
+	return p.hasTasksBlockedByTakeover(s) && !slices.ContainsFunc(s.tasks, func(t *task) bool { return t.waiting() && !p.isTaskBlockedByTakeover(t) })
+}
+
+// mayHaveExhaustedAttempts reports whether a task whose run was seen active may have failed too often to start again:
+// silent workers may not have reported the failures of runs between the one that the store has as the last and the
+// one that was seen. Numbers that were not assigned count as well, since those of a later term begin higher.
+func (t *task) mayHaveExhaustedAttempts() bool {
+	unread, failuresBefore := t.seenActiveRun-1-t.storedLastRun, 0
+	for _, n := range t.failures {
+		if n >= t.seenActiveRun {
+			continue
+		}
+		failuresBefore++
+		if n > t.storedLastRun {
+			unread--
+		}
+	}
+	switch {
+	case unread <= 0 || t.step.spec.LongRunning:
+		return false
+	case t.lastEndedRun > t.seenActiveRun:
+		// The store may have a later last run by now, so the next owner would not count the unread failures.
+		return true
+	}
+	limit := t.step.occurrence.job.maxAttempts()
+	failuresSince := len(t.failures) - failuresBefore
+	return min(failuresBefore+unread, limit-1)+failuresSince >= limit // a previous owner has started the run that was seen
 }
 
 // isUnknownToPreviousOwners reports whether no previous owner can have started a step, since it can't have heard
@@ -223,9 +249,9 @@
 // owners by then, so that none of them hears of the end of the run, and none has started the task again. This
 // does not hold for members of a gang, whose end the workers of other members tell as well, and for a run that
 // the next incarnation of its worker may have started late.
-func (p *Pool) recordSeenActive(t *task, w *worker) {
-	if p.takeover.pending && !t.step.spec.Gang && w.info.ID.StartedAt() == 0 {
-		t.seenActive, t.step.seenActive = true, true
+func (p *Pool) recordSeenActive(r *run) {
+	if p.takeover.pending && !r.task.step.spec.Gang && r.worker.info.ID.StartedAt() == 0 {
+		r.task.seenActiveRun, r.task.step.seenActive = r.number, true
 	}
 }
 
