A late hold extends what a late start began, so the wait counts from the last such call

Cause: a start without an answer may be carried out by the next incarnation of its worker up to 12 s after it was sent, and then run for the longest lease. A hold that was sent to the first incarnation after the start may be carried out after it just as late, and its deadline is by another clock. The owner counted from the start, and started the task elsewhere while the run could go on.

Change: a worker's history keeps when the last call that extends leases was sent to any of its incarnations, at the latest (a poll with a deadline, a start); a poll or a start without an answer counts at the end of its call. The run of a transferred start counts from there, or from the end of a previous owner's authority if that is later.

--- a/pkg/dispatch/incarnations.go
+++ b/pkg/dispatch/incarnations.go
@@ -51,7 +51,10 @@
 	// lateStartsExpireAt is until when a next incarnation may carry out a start that is invalidated for the
 	// one before; 0 for none.
 	lateStartsExpireAt clock.Time
-	cordoned           bool // the worker gets no new tasks, since its host is to be taken down
+	// leasesExtendedBy is when the last call that extends leases was sent to any incarnation, at the latest. The next
+	// incarnation may carry it out late, after a late start, whose run then goes on for longer.
+	leasesExtendedBy clock.Time
+	cordoned         bool // the worker gets no new tasks, since its host is to be taken down
 }
 
 // historyOf returns the history of a worker's name, and creates it if needed.
@@ -220,7 +223,8 @@
 }
 
 // transferredRunExpiresAt is until when the next incarnation of a worker may run what was meant for this
-// one: it may receive the order late, and the deadline in the order is by another clock. It is 0 for a run
+// one: it may receive the order late, and later calls that extend leases as well, and the deadlines in them are by
+// another clock. It is 0 for a run
 // that can't have been transferred, and for one whose worker is not known to be replaced, unless its start
 // may be carried out later (mayStartLater).
 func (p *Pool) transferredRunExpiresAt(w *worker, r *run) clock.Time {
@@ -232,7 +236,7 @@
 	if startableLater {
 		sentBy = r.startCall.LastEventAt()
 	}
-	return sentBy.Add(maxOrderDelay + leaseExpiryTime(p.cfg.WorkerMaxLease))
+	return max(sentBy, p.leasesExtendedBy(w.history)).Add(maxOrderDelay + leaseExpiryTime(p.cfg.WorkerMaxLease))
 }
 
 // mayStartLater reports whether the unanswered start of a run may be delayed and reach the next incarnation
--- a/pkg/dispatch/late_hold_test.go
+++ b/pkg/dispatch/late_hold_test.go
@@ -9,31 +9,54 @@
 	. "github.com/onsi/gomega"
 )
 
-// The next incarnation carries out a start that got no answer, and then, as late as an order may be, a hold for the
-// first incarnation that was sent after the start. Its deadline is by the clock of the first incarnation.
 func TestRunLastsAsLongAsALateHoldForTheEarlierIncarnationExtendsIt(t *testing.T) {
-	for name, longRunning := range map[string]bool{"a task that ends": false, "a task that lasts": true} {
-		t.Run(name, func(t *testing.T) {
-			f := newIncarnationFixture(t, 2, withLongWorkerLeases)
-			f.outlastFirstReports(firstIncarnation(0), firstIncarnation(1))
-			f.cordonMachineOf(1)
-			step := testStep(1)
-			step.LongRunning = longRunning
-			f.add(testJob("a", step))
-			f.pollAndReport(firstIncarnation(0), Report{})
-			s := f.planOneStart()
-			f.Expect(s.Worker).To(Equal(firstIncarnation(0).id))
-			f.advance(160 * time.Millisecond)
-			f.failStart(s)
-			f.advance(650 * time.Millisecond)
-			hold := f.newPoll(firstIncarnation(0), true)
-			f.Expect(hold.Deadline).NotTo(BeZero())
-			f.Expect(hold.Token).To(BeNumerically(">=", s.Token))
-			f.pool.HandlePollFailure(hold.Worker, f.now)
-			f.pool.SetCordoned(nil)
-			f.expectNoStartWhile(hold.SentAt.Add(maxOrderDelay+f.pool.cfg.WorkerMaxLease), firstIncarnation(1))
-		})
-	}
+	testLateHoldExtendsLateStart(t, testStep(1))
+}
+
+func TestLongRunningTaskLastsAsLongAsALateHoldForTheEarlierIncarnationExtendsIt(t *testing.T) {
+	step := testStep(1)
+	step.LongRunning = true
+	testLateHoldExtendsLateStart(t, step)
+}
+
+// testLateHoldExtendsLateStart expects that a task does not start elsewhere while the next incarnation of its worker may
+// run it: that one carries out a start that got no answer, and then, as late as an order may be, a hold for the first
+// incarnation that was sent after the start. Its deadline is by the clock of the first incarnation.
+func testLateHoldExtendsLateStart(t *testing.T, step job.Step) {
+	f := newIncarnationFixture(t, 2, withLongWorkerLeases)
+	f.outlastFirstReports(firstIncarnation(0), firstIncarnation(1))
+	f.cordonMachineOf(1)
+	f.add(testJob("a", step))
+	f.pollAndReport(firstIncarnation(0), Report{})
+	s := f.planOneStart()
+	f.Expect(s.Worker).To(Equal(firstIncarnation(0).id))
+	f.advance(160 * time.Millisecond)
+	f.failStart(s)
+	f.advance(650 * time.Millisecond)
+	hold := f.newPoll(firstIncarnation(0), true)
+	f.Expect(hold.Deadline).NotTo(BeZero())
+	f.Expect(hold.Token).To(BeNumerically(">=", s.Token))
+	f.pool.HandlePollFailure(hold.Worker, f.now)
+	f.pool.SetCordoned(nil)
+	f.expectNoStartWhile(hold.SentAt.Add(maxOrderDelay+f.pool.cfg.WorkerMaxLease), firstIncarnation(1))
+}
+
+// Guards against a run that is taken for ended while a late hold of the previous owner may extend it: a start got no
+// answer while that owner could still give orders.
+func TestRunLastsAsLongAsALateHoldOfThePreviousOwnerExtendsIt(t *testing.T) {
+	f := newFixture(t, 0, func(c *Config) { afterPreviousOwner(c); withLongWorkerLeases(c) })
+	previousOrdersUntil := f.now.Add(f.pool.cfg.AuthorityTerm)
+	f.beginIncarnation(firstIncarnation(0), Report{})
+	f.beginIncarnation(firstIncarnation(1), Report{})
+	f.cordonMachineOf(1)
+	r := testJob("a", testStep(1))
+	r.Term = f.pool.cfg.Term
+	f.add(r)
+	s := f.planOneStart()
+	f.advance(160 * time.Millisecond)
+	f.failStart(s)
+	f.pool.SetCordoned(nil)
+	f.expectNoStartWhile(previousOrdersUntil.Add(maxOrderDelay+f.pool.cfg.WorkerMaxLease), firstIncarnation(1))
 }
 
 // The next incarnation takes a start and a hold that were meant for the first one, without a delay, and is cut off;
--- a/pkg/dispatch/late_starts.go
+++ b/pkg/dispatch/late_starts.go
@@ -106,6 +106,7 @@
 	unanswered := err != nil && !isNotSent(err)
 	r.startCall.RecordResult(unanswered, now)
 	if unanswered {
+		r.worker.history.leasesExtendedBy = now
 		p.storeUnansweredStart(r, now)
 	}
 }
@@ -128,13 +129,25 @@
 	if !t.lateStarts.HasStarts() {
 		return
 	}
-	answeredPollSentAt := func(name string) clock.Time { return p.historyOf(name).lastAnsweredPollSentAt() }
-	t.lateStarts.RemoveExpired(latestart.ExpiryConditions{LastAnsweredPollSentAt: answeredPollSentAt, LeaseTime: leaseExpiryTime(p.cfg.WorkerMaxLease), IsOwnershipConfirmedSince: p.isOwnershipConfirmedSince}, now)
+	t.lateStarts.RemoveExpired(latestart.ExpiryConditions{
+		LastAnsweredPollSentAt:    func(name string) clock.Time { return p.historyOf(name).lastAnsweredPollSentAt() },
+		LeaseTime:                 leaseExpiryTime(p.cfg.WorkerMaxLease),
+		IsOwnershipConfirmedSince: p.isOwnershipConfirmedSince,
+	}, now)
 	if t.step.spec.LongRunning {
 		t.lateStarts.UnbindUnusable(func(name string) bool { return p.historyOf(name).isUsable(now) })
 	}
 }
 
+// leasesExtendedBy is when this or a previous owner sent the last call to a worker that extends leases there, at the
+// latest.
+func (p *Pool) leasesExtendedBy(h *workerHistory) clock.Time {
+	if p.cfg.HasPreviousOwner {
+		return max(h.leasesExtendedBy, p.takeover.ordersUntil)
+	}
+	return h.leasesExtendedBy
+}
+
 // extendLateStarts records that the next incarnation may carry out a start until a time.
 func (h *workerHistory) extendLateStarts(until clock.Time) {
 	h.lateStartsExpireAt = max(h.lateStartsExpireAt, until)
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -210,6 +210,7 @@
 	r.token = w.history.token
 	deadline := w.leaseDeadline(now, p.cfg.LeaseDuration)
 	w.latestDeadline = max(w.latestDeadline, deadline)
+	w.history.leasesExtendedBy = now
 	o := StartOrder{
 		Task: t.id(), Run: r.number, Worker: w.info.ID, Address: w.info.Address, Token: w.history.token,
 		Spec: t.step.occurrence.job.job.Spec, Checkpoint: checkpoint, Deadline: deadline,
--- a/pkg/dispatch/poll.go
+++ b/pkg/dispatch/poll.go
@@ -59,6 +59,7 @@
 	if w.fenced && extend && now.Sub(w.lastAnsweredAt) < leaseExtensionTimeout {
 		poll.Deadline = w.leaseDeadline(now, p.cfg.LeaseDuration)
 		w.latestDeadline = max(w.latestDeadline, poll.Deadline)
+		w.history.leasesExtendedBy, w.extensionPending = now, true
 	}
 	return poll, true
 }
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -70,7 +70,9 @@
 	pendingPolls    int
 	lastPollEndedAt clock.Time
 	pollGap         bool
-	latestDeadline  int64 // the latest lease deadline that was sent, by the worker's clock
+	// extensionPending says that a poll which extends leases may be in flight.
+	extensionPending bool
+	latestDeadline   int64 // the latest lease deadline that was sent, by the worker's clock
 	// inheritedLeasesUntil is when the leases given by a previous owner have expired; 0 if there are
 	// none.
 	inheritedLeasesUntil clock.Time
@@ -154,6 +156,7 @@
 func (w *worker) recordPollEnded(now clock.Time) {
 	w.pendingPolls = max(w.pendingPolls-1, 0)
 	w.lastPollEndedAt = now
+	w.extensionPending = w.extensionPending && w.pendingPolls > 0
 }
 
 // isPresent reports whether the worker's entry exists, or was removed so recently that the worker may
@@ -195,6 +198,9 @@
 // HandlePollFailure records that a poll got no answer.
 func (p *Pool) HandlePollFailure(id WorkerID, now clock.Time) {
 	if w, ok := p.workers[id]; ok {
+		if w.extensionPending {
+			w.history.leasesExtendedBy = now // the poll may have waited until now to be sent
+		}
 		w.recordPollEnded(now)
 		w.recordUnanswered(now)
 	}
