Restarts of fenced workers give a previous owner no authority

An owner that is cut from the store goes on while most workers answer it. Workers that the next owner has fenced and that restart under their names have seen no token then: they answered the previous owner again, or fell out of its count, as their new entries were not read, so that it had a majority again and extended leases past the time after which its successor starts the tasks elsewhere.

An incarnation that succeeds another one of its name counts among all workers, but among those that answer only once the store has named this process as the owner in answer to a read made after the incarnation became known (AnsweringCount). A later owner, if there is one, was elected after that and has to fence it. The read is the one that is made before runs of silent workers start elsewhere, at most every 0.4 s. An owner with a store keeps its authority by its lease meanwhile; one without loses it if half of the workers restart. What a new owner takes as the moment at which most workers are fenced is as before (FencedCount): such workers reject its predecessor whether or not the store answers.

TestRestartsOfFencedWorkersDoNotGiveAPreviousOwnerAuthority and TestRestartsOfFencedWorkersDoNotLetATaskRunTwice failed before and pass.

--- a/pkg/dispatch/incarnations.go
+++ b/pkg/dispatch/incarnations.go
@@ -70,7 +70,8 @@
 // addWorker adds an incarnation of a worker that was not known.
 func (p *Pool) addWorker(info WorkerInfo, now clock.Time) *worker {
 	h := p.historyOf(info.ID.Name())
-	if len(h.incarnations)+len(h.endedIncarnations)+len(h.forgottenIncarnations) > 0 {
+	succeedsAnother := len(h.incarnations)+len(h.endedIncarnations)+len(h.forgottenIncarnations) > 0
+	if succeedsAnother {
 		h.raiseToken(p.cfg.Token) // orders for another incarnation may still be on their way
 	}
 	if slices.Contains(h.forgottenIncarnations, info.ID) {
@@ -78,7 +79,7 @@
 		p.removeCrashesOf(info.ID)
 	}
 	p.incarnationCount++
-	w := &worker{info: info, incarnationSeq: p.incarnationCount, history: h, runs: map[runKey]*run{}, discoveredAt: now}
+	w := &worker{info: info, incarnationSeq: p.incarnationCount, history: h, runs: map[runKey]*run{}, discoveredAt: now, succeedsAnother: succeedsAnother}
 	w.evacuated = p.isInEvacuatedHall(w)
 	h.incarnations = append(h.incarnations, w)
 	p.workers[info.ID] = w
@@ -201,6 +202,7 @@
 		p.transferRun(r, next)
 	}
 	p.loseRuns(previous, now)
+	next.succeedsAnother = true
 	next.inheritedLeasesUntil = max(next.inheritedLeasesUntil, now.Add(leaseExpiryTime(p.cfg.WorkerMaxLease)))
 }
 
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -50,6 +50,7 @@
 	retired          bool
 	retiredJobs      []job.ID
 	discoveredAt     clock.Time // when this owner discovered it
+	succeedsAnother  bool       // another incarnation of its name was known before
 	leavesAt         clock.Time // when a draining worker may leave; 0 if it is not draining
 	evacuated        bool       // its data hall is being evacuated
 	terminated       bool       // the incarnation has ended, or can't run anything any more
@@ -213,21 +214,6 @@
 	}
 }
 
-// AnsweringCount counts the workers that have answered a poll sent less than the given time ago, and
-// all workers that have an entry or may run something.
-func (p *Pool) AnsweringCount(now clock.Time, within time.Duration) (answering, all int) {
-	for _, w := range p.workers {
-		if w.terminated || !w.hasEntry && len(w.runs) == 0 && w.fenced {
-			continue
-		}
-		all++
-		if w.fenced && now.Sub(w.lastAnsweredPollSentAt) < within {
-			answering++
-		}
-	}
-	return answering, all
-}
-
 // terminateWorker records that an incarnation of a worker has ended and nothing runs on it any more.
 func (p *Pool) terminateWorker(w *worker, reason string, now clock.Time) {
 	if w.terminated {
--- a/pkg/poolowner/doc.go
+++ b/pkg/poolowner/doc.go
@@ -9,7 +9,8 @@
 //	unknown   reads the records of jobs that workers list but that no host has reported
 //	workers   watches the workers' entries in the store
 //	roster    writes the workers to the store before they get tasks
-//	confirm   reads the owner's record before runs of a silent worker are restarted elsewhere
+//	confirm   reads the owner's record before runs of a silent worker are restarted elsewhere, and after
+//	          workers have restarted
 //	upkeep    carries out upkeep waves of machines
 //	members   communicates with the other entry hosts (package poolrpc)
 //
@@ -17,7 +18,8 @@
 //
 // A transaction of the store records the owner; its revision determines the owner's fencing tokens.
 // The owner continues while it renews its lease in the store, or while most workers accept its token.
-// So an outage of the store does not stop it. It ends when a worker has seen a higher token, or when
+// So an outage of the store does not stop it, unless half of the workers restart meanwhile: a restarted worker
+// may have been fenced by a later owner before. It ends when a worker has seen a higher token, or when
 // the store names another owner.
 //
 // # Usage
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -289,31 +289,36 @@
 		o.depose("fenced")
 		return false
 	}
-	majority := o.hasMajority(now)
-	if !o.majorityFenced && majority {
+	o.checkMajority(now)
+	if !o.majorityFenced && o.majority.fenced {
 		o.majorityFenced = true
 		o.pool.RestartTakeoverTimers(now)
 	}
-	return majority || o.deps.HasLease(now)
+	return o.majority.answers || o.deps.HasLease(now)
 }
 
 // majorityCheckInterval is the maximum age of a majority check. The check is needed for each call to a
 // worker and goes over all workers. maxPreviousAuthority covers this age.
 const majorityCheckInterval = 20 * time.Millisecond
 
-// hasMajority reports whether most workers have answered within AuthorityTerm. The caller holds o.mu.
-func (o *Owner) hasMajority(now clock.Time) bool {
-	if o.majority.checkedAt == 0 || now.Sub(o.majority.checkedAt) >= majorityCheckInterval {
-		answering, all := o.pool.AnsweringCount(now, AuthorityTerm)
-		o.majority = majorityCheck{checkedAt: now, answers: 2*answering > all}
+// checkMajority brings o.majority up to date. The caller holds o.mu.
+func (o *Owner) checkMajority(now clock.Time) {
+	if o.majority.checkedAt != 0 && now.Sub(o.majority.checkedAt) < majorityCheckInterval {
+		return
+	}
+	answering, all := o.pool.AnsweringCount(now, AuthorityTerm)
+	o.majority = majorityCheck{checkedAt: now, answers: 2*answering > all, fenced: o.majorityFenced}
+	if !o.majority.fenced {
+		fenced, all := o.pool.FencedCount(now, AuthorityTerm)
+		o.majority.fenced = 2*fenced > all
 	}
-	return o.majority.answers
 }
 
-// majorityCheck is whether most workers answered, at checkedAt.
+// majorityCheck is what most workers did within AuthorityTerm before checkedAt.
 type majorityCheck struct {
 	checkedAt clock.Time
-	answers   bool
+	answers   bool // their answers prove the authority of this owner
+	fenced    bool // they accepted this owner's token, then or at an earlier check
 }
 
 // runPlans plans every planInterval, and shortly after a plan was requested.
--- a/pkg/poolowner/ownership_confirmation.go
+++ b/pkg/poolowner/ownership_confirmation.go
@@ -9,8 +9,8 @@
 )
 
 // confirmationInterval is the time between two reads of the owner's record. They are made only while the
-// pool is to restart runs of a silent worker elsewhere. It is half of the time for which the pool
-// accepts a confirmation (dispatch.ownershipConfirmationValidity).
+// pool is to restart runs of a silent worker elsewhere, and after workers have restarted. It is half of the
+// time for which the pool accepts a confirmation (dispatch.ownershipConfirmationValidity).
 const confirmationInterval = 400 * time.Millisecond
 
 // requestConfirmation requests a read of the owner's record.
