A command to a worker names the incarnation whose clock its deadline is on

In foldarch's own cell the deadline of a command is by the worker's clock as its last status told it. A worker that had restarted in between took that deadline for one by its new clock, where it may be far in the future, and had forgotten epochs and sequence numbers: it carried out commands seconds after the authority of their sender had ended, and would have carried out a command a second time.

Commands carry the incarnation of the status that they were made by, and a worker of another incarnation refuses them as stale, with its own incarnation in the answer (worker.ErrRestarted, also ErrStale). The owner then reads the new status at once. The stand-in starts its clock anew with each incarnation; before, a revived worker kept the old one. The API's two sides are both ours, so the field is required.

TestEndToEnd, the specs on lost answers of workers, a lost worker and the basic path: pass.

--- a/pkg/shard/worker_controller.go
+++ b/pkg/shard/worker_controller.go
@@ -245,7 +245,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if errors.Is(err, worker.ErrStale) {
-		w.clockKnown = false // the worker may have restarted with another clock reading
+		w.clockKnown = false // the clock that the commands were based on may be that of an earlier incarnation
+	}
+	if errors.Is(err, worker.ErrRestarted) {
+		w.wake()
 	}
 	if !w.reported || e.now() <= w.leasesExpire {
 		return
--- a/pkg/standin/worker.go
+++ b/pkg/standin/worker.go
@@ -24,8 +24,8 @@
 	CheckEpochs bool
 }
 
-// Worker is a stand-in worker. It refuses commands of an earlier epoch and commands that arrive after their
-// deadline, and ends a task when its lease expires.
+// Worker is a stand-in worker. It refuses commands of an earlier epoch, commands that arrive after their
+// deadline and commands for another incarnation, and ends a task when its lease expires.
 type Worker struct {
 	cfg         WorkerConfig
 	runLog      *RunLog
@@ -110,12 +110,12 @@
 	}
 }
 
-// Revive makes a killed worker answer again, without tasks and with a new incarnation id.
+// Revive makes a killed worker answer again, without tasks, with a new incarnation id and a clock that begins anew.
 func (w *Worker) Revive() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.dead = false
-	w.incarnation = uuid.NewString()
+	w.incarnation, w.startTime = uuid.NewString(), time.Now()
 	w.tasks, w.epochs, w.sequence = map[string]*task{}, map[string]int64{}, map[string]int64{}
 }
 
@@ -139,7 +139,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.isStale(c) {
-		return &workerapi.Stale{Epoch: w.epochs[c.Shard], ClockMs: w.uptimeMs()}, nil
+		return &workerapi.Stale{Incarnation: w.incarnation, Epoch: w.epochs[c.Shard], ClockMs: w.uptimeMs()}, nil
 	}
 	w.epochs[c.Shard] = c.Epoch
 	w.sequence[c.Shard] = c.Sequence
@@ -163,12 +163,12 @@
 	return w.buildStatus(), nil
 }
 
-// isStale reports whether commands come from a previous owner (a lower epoch), are a repetition or older than
-// the last ones (the sequence), or arrive after their deadline.
+// isStale reports whether commands are for another incarnation, come from a previous owner (a lower epoch), are
+// a repetition or older than the last ones (the sequence), or arrive after their deadline.
 func (w *Worker) isStale(c *workerapi.Commands) bool {
 	known := w.epochs[c.Shard]
 	repeated := c.Epoch == known && c.Sequence <= w.sequence[c.Shard]
-	return c.Epoch < known || repeated || w.uptimeMs() > c.NotAfterMs
+	return c.Incarnation != w.incarnation || c.Epoch < known || repeated || w.uptimeMs() > c.NotAfterMs
 }
 
 // Tick ends and forgets the tasks whose lease has expired.
@@ -188,7 +188,7 @@
 	return t.state == workerapi.TaskStateRunning || t.state == workerapi.TaskStateDraining
 }
 
-// uptimeMs returns the clock of the worker: the milliseconds since it was created.
+// uptimeMs returns the clock of the worker: the milliseconds since its incarnation started.
 func (w *Worker) uptimeMs() int64 {
 	return time.Since(w.startTime).Milliseconds()
 }
--- a/pkg/worker/client.go
+++ b/pkg/worker/client.go
@@ -19,6 +19,8 @@
 var (
 	// ErrStale means that the worker refused the commands and carried out none of them.
 	ErrStale = errors.New("worker refused a stale command")
+	// ErrRestarted is the case of ErrStale in which the commands were for an earlier incarnation of the worker.
+	ErrRestarted = errors.Wrap(ErrStale, "worker has restarted")
 	// ErrUnreachable means that the commands were not sent, or that a status could not be read.
 	ErrUnreachable = errors.New("worker is unreachable")
 	// ErrAnswerLost means that the commands may have been carried out.
@@ -83,7 +85,8 @@
 	Sequence int64
 	// ValidUntil is when the sender's authority ends, on the sender's clock.
 	ValidUntil clock.Time
-	// LastStatus is the last status received from the worker, from which its clock is derived.
+	// LastStatus is the last status received from the worker. The commands are for the incarnation that
+	// sent it, whose clock it contains.
 	LastStatus Status
 	Lease      time.Duration
 	Start      []Task
@@ -157,11 +160,18 @@
 	case *workerapi.Status:
 		return c.convertStatus(res)
 	case *workerapi.Stale:
-		return Status{}, errors.Wrapf(ErrStale, "worker has epoch %d", res.Epoch)
+		return Status{}, staleError(res, cmds)
 	}
 	return Status{}, errors.Newf("unexpected answer from worker: %T", res)
 }
 
+func staleError(got *workerapi.Stale, cmds Commands) error {
+	if named := cmds.LastStatus.Incarnation; got.Incarnation != named {
+		return errors.Wrapf(ErrRestarted, "commands for incarnation %s reached incarnation %s", named, got.Incarnation)
+	}
+	return errors.Wrapf(ErrStale, "worker has epoch %d and clock %d ms", got.Epoch, got.ClockMs)
+}
+
 func (c *Client) convertStatus(s *workerapi.Status) (Status, error) {
 	status := Status{
 		Worker: s.Worker, Incarnation: s.Incarnation, Hall: cell.Hall(s.Hall), Rack: s.Rack,
@@ -196,17 +206,19 @@
 
 // wireCommands converts commands to their form in the protocol, with the end of their validity on the
 // worker's clock. The worker read its clock before the status arrived here, so the converted time is
-// never after the end of the sender's authority.
+// never after the end of the sender's authority. The next incarnation of the worker has another clock, by which
+// that time may be far in the future, so the commands name the incarnation.
 func wireCommands(c Commands) *workerapi.Commands {
 	w := &workerapi.Commands{
 		Shard: c.Shard.String(), Epoch: int64(c.Epoch), Sequence: c.Sequence,
-		NotAfterMs: c.LastStatus.clockMillis + c.ValidUntil.Sub(c.LastStatus.received).Milliseconds(),
-		LeaseMs:    c.Lease.Milliseconds(),
-		Start:      []workerapi.TaskSpec{},
-		Renew:      append([]string{}, c.Renew...),
-		Drain:      append([]string{}, c.Drain...),
-		Stop:       append([]string{}, c.Stop...),
-		Forget:     append([]string{}, c.Forget...),
+		Incarnation: c.LastStatus.Incarnation,
+		NotAfterMs:  c.LastStatus.clockMillis + c.ValidUntil.Sub(c.LastStatus.received).Milliseconds(),
+		LeaseMs:     c.Lease.Milliseconds(),
+		Start:       []workerapi.TaskSpec{},
+		Renew:       append([]string{}, c.Renew...),
+		Drain:       append([]string{}, c.Drain...),
+		Stop:        append([]string{}, c.Stop...),
+		Forget:      append([]string{}, c.Forget...),
 	}
 	for _, t := range c.Start {
 		w.Start = append(w.Start, wireTask(t, c.Lease))
--- a/pkg/worker/doc.go
+++ b/pkg/worker/doc.go
@@ -7,6 +7,10 @@
 // authority. So a worker never carries out a command after the authority of its sender has ended, and
 // the clocks need not be synchronized.
 //
+// A clock belongs to one incarnation of a worker, that is, to one start of its process. A command names the
+// incarnation whose clock it uses, and any other refuses it: the next incarnation has forgotten epochs and
+// sequence numbers, and by its clock the deadline may be far in the future.
+//
 // # Usage
 //
 //	c := worker.New(dialer, clock.System())
@@ -16,5 +20,6 @@
 //		Start: []worker.Task{{ID: "fit-17", …}},
 //	})
 //	errors.Is(err, worker.ErrStale)       // the worker has seen a higher epoch, or the command came too late
+//	errors.Is(err, worker.ErrRestarted)   // also ErrStale: the command was for an earlier incarnation
 //	errors.Is(err, worker.ErrAnswerLost)  // the command may have been carried out
 package worker
--- a/pkg/worker/restart_test.go
+++ b/pkg/worker/restart_test.go
@@ -52,3 +52,44 @@
 		})
 	}
 }
+
+// The next incarnation has forgotten epochs and sequence numbers, so that it could carry out a command a second
+// time or for a previous owner.
+func TestRestartedWorkerRefusesCommandsForItsEarlierIncarnation(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	w := standin.NewWorker(standin.WorkerConfig{ID: "w0"}, standin.NewRunLog())
+	h, err := w.Handler()
+	g.Expect(err).NotTo(HaveOccurred())
+	server := httptest.NewServer(h)
+	defer server.Close()
+	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	clk := clock.System()
+	client := worker.New(dialer.New(nil, time.Second, metrics.NewCounter()), clk)
+
+	status, err := client.Status(ctx, address)
+	g.Expect(err).NotTo(HaveOccurred())
+	cmds := worker.Commands{
+		Epoch: 4, Sequence: 1, ValidUntil: clk.Now().Add(time.Minute), LastStatus: status, Lease: time.Minute,
+		Start: []worker.Task{{ID: "a", Payload: "ms=60000"}},
+	}
+	w.Kill()
+	w.Revive()
+	defer w.Kill()
+	_, err = client.Command(ctx, address, cmds)
+	g.Expect(err).To(MatchError(worker.ErrRestarted))
+	g.Expect(err).To(MatchError(worker.ErrStale))
+
+	cmds.LastStatus, err = client.Status(ctx, address)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(cmds.LastStatus.Incarnation).NotTo(Equal(status.Incarnation))
+	g.Expect(cmds.LastStatus.Tasks).To(BeEmpty())
+	status, err = client.Command(ctx, address, cmds)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(status.Tasks).To(HaveLen(1))
+
+	cmds.LastStatus, cmds.Epoch = status, 3
+	_, err = client.Command(ctx, address, cmds)
+	g.Expect(err).To(MatchError(worker.ErrStale))
+	g.Expect(err).NotTo(MatchError(worker.ErrRestarted))
+}
--- a/pkg/worker/workerapi/oas_json_gen.go
+++ b/pkg/worker/workerapi/oas_json_gen.go
@@ -32,6 +32,10 @@
 		e.FieldStart("sequence")
 		e.Int64(s.Sequence)
 	}
+	{
+		e.FieldStart("incarnation")
+		e.Str(s.Incarnation)
+	}
 	{
 		e.FieldStart("not_after_ms")
 		e.Int64(s.NotAfterMs)
@@ -82,17 +86,18 @@
 	}
 }
 
-var jsonFieldsNameOfCommands = [10]string{
-	0: "shard",
-	1: "epoch",
-	2: "sequence",
-	3: "not_after_ms",
-	4: "lease_ms",
-	5: "start",
-	6: "renew",
-	7: "drain",
-	8: "stop",
-	9: "forget",
+var jsonFieldsNameOfCommands = [11]string{
+	0:  "shard",
+	1:  "epoch",
+	2:  "sequence",
+	3:  "incarnation",
+	4:  "not_after_ms",
+	5:  "lease_ms",
+	6:  "start",
+	7:  "renew",
+	8:  "drain",
+	9:  "stop",
+	10: "forget",
 }
 
 // Decode decodes Commands from json.
@@ -140,8 +145,20 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"sequence\"")
 			}
-		case "not_after_ms":
+		case "incarnation":
 			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Str()
+				s.Incarnation = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"incarnation\"")
+			}
+		case "not_after_ms":
+			requiredBitSet[0] |= 1 << 4
 			if err := func() error {
 				v, err := d.Int64()
 				s.NotAfterMs = int64(v)
@@ -153,7 +170,7 @@
 				return errors.Wrap(err, "decode field \"not_after_ms\"")
 			}
 		case "lease_ms":
-			requiredBitSet[0] |= 1 << 4
+			requiredBitSet[0] |= 1 << 5
 			if err := func() error {
 				v, err := d.Int64()
 				s.LeaseMs = int64(v)
@@ -165,7 +182,7 @@
 				return errors.Wrap(err, "decode field \"lease_ms\"")
 			}
 		case "start":
-			requiredBitSet[0] |= 1 << 5
+			requiredBitSet[0] |= 1 << 6
 			if err := func() error {
 				s.Start = make([]TaskSpec, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -183,7 +200,7 @@
 				return errors.Wrap(err, "decode field \"start\"")
 			}
 		case "renew":
-			requiredBitSet[0] |= 1 << 6
+			requiredBitSet[0] |= 1 << 7
 			if err := func() error {
 				s.Renew = make([]string, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -203,7 +220,7 @@
 				return errors.Wrap(err, "decode field \"renew\"")
 			}
 		case "drain":
-			requiredBitSet[0] |= 1 << 7
+			requiredBitSet[1] |= 1 << 0
 			if err := func() error {
 				s.Drain = make([]string, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -223,7 +240,7 @@
 				return errors.Wrap(err, "decode field \"drain\"")
 			}
 		case "stop":
-			requiredBitSet[1] |= 1 << 0
+			requiredBitSet[1] |= 1 << 1
 			if err := func() error {
 				s.Stop = make([]string, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -243,7 +260,7 @@
 				return errors.Wrap(err, "decode field \"stop\"")
 			}
 		case "forget":
-			requiredBitSet[1] |= 1 << 1
+			requiredBitSet[1] |= 1 << 2
 			if err := func() error {
 				s.Forget = make([]string, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -273,7 +290,7 @@
 	var failures []validate.FieldError
 	for i, mask := range [2]uint8{
 		0b11111111,
-		0b00000011,
+		0b00000111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -528,6 +545,10 @@
 
 // encodeFields encodes fields.
 func (s *Stale) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("incarnation")
+		e.Str(s.Incarnation)
+	}
 	{
 		e.FieldStart("epoch")
 		e.Int64(s.Epoch)
@@ -538,9 +559,10 @@
 	}
 }
 
-var jsonFieldsNameOfStale = [2]string{
-	0: "epoch",
-	1: "clock_ms",
+var jsonFieldsNameOfStale = [3]string{
+	0: "incarnation",
+	1: "epoch",
+	2: "clock_ms",
 }
 
 // Decode decodes Stale from json.
@@ -552,8 +574,20 @@
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
-		case "epoch":
+		case "incarnation":
 			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Incarnation = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"incarnation\"")
+			}
+		case "epoch":
+			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
 				v, err := d.Int64()
 				s.Epoch = int64(v)
@@ -565,7 +599,7 @@
 				return errors.Wrap(err, "decode field \"epoch\"")
 			}
 		case "clock_ms":
-			requiredBitSet[0] |= 1 << 1
+			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
 				v, err := d.Int64()
 				s.ClockMs = int64(v)
@@ -586,7 +620,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00000011,
+		0b00000111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/pkg/worker/workerapi/oas_schemas_gen.go
+++ b/pkg/worker/workerapi/oas_schemas_gen.go
@@ -12,7 +12,9 @@
 	Epoch int64  `json:"epoch"`
 	// A lower one than was seen in the epoch is refused.
 	Sequence int64 `json:"sequence"`
-	// On the worker's own clock.
+	// The incarnation whose clock not_after_ms is on; any other refuses the commands.
+	Incarnation string `json:"incarnation"`
+	// On the clock of the incarnation.
 	NotAfterMs int64 `json:"not_after_ms"`
 	// Term given to the renewed tasks.
 	LeaseMs int64      `json:"lease_ms"`
@@ -41,6 +43,11 @@
 	return s.Sequence
 }
 
+// GetIncarnation returns the value of Incarnation.
+func (s *Commands) GetIncarnation() string {
+	return s.Incarnation
+}
+
 // GetNotAfterMs returns the value of NotAfterMs.
 func (s *Commands) GetNotAfterMs() int64 {
 	return s.NotAfterMs
@@ -91,6 +98,11 @@
 	s.Sequence = val
 }
 
+// SetIncarnation sets the value of Incarnation.
+func (s *Commands) SetIncarnation(val string) {
+	s.Incarnation = val
+}
+
 // SetNotAfterMs sets the value of NotAfterMs.
 func (s *Commands) SetNotAfterMs(val int64) {
 	s.NotAfterMs = val
@@ -257,8 +269,15 @@
 
 // Ref: #/components/schemas/Stale
 type Stale struct {
-	Epoch   int64 `json:"epoch"`
-	ClockMs int64 `json:"clock_ms"`
+	// Of the worker that refused.
+	Incarnation string `json:"incarnation"`
+	Epoch       int64  `json:"epoch"`
+	ClockMs     int64  `json:"clock_ms"`
+}
+
+// GetIncarnation returns the value of Incarnation.
+func (s *Stale) GetIncarnation() string {
+	return s.Incarnation
 }
 
 // GetEpoch returns the value of Epoch.
@@ -271,6 +290,11 @@
 	return s.ClockMs
 }
 
+// SetIncarnation sets the value of Incarnation.
+func (s *Stale) SetIncarnation(val string) {
+	s.Incarnation = val
+}
+
 // SetEpoch sets the value of Epoch.
 func (s *Stale) SetEpoch(val int64) {
 	s.Epoch = val
