A start that a worker left unanswered is not repeated at its next incarnation

Found by looking for more of what a restarted worker forgets. An owner sends a start again until the worker answers, and the worker takes no task twice. The next incarnation does not know what the earlier one ran, so a start whose answer had been lost ran a second time there, also that of a request that is not repeatable.

When another incarnation answers, the owner takes all tasks that may have been sent to the earlier one for ended, as it does for a worker that is lost: the outcome of a request that is not repeatable is unknown then, others are queued again. Starts of commands that were refused or not sent count as not sent, so that a restart makes no outcome unknown that is known. The log has worker_restarted.

--- a/pkg/shard/worker_controller.go
+++ b/pkg/shard/worker_controller.go
@@ -46,6 +46,7 @@
 
 	// The maps of pending commands, by task id, hold what the worker has not acknowledged yet.
 	pendingStarts  map[string]worker.Task
+	firstSends     []string // starts that were sent for the first time with the last commands
 	pendingDrains  map[string]bool
 	drainRequested map[string]bool // tasks for which a drain was requested, acknowledged or not
 	pendingStops   map[string]bool
@@ -180,6 +181,9 @@
 	}
 	status, err := e.deps.Workers.Command(ctx, address, cmds)
 	if err != nil {
+		if errors.IsAny(err, worker.ErrStale, worker.ErrUnreachable) {
+			w.markFirstSendsNotSent()
+		}
 		w.handleFailure(err)
 		return err
 	}
@@ -189,6 +193,18 @@
 	return nil
 }
 
+// markFirstSendsNotSent records that the last commands were certainly not carried out. Starts that had been sent before
+// may have been.
+func (w *workerController) markFirstSendsNotSent() {
+	w.engine.mu.Lock()
+	defer w.engine.mu.Unlock()
+	for _, id := range w.firstSends {
+		if w.tasks[id] == sent {
+			w.tasks[id] = notSent
+		}
+	}
+}
+
 // readClock requests the worker's status when its clock is not known.
 func (w *workerController) readClock(ctx context.Context) error {
 	e := w.engine
@@ -204,10 +220,27 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if w.status.Incarnation != "" && w.status.Incarnation != status.Incarnation {
+		w.handleRestart(status.Incarnation)
+	}
 	w.status, w.clockKnown = status, true
 	return nil
 }
 
+// handleRestart processes that another incarnation of the worker has answered. The tasks of the earlier one have ended.
+// A start that it did not answer counts as carried out, so it is not sent to the next one. The caller holds
+// the engine's lock.
+func (w *workerController) handleRestart(incarnation string) {
+	e := w.engine
+	e.log("worker_restarted", logrus.Fields{"worker": w.host.ID, "tasks": len(w.tasks), "incarnation": incarnation})
+	for _, id := range slices.Sorted(maps.Keys(w.tasks)) {
+		if w.tasks[id] != notSent {
+			e.removeEndpoint(id)
+			e.handleTaskGone(id)
+		}
+	}
+}
+
 // buildCommands returns the commands to be sent now. They are valid until the engine's
 // authority ends; there are none, and the result is false, once it has ended. The caller
 // holds the engine's lock.
@@ -226,8 +259,12 @@
 		Stop:   slices.Sorted(maps.Keys(w.pendingStops)),
 		Forget: slices.Sorted(maps.Keys(w.pendingForgets)),
 	}
+	w.firstSends = nil
 	for _, id := range slices.Sorted(maps.Keys(w.pendingStarts)) {
 		cmds.Start = append(cmds.Start, w.pendingStarts[id])
+		if w.tasks[id] == notSent {
+			w.firstSends = append(w.firstSends, id)
+		}
 		w.tasks[id] = sent
 	}
 	for _, id := range slices.Sorted(maps.Keys(w.tasks)) {
