A refusal after a lost answer does not say that the request has not run

An entry host forwards a repeatable request to the next owner when the answer of the previous one is lost, and passed the next owner's refusal on. That refusal only tells of the last attempt, and the next owner refuses everything until its process has started an engine for the shard, up to 25 ms after the record names it.

forward now keeps apart the first owner and the next ones. What the next owner refuses as not run becomes answer_lost (302, ran unknown), unless the request only reads. While the next owner can't be reached or does not have the shard yet, it is asked every 20 ms for up to 0.5 s, so that its memory of keys can decide (in_progress, unknown_after_takeover) in place of answer_lost. Repeats carry the time that is left, not the whole. The log has forward_lost with the cause.

--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -16,6 +16,7 @@
 	"foldarch.dev/foldarch/pkg/result"
 	"foldarch.dev/foldarch/pkg/settings"
 	"foldarch.dev/foldarch/pkg/shard"
+	"github.com/sirupsen/logrus"
 )
 
 const (
@@ -29,6 +30,10 @@
 	// previousOwnerGrace to answer.
 	ownerCheckInterval = 100 * time.Millisecond
 	previousOwnerGrace = 300 * time.Millisecond
+	// After a lost answer, the next owner of the shard is asked every nextOwnerRetryInterval for
+	// up to nextOwnerTimeout while its process does not have the shard yet.
+	nextOwnerTimeout       = 500 * time.Millisecond
+	nextOwnerRetryInterval = 20 * time.Millisecond
 	// A request without a key is run in another hall if even the least loaded shard of the own
 	// hall has a load of at least spilloverLoad and a shard of another hall has a load that is
 	// lower by more than spilloverMinGain. Together the two limits keep halls from sending requests
@@ -38,30 +43,67 @@
 )
 
 // forward has the owner of a shard answer a request, in this process or in another one. If the
-// shard's owner changes before the answer arrives, a repeatable request is forwarded to the new
-// owner. For any other request forward returns AnswerLost.
+// answer is lost and the shard has another owner, a repeatable request is forwarded to that one.
+// For any other request forward returns AnswerLost.
 func (p *Process) forward(ctx context.Context, r peer.Request) peer.Answer {
+	deadline := p.clk.Now().Add(r.TimeLeft)
 	ctx, cancel := context.WithTimeout(ctx, r.TimeLeft+answerTimeoutMargin)
 	defer cancel()
+	a, owner, lost := p.askOwner(ctx, r)
+	for lost && r.Repeatable() && ctx.Err() == nil && p.hasOtherOwner(r.Shard, owner) {
+		a, owner, lost = p.askNextOwner(ctx, r, deadline)
+	}
+	return a
+}
+
+// askOwner has the present owner of a shard answer a request. It returns the address of the
+// owner, and whether the request was sent to it and its answer was lost.
+func (p *Process) askOwner(ctx context.Context, r peer.Request) (a peer.Answer, owner netip.AddrPort, lost bool) {
+	if e, ok := p.engine(r.Shard); ok {
+		return p.handleLocally(ctx, e, r), p.self.Address, false
+	}
+	owner, ok := p.ownerAddress(r.Shard)
+	if !ok || owner == p.self.Address {
+		return newRefusal(result.NoOwner, "no owner of "+r.Shard.String()+" is known"), owner, false
+	}
+	a, err := p.forwardTo(ctx, owner, r)
+	if err == nil {
+		return a, owner, false
+	}
+	if dialer.NotSent(err) {
+		return newRefusal(result.HomeUnreachable, "the owner of "+r.Shard.String()+" can't be reached"), owner, false
+	}
+	p.log.WithFields(logrus.Fields{
+		"shard": r.Shard, "service": r.Service, "caller": r.Caller, "key": r.Key, "owner": owner, "error": err,
+	}).Warn("forward_lost")
+	return peer.Answer{Code: result.AnswerLost, Message: "the answer of the owner of " + r.Shard.String() + " was lost"}, owner, true
+}
+
+// hasOtherOwner reports whether a shard has a known owner whose address is not the given one.
+func (p *Process) hasOtherOwner(id cell.ShardID, owner netip.AddrPort) bool {
+	present, known := p.ownerAddress(id)
+	return known && present != owner
+}
+
+// askNextOwner is askOwner for a request that a previous owner may have run. It gives the next
+// owner time to start. A refusal of the next owner says nothing about the previous one, so it
+// becomes AnswerLost, unless the request only reads.
+func (p *Process) askNextOwner(ctx context.Context, r peer.Request, deadline clock.Time) (a peer.Answer, owner netip.AddrPort, lost bool) {
+	startCtx, cancel := context.WithTimeout(ctx, nextOwnerTimeout)
+	defer cancel()
 	for {
-		if e, ok := p.engine(r.Shard); ok {
-			return p.handleLocally(ctx, e, r)
-		}
-		address, ok := p.ownerAddress(r.Shard)
-		if !ok || address == p.self.Address {
-			return newRefusal(result.NoOwner, "no owner of "+r.Shard.String()+" is known")
-		}
-		a, err := p.forwardTo(ctx, address, r)
-		if err == nil {
-			return a
-		}
-		if dialer.NotSent(err) {
-			return newRefusal(result.HomeUnreachable, "the owner of "+r.Shard.String()+" can't be reached")
-		}
-		if newAddress, known := p.ownerAddress(r.Shard); !known || newAddress == address || !r.Repeatable() || ctx.Err() != nil {
-			return peer.Answer{Code: result.AnswerLost, Message: "the answer of the owner of " + r.Shard.String() + " was lost"}
+		r.TimeLeft = deadline.Sub(p.clk.Now())
+		a, owner, lost = p.askOwner(ctx, r)
+		if (a.Code != result.NoOwner && a.Code != result.HomeUnreachable) || startCtx.Err() != nil {
+			break
 		}
+		clock.Sleep(startCtx, nextOwnerRetryInterval)
+	}
+	if a.Code.Info().Ran != result.RanNo || r.ReadOnly() {
+		return a, owner, lost
 	}
+	text := "the answer of a previous owner of " + r.Shard.String() + " was lost, and the present one refuses: " + a.Message
+	return peer.Answer{Code: result.AnswerLost, Message: text}, owner, false
 }
 
 // forwardTo forwards a request to the process at an address, and cancels the call when that
--- a/pkg/peer/messages.go
+++ b/pkg/peer/messages.go
@@ -49,6 +49,11 @@
 	return r.Kind != Call || (r.Key != "" && !r.Delegated)
 }
 
+// ReadOnly reports whether the request changes nothing and runs nothing.
+func (r Request) ReadOnly() bool {
+	return r.Kind == BatchRead || r.Kind == Explain
+}
+
 // Answer is the owner's final answer to a request.
 type Answer struct {
 	Code       result.Code
