A planned stop answers peers until they know the next owner

A process that hands its shards over closed its connections to peers as soon as nothing was in flight. A peer that had not heard of the handover went on forwarding requests over its open connection, and lost the answers to those that arrived as the process ended: it can't tell that they did not run, and told its callers answer_lost.

A stop now ends once no peer has forwarded a request for 0.1 s, after 1 s at the latest. Until then such requests are refused as no_owner, which is true.

--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -135,6 +135,7 @@
 
 // handleForward answers a request that a peer has forwarded.
 func (p *Process) handleForward(ctx context.Context, r peer.Request) peer.Answer {
+	p.forwards.Add(1)
 	e, ok := p.engine(r.Shard)
 	if !ok {
 		return newRefusal(result.NoOwner, p.cfg.ID+" does not own "+r.Shard.String())
--- a/pkg/entry/planned_stop_test.go
+++ b/pkg/entry/planned_stop_test.go
@@ -90,3 +90,22 @@
 	g.Eventually(answer).Should(Receive(&a))
 	g.Expect(a.Code).To(Equal(result.OK), a.Message)
 }
+
+// Guards against the loss of answers to requests that peers forward before they know of the handover.
+func TestPlannedStopAnswersPeersThatDoNotKnowTheNextOwner(t *testing.T) {
+	g := NewWithT(t)
+	owner, other := newForwarder(t), newForwarder(t)
+	owner.cfg.Times.LeaveGrace = 0
+	address, stop := owner.serveUntilStopped()
+	other.setOwner(address)
+	g.Expect(other.forward(context.Background(), callWithKey()).Code).To(Equal(result.NoOwner))
+	stopped := make(chan struct{})
+	go func() { stop(); close(stopped) }()
+	const pause, forwards = 10 * time.Millisecond, 40
+	for range forwards {
+		a := other.forward(context.Background(), callWithKey())
+		g.Expect(a.Code).To(Equal(result.NoOwner), a.Message)
+		time.Sleep(pause)
+	}
+	g.Eventually(stopped, 5*time.Second).Should(BeClosed())
+}
--- a/pkg/entry/process.go
+++ b/pkg/entry/process.go
@@ -70,6 +70,7 @@
 	controller   atomic.Pointer[ownership.Controller] // nil until the layout is known
 	draining     atomic.Bool
 	peerCalls    atomic.Int64  // calls of peers that are being answered
+	forwards     atomic.Int64  // requests that peers have forwarded
 	stopRequests chan struct{} // of size 1
 
 	mu          sync.Mutex // guards the fields below, except for background
@@ -164,7 +165,7 @@
 // shutDown performs a planned stop, which takes at most drainTimeout. From its beginning, callers'
 // new requests are refused as Draining and the health check fails, so that callers change to
 // other entry hosts. After a grace period it hands the shards over to their successors, closes
-// the ports and waits for the requests in flight.
+// the ports, waits for the requests in flight and until its peers know the successors.
 func (p *Process) shutDown(server *http.Server, peers *peerListener) {
 	p.draining.Store(true)
 	p.log.Info("leaving")
@@ -178,8 +179,20 @@
 	}
 	peers.Refuse()
 	_ = server.Shutdown(ctx)
-	for p.inFlight() > 0 && ctx.Err() == nil {
-		clock.Sleep(ctx, 20*time.Millisecond)
+	p.awaitQuietPeers(ctx)
+}
+
+// awaitQuietPeers waits until nothing is in flight and peers have not forwarded requests for some
+// time. A peer that does not know the next owner yet would lose the answers to those.
+func (p *Process) awaitQuietPeers(ctx context.Context) {
+	const interval, quietIntervals, maxIntervals = 20 * time.Millisecond, 5, 50
+	quiet, forwards := 0, p.forwards.Load()
+	for n := 0; ctx.Err() == nil && (p.inFlight() > 0 || quiet < quietIntervals && n < maxIntervals); n++ {
+		clock.Sleep(ctx, interval)
+		quiet++
+		if now := p.forwards.Load(); now != forwards {
+			quiet, forwards = 0, now
+		}
 	}
 }
 
