A refused retry does not say that a request has not run which had run and failed

An owner sends a repeatable request again when its endpoint has failed, and answered with what became of the last attempt: no_endpoint, send_failed, no_owner, overloaded or expired, all with ran=no, and it freed the key, though an earlier attempt had run. The answer is now that of the last attempt that may have run, endpoint_failed (ran unknown), and the key keeps it.

TestRefusedRetryDoesNotSayThatTheRequestHasNotRun (no endpoint is left, the endpoint refuses, the owner loses its authority) failed before, 3 of 3, and passes 30 of 30 with -race; pkg/shard and test/cases pass.

--- a/pkg/shard/call.go
+++ b/pkg/shard/call.go
@@ -181,16 +181,22 @@
 }
 
 // sendWithRetries sends the request. It sends it again when the request certainly did not
-// run, or when it ran and failed and may be repeated, within the retry budget.
+// run, or when it ran and failed and may be repeated, within the retry budget. If a further
+// attempt is refused, the answer is that of the last attempt that may have run.
 func (e *Engine) sendWithRetries(p *pendingCall) Answer {
-	var a Answer
+	var answer Answer
+	mayHaveRun := false
 	for range maxResends + 1 {
-		var retry bool
-		if a, retry = e.attempt(p); !retry || !e.takeRetry() {
-			return a
+		a, retry := e.attempt(p)
+		ran := a.Code.Info().Ran != result.RanNo
+		if ran || !mayHaveRun {
+			answer, mayHaveRun = a, ran
+		}
+		if !retry || !e.takeRetry() {
+			break
 		}
 	}
-	return a
+	return answer
 }
 
 // takeRetry takes one retry from the budget and reports whether there was one.
