A batch request whose end is being stored is not queued again

When a worker restarts or is lost, the owner queues its repeatable requests again. It did so also for a request that the worker had reported as ended and whose end was on its way to the store: the request ran again. Once the end was stored, the second run was no longer counted at its worker, which could then get more than it holds.

Such a request is left to the write of its end. When that write fails, the worker reports the end again; if it is gone, nobody does, so the owner now repeats the write until it succeeds or the owner stops. This holds as well for an outcome that is unknown because its worker was lost, which was written once only.

--- a/pkg/shard/batch.go
+++ b/pkg/shard/batch.go
@@ -16,6 +16,9 @@
 	submitTimeout       = 5 * time.Second
 	storeDownRetryAfter = 2 * time.Second
 	maxBackoffAttempt   = 6 // number of failed reads after which the delay no longer grows
+	// endBackoffAttempt is the attempt number passed to store.Backoff after the end of a request
+	// could not be stored; it sets the length of the delay.
+	endBackoffAttempt = 5
 )
 
 // Submission is a batch request as a caller submits it.
@@ -119,18 +122,34 @@
 	end.At = e.deps.Clock.Wall().UTC()
 	ctx := e.runCtx
 	e.goroutines.Go(func() {
-		err := e.journal.Append(ctx, batch.Entry{Ended: &end})
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		delete(e.storingEnd, end.ID)
-		if err != nil {
-			e.log("batch_end_not_stored", logrus.Fields{"batch": end.ID, "error": err})
-			return // the worker reports it again
+		for {
+			err := e.journal.Append(ctx, batch.Entry{Ended: &end})
+			if e.handleBatchEndWrite(end, w, err) || ctx.Err() != nil {
+				return
+			}
+			_ = store.Backoff(ctx, endBackoffAttempt)
 		}
-		e.applyBatchEnd(end, w)
 	})
 }
 
+// handleBatchEndWrite processes the result of a write of the end of a request. It returns false
+// if the write has to be repeated because no worker will report the end again.
+func (e *Engine) handleBatchEndWrite(end batch.End, w *workerController, err error) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err == nil {
+		delete(e.storingEnd, end.ID)
+		e.applyBatchEnd(end, w)
+		return true
+	}
+	e.log("batch_end_not_stored", logrus.Fields{"batch": end.ID, "error": err})
+	if _, placed := e.placer.WorkerOf(string(end.ID)); !placed {
+		return false
+	}
+	delete(e.storingEnd, end.ID)
+	return true
+}
+
 // applyBatchEnd applies the stored end of a request to the engine's state. The caller holds
 // the engine's lock.
 func (e *Engine) applyBatchEnd(end batch.End, w *workerController) {
--- a/pkg/shard/segment_removal_test.go
+++ b/pkg/shard/segment_removal_test.go
@@ -80,6 +80,7 @@
 	tree, faults := settings.Parse(map[string]string{
 		"cell.toml":    "[[hall]]\nname = \"north\"\nregion = \"r\"\n[team.t]\n[rules.resources]\ncpu_millis = 1000\nmemory_mb = 1000\n",
 		"publish.toml": "kind = \"batch\"\nteam = \"t\"\n[rules]\nrepeatable = false\n",
+		"fit.toml":     "kind = \"batch\"\nteam = \"t\"\n[rules]\nrepeatable = true\n",
 	})
 	g.Expect(faults).To(BeEmpty())
 	log := logrus.New()
--- a/pkg/shard/tasks.go
+++ b/pkg/shard/tasks.go
@@ -263,11 +263,11 @@
 	return strings.Contains(id, "/")
 }
 
-// handleBatchGone queues a batch request again whose task is gone. The outcome is unknown
-// when the task was started and the request is not repeatable.
+// handleBatchGone queues a batch request again whose task is gone, unless its end is being
+// stored. The outcome is unknown when the task was started and the request is not repeatable.
 func (e *Engine) handleBatchGone(id batch.ID, started bool) {
 	r, ok := e.batches.Get(id)
-	if !ok || r.State.Ended() {
+	if !ok || r.State.Ended() || e.storingEnd[id] {
 		return
 	}
 	if r.NotRepeatable && started {
--- a/pkg/shard/worker_restart_test.go
+++ b/pkg/shard/worker_restart_test.go
@@ -1,9 +1,11 @@
 package shard
 
 import (
+	"context"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,8 +20,7 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// restartFixture is an owner with one worker, to which one request that is not repeatable has been placed and
-// not been sent.
+// restartFixture is an owner with one worker, to which one request has been placed and not been sent.
 type restartFixture struct {
 	engine     *Engine
 	controller *workerController
@@ -28,7 +29,13 @@
 	id         batch.ID
 }
 
+// newRestartFixture returns a fixture whose request is not repeatable and lasts.
 func newRestartFixture(t *testing.T) *restartFixture {
+	s := newSegmentStore()
+	return newRestartFixtureWith(t, s, s.put, Submission{Caller: "tester", Key: "k", Workload: "publish", Payload: "ms=60000 not-repeatable"})
+}
+
+func newRestartFixtureWith(t *testing.T, s *segmentStore, put func(ctx context.Context, key, value string) (int64, error), submission Submission) *restartFixture {
 	g := NewWithT(t)
 	runLog := standin.NewRunLog()
 	capacity := cell.Resources{CPUMillis: 4000, MemoryMB: 4000}
@@ -38,7 +45,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
-	e := newRecoveredOwner(t, newSegmentStore(), 1, always)
+	e := newOwnerWithPut(t, s, put, 1, always)
 	e.deps.Workers = worker.New(dialer.New(nil, time.Second, metrics.NewCounter()), clock.System())
 	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
 	c := newWorkerController(e, store.Host{ID: "w0", Hall: "north", Worker: true, Address: address, State: store.HostLive})
@@ -46,7 +53,7 @@
 	e.workers["w0"] = c
 	e.mu.Unlock()
 	g.Expect(c.exchange(e.runCtx)).To(Succeed())
-	record, err := e.SubmitBatch(e.runCtx, Submission{Caller: "tester", Key: "k", Workload: "publish", Payload: "ms=60000 not-repeatable"})
+	record, err := e.SubmitBatch(e.runCtx, submission)
 	g.Expect(err).NotTo(HaveOccurred())
 	e.placeTasks(e.runCtx)
 	g.Eventually(func() int {
@@ -106,3 +113,42 @@
 		})
 	}
 }
+
+// Guards against a request that runs again although it has ended: its worker restarts while the end is being stored, or
+// before a failed write of the end is repeated.
+func TestRequestWhoseEndIsBeingStoredDoesNotRunAgain(t *testing.T) {
+	for name, failures := range map[string]int32{"stored at once": 0, "the first write fails": 1} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newSegmentStore()
+			var storing atomic.Int32 // writes of the end
+			restarted := make(chan struct{})
+			put := func(ctx context.Context, key, value string) (int64, error) {
+				if strings.Contains(value, `"state":"done"`) {
+					n := storing.Add(1)
+					<-restarted
+					if n <= failures {
+						return 0, store.ErrUnavailable
+					}
+				}
+				return s.put(ctx, key, value)
+			}
+			f := newRestartFixtureWith(t, s, put, Submission{Caller: "tester", Key: "k", Workload: "fit", Payload: "ms=1"})
+			exchange := func() error { return f.controller.exchange(f.engine.runCtx) }
+			g.Expect(exchange()).To(Succeed())
+			g.Eventually(func() int32 {
+				g.Expect(exchange()).To(Succeed())
+				return storing.Load()
+			}).Should(Equal(int32(1)))
+			f.restart()
+			f.exchangeTwice(g)
+			f.engine.placeTasks(f.engine.runCtx)
+			g.Expect(exchange()).To(Succeed())
+			close(restarted)
+			g.Eventually(func() batch.State { return f.state(g) }, 5*time.Second).Should(Equal(batch.Done))
+			f.engine.placeTasks(f.engine.runCtx)
+			g.Expect(exchange()).To(Succeed())
+			g.Expect(f.runLog.RunCount(string(f.id))).To(Equal(1))
+		})
+	}
+}
