A forwarded request waits for a previous owner that is up

Found while tracing answers that are lost on planned stops. An entry host cancels a forwarded call when another process has owned the shard for 0.3 s, since a previous owner that is paused or cut off never answers. It did so as well when the previous owner was leaving as planned and still ran the request: each forwarded call that took longer than about 0.4 s after the handover lost its answer, and a call without a key got answer_lost.

Before it cancels, the entry host now asks whether the process is up: it answers a heartbeat under the same incarnation, or its host refuses new connections, as a process on a planned stop does. If the process has ended, its host closes the open connection. A previous owner that is silent is given up as before, up to 0.3 s later.

--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -27,9 +27,11 @@
 	answerTimeoutMargin = 500 * time.Millisecond
 	// While a forwarded request waits for its answer, ownerCheckInterval is how often the owner
 	// of its shard is checked. If the owner has changed, the previous one gets the further time
-	// previousOwnerGrace to answer.
-	ownerCheckInterval = 100 * time.Millisecond
-	previousOwnerGrace = 300 * time.Millisecond
+	// previousOwnerGrace to answer, and more of it while it is seen to be up. previousOwnerTimeout
+	// limits that check.
+	ownerCheckInterval   = 100 * time.Millisecond
+	previousOwnerGrace   = 300 * time.Millisecond
+	previousOwnerTimeout = 300 * time.Millisecond
 	// After a lost answer, the next owner of the shard is asked every nextOwnerRetryInterval for
 	// up to nextOwnerTimeout while its process does not have the shard yet.
 	nextOwnerTimeout       = 500 * time.Millisecond
@@ -107,7 +109,7 @@
 }
 
 // forwardTo forwards a request to the process at an address, and cancels the call when that
-// process no longer owns the shard.
+// process no longer owns the shard and is not seen to be up.
 func (p *Process) forwardTo(ctx context.Context, address netip.AddrPort, r peer.Request) (peer.Answer, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -118,16 +120,36 @@
 }
 
 // cancelWhenOwnerChanges cancels a call to the owner of a shard once another process has been
-// the owner for previousOwnerGrace. An answer that the previous owner has given arrives in this time.
+// the owner for previousOwnerGrace, unless the previous owner is up: it finishes what it has sent.
 func (p *Process) cancelWhenOwnerChanges(ctx context.Context, cancel context.CancelFunc, address netip.AddrPort, id cell.ShardID) {
+	p.mu.Lock()
+	incarnation, _ := p.memberTable.Incarnation(address)
+	p.mu.Unlock()
 	clock.Every(ctx, ownerCheckInterval, func() {
-		if newAddress, ok := p.ownerAddress(id); ok && newAddress != address {
-			clock.Sleep(ctx, previousOwnerGrace)
+		if !p.hasOtherOwner(id, address) {
+			return
+		}
+		clock.Sleep(ctx, previousOwnerGrace)
+		if !p.isPeerUp(ctx, address, incarnation) {
 			cancel()
 		}
 	})
 }
 
+// isPeerUp reports whether the process to which a connection is open is up, or has closed the
+// connection: it answers, or its host refuses new connections. The latter is the case during a
+// planned stop, and after the end of the process, when the host also closes the open connections.
+// The incarnation of the process is empty if it is not known.
+func (p *Process) isPeerUp(ctx context.Context, address netip.AddrPort, incarnation string) bool {
+	ctx, cancel := context.WithTimeout(ctx, previousOwnerTimeout)
+	defer cancel()
+	m, err := p.peers.Heartbeat(ctx, address, p.describeSelf())
+	if err != nil {
+		return dialer.ConnectionRefused(err)
+	}
+	return incarnation == "" || m.Incarnation == incarnation
+}
+
 // newRefusal returns an answer that refuses a request and asks the caller to retry.
 func newRefusal(code result.Code, message string) peer.Answer {
 	return peer.Answer{Code: code, Message: message, RetryAfter: refusalRetryAfter}
--- a/pkg/entry/forward_test.go
+++ b/pkg/entry/forward_test.go
@@ -183,3 +183,23 @@
 	f.setOwner(netip.AddrPort{})
 	g.Expect(f.forward(context.Background(), callWithKey()).Code).To(Equal(result.NoOwner))
 }
+
+// Guards against requests that wait for a previous owner which is paused or cut off: its connections stay open.
+func TestForwardToASilentPreviousOwnerIsGivenUp(t *testing.T) {
+	g := NewWithT(t)
+	f := newForwarder(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0") // the kernel accepts connections, and nothing reads them
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = l.Close() }()
+	f.setOwner(l.Addr().(*net.TCPAddr).AddrPort())
+	time.AfterFunc(ownerCheckInterval, func() {
+		f.setOwner(f.startPeer(context.Background(), answers(peer.Answer{Code: result.InProgress})))
+	})
+	r := callWithKey()
+	r.TimeLeft = time.Minute
+	answer := make(chan peer.Answer, 1)
+	go func() { answer <- f.forward(context.Background(), r) }()
+	var a peer.Answer
+	g.Eventually(answer, 10*time.Second).Should(Receive(&a))
+	g.Expect(a.Code).To(Equal(result.InProgress), a.Message)
+}
--- a/pkg/entry/planned_stop_test.go
+++ b/pkg/entry/planned_stop_test.go
@@ -109,3 +109,25 @@
 	}
 	g.Eventually(stopped, 5*time.Second).Should(BeClosed())
 }
+
+// Guards against the loss of the answer to a request that takes longer than the handover: a previous owner that
+// leaves as planned finishes what it has sent.
+func TestPlannedStopFinishesLongForwardedRequests(t *testing.T) {
+	g := NewWithT(t)
+	owner, other := newForwarder(t), newForwarder(t)
+	owner.cfg.Times.LeaveGrace = 0
+	e := owner.startEngine()
+	address, stop := owner.serveUntilStopped()
+	other.setOwner(address)
+	r := callWithKey()
+	r.Key, r.Body = "", []byte("ms=1500 hello")
+	answer := make(chan peer.Answer, 1)
+	go func() { answer <- other.forward(context.Background(), r) }()
+	g.Eventually(e.InFlight, 5*time.Second).Should(Equal(1))
+	other.setOwner(closedAddress)
+	owner.stopEngines(nil)
+	stop()
+	var a peer.Answer
+	g.Eventually(answer).Should(Receive(&a))
+	g.Expect(a.Code).To(Equal(result.OK), a.Message)
+}
