A host that becomes the owner again counts the authority of owners before its former process

A host whose former process was the owner took over as if nobody could give orders any more, since that process has ended. But it may have replaced another owner less than 2.2 s before, which still extends leases: its tasks were started again 0.7 to 1.0 s before a run on a silent worker had lapsed.

An owner now records under foldarch/owner/sole, with the revision of its own record, that all authority before it has ended: 2.2 s after most workers have accepted its token, or at once if it knew so when elected. Only under that value does the next process of the host count no authority; without it, or with an odd one or that of another record, it waits for 2.2 s as any other successor. The value stands beside the owner's record, which hosts read and watch anyway, so that a takeover makes no call more; the owner makes one write a term, on condition of its record. An owner that was killed after more than 2.2 s (0.1 s more, and a write) is replaced by its next process as fast as before. owner_elected says which it was (previous_authority_ended), sole_owner when it was recorded.

TestOwnerBeforeThePreviousOneMayStillExtendLeases set the pool's AuthorityTerm to 0 itself, as jobhost did then; the mend lies above the pool. It now has the term that such an owner has, and passes.

--- a/pkg/dispatch/two_takeovers_test.go
+++ b/pkg/dispatch/two_takeovers_test.go
@@ -8,7 +8,8 @@
 )
 
 // An owner that is replaced goes on with its authority. Its successor's process ends at once and starts again as
-// the next owner, for which no previous owner goes on (jobhost: PreviousOwnerEnded).
+// the next owner, which does not know that the authority of the first one has ended
+// (poolowner.Claim.PreviousAuthorityEnded).
 func TestOwnerBeforeThePreviousOneMayStillExtendLeases(t *testing.T) {
 	const restartTime = 600 * time.Millisecond
 	for name, c := range map[string]struct {
@@ -35,7 +36,6 @@
 			third := newFixture(t, 0, func(cfg *Config) {
 				afterPreviousOwner(cfg)
 				leases(cfg)
-				cfg.AuthorityTerm = 0
 			})
 			replacedAt := first.now
 			offset := first.now.Sub(third.now) + restartTime
--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -52,6 +52,7 @@
 	recordRead      bool // the record, or its absence, was read
 	ownerRecord     jobstore.OwnerRecord
 	revision        int64 // of the owner's record; 0 for none
+	soleRevision    int64 // of the owner's record that jobstore.SoleOwnerKey names; 0 for none
 	leaseHeld       bool  // the owner's lease has not expired
 	askedToTakeOver bool  // the owner has asked this host to take over
 	lastHeardAt     clock.Time
@@ -84,7 +85,7 @@
 	for _, i := range items {
 		present[i.Key] = true
 	}
-	for _, key := range []string{jobstore.OwnerRecordKey, jobstore.OwnerLeaseKey} {
+	for _, key := range []string{jobstore.OwnerRecordKey, jobstore.OwnerLeaseKey, jobstore.SoleOwnerKey} {
 		if !present[key] {
 			items = append(items, platform.Item{Key: key, Removed: true})
 		}
@@ -92,7 +93,7 @@
 	h.applyOwnerItems(items)
 }
 
-// applyOwnerItems applies changes of the owner's keys: its record and its lease.
+// applyOwnerItems applies changes of the owner's keys.
 func (h *Host) applyOwnerItems(items []platform.Item) {
 	e := &h.election
 	e.mu.Lock()
@@ -104,10 +105,27 @@
 			e.leaseHeld = !i.Removed
 		case jobstore.OwnerRecordKey:
 			h.applyOwnerRecord(i)
+		case jobstore.SoleOwnerKey:
+			h.applySoleOwner(i)
 		}
 	}
 }
 
+// applySoleOwner applies the key that tells which owner is the only one with authority. The caller holds the
+// election's lock.
+func (h *Host) applySoleOwner(i platform.Item) {
+	h.election.soleRevision = 0
+	if i.Removed {
+		return
+	}
+	revision, err := jobstore.DecodeSoleOwner(i.Value)
+	if err != nil {
+		h.log.WithFields(logrus.Fields{"revision": i.Revision, "error": err}).Error("sole_owner_unreadable")
+		return
+	}
+	h.election.soleRevision = revision
+}
+
 // applyOwnerRecord applies the owner's record. The caller holds the election's lock.
 func (h *Host) applyOwnerRecord(i platform.Item) {
 	e := &h.election
@@ -156,7 +174,7 @@
 		return false, false, revision, term
 	case e.revision == 0:
 		return true, false, revision, term
-	case e.ownerRecord.Name == h.cfg.Load().Name && e.ownerRecord.Incarnation != h.incarnation, e.askedToTakeOver && h.hasStoreAnswered():
+	case h.isOwnerPreviousProcess(), e.askedToTakeOver && h.hasStoreAnswered():
 		return true, true, revision, term
 	case e.ownerRecord.Incarnation == h.incarnation:
 		return !e.leaseHeld, false, revision, term // this host was deposed, but has no successor
@@ -165,11 +183,21 @@
 	return silent && !e.leaseHeld, false, revision, term
 }
 
-// isOwnerPreviousIncarnation reports whether the recorded owner is a previous process of this host.
-func (h *Host) isOwnerPreviousIncarnation() bool {
-	h.election.mu.Lock()
-	defer h.election.mu.Unlock()
-	return h.election.ownerRecord.Name == h.cfg.Load().Name && h.election.ownerRecord.Incarnation != h.incarnation
+// hasAllAuthorityEnded reports whether no owner has authority any more that was recorded up to the given revision of
+// the owner's record: the last of them was a previous process of this host, which has ended, and had outlasted the
+// authority of those before it.
+func (h *Host) hasAllAuthorityEnded(recordRevision int64) bool {
+	e := &h.election
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.revision == recordRevision && e.soleRevision == recordRevision && h.isOwnerPreviousProcess()
+}
+
+// isOwnerPreviousProcess reports whether the recorded owner is a previous process of this host. The caller holds
+// the election's lock.
+func (h *Host) isOwnerPreviousProcess() bool {
+	record := h.election.ownerRecord
+	return record.Name == h.cfg.Load().Name && record.Incarnation != h.incarnation
 }
 
 // campaign takes over when the owner has failed. It runs until ctx ends.
@@ -203,7 +231,7 @@
 // from taking over.
 func (h *Host) tryTakeOver(ctx context.Context, ifLeaseExpired bool, recordRevision, term int64) {
 	began := h.clk.Now()
-	previousEnded := h.isOwnerPreviousIncarnation()
+	authorityEnded := h.hasAllAuthorityEnded(recordRevision)
 	owner := jobstore.OwnerRecord{Name: h.cfg.Load().Name, Incarnation: h.incarnation, Address: h.cfg.Load().PeerAddress, Term: term + 1, RecordWorkersFromTerm: h.recordWorkersFromTerm(term + 1), RecordUnannouncedFromTerm: h.recordUnannouncedFromTerm(term + 1)}
 	text, err := owner.Encode()
 	if err != nil {
@@ -223,10 +251,10 @@
 	if !ok {
 		return
 	}
-	h.log.WithFields(logrus.Fields{"term": owner.Term, "revision": revision, "took": h.clk.Now().Sub(began)}).Info("owner_elected")
+	h.log.WithFields(logrus.Fields{"term": owner.Term, "revision": revision, "took": h.clk.Now().Sub(began), "previous_authority_ended": authorityEnded}).Info("owner_elected")
 	h.applyOwnerItems([]platform.Item{{Key: jobstore.OwnerRecordKey, Value: text, Revision: revision}})
 	h.runOwner(ctx, poolowner.Claim{
-		Term: owner.Term, Revision: revision, First: recordRevision == 0, PreviousOwnerEnded: previousEnded, RecordWorkersFromTerm: owner.RecordWorkersFromTerm, RecordUnannouncedFromTerm: owner.RecordUnannouncedFromTerm,
+		Term: owner.Term, Revision: revision, First: recordRevision == 0, PreviousAuthorityEnded: authorityEnded, RecordWorkersFromTerm: owner.RecordWorkersFromTerm, RecordUnannouncedFromTerm: owner.RecordUnannouncedFromTerm,
 	}, began)
 }
 
--- a/pkg/jobstore/doc.go
+++ b/pkg/jobstore/doc.go
@@ -7,6 +7,7 @@
 //	foldarch/progress/ID/N    a job.Segment of it, for a job of many tasks
 //	foldarch/owner/holder     an OwnerRecord: the host that owns the pool
 //	foldarch/owner/alive      exists while the owner renews its lease
+//	foldarch/owner/sole       the revision of the latest owner's record for which no earlier owner has authority any more
 //	foldarch/commit/N         the owner's last commit of sequence N; replaced by every commit of it
 //	foldarch/roster/WORKER    the incarnations of a worker that owners have used
 //
--- a/pkg/jobstore/keys.go
+++ b/pkg/jobstore/keys.go
@@ -17,6 +17,7 @@
 	OwnerPrefix    = "foldarch/owner/"
 	OwnerRecordKey = OwnerPrefix + "holder"
 	OwnerLeaseKey  = OwnerPrefix + "alive"
+	SoleOwnerKey   = OwnerPrefix + "sole"
 	RosterPrefix   = "foldarch/roster/"
 
 	cancelSuffix = "/cancel"
@@ -28,6 +29,9 @@
 // previous owner fail.
 const MaxParallelCommits = 6
 
+// maxQuotedBytes is how much of an invalid value an error quotes at most.
+const maxQuotedBytes = 40
+
 // CommitKey returns the key that each commit of a sequence replaces.
 func CommitKey(n int) string {
 	return commitPrefix + strconv.Itoa(n)
@@ -100,6 +104,21 @@
 	RecordUnannouncedFromTerm int64 `json:"unannounced_from,omitempty"`
 }
 
+// EncodeSoleOwner returns the value of SoleOwnerKey that says that the owner whose record has the given revision is
+// the only one with authority: that of all owners before it has ended.
+func EncodeSoleOwner(recordRevision int64) []byte {
+	return strconv.AppendInt(nil, recordRevision, 10)
+}
+
+// DecodeSoleOwner decodes what EncodeSoleOwner returned.
+func DecodeSoleOwner(text []byte) (recordRevision int64, err error) {
+	recordRevision, err = strconv.ParseInt(string(text), 10, 64)
+	if err != nil || recordRevision <= 0 {
+		return 0, errors.Newf("%q is not the revision of an owner's record", text[:min(len(text), maxQuotedBytes)])
+	}
+	return recordRevision, nil
+}
+
 // Encode returns the record as the store keeps it.
 func (r OwnerRecord) Encode() ([]byte, error) {
 	text, err := json.Marshal(r)
--- a/pkg/jobstore/keys_test.go
+++ b/pkg/jobstore/keys_test.go
@@ -1,6 +1,7 @@
 package jobstore
 
 import (
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -14,6 +15,16 @@
 	}
 }
 
+func TestOddSoleOwnerIsRejected(t *testing.T) {
+	g := NewWithT(t)
+	for _, text := range []string{"", "0", "-7", "7 ", "07.0", "1e3", "9223372036854775808", "null", "{}", "\xff", strings.Repeat("[", 200_000)} {
+		_, err := DecodeSoleOwner([]byte(text))
+		g.Expect(err).To(HaveOccurred(), "%.20q", text)
+		g.Expect(len(err.Error())).To(BeNumerically("<", 300))
+	}
+	g.Expect(DecodeSoleOwner(EncodeSoleOwner(7))).To(Equal(int64(7)))
+}
+
 func TestOddOwnerRecordIsRejected(t *testing.T) {
 	for _, text := range []string{
 		`[]`, `{"term":9223372036854775808}`, `{"term":1e400}`, `{"term":-1}`, `{"term":3,"named_from":4}`, `{"term":3,"unannounced_from":-1}`,
--- a/pkg/poolowner/doc.go
+++ b/pkg/poolowner/doc.go
@@ -11,6 +11,7 @@
 //	roster    writes the workers to the store before they get tasks
 //	confirm   reads the owner's record before runs of a silent worker are restarted elsewhere, and after
 //	          workers have restarted
+//	sole      records when the authority of all previous owners has ended
 //	upkeep    carries out upkeep waves of machines
 //	members   communicates with the other entry hosts (package poolrpc)
 //
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -57,8 +57,8 @@
 	Revision int64 // of the transaction that made this host the owner
 	// First is true when the pool had no owner before.
 	First bool
-	// PreviousOwnerEnded is true when the previous owner's process has certainly ended.
-	PreviousOwnerEnded bool
+	// PreviousAuthorityEnded is true when no previous owner can give orders any more.
+	PreviousAuthorityEnded bool
 	// RecordWorkersFromTerm is the first term from which on every owner records the workers of a job in
 	// the store before it starts the job there; 0 when this owner does not (jobstore.OwnerRecord).
 	RecordWorkersFromTerm int64
@@ -136,7 +136,7 @@
 	earlyCancellations map[job.ID]bool // cancelled before the job itself was received
 	committed          chan struct{}   // closed and replaced at each commit
 	plannedAt          clock.Time      // when the last plan was made
-	majorityFenced     bool            // a majority of the workers has accepted this owner's token
+	majorityFencedAt   clock.Time      // when a majority of the workers first had accepted this owner's token; 0 before
 	majority           majorityCheck
 	refusedQueues      refusedQueues
 	customerLimits     customerLimits
@@ -199,9 +199,9 @@
 	return deps.Store.MaxValueBytes()
 }
 
-// previousAuthorityTerm is how long the previous owner may go on giving orders.
+// previousAuthorityTerm is how long previous owners may go on giving orders.
 func previousAuthorityTerm(c Claim) time.Duration {
-	if c.PreviousOwnerEnded {
+	if c.PreviousAuthorityEnded {
 		return 0
 	}
 	return maxPreviousAuthority
@@ -225,6 +225,7 @@
 	o.background.Go(func() { clock.Every(ctx, rosterInterval, func() { o.writeRoster(ctx) }) })
 	o.background.Go(func() { o.runUpkeep(ctx) })
 	o.background.Go(func() { o.runConfirmations(ctx) })
+	o.background.Go(func() { o.recordSoleOwner(ctx) })
 	<-ctx.Done()
 	o.background.Wait()
 	if o.deposed.Load() {
@@ -290,8 +291,8 @@
 		return false
 	}
 	o.checkMajority(now)
-	if !o.majorityFenced && o.majority.fenced {
-		o.majorityFenced = true
+	if o.majorityFencedAt == 0 && o.majority.fenced {
+		o.majorityFencedAt = now
 		o.pool.RestartTakeoverTimers(now)
 	}
 	return o.majority.answers || o.deps.HasLease(now)
@@ -307,7 +308,7 @@
 		return
 	}
 	answering, all := o.pool.AnsweringCount(now, AuthorityTerm)
-	o.majority = majorityCheck{checkedAt: now, answers: 2*answering > all, fenced: o.majorityFenced}
+	o.majority = majorityCheck{checkedAt: now, answers: 2*answering > all, fenced: o.majorityFencedAt != 0}
 	if !o.majority.fenced {
 		fenced, all := o.pool.FencedCount(now, AuthorityTerm)
 		o.majority.fenced = 2*fenced > all
