Ends of fenced workers make the rest no majority for a previous owner

Where workers come back under other names, an owner that is cut from the store hears at their addresses that the former ones have ended, and no longer counted them among all workers. So if those that the next owner had fenced ended, a minority that this one did not reach became most of the workers that the previous owner knew (4 of 5, of 11), and gave it authority again.

A worker that has ended, and whose entry is still there, counts among all workers until the store has named this process as the owner in answer to a read made after that. The read is requested as for restarted workers. In an outage, an owner loses its authority if half of the workers end and come back.

TestFencedWorkersThatEndDoNotGiveAPreviousOwnerAuthority failed before and passes. All tests of pkg/dispatch and poolowner but the known red pass.

--- a/pkg/dispatch/majority.go
+++ b/pkg/dispatch/majority.go
@@ -11,11 +11,15 @@
 //
 // An incarnation has not seen the tokens that the one before it has seen. So one that succeeds another counts as
 // answering only once the ownership was confirmed after it had become known: a later owner, if there is one, was
-// elected after that and has to fence this incarnation. If only that is missing, a confirmation is requested.
+// elected after that and has to fence this incarnation. In the same way one that has ended, and whose entry is still
+// there, counts among all workers until the ownership is confirmed: a later owner may have fenced it before. If only
+// that is missing, a confirmation is requested.
 func (p *Pool) AnsweringCount(now clock.Time, within time.Duration) (answering, all int) {
 	for _, w := range p.workers {
 		mayBeFenced := w.succeedsAnother && p.ownershipConfirmedAt < w.discoveredAt
 		switch {
+		case w.terminated && w.hasEntry && p.ownershipConfirmedAt < w.terminatedAt:
+			p.needsOwnershipCheck = true
 		case w.terminated || w.hasNothing():
 			continue
 		case !w.hasAnsweredWithin(within, now):
--- a/pkg/dispatch/previous_owner_majority_test.go
+++ b/pkg/dispatch/previous_owner_majority_test.go
@@ -119,3 +119,31 @@
 		})
 	}
 }
+
+// The same where workers restart under other names: the previous owner hears at their addresses that they have ended.
+func TestFencedWorkersThatEndDoNotGiveAPreviousOwnerAuthority(t *testing.T) {
+	const ended, kept = 6, 4
+	f := newFixture(t, ended+kept+1, nil)
+	f.reportAll(ended + kept)
+	f.plan()
+	f.storeUnreachable = true
+	for range 2 {
+		f.advance(1100 * time.Millisecond)
+		for n := range ended {
+			if poll, ok := f.pool.NewPoll(workerID(n), false, true, f.now); ok {
+				f.advance(time.Millisecond)
+				f.pool.HandlePollAnswer(poll, Answer{Verdict: VerdictWrongWorker, Clock: f.workerClock}, Report{}, f.now)
+			}
+		}
+		for n := ended; n < ended+kept; n++ {
+			f.report(n, Report{})
+		}
+	}
+	answering, all := f.pool.AnsweringCount(f.now, 2*time.Second)
+	f.Expect(2*answering).NotTo(BeNumerically(">", all), "%d of %d workers answer the previous owner", answering, all)
+	f.Expect(f.plan().ConfirmOwnership).To(BeTrue())
+	f.storeUnreachable = false
+	f.plan()
+	answering, all = f.pool.AnsweringCount(f.now, 2*time.Second)
+	f.Expect([]int{answering, all}).To(Equal([]int{kept, kept + 1}), "the store names this owner")
+}
--- a/pkg/dispatch/worker.go
+++ b/pkg/dispatch/worker.go
@@ -54,6 +54,7 @@
 	leavesAt         clock.Time // when a draining worker may leave; 0 if it is not draining
 	evacuated        bool       // its data hall is being evacuated
 	terminated       bool       // the incarnation has ended, or can't run anything any more
+	terminatedAt     clock.Time // when it was found to have ended; 0 if another incarnation replaced it
 	fenced           bool       // it has answered this owner, so it rejects orders of previous owners
 	reported         bool       // a complete report has been applied
 	reportIncomplete bool       // its last report may not list all its runs
@@ -219,7 +220,7 @@
 	if w.terminated {
 		return
 	}
-	w.terminated = true
+	w.terminated, w.terminatedAt = true, now
 	p.markRosterChanged(w.info.ID)
 	w.clearOrphans()
 	w.history.raiseToken(p.cfg.Token) // as in replaceIncarnation: another incarnation may already be known
