An invalidated start counts as running for as long as a late hold may extend its run

Cause: a start that was invalidated for one incarnation may be carried out by the next one up to 12 s after it was sent. Its task is bound to the worker until then, and for the longest lease after it if the worker is silent. While the first incarnation still answered, holds with deadlines went on being sent to it; the next one may carry them out as late, and its run goes on for longer than that.

Change: without an answer of the worker the task may start elsewhere only 12 s and the longest lease after the last call that extends leases, as for a transferred start.

Evidence: TestInvalidatedStartMayRunAsLongAsALateHoldExtendsIt failed before (6.3 s too short) and passes; TestBoundStartExpiresOnceItsRunHasEnded has two cases more. Tests of dispatch, latestart, poolowner and takeover pass.

--- a/pkg/dispatch/late_hold_test.go
+++ b/pkg/dispatch/late_hold_test.go
@@ -59,6 +59,32 @@
 	f.expectNoStartWhile(previousOrdersUntil.Add(maxOrderDelay+f.pool.cfg.WorkerMaxLease), firstIncarnation(1))
 }
 
+// Guards against the same with a start that is invalidated for the first incarnation: its task may start elsewhere once
+// a run that the next one has begun late has certainly lapsed.
+func TestInvalidatedStartMayRunAsLongAsALateHoldExtendsIt(t *testing.T) {
+	f := newIncarnationFixture(t, 2, withLongWorkerLeases)
+	f.outlastFirstReports(firstIncarnation(0), firstIncarnation(1))
+	f.cordonMachineOf(1)
+	f.add(testJob("a", testStep(1)))
+	f.pollAndReport(firstIncarnation(0), Report{})
+	s := f.planOneStart()
+	f.advance(160 * time.Millisecond)
+	f.failStart(s)
+	f.cordonMachineOf(0)
+	f.answerPoll(f.newPoll(firstIncarnation(0), true), firstIncarnation(0), Report{})
+	for range 30 {
+		f.advance(200 * time.Millisecond)
+		f.pollAndReport(firstIncarnation(0), Report{})
+		f.pollAndReport(firstIncarnation(1), Report{})
+		f.Expect(f.plan().Starts).To(BeEmpty(), "the task is bound to its worker")
+	}
+	f.advance(650 * time.Millisecond)
+	hold := f.newPoll(firstIncarnation(0), false)
+	f.Expect(hold.Deadline).NotTo(BeZero())
+	f.pool.HandlePollFailure(hold.Worker, f.now)
+	f.expectNoStartWhile(hold.SentAt.Add(maxOrderDelay+f.pool.cfg.WorkerMaxLease), firstIncarnation(1))
+}
+
 // The next incarnation takes a start and a hold that were meant for the first one, without a delay, and is cut off;
 // its owner learns nothing of it.
 func TestRunOnAnUnknownNextIncarnationMayHaveTheLongestLease(t *testing.T) {
--- a/pkg/dispatch/late_starts.go
+++ b/pkg/dispatch/late_starts.go
@@ -131,6 +131,7 @@
 	}
 	t.lateStarts.RemoveExpired(latestart.ExpiryConditions{
 		LastAnsweredPollSentAt:    func(name string) clock.Time { return p.historyOf(name).lastAnsweredPollSentAt() },
+		LeasesExtendedBy:          func(name string) clock.Time { return p.leasesExtendedBy(p.historyOf(name)) },
 		LeaseTime:                 leaseExpiryTime(p.cfg.WorkerMaxLease),
 		IsOwnershipConfirmedSince: p.isOwnershipConfirmedSince,
 	}, now)
--- a/pkg/latestart/latestart_test.go
+++ b/pkg/latestart/latestart_test.go
@@ -51,21 +51,24 @@
 	expiry := sent.Add(MaxDelay)
 	leaseExpiry := expiry.Add(time.Second)
 	for name, c := range map[string]struct {
-		now, polled clock.Time
-		confirmed   bool
-		expired     bool
+		now, polled, extended clock.Time
+		confirmed             bool
+		expired               bool
 	}{
-		"before its expiry":            {expiry - 1, expiry, true, false},
-		"polled since":                 {expiry, expiry, false, true},
-		"not polled since":             {leaseExpiry - 1, expiry - 1, true, false},
-		"lease expired, not confirmed": {leaseExpiry, expiry - 1, false, false},
-		"lease expired and confirmed":  {leaseExpiry, expiry - 1, true, true},
+		"before its expiry":            {expiry - 1, expiry, sent, true, false},
+		"polled since":                 {expiry, expiry, sent, false, true},
+		"not polled since":             {leaseExpiry - 1, expiry - 1, sent, true, false},
+		"lease expired, not confirmed": {leaseExpiry, expiry - 1, sent, false, false},
+		"lease expired and confirmed":  {leaseExpiry, expiry - 1, sent, true, true},
+		"late call extends the lease":  {leaseExpiry + 1, expiry - 1, sent + 2, true, false},
+		"extended lease expired":       {leaseExpiry + 2, expiry - 1, sent + 2, true, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var x TaskStarts
 			x.Add(bound(1))
 			x.RemoveExpired(ExpiryConditions{
-				LastAnsweredPollSentAt: func(string) clock.Time { return c.polled }, LeaseTime: time.Second, IsOwnershipConfirmedSince: func(clock.Time) bool { return c.confirmed },
+				LastAnsweredPollSentAt: func(string) clock.Time { return c.polled }, LeasesExtendedBy: func(string) clock.Time { return c.extended },
+				LeaseTime: time.Second, IsOwnershipConfirmedSince: func(clock.Time) bool { return c.confirmed },
 			}, c.now)
 			NewWithT(t).Expect(x.HasStarts()).To(Equal(!c.expired))
 		})
--- a/pkg/latestart/task_starts.go
+++ b/pkg/latestart/task_starts.go
@@ -148,6 +148,9 @@
 	// LastAnsweredPollSentAt returns when the last poll was sent that an incarnation of the worker has
 	// answered.
 	LastAnsweredPollSentAt func(worker string) clock.Time
+	// LeasesExtendedBy returns when the last call that extends leases was sent to the worker, at the latest. The next
+	// incarnation may carry it out late, after a late start.
+	LeasesExtendedBy func(worker string) clock.Time
 	// LeaseTime is how long a run may go on under its lease without contact to its owner.
 	LeaseTime time.Duration
 	// IsOwnershipConfirmedSince reports whether the store has confirmed this owner at or after a time.
@@ -161,7 +164,7 @@
 	if !s.isBound() || now < s.ExpiresAt {
 		return now >= s.ExpiresAt
 	}
-	leaseExpiry := s.ExpiresAt.Add(conditions.LeaseTime)
+	leaseExpiry := max(s.ExpiresAt, conditions.LeasesExtendedBy(s.Worker).Add(MaxDelay)).Add(conditions.LeaseTime)
 	return conditions.LastAnsweredPollSentAt(s.Worker) >= s.ExpiresAt || now >= leaseExpiry && conditions.IsOwnershipConfirmedSince(leaseExpiry)
 }
 
