--- a/test/crowds/crowd_test.go
+++ b/test/crowds/crowd_test.go
@@ -97,8 +97,13 @@
 // withstand lets a crowd loose on one of the host's listeners and checks that the process stays within its limits
 // and answers ordinary requests, while the crowd keeps its connections and after it has left.
 func (h *host) withstand(size int, address string, send script) {
+	h.withstandCrowd(func() *crowd { return startCrowd(size, address, send) }, size)
+}
+
+// withstandCrowd is withstand for a crowd that start starts.
+func (h *host) withstandCrowd(start func() *crowd, size int) {
 	m := h.startMeter()
-	c := startCrowd(size, address, send)
+	c := start()
 	c.awaitSent()
 	dialled, open := c.dialled.Load(), c.open.Load()
 	beside, readyBeside := h.submitJob(maxTries), h.checkReady(maxTries)
