Connections whose clients do not read their answers are closed

Callers, operators or the health check found the host's listener closed to them for good: a connection whose answer does not fit into its send buffer counted as one whose request is being processed, was never closed for a new one and had no limit of time.

A write that has not ended for 1 s makes its connection one that may be replaced, after those without a whole head or body, and ends it after 10 s (answers_unread).

--- a/pkg/clientlimit/clientlimit_test.go
+++ b/pkg/clientlimit/clientlimit_test.go
@@ -228,3 +228,34 @@
 		g.Expect(o.Validate()).To(MatchError(ContainSubstring(key)))
 	}
 }
+
+// Guards against new callers that are turned away while other clients do not read their answers.
+func TestConnectionWithUnreadAnswerIsReplaced(t *testing.T) {
+	g := NewWithT(t)
+	log, _ := logtest.NewNullLogger()
+	limits := New(Resources{MemoryBytes: testMemory, Descriptors: 0}, DefaultOptions(), metrics.NewRegistry(), logrus.NewEntry(log)).Listener("callers", Callers)
+	for range minConnections - 1 {
+		admitInPipe(g, limits).setPhase(processing)
+	}
+	unread := admitInPipe(g, limits)
+	unread.setPhase(processing)
+	written := make(chan error, 1)
+	go func() {
+		_, err := unread.Write([]byte("answer"))
+		written <- err
+	}()
+	_, inner := net.Pipe()
+	g.Eventually(func() bool { return limits.admit(newConn(inner, limits)) }, "10s").Should(BeTrue())
+	g.Eventually(written, "10s").Should(Receive(HaveOccurred()))
+	_, kept := limits.conns[unread]
+	g.Expect(kept).To(BeFalse())
+	g.Expect(len(limits.conns)).To(Equal(minConnections))
+}
+
+// admitInPipe returns a connection that the limits have admitted, and whose other end does not read.
+func admitInPipe(g *WithT, limits *Listener) *Conn {
+	_, inner := net.Pipe()
+	c := newConn(inner, limits)
+	g.Expect(limits.admit(c)).To(BeTrue())
+	return c
+}
--- a/pkg/clientlimit/conn.go
+++ b/pkg/clientlimit/conn.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"storj.io/drpc/drpcctx"
 )
 
@@ -15,6 +17,7 @@
 const (
 	awaitingHead phase = iota
 	readingBody
+	answering // the answer is held up, since the client does not read
 	processing
 )
 
@@ -29,6 +32,8 @@
 	phase     phase
 	since     time.Time // when the phase began
 	headBytes int       // read in the phase awaitingHead
+	// writingSince is when the write that is in progress began; zero if there is none.
+	writingSince time.Time
 	// established is closed once a connection of another protocol than HTTP has made its first call.
 	established chan struct{}
 	done        chan struct{} // closed when the connection is closed
@@ -79,6 +84,28 @@
 	return n, err
 }
 
+// Write writes to the connection. A client that does not read its answers ends it after writeTime.
+func (c *Conn) Write(p []byte) (int, error) {
+	if c.limits.kind == Peers {
+		return c.Conn.Write(p)
+	}
+	now := time.Now()
+	_ = c.SetWriteDeadline(now.Add(writeTime)) // fails only on a closed connection
+	c.setWritingSince(now)
+	defer c.setWritingSince(time.Time{})
+	n, err := c.Conn.Write(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.limits.unread.exceeded()
+	}
+	return n, err
+}
+
+func (c *Conn) setWritingSince(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writingSince = t
+}
+
 // Close closes the connection.
 func (c *Conn) Close() error {
 	c.closed.Do(func() {
@@ -105,9 +132,12 @@
 }
 
 // progress returns the present phase and when it began.
-func (c *Conn) progress() (phase, time.Time) {
+func (c *Conn) progress(now time.Time) (phase, time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.writingSince.IsZero() && now.Sub(c.writingSince) > writeStall {
+		return answering, c.writingSince
+	}
 	return c.phase, c.since
 }
 
--- a/pkg/clientlimit/doc.go
+++ b/pkg/clientlimit/doc.go
@@ -6,8 +6,10 @@
 //
 // Each listener has a limit of its own, so that clients of one listener can't use up what the others need. At the
 // limit, a new connection replaces the one that makes the least progress: first those that wait for a complete head
-// of a request, the oldest first; then those whose body has been arriving for longest. A connection whose request is
-// being processed is never closed for another one. If all are being processed, the new connection is closed.
+// of a request, the oldest first; then those whose body has been arriving for longest; then those whose clients have
+// not read an answer for a second. Other connections whose requests are being processed are never closed for another
+// one. If all are being processed, the new connection is closed. An answer that is not read in time ends its
+// connection.
 //
 // # Heads and bodies
 //
--- a/pkg/clientlimit/limits.go
+++ b/pkg/clientlimit/limits.go
@@ -30,6 +30,9 @@
 	objectBytes = 512
 	// headTime bounds the time until a head is complete.
 	headTime = 10 * time.Second
+	// writeTime bounds a write of an answer, and writeStall is after how long the client counts as not reading.
+	writeTime  = 10 * time.Second
+	writeStall = time.Second
 	// firstTime and firstBytes bound what a connection of another protocol sends before it is established.
 	firstTime  = 5 * time.Second
 	firstBytes = 16 << 10
--- a/pkg/clientlimit/listener.go
+++ b/pkg/clientlimit/listener.go
@@ -24,6 +24,7 @@
 	heads    *limit // connections that were closed for the size of a head
 	bodies   *limit // bodies that were refused
 	late     *limit // bodies that took too long
+	unread   *limit // answers that were not read
 	open     metrics.Gauge
 
 	mu    sync.Mutex
@@ -38,7 +39,8 @@
 		replaced: l.newLimit(name, "connections_replaced", n), rejected: l.newLimit(name, "connections_rejected", n),
 		heads:  l.newLimit(name, "heads_too_large", l.options.HeadKB<<10),
 		bodies: l.newLimit(name, "bodies_refused", l.resources.bodyBytes()), late: l.newLimit(name, "bodies_late", l.options.BodyTime),
-		open: metrics.GetOrRegisterGauge("clients."+name+".connections", l.registry),
+		unread: l.newLimit(name, "answers_unread", writeTime),
+		open:   metrics.GetOrRegisterGauge("clients."+name+".connections", l.registry),
 	}
 }
 
@@ -116,8 +118,9 @@
 	var out *Conn
 	var outPhase phase
 	var outSince time.Time
+	now := time.Now()
 	for c := range l.conns {
-		p, since := c.progress()
+		p, since := c.progress(now)
 		if p == processing {
 			continue
 		}
