Braces and commas inside texts are not charged as objects

A spec of 4,000 bytes may be any text, such as JSON: each of its braces counted as an object of 512 bytes, so that two jobs at once whose specs have 2,000 of them were refused on a small host although nothing else was going on. Only braces and commas outside strings count; up to the first error in the text, a decoder sees the same strings. The test failed before with 503.

--- a/pkg/clientlimit/clientlimit_test.go
+++ b/pkg/clientlimit/clientlimit_test.go
@@ -167,6 +167,17 @@
 	s.Expect(s.status(s.send(post("/", len(alone)) + string(alone)))).To(Equal(http.StatusOK))
 }
 
+// Guards against refusing small bodies for texts that look like many objects.
+func TestTextsAreNoObjects(t *testing.T) {
+	s := newTestServer(t, DefaultOptions())
+	text := fmt.Sprintf(`{"spec":"\"%s"}`, strings.Repeat("{,", 2000))
+	first := s.send(post("/wait", len(text)) + text)
+	s.Eventually(s.waiting.Load, "10s").Should(BeEquivalentTo(1))
+	s.Expect(s.status(s.send(post("/", len(text)) + text))).To(Equal(http.StatusOK))
+	close(s.mayEnd)
+	s.Expect(s.status(first)).To(Equal(http.StatusOK))
+}
+
 // Guards against bodies that never end.
 func TestLateBodyEnds(t *testing.T) {
 	o := DefaultOptions()
--- a/pkg/clientlimit/server.go
+++ b/pkg/clientlimit/server.go
@@ -1,7 +1,6 @@
 package clientlimit
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -64,6 +63,7 @@
 	control *http.ResponseController
 	header  http.Header
 
+	size    jsonSize
 	charged int64 // for what was read
 	held    int64 // of the budget
 	ended   bool  // read to its end
@@ -93,8 +93,8 @@
 // charge charges a part of the body. It returns false if the budget does not suffice. A body is charged at most the
 // whole budget, so that one body alone is always taken.
 func (b *body) charge(part []byte) bool {
-	objects, elements := bytes.Count(part, []byte("{")), bytes.Count(part, []byte(","))
-	b.charged += int64(len(part)) + objectBytes*int64(objects) + elementBytes*int64(elements)
+	objects, commas := b.size.add(part)
+	b.charged += int64(len(part)) + objectBytes*objects + elementBytes*commas
 	need := min(b.charged-freeBodyBytes, b.limits.limiter.resources.bodyBytes()) - b.held
 	if need <= 0 {
 		return true
