A new connection is not closed for the next one before its head arrives

At the limit of connections, one without a whole head was closed first, however new it was: beside clients that connect again and again and send a part of a body (1,200, with 0.1 s between), each further connection closed the one before, and the health check did not pass in 5 tries. With a network between, the head of an ordinary caller arrives a round trip after its connection.

A phase counts against a connection after 200 ms; among those that are newer, the oldest is closed. The test of the order of phases waits for those 200 ms now; what it expects is the same.

--- a/pkg/clientlimit/clientlimit_test.go
+++ b/pkg/clientlimit/clientlimit_test.go
@@ -135,6 +135,7 @@
 		s.send(post("/wait", 0))
 	}
 	s.Eventually(s.count("connections"), "10s").Should(BeEquivalentTo(testConnections))
+	time.Sleep(2 * phaseGrace) // until then, the oldest connection is the slowest
 	for _, next := range []net.Conn{silent, head, body} {
 		s.Expect(s.isClosed(next)()).To(BeFalse())
 		s.send(post("/wait", 0))
@@ -263,6 +264,27 @@
 	g.Expect(len(limits.conns)).To(Equal(minConnections))
 }
 
+// Guards against new connections that are closed for the next one before their heads arrive.
+func TestNewConnectionIsNotTheSlowest(t *testing.T) {
+	g := NewWithT(t)
+	log, _ := logtest.NewNullLogger()
+	limits := New(Resources{MemoryBytes: testMemory, Descriptors: 0}, DefaultOptions(), metrics.NewRegistry(), logrus.NewEntry(log)).Listener("callers", Callers)
+	now := time.Now()
+	bodies := make([]*Conn, minConnections)
+	for n := range bodies {
+		bodies[n] = admitInPipe(g, limits)
+		bodies[n].setPhase(readingBody)
+		bodies[n].since = now.Add(time.Duration(n) * time.Millisecond)
+	}
+	for n := range minConnections - 1 {
+		c := admitInPipe(g, limits)
+		c.since = now.Add(time.Minute) // its head may still arrive
+		g.Expect(limits.conns).To(HaveKey(c))
+		g.Expect(limits.conns).NotTo(HaveKey(bodies[n]))
+	}
+	g.Expect(limits.conns).To(HaveKey(bodies[minConnections-1]))
+}
+
 // admitInPipe returns a connection that the limits have admitted, and whose other end does not read.
 func admitInPipe(g *WithT, limits *Listener) *Conn {
 	_, inner := net.Pipe()
--- a/pkg/clientlimit/doc.go
+++ b/pkg/clientlimit/doc.go
@@ -9,14 +9,16 @@
 // of a request, the oldest first; then those whose body has been arriving for longest; then those whose clients have
 // not read an answer for a second. Other connections whose requests are being processed are never closed for another
 // one. If all are being processed, the new connection is closed. An answer that is not read in time ends its
-// connection.
+// connection. Phases count from their first 200 ms on; among connections that are newer in theirs, the oldest goes
+// first.
 //
 // # Heads and bodies
 //
 // The head of a request is limited in size and time, and a body in time. Up to a small size, a body belongs to the
 // fixed cost of its connection. Beyond that it is charged to a budget that all listeners share; JSON objects and
-// the elements of lists count more than their bytes, since they take more memory once they are decoded. If the budget is used up, reading the
-// body fails with ErrBusy and nothing of the request has been done. One body alone is never refused.
+// the elements of lists count more than their bytes, since they take more memory once they are decoded. If the budget
+// is used up, reading the body fails with ErrBusy and nothing of the request has been done. One body alone is never
+// refused.
 //
 // # Usage
 //
--- a/pkg/clientlimit/limits.go
+++ b/pkg/clientlimit/limits.go
@@ -36,6 +36,8 @@
 	// writeTime bounds a write of an answer, and writeStall is after how long the client counts as not reading.
 	writeTime  = 10 * time.Second
 	writeStall = time.Second
+	// phaseGrace is how long the phase of a connection may take until it counts against the connection.
+	phaseGrace = 200 * time.Millisecond
 	// firstTime and firstBytes bound what a connection of another protocol sends before it is established.
 	firstTime  = 5 * time.Second
 	firstBytes = 16 << 10
--- a/pkg/clientlimit/listener.go
+++ b/pkg/clientlimit/listener.go
@@ -113,10 +113,12 @@
 	return true
 }
 
-// slowest returns the connection that makes the least progress; nil if all requests are being processed.
+// slowest returns the connection that makes the least progress; nil if all requests are being processed. Phases are
+// compared only between connections that have had time for theirs. Among others, the oldest is the slowest: otherwise a
+// new connection would be closed for the next one before its head arrives.
 func (l *Listener) slowest() *Conn {
 	var out *Conn
-	var outPhase phase
+	var outRank int
 	var outSince time.Time
 	now := time.Now()
 	for c := range l.conns {
@@ -124,8 +126,12 @@
 		if p == processing {
 			continue
 		}
-		if out == nil || p < outPhase || p == outPhase && since.Before(outSince) {
-			out, outPhase, outSince = c, p, since
+		rank := int(p)
+		if now.Sub(since) < phaseGrace {
+			rank = int(processing)
+		}
+		if out == nil || rank < outRank || rank == outRank && since.Before(outSince) {
+			out, outRank, outSince = c, rank, since
 		}
 	}
 	return out
