Go's memory limit of small hosts leaves room for collections that end late

Beside pipelined requests that are refused at once (2 GB of garbage a second, on a busy machine) a host with 96 MB took 96.8 MB once: 18 MB of it, not 16, are not counted by Go's limit, and the heap is over the limit while a collection runs. The limit leaves 26 MB. Hosts with 256 MB or more are not concerned: there, the share of 0.8 is lower.

--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -39,8 +39,9 @@
 	storeAnswerMaxAge = 1500 * time.Millisecond
 	// memoryLimitShare is the share of the host's memory limit that is set as Go's soft memory limit.
 	memoryLimitShare = 0.8
-	// uncountedBytes is the memory of the process that Go's limit does not count, such as the program's text.
-	uncountedBytes = 16 << 20
+	// uncountedBytes is the memory of the process that Go's limit does not count, such as the program's text, and by
+	// which the process is over the limit until a collection has ended.
+	uncountedBytes = 26 << 20
 	gcPercent      = 200
 	// stopMargin is the part of the platform's grace period that is kept in reserve for the end of a
 	// planned stop.
