Requests that wait for the store to tell of a job don't take all connections

A request about a job that the owner does not know, which anyone may make up, reads the store, whose rate is limited: with GET or DELETE of such jobs, 1,200 clients had all 307 connections of callers waiting for it, none of which may be replaced, and no job was accepted beside them in 5 tries.

Such requests may wait on a quarter of the callers' connections (lookups_refused); beyond that they get 504 at once, as they did later when the store did not answer in time.

--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -35,6 +35,8 @@
 	readStallShare = 0.5
 	// storeRateShare is the share of the store's rate limits that one host may use.
 	storeRateShare = 0.25
+	// lookupConnShare is the share of callers' connections that may wait for the store to tell of a job.
+	lookupConnShare = 0.25
 	// storeAnswerMaxAge is how old the store's last answer may be for the store to count as reachable.
 	storeAnswerMaxAge = 1500 * time.Millisecond
 	// memoryLimitShare is the share of the host's memory limit that is set as Go's soft memory limit.
@@ -66,6 +68,7 @@
 	writer        *batchWriter
 	lookupLimiter *lookupLimiter // limits lookups for callers
 	clients       *clientlimit.Limiter
+	lookups       *clientlimit.Share // callers that wait for the store to tell of a job
 	metrics       *hostMetrics
 	election      election
 	member        atomic.Pointer[poolrpc.Member]
@@ -116,6 +119,7 @@
 	}
 	h.cfg.Store(&cfg)
 	h.clients = clientlimit.New(clientlimit.Resources{MemoryBytes: cfg.MemoryBytes, Descriptors: cfg.MaxDescriptors}, clients, metrics.registry, h.log)
+	h.lookups = h.clients.Share("lookups_refused", lookupConnShare)
 	h.writer = newBatchWriter(store, clk, h.handleFoundOwnerRecord)
 	h.lookupLimiter = newLookupLimiter(cfg.Store.ReadsPerSecond)
 	h.operatorKeys = h.newOperatorWatcher()
--- a/pkg/jobhost/jobs.go
+++ b/pkg/jobhost/jobs.go
@@ -271,7 +271,7 @@
 	if a == nil && !mayRead() {
 		return "", "", errors.Wrap(platform.ErrOutcomeUnknown, "the owner does not tell, and the store is asked enough")
 	}
-	record, err := h.readRecord(ctx, id)
+	record, err := h.lookUp(ctx, id)
 	switch {
 	case err != nil:
 		return "", "", err
@@ -299,6 +299,16 @@
 	return err != nil || p.HasTasks()
 }
 
+// lookUp reads a job's record for a caller, unless too many callers wait for that already: anyone may ask for jobs that
+// only the store can tell of, and its rate is limited. Errors: platform.ErrNoJob, platform.ErrOutcomeUnknown.
+func (h *Host) lookUp(ctx context.Context, id job.ID) (job.Record, error) {
+	if !h.lookups.Enter() {
+		return job.Record{}, errors.Wrap(platform.ErrOutcomeUnknown, "too many callers wait for the store")
+	}
+	defer h.lookups.Leave()
+	return h.readRecord(ctx, id)
+}
+
 // readRecord reads a job's record. Errors: platform.ErrNoJob, platform.ErrOutcomeUnknown.
 func (h *Host) readRecord(ctx context.Context, id job.ID) (job.Record, error) {
 	item, err := h.store.Read(ctx, jobstore.JobKey(id))
@@ -335,7 +345,7 @@
 
 // cancelJob stores the cancellation of a job and notifies the owner.
 func (h *Host) cancelJob(ctx context.Context, c customer.Caller, id job.ID) error {
-	record, err := h.readRecord(ctx, id)
+	record, err := h.lookUp(ctx, id)
 	if err != nil {
 		return err
 	}
