Crowds that submit valid jobs without end, two tests known red

Found by a review of the limits for clients, one run each beside the limits as they are: small jobs keep others out of the host that has all connections waiting for the store's rate of writes, large ones take 209 MB of 96 as accepted jobs in the owner's memory. Neither is mended here.

--- a/test/crowds/endless_requests_test.go
+++ b/test/crowds/endless_requests_test.go
@@ -75,3 +75,26 @@
 		})
 	}
 }
+
+// jobsWithoutEnd returns a script that submits new jobs until its connection is closed.
+func jobsWithoutEnd(body []byte) script {
+	return func(c net.Conn, _ int) {
+		for {
+			if _, err := c.Write(append(head(contentLength(len(body))), body...)); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// Guards against callers that are kept out by others whose jobs wait to be stored.
+func TestCrowdOfSmallJobs(t *testing.T) {
+	h := newHost(t)
+	h.withstand(crowdSize, h.callers, jobsWithoutEnd(ordinaryBody()))
+}
+
+// Guards against memory used up by many jobs of legal size.
+func TestCrowdOfLargeJobs(t *testing.T) {
+	h := newHost(t)
+	h.withstand(crowdSize, h.callers, jobsWithoutEnd(largestJob()))
+}
