The limits for bodies hold for OPTIONS * as well

net/http answers OPTIONS * itself and reads up to 4 KiB of its body, with no limit of time and past the handler that sets one: such a connection stayed open for good unless it was replaced. It goes to the listener's handler now. The test failed before.

--- a/pkg/clientlimit/clientlimit_test.go
+++ b/pkg/clientlimit/clientlimit_test.go
@@ -189,6 +189,16 @@
 	s.Eventually(s.isClosed(c), "10s").Should(BeTrue())
 }
 
+// Guards against bodies without a limit of time, since net/http itself answers such requests.
+func TestBodyOfGeneralOptionsEnds(t *testing.T) {
+	o := DefaultOptions()
+	o.BodyTime = 50 * time.Millisecond
+	s := newTestServer(t, o)
+	c := s.send("OPTIONS * HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n12345")
+	s.Eventually(s.count("bodies_late"), "10s").Should(BeEquivalentTo(1))
+	s.Eventually(s.isClosed(c), "10s").Should(BeTrue())
+}
+
 // Guards against heads that take more memory than they may.
 func TestLargeHeadIsRefused(t *testing.T) {
 	s := newTestServer(t, DefaultOptions())
--- a/pkg/clientlimit/server.go
+++ b/pkg/clientlimit/server.go
@@ -14,12 +14,13 @@
 // Server returns an HTTP server for the connections of this listener.
 func (l *Listener) Server(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           l.handler(h),
-		ReadHeaderTimeout: headTime,
-		IdleTimeout:       l.limiter.options.IdleTime,
-		MaxHeaderBytes:    l.limiter.options.HeadKB << 10,
-		ConnState:         awaitNextHead,
-		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		Handler:                      l.handler(h),
+		DisableGeneralOptionsHandler: true, // it reads bodies without the limits
+		ReadHeaderTimeout:            headTime,
+		IdleTimeout:                  l.limiter.options.IdleTime,
+		MaxHeaderBytes:               l.limiter.options.HeadKB << 10,
+		ConnState:                    awaitNextHead,
+		ConnContext:                  func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 	}
 }
 
