The owner's process does not end when a heartbeat meets a member's first status

Half a string, a length without its text, ends the process. Any host that joins can meet it, since the owner sends its first heartbeat at that moment.

The name is set at once (atomic.Pointer).

--- a/pkg/poolowner/members.go
+++ b/pkg/poolowner/members.go
@@ -31,32 +31,32 @@
 func (o *Owner) memberJoined(s *poolrpc.Session) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if previous := o.members[s.Name]; previous != nil {
+	if previous := o.members[s.Name()]; previous != nil {
 		previous.cancel() // its stream has not been detected as broken yet
 		o.recordContact(previous)
 	}
-	o.members[s.Name] = o.newMember(s)
+	o.members[s.Name()] = o.newMember(s)
 	st := s.Status()
-	o.segmentReaders.recordMember(s.Name, st.ReadsSegments, o.deps.Clock.Now())
-	o.relays.AddHost(s.Name, st.Hall, int(st.Strength), cmp.Or(int(st.MostWorkers), relay.MaxWorkersPerRelay))
-	o.pool.AddAdviser(s.Name)
-	o.deps.Log.WithField("member", s.Name).Info("member_joined")
+	o.segmentReaders.recordMember(s.Name(), st.ReadsSegments, o.deps.Clock.Now())
+	o.relays.AddHost(s.Name(), st.Hall, int(st.Strength), cmp.Or(int(st.MostWorkers), relay.MaxWorkersPerRelay))
+	o.pool.AddAdviser(s.Name())
+	o.deps.Log.WithField("member", s.Name()).Info("member_joined")
 }
 
 func (o *Owner) memberLeft(s *poolrpc.Session) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	m := o.members[s.Name]
+	m := o.members[s.Name()]
 	if m == nil || m.Session != s {
 		return
 	}
 	m.cancel()
 	o.recordContact(m)
-	o.relays.RemoveHost(s.Name)
-	delete(o.fastMembers, s.Name)
-	delete(o.members, s.Name)
-	o.pool.RemoveAdviser(s.Name, o.deps.Clock.Now())
-	o.deps.Log.WithField("member", s.Name).Info("member_left")
+	o.relays.RemoveHost(s.Name())
+	delete(o.fastMembers, s.Name())
+	delete(o.members, s.Name())
+	o.pool.RemoveAdviser(s.Name(), o.deps.Clock.Now())
+	o.deps.Log.WithField("member", s.Name()).Info("member_left")
 }
 
 // maxAllFastMembers is the number of members up to which all have the fast heartbeat. With 146 members
@@ -71,11 +71,11 @@
 // heartbeatInterval returns the time between two heartbeats on a member's stream: that of the fast heartbeat
 // (poolrpc.HeartbeatInterval) or of the slow one (poolrpc.SlowHeartbeatInterval). The caller holds o.mu.
 func (o *Owner) heartbeatInterval(m *member) time.Duration {
-	if len(o.members) <= maxAllFastMembers || o.fastMembers[m.Name] || o.relays.Serves(m.Name) {
+	if len(o.members) <= maxAllFastMembers || o.fastMembers[m.Name()] || o.relays.Serves(m.Name()) {
 		return poolrpc.HeartbeatInterval
 	}
 	if len(o.fastMembers) < fastMemberCount && m.Status().Strength >= sufficientStrength && !m.Status().Stopping {
-		o.fastMembers[m.Name] = true
+		o.fastMembers[m.Name()] = true
 		return poolrpc.HeartbeatInterval
 	}
 	return poolrpc.SlowHeartbeatInterval
@@ -85,7 +85,7 @@
 func (o *Owner) memberStatus(s *poolrpc.Session) *poolpb.OwnerStatus {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	m, joined := o.members[s.Name]
+	m, joined := o.members[s.Name()]
 	if !joined || m.Session != s {
 		return o.ownerStatus(poolrpc.HeartbeatInterval)
 	}
--- a/pkg/poolowner/members_test.go
+++ b/pkg/poolowner/members_test.go
@@ -33,7 +33,7 @@
 
 func join(o *Owner, name string, status *poolpb.MemberStatus, now clock.Time) *poolrpc.Session {
 	s := poolrpc.NewSession(now)
-	s.Name = name
+	s.SetName(name)
 	status.Name = name
 	s.SetStatus(status, now)
 	o.memberJoined(s)
--- a/pkg/poolowner/relays.go
+++ b/pkg/poolowner/relays.go
@@ -33,7 +33,7 @@
 // handleResults passes on the workers' answers to orders that a member made the calls for.
 func (o *Owner) handleResults(s *poolrpc.Session, r *poolpb.Results) {
 	o.mu.Lock()
-	m := o.members[s.Name]
+	m := o.members[s.Name()]
 	o.mu.Unlock()
 	if m != nil && m.Session == s {
 		m.workerCalls.HandleResults(r)
@@ -77,8 +77,8 @@
 	o := s.owner
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.relays.RecordResult(s.id, m.Name, result, o.deps.Clock.Now()) {
-		o.deps.Log.WithField("member", m.Name).Warn("relay_suspected")
+	if o.relays.RecordResult(s.id, m.Name(), result, o.deps.Clock.Now()) {
+		o.deps.Log.WithField("member", m.Name()).Warn("relay_suspected")
 	}
 }
 
--- a/pkg/poolrpc/owner.go
+++ b/pkg/poolrpc/owner.go
@@ -36,7 +36,7 @@
 
 // Session is the owner's side of a member's stream.
 type Session struct {
-	Name        string
+	name        atomic.Pointer[string] // nil before the first status
 	status      atomic.Pointer[poolpb.MemberStatus]
 	outbox      chan *poolpb.OwnerMessage
 	lastHeardAt atomic.Int64
@@ -50,6 +50,19 @@
 	return s
 }
 
+// Name returns the name of the member, which its first status has told; empty before that.
+func (s *Session) Name() string {
+	if name := s.name.Load(); name != nil {
+		return *name
+	}
+	return ""
+}
+
+// SetName records the name of the member.
+func (s *Session) SetName(name string) {
+	s.name.Store(&name)
+}
+
 // SetStatus records a status that the member has sent.
 func (s *Session) SetStatus(status *poolpb.MemberStatus, now clock.Time) {
 	s.status.Store(status)
@@ -119,7 +132,7 @@
 	})
 	group.Go(func() { s.runHeartbeats(ctx, cancel, session, h) })
 	defer func() {
-		if session.Name != "" {
+		if session.Name() != "" {
 			h.Left(session)
 		}
 	}()
@@ -130,7 +143,7 @@
 		}
 		now := s.clk.Now()
 		session.lastHeardAt.Store(int64(now))
-		if session.Name == "" {
+		if session.Name() == "" {
 			clientlimit.Establish(ctx)
 		}
 		session.handle(msg, now, h)
@@ -162,8 +175,8 @@
 	switch c := msg.Content.(type) {
 	case *poolpb.MemberMessage_Status:
 		s.SetStatus(c.Status, now)
-		if s.Name == "" {
-			s.Name = c.Status.Name
+		if s.Name() == "" {
+			s.SetName(c.Status.Name)
 			h.Joined(s)
 		}
 	case *poolpb.MemberMessage_Accepted:
