Unfinished messages of other hosts share a budget of memory

Nothing authenticates hosts to each other.

Beyond 32 KiB, an unfinished message is charged to a budget of an eighth of the memory, in steps of the size of the usual large message and twice its size, since the buffer doubles. While the budget is used up, reading waits, so that large messages of honest hosts are slowed and not cut; after 5 s the connection is closed (frames_refused).

--- a/pkg/clientlimit/clientlimit_test.go
+++ b/pkg/clientlimit/clientlimit_test.go
@@ -263,6 +263,44 @@
 	g.Expect(len(limits.conns)).To(Equal(minConnections))
 }
 
+// Guards against memory used up by unfinished messages of other hosts, and against cutting off whole ones.
+func TestLargeMessagesShareABudget(t *testing.T) {
+	g := NewWithT(t)
+	log, _ := logtest.NewNullLogger()
+	limits := New(Resources{MemoryBytes: testMemory, Descriptors: 0}, DefaultOptions(), metrics.NewRegistry(), logrus.NewEntry(log)).Listener("peers", Peers)
+	const large = 700 << 10
+	establish := func() (client net.Conn, received func(), rest <-chan error) {
+		client, server := net.Pipe()
+		c := newConn(server, limits)
+		g.Expect(limits.admit(c)).To(BeTrue())
+		received = func() { Received(drpcctx.WithTransport(context.Background(), c)) }
+		c.establish()
+		received()
+		done := make(chan error, 1)
+		go func() {
+			_, err := io.ReadFull(c, make([]byte, large))
+			done <- err
+		}()
+		return client, received, done
+	}
+	first, received, read := establish()
+	_, err := first.Write(make([]byte, large-1))
+	g.Expect(err).NotTo(HaveOccurred())
+	second, _, secondRead := establish()
+	go func() { _, _ = second.Write(make([]byte, large)) }()
+	g.Consistently(secondRead, "100ms").ShouldNot(Receive(), "the second message waits for the first one")
+	_, err = first.Write([]byte{0})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(read, "10s").Should(Receive(BeNil()))
+	received()
+	g.Eventually(secondRead, "10s").Should(Receive(BeNil()))
+	_, _, late := establish()
+	third, _, unfinished := establish()
+	go func() { _, _ = third.Write(make([]byte, large-1)) }()
+	g.Eventually(unfinished, "20s").Should(Receive(MatchError(errFrameTooLarge)))
+	g.Consistently(late, "100ms").ShouldNot(Receive(), "a connection without a message is kept")
+}
+
 // Guards against limits that ordinary clients meet.
 func TestOptionsAreChecked(t *testing.T) {
 	g := NewWithT(t)
--- a/pkg/clientlimit/conn.go
+++ b/pkg/clientlimit/conn.go
@@ -35,6 +35,11 @@
 	lines     headLines // of what was read in that phase
 	// writingSince is when the write that is in progress began; zero if there is none.
 	writingSince time.Time
+	// unreceived counts what was read on an established connection and belongs to no message that was received.
+	unreceived int
+	held       int64 // of the budget for frames
+	// countsMessages is true once Received was called: only then is it known where messages end.
+	countsMessages bool
 	// established is closed once a connection of another protocol than HTTP has made its first call.
 	established chan struct{}
 	done        chan struct{} // closed when the connection is closed
@@ -74,13 +79,13 @@
 func (c *Conn) readPeer(p []byte) (int, error) {
 	select {
 	case <-c.established:
-		return c.Conn.Read(p)
+		return c.readEstablished(p)
 	default:
 	}
 	if c.headBytes >= firstBytes { // only the connection's reader uses headBytes here
 		select {
 		case <-c.established:
-			return c.Conn.Read(p)
+			return c.readEstablished(p)
 		case <-c.done:
 			return 0, net.ErrClosed
 		case <-time.After(time.Until(c.opened.Add(firstTime))):
@@ -120,6 +125,7 @@
 	c.closed.Do(func() {
 		close(c.done)
 		c.limits.remove(c)
+		c.releaseFrame()
 		if c.limits.kind != Peers && c.headTooLarge() {
 			c.limits.heads.exceeded()
 		}
--- a/pkg/clientlimit/doc.go
+++ b/pkg/clientlimit/doc.go
@@ -33,4 +33,6 @@
 // one:
 //
 //	l := limiter.Listener("peers", clientlimit.Peers).Wrap(inner)
+//
+// If Received is called after each message, unfinished large messages share a budget of their own.
 package clientlimit
--- a/pkg/clientlimit/limiter.go
+++ b/pkg/clientlimit/limiter.go
@@ -31,11 +31,16 @@
 	registry   metrics.Registry
 	log        *logrus.Entry
 	bodyBudget *semaphore.Weighted // bytes
+	// frameBudget is in bytes. It is not that for bodies, so that clients can't use up what other hosts need.
+	frameBudget *semaphore.Weighted
 }
 
 // New returns a Limiter whose metrics are registered in r.
 func New(resources Resources, o Options, r metrics.Registry, log *logrus.Entry) *Limiter {
-	return &Limiter{resources: resources, options: o, registry: r, log: log, bodyBudget: semaphore.NewWeighted(resources.bodyBytes())}
+	return &Limiter{
+		resources: resources, options: o, registry: r, log: log,
+		bodyBudget: semaphore.NewWeighted(resources.bodyBytes()), frameBudget: semaphore.NewWeighted(resources.frameBytes()),
+	}
 }
 
 // UnreadBytes returns how many bytes may have arrived on callers' connections and not be read.
--- a/pkg/clientlimit/limits.go
+++ b/pkg/clientlimit/limits.go
@@ -15,6 +15,7 @@
 	// Shares of the memory of the process.
 	callerMemoryShare = 0.25
 	bodyMemoryShare   = 0.125
+	frameMemoryShare  = 0.125
 	// connectionBytes is the memory that a caller's connection may take without being charged: its goroutine and
 	// buffers, what has arrived and is not read, a head and a small body.
 	connectionBytes = 80 << 10
@@ -33,6 +34,14 @@
 	elementBytes = 24
 	// maxHeadLines is how many lines a head may have.
 	maxHeadLines = 256
+	// freeFrameBytes is the size up to which a message of a peer needs nothing from the budget.
+	freeFrameBytes = 32 << 10
+	// frameStepBytes is the size of the usual large message, with what surrounds it.
+	frameStepBytes = 5 << 18
+	// frameFactor is how much memory a byte of an unfinished message takes, since its buffer doubles as it grows.
+	frameFactor = 2
+	// frameTime bounds the time until a large message of a peer is complete.
+	frameTime = 5 * time.Second
 	// headTime bounds the time until a head is complete.
 	headTime = 10 * time.Second
 	// writeTime bounds a write of an answer, and writeStall is after how long the client counts as not reading.
@@ -121,3 +130,8 @@
 func (r Resources) bodyBytes() int64 {
 	return max(int64(bodyMemoryShare*float64(r.MemoryBytes)), freeBodyBytes)
 }
+
+// frameBytes returns the budget for unfinished messages of peers.
+func (r Resources) frameBytes() int64 {
+	return max(int64(frameMemoryShare*float64(r.MemoryBytes)), freeFrameBytes)
+}
--- a/pkg/clientlimit/listener.go
+++ b/pkg/clientlimit/listener.go
@@ -25,6 +25,7 @@
 	bodies   *limit // bodies that were refused
 	late     *limit // bodies that took too long
 	unread   *limit // answers that were not read
+	frames   *limit // connections that were closed for unfinished messages
 	open     metrics.Gauge
 
 	mu    sync.Mutex
@@ -39,8 +40,8 @@
 		replaced: l.newLimit(name, "connections_replaced", n), rejected: l.newLimit(name, "connections_rejected", n),
 		heads:  l.newLimit(name, "heads_too_large", l.options.HeadKB<<10),
 		bodies: l.newLimit(name, "bodies_refused", l.resources.bodyBytes()), late: l.newLimit(name, "bodies_late", l.options.BodyTime),
-		unread: l.newLimit(name, "answers_unread", writeTime),
-		open:   metrics.GetOrRegisterGauge("clients."+name+".connections", l.registry),
+		unread: l.newLimit(name, "answers_unread", writeTime), frames: l.newLimit(name, "frames_refused", l.resources.frameBytes()),
+		open: metrics.GetOrRegisterGauge("clients."+name+".connections", l.registry),
 	}
 }
 
--- a/pkg/poolrpc/owner.go
+++ b/pkg/poolrpc/owner.go
@@ -146,6 +146,7 @@
 		if session.Name() == "" {
 			clientlimit.Establish(ctx)
 		}
+		clientlimit.Received(ctx)
 		session.handle(msg, now, h)
 	}
 }
