--- a/test/crowds/crowd_test.go
+++ b/test/crowds/crowd_test.go
@@ -110,8 +110,8 @@
 	c.close()
 	after, readyAfter := h.submitJob(maxTries), h.checkReady(maxTries)
 	m.finish()
-	h.t.Logf("%d of %d clients connected, %d were open when they had sent; peak: %d MB resident and unread (unread: %d MB), %d descriptors; tries until served: beside the crowd %d (ready %d), after it %d (ready %d), 0 is never",
-		dialled, size, open, m.memoryBytes>>20, m.unreadBytes>>20, m.descriptors, beside, readyBeside, after, readyAfter)
+	h.t.Logf("%d of %d clients connected, %d were open when they had sent; peak: %d MB resident, unread and unsent (unread: %d MB, unsent: %d MB), %d descriptors; tries until served: beside the crowd %d (ready %d), after it %d (ready %d), 0 is never",
+		dialled, size, open, m.memoryBytes>>20, m.unreadBytes>>20, m.unsentBytes>>20, m.descriptors, beside, readyBeside, after, readyAfter)
 	h.Expect(h.isAlive()).To(BeTrue(), "the process lives")
 	m.expectWithinLimits()
 	h.Expect(beside).To(BeNumerically(">", 0), "a job is accepted beside the crowd")
--- a/test/crowds/unread_answers_test.go
+++ b/test/crowds/unread_answers_test.go
@@ -88,6 +88,15 @@
 	h.withstandCrowd(func() *crowd { return startUnreadingCrowd(crowdSize, h.callers, send) }, crowdSize)
 }
 
+// Guards against memory of the machine used up by answers that are not read.
+func TestCrowdOfCallersThatReadNoAnswersOnAFastLink(t *testing.T) {
+	h := newHost(t)
+	d := &net.Dialer{Timeout: answerTimeout}
+	h.withstandCrowd(func() *crowd {
+		return startCrowdWith(d, crowdSize, h.callers, requestsWithoutEnd(http.MethodGet, longName))
+	}, crowdSize)
+}
+
 // Guards against a health check that is kept out by clients that do not read their answers.
 func TestCrowdAtTheHealthCheckThatReadsNoAnswers(t *testing.T) {
 	h := newHost(t)
--- a/test/crowds/usage_test.go
+++ b/test/crowds/usage_test.go
@@ -26,6 +26,7 @@
 type usage struct {
 	residentBytes int64
 	unreadBytes   int64 // arrived on its connections and not read by the process
+	unsentBytes   int64 // written by the process and not acknowledged by its clients
 	descriptors   int
 }
 
@@ -36,8 +37,9 @@
 	done sync.WaitGroup
 
 	mu          sync.Mutex
-	memoryBytes int64 // resident and unread at one time
+	memoryBytes int64 // resident, unread and unsent at one time
 	unreadBytes int64
+	unsentBytes int64
 	descriptors int
 }
 
@@ -66,8 +68,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.memoryBytes = max(m.memoryBytes, u.residentBytes+u.unreadBytes)
+	m.memoryBytes = max(m.memoryBytes, u.residentBytes+u.unreadBytes+u.unsentBytes)
 	m.unreadBytes = max(m.unreadBytes, u.unreadBytes)
+	m.unsentBytes = max(m.unsentBytes, u.unsentBytes)
 	m.descriptors = max(m.descriptors, u.descriptors)
 }
 
@@ -91,8 +94,8 @@
 	if err != nil {
 		return usage{}, err
 	}
-	unread, err := h.unread(h.socketInodes())
-	return usage{residentBytes: resident, unreadBytes: unread, descriptors: len(files)}, err
+	unread, unsent, err := h.queued(h.socketInodes())
+	return usage{residentBytes: resident, unreadBytes: unread, unsentBytes: unsent, descriptors: len(files)}, err
 }
 
 func (h *host) proc(file string) string {
@@ -127,14 +130,13 @@
 	return out
 }
 
-// unread returns how many bytes have arrived and are not read, on the sockets with the given inodes and on
-// connections to the host that its process has not accepted.
-func (h *host) unread(inodes map[string]bool) (int64, error) {
+// queued returns how many bytes have arrived and are not read, and how many are sent and not acknowledged, on the
+// sockets with the given inodes and on connections to the host that its process has not accepted.
+func (h *host) queued(inodes map[string]bool) (unread, unsent int64, err error) {
 	text, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
-	var total int64
 	lines := bufio.NewScanner(bytes.NewReader(text))
 	lines.Scan() // the headings
 	for lines.Scan() {
@@ -142,14 +144,19 @@
 		if len(f) < 10 || f[3] == tcpListen || !inodes[f[9]] && kernelAddress(f[1]) != h.ip() {
 			continue
 		}
-		_, queued, _ := strings.Cut(f[4], ":")
-		n, err := strconv.ParseInt(queued, 16, 64)
+		sending, received, _ := strings.Cut(f[4], ":")
+		tx, err := strconv.ParseInt(sending, 16, 64)
+		if err != nil {
+			return 0, 0, err
+		}
+		rx, err := strconv.ParseInt(received, 16, 64)
 		if err != nil {
-			return 0, err
+			return 0, 0, err
 		}
-		total += n
+		unsent += tx
+		unread += rx
 	}
-	return total, lines.Err()
+	return unread, unsent, lines.Err()
 }
 
 // kernelAddress returns the IP address in a field of /proc/net/tcp: "0100007F:1F90" gives 127.0.0.1. On an error
@@ -167,6 +174,6 @@
 
 // expectWithinLimits checks the peak usage against the limits in the host's settings.
 func (m *usageMeter) expectWithinLimits() {
-	m.host.Expect(m.memoryBytes).To(BeNumerically("<=", int64(memoryMB)<<20), "resident and unread bytes")
+	m.host.Expect(m.memoryBytes).To(BeNumerically("<=", int64(memoryMB)<<20), "resident, unread and unsent bytes")
 	m.host.Expect(m.descriptors).To(BeNumerically("<=", maxDescriptors-reservedDescriptors), "open descriptors")
 }
