Requests with a body that their handler does not read count as processed

A DELETE that carries a body, such as {}, stayed in the phase of reading it, since its handler does not read one: at the limit of connections it could be closed for a new one while it was being carried out. Bodies of requests that need none are read before the handler runs; one that does not arrive in time gets 408, and nothing of the request has been done. The test failed before.

--- a/pkg/clientlimit/clientlimit_test.go
+++ b/pkg/clientlimit/clientlimit_test.go
@@ -55,6 +55,11 @@
 const maxTestDescriptors = 1000
 
 func (s *testServer) serve(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodDelete {
+		s.waiting.Add(1)
+		<-s.mayEnd
+		return
+	}
 	n, err := io.Copy(io.Discard, io.TeeReader(r.Body, byteCounter{&s.read}))
 	if errors.Is(err, ErrBusy) {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -149,6 +154,22 @@
 	s.Expect(s.status(working)).To(Equal(http.StatusOK))
 }
 
+// Guards against requests that are cut while they are processed, since their handler does not read a body.
+func TestRequestWithABodyThatIsNotReadIsKept(t *testing.T) {
+	o := DefaultOptions()
+	o.Connections = testConnections
+	s := newTestServer(t, o)
+	c := s.send("DELETE / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}")
+	s.Eventually(s.waiting.Load, "10s").Should(BeEquivalentTo(1))
+	for range testConnections - 1 {
+		s.send(post("/wait", 0))
+	}
+	s.Eventually(s.waiting.Load, "10s").Should(BeEquivalentTo(testConnections))
+	s.Expect(s.status(s.send(post("/", 0)))).To(BeZero(), "all requests are being processed")
+	close(s.mayEnd)
+	s.Expect(s.status(c)).To(Equal(http.StatusOK))
+}
+
 // Guards against bodies that together take more memory than they may, and against refusing one body alone.
 func TestLargeBodiesShareABudget(t *testing.T) {
 	s := newTestServer(t, DefaultOptions())
--- a/pkg/clientlimit/server.go
+++ b/pkg/clientlimit/server.go
@@ -52,10 +52,19 @@
 		defer b.release()
 		b.setDeadline(time.Now().Add(l.limiter.options.BodyTime))
 		r.Body = b
+		if !hasBody(r.Method) && b.skip() != nil {
+			w.WriteHeader(http.StatusRequestTimeout)
+			return
+		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// hasBody reports whether the requests of a method have bodies that handlers read.
+func hasBody(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
+
 // body is the body of a request whose memory is charged to the budget as it is read.
 type body struct {
 	io.ReadCloser
@@ -107,6 +116,15 @@
 	return true
 }
 
+// skip reads a body that the handler does not read, so that the request is known to be whole. It leaves the rest of a
+// large one to net/http, which closes the connection after the answer. Errors: those of limits (IsUnread).
+func (b *body) skip() error {
+	if _, err := io.CopyN(io.Discard, b, freeBodyBytes); IsUnread(err) {
+		return err
+	}
+	return nil
+}
+
 // release returns what the body holds of the budget.
 func (b *body) release() {
 	if b.held > 0 {
