Crowds of the tests can be let loose on hosts other than those of the platform

The scripts made heads of the platform's requests only, and the fixture knew its requests by name. A script is now a method of the line that its requests begin with, and a host says how an ordinary request and its health check are made.

--- a/test/crowds/callers_test.go
+++ b/test/crowds/callers_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"bytes"
-	"cmp"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 
@@ -22,15 +22,26 @@
 	chunksAtOnce      = 4 << 10
 )
 
-// head returns the head of a request to submit a new job, with the given further lines.
-func head(lines ...string) []byte {
-	return requestHead("POST", newJobPath(), lines...)
+// requestLine is what the requests of a crowd begin with.
+type requestLine struct {
+	method string
+	path   func() string
+	lines  []string // further ones of the head
 }
 
-func requestHead(method, path string, lines ...string) []byte {
-	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n", method, path, emulator.QueueHost)
-	for _, l := range lines {
-		text += l + "\r\n"
+// newJobs are requests to submit a new job each.
+var newJobs = requestLine{"POST", newJobPath, []string{"Host: " + emulator.QueueHost, "Content-Type: application/json"}}
+
+// requestsTo returns requests to a path of a host of the platform.
+func requestsTo(method, path string) requestLine {
+	return requestLine{method, func() string { return path }, newJobs.lines}
+}
+
+// head returns the head of a request with the given further lines.
+func (l requestLine) head(lines ...string) []byte {
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\n", l.method, l.path())
+	for _, further := range slices.Concat(l.lines, lines) {
+		text += further + "\r\n"
 	}
 	return []byte(text + "\r\n")
 }
@@ -53,8 +64,8 @@
 }
 
 // sendOversizedHead sends a head that is longer than any server takes.
-func sendOversizedHead(c net.Conn, _ int) {
-	text := head("X-Pad: " + strings.Repeat("a", oversizedHead))
+func (l requestLine) sendOversizedHead(c net.Conn, _ int) {
+	text := l.head("X-Pad: " + strings.Repeat("a", oversizedHead))
 	for len(text) > 0 {
 		n := min(headPieceBytes, len(text))
 		if _, err := c.Write(text[:n]); err != nil {
@@ -65,8 +76,8 @@
 }
 
 // sendEndlessHead sends lines of a head until its connection is closed.
-func sendEndlessHead(c net.Conn, _ int) {
-	text := head()
+func (l requestLine) sendEndlessHead(c net.Conn, _ int) {
+	text := l.head()
 	if !sendPieces(c, text[:len(text)-len("\r\n")], len(text)) {
 		return
 	}
@@ -85,25 +96,22 @@
 func sendNothing(net.Conn, int) {}
 
 // wholeBody returns a script that sends a request with the body at once.
-func wholeBody(body []byte) script {
+func (l requestLine) wholeBody(body []byte) script {
 	return func(c net.Conn, _ int) {
-		_, _ = c.Write(append(head(contentLength(len(body))), body...))
+		_, _ = c.Write(append(l.head(contentLength(len(body))), body...))
 	}
 }
 
-// unfinishedBody returns a script that sends a request in pieces and stops short of the end of its body, except for
-// some clients. An empty path is that of a new job.
-func unfinishedBody(method, path string) script {
-	return func(c net.Conn, client int) {
-		body := unusableBody(largeBodyBytes)
-		if !sendPieces(c, requestHead(method, cmp.Or(path, newJobPath()), contentLength(len(body))), headPieceBytes) {
-			return
-		}
-		if !isFinisher(client) {
-			body = body[:len(body)-missingBytes]
-		}
-		sendPieces(c, body, bodyPieceBytes)
+// sendUnfinishedBody sends a request in pieces and stops short of the end of its body, except for some clients.
+func (l requestLine) sendUnfinishedBody(c net.Conn, client int) {
+	body := unusableBody(largeBodyBytes)
+	if !sendPieces(c, l.head(contentLength(len(body))), headPieceBytes) {
+		return
+	}
+	if !isFinisher(client) {
+		body = body[:len(body)-missingBytes]
 	}
+	sendPieces(c, body, bodyPieceBytes)
 }
 
 // isFinisher reports whether a client of a crowd that stops short of the end sends its request whole.
@@ -113,9 +121,9 @@
 }
 
 // sendLargeChunk sends a chunked body of one chunk and stops short of the end of the chunk.
-func sendLargeChunk(c net.Conn, client int) {
+func (l requestLine) sendLargeChunk(c net.Conn, client int) {
 	body := unusableBody(largeBodyBytes)
-	text := fmt.Appendf(head("Transfer-Encoding: chunked"), "%x\r\n%s", len(body), body)
+	text := fmt.Appendf(l.head("Transfer-Encoding: chunked"), "%x\r\n%s", len(body), body)
 	if isFinisher(client) {
 		text = append(text, "\r\n0\r\n\r\n"...)
 	} else {
@@ -125,7 +133,7 @@
 }
 
 // sendSmallChunks sends a chunked body in chunks of one byte and stops short of the last chunk.
-func sendSmallChunks(c net.Conn, client int) {
+func (l requestLine) sendSmallChunks(c net.Conn, client int) {
 	var chunks []byte
 	for _, b := range unusableBody(smallChunkedBytes) {
 		chunks = append(chunks, '1', '\r', '\n', b, '\r', '\n')
@@ -133,7 +141,7 @@
 	if isFinisher(client) {
 		chunks = append(chunks, "0\r\n\r\n"...)
 	}
-	if sendPieces(c, head("Transfer-Encoding: chunked"), headPieceBytes) {
+	if sendPieces(c, l.head("Transfer-Encoding: chunked"), headPieceBytes) {
 		sendPieces(c, chunks, chunksAtOnce)
 	}
 }
@@ -141,13 +149,13 @@
 // Guards against memory or descriptors used up by heads that are too long.
 func TestCrowdOfOversizedHeads(t *testing.T) {
 	h := newHost(t)
-	h.withstand(crowdSize, h.callers, sendOversizedHead)
+	h.withstand(crowdSize, h.callers, newJobs.sendOversizedHead)
 }
 
 // Guards against memory or descriptors used up by heads without end.
 func TestCrowdOfEndlessHeads(t *testing.T) {
 	h := newHost(t)
-	h.withstand(crowdSize, h.callers, sendEndlessHead)
+	h.withstand(crowdSize, h.callers, newJobs.sendEndlessHead)
 }
 
 // Guards against memory or descriptors used up by empty lines before a request.
@@ -159,31 +167,31 @@
 // Guards against memory used up by many large bodies at once.
 func TestCrowdOfWholeBodies(t *testing.T) {
 	h := newHost(t)
-	h.withstand(crowdSize, h.callers, wholeBody(unusableBody(largeBodyBytes)))
+	h.withstand(crowdSize, h.callers, newJobs.wholeBody(unusableBody(largeBodyBytes)))
 }
 
 // Guards against memory used up by many bodies that are much larger when they are decoded.
 func TestCrowdOfBodiesWithManySteps(t *testing.T) {
 	h := newHost(t)
-	h.withstand(crowdSize, h.callers, wholeBody(bodyOfEmptySteps(largeBodyBytes)))
+	h.withstand(crowdSize, h.callers, newJobs.wholeBody(bodyOfEmptySteps(largeBodyBytes)))
 }
 
 // Guards against memory or descriptors used up by bodies that do not end.
 func TestCrowdOfUnfinishedBodies(t *testing.T) {
 	h := newHost(t)
-	h.withstand(crowdSize, h.callers, unfinishedBody("POST", ""))
+	h.withstand(crowdSize, h.callers, newJobs.sendUnfinishedBody)
 }
 
 // Guards against memory or descriptors used up by large chunks that do not end.
 func TestCrowdOfLargeChunks(t *testing.T) {
 	h := newHost(t)
-	h.withstand(crowdSize, h.callers, sendLargeChunk)
+	h.withstand(crowdSize, h.callers, newJobs.sendLargeChunk)
 }
 
 // Guards against memory or descriptors used up by bodies in small chunks that do not end.
 func TestCrowdOfSmallChunks(t *testing.T) {
 	h := newHost(t)
-	h.withstand(crowdSize, h.callers, sendSmallChunks)
+	h.withstand(crowdSize, h.callers, newJobs.sendSmallChunks)
 }
 
 // Guards against descriptors used up by connections that send nothing.
--- a/test/crowds/crowd_test.go
+++ b/test/crowds/crowd_test.go
@@ -106,17 +106,17 @@
 	c := start()
 	c.awaitSent()
 	dialled, open := c.dialled.Load(), c.open.Load()
-	beside, readyBeside := h.submitJob(maxTries), h.checkReady(maxTries)
+	beside, readyBeside := triesUntil(h.serves), triesUntil(h.isReady)
 	c.close()
-	after, readyAfter := h.submitJob(maxTries), h.checkReady(maxTries)
+	after, readyAfter := triesUntil(h.serves), triesUntil(h.isReady)
 	m.finish()
 	h.t.Logf("%d of %d clients connected, %d were open when they had sent; peak: %d MB resident, unread and unsent (unread: %d MB, unsent: %d MB), %d descriptors; tries until served: beside the crowd %d (ready %d), after it %d (ready %d), 0 is never",
 		dialled, size, open, m.memoryBytes>>20, m.unreadBytes>>20, m.unsentBytes>>20, m.descriptors, beside, readyBeside, after, readyAfter)
 	h.Expect(h.isAlive()).To(BeTrue(), "the process lives")
 	m.expectWithinLimits()
-	h.Expect(beside).To(BeNumerically(">", 0), "a job is accepted beside the crowd")
+	h.Expect(beside).To(BeNumerically(">", 0), "an ordinary request is served beside the crowd")
 	h.Expect(readyBeside).To(BeNumerically(">", 0), "the health check passes beside the crowd")
-	h.Expect(after).To(BeNumerically(">", 0), "a job is accepted after the crowd")
+	h.Expect(after).To(BeNumerically(">", 0), "an ordinary request is served after the crowd")
 	h.Expect(readyAfter).To(BeNumerically(">", 0), "the health check passes after the crowd")
 }
 
--- a/test/crowds/host_test.go
+++ b/test/crowds/host_test.go
@@ -47,12 +47,13 @@
 	os.Exit(code)
 }
 
-// host is one entry host on an emulated platform.
+// host is one entry host, on an emulated platform or in a small cell of foldarch's own.
 type host struct {
 	*WithT
 	t        *testing.T
-	platform *emulator.Platform
-	callers  string // addresses as HOST:PORT
+	serves   func() bool // whether an ordinary request is served
+	isReady  func() bool // whether the health check passes
+	callers  string      // addresses as HOST:PORT
 	ready    string
 	operator string
 	peers    string
@@ -64,11 +65,11 @@
 // newHost starts an emulated platform and one host with the limits, and waits until the host accepts jobs.
 func newHost(t *testing.T) *host {
 	h := &host{WithT: NewWithT(t), t: t, log: &bytes.Buffer{}, exited: make(chan struct{})}
+	h.serves, h.isReady = h.submitJob, h.checkReady
 	p, err := emulator.Start(emulator.Options{Workers: 4})
 	h.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(p.Close)
 	p.PutConfig(1)
-	h.platform = p
 	at, err := p.WriteSettings(t.TempDir(), "host-0", p.StoreAddress())
 	h.Expect(err).NotTo(HaveOccurred())
 	h.setLimits(at.Settings)
@@ -76,7 +77,7 @@
 	h.Expect(err).NotTo(HaveOccurred())
 	h.callers, h.ready, h.operator, h.peers = at.Frontend, at.Readiness, at.Operator, cfg.PeerAddress.String()
 	h.start(at.Settings)
-	h.Eventually(func() int { return h.submitJob(1) }, "20s", "50ms").Should(Equal(1), "the host accepts jobs")
+	h.Eventually(h.serves, "20s", "50ms").Should(BeTrue(), "the host accepts jobs")
 	return h
 }
 
@@ -90,15 +91,20 @@
 	h.Expect(os.WriteFile(path, []byte(strings.Replace(string(text), emulated, limits, 1)), 0o600)).To(Succeed())
 }
 
-// start starts the process, and kills it at the end of the test.
+// start starts the process on the platform.
 func (h *host) start(settings string) {
 	cmd := exec.Command(entryBinary, "platform", "--metrics", strconv.Itoa(emulator.OperatorPort))
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+settings)
+	h.run(cmd)
+	limit := unix.Rlimit{Cur: maxDescriptors, Max: maxDescriptors}
+	h.Expect(unix.Prlimit(h.pid, unix.RLIMIT_NOFILE, &limit, nil)).To(Succeed())
+}
+
+// run starts the process, and kills it at the end of the test.
+func (h *host) run(cmd *exec.Cmd) {
 	cmd.Stdout, cmd.Stderr = h.log, h.log
 	h.Expect(cmd.Start()).To(Succeed())
 	h.pid = cmd.Process.Pid
-	limit := unix.Rlimit{Cur: maxDescriptors, Max: maxDescriptors}
-	h.Expect(unix.Prlimit(h.pid, unix.RLIMIT_NOFILE, &limit, nil)).To(Succeed())
 	go func() {
 		_ = cmd.Wait()
 		close(h.exited)
--- a/test/crowds/listeners_test.go
+++ b/test/crowds/listeners_test.go
@@ -48,13 +48,13 @@
 // Guards against memory or descriptors used up by heads without end at the health check.
 func TestCrowdOfEndlessHeadsAtTheHealthCheck(t *testing.T) {
 	h := newHost(t)
-	h.withstand(crowdSize, h.ready, sendEndlessHead)
+	h.withstand(crowdSize, h.ready, newJobs.sendEndlessHead)
 }
 
 // Guards against descriptors used up by bodies without an end at the health check.
 func TestCrowdOfUnfinishedBodiesAtTheHealthCheck(t *testing.T) {
 	h := newHost(t)
-	h.withstand(crowdSize, h.ready, unfinishedBody("POST", readinessPath))
+	h.withstand(crowdSize, h.ready, requestsTo("POST", readinessPath).sendUnfinishedBody)
 }
 
 // Guards against descriptors used up by connections to the operators' address that send nothing.
@@ -66,13 +66,13 @@
 // Guards against memory or descriptors used up by heads without end at the operators' address.
 func TestCrowdOfEndlessHeadsOfOperators(t *testing.T) {
 	h := newHost(t)
-	h.withstand(crowdSize, h.operator, sendEndlessHead)
+	h.withstand(crowdSize, h.operator, newJobs.sendEndlessHead)
 }
 
 // Guards against memory or descriptors used up by bodies without an end at the operators' address.
 func TestCrowdOfUnfinishedBodiesOfOperators(t *testing.T) {
 	h := newHost(t)
-	h.withstand(crowdSize, h.operator, unfinishedBody("PUT", operatorPath))
+	h.withstand(crowdSize, h.operator, requestsTo("PUT", operatorPath).sendUnfinishedBody)
 }
 
 // Guards against descriptors used up by connections to the address for other hosts that send nothing.
--- a/test/crowds/requests_test.go
+++ b/test/crowds/requests_test.go
@@ -30,21 +30,22 @@
 	return fmt.Sprintf("%s%016x", emulator.PathPrefix, rand.Uint64())
 }
 
-// submitJob submits an ordinary job and returns at which try it was accepted; 0 if never.
-func (h *host) submitJob(tries int) int {
-	path := newJobPath()
-	for n := range tries {
-		if status, _ := call(http.MethodPost, h.callers, path, bytes.NewReader(ordinaryBody())); status == http.StatusOK {
-			return n + 1
-		}
-	}
-	return 0
+// submitJob submits an ordinary job to a host of the platform and reports whether it was accepted.
+func (h *host) submitJob() bool {
+	status, _ := call(http.MethodPost, h.callers, newJobPath(), bytes.NewReader(ordinaryBody()))
+	return status == http.StatusOK
 }
 
-// checkReady makes the platform's health check and returns at which try it passed; 0 if never.
-func (h *host) checkReady(tries int) int {
-	for n := range tries {
-		if status, _ := call(http.MethodGet, h.ready, "/readyz", nil); status == http.StatusOK {
+// checkReady makes the platform's health check and reports whether it passed.
+func (h *host) checkReady() bool {
+	status, _ := call(http.MethodGet, h.ready, readinessPath, nil)
+	return status == http.StatusOK
+}
+
+// triesUntil returns at which try a request succeeded; 0 if at none of maxTries.
+func triesUntil(succeeds func() bool) int {
+	for n := range maxTries {
+		if succeeds() {
 			return n + 1
 		}
 	}
@@ -66,6 +67,11 @@
 	}
 	r.Host = emulator.QueueHost
 	r.Header.Set("Content-Type", "application/json")
+	return send(client, r)
+}
+
+// send sends a request and reads its whole answer. Status 0 means that there is none.
+func send(client *http.Client, r *http.Request) (status int, answer string) {
 	res, err := client.Do(r)
 	if err != nil {
 		return 0, err.Error()
