A crowd of peers whose calls begin and do not end, known red

Each client sends the whole invocation of a call and then 3 MiB of a message that does not end, so that a limit which ends with the invocation does not hold it.

--- a/test/crowds/cell_test.go
+++ b/test/crowds/cell_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"fmt"
 	"net"
 	"net/http"
@@ -218,12 +219,34 @@
 	h.withstand(crowdSize, h.peers, sendUnfinishedFrame)
 }
 
+// Guards against memory used up by messages between hosts that do not end.
+func TestCrowdOfUnfinishedPeerMessagesAtACell(t *testing.T) {
+	h := newCellHost(t)
+	h.withstand(crowdSize, h.peers, sendUnfinishedMessage)
+}
+
 // Guards against memory or descriptors used up by bytes without end at the peer address.
 func TestCrowdOfEndlessPeerBytesAtACell(t *testing.T) {
 	h := newCellHost(t)
 	h.withstand(crowdSize, h.peers, sendEndlessBytes)
 }
 
+// sendUnfinishedMessage sends the whole invocation of a call, and its message in pieces without the end.
+func sendUnfinishedMessage(c net.Conn, _ int) {
+	const frameWholeInvoke, frameMessage, stream, method = 0x03, 0x04, 1, "/foldarch.peer.Peer/Forward"
+	text := append([]byte{frameWholeInvoke, stream, 1, byte(len(method))}, method...)
+	text = binary.AppendUvarint(append(text, frameMessage, stream, 2), peerFrameBytes)
+	if !sendPieces(c, text, len(text)) {
+		return
+	}
+	piece := bytes.Repeat([]byte("a"), framePiece)
+	for n := 0; n+framePiece < peerFrameBytes; n += framePiece {
+		if !sendPieces(c, piece, framePiece) {
+			return
+		}
+	}
+}
+
 // staySilent sends nothing for as long as a crowd may send, so that the process has accepted the connections.
 func staySilent(net.Conn, int) {
 	time.Sleep(sendTime)
