Limits for clients of foldarch's own cell: connections, heads and bodies

The callers' address of foldarch-entry serve, which serves operators and the health check as well, took any number of connections, heads of up to 1 MiB, and bodies of any number and for any time, each read whole. It uses package clientlimit now, as the hosts on the platform do. The limits follow from memory_mb and from max_descriptors (at most what the system allows the process); new keys set them directly. A body that a limit leaves unread is refused as overloaded (429, has not run) with Retry-After.

memory_mb was the soft limit of Go's runtime, 24 by default, which nothing kept and which would leave 76 connections.

--- a/pkg/clientlimit/clientlimit_test.go
+++ b/pkg/clientlimit/clientlimit_test.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	testConnections = minConnections
+	testConnections = MinConnections
 	testMemory      = 8 << 20 // gives a budget of 1 MiB for bodies
 )
 
@@ -275,13 +275,13 @@
 	g.Consistently(rest, "100ms").ShouldNot(Receive(), "nothing more is read before the first call")
 	Establish(drpcctx.WithTransport(context.Background(), c))
 	g.Eventually(rest, "10s").Should(Receive(BeNil()))
-	for range minConnections {
+	for range MinConnections {
 		_, other := net.Pipe()
 		g.Expect(limits.admit(newConn(other, limits))).To(BeTrue())
 	}
 	_, kept := limits.conns[c]
 	g.Expect(kept).To(BeTrue())
-	g.Expect(len(limits.conns)).To(Equal(minConnections))
+	g.Expect(len(limits.conns)).To(Equal(MinConnections))
 }
 
 // Guards against memory used up by unfinished messages of other hosts, and against cutting off whole ones.
--- a/pkg/clientlimit/limits.go
+++ b/pkg/clientlimit/limits.go
@@ -21,8 +21,6 @@
 	connectionBytes = 80 << 10
 	// minorConnections is the limit for each of the listeners that only the platform or operators need.
 	minorConnections = 32
-	// minConnections is the lowest limit of a listener, for hosts whose settings leave less.
-	minConnections = 16
 	// receiveBufferBytes is the receive buffer of a connection. The kernel doubles it for its own needs.
 	receiveBufferBytes = 16 << 10
 	// sendBufferBytes is the send buffer of a connection, which the kernel doubles as well. Answers to callers are
@@ -77,24 +75,25 @@
 	return Options{HeadKB: 16, BodyTime: 5 * time.Second, IdleTime: 2 * time.Minute}
 }
 
-// Lowest values that no client inside the platform's limits meets.
+// Lowest values of the Options, which no client inside the platform's limits meets.
 const (
-	minHeadKB   = 4
-	minBodyTime = 2 * time.Second
-	minIdleTime = 30 * time.Second
+	MinConnections = 16 // also of each listener, for hosts whose settings leave less
+	MinHeadKB      = 4
+	MinBodyTime    = 2 * time.Second
+	MinIdleTime    = 30 * time.Second
 )
 
 // Validate returns an error that names the first option that is out of range.
 func (o Options) Validate() error {
 	switch {
-	case o.Connections != 0 && o.Connections < minConnections:
-		return errors.Newf("connections: want 0 or at least %d, not %d", minConnections, o.Connections)
-	case o.HeadKB < minHeadKB:
-		return errors.Newf("head size: want at least %d KiB, not %d", minHeadKB, o.HeadKB)
-	case o.BodyTime < minBodyTime:
-		return errors.Newf("body time: want at least %s, not %s", minBodyTime, o.BodyTime)
-	case o.IdleTime < minIdleTime:
-		return errors.Newf("idle time: want at least %s, not %s", minIdleTime, o.IdleTime)
+	case o.Connections != 0 && o.Connections < MinConnections:
+		return errors.Newf("connections: want 0 or at least %d, not %d", MinConnections, o.Connections)
+	case o.HeadKB < MinHeadKB:
+		return errors.Newf("head size: want at least %d KiB, not %d", MinHeadKB, o.HeadKB)
+	case o.BodyTime < MinBodyTime:
+		return errors.Newf("body time: want at least %s, not %s", MinBodyTime, o.BodyTime)
+	case o.IdleTime < MinIdleTime:
+		return errors.Newf("idle time: want at least %s, not %s", MinIdleTime, o.IdleTime)
 	}
 	return nil
 }
@@ -121,9 +120,9 @@
 			return o.Connections
 		}
 		byMemory := callerMemoryShare * float64(r.MemoryBytes) / connectionBytes
-		return max(int(min(callerDescriptorShare*descriptors, byMemory)), minConnections)
+		return max(int(min(callerDescriptorShare*descriptors, byMemory)), MinConnections)
 	case Peers:
-		return max(int(peerDescriptorShare*descriptors), minConnections)
+		return max(int(peerDescriptorShare*descriptors), MinConnections)
 	default:
 		return minorConnections
 	}
--- a/pkg/entry/calls.go
+++ b/pkg/entry/calls.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/clientlimit"
 	"foldarch.dev/foldarch/pkg/entry/entryapi"
 	"foldarch.dev/foldarch/pkg/peer"
 	"foldarch.dev/foldarch/pkg/result"
@@ -19,15 +20,11 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-const (
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 2 * time.Minute
-	healthPath    = "/healthz"
-)
+const healthPath = "/healthz"
 
-// httpServer returns the server for callers and operators. It serves the generated API, the
-// health check of the load balancer, and the metrics.
-func (p *Process) httpServer() (*http.Server, error) {
+// httpServer returns the server for callers and operators, within the limits of their listener. It
+// serves the generated API, the health check of the load balancer, and the metrics.
+func (p *Process) httpServer(limits *clientlimit.Listener) (*http.Server, error) {
 	api, err := entryapi.NewServer(&handler{p}, entryapi.WithErrorHandler(result.WriteMalformed))
 	if err != nil {
 		return nil, errors.Wrap(err, "callers' API")
@@ -39,7 +36,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		metrics.WriteJSONOnce(p.registry, w)
 	})
-	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}, nil
+	return limits.Server(mux), nil
 }
 
 // limitBody limits the size of the request bodies that next can read.
@@ -94,6 +91,9 @@
 	if errors.As(err, &tooLarge) {
 		return nil, result.New(result.BodyTooLarge, "the body is over %d bytes", tooLarge.Limit)
 	}
+	if clientlimit.IsUnread(err) {
+		return nil, result.New(result.Overloaded, "the body was not read: %v", err).WithRetryAfter(refusalRetryAfter)
+	}
 	if err != nil {
 		return nil, result.New(result.Malformed, "the body can't be read: %v", err)
 	}
--- a/pkg/entry/process.go
+++ b/pkg/entry/process.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/clientlimit"
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/dialer"
 	"foldarch.dev/foldarch/pkg/endpoint"
@@ -26,6 +27,7 @@
 	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -44,6 +46,9 @@
 	// is certain to hold.
 	handoverTimeout = 600 * time.Millisecond
 	metricsPath     = "/metrics"
+	// runtimeMemoryShare is the share of the memory that is the soft limit of Go's runtime. The rest is for
+	// what the runtime does not count: the program's text, and what arrives on connections and waits to be read.
+	runtimeMemoryShare = 0.5
 
 	// Names of the metrics that count the bytes sent and received: controlBytesMetric those
 	// exchanged with peers, workers and the store, callBytesMetric those with endpoints.
@@ -59,6 +64,7 @@
 	clk      clock.Clock
 	registry metrics.Registry
 
+	clients      *clientlimit.Limiter
 	controlBytes metrics.Counter
 	dialer       *dialer.Dialer
 	store        *store.Store
@@ -99,8 +105,14 @@
 		ID: cfg.ID, Incarnation: uuid.NewString(), Hall: cfg.Hall,
 		Address: cfg.PeerAddress, CallersAddress: cfg.CallersAddress,
 	}
+	resources, err := clientResources(cfg.Limits)
+	if err != nil {
+		return nil, err
+	}
+	log = log.WithField("process", cfg.ID)
 	p := &Process{
-		cfg: cfg, self: self, log: log.WithField("process", cfg.ID), clk: clk, registry: registry,
+		cfg: cfg, self: self, log: log, clk: clk, registry: registry,
+		clients:      clientlimit.New(resources, cfg.ClientOptions(), registry, log),
 		controlBytes: control, dialer: d, store: s, revisions: revision.New(s, clk), peers: peer.NewClient(d),
 		workers: worker.New(d, clk), endpoints: endpoint.New(calls, cfg.Limits.MaxBodyKB<<10),
 		settings: newSettingsHolder(), memberTable: members.New(self), stopRequests: make(chan struct{}, 1),
@@ -112,11 +124,23 @@
 	return p, nil
 }
 
+// clientResources returns what the process may use of its machine. The limits for clients follow from it.
+func clientResources(l procconf.Limits) (clientlimit.Resources, error) {
+	var system unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &system); err != nil {
+		return clientlimit.Resources{}, errors.Wrap(err, "limit of descriptors")
+	}
+	return clientlimit.Resources{
+		MemoryBytes: l.MemoryMB << 20, Descriptors: int(min(uint64(l.MaxDescriptors), system.Cur)),
+	}, nil
+}
+
 // Run serves until ctx ends or an operator drains this entry host, and then stops as planned:
 // it hands over its shards and lets requests in flight finish. If one of its addresses is in
 // use, it returns an error before it has started anything.
 func (p *Process) Run(ctx context.Context) error {
-	callers, err := net.Listen("tcp", p.cfg.CallersAddress.String())
+	callerLimits := p.clients.Listener("callers", clientlimit.Callers)
+	callers, err := callerLimits.Listen(p.cfg.CallersAddress.String())
 	if err != nil {
 		return errors.Wrap(err, "callers_address")
 	}
@@ -126,8 +150,8 @@
 		return errors.Wrap(err, "peer_address")
 	}
 	peers := newPeerListener(l)
-	debug.SetMemoryLimit(p.cfg.Limits.MemoryMB << 20)
-	server, err := p.httpServer()
+	debug.SetMemoryLimit(int64(runtimeMemoryShare * float64(p.cfg.Limits.MemoryMB<<20)))
+	server, err := p.httpServer(callerLimits)
 	if err != nil {
 		return err
 	}
@@ -138,7 +162,7 @@
 	backgroundCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	p.startBackground(backgroundCtx, peers)
-	p.background.Go(func() { _ = server.Serve(callers) })
+	p.background.Go(func() { _ = server.Serve(callerLimits.Wrap(callers)) })
 	select {
 	case <-ctx.Done():
 	case <-p.stopRequests:
--- a/pkg/procconf/procconf.go
+++ b/pkg/procconf/procconf.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/clientlimit"
 	"foldarch.dev/foldarch/pkg/tomlfile"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
@@ -41,7 +42,8 @@
 	return table
 }
 
-// Limits are the limits of one process on its load on the store, on request size and on memory.
+// Limits are the limits of one process on its load on the store, on request size, on its use of its machine and on
+// clients.
 type Limits struct {
 	StoreReadsPerSecond  float64 `toml:"store_reads_per_s"`
 	StoreWritesPerSecond float64 `toml:"store_writes_per_s"`
@@ -49,7 +51,13 @@
 	// batch requests.
 	CellWritesPerSecond float64 `toml:"cell_writes_per_s"`
 	MaxBodyKB           int64   `toml:"max_body_kb"`
-	MemoryMB            int64   `toml:"memory_mb"`
+	// MemoryMB is the memory that the process may use, and MaxDescriptors the number of descriptors, unless the
+	// system allows it less. The limits for clients follow from them.
+	MemoryMB       int64 `toml:"memory_mb"`
+	MaxDescriptors int   `toml:"max_descriptors"`
+	// ClientConnections is the largest number of callers' connections; 0 derives it.
+	ClientConnections int `toml:"client_connections"`
+	ClientHeadKB      int `toml:"client_head_kb"`
 }
 
 // Times are lease durations, intervals and time limits.
@@ -58,19 +66,34 @@
 	ReportEvery tomlfile.Duration `toml:"report_every"`
 	KeyWindow   tomlfile.Duration `toml:"key_window"`
 	LeaveGrace  tomlfile.Duration `toml:"leave_grace"`
+	ClientBody  tomlfile.Duration `toml:"client_body"`
+	ClientIdle  tomlfile.Duration `toml:"client_idle"`
 }
 
+// ClientOptions returns the limits for clients that are set.
+func (c Entry) ClientOptions() clientlimit.Options {
+	return clientlimit.Options{
+		Connections: c.Limits.ClientConnections, HeadKB: c.Limits.ClientHeadKB,
+		BodyTime: time.Duration(c.Times.ClientBody), IdleTime: time.Duration(c.Times.ClientIdle),
+	}
+}
+
+// clientBodyTime is longer than on the users' platform, since bodies may be four times as large.
+const clientBodyTime = 10 * time.Second
+
 // DefaultEntry returns the default settings of an entry host. Settings without a default are zero.
 func DefaultEntry() Entry {
+	clients := clientlimit.DefaultOptions()
 	return Entry{
 		LogLevel: "info",
 		Limits: Limits{
 			StoreReadsPerSecond: 25, StoreWritesPerSecond: 8, CellWritesPerSecond: 50,
-			MaxBodyKB: 1024, MemoryMB: 24,
+			MaxBodyKB: 1024, MemoryMB: 256, MaxDescriptors: 4096, ClientConnections: clients.Connections, ClientHeadKB: clients.HeadKB,
 		},
 		Times: Times{
 			TaskLease: tomlfile.Duration(12 * time.Second), ReportEvery: tomlfile.Duration(3 * time.Second),
 			KeyWindow: tomlfile.Duration(2 * time.Minute), LeaveGrace: tomlfile.Duration(time.Second),
+			ClientBody: tomlfile.Duration(clientBodyTime), ClientIdle: tomlfile.Duration(clients.IdleTime),
 		},
 	}
 }
@@ -105,6 +128,9 @@
 	return cfg, nil
 }
 
+// minDescriptors leaves connections for callers and peers beside the files and the process's own calls.
+const minDescriptors = 256
+
 // checks are the conditions that the settings of an entry host must satisfy.
 var checks = []struct {
 	key  string
@@ -123,6 +149,13 @@
 	{"limits.cell_writes_per_s", func(c Entry) bool { return c.Limits.CellWritesPerSecond >= 1 }, "must be 1 or more"},
 	{"limits.max_body_kb", func(c Entry) bool { return c.Limits.MaxBodyKB > 0 }, "must be above zero"},
 	{"limits.memory_mb", func(c Entry) bool { return c.Limits.MemoryMB >= 16 }, "must be 16 or more"},
+	{"limits.max_descriptors", func(c Entry) bool { return c.Limits.MaxDescriptors >= minDescriptors }, fmt.Sprintf("must be %d or more", minDescriptors)},
+	{"limits.client_connections", func(c Entry) bool {
+		return c.Limits.ClientConnections == 0 || c.Limits.ClientConnections >= clientlimit.MinConnections
+	}, fmt.Sprintf("must be 0, which derives it, or %d or more", clientlimit.MinConnections)},
+	{"limits.client_head_kb", func(c Entry) bool { return c.Limits.ClientHeadKB >= clientlimit.MinHeadKB }, fmt.Sprintf("must be %d or more", clientlimit.MinHeadKB)},
 	{"routes", func(c Entry) bool { return len(c.RouteTable()) == len(c.Routes) }, `each side must be an address, such as "10.0.0.7:8081"`},
 	{"times.task_lease", func(c Entry) bool { return c.Times.TaskLease >= 3*c.Times.ReportEvery }, "must be three times report_every or more"},
+	{"times.client_body", func(c Entry) bool { return time.Duration(c.Times.ClientBody) >= clientlimit.MinBodyTime }, fmt.Sprintf("must be %s or more", clientlimit.MinBodyTime)},
+	{"times.client_idle", func(c Entry) bool { return time.Duration(c.Times.ClientIdle) >= clientlimit.MinIdleTime }, fmt.Sprintf("must be %s or more", clientlimit.MinIdleTime)},
 }
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -74,7 +74,7 @@
 	{OK, "ok", http.StatusOK, RanYes, false, "The request ran once and this is its whole answer."},
 	{Accepted, "accepted", http.StatusAccepted, RanNo, false, "The batch request is kept and will run."},
 
-	{Overloaded, "overloaded", http.StatusTooManyRequests, RanNo, true, "The queue or the caller's share of it is full."},
+	{Overloaded, "overloaded", http.StatusTooManyRequests, RanNo, true, "The queue or the caller's share of it is full, or large requests take all the memory for them."},
 	{Expired, "expired", http.StatusGatewayTimeout, RanNo, false, "The deadline passed before the request was sent."},
 	{NoEndpoint, "no_endpoint", http.StatusServiceUnavailable, RanNo, true, "No endpoint of the service takes work where the rules allow."},
 	{NoOwner, "no_owner", http.StatusServiceUnavailable, RanNo, true, "No process has authority over the home shard at present."},
