Limits for peers of foldarch's own cell

The peer address took any number of connections, each of which could have 4 MiB buffered before its first call was whole. It has the limits of hosts on the platform now, and a call that has arrived whole establishes its connection. Here the first call on a connection may be a large request or a large heartbeat, as the client opens connections when it needs them: up to max_body_kb and 64 KiB are taken, and those over 16 KiB take turns, so that together they stay within a 32nd of memory_mb. Connections have small receive buffers until they are established or have a turn; the window stays below 64 KiB after that.

--- a/pkg/clientlimit/clientlimit_test.go
+++ b/pkg/clientlimit/clientlimit_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	logtest "github.com/sirupsen/logrus/hooks/test"
+	"golang.org/x/sys/unix"
 	"storj.io/drpc/drpcctx"
 )
 
@@ -322,6 +324,68 @@
 	g.Consistently(late, "100ms").ShouldNot(Receive(), "a connection without a message is kept")
 }
 
+// Guards against large first calls that together take more memory than they may, and against turns that do not end.
+func TestLargeFirstCallsTakeTurns(t *testing.T) {
+	g := NewWithT(t)
+	const large = 400 << 10 // one turn
+	log, _ := logtest.NewNullLogger()
+	limits := New(Resources{MemoryBytes: testMemory}, DefaultOptions(), metrics.NewRegistry(), logrus.NewEntry(log)).Listener("peers", Peers).AllowFirstCalls(large)
+	send := func() (*Conn, <-chan error) {
+		client, server := net.Pipe()
+		c := newConn(server, limits)
+		go func() { _, _ = client.Write(make([]byte, large)) }()
+		read := make(chan error, 1)
+		go func() {
+			_, err := io.ReadFull(c, make([]byte, large))
+			read <- err
+		}()
+		return c, read
+	}
+	first, firstRead := send()
+	g.Eventually(firstRead, "10s").Should(Receive(BeNil()))
+	second, secondRead := send()
+	g.Consistently(secondRead, "100ms").ShouldNot(Receive(), "the first has the turn")
+	Establish(drpcctx.WithTransport(context.Background(), first))
+	g.Eventually(secondRead, "10s").Should(Receive(BeNil()))
+	third, thirdRead := send()
+	g.Expect(second.Close()).To(Succeed())
+	g.Eventually(thirdRead, "10s").Should(Receive(BeNil()))
+	g.Expect(third.Close()).To(Succeed())
+	g.Expect(limits.firstCalls).To(BeEmpty())
+}
+
+// Guards against data of strangers that is not read and takes memory, and against slow links between hosts.
+func TestEstablishedPeersMayReceiveMoreAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	log, _ := logtest.NewNullLogger()
+	limits := New(Resources{MemoryBytes: testMemory}, DefaultOptions(), metrics.NewRegistry(), logrus.NewEntry(log)).Listener("peers", Peers)
+	inner, err := limits.Listen("127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	l := limits.Wrap(inner)
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer client.Close()
+	accepted, err := l.Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+	defer accepted.Close()
+	go func() { _, _ = client.Write(make([]byte, 1<<20)) }()
+	c := accepted.(*Conn)
+	unread := func() (n int) {
+		raw, err := c.Conn.(syscall.Conn).SyscallConn()
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })).To(Succeed())
+		g.Expect(err).NotTo(HaveOccurred())
+		return n
+	}
+	g.Eventually(unread, "10s").Should(BeNumerically(">", 0))
+	g.Consistently(unread, "200ms").Should(BeNumerically("<=", 2*receiveBufferBytes))
+	Establish(drpcctx.WithTransport(context.Background(), c))
+	_, err = io.ReadFull(c, make([]byte, receiveBufferBytes)) // so that the window is announced anew
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(unread, "10s").Should(BeNumerically(">", 2*receiveBufferBytes))
+}
+
 // Guards against limits that ordinary clients meet.
 func TestOptionsAreChecked(t *testing.T) {
 	g := NewWithT(t)
@@ -343,7 +407,7 @@
 	g := NewWithT(t)
 	log, _ := logtest.NewNullLogger()
 	limits := New(Resources{MemoryBytes: testMemory, Descriptors: 0}, DefaultOptions(), metrics.NewRegistry(), logrus.NewEntry(log)).Listener("callers", Callers)
-	for range minConnections - 1 {
+	for range MinConnections - 1 {
 		admitInPipe(g, limits).setPhase(processing)
 	}
 	unread := admitInPipe(g, limits)
@@ -358,7 +422,7 @@
 	g.Eventually(written, "10s").Should(Receive(HaveOccurred()))
 	_, kept := limits.conns[unread]
 	g.Expect(kept).To(BeFalse())
-	g.Expect(len(limits.conns)).To(Equal(minConnections))
+	g.Expect(len(limits.conns)).To(Equal(MinConnections))
 }
 
 // Guards against new connections that are closed for the next one before their heads arrive.
@@ -367,19 +431,19 @@
 	log, _ := logtest.NewNullLogger()
 	limits := New(Resources{MemoryBytes: testMemory, Descriptors: 0}, DefaultOptions(), metrics.NewRegistry(), logrus.NewEntry(log)).Listener("callers", Callers)
 	now := time.Now()
-	bodies := make([]*Conn, minConnections)
+	bodies := make([]*Conn, MinConnections)
 	for n := range bodies {
 		bodies[n] = admitInPipe(g, limits)
 		bodies[n].setPhase(readingBody)
 		bodies[n].since = now.Add(time.Duration(n) * time.Millisecond)
 	}
-	for n := range minConnections - 1 {
+	for n := range MinConnections - 1 {
 		c := admitInPipe(g, limits)
 		c.since = now.Add(time.Minute) // its head may still arrive
 		g.Expect(limits.conns).To(HaveKey(c))
 		g.Expect(limits.conns).NotTo(HaveKey(bodies[n]))
 	}
-	g.Expect(limits.conns).To(HaveKey(bodies[minConnections-1]))
+	g.Expect(limits.conns).To(HaveKey(bodies[MinConnections-1]))
 }
 
 // admitInPipe returns a connection that the limits have admitted, and whose other end does not read.
--- a/pkg/clientlimit/conn.go
+++ b/pkg/clientlimit/conn.go
@@ -40,6 +40,7 @@
 	held       int64 // of the budget for frames
 	// countsMessages is true once Received was called: only then is it known where messages end.
 	countsMessages bool
+	hasTurn        bool // holds an element of the listener's firstCalls
 	// established is closed once a connection of another protocol than HTTP has made its first call.
 	established chan struct{}
 	done        chan struct{} // closed when the connection is closed
@@ -54,7 +55,8 @@
 	return c
 }
 
-// Read reads from the connection. Before a peer's connection is established, it reads only firstBytes.
+// Read reads from the connection. Before a peer's connection is established, it reads only firstBytes, or with a turn
+// the listener's firstCallBytes.
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.limits.kind == Peers {
 		return c.readPeer(p)
@@ -76,28 +78,6 @@
 	return n, err
 }
 
-func (c *Conn) readPeer(p []byte) (int, error) {
-	select {
-	case <-c.established:
-		return c.readEstablished(p)
-	default:
-	}
-	if c.headBytes >= firstBytes { // only the connection's reader uses headBytes here
-		select {
-		case <-c.established:
-			return c.readEstablished(p)
-		case <-c.done:
-			return 0, net.ErrClosed
-		case <-time.After(time.Until(c.opened.Add(firstTime))):
-			c.limits.heads.exceeded()
-			return 0, net.ErrClosed
-		}
-	}
-	n, err := c.Conn.Read(p[:min(len(p), firstBytes-c.headBytes)])
-	c.headBytes += n
-	return n, err
-}
-
 // Write writes to the connection. A client that does not read its answers ends it after writeTime.
 func (c *Conn) Write(p []byte) (int, error) {
 	if c.limits.kind == Peers {
@@ -126,6 +106,9 @@
 		close(c.done)
 		c.limits.remove(c)
 		c.releaseFrame()
+		c.mu.Lock()
+		c.endTurn()
+		c.mu.Unlock()
 		if c.limits.kind != Peers && c.headTooLarge() {
 			c.limits.heads.exceeded()
 		}
@@ -181,5 +164,7 @@
 	}
 	c.phase, c.since = processing, time.Now()
 	_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
+	c.widen()
 	close(c.established)
+	c.endTurn()
 }
--- a/pkg/clientlimit/doc.go
+++ b/pkg/clientlimit/doc.go
@@ -35,4 +35,6 @@
 //	l := limiter.Listener("peers", clientlimit.Peers).Wrap(inner)
 //
 // If Received is called after each message, unfinished large messages share a budget of their own.
+//
+// Where the first call may be larger, AllowFirstCalls says so. Such calls take turns before they are read whole.
 package clientlimit
--- a/pkg/clientlimit/limits.go
+++ b/pkg/clientlimit/limits.go
@@ -16,6 +16,9 @@
 	callerMemoryShare = 0.25
 	bodyMemoryShare   = 0.125
 	frameMemoryShare  = 0.125
+	// firstCallMemoryShare is for the large first calls of peers. It is less than for bodies, since a reader's buffer
+	// may have twice the size of what it holds.
+	firstCallMemoryShare = 0.03125
 	// connectionBytes is the memory that a caller's connection may take without being charged: its goroutine and
 	// buffers, what has arrived and is not read, a head and a small body.
 	connectionBytes = 80 << 10
@@ -26,6 +29,8 @@
 	// sendBufferBytes is the send buffer of a connection, which the kernel doubles as well. Answers to callers are
 	// smaller.
 	sendBufferBytes = 8 << 10
+	// peerBufferBytes is the size of both buffers of a connection of another host once it is established.
+	peerBufferBytes = 128 << 10
 	// freeBodyBytes is the charge up to which a body needs nothing from the budget.
 	freeBodyBytes = 32 << 10
 	// objectBytes is charged for each JSON object in a body.
@@ -50,7 +55,8 @@
 	writeStall = time.Second
 	// phaseGrace is how long the phase of a connection may take until it counts against the connection.
 	phaseGrace = 200 * time.Millisecond
-	// firstTime and firstBytes bound what a connection of another protocol sends before it is established.
+	// firstTime and firstBytes bound what a connection of another protocol sends before it is established. Listeners
+	// may allow larger first calls.
 	firstTime  = 5 * time.Second
 	firstBytes = 16 << 10
 )
--- a/pkg/clientlimit/listener.go
+++ b/pkg/clientlimit/listener.go
@@ -28,6 +28,10 @@
 	frames   *limit // connections that were closed for unfinished messages
 	open     metrics.Gauge
 
+	smallBuffers   bool          // accepted connections have small receive buffers
+	firstCallBytes int           // that a connection of another protocol may send before it is established
+	firstCalls     chan struct{} // holds an element for each of these that has a turn to send more than firstBytes; nil: none has
+
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
 }
@@ -41,7 +45,8 @@
 		heads:  l.newLimit(name, "heads_too_large", l.options.HeadKB<<10),
 		bodies: l.newLimit(name, "bodies_refused", l.resources.bodyBytes()), late: l.newLimit(name, "bodies_late", l.options.BodyTime),
 		unread: l.newLimit(name, "answers_unread", writeTime), frames: l.newLimit(name, "frames_refused", l.resources.frameBytes()),
-		open: metrics.GetOrRegisterGauge("clients."+name+".connections", l.registry),
+		open:           metrics.GetOrRegisterGauge("clients."+name+".connections", l.registry),
+		firstCallBytes: firstBytes,
 	}
 }
 
@@ -55,6 +60,7 @@
 		}
 		return nil
 	}}
+	l.smallBuffers = true
 	return config.Listen(context.Background(), "tcp", address)
 }
 
--- a/pkg/dialer/meter.go
+++ b/pkg/dialer/meter.go
@@ -26,6 +26,11 @@
 	return n, err
 }
 
+// NetConn returns the connection whose bytes are counted.
+func (c *meteredConn) NetConn() net.Conn {
+	return c.Conn
+}
+
 // meteredListener counts the bytes of all connections that it accepts.
 type meteredListener struct {
 	net.Listener
--- a/pkg/entry/process.go
+++ b/pkg/entry/process.go
@@ -46,6 +46,8 @@
 	// is certain to hold.
 	handoverTimeout = 600 * time.Millisecond
 	metricsPath     = "/metrics"
+	// maxForwardOverhead is what a forwarded request takes beside its body, such as its key and its caller.
+	maxForwardOverhead = 64 << 10
 	// runtimeMemoryShare is the share of the memory that is the soft limit of Go's runtime. The rest is for
 	// what the runtime does not count: the program's text, and what arrives on connections and waits to be read.
 	runtimeMemoryShare = 0.5
@@ -144,7 +146,8 @@
 	if err != nil {
 		return errors.Wrap(err, "callers_address")
 	}
-	l, err := net.Listen("tcp", p.cfg.PeerAddress.String())
+	peerLimits := p.clients.Listener("peers", clientlimit.Peers).AllowFirstCalls(p.cfg.Limits.MaxBodyKB<<10 + maxForwardOverhead)
+	l, err := peerLimits.Listen(p.cfg.PeerAddress.String())
 	if err != nil {
 		_ = callers.Close()
 		return errors.Wrap(err, "peer_address")
@@ -161,7 +164,7 @@
 	}).Info("started")
 	backgroundCtx, stop := context.WithCancel(context.Background())
 	defer stop()
-	p.startBackground(backgroundCtx, peers)
+	p.startBackground(backgroundCtx, peers, peerLimits)
 	p.background.Go(func() { _ = server.Serve(callerLimits.Wrap(callers)) })
 	select {
 	case <-ctx.Done():
@@ -177,9 +180,9 @@
 
 // startBackground starts the drpc server and the loops that follow the store and the other
 // processes. They end with ctx.
-func (p *Process) startBackground(ctx context.Context, peers net.Listener) {
-	metered := dialer.MeterListener(peers, p.controlBytes)
-	p.background.Go(func() { _ = peer.Serve(ctx, metered, p.peerHandlers()) })
+func (p *Process) startBackground(ctx context.Context, peers net.Listener, limits *clientlimit.Listener) {
+	limited := limits.Wrap(dialer.MeterListener(peers, p.controlBytes))
+	p.background.Go(func() { _ = peer.Serve(ctx, limited, p.peerHandlers()) })
 	p.background.Go(func() { p.watchStore(ctx) })
 	p.background.Go(func() { p.watchHosts(ctx) })
 	p.background.Go(func() { p.exchangeHeartbeats(ctx) })
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/clientlimit"
 	"foldarch.dev/foldarch/pkg/members"
 	"foldarch.dev/foldarch/pkg/ownership"
 	"foldarch.dev/foldarch/pkg/peer/peerpb"
@@ -49,13 +50,15 @@
 	return h.Handler.HandleRPC(stream, rpc)
 }
 
-// server implements the generated server interface on top of Handlers.
+// server implements the generated server interface on top of Handlers. A call that has arrived whole establishes its
+// connection for the limits of clients.
 type server struct {
 	handlers Handlers
 }
 
 // Beat answers a heartbeat with this process's description of itself.
-func (s *server) Beat(_ context.Context, w *peerpb.Member) (*peerpb.Member, error) {
+func (s *server) Beat(ctx context.Context, w *peerpb.Member) (*peerpb.Member, error) {
+	clientlimit.Establish(ctx)
 	m, err := decodeMember(w)
 	if err != nil {
 		return nil, err
@@ -64,7 +67,8 @@
 }
 
 // Grant answers an owner's request for a grant.
-func (s *server) Grant(_ context.Context, w *peerpb.GrantRequest) (*peerpb.GrantReply, error) {
+func (s *server) Grant(ctx context.Context, w *peerpb.GrantRequest) (*peerpb.GrantReply, error) {
+	clientlimit.Establish(ctx)
 	shard, err := cell.ParseShardID(w.Shard)
 	if err != nil {
 		return nil, err
@@ -84,6 +88,7 @@
 
 // Forward answers a request to the owner of a shard.
 func (s *server) Forward(ctx context.Context, w *peerpb.Request) (*peerpb.Answer, error) {
+	clientlimit.Establish(ctx)
 	r, err := decodeRequest(w)
 	if err != nil {
 		return nil, err
@@ -92,7 +97,8 @@
 }
 
 // Settings returns the settings in force.
-func (s *server) Settings(context.Context, *peerpb.SettingsRequest) (*peerpb.SettingsReply, error) {
+func (s *server) Settings(ctx context.Context, _ *peerpb.SettingsRequest) (*peerpb.SettingsReply, error) {
+	clientlimit.Establish(ctx)
 	revision, docs := s.handlers.Settings()
 	return &peerpb.SettingsReply{Revision: revision, Documents: docs}, nil
 }
