Crowds of the review send requests as the other crowds do, and a test's process has limits for peers

Two sets of commits met: the requests of crowds are methods of requestLine now, and startBackground takes the limits of the listener for peers. What the crowds send, their sizes and the bounds are the same.

--- a/pkg/entry/planned_stop_test.go
+++ b/pkg/entry/planned_stop_test.go
@@ -12,6 +12,7 @@
 
 	"foldarch.dev/foldarch/pkg/batch"
 	"foldarch.dev/foldarch/pkg/cell"
+	"foldarch.dev/foldarch/pkg/clientlimit"
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/keys"
 	"foldarch.dev/foldarch/pkg/peer"
@@ -62,7 +63,7 @@
 	NewWithT(f.t).Expect(err).NotTo(HaveOccurred())
 	peers := newPeerListener(l)
 	ctx, cancel := context.WithCancel(context.Background())
-	f.startBackground(ctx, peers)
+	f.startBackground(ctx, peers, f.clients.Listener("peers", clientlimit.Peers))
 	return l.Addr().(*net.TCPAddr).AddrPort(), func() {
 		f.shutDown(&http.Server{}, peers)
 		cancel()
--- a/test/crowds/endless_requests_test.go
+++ b/test/crowds/endless_requests_test.go
@@ -51,7 +51,7 @@
 
 // sendHeadWithoutBody sends the head of a request and a part of its body.
 func sendHeadWithoutBody(c net.Conn, _ int) {
-	_, _ = c.Write(append(head(contentLength(smallBodyBytes)), '{'))
+	_, _ = c.Write(append(newJobs.head(contentLength(smallBodyBytes)), '{'))
 }
 
 // Guards against callers that are kept out by clients that connect again and again.
@@ -63,7 +63,7 @@
 // Guards against a health check that is kept out by clients that connect again and again.
 func TestCrowdThatConnectsAgainToTheHealthCheck(t *testing.T) {
 	h := newHost(t)
-	h.withstandCrowd(func() *crowd { return startReturningCrowd(crowdSize, h.ready, unfinishedBody("POST", readinessPath)) }, crowdSize)
+	h.withstandCrowd(func() *crowd { return startReturningCrowd(crowdSize, h.ready, requestsTo("POST", readinessPath).sendUnfinishedBody) }, crowdSize)
 }
 
 // Guards against callers that are kept out by requests about jobs that only the store can tell of.
@@ -80,7 +80,7 @@
 func jobsWithoutEnd(body []byte) script {
 	return func(c net.Conn, _ int) {
 		for {
-			if _, err := c.Write(append(head(contentLength(len(body))), body...)); err != nil {
+			if _, err := c.Write(append(newJobs.head(contentLength(len(body))), body...)); err != nil {
 				return
 			}
 		}
--- a/test/crowds/many_parts_test.go
+++ b/test/crowds/many_parts_test.go
@@ -24,7 +24,7 @@
 	for _, element := range []string{"0", "null"} {
 		t.Run(element, func(t *testing.T) {
 			h := newHost(t)
-			h.withstand(crowdSize, h.callers, wholeBody(bodyOfElements(`{"spec":"","steps":[`, element, `]}`, smallBodyBytes)))
+			h.withstand(crowdSize, h.callers, newJobs.wholeBody(bodyOfElements(`{"spec":"","steps":[`, element, `]}`, smallBodyBytes)))
 		})
 	}
 }
@@ -32,7 +32,7 @@
 // Guards against memory used up by large bodies with many elements that are no steps.
 func TestCrowdOfLargeBodiesWithManyElements(t *testing.T) {
 	h := newHost(t)
-	h.withstand(crowdSize, h.callers, wholeBody(bodyOfElements(`{"spec":"","steps":[`, "0", `]}`, largeBodyBytes)))
+	h.withstand(crowdSize, h.callers, newJobs.wholeBody(bodyOfElements(`{"spec":"","steps":[`, "0", `]}`, largeBodyBytes)))
 }
 
 // Guards against memory used up by bodies whose steps depend on others many times.
@@ -41,14 +41,14 @@
 	for _, size := range []int{smallBodyBytes, largeBodyBytes} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			h := newHost(t)
-			h.withstand(crowdSize, h.callers, wholeBody(bodyOfElements(begin, "0", end, size)))
+			h.withstand(crowdSize, h.callers, newJobs.wholeBody(bodyOfElements(begin, "0", end, size)))
 		})
 	}
 }
 
 // sendManyLines sends a head of many short lines and stops short of its end.
 func sendManyLines(c net.Conn, _ int) {
-	text := bytes.TrimSuffix(head(), []byte("\r\n"))
+	text := bytes.TrimSuffix(newJobs.head(), []byte("\r\n"))
 	for n := 0; len(text) < smallHeadBytes; n++ {
 		text = fmt.Appendf(text, "%x:\r\n", n)
 	}
--- a/test/crowds/unread_answers_test.go
+++ b/test/crowds/unread_answers_test.go
@@ -63,7 +63,7 @@
 		for {
 			var text []byte
 			for range pipelinedRequests {
-				text = append(text, requestHead(method, path())...)
+				text = append(text, requestLine{method, path, newJobs.lines}.head()...)
 			}
 			if _, err := c.Write(text); err != nil {
 				return
