The stand-ins' servers have limits for heads and bodies

The servers of the stand-ins' store, workers, endpoints and admin API took heads of 1 MiB without a limit of time (the admin API had one) and bodies of any size. They take 64 KiB within 5 s and 16 MiB now. TestEndToEnd passes, once.

--- a/pkg/standin/endpoint.go
+++ b/pkg/standin/endpoint.go
@@ -58,7 +58,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+endpoint.HealthPath, e.handleHealth)
 	mux.HandleFunc("POST "+endpoint.CallPath, e.handleCall)
-	e.server = &http.Server{Handler: mux}
+	e.server = newServer(mux)
 	go func() { _ = e.server.Serve(l) }()
 	return e, nil
 }
--- a/pkg/standin/environment.go
+++ b/pkg/standin/environment.go
@@ -120,7 +120,7 @@
 	if err != nil {
 		return netip.AddrPort{}, errors.Wrap(err, "stand-in")
 	}
-	server := &http.Server{Handler: handler}
+	server := newServer(handler)
 	e.servers = append(e.servers, server)
 	go func() { _ = server.Serve(l) }()
 	return l.Addr().(*net.TCPAddr).AddrPort(), nil
--- a/pkg/standin/main.go
+++ b/pkg/standin/main.go
@@ -5,20 +5,16 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/program"
 	"github.com/alecthomas/kong"
 )
 
-const adminHeaderTimeout = 5 * time.Second
-
 const programName = "foldarch-standin"
 
 // commandLine lists the commands of the program.
@@ -83,7 +79,7 @@
 	if err != nil {
 		return err
 	}
-	admin := &http.Server{Handler: environment.AdminHandler(), ReadHeaderTimeout: adminHeaderTimeout}
+	admin := newServer(environment.AdminHandler())
 	go func() { _ = admin.Serve(l) }()
 	defer admin.Close()
 	fmt.Fprintf(s.out, "store %s admin %s workers %d\n", environment.StoreAddress(), l.Addr(), len(workers))
