--- a/test/crowds/endless_requests_test.go
+++ b/test/crowds/endless_requests_test.go
@@ -63,7 +63,9 @@
 // Guards against a health check that is kept out by clients that connect again and again.
 func TestCrowdThatConnectsAgainToTheHealthCheck(t *testing.T) {
 	h := newHost(t)
-	h.withstandCrowd(func() *crowd { return startReturningCrowd(crowdSize, h.ready, requestsTo("POST", readinessPath).sendUnfinishedBody) }, crowdSize)
+	h.withstandCrowd(func() *crowd {
+		return startReturningCrowd(crowdSize, h.ready, requestsTo("POST", readinessPath).sendUnfinishedBody)
+	}, crowdSize)
 }
 
 // Guards against callers that are kept out by requests about jobs that only the store can tell of.
