--- a/test/crowds/host_test.go
+++ b/test/crowds/host_test.go
@@ -106,7 +106,7 @@
 	h.Expect(cmd.Start()).To(Succeed())
 	h.pid = cmd.Process.Pid
 	go func() {
-		_ = cmd.Wait()
+		_, _ = fmt.Fprintln(h.log, "exited:", cmd.Wait())
 		close(h.exited)
 	}()
 	h.t.Cleanup(func() {
