The crowd of silent callers of a cell stays until the process has accepted it

The crowd stays for the 4 s that others may send, as that at the peer address does; the bounds are the same.

--- a/test/crowds/cell_test.go
+++ b/test/crowds/cell_test.go
@@ -192,7 +192,7 @@
 // Guards against descriptors used up by connections that send nothing.
 func TestCrowdOfSilentConnectionsAtACell(t *testing.T) {
 	h := newCellHost(t)
-	h.withstand(crowdSize, h.callers, sendNothing)
+	h.withstand(crowdSize, h.callers, staySilent)
 }
 
 // Guards against descriptors used up by bodies without an end at the health check.
