--- a/pkg/clientlimit/conn.go
+++ b/pkg/clientlimit/conn.go
@@ -148,12 +148,17 @@
 
 // Establish marks the connection of a call as one that has made a call, by the context of the call's stream.
 func Establish(ctx context.Context) {
-	transport, _ := drpcctx.Transport(ctx)
-	c, ok := transport.(*Conn)
-	if !ok {
-		return // the call has come over a listener without limits
+	if c, ok := connOf(ctx); ok {
+		c.establish()
 	}
-	c.establish()
+}
+
+// connOf returns the connection of a call by the context of its stream. There is none if the call has come over a
+// listener without limits.
+func connOf(ctx context.Context) (c *Conn, ok bool) {
+	transport, _ := drpcctx.Transport(ctx)
+	c, ok = transport.(*Conn)
+	return c, ok
 }
 
 func (c *Conn) establish() {
--- a/pkg/clientlimit/frames.go
+++ b/pkg/clientlimit/frames.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"storj.io/drpc/drpcctx"
 )
 
 // errFrameTooLarge ends a connection whose unfinished message takes too much memory.
@@ -16,12 +15,9 @@
 // on, messages of that connection are limited: up to a small size they are free, and beyond that they are charged to a
 // budget and must arrive in time.
 func Received(ctx context.Context) {
-	transport, _ := drpcctx.Transport(ctx)
-	c, ok := transport.(*Conn)
-	if !ok {
-		return // the call has come over a listener without limits
+	if c, ok := connOf(ctx); ok {
+		c.releaseFrame()
 	}
-	c.releaseFrame()
 }
 
 // releaseFrame returns what the connection holds for an unfinished message.
