--- a/pkg/clientlimit/first_call.go
+++ b/pkg/clientlimit/first_call.go
@@ -95,7 +95,7 @@
 	}
 }
 
-// widen lets more arrive on the connection at once.
+// widen lets more arrive, and more be sent, on the connection at once.
 func (c *Conn) widen() {
 	if !c.limits.smallBuffers {
 		return
--- a/pkg/clientlimit/listener.go
+++ b/pkg/clientlimit/listener.go
@@ -28,7 +28,7 @@
 	frames   *limit // connections that were closed for unfinished messages
 	open     metrics.Gauge
 
-	smallBuffers   bool          // accepted connections have small receive buffers
+	smallBuffers   bool          // accepted connections have small buffers
 	firstCallBytes int           // that a connection of another protocol may send before it is established
 	firstCalls     chan struct{} // holds an element for each of these that has a turn to send more than firstBytes; nil: none has
 
--- a/pkg/dispatch/incarnations.go
+++ b/pkg/dispatch/incarnations.go
@@ -226,9 +226,8 @@
 
 // transferredRunExpiresAt is until when the next incarnation of a worker may run what was meant for this
 // one: it may receive the order late, and later calls that extend leases as well, and the deadlines in them are by
-// another clock. It is 0 for a run
-// that can't have been transferred, and for one whose worker is not known to be replaced, unless its start
-// may be carried out later (mayStartLater).
+// another clock. It is 0 for a run that can't have been transferred, and for one whose worker is not known to be
+// replaced, unless its start may be carried out later (mayStartLater).
 func (p *Pool) transferredRunExpiresAt(w *worker, r *run) clock.Time {
 	startableLater := r.mayStartLater()
 	if !r.isTransferable() || !w.mayBeReplaced() && !startableLater {
