Connections of other hosts that wait to be accepted have small buffers

Cause: on the platform the peer address had the system's receive buffers, so that each connection that was not accepted yet could hold 128 KiB; the process limits only those that it has accepted, and was slow to accept 1,200 at once.

The address is listened on as in foldarch's own cell: buffers are small until a connection is established, for which the counting connection tells the socket below it.

--- a/pkg/clientlimit/limits.go
+++ b/pkg/clientlimit/limits.go
@@ -30,7 +30,7 @@
 	// smaller.
 	sendBufferBytes = 8 << 10
 	// peerBufferBytes is the size of both buffers of a connection of another host once it is established.
-	peerBufferBytes = 128 << 10
+	peerBufferBytes = 64 << 10
 	// freeBodyBytes is the charge up to which a body needs nothing from the budget.
 	freeBodyBytes = 32 << 10
 	// objectBytes is charged for each JSON object in a body.
--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -158,7 +158,8 @@
 	if err != nil {
 		return errors.Wrap(err, "listen on ready address")
 	}
-	peers, err := net.Listen("tcp", cfg.PeerAddress.String())
+	peerLimits := h.clients.Listener("peers", clientlimit.Peers)
+	peers, err := peerLimits.Listen(cfg.PeerAddress.String())
 	if err != nil {
 		return errors.Wrap(err, "listen on peers' address")
 	}
@@ -174,7 +175,7 @@
 			return err
 		}
 	}
-	h.startBackground(work, peers)
+	h.startBackground(work, peerLimits.Wrap(h.peerBytes.Listener(peers)))
 	h.background.Go(func() { h.watchSettings(work, path) })
 	<-ctx.Done()
 	h.shutDown(server)
@@ -209,8 +210,7 @@
 	h.background.Go(func() { h.campaign(ctx) })
 	h.background.Go(func() { h.watchStore(ctx) })
 	h.background.Go(func() { h.maintainLink(ctx) })
-	limited := h.clients.Listener("peers", clientlimit.Peers).Wrap(h.peerBytes.Listener(peers))
-	h.background.Go(func() { _ = poolrpc.Serve(ctx, limited, h.ownerHandlers, h.clk) })
+	h.background.Go(func() { _ = poolrpc.Serve(ctx, peers, h.ownerHandlers, h.clk) })
 }
 
 func (h *Host) ownerHandlers() (poolrpc.OwnerHandlers, bool) {
--- a/pkg/traffic/meter.go
+++ b/pkg/traffic/meter.go
@@ -54,6 +54,11 @@
 	return n, err
 }
 
+// NetConn returns the connection whose bytes are counted.
+func (c *meteredConn) NetConn() net.Conn {
+	return c.Conn
+}
+
 type meteredListener struct {
 	net.Listener
 	meter *Meter
--- a/pkg/traffic/meter_test.go
+++ b/pkg/traffic/meter_test.go
@@ -35,6 +35,16 @@
 	g.Expect(r.Get("bytes.peers.sent").(metrics.Counter).Count()).To(BeEquivalentTo(3))
 }
 
+// Guards against connections whose buffers can't be set, since the socket below the counters is not found.
+func TestSocketOfACountedConnectionIsFound(t *testing.T) {
+	g := NewWithT(t)
+	socket, _ := net.Pipe()
+	counted := New("peers", metrics.NewRegistry()).Conn(socket)
+	wrapped, ok := counted.(interface{ NetConn() net.Conn })
+	g.Expect(ok).To(BeTrue())
+	g.Expect(wrapped.NetConn()).To(BeIdenticalTo(socket))
+}
+
 func TestNilMeterCountsNothing(t *testing.T) {
 	g := NewWithT(t)
 	var m *Meter
--- a/test/crowds/listeners_test.go
+++ b/test/crowds/listeners_test.go
@@ -5,6 +5,9 @@
 	"encoding/binary"
 	"net"
 	"testing"
+
+	. "github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -87,6 +90,18 @@
 	h.withstand(crowdSize, h.peers, sendUnfinishedFrame)
 }
 
+// Guards against memory used up by what arrives on connections that wait to be accepted.
+func TestCrowdOfUnfinishedPeerFramesDuringAPause(t *testing.T) {
+	h := newHost(t)
+	h.withstandCrowd(func() *crowd {
+		h.Expect(unix.Kill(h.pid, unix.SIGSTOP)).To(Succeed())
+		defer func() { h.Expect(unix.Kill(h.pid, unix.SIGCONT)).To(Succeed()) }()
+		c := startCrowd(crowdSize, h.peers, sendUnfinishedFrame)
+		c.awaitSent()
+		return c
+	}, crowdSize)
+}
+
 // Guards against memory or descriptors used up by bytes without end at the address for other hosts.
 func TestCrowdOfEndlessPeerBytes(t *testing.T) {
 	h := newHost(t)
