--- a/test/crowds/cell_test.go
+++ b/test/crowds/cell_test.go
@@ -235,16 +235,7 @@
 func sendUnfinishedMessage(c net.Conn, _ int) {
 	const frameWholeInvoke, frameMessage, stream, method = 0x03, 0x04, 1, "/foldarch.peer.Peer/Forward"
 	text := append([]byte{frameWholeInvoke, stream, 1, byte(len(method))}, method...)
-	text = binary.AppendUvarint(append(text, frameMessage, stream, 2), peerFrameBytes)
-	if !sendPieces(c, text, len(text)) {
-		return
-	}
-	piece := bytes.Repeat([]byte("a"), framePiece)
-	for n := 0; n+framePiece < peerFrameBytes; n += framePiece {
-		if !sendPieces(c, piece, framePiece) {
-			return
-		}
-	}
+	sendWithoutEnd(c, binary.AppendUvarint(append(text, frameMessage, stream, 2), peerFrameBytes))
 }
 
 // staySilent sends nothing for as long as a crowd may send, so that the process has accepted the connections.
--- a/test/crowds/listeners_test.go
+++ b/test/crowds/listeners_test.go
@@ -23,8 +23,12 @@
 // sendUnfinishedFrame sends a frame between hosts in pieces and stops short of its end.
 func sendUnfinishedFrame(c net.Conn, _ int) {
 	const stream, message = 1, 1
-	text := binary.AppendUvarint([]byte{frameInvoke, stream, message}, peerFrameBytes)
-	if !sendPieces(c, text, len(text)) {
+	sendWithoutEnd(c, binary.AppendUvarint([]byte{frameInvoke, stream, message}, peerFrameBytes))
+}
+
+// sendWithoutEnd sends the head of a frame of peerFrameBytes, and the data in pieces without the end.
+func sendWithoutEnd(c net.Conn, head []byte) {
+	if !sendPieces(c, head, len(head)) {
 		return
 	}
 	piece := bytes.Repeat([]byte("a"), framePiece)
