--- a/pkg/poolowner/members.go
+++ b/pkg/poolowner/members.go
@@ -146,7 +146,7 @@
 		return false
 	}
 	if old := o.yieldTo.Swap(&best); old == nil || *old != best {
-		o.deps.Log.WithFields(logrus.Fields{"to": best, "why": reason}).Info("owner_yields")
+		o.deps.Log.WithFields(logrus.Fields{"to": best, "why": reason, "store_age_ms": o.deps.StoreAge().Milliseconds()}).Info("owner_yields")
 	}
 	o.broadcastStatus()
 	return true
