The owner's status line tells what its link carries, and for what

Whether an owner's link is filled by its own orders, by the store or by direct calls to workers could not be told from the log: the meters' counters are only on the operators' address.

--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -13,6 +13,7 @@
 	"foldarch.dev/foldarch/pkg/poolrpc/poolpb"
 	"foldarch.dev/foldarch/pkg/queue"
 	"foldarch.dev/foldarch/pkg/relay"
+	"foldarch.dev/foldarch/pkg/traffic"
 	"foldarch.dev/foldarch/pkg/upkeep"
 	"foldarch.dev/foldarch/platform"
 	"github.com/cockroachdb/errors"
@@ -140,9 +141,10 @@
 	majority           majorityCheck
 	refusedQueues      refusedQueues
 	customerLimits     customerLimits
-	plans              metrics.Timer // duration of plans
-	entryWrites        entryWrites   // used by watchWorkers only
-	watchPosition      watchPosition // each field is used by one goroutine only
+	plans              metrics.Timer    // duration of plans
+	linkUse            *traffic.Sampler // used by logStatus only
+	entryWrites        entryWrites      // used by watchWorkers only
+	watchPosition      watchPosition    // each field is used by one goroutine only
 	// roster is the roster as stored, by worker name. It is used while loading and then by writeRoster
 	// only.
 	roster map[string]rosterRecord
@@ -173,6 +175,7 @@
 		invalidEntries: map[string]invalidEntry{}, roster: map[string]rosterRecord{}, unreadableProgress: map[job.ID]bool{}, earlyCancellations: map[job.ID]bool{}, committed: make(chan struct{}), lanes: newLanes(claim),
 		entryWrites: newEntryWrites(deps.HeartbeatInterval), upkeep: upkeep.New(), newWaves: map[int64]upkeep.Wave{}, segmentReaders: newSegmentReaders(now),
 		plans:          metrics.GetOrRegisterTimer("pool.plan", deps.Metrics),
+		linkUse:        traffic.NewSampler(deps.Metrics, now),
 		rosterFailures: &storeFailures{purpose: "roster", clk: deps.Clock, log: deps.Log},
 		commitFailures: &storeFailures{purpose: "commit", clk: deps.Clock, log: deps.Log},
 		readFailures:   &storeFailures{purpose: "unknown_job", clk: deps.Clock, log: deps.Log},
--- a/pkg/poolowner/status_log.go
+++ b/pkg/poolowner/status_log.go
@@ -13,10 +13,12 @@
 func (o *Owner) logStatus() {
 	s := o.Status()
 	plans := o.plans.Snapshot()
+	rates := o.linkUse.Sample(o.deps.Clock.Now())
 	fields := logrus.Fields{
 		"workers": s.Workers, "suspended": s.SuspendedWorkers, "silent": s.UnresponsiveWorkers, "evacuated": s.EvacuatedWorkers, "jobs": s.Jobs, "steps": s.WaitingSteps, "waiting": s.WaitingTasks, "runs": s.Runs,
 		"calls": s.AdviceCalls, "advisers": s.FreeAdvisers, "takeover": s.TakeoverPending, "held": s.BlockedJobs, "retired": s.SilentRetiredWorkers, "calls_waiting": o.WaitingCalls(), "relayed": o.RelayedWorkers(), "used": s.Used, "capacity": s.Capacity,
 		"plan_p50_us": time.Duration(plans.Percentile(0.5)).Microseconds(), "plan_p99_us": time.Duration(plans.Percentile(0.99)).Microseconds(),
+		"sent_kbps": fmt.Sprint(rates.Sent), "received_kbps": fmt.Sprint(rates.Received), "link_mbps": o.deps.LinkMbps,
 	}
 	for name, n := range s.Advice {
 		fields[name] = n
--- a/pkg/traffic/doc.go
+++ b/pkg/traffic/doc.go
@@ -11,5 +11,8 @@
 //	conn = m.Conn(conn)             // counts the bytes of the connection
 //	listener = m.Listener(listener) // counts the bytes of all accepted connections
 //
+//	s := traffic.NewSampler(registry, now)
+//	s.Sample(now).Sent["store"] // kilobits per second since the sample before
+//
 // A nil Meter counts nothing.
 package traffic
--- a/pkg/traffic/meter.go
+++ b/pkg/traffic/meter.go
@@ -11,11 +11,18 @@
 	sent, received metrics.Counter
 }
 
+// Names of the counters of a meter.
+const (
+	counterPrefix  = "bytes."
+	sentSuffix     = ".sent"
+	receivedSuffix = ".received"
+)
+
 // New returns a Meter whose counters are registered in r under the given name.
 func New(name string, r metrics.Registry) *Meter {
 	return &Meter{
-		sent:     metrics.GetOrRegisterCounter("bytes."+name+".sent", r),
-		received: metrics.GetOrRegisterCounter("bytes."+name+".received", r),
+		sent:     metrics.GetOrRegisterCounter(counterPrefix+name+sentSuffix, r),
+		received: metrics.GetOrRegisterCounter(counterPrefix+name+receivedSuffix, r),
 	}
 }
 
--- a/pkg/traffic/meter_test.go
+++ b/pkg/traffic/meter_test.go
@@ -51,3 +51,16 @@
 	c, _ := net.Pipe()
 	g.Expect(m.Conn(c)).To(BeIdenticalTo(c))
 }
+
+func TestSamplerReturnsTheRatesSinceTheLastSample(t *testing.T) {
+	g := NewWithT(t)
+	r := metrics.NewRegistry()
+	m := New("store", r)
+	New("peers", r)
+	m.sent.Inc(1000)
+	s := NewSampler(r, 10_000)
+	m.sent.Inc(250)
+	m.received.Inc(500)
+	g.Expect(s.Sample(12_000)).To(Equal(Rates{Sent: map[string]int64{"store": 1}, Received: map[string]int64{"store": 2}}))
+	g.Expect(s.Sample(13_000)).To(Equal(Rates{Sent: map[string]int64{}, Received: map[string]int64{}}))
+}
