Relays keep the specs of the orders on their stream

Cause: an owner with a small link sent the spec of a job with each message of starts, to each relay. Tasks of a job start one after the other as advice and room come, so that nearly each start carried its spec. The specs filled the link; answers to polls then came later than relays may take, workers counted as silent, starts without an answer were sent again, and after two misses the owner called the workers itself over the same link. The overload kept itself up without any fault.

A relay keeps the latest 1 MiB of specs of its stream and says so in its status; the owner sends each spec once and then its number. Hosts of other builds work as before.

--- a/pkg/jobhost/election.go
+++ b/pkg/jobhost/election.go
@@ -422,7 +422,7 @@
 }
 
 func (h *Host) memberStatus() *poolpb.MemberStatus {
-	return &poolpb.MemberStatus{Name: h.cfg.Load().Name, StoreAgeMs: h.storeAge().Milliseconds(), Stopping: h.stopping.Load(), ReadsSegments: true,
+	return &poolpb.MemberStatus{Name: h.cfg.Load().Name, StoreAgeMs: h.storeAge().Milliseconds(), Stopping: h.stopping.Load(), ReadsSegments: true, KeptSpecBytes: relay.KeptSpecBytes,
 		Strength: int64(hostStrength(*h.cfg.Load())), Hall: h.cfg.Load().Zone,
 		MostWorkers: int64(min(relay.MaxWorkersForLink(h.cfg.Load().LinkMbps), relay.MaxWorkersPerRelay))}
 }
--- a/pkg/poolowner/relays.go
+++ b/pkg/poolowner/relays.go
@@ -19,7 +19,7 @@
 // newMember returns the member of a stream that begins. memberLeft ends its calls.
 func (o *Owner) newMember(s *poolrpc.Session) *member {
 	ctx, cancel := context.WithCancel(context.Background())
-	m := &member{Session: s, workerCalls: relay.NewClient(o.deps.WorkerTimeout), cancel: cancel}
+	m := &member{Session: s, workerCalls: relay.NewClient(o.deps.WorkerTimeout, int(s.Status().KeptSpecBytes)), cancel: cancel}
 	go m.workerCalls.Run(ctx, s.Send)
 	return m
 }
--- a/pkg/relay/client.go
+++ b/pkg/relay/client.go
@@ -25,6 +25,7 @@
 type Client struct {
 	timeout time.Duration // of a call, without the time that a poll waits at the worker
 	orders  *batcher[*poolpb.Order]
+	specs   *keptSpecs // used by Run only; nil if the relay keeps none
 
 	mu         sync.Mutex
 	lastNumber int64
@@ -33,9 +34,14 @@
 }
 
 // NewClient returns a client whose calls may take up to timeout at the relay, in addition to the
-// time for which a poll asks the worker to wait.
-func NewClient(timeout time.Duration) *Client {
-	return &Client{timeout: timeout, orders: newBatcher[*poolpb.Order](), waiting: map[int64]chan *poolpb.Result{}}
+// time for which a poll asks the worker to wait. keptSpecBytes is how many bytes of specs the relay
+// keeps; 0 means none.
+func NewClient(timeout time.Duration, keptSpecBytes int) *Client {
+	c := &Client{timeout: timeout, orders: newBatcher[*poolpb.Order](), waiting: map[int64]chan *poolpb.Result{}}
+	if keptSpecBytes > 0 {
+		c.specs = newKeptSpecs(keptSpecBytes)
+	}
+	return c
 }
 
 // Run sends orders until ctx ends; after that, the orders still without a result fail with
@@ -43,8 +49,7 @@
 func (c *Client) Run(ctx context.Context, send func(*poolpb.OwnerMessage) bool) {
 	c.orders.run(ctx, func(orders []*poolpb.Order) {
 		for part := range chunks(orders, orderBytes) {
-			msg := &poolpb.OwnerMessage{Content: &poolpb.OwnerMessage_Orders{Orders: packOrders(part)}}
-			if !send(msg) {
+			if !c.sendMessage(part, send) {
 				c.failUnsent(part)
 			}
 		}
@@ -52,6 +57,20 @@
 	c.close()
 }
 
+// sendMessage sends orders in one message.
+func (c *Client) sendMessage(orders []*poolpb.Order, send func(*poolpb.OwnerMessage) bool) bool {
+	if c.specs == nil {
+		return send(&poolpb.OwnerMessage{Content: &poolpb.OwnerMessage_Orders{Orders: packOrders(orders)}})
+	}
+	m := c.specs.pack(orders)
+	if !send(&poolpb.OwnerMessage{Content: &poolpb.OwnerMessage_Orders{Orders: m}}) {
+		c.specs.withdraw(m)
+		return false
+	}
+	c.specs.evict()
+	return true
+}
+
 // failUnsent ends orders that were not sent.
 func (c *Client) failUnsent(orders []*poolpb.Order) {
 	for _, o := range orders {
--- a/pkg/relay/message_size_test.go
+++ b/pkg/relay/message_size_test.go
@@ -33,7 +33,7 @@
 		*to += n
 		return true
 	}
-	client, server := NewClient(time.Second), NewServer(WorkerCalls{}, nil)
+	client, server := NewClient(time.Second, 0), NewServer(WorkerCalls{}, nil)
 	for n := range items {
 		client.orders.add(&poolpb.Order{Kind: poolpb.Order_START, Spec: fmt.Sprintf("%4000d", n)})
 		server.results.add(&poolpb.Result{Number: int64(n), Finished: []*poolpb.Finished{{Checkpoint: strings.Repeat("x", 4000)}}})
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -29,7 +29,7 @@
 }
 
 func newLoopback(t *testing.T, calls WorkerCalls) *loopback {
-	l := &loopback{WithT: NewWithT(t), client: NewClient(testTimeout), server: NewServer(calls, func(dispatch.WorkerID, int, int) {})}
+	l := &loopback{WithT: NewWithT(t), client: NewClient(testTimeout, KeptSpecBytes), server: NewServer(calls, func(dispatch.WorkerID, int, int) {})}
 	ctx := t.Context()
 	go l.client.Run(ctx, func(msg *poolpb.OwnerMessage) bool {
 		l.mu.Lock()
@@ -122,7 +122,7 @@
 
 func TestOrdersOfAnEndedStream(t *testing.T) {
 	g := NewWithT(t)
-	c := NewClient(time.Minute)
+	c := NewClient(time.Minute, 0)
 	ctx, cancel := context.WithCancel(t.Context())
 	sent := make(chan struct{})
 	ended := make(chan struct{})
--- a/pkg/relay/server.go
+++ b/pkg/relay/server.go
@@ -34,6 +34,7 @@
 	calls   WorkerCalls
 	results *batcher[*poolpb.Result]
 	slots   chan struct{} // one for each call under way
+	specs   *keptSpecs    // used by HandleOrders only
 	// checkpointsOmitted is called when a report was sent without its largest checkpoints.
 	checkpointsOmitted func(worker dispatch.WorkerID, bytes, maxBytes int)
 }
@@ -42,7 +43,7 @@
 // worker had more bytes than a message may have and was sent without its largest checkpoints.
 func NewServer(calls WorkerCalls, checkpointsOmitted func(worker dispatch.WorkerID, bytes, maxBytes int)) *Server {
 	return &Server{
-		calls: calls, results: newBatcher[*poolpb.Result](), slots: make(chan struct{}, maxConcurrentCalls), checkpointsOmitted: checkpointsOmitted,
+		calls: calls, results: newBatcher[*poolpb.Result](), slots: make(chan struct{}, maxConcurrentCalls), specs: newKeptSpecs(KeptSpecBytes), checkpointsOmitted: checkpointsOmitted,
 	}
 }
 
@@ -56,17 +57,15 @@
 	})
 }
 
-// HandleOrders carries out a message of orders, each in a goroutine of its own. It returns orders
-// in excess of maxConcurrentCalls as not sent. Calls under way when ctx ends go on, so that their
-// connections stay usable.
-func (s *Server) HandleOrders(ctx context.Context, orders *poolpb.Orders) {
-	for _, o := range orders.Orders {
-		spec, ok := specOf(orders, o)
-		if !ok {
-			s.results.add(&poolpb.Result{Number: o.Number, Failed: true, NotSent: true})
-			continue
-		}
-		o.Spec = spec
+// HandleOrders carries out a message of orders, each in a goroutine of its own. It must be called
+// with the messages of one stream in their order. It returns orders in excess of maxConcurrentCalls
+// as not sent. Calls under way when ctx ends go on, so that their connections stay usable.
+func (s *Server) HandleOrders(ctx context.Context, m *poolpb.Orders) {
+	orders, unknown := s.specs.unpack(m)
+	for _, o := range unknown {
+		s.results.add(&poolpb.Result{Number: o.Number, Failed: true, NotSent: true})
+	}
+	for _, o := range orders {
 		select {
 		case s.slots <- struct{}{}:
 		default:
