Calls to workers have the time that their requests take on the link

Callers saw accepted jobs with nothing running beside room: on small links starts got no answer in time, were made void, and their tasks waited for the next incarnation or a late start.

Cause: a call to a worker had 160 ms, whatever the size of the requests that waited beside it. 24 starts of a step with specs of 4 KB take 0.4 s on a link of 2 Mbit/s, so that nearly all of them counted as unanswered although they were carried out. Calls to the store have had such an allowance before.

A call whose time is over goes on for the transfer time of all requests without an answer on this host's link. A call alone has the time that it had.

--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -112,7 +112,7 @@
 	}, clk)
 	h := &Host{
 		incarnation: uuid.NewString(), log: log.WithField("host", cfg.Name), clk: clk, store: store,
-		workers: platform.NewWorkerClient(workerTimeout, traffic.New("workers", metrics.registry)), metrics: metrics,
+		workers: platform.NewWorkerClient(workerTimeout, cfg.LinkMbps, traffic.New("workers", metrics.registry)), metrics: metrics,
 		peerBytes: traffic.New("peers", metrics.registry), callerBytes: traffic.New("callers", metrics.registry), adviceBytes: traffic.New("advice", metrics.registry),
 		waves: upkeep.NewRequests(), evacuated: evacuation.New(),
 		election: election{changed: make(chan struct{}, 1)}, ownerStoreRecovered: make(chan struct{}, 1),
