--- a/test/platform/link_test.go
+++ b/test/platform/link_test.go
@@ -1,9 +1,21 @@
 package platform_test
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	relayBufferBytes = 32 << 10
+	// readAheadParts is the number of parts of up to relayBufferBytes that a connection's queue holds.
+	readAheadParts = 64
+	// limitedPartBytes is the size of the parts in which a link with a bandwidth passes data on, so that its
+	// connections share it.
+	limitedPartBytes = 1 << 10
 )
 
 // linkFault is a fault of a link.
@@ -21,6 +33,7 @@
 	disturbed func() // called when a fault begins or ends
 
 	mu          sync.Mutex
+	bandwidth   *rate.Limiter // of the answers on all connections, in bytes; nil for no limit
 	fault       linkFault
 	changed     chan struct{} // closed and replaced when the fault changes
 	conns       map[net.Conn]struct{}
@@ -52,6 +65,22 @@
 	k.changed = make(chan struct{})
 }
 
+// limit limits the answers on all connections together to a number of bytes a second.
+func (k *link) limit(bytesPerSecond int) {
+	k.disturbed()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.bandwidth = rate.NewLimiter(rate.Limit(bytesPerSecond), limitedPartBytes)
+}
+
+func (k *link) answerBandwidth() *rate.Limiter {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.bandwidth
+}
+
+func unlimited() *rate.Limiter { return nil }
+
 // reset closes all connections with a TCP reset.
 func (k *link) reset() {
 	k.disturbed()
@@ -101,8 +130,8 @@
 			continue
 		}
 		k.add(caller, target)
-		go k.relay(target, caller, func(f linkFault) bool { return f.holdsRequests })
-		go k.relay(caller, target, func(f linkFault) bool { return f.holdsAnswers })
+		go k.relay(target, caller, unlimited, func(f linkFault) bool { return f.holdsRequests })
+		go k.relay(caller, target, k.answerBandwidth, func(f linkFault) bool { return f.holdsAnswers })
 	}
 }
 
@@ -115,7 +144,7 @@
 }
 
 // relay copies data in one direction until either connection closes.
-func (k *link) relay(to, from net.Conn, held func(linkFault) bool) {
+func (k *link) relay(to, from net.Conn, bandwidth func() *rate.Limiter, held func(linkFault) bool) {
 	defer func() {
 		_, _ = to.Close(), from.Close()
 		k.mu.Lock()
@@ -125,24 +154,43 @@
 		delete(k.silentConns, to)
 		delete(k.silentConns, from)
 	}()
-	data := make([]byte, 32<<10)
-	for {
-		n, err := from.Read(data)
-		if n > 0 {
-			k.awaitPass(held)
-			if k.isSilent(from) {
-				continue
-			}
-			if _, err := to.Write(data[:n]); err != nil {
-				return
-			}
+	received := readAhead(from)
+	defer func() {
+		_ = from.Close()
+		for range received { // lets the reader end
 		}
-		if err != nil {
+	}()
+	for data := range received {
+		k.awaitPass(held)
+		if k.isSilent(from) {
+			continue
+		}
+		if err := writeLimited(to, data, bandwidth()); err != nil {
 			return
 		}
 	}
 }
 
+// readAhead returns what it reads from a connection; it closes the channel when the connection ends. A slow link
+// holds data in a queue of its own: a sender that waits for room in the receive buffer pauses for seconds.
+func readAhead(from net.Conn) <-chan []byte {
+	received := make(chan []byte, readAheadParts)
+	go func() {
+		defer close(received)
+		for {
+			data := make([]byte, relayBufferBytes)
+			n, err := from.Read(data)
+			if n > 0 {
+				received <- data[:n]
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	return received
+}
+
 // awaitPass waits until no fault holds data of a direction back, and then for the delay of the link.
 func (k *link) awaitPass(held func(linkFault) bool) {
 	for {
@@ -156,3 +204,21 @@
 		<-changed
 	}
 }
+
+// writeLimited writes data within a bandwidth, if it is not nil.
+func writeLimited(to net.Conn, data []byte, bandwidth *rate.Limiter) error {
+	for len(data) > 0 {
+		part := data
+		if bandwidth != nil {
+			part = data[:min(len(data), limitedPartBytes)]
+			if err := bandwidth.WaitN(context.Background(), len(part)); err != nil {
+				return err
+			}
+		}
+		if _, err := to.Write(part); err != nil {
+			return err
+		}
+		data = data[len(part):]
+	}
+	return nil
+}
