A new owner repeats a failed read alone, and a list from the page that failed

Callers waited for their jobs while a new owner read everything it needs again and again: jobs, progress, workers' entries, roster and operator's keys.

Cause: when one of the five reads failed, all began anew, each with its first page. On a slow link that keeps the link full, so that a read fails again. After a compaction a list in the steady state began with its first page, too.

platform.Listing keeps the pages that it has read, and continues with the one that failed. Each read of a new owner is repeated by itself. Lists after a compaction use it as well; while one is partial, no watch is tried from the old revision.

Why this is correct: a watch continues from the revision of the first page, so that each change of a key after its page was read arrives there. No previous owner can change what was read: commits, roster and job records are written on condition of the owner's record or of keys that the takeover replaces, and the lists begin after it. If the store's history is shorter than the load, the first watch fails and the list is read once more, while the pool works already. In the steady state jobs end while they are listed; a list that took longer than outcomes are kept is dropped, since an ended job on it would count as new and run again (also possible before, with one slow list).

--- a/pkg/poolowner/loading.go
+++ b/pkg/poolowner/loading.go
@@ -37,22 +37,23 @@
 	workers int64
 }
 
-// load reads the workers and the jobs, and repeats this until the store answers.
-func (o *Owner) load(ctx context.Context) error {
-	for ctx.Err() == nil {
-		err := o.tryLoad(ctx)
-		if err == nil {
-			return nil
-		}
-		o.deps.Log.WithField("error", err).Warn("owner_loading")
-		clock.Sleep(ctx, storeRetryDelay)
+// listings are the lists that an owner reads; each keeps its pages until they are applied.
+type listings struct {
+	jobs, progress, workers, roster *platform.Listing
+}
+
+func newListings(s *platform.Store) listings {
+	return listings{
+		jobs: s.NewListing(jobstore.JobsPrefix), progress: s.NewListing(jobstore.ProgressPrefix),
+		workers: s.NewListing(platform.WorkersPrefix), roster: s.NewListing(jobstore.RosterPrefix),
 	}
-	return ctx.Err()
 }
 
-// tryLoad reads workers and jobs at the same time, since the store may be slow. The leases of running
-// tasks are extended as soon as the workers are known.
-func (o *Owner) tryLoad(ctx context.Context) error {
+// load reads workers, jobs and the operator's keys at the same time, since the store may be slow. Each read is
+// repeated by itself, and a list goes on with the page that failed: on a slow link, reads that began anew whenever
+// another one failed would keep the link full. The leases of running tasks are extended as soon as the workers are
+// known.
+func (o *Owner) load(ctx context.Context) error {
 	var group errgroup.Group
 	group.Go(func() error {
 		if err := o.loadWorkers(ctx); err != nil {
@@ -61,8 +62,8 @@
 		o.startSessions(ctx)
 		return nil
 	})
-	group.Go(func() error { return o.listJobs(ctx) })
-	group.Go(func() error { return errors.Wrap(o.deps.ReadOperatorKeys(ctx), "read operator's keys") })
+	group.Go(func() error { return o.loadJobs(ctx) })
+	group.Go(func() error { return o.readUntilSuccess(ctx, o.readOperatorKeys) })
 	if err := group.Wait(); err != nil {
 		return err
 	}
@@ -75,40 +76,87 @@
 	return nil
 }
 
+// readUntilSuccess repeats a read until it succeeds or ctx ends.
+func (o *Owner) readUntilSuccess(ctx context.Context, read func(context.Context) error) error {
+	for ctx.Err() == nil {
+		err := read(ctx)
+		if err == nil {
+			return nil
+		}
+		o.deps.Log.WithField("error", err).Warn("owner_loading")
+		clock.Sleep(ctx, storeRetryDelay)
+	}
+	return ctx.Err()
+}
+
+func (o *Owner) readOperatorKeys(ctx context.Context) error {
+	return errors.Wrap(o.deps.ReadOperatorKeys(ctx), "read operator's keys")
+}
+
 // loadWorkers reads the workers' entries and the roster.
 func (o *Owner) loadWorkers(ctx context.Context) error {
 	var roster []platform.Item
 	var group errgroup.Group
-	group.Go(func() error { return o.listWorkers(ctx) })
-	group.Go(func() (err error) {
-		roster, err = o.readRoster(ctx)
-		return err
+	group.Go(func() error { return o.readUntilSuccess(ctx, o.listWorkers) })
+	group.Go(func() error {
+		return o.readUntilSuccess(ctx, func(ctx context.Context) (err error) {
+			roster, err = o.readRoster(ctx)
+			return err
+		})
 	})
 	if err := group.Wait(); err != nil {
 		return err
 	}
+	o.listings.roster.Reset()
 	o.loadRoster(roster)
 	return nil
 }
 
-// listJobs reads all jobs and their progress, which no previous owner can change any more.
-func (o *Owner) listJobs(ctx context.Context) error {
-	started := o.deps.Clock.Now()
-	var items []platform.Item
-	var at int64
-	var progress map[job.ID]job.Progress
+// loadJobs reads all jobs and their progress, which no previous owner can change any more.
+func (o *Owner) loadJobs(ctx context.Context) error {
 	var group errgroup.Group
-	group.Go(func() (err error) {
-		items, at, err = o.deps.Store.List(ctx, jobstore.JobsPrefix)
-		return errors.Wrap(err, "list jobs")
-	})
-	group.Go(func() (err error) {
-		progress, err = o.listProgress(ctx)
+	group.Go(func() error { return o.readUntilSuccess(ctx, o.readJobs) })
+	group.Go(func() error { return o.readUntilSuccess(ctx, o.readProgress) })
+	if err := group.Wait(); err != nil {
 		return err
-	})
+	}
+	return o.listJobs(ctx)
+}
+
+func (o *Owner) readJobs(ctx context.Context) error {
+	_, _, err := o.listings.jobs.Read(ctx)
+	return errors.Wrap(err, "list jobs")
+}
+
+func (o *Owner) readProgress(ctx context.Context) error {
+	_, _, err := o.listings.progress.Read(ctx)
+	return errors.Wrap(err, "list progress of jobs")
+}
+
+// listJobs reads what has not been read yet of the jobs and their progress, and applies them once both are complete.
+func (o *Owner) listJobs(ctx context.Context) error {
+	var group errgroup.Group
+	group.Go(func() error { return o.readJobs(ctx) })
+	group.Go(func() error { return o.readProgress(ctx) })
 	if err := group.Wait(); err != nil {
 		return err
 	}
+	defer o.listings.jobs.Reset()
+	defer o.listings.progress.Reset()
+	took := o.deps.Clock.Now().Sub(o.listings.jobs.StartedAt())
+	if o.loaded.Load() && took >= o.deps.Bounds.OutcomeRetention {
+		// The outcomes of jobs that have ended meanwhile may be forgotten, and they would run again.
+		return errors.Newf("list jobs: the list took %s, and outcomes are kept for %s", took, o.deps.Bounds.OutcomeRetention)
+	}
+	items, at, err := o.listings.jobs.Read(ctx)
+	if err != nil {
+		return err
+	}
+	progressItems, _, err := o.listings.progress.Read(ctx)
+	if err != nil {
+		return err
+	}
+	progress := o.decodeProgress(progressItems)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.applyJobs(items, progress)
@@ -116,17 +164,12 @@
 		o.orphanedSegments = orphanedSegments(items, progress)
 	}
 	o.watchPosition.jobs = at
-	o.deps.Log.WithFields(logrus.Fields{
-		"items": len(items), "progress": len(progress), "took": o.deps.Clock.Now().Sub(started),
-	}).Info("jobs_listed")
+	o.deps.Log.WithFields(logrus.Fields{"items": len(items), "progress": len(progress), "took": took}).Info("jobs_listed")
 	return nil
 }
 
-func (o *Owner) listProgress(ctx context.Context) (map[job.ID]job.Progress, error) {
-	items, _, err := o.deps.Store.List(ctx, jobstore.ProgressPrefix)
-	if err != nil {
-		return nil, errors.Wrap(err, "list progress of jobs")
-	}
+// decodeProgress decodes items under jobstore.ProgressPrefix.
+func (o *Owner) decodeProgress(items []platform.Item) map[job.ID]job.Progress {
 	progress := make(map[job.ID]job.Progress, len(items))
 	for _, i := range items {
 		id, segment, err := jobstore.ParseProgressKey(i.Key)
@@ -143,7 +186,7 @@
 			o.mu.Unlock()
 		}
 	}
-	return progress, nil
+	return progress
 }
 
 // addStoredProgress adds a value under jobstore.ProgressPrefix to the progress of its job. segment is as in
@@ -225,12 +268,13 @@
 
 // watchJobsOnce applies the jobs that were written since the last watch.
 func (o *Owner) watchJobsOnce(ctx context.Context) error {
+	if o.listings.jobs.HasPages() {
+		return o.listJobsAgain(ctx)
+	}
 	requestedAt := o.deps.Clock.Now()
 	items, at, err := o.deps.Store.Watch(ctx, jobstore.JobsPrefix, o.watchPosition.jobs, 0)
 	if errors.Is(err, platform.ErrHistoryCompacted) {
-		err = o.listJobs(ctx)
-		at = o.watchPosition.jobs
-		o.requestPlan()
+		return o.listJobsAgain(ctx)
 	}
 	if err != nil {
 		return err
@@ -247,12 +291,27 @@
 	return nil
 }
 
-// listWorkers reads the entries of all workers.
+// listJobsAgain lists the jobs after a watch has failed because the store no longer has all changes.
+func (o *Owner) listJobsAgain(ctx context.Context) error {
+	requestedAt := o.deps.Clock.Now()
+	if o.listings.jobs.HasPages() {
+		requestedAt = o.listings.jobs.StartedAt()
+	}
+	if err := o.listJobs(ctx); err != nil {
+		return err
+	}
+	o.jobsWatch.RecordCurrent(requestedAt)
+	o.requestPlan()
+	return nil
+}
+
+// listWorkers reads what has not been read yet of the entries of all workers, and applies them once it has them all.
 func (o *Owner) listWorkers(ctx context.Context) error {
-	items, at, err := o.deps.Store.List(ctx, platform.WorkersPrefix)
+	items, at, err := o.listings.workers.Read(ctx)
 	if err != nil {
 		return errors.Wrap(err, "list worker entries")
 	}
+	o.listings.workers.Reset()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	listed := make(map[dispatch.WorkerID]bool, len(items))
@@ -273,11 +332,7 @@
 // watchWorkers follows the workers' entries.
 func (o *Owner) watchWorkers(ctx context.Context) {
 	for ctx.Err() == nil {
-		items, at, err := o.deps.Store.Watch(ctx, platform.WorkersPrefix, o.watchPosition.workers, workersWatchWait)
-		if errors.Is(err, platform.ErrHistoryCompacted) {
-			err = o.listWorkers(ctx)
-			at = o.watchPosition.workers
-		}
+		items, at, err := o.watchWorkersOnce(ctx)
 		if err != nil {
 			o.handleWatchFailure(ctx, err)
 			continue
@@ -290,6 +345,19 @@
 	}
 }
 
+// watchWorkersOnce waits for changes of the workers' entries. If the store no longer has all changes, it lists the
+// entries and returns none.
+func (o *Owner) watchWorkersOnce(ctx context.Context) (items []platform.Item, at int64, err error) {
+	if !o.listings.workers.HasPages() {
+		items, at, err = o.deps.Store.Watch(ctx, platform.WorkersPrefix, o.watchPosition.workers, workersWatchWait)
+		if !errors.Is(err, platform.ErrHistoryCompacted) {
+			return items, at, err
+		}
+	}
+	err = o.listWorkers(ctx)
+	return nil, o.watchPosition.workers, err
+}
+
 // handleWatchFailure records that the workers' entries could not be read, and waits before the next
 // attempt.
 func (o *Owner) handleWatchFailure(ctx context.Context, err error) {
--- a/pkg/poolowner/owner.go
+++ b/pkg/poolowner/owner.go
@@ -145,6 +145,7 @@
 	linkUse            *traffic.Sampler // used by logStatus only
 	entryWrites        entryWrites      // used by watchWorkers only
 	watchPosition      watchPosition    // each field is used by one goroutine only
+	listings           listings         // each field is used by one goroutine only
 	// roster is the roster as stored, by worker name. It is used while loading and then by writeRoster
 	// only.
 	roster map[string]rosterRecord
@@ -173,7 +174,7 @@
 		calls:    newCallLimiter(concurrentCallLimit(deps)),
 		sessions: map[dispatch.WorkerID]*workerSession{}, members: map[string]*member{}, fastMembers: map[string]bool{},
 		invalidEntries: map[string]invalidEntry{}, roster: map[string]rosterRecord{}, unreadableProgress: map[job.ID]bool{}, earlyCancellations: map[job.ID]bool{}, committed: make(chan struct{}), lanes: newLanes(claim),
-		entryWrites: newEntryWrites(deps.HeartbeatInterval), upkeep: upkeep.New(), newWaves: map[int64]upkeep.Wave{}, segmentReaders: newSegmentReaders(now),
+		entryWrites: newEntryWrites(deps.HeartbeatInterval), upkeep: upkeep.New(), newWaves: map[int64]upkeep.Wave{}, segmentReaders: newSegmentReaders(now), listings: newListings(deps.Store),
 		plans:          metrics.GetOrRegisterTimer("pool.plan", deps.Metrics),
 		linkUse:        traffic.NewSampler(deps.Metrics, now),
 		rosterFailures: &storeFailures{purpose: "roster", clk: deps.Clock, log: deps.Log},
--- a/pkg/poolowner/roster.go
+++ b/pkg/poolowner/roster.go
@@ -38,9 +38,9 @@
 }
 
 // readRoster reads the roster, which names the workers that previous owners have used. The entry of such
-// a worker may be gone while it still runs tasks.
+// a worker may be gone while it still runs tasks. After an error, the next call goes on with the page that failed.
 func (o *Owner) readRoster(ctx context.Context) ([]platform.Item, error) {
-	items, _, err := o.deps.Store.List(ctx, jobstore.RosterPrefix)
+	items, _, err := o.listings.roster.Read(ctx)
 	return items, errors.Wrap(err, "list roster")
 }
 
