Requests that are read during a planned stop are answered

What callers saw: a connection that ends without an answer after its whole request was read, at the end of a planned stop.

Cause: http.Server.Shutdown sets a flag, and net/http ends each connection on which it reads a head after that without an answer (conn.serve, "if c.server.shuttingDown() { return }"). This hits connections that were accepted and had sent nothing or a part of a head. Idle connections are closed at once as well. A process that gets little processor time reads late, and so more requests late.

Evidence: TestPlannedStopAnswersRequestsOnOpenConnections failed 8 of 8 times, with a kept connection, one that had sent half a head or one that had sent nothing (in the order in which it looked at them), each with no answer in place of 200.

Change: Listener.Shutdown of clientlimit closes the port, answers what arrives on open connections, with "Connection: close", and ends those without a request after 0.25 s by the deadline of their read, so that a request is either read and answered or not read at all. Then it calls http.Server.Shutdown. Both programs use it.

--- a/pkg/clientlimit/clientlimit_test.go
+++ b/pkg/clientlimit/clientlimit_test.go
@@ -35,9 +35,10 @@
 	address  string
 	registry metrics.Registry
 	log      *logtest.Hook
-	mayEnd   chan struct{} // closed when requests for /wait may end
-	read     atomic.Int64  // bytes of bodies that the handler has read
-	waiting  atomic.Int64  // requests for /wait that have reached the handler
+	mayEnd   chan struct{}                   // closed when requests for /wait may end
+	stop     func(ctx context.Context) error // stops the server as planned
+	read     atomic.Int64                    // bytes of bodies that the handler has read
+	waiting  atomic.Int64                    // requests for /wait that have reached the handler
 }
 
 func newTestServer(t *testing.T, o Options) *testServer {
@@ -49,6 +50,7 @@
 	s.Expect(err).NotTo(HaveOccurred())
 	s.address = l.Addr().String()
 	server := limits.Server(http.HandlerFunc(s.serve))
+	s.stop = func(ctx context.Context) error { return limits.Shutdown(ctx, server) }
 	go func() { _ = server.Serve(limits.Wrap(l)) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return s
--- a/pkg/clientlimit/conn.go
+++ b/pkg/clientlimit/conn.go
@@ -33,6 +33,7 @@
 	since     time.Time // when the phase began
 	headBytes int       // read in the phase awaitingHead
 	lines     headLines // of what was read in that phase
+	ended     bool      // the read of the next request was ended, since the server stops
 	// writingSince is when the write that is in progress began; zero if there is none.
 	writingSince time.Time
 	// unreceived counts what was read on an established connection and belongs to no message that was received.
@@ -70,6 +71,9 @@
 	if c.phase != awaitingHead {
 		return n, err
 	}
+	if n > 0 {
+		c.resume()
+	}
 	c.headBytes += n
 	c.lines.add(p[:n])
 	if c.lines.tooMany() {
--- a/pkg/clientlimit/doc.go
+++ b/pkg/clientlimit/doc.go
@@ -26,7 +26,8 @@
 //	callers := limiter.Listener("callers", clientlimit.Callers)
 //	l, err := callers.Listen(address)
 //	server := callers.Server(handler)
-//	go server.Serve(l)
+//	go server.Serve(callers.Wrap(l))
+//	callers.Shutdown(ctx, server) // in place of server.Shutdown, which drops requests that it reads late
 //
 // Listeners of other protocols wrap their connections as well. A connection of theirs may send firstBytes within
 // firstTime until Establish is called with the context of its first call; from then on it is never closed for another
--- a/pkg/clientlimit/listener.go
+++ b/pkg/clientlimit/listener.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -32,7 +33,10 @@
 	firstCallBytes int           // that a connection of another protocol may send before it is established
 	firstCalls     chan struct{} // holds an element for each of these that has a turn to send more than firstBytes; nil: none has
 
+	stopping atomic.Bool // each connection is closed after its next answer
+
 	mu    sync.Mutex
+	port  net.Listener // nil before Wrap
 	conns map[*Conn]struct{}
 }
 
@@ -75,6 +79,9 @@
 
 // Wrap returns a listener whose connections are limited.
 func (l *Listener) Wrap(inner net.Listener) net.Listener {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.port = inner
 	return &limitedListener{inner, l}
 }
 
--- a/pkg/clientlimit/server.go
+++ b/pkg/clientlimit/server.go
@@ -42,6 +42,9 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		if l.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		if r.ContentLength == 0 {
 			c.setPhase(processing)
 			next.ServeHTTP(w, r)
--- a/pkg/entry/planned_stop_test.go
+++ b/pkg/entry/planned_stop_test.go
@@ -65,7 +65,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f.startBackground(ctx, peers, f.clients.Listener("peers", clientlimit.Peers))
 	return l.Addr().(*net.TCPAddr).AddrPort(), func() {
-		f.shutDown(&http.Server{}, peers)
+		f.shutDown((&http.Server{}).Shutdown, peers)
 		cancel()
 		f.background.Wait()
 	}
--- a/pkg/entry/process.go
+++ b/pkg/entry/process.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"net/netip"
 	"runtime/debug"
 	"sync"
@@ -170,7 +169,7 @@
 	case <-ctx.Done():
 	case <-p.stopRequests:
 	}
-	p.shutDown(server, peers)
+	p.shutDown(func(ctx context.Context) error { return callerLimits.Shutdown(ctx, server) }, peers)
 	stop()
 	p.peers.Close()
 	p.background.Wait()
@@ -192,8 +191,8 @@
 // shutDown performs a planned stop, which takes at most drainTimeout. From its beginning, callers'
 // new requests are refused as Draining and the health check fails, so that callers change to
 // other entry hosts. After a grace period it hands the shards over to their successors, closes
-// the ports, waits for the requests in flight and until its peers know the successors.
-func (p *Process) shutDown(server *http.Server, peers *peerListener) {
+// the ports, waits for the requests in flight, which stopServer does, and until its peers know the successors.
+func (p *Process) shutDown(stopServer func(context.Context) error, peers *peerListener) {
 	p.draining.Store(true)
 	p.log.Info("leaving")
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
@@ -205,7 +204,7 @@
 		cancelHandover()
 	}
 	peers.Refuse()
-	_ = server.Shutdown(ctx)
+	_ = stopServer(ctx)
 	p.awaitQuietPeers(ctx)
 }
 
--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -178,7 +178,7 @@
 	h.startBackground(work, peerLimits.Wrap(h.peerBytes.Listener(peers)))
 	h.background.Go(func() { h.watchSettings(work, path) })
 	<-ctx.Done()
-	h.shutDown(server)
+	h.shutDown(func(ctx context.Context) error { return callerLimits.Shutdown(ctx, server) })
 	stop()
 	h.background.Wait()
 	h.log.Info("stopped")
@@ -231,8 +231,8 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// shutDown performs a planned stop within the platform's grace period.
-func (h *Host) shutDown(server *http.Server) {
+// shutDown performs a planned stop within the platform's grace period. stopServer answers the callers' last requests.
+func (h *Host) shutDown(stopServer func(context.Context) error) {
 	h.stopping.Store(true)
 	h.log.Info("stopping")
 	grace := h.cfg.Load().Bounds.TerminationGrace
@@ -246,7 +246,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), max(deadline.Sub(h.clk.Now()), 0)+stopMargin/2)
 	defer cancel()
-	_ = server.Shutdown(ctx)
+	_ = stopServer(ctx)
 }
 
 // storeAge returns the time since the store last answered this host.
