Late first calls of other hosts are counted

What operators saw: nothing. A connection of another host that makes no whole call within 5 s was closed without a count or a log line, unless it had sent 16 KiB, so that the counters could not show that the limit had struck. docs/OPERATIONS.md says that heads_too_large of peers counts first calls that are not whole in time.

Evidence: TestLateFirstCallIsCounted failed: the count was 0 in place of 1.

Change: the end of that time counts and is logged as well.

--- a/pkg/clientlimit/first_call.go
+++ b/pkg/clientlimit/first_call.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"syscall"
 	"time"
 
@@ -37,6 +38,9 @@
 	}
 	n, err := c.Conn.Read(p[:min(len(p), limit-c.headBytes)])
 	c.headBytes += n
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.limits.heads.exceeded()
+	}
 	return n, err
 }
 
