Requests for a job's state that get no answer are logged and counted

Callers saw 504 to requests for the state of a job, and neither log nor metrics told of them, so that "not answered for" could not be told from "not asked", nor a limit of ours from a store that does not answer.

job_state_unknown names why, whether the host was linked to the owner and how old the store's last answer is, at most 20 lines a second; jobs.state_unanswered counts all of them, jobs.state_absent the answers that there is no such job.

--- a/pkg/jobhost/host.go
+++ b/pkg/jobhost/host.go
@@ -25,6 +25,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -37,6 +38,8 @@
 	storeRateShare = 0.25
 	// lookupConnShare is the share of callers' connections that may wait for the store to tell of a job.
 	lookupConnShare = 0.25
+	// lookupLogsPerSecond is how many lookups without an answer are logged a second.
+	lookupLogsPerSecond = 20
 	// storeAnswerMaxAge is how old the store's last answer may be for the store to count as reachable.
 	storeAnswerMaxAge = 1500 * time.Millisecond
 	// memoryLimitShare is the share of the host's memory limit that is set as Go's soft memory limit.
@@ -69,6 +72,7 @@
 	lookupLimiter *lookupLimiter // limits lookups for callers
 	clients       *clientlimit.Limiter
 	lookups       *clientlimit.Share // callers that wait for the store to tell of a job
+	lookupLog     *rate.Limiter      // limits the log lines of lookups without an answer
 	metrics       *hostMetrics
 	election      election
 	member        atomic.Pointer[poolrpc.Member]
@@ -122,6 +126,7 @@
 	h.lookups = h.clients.Share("lookups_refused", lookupConnShare)
 	h.writer = newBatchWriter(store, clk, h.handleFoundOwnerRecord)
 	h.lookupLimiter = newLookupLimiter(cfg.Store.ReadsPerSecond)
+	h.lookupLog = rate.NewLimiter(lookupLogsPerSecond, lookupLogsPerSecond)
 	h.operatorKeys = h.newOperatorWatcher()
 	h.setAdvice(cfg.AdviceAddress)
 	return h
--- a/pkg/jobhost/jobs.go
+++ b/pkg/jobhost/jobs.go
@@ -253,13 +253,32 @@
 // jobState returns the state of a job.
 func (h *Host) jobState(ctx context.Context, c customer.Caller, id job.ID) (job.State, error) {
 	defer h.metrics.lookupTime.UpdateSince(time.Now())
+	started := h.clk.Now()
 	state, customerName, err := h.findJob(ctx, id, h.lookupLimiter.allow)
 	if err != nil {
+		h.recordLookupFailure(id, started, err)
 		return "", err
 	}
 	return state, h.checkJobAccess(c, id, customerName)
 }
 
+// recordLookupFailure counts a lookup that told the caller nothing of its job, and logs it unless many others were
+// logged just before.
+func (h *Host) recordLookupFailure(id job.ID, started clock.Time, err error) {
+	if errors.Is(err, platform.ErrNoJob) {
+		h.metrics.lookupsAbsent.Inc(1)
+		return
+	}
+	h.metrics.lookupsUnanswered.Inc(1)
+	if !h.lookupLog.Allow() {
+		return
+	}
+	h.log.WithFields(logrus.Fields{
+		"job": id, "took_ms": h.clk.Now().Sub(started).Milliseconds(), "term": h.knownTerm(), "linked": h.isLinked(),
+		"store_age_ms": h.storeAge().Milliseconds(), "unanswered": h.metrics.lookupsUnanswered.Count(), "error": err,
+	}).Warn("job_state_unknown")
+}
+
 // findJob returns the state of a job and the name of its customer. If the owner does not know the job,
 // the store is read. If the owner can't be asked, the store is read only if mayRead returns true. Errors:
 // platform.ErrNoJob, platform.ErrOutcomeUnknown.
--- a/pkg/jobhost/lookup_limiter_test.go
+++ b/pkg/jobhost/lookup_limiter_test.go
@@ -7,6 +7,7 @@
 	"foldarch.dev/foldarch/pkg/job"
 	"foldarch.dev/foldarch/pkg/jobstore"
 	"foldarch.dev/foldarch/platform"
+	"foldarch.dev/foldarch/platform/emulator"
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 )
@@ -49,3 +50,30 @@
 	s.setHosts(0)
 	g.Expect(float64(s.limiter.Limit())*readsPerLookup*600).To(BeNumerically("~", readsPerSecond/2, 1), "an unknown number changes nothing")
 }
+
+// Guards against requests for a job's state that end without an answer and leave no trace.
+func TestLookupsWithoutAnAnswerAreLoggedAndCounted(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := startPlatform(t)
+	h, hook := newTestHost(t, p)
+	anyone := customer.NewCaller(nil, customer.Call{QueueKnown: true, Key: customer.KeyNotNeeded}, true)
+	_, err := h.jobState(t.Context(), anyone, "a")
+	g.Expect(errors.Is(err, platform.ErrNoJob)).To(BeTrue(), "%v", err)
+	g.Expect(h.metrics.lookupsAbsent.Count()).To(BeEquivalentTo(1))
+	g.Expect(hook.AllEntries()).To(BeEmpty())
+	p.Store.SetMode(emulator.StoreBusy)
+	const lookups = 2 * lookupLogsPerSecond
+	for range lookups {
+		_, err := h.jobState(t.Context(), anyone, "a")
+		g.Expect(errors.Is(err, platform.ErrOutcomeUnknown)).To(BeTrue(), "%v", err)
+	}
+	g.Expect(h.metrics.lookupsUnanswered.Count()).To(BeEquivalentTo(lookups))
+	logged := 0
+	for _, e := range hook.AllEntries() {
+		if e.Message == "job_state_unknown" {
+			logged++
+		}
+	}
+	g.Expect(logged).To(And(BeNumerically(">=", lookupLogsPerSecond), BeNumerically("<", lookups)))
+}
--- a/pkg/jobhost/metrics.go
+++ b/pkg/jobhost/metrics.go
@@ -29,7 +29,10 @@
 	// overShare counts the jobs refused because their customer sends more than its weight.
 	overShare  metrics.Counter
 	lookupTime metrics.Timer
-	tooLarge   metrics.Counter // refused because the store takes no record of that size
+	// lookupsAbsent counts the lookups of jobs that the store does not have, lookupsUnanswered those without a
+	// definite answer.
+	lookupsAbsent, lookupsUnanswered metrics.Counter
+	tooLarge                         metrics.Counter // refused because the store takes no record of that size
 	// checkpointsOmitted counts the reports that this host passed on without their largest checkpoints.
 	checkpointsOmitted metrics.Counter
 	// denials count the rejected calls by verdict.
@@ -56,6 +59,8 @@
 		overShare:          metrics.NewRegisteredCounter("jobs.refused_beyond_weight", r),
 		outcomeUnknown:     metrics.NewRegisteredCounter("jobs.outcome_unknown", r),
 		lookupTime:         metrics.NewRegisteredTimer("jobs.state", r),
+		lookupsAbsent:      metrics.NewRegisteredCounter("jobs.state_absent", r),
+		lookupsUnanswered:  metrics.NewRegisteredCounter("jobs.state_unanswered", r),
 		checkpointsOmitted: metrics.NewRegisteredCounter("relay.checkpoints_omitted", r),
 		denials: map[customer.Verdict]metrics.Counter{
 			customer.UnknownQueue:    metrics.NewRegisteredCounter("calls.unknown_queue", r),
