Known failure: lookups for callers are not limited while an owner loads the jobs

While an owner loads the jobs it answers every question for a job's state with "not known", and each host then reads the store for each request, up to three reads, without the limit that holds while no owner answers (findJob). All hosts at once can use up the store's rate of reads, of which the owner's lists are part.

TestCallersLeaveStoreReadsToAnOwnerThatLoadsTheJobs fails: 400 lookups make 1,200 reads, at most 120 are allowed.

--- a/pkg/jobhost/lookup_limiter_test.go
+++ b/pkg/jobhost/lookup_limiter_test.go
@@ -6,6 +6,7 @@
 	"foldarch.dev/foldarch/pkg/customer"
 	"foldarch.dev/foldarch/pkg/job"
 	"foldarch.dev/foldarch/pkg/jobstore"
+	"foldarch.dev/foldarch/pkg/poolowner"
 	"foldarch.dev/foldarch/platform"
 	"foldarch.dev/foldarch/platform/emulator"
 	"github.com/cockroachdb/errors"
@@ -77,3 +78,32 @@
 	}
 	g.Expect(logged).To(And(BeNumerically(">=", lookupLogsPerSecond), BeNumerically("<", lookups)))
 }
+
+// Guards against callers that poll their jobs while an owner loads them: it answers that it does not know the jobs,
+// and the reads of all callers left none of the store's rate to its lists.
+func TestCallersLeaveStoreReadsToAnOwnerThatLoadsTheJobs(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := startPlatform(t)
+	h, _ := newTestHost(t, p)
+	text, err := job.Record{Job: job.Job{ID: "a", Spec: "spec", Steps: []job.Step{{Count: 1}}}}.Encode()
+	g.Expect(err).NotTo(HaveOccurred())
+	p.Store.Put(jobstore.JobKey("a"), text)
+	h.owner.Store(poolowner.New(poolowner.Deps{
+		Name: "host-1", Clock: h.clk, Store: h.store, Workers: h.workers, Log: h.log, Metrics: h.metrics.registry, StoreAge: h.storeAge,
+	}, poolowner.Claim{Term: 1}))
+	anyone := customer.NewCaller(nil, customer.Call{QueueKnown: true, Key: customer.KeyNotNeeded}, true)
+	before := p.Store.Calls()
+	answered := 0
+	for range 400 {
+		state, err := h.jobState(t.Context(), anyone, "a")
+		if err == nil {
+			g.Expect(state).To(Equal(job.Queued))
+			answered++
+			continue
+		}
+		g.Expect(errors.Is(err, platform.ErrOutcomeUnknown)).To(BeTrue(), "%v", err)
+	}
+	g.Expect(answered).To(BeNumerically(">=", lookupBurst), "some lookups are answered from the store")
+	g.Expect(p.Store.Calls() - before).To(BeNumerically("<", 3*2*lookupBurst))
+}
