Gangs ask for tickets with a margin on all members, which grows while rounds do not suffice

Cause: a gang needs tickets for all its members at once. Each round of calls for advice asked for what its valid tickets did not cover, with a margin of 20% on that rest alone. While a call is pending, other steps take room of the workers whose tickets the gang already has. A gang that lacked 10 of 45 asked for 12, lost three or four of the other 35, and lacked some again, for as long as gangs of the same age, which choose the same workers, started beside it. In the log such a gang asks for 7 to 18 workers twice a second for 15 s, has 22 to 32 tickets of 33 (46 of 46 once), and workers known to be allowed have room for 232 to 408. Of 31 idle gangs at 54 s, 8 were left at 62 s: the pool started two or three each second, however empty it was. The lost answers and restarts made the backlog; nothing of it was needed any more when the gangs waited, so any backlog of gangs can end so.

Change: the margin of a gang counts for all its members, and in a pool that is not mostly used it grows with each round that did not suffice, up to the room for all members twice over, which is what the platform presumes of a gang that can start.

Evidence: TestGangStartsWhileOtherTasksTakeRoomOfItsTickets (45 members, one on each worker, 1,100 workers, other tasks take 5 to 60 workers a second for 4 s each). Before, 11 of 18 cases failed, those with 20 and more a second but one (3.3 to 4.8 s with 20 and 30).

--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -58,6 +58,9 @@
 	// selectedAt is when targets were last selected for the step, and hadNoTargets says that none were found.
 	selectedAt   clock.Time
 	hadNoTargets bool
+	// insufficientRounds counts the rounds of calls since the step became ready after which not all of its members had
+	// workers. It is used for gangs only.
+	insufficientRounds int
 	// callTime is the total duration of the calls for the step.
 	callTime time.Duration
 	// lastAnsweredAt is when a call for the step was last answered or failed; 0 for never.
@@ -140,6 +143,9 @@
 		s.advice.notBefore = now.Add(time.Duration(noTargetBackoff * float64(prices.Cost.CallTime(1))))
 		return
 	}
+	if s.advice.lastAnsweredAt >= s.readySince {
+		s.advice.insufficientRounds++
+	}
 	for _, part := range targets.split(prices.WorkersPerCall(len(targets.workers))) {
 		p.sendAdviceCall(s, part, maxLong, now, out)
 	}
--- a/pkg/dispatch/advice_targets.go
+++ b/pkg/dispatch/advice_targets.go
@@ -9,9 +9,14 @@
 	"foldarch.dev/foldarch/pkg/clock"
 )
 
-// targetRoomMargin is by how much the room of the targets must exceed the need, since other steps take room
-// while a call is pending.
-const targetRoomMargin = 1.2
+const (
+	// targetRoomMargin is by how much the room of the targets must exceed the need, since other steps take room
+	// while a call is pending.
+	targetRoomMargin = 1.2
+	// maxGangRoomMargin is the largest such margin of a gang. The platform requires that a gang starts if there is
+	// room for it twice over.
+	maxGangRoomMargin = 2
+)
 
 // workerRoom is a worker and how many tasks of a step it has room for.
 type workerRoom struct {
@@ -55,7 +60,12 @@
 	if s.spec.Gang && totalRoom(known)+totalRoom(others) < need {
 		known, others = nil, nil // there is no room for all members, whichever workers are allowed
 	}
-	workers, need := selectKnownTargets(known, need*targetRoomMargin, prices.MaxWorkers())
+	if s.spec.Gang {
+		need += (p.gangRoomMargin(s) - 1) * float64(waiting)
+	} else {
+		need *= targetRoomMargin
+	}
+	workers, need := selectKnownTargets(known, need, prices.MaxWorkers())
 	nKnown := len(workers)
 	n, suffices := p.otherTargetCount(s, others, need, prices, nKnown)
 	for _, o := range others[:n] {
@@ -66,6 +76,16 @@
 	return adviceTargets{workers, nKnown, withRoom}
 }
 
+// gangRoomMargin is the targetRoomMargin of a gang. It applies to all members, since other steps also take room for
+// which the gang has tickets already, and one ticket too few means another round of calls. In a pool that is not mostly
+// used it grows with each round that did not suffice.
+func (p *Pool) gangRoomMargin(s *step) float64 {
+	if p.poolLoad(s.occurrence.job.queue.Pool).isMostlyUsed() {
+		return targetRoomMargin
+	}
+	return min(1+(targetRoomMargin-1)*float64(1+s.advice.insufficientRounds), maxGangRoomMargin)
+}
+
 // otherTargetCount returns how many of the other workers, taken in their order, the calls should ask about
 // beside the known ones, and the probability that they suffice.
 func (p *Pool) otherTargetCount(s *step, others []workerRoom, need float64, prices advice.Prices, known int) (n int, suffices float64) {
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -261,7 +261,7 @@
 		if occ.job.outcome == "" && s.dependenciesDone() && s.waitingTasks() > 0 {
 			if !s.isQueued() {
 				s.createFirstTasks()
-				s.readySince = p.now
+				s.readySince, s.advice.insufficientRounds = p.now, 0
 				p.waitingSteps.add(s)
 			}
 			p.needsPlan = true
