Random histories check what jobs are given up for, with few attempts and a third of the answers lost

checkOutcome is stricter: a run that ends as failed counts once for a gang, not once for each member, so that an attempt counted twice shows; and a job that is given up for crashes must have had a task under which two workers crashed while they ran it (what the platform allows), also a job whose tasks crash workers.

New histories: queues with one and two attempts (three before) and answers to calls lost at a share of 0.33 until the last fault (0.02 before), with new workers, with workers that restart under their names, and with workers that crash five times as often as these. The draws of the other histories are unchanged.

--- a/pkg/dispatch/history_call_test.go
+++ b/pkg/dispatch/history_call_test.go
@@ -45,7 +45,7 @@
 			return
 		}
 		answer := carryOut()
-		if answer == nil || m.unreachable || w.chance(0.02) {
+		if answer == nil || m.unreachable || w.chance(w.lostAnswerProbability()) {
 			w.schedule(callTimeout, unanswered)
 			return
 		}
@@ -58,6 +58,14 @@
 	})
 }
 
+// lostAnswerProbability is the probability that the answer to a call that was carried out is lost.
+func (w *world) lostAnswerProbability() float64 {
+	if w.answersLost && w.now < w.faultsUntil {
+		return 0.33
+	}
+	return 0.02
+}
+
 func (w *world) schedule(d time.Duration, do func()) {
 	w.pendingCalls = append(w.pendingCalls, delayedCall{arrivesAt: w.now.Add(d), do: do})
 }
--- a/pkg/dispatch/history_owner_test.go
+++ b/pkg/dispatch/history_owner_test.go
@@ -30,7 +30,7 @@
 			}
 		},
 	}, w.now)
-	o.pool.SetConfig(w.quotas.config())
+	o.pool.SetConfig(w.quotas.config(w.queue()))
 	if w.largeJobs {
 		o.pool.SetSegmentSupport(w.drawSegmentSupport())
 	}
--- a/pkg/dispatch/history_quota_test.go
+++ b/pkg/dispatch/history_quota_test.go
@@ -44,9 +44,9 @@
 	return q
 }
 
-// config returns the configuration in force; without quotas it has no customers.
-func (q *modelQuotas) config() *queue.Config {
-	cfg := queue.NewConfig(1, []queue.Queue{testQueue}, nil)
+// config returns the configuration in force with the queue of the jobs; without quotas it has no customers.
+func (q *modelQuotas) config(jobQueue queue.Queue) *queue.Config {
+	cfg := queue.NewConfig(1, []queue.Queue{jobQueue}, nil)
 	if q == nil {
 		return cfg
 	}
@@ -93,7 +93,7 @@
 	q.quota[name] = quota
 	q.version++
 	w.logf("quota of %s is %d", name, quota)
-	cfg := q.config()
+	cfg := q.config(w.queue())
 	for _, o := range w.owners {
 		w.schedule(w.drawDuration(historyTick, maxConfigDelay), func() { o.pool.SetConfig(cfg) })
 	}
--- a/pkg/dispatch/history_test.go
+++ b/pkg/dispatch/history_test.go
@@ -96,11 +96,14 @@
 	ended         map[job.TaskID]bool       // tasks of which a run ended as done
 	lastBegunAt   map[job.TaskID]clock.Time // last start that was not carried out late
 	ackedFailures map[job.TaskID]int        // acknowledged ends as failed; those of a gang count at its task 0
-	failureCounts map[job.TaskID]int        // all ends as failed; those of a gang count at its task 0
-	log           []string
-	violated      bool
-	submittedJobs int  // number of jobs submitted so far
-	late          bool // a call whose caller has got no answer is being carried out
+	// failedRuns are the runs that ended as failed; those of a gang count once, at its task 0.
+	failedRuns map[runKey]bool
+	// crashesWhileRunning counts the workers that crashed while they ran a task.
+	crashesWhileRunning map[job.TaskID]int
+	log                 []string
+	violated            bool
+	submittedJobs       int  // number of jobs submitted so far
+	late                bool // a call whose caller has got no answer is being carried out
 	// unansweredStarts are the starts without an answer that were recorded in the store.
 	unansweredStarts map[runKey]bool
 	// disabled are mechanisms that all owners leave out.
@@ -151,6 +154,12 @@
 	largeJobs bool
 	// maxLease is the longest lease that a worker gives, by its own clock.
 	maxLease time.Duration
+	// answersLost says that workers carry out calls whose answers are lost (lostAnswerProbability).
+	answersLost bool
+	// crashesOften says that workers crash several times as often as otherwise.
+	crashesOften bool
+	// maxAttempts is how many runs of a task may fail.
+	maxAttempts int
 	// faultsUntil is the time at which fault injection stops.
 	faultsUntil        clock.Time
 	crashingMembers    map[job.ID]int
@@ -175,10 +184,10 @@
 
 func newWorld(t *testing.T, seed uint64) *world {
 	w := &world{
-		t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, 0)), now: 100_000, wallTime: time.Unix(1_700_000_000, 0), maxLease: platformMaxLease,
+		t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, 0)), now: 100_000, wallTime: time.Unix(1_700_000_000, 0), maxLease: platformMaxLease, maxAttempts: testQueue.MaxAttempts,
 		store: map[job.ID]*storedJob{}, gangs: map[gangKey]*modelGang{},
 		ackedDone: map[job.TaskID]bool{}, lastBegunAt: map[job.TaskID]clock.Time{}, ended: map[job.TaskID]bool{}, ackedFailures: map[job.TaskID]int{},
-		failureCounts: map[job.TaskID]int{}, unansweredStarts: map[runKey]bool{}, crashingMembers: map[job.ID]int{}, crashesByTask: map[job.TaskID]int{}, startsAfterCrashes: map[job.TaskID]int{}, countedCrashes: map[job.TaskID]int{},
+		failedRuns: map[runKey]bool{}, crashesWhileRunning: map[job.TaskID]int{}, unansweredStarts: map[runKey]bool{}, crashingMembers: map[job.ID]int{}, crashesByTask: map[job.TaskID]int{}, startsAfterCrashes: map[job.TaskID]int{}, countedCrashes: map[job.TaskID]int{},
 	}
 	for range historyWorkerCount {
 		w.addWorker()
@@ -249,7 +258,10 @@
 // crashProbability is the probability that a worker crashes at a tick. It is higher in histories with
 // restarts, which are about crashes.
 func (w *world) crashProbability() float64 {
-	if w.workersRestart && !w.longLeases {
+	switch {
+	case w.crashesOften:
+		return 0.01
+	case w.workersRestart && !w.longLeases:
 		return 0.002
 	}
 	return 0.0005
@@ -269,7 +281,7 @@
 		steps = append(steps, w.drawStep())
 		steps[1].After = []int{0}
 	}
-	r := job.Record{Job: job.Job{ID: id, Spec: "spec", Steps: steps}, Queue: testQueue, Term: o.term}
+	r := job.Record{Job: job.Job{ID: id, Spec: "spec", Steps: steps}, Queue: w.queue(), Term: o.term}
 	r.Unannounced = w.recordUnannouncedFrom > 0 && w.rand.IntN(2) == 0
 	if w.largeJobs && w.chance(0.25) {
 		r.Job = w.drawLargeJob()
@@ -430,6 +442,30 @@
 	})
 }
 
+// Guards against jobs that are given up without so many failures as the queue allows or two crashes.
+func TestInvariantsHoldWithFewAttemptsAndLostAnswers(t *testing.T) {
+	few := func(w *world, attempts int) {
+		w.answersLost, w.maxAttempts = true, attempts
+	}
+	for attempts := 1; attempts <= 2; attempts++ {
+		t.Run(fmt.Sprintf("%d of new workers", attempts), func(t *testing.T) {
+			simulateShare(t, fifthOfSeeds, func(w *world) { few(w, attempts) })
+		})
+		t.Run(fmt.Sprintf("%d of workers that restart", attempts), func(t *testing.T) {
+			simulateShare(t, fifthOfSeeds, func(w *world) {
+				w.workersRestart = true
+				few(w, attempts)
+			})
+		})
+	}
+	t.Run("while workers often crash", func(t *testing.T) {
+		simulateShare(t, fifthOfSeeds, func(w *world) {
+			w.workersRestart, w.crashesOften = true, true
+			few(w, 2)
+		})
+	})
+}
+
 func TestInvariantsHoldWhenQuotasBind(t *testing.T) {
 	t.Run("on their own", func(t *testing.T) { simulateQuotas(t, withQuotas) })
 	t.Run("behind relays", func(t *testing.T) {
--- a/pkg/dispatch/history_worker_test.go
+++ b/pkg/dispatch/history_worker_test.go
@@ -11,6 +11,7 @@
 	"foldarch.dev/foldarch/pkg/cell"
 	"foldarch.dev/foldarch/pkg/clock"
 	"foldarch.dev/foldarch/pkg/job"
+	"foldarch.dev/foldarch/pkg/queue"
 )
 
 // modelRun is a run on a simulated worker.
@@ -226,7 +227,7 @@
 	w.checkDependencies(m, r)
 	w.checkDue(r)
 	w.quotas.checkRun(w, m, r)
-	if w.ackedFailures[w.failureCountTask(r.task)] >= testQueue.MaxAttempts && r.gang == nil {
+	if w.ackedFailures[w.failureCountTask(r.task)] >= w.maxAttempts && r.gang == nil {
 		w.reportViolation("%s begins as run %d on %s after all its attempts", r.task, r.run, m.id)
 	}
 	if w.ackedDone[r.task] {
@@ -275,16 +276,33 @@
 	})
 }
 
+// queue returns the queue of the jobs.
+func (w *world) queue() queue.Queue {
+	q := testQueue
+	q.MaxAttempts = w.maxAttempts
+	return q
+}
+
+// minCrashesToGiveUp is how many workers must have crashed while they ran a task before its job may be given up.
+const minCrashesToGiveUp = 2
+
 // checkOutcome checks that a job is given up only for failures of a task or for crashes.
 func (w *world) checkOutcome(c JobChange) {
-	if _, crashes := w.crashingMembers[c.Job]; c.Outcome != job.Failed || crashes {
+	if c.Outcome != job.Failed || w.hasExhaustedAttempts(c.Job) {
 		return
 	}
-	for id, n := range w.failureCounts {
-		if id.Job == c.Job && n >= testQueue.MaxAttempts {
-			return
+	most := 0
+	for id, n := range w.crashesWhileRunning {
+		if id.Job == c.Job {
+			most = max(most, n)
 		}
 	}
+	if most < minCrashesToGiveUp {
+		w.reportViolation("%s is given up without a cause: %d workers have crashed under one of its tasks", c.Job, most)
+	}
+	if _, crashes := w.crashingMembers[c.Job]; crashes {
+		return
+	}
 	for id, n := range w.countedCrashes {
 		if id.Job == c.Job && n >= maxConsecutiveCrashes {
 			return // whatever caused these crashes
@@ -293,6 +311,22 @@
 	w.reportViolation("%s is given up without a cause", c.Job)
 }
 
+// hasExhaustedAttempts reports whether so many runs of a task of a job, or of a gang, have failed as may.
+func (w *world) hasExhaustedAttempts(id job.ID) bool {
+	failures := map[job.TaskID]int{}
+	for key := range w.failedRuns {
+		if key.task.Job == id {
+			failures[key.task]++
+		}
+	}
+	for _, n := range failures {
+		if n >= w.maxAttempts {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *world) handleStop(m *modelWorker, s StopOrder) Answer {
 	a := Answer{Clock: m.clock(w.now), Verdict: VerdictDone}
 	if !m.acceptToken(s.Token) {
@@ -344,7 +378,7 @@
 		w.maybeScheduleTakeover()
 	}
 	if reason == EndFailed {
-		w.failureCounts[w.failureCountTask(r.task)]++
+		w.failedRuns[runKey{w.failureCountTask(r.task), r.run}] = true
 	}
 	m.lastEndNumber++
 	m.endedAt[m.lastEndNumber] = w.now
@@ -396,6 +430,7 @@
 	w.maybeScheduleTakeover()
 	m.dead = true
 	for _, r := range m.runs {
+		w.crashesWhileRunning[r.task]++
 		if r.gang != nil {
 			r.gang.broken = true
 		}
