A step after a gang does not wait at a takeover if all members were seen active

Cause: gangs were left out when a run is seen active, since the worker of another member, which may not be fenced yet, can tell a former owner that the gang is done. If reports show all members of one run as active, all their workers reject former owners, so none of these has heard of the end of the gang or ever will.

Change: the steps after such a gang are not held. The gang itself still is, when it has to start again.

A test changed: "not a gang's step" of TestTasksAfterARunSeenActiveDoNotWaitForASilentWorker held the step after a gang of one member that was seen, which is the case that is free now. TestStepAfterAGangSeenActiveDoesNotWaitForASilentWorker asks the same of a gang of two with one member seen, seen only when it had ended, of members of different runs, and of a gang that starts again; its case with all members seen failed before.

--- a/pkg/dispatch/takeover.go
+++ b/pkg/dispatch/takeover.go
@@ -247,14 +247,26 @@
 
 // recordSeenActive records that a report shows a run of a previous owner as active. The worker rejects previous
 // owners by then, so that none of them hears of the end of the run, and none has started the task again. This
-// does not hold for members of a gang, whose end the workers of other members tell as well, and for a run that
-// the next incarnation of its worker may have started late.
+// does not hold for a run that the next incarnation of its worker may have started late.
 func (p *Pool) recordSeenActive(r *run) {
-	if p.takeover.pending && !r.task.step.spec.Gang && r.worker.info.ID.StartedAt() == 0 {
-		r.task.seenActiveRun, r.task.step.seenActive = r.number, true
+	switch s := r.task.step; {
+	case !p.takeover.pending || r.worker.info.ID.StartedAt() != 0:
+	case !s.spec.Gang:
+		r.task.seenActiveRun, s.seenActive = r.number, true
+	case s.isGangSeenActive(r.number):
+		s.seenActive = true
 	}
 }
 
+// isGangSeenActive reports whether reports have shown all members of a gang as active, and none as ended. The worker
+// of a member that was not seen might tell a previous owner that the gang is done.
+func (s *step) isGangSeenActive(number int) bool {
+	return len(s.tasks) == s.spec.Count && !slices.ContainsFunc(s.tasks, func(t *task) bool {
+		r := t.current
+		return r == nil || !r.adopted || r.number != number || r.worker.info.ID.StartedAt() != 0
+	})
+}
+
 // isUnknownToPreviousOwners reports whether no previous owner can have started the job.
 func (p *Pool) isUnknownToPreviousOwners(j *jobState) bool {
 	return !p.cfg.HasPreviousOwner || j.acceptedInCurrentTerm
