An order with a number of a spec that the relay counts otherwise is not carried out

Found in review, not reachable as the code is: a sender that began to count anew on a stream would have had an order carried out with the spec of another job. All orders of a message that name a spec by number are returned as not sent if its numbers do not follow those before.

TestOrderWithAnUnknownSpecIsNotCarriedOut has the case, which failed before (in the review's test: an order of job b with the spec of job a).

--- a/pkg/relay/kept_specs.go
+++ b/pkg/relay/kept_specs.go
@@ -53,15 +53,18 @@
 	}
 }
 
-// unpack sets the specs of the orders of a received message. Orders whose spec is not known are returned apart.
+// unpack sets the specs of the orders of a received message. Orders whose spec is not known are returned apart, also
+// all that name a spec by number if the sender counts otherwise.
 func (k *keptSpecs) unpack(m *poolpb.Orders) (orders, unknown []*poolpb.Order) {
-	if m.FirstSpec == k.next {
+	inStep := m.FirstSpec == 0 || m.FirstSpec == k.next
+	if m.FirstSpec != 0 && inStep {
 		for _, spec := range m.Specs {
 			k.add(spec)
 		}
 	}
 	for _, o := range m.Orders {
 		spec, ok := k.specOf(m, o)
+		ok = ok && (inStep || o.SpecNumber == 0)
 		if !ok {
 			unknown = append(unknown, o)
 			continue
--- a/pkg/relay/kept_specs_test.go
+++ b/pkg/relay/kept_specs_test.go
@@ -88,4 +88,7 @@
 	known, unknown = k.unpack(&poolpb.Orders{FirstSpec: 9, Specs: []string{"t"}, Orders: []*poolpb.Order{{SpecNumber: 9}}})
 	g.Expect(known).To(BeEmpty(), "a message before it is missing")
 	g.Expect(unknown).To(HaveLen(1))
+	known, unknown = k.unpack(&poolpb.Orders{FirstSpec: 1, Specs: []string{"t"}, Orders: []*poolpb.Order{{SpecNumber: 1}}})
+	g.Expect(known).To(BeEmpty(), "number 1 is that of another spec here")
+	g.Expect(unknown).To(HaveLen(1))
 }
