One loop packs the specs of orders, whether the relay keeps them or not

packOrders had a second copy of the loop of keptSpecs.pack, and the result of an order that is not carried out was written out in three places. Behaviour stays: a relay that keeps no specs gets each of them in every message, numbered within it. Tests of pkg/relay pass unchanged.

--- a/pkg/relay/client.go
+++ b/pkg/relay/client.go
@@ -74,7 +74,7 @@
 // failUnsent ends orders that were not sent.
 func (c *Client) failUnsent(orders []*poolpb.Order) {
 	for _, o := range orders {
-		c.deliver(&poolpb.Result{Number: o.Number, Failed: true, NotSent: true})
+		c.deliver(notSentResult(o))
 	}
 }
 
--- a/pkg/relay/messages.go
+++ b/pkg/relay/messages.go
@@ -25,6 +25,11 @@
 	return platform.Order{Worker: dispatch.WorkerID(o.Worker), Address: address, Token: o.Token}, nil
 }
 
+// notSentResult is the result of an order that was not carried out and never will be.
+func notSentResult(o *poolpb.Order) *poolpb.Result {
+	return &poolpb.Result{Number: o.Number, Failed: true, NotSent: true}
+}
+
 func answerOf(r *poolpb.Result) dispatch.Answer {
 	return dispatch.Answer{Verdict: dispatch.Verdict(r.Verdict), Clock: r.Clock}
 }
@@ -62,22 +67,12 @@
 	return report, nil
 }
 
-// packOrders puts orders into one message. The starts of a step carry the same spec, which may be
-// most of their bytes, so the message holds each spec once.
+// packOrders puts orders into one message for a relay that keeps no specs. The starts of a step carry the same spec,
+// which may be most of their bytes, so the message holds each spec once.
 func packOrders(orders []*poolpb.Order) *poolpb.Orders {
-	out := &poolpb.Orders{Orders: orders}
-	numbers := map[string]int64{}
-	for _, o := range orders {
-		if o.Spec == "" {
-			continue
-		}
-		if numbers[o.Spec] == 0 {
-			out.Specs = append(out.Specs, o.Spec)
-			numbers[o.Spec] = int64(len(out.Specs))
-		}
-		o.Spec, o.SpecNumber = "", numbers[o.Spec]
-	}
-	return out
+	m := newKeptSpecs(0).pack(orders)
+	m.FirstSpec = 0
+	return m
 }
 
 // specOf returns the spec of an order in a message; ok is false if the message does not hold it.
--- a/pkg/relay/server.go
+++ b/pkg/relay/server.go
@@ -63,13 +63,13 @@
 func (s *Server) HandleOrders(ctx context.Context, m *poolpb.Orders) {
 	orders, unknown := s.specs.unpack(m)
 	for _, o := range unknown {
-		s.results.add(&poolpb.Result{Number: o.Number, Failed: true, NotSent: true})
+		s.results.add(notSentResult(o))
 	}
 	for _, o := range orders {
 		select {
 		case s.slots <- struct{}{}:
 		default:
-			s.results.add(&poolpb.Result{Number: o.Number, Failed: true, NotSent: true})
+			s.results.add(notSentResult(o))
 			continue
 		}
 		go func() {
