--- a/pkg/jobhost/lookup_limiter_test.go
+++ b/pkg/jobhost/lookup_limiter_test.go
@@ -17,9 +17,16 @@
 // store's rate to the next owner.
 func TestCallersLeaveStoreReadsToTheOwner(t *testing.T) {
 	t.Parallel()
-	g := NewWithT(t)
 	p := startPlatform(t)
 	h, _ := newTestHost(t, p)
+	expectLimitedLookups(t, h, p)
+}
+
+// expectLimitedLookups checks that of many lookups of a stored job some are answered from the store, and that they
+// leave the rest of its reads to others.
+func expectLimitedLookups(t *testing.T, h *Host, p *emulator.Platform) {
+	t.Helper()
+	g := NewWithT(t)
 	text, err := job.Record{Job: job.Job{ID: "a", Spec: "spec", Steps: []job.Step{{Count: 1}}}}.Encode()
 	g.Expect(err).NotTo(HaveOccurred())
 	p.Store.Put(jobstore.JobKey("a"), text)
@@ -83,27 +90,10 @@
 // and the reads of all callers left none of the store's rate to its lists.
 func TestCallersLeaveStoreReadsToAnOwnerThatLoadsTheJobs(t *testing.T) {
 	t.Parallel()
-	g := NewWithT(t)
 	p := startPlatform(t)
 	h, _ := newTestHost(t, p)
-	text, err := job.Record{Job: job.Job{ID: "a", Spec: "spec", Steps: []job.Step{{Count: 1}}}}.Encode()
-	g.Expect(err).NotTo(HaveOccurred())
-	p.Store.Put(jobstore.JobKey("a"), text)
 	h.owner.Store(poolowner.New(poolowner.Deps{
 		Name: "host-1", Clock: h.clk, Store: h.store, Workers: h.workers, Log: h.log, Metrics: h.metrics.registry, StoreAge: h.storeAge,
 	}, poolowner.Claim{Term: 1}))
-	anyone := customer.NewCaller(nil, customer.Call{QueueKnown: true, Key: customer.KeyNotNeeded}, true)
-	before := p.Store.Calls()
-	answered := 0
-	for range 400 {
-		state, err := h.jobState(t.Context(), anyone, "a")
-		if err == nil {
-			g.Expect(state).To(Equal(job.Queued))
-			answered++
-			continue
-		}
-		g.Expect(errors.Is(err, platform.ErrOutcomeUnknown)).To(BeTrue(), "%v", err)
-	}
-	g.Expect(answered).To(BeNumerically(">=", lookupBurst), "some lookups are answered from the store")
-	g.Expect(p.Store.Calls() - before).To(BeNumerically("<", 3*2*lookupBurst))
+	expectLimitedLookups(t, h, p)
 }
--- a/test/platform/cell_test.go
+++ b/test/platform/cell_test.go
@@ -225,18 +225,24 @@
 
 // storedOwner returns the term of the pool's owner according to the store's record, empty if there is none.
 func storedOwner(s *emulator.Store) string {
-	var holder jobstore.OwnerRecord
-	if json.Unmarshal(s.Value(jobstore.OwnerRecordKey), &holder) != nil {
+	holder, ok := storedOwnerRecord(s)
+	if !ok {
 		return ""
 	}
 	return strconv.FormatInt(holder.Term, 10)
 }
 
+// storedOwnerRecord returns the store's record of the owner; ok is false if there is none.
+func storedOwnerRecord(s *emulator.Store) (r jobstore.OwnerRecord, ok bool) {
+	err := json.Unmarshal(s.Value(jobstore.OwnerRecordKey), &r)
+	return r, err == nil
+}
+
 // owner returns the index of the host that owns the pool according to the store's record, or -1 if there is
 // none.
 func (c *cell) owner() int {
-	var holder jobstore.OwnerRecord
-	if json.Unmarshal(c.p.Store.Value(jobstore.OwnerRecordKey), &holder) != nil {
+	holder, ok := storedOwnerRecord(c.p.Store)
+	if !ok {
 		return -1
 	}
 	for n, h := range c.hosts {
--- a/test/platform/slow_link_test.go
+++ b/test/platform/slow_link_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"os"
 	"strings"
@@ -11,7 +10,6 @@
 	"testing"
 	"time"
 
-	"foldarch.dev/foldarch/pkg/jobstore"
 	"foldarch.dev/foldarch/platform/emulator"
 	. "github.com/onsi/gomega"
 )
@@ -36,8 +34,8 @@
 
 // term returns the term of the recorded owner.
 func (c *cell) term() int64 {
-	var holder jobstore.OwnerRecord
-	c.Expect(json.Unmarshal(c.p.Store.Value(jobstore.OwnerRecordKey), &holder)).To(Succeed())
+	holder, ok := storedOwnerRecord(c.p.Store)
+	c.Expect(ok).To(BeTrue())
 	return holder.Term
 }
 
